--- a/admission/team_limits.ts
+++ b/admission/team_limits.ts
@@ -205,7 +205,8 @@
   }
 
   #computeBase(team: TeamId, bucket: TeamBucket, nowMs: number): number {
-    const isSettling = nowMs - this.#parts.startedMs < SETTLE_MS && this.#parts.isJoining();
+    const isSettling = nowMs - this.#parts.startedMs < SETTLE_MS &&
+      this.#parts.isJoining();
     const part = isSettling ? SETTLING_SHARE : 1;
     return bucket.limit * this.#parts.readBaseShare(team) * part;
   }
