State: leases, placement, usage for charging and batches

Change: region leases with fencing tokens and a placement controller; cumulative usage counters that are sealed before they are folded; batches in packs under store leases, answers merged so that the first one stays; item calls go through the same filters.

--- a/bin/check_deployment.ts
+++ b/bin/check_deployment.ts
@@ -116,6 +116,35 @@
       }
       return runs.length === 1 ? undefined : `it ran ${runs.length} times`;
     }],
+    ["batch", async () => {
+      const items = Array.from({ length: 20 }, (_, index) => ({
+        custom_id: `item-${index}`,
+        url: "/v1/chat/completions",
+        body: {
+          ...question,
+          messages: [{ role: "user", content: `item ${index}` }],
+        },
+      }));
+      const accepted = await call(urls[1]!, "POST", "/v1/batches", { items });
+      if (accepted.status !== 202) {
+        return `got ${accepted.status} ${accepted.text}`;
+      }
+      const { id } = JSON.parse(accepted.text) as { readonly id: string };
+      let status = "";
+      for (let attempt = 0; attempt < 100 && status !== "done"; attempt++) {
+        await new Promise((resolve) => setTimeout(resolve, 200));
+        const answer = await call(urls[5]!, "GET", `/v1/batches/${id}`);
+        status =
+          (JSON.parse(answer.text) as { readonly status: string }).status;
+      }
+      const results = await call(urls[8]!, "GET", `/v1/batches/${id}/results`);
+      const lines = results.text.trim().split("\n");
+      const isWhole = lines.length === items.length &&
+        lines.every((line, index) =>
+          line.includes(createAnswer(items[index]!.body))
+        );
+      return isWhole ? undefined : `status ${status}, ${lines.length} answers`;
+    }],
     ["drain of a daemon", async () => {
       const leaving = deployment.daemons[2]!;
       const stream = call(
--- /dev/null
+++ b/controllers/decide_placement.ts
@@ -0,0 +1,183 @@
+import type { EngineState } from "../engine/mod.ts";
+
+/** What operators want of one service in one region. */
+export interface WantedPlacement {
+  readonly service: string;
+  readonly version: string;
+  readonly replicas: number;
+}
+
+/** An engine as placement sees it. */
+export interface PlacedEngine {
+  readonly id: string;
+  readonly service: string;
+  readonly isLeaving: boolean;
+  /** What it reports; `undefined` if it does not answer. */
+  readonly state: EngineState | undefined;
+  /** Not ordered again before then, after a failure. */
+  readonly retryAtMs: number;
+}
+
+/** An order to be sent. */
+export interface PlacementOrder {
+  readonly engine: string;
+  /** Version to load; `undefined` to unload. */
+  readonly version: string | undefined;
+}
+
+/** How far a placement is, for operators. */
+export interface PlacementStatus {
+  readonly service: string;
+  readonly wanted: number;
+  readonly serving: number;
+  readonly loading: number;
+  /** Why it is not complete; empty if it is. */
+  readonly reason: string;
+}
+
+/** What is decided. */
+export interface PlacementDecision {
+  readonly orders: readonly PlacementOrder[];
+  readonly statuses: readonly PlacementStatus[];
+}
+
+/** What a decision is made from. */
+export interface PlacementRequest {
+  readonly wanted: readonly WantedPlacement[];
+  readonly engines: readonly PlacedEngine[];
+  /** Loads that may run at once in the region, by the rate of the weight store. */
+  readonly maxLoads: number;
+  readonly nowMs: number;
+}
+
+/**
+ * Decides which engines load or unload what. It orders nothing where nothing
+ * differs, spreads loads by the rate of the weight store, and never takes the
+ * last engine that serves a service out of use for a load.
+ *
+ * @param request What is wanted and what is reported.
+ */
+export function decidePlacement(request: PlacementRequest): PlacementDecision {
+  const loading =
+    request.engines.filter(({ state }) => state?.loading !== undefined).length;
+  let loadsLeft = Math.max(0, request.maxLoads - loading);
+  const decisions = request.wanted.map((wanted) => {
+    const decision = decideService(wanted, request, loadsLeft);
+    loadsLeft -= decision.orders.filter(({ version }) =>
+      version !== undefined
+    ).length;
+    return decision;
+  });
+  return {
+    orders: decisions.flatMap(({ orders }) => orders),
+    statuses: decisions.map(({ status }) => status),
+  };
+}
+
+function decideService(
+  wanted: WantedPlacement,
+  request: PlacementRequest,
+  loadsLeft: number,
+): {
+  readonly orders: readonly PlacementOrder[];
+  readonly status: PlacementStatus;
+} {
+  const engines = request.engines.filter(({ service, isLeaving }) =>
+    service === wanted.service && !isLeaving
+  );
+  const serving = engines.filter((engine) => isServing(engine, wanted.version));
+  const loading = engines.filter(({ state }) =>
+    state?.loading === wanted.version
+  );
+  const missing = wanted.replicas - serving.length - loading.length;
+  const candidates = engines.filter((engine) => isFree(engine, wanted.version))
+    .toSorted(compareEmptyFirst);
+  const ready = candidates.filter(({ retryAtMs }) =>
+    retryAtMs <= request.nowMs
+  );
+  const loads = pickLoads(
+    ready,
+    engines,
+    Math.min(Math.max(0, missing), loadsLeft),
+  );
+  const unloads = missing >= 0 ? [] : serving.slice(wanted.replicas);
+  return {
+    orders: [
+      ...loads.map(({ id }) => ({ engine: id, version: wanted.version })),
+      ...unloads.map(({ id }) => ({ engine: id, version: undefined })),
+    ],
+    status: {
+      service: wanted.service,
+      wanted: wanted.replicas,
+      serving: serving.length,
+      loading: loading.length + loads.length,
+      reason: missing <= 0 ? "" : explain({
+        missing,
+        engines,
+        candidates,
+        ready,
+        loads: loads.length,
+        loadsLeft,
+      }),
+    },
+  };
+}
+
+/** Engines that serve an older version are taken only while another one goes on serving. */
+function pickLoads(
+  ready: readonly PlacedEngine[],
+  engines: readonly PlacedEngine[],
+  count: number,
+): readonly PlacedEngine[] {
+  const inUse =
+    engines.filter(({ state }) =>
+      state?.version !== undefined && state.loading === undefined
+    ).length;
+  let spareCopies = Math.max(0, inUse - 1);
+  return ready.filter(({ state }) => {
+    if (state?.version === undefined) return true;
+    spareCopies--;
+    return spareCopies >= 0;
+  }).slice(0, count);
+}
+
+function isServing({ state }: PlacedEngine, version: string): boolean {
+  return state?.version === version && state.loading === undefined;
+}
+
+function isFree({ state }: PlacedEngine, version: string): boolean {
+  return state !== undefined && state.loading === undefined &&
+    state.version !== version;
+}
+
+function compareEmptyFirst(a: PlacedEngine, b: PlacedEngine): number {
+  const rank = ({ state }: PlacedEngine) =>
+    state?.version === undefined ? 0 : 1;
+  return rank(a) - rank(b) || (a.id < b.id ? -1 : 1);
+}
+
+function explain(facts: {
+  readonly missing: number;
+  readonly engines: readonly PlacedEngine[];
+  readonly candidates: readonly PlacedEngine[];
+  readonly ready: readonly PlacedEngine[];
+  readonly loads: number;
+  readonly loadsLeft: number;
+}): string {
+  const silent =
+    facts.engines.filter(({ state }) => state === undefined).length;
+  const failed = facts.candidates.map(({ state }) => state?.failure).find((
+    text,
+  ) => text);
+  if (facts.loads > 0) return `${facts.missing} to go: loading`;
+  if (facts.candidates.length === 0) {
+    return silent > 0
+      ? `${silent} engines do not answer`
+      : "there are no more engines";
+  }
+  if (facts.ready.length === 0) {
+    return `waiting after a failed load: ${failed ?? "unknown"}`;
+  }
+  if (facts.loadsLeft <= 0) return "waiting for the rate of the weight store";
+  return "waiting: the last serving engine is not taken out of use";
+}
--- /dev/null
+++ b/controllers/work_batches.ts
@@ -0,0 +1,220 @@
+import {
+  type BatchHead,
+  BatchStore,
+  type ItemOutcome,
+  runPack,
+  toClaimKey,
+} from "../batches/mod.ts";
+import { createToken } from "../clock/mod.ts";
+import type { Gateway } from "../daemon/gateway.ts";
+import type { BatchItem } from "../batches/mod.ts";
+import { toChangeId } from "../ids/mod.ts";
+import { readBatchRegions } from "../filters/batch_api.ts";
+import { LEASE_TERMS } from "../leases/mod.ts";
+import { rankNames } from "../membership/mod.ts";
+
+/** Daemons of a region that work on batches. */
+const WORKERS_PER_REGION = 3;
+/** Packs that one daemon works on at once. */
+const PACKS_AT_ONCE = 3;
+const ITEM_DEADLINE_MS = 60_000;
+
+/**
+ * Returns the controller that works on batches: it claims packs under a lease
+ * of its own, so that another daemon takes them over when this one dies.
+ *
+ * @param gateway The daemon.
+ * @param signal Ends the work.
+ */
+export function createWorkBatches(
+  gateway: Gateway,
+  signal: AbortSignal,
+): () => Promise<void> {
+  const { clock, random, self } = gateway.parts;
+  const store = new BatchStore(
+    gateway.store,
+    () => toChangeId(createToken(random)),
+  );
+  const working = new Set<string>();
+  let lease: { readonly id: string; readonly renewedMs: number } | undefined;
+
+  const keepLease = async (): Promise<boolean> => {
+    const askedMs = clock.nowMs();
+    const options = { callClass: "lease" } as const;
+    if (lease !== undefined) {
+      const renewed = await gateway.store.renewLease(lease.id, options);
+      if (renewed.isOk()) {
+        lease = renewed.value
+          ? { id: lease.id, renewedMs: askedMs }
+          : undefined;
+      }
+      const isHeld = lease !== undefined &&
+        askedMs < lease.renewedMs + LEASE_TERMS.ttlMs - LEASE_TERMS.marginMs;
+      return isHeld;
+    }
+    const granted = await gateway.store.grantLease(LEASE_TERMS.ttlMs, options);
+    if (granted.isErr()) return false;
+    lease = { id: granted.value, renewedMs: askedMs };
+    return true;
+  };
+
+  const claim = async (
+    id: string,
+    pack: number,
+  ): Promise<number | undefined> => {
+    if (lease === undefined) return undefined;
+    const swapped = await gateway.store.swap({
+      key: toClaimKey(id, pack),
+      expectedRevision: 0,
+      value: JSON.stringify({ holder: gateway.incarnation }),
+      leaseId: lease.id,
+    }, { callClass: "batch" });
+    if (swapped.isErr() || swapped.value.kind === "conflict") return undefined;
+    return swapped.value.revision;
+  };
+
+  const workOn = async (head: BatchHead, pack: number) => {
+    const key = `${head.id}/${pack}`;
+    working.add(key);
+    const claimed = await claim(head.id, pack);
+    if (claimed !== undefined) {
+      await runClaimed(gateway, store, { head, pack, signal });
+      await gateway.store.swap({
+        key: toClaimKey(head.id, pack),
+        expectedRevision: claimed,
+        value: undefined,
+      }, { callClass: "batch" });
+    }
+    working.delete(key);
+  };
+
+  return async () => {
+    const live = gateway.membership.liveIds;
+    const isWorker = rankNames("batches", live).slice(0, WORKERS_PER_REGION)
+      .includes(self.id);
+    if (!isWorker || !gateway.isReady || working.size >= PACKS_AT_ONCE) {
+      if (working.size > 0) await keepLease();
+      return;
+    }
+    const open = await store.listOpen();
+    if (open.isErr() || open.value.length === 0) return;
+    if (!await keepLease()) return;
+    for (const id of open.value) {
+      const head = await store.readHead(id);
+      if (head.isErr()) return;
+      if (head.value === undefined || head.value.state !== "open") {
+        const isOld = head.value !== undefined;
+        if (isOld) await store.dropPointer(id);
+        continue;
+      }
+      if (!isAllowedHere(gateway, head.value)) continue;
+      const todo = await listUnfinished(store, head.value);
+      if (todo === undefined) return;
+      if (todo.length === 0) {
+        await store.end(id, "done", clock.nowMs());
+        continue;
+      }
+      const free = todo.filter((pack) => !working.has(`${id}/${pack}`));
+      const start = Math.floor(random.nextFloat() * free.length);
+      [...free.slice(start), ...free.slice(0, start)]
+        .slice(0, PACKS_AT_ONCE - working.size)
+        .forEach((pack) => void workOn(head.value!, pack));
+      if (working.size >= PACKS_AT_ONCE) return;
+    }
+  };
+}
+
+async function listUnfinished(
+  store: BatchStore,
+  head: BatchHead,
+): Promise<readonly number[] | undefined> {
+  const counts = await store.countAnswers(head.id);
+  if (counts.isErr()) return undefined;
+  return head.packSizes.map((_, pack) => pack)
+    .filter((pack) => (counts.value.get(pack) ?? 0) < head.packSizes[pack]!);
+}
+
+async function runClaimed(
+  gateway: Gateway,
+  store: BatchStore,
+  work: {
+    readonly head: BatchHead;
+    readonly pack: number;
+    readonly signal: AbortSignal;
+  },
+): Promise<void> {
+  const { head, pack, signal } = work;
+  const items = await store.readPack(head.id, pack);
+  const answers = await store.readAnswers(head.id, pack);
+  if (items.isErr() || answers.isErr()) return;
+  const offset = head.packSizes.slice(0, pack).reduce(
+    (sum, size) => sum + size,
+    0,
+  );
+  const { clock, metrics } = gateway.parts;
+  await runPack({
+    clock,
+    signal,
+    runItem: (item, position) =>
+      runItem(gateway, head, { item, position, signal }),
+    save: async (added) => {
+      metrics.count("batch.items_done", Object.keys(added).length);
+      const head2 = await store.readHead(head.id);
+      if (head2.isOk() && head2.value?.state === "cancelled") return false;
+      return (await store.writeAnswers(head.id, pack, added)).isOk();
+    },
+  }, { items: items.value, offset, answers: answers.value, dueMs: head.dueMs });
+}
+
+async function runItem(
+  gateway: Gateway,
+  head: BatchHead,
+  work: {
+    readonly item: BatchItem;
+    readonly position: number;
+    readonly signal: AbortSignal;
+  },
+): Promise<ItemOutcome> {
+  const { item, position, signal } = work;
+  const leftMs = Math.max(
+    1,
+    Math.floor(head.dueMs - gateway.parts.clock.nowMs()),
+  );
+  const reply = await gateway.handleForTeam(head.team, {
+    method: item.method,
+    path: item.url,
+    query: "",
+    body: Buffer.from(JSON.stringify({ ...item.body, stream: false })),
+    headers: {
+      "content-type": "application/json",
+      "x-priority": "batch",
+      "x-deadline-ms": String(Math.min(ITEM_DEADLINE_MS, leftMs)),
+      ...(item.non_idempotent
+        ? {
+          "x-non-idempotent": "true",
+          "idempotency-key": `batch ${head.id} ${position}`,
+        }
+        : {}),
+    },
+    signal,
+  });
+  if (reply.kind === "events") return { status: 500, code: 0, body: null };
+  const text = Buffer.from(reply.body).toString("utf8");
+  const code = Number(reply.headers["x-result-code"] ?? "0");
+  return { status: reply.status, code, body: parseBody(text) };
+}
+
+function parseBody(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return text;
+  }
+}
+
+/** The items pass through the region that works on them. */
+function isAllowedHere(gateway: Gateway, head: BatchHead): boolean {
+  const { view } = gateway.configuration;
+  const allowed = readBatchRegions(view, head.team, head.services);
+  return allowed === undefined || allowed.has(gateway.parts.self.region);
+}
--- a/daemon/gateway.ts
+++ b/daemon/gateway.ts
@@ -22,6 +22,7 @@
 import { RetryBudget } from "../retry/mod.ts";
 import { CreditLedger, CreditPurse, ServicePool } from "../routing/mod.ts";
 import { GuardedStore, StoreBudget } from "../store/mod.ts";
+import type { PlacementStatus } from "../controllers/decide_placement.ts";
 import { UsageMeter } from "../usage/mod.ts";
 import type {
   Exchange,
@@ -57,6 +58,8 @@
   readonly ledger = new CreditLedger();
   readonly retries = new RetryBudget();
   readonly usage = new UsageMeter();
+  /** How far the placements of the region are, where this daemon holds its lease. */
+  readPlacements: () => readonly PlacementStatus[] = () => [];
   readonly controller: ConfigurationController;
   readonly #pools = new Map<string, ServicePool>();
   readonly #purses = new Map<string, CreditPurse>();
@@ -139,32 +142,35 @@
    * @returns What to send back; refusals are replies, too.
    */
   async handle(request: GatewayRequest): Promise<Reply> {
-    const { clock, metrics, random } = this.parts;
-    const receivedMs = clock.nowMs();
     const origin = this.#readOrigin(request);
-    const requestId = toRequestId(
-      (origin.kind === "peer" ? request.headers["x-request-id"] : undefined) ??
-        createToken(random),
-    );
-    const ended = new AbortController();
-    const exchange: Exchange = {
-      request: origin.kind === "peer"
-        ? request
-        : withoutForwardHeaders(request),
-      requestId,
-      receivedMs,
-      origin,
-      ended: ended.signal,
-      params: {},
-    };
-    this.#inFlight++;
-    metrics.gauge("request.in_flight", this.#inFlight);
-    const result = holdUntilEnd(await this.#handleSafely(exchange), () => {
-      this.#inFlight--;
-      ended.abort();
-      metrics.time("request.total_ms", clock.nowMs() - receivedMs);
+    const isPeer = origin.kind === "peer";
+    const kept = isPeer ? request : withoutForwardHeaders(request);
+    const exchange = this.#createExchange(kept, origin);
+    return await this.#serve(exchange, (each) => this.#routes.handle(each));
+  }
+
+  /**
+   * Serves one item of a batch.
+   *
+   * @param name Team that has submitted the batch.
+   * @param request Its call.
+   */
+  async handleForTeam(
+    name: string,
+    request: Omit<GatewayRequest, "readBody"> & { readonly body: Buffer },
+  ): Promise<Reply> {
+    const readBody = () => Promise.resolve(ok<Buffer, Failure>(request.body));
+    const exchange = this.#createExchange({ ...request, readBody }, {
+      kind: "caller",
+    });
+    const team = this.configuration.view.teams.get(name);
+    return await this.#serve(exchange, async (each) => {
+      if (team === undefined) {
+        return err(createFailure("FORBIDDEN", `No team "${name}" exists`));
+      }
+      each.team = team;
+      return await this.#routes.handleItem(each);
     });
-    return this.#toReply(exchange, result);
   }
 
   /** Whether an `authorization` header holds the token of daemons. */
@@ -247,9 +253,40 @@
     }
   }
 
-  async #handleSafely(exchange: Exchange): Promise<Result<Reply, Failure>> {
+  #createExchange(request: GatewayRequest, origin: Origin): LiveExchange {
+    const peerRequestId = origin.kind === "peer"
+      ? request.headers["x-request-id"]
+      : undefined;
+    const ended = new AbortController();
+    return {
+      request,
+      requestId: toRequestId(peerRequestId ?? createToken(this.parts.random)),
+      receivedMs: this.parts.clock.nowMs(),
+      origin,
+      ended: ended.signal,
+      end: () => ended.abort(),
+      params: {},
+    };
+  }
+
+  async #serve(exchange: LiveExchange, run: Handle): Promise<Reply> {
+    const { clock, metrics } = this.parts;
+    this.#inFlight++;
+    metrics.gauge("request.in_flight", this.#inFlight);
+    const result = holdUntilEnd(await this.#runSafely(exchange, run), () => {
+      this.#inFlight--;
+      exchange.end();
+      metrics.time("request.total_ms", clock.nowMs() - exchange.receivedMs);
+    });
+    return this.#toReply(exchange, result);
+  }
+
+  async #runSafely(
+    exchange: Exchange,
+    run: Handle,
+  ): Promise<Result<Reply, Failure>> {
     try {
-      return await this.#routes.handle(exchange);
+      return await run(exchange);
     } catch (error) {
       const message = error instanceof Error
         ? error.stack ?? error.message
@@ -346,7 +383,7 @@
   #createJournal(): ShardedJournal {
     const { clock, options, peers, random, self } = this.parts;
     const store = this.store;
-    const isGone = (holder: Incarnation) => this.#isGone(holder);
+    const isGone = (holder: Incarnation) => this.isGone(holder);
     const readRecord = (id: typeof self.id) => this.membership.readRecord(id);
     return new ShardedJournal({
       store,
@@ -377,7 +414,7 @@
   }
 
   /** A holder is gone when its instance is known to have started again. */
-  #isGone(holder: Incarnation): boolean {
+  isGone(holder: Incarnation): boolean {
     const [id, startedText] = holder.split(":");
     const started = Number(startedText);
     if (id === this.parts.self.id) return holder !== this.incarnation;
@@ -389,6 +426,13 @@
   }
 }
 
+type Handle = (exchange: Exchange) => Promise<Result<Reply, Failure>>;
+
+/** An exchange, with the way to end its timers. */
+interface LiveExchange extends Exchange {
+  readonly end: () => void;
+}
+
 type ServicePoolWeights = ReturnType<
   ConstructorParameters<typeof ServicePool>[0]["readWeights"]
 >;
--- a/daemon/routes.ts
+++ b/daemon/routes.ts
@@ -17,6 +17,7 @@
   listEntries,
   type Reply,
 } from "../filters/mod.ts";
+import { BATCH_HANDLERS } from "../filters/batch_api.ts";
 import { RESOURCE_HANDLERS, toFilter } from "../filters/resource_api.ts";
 import { createBorrowNow } from "../controllers/share_limits.ts";
 import type { RegionId } from "../ids/mod.ts";
@@ -29,10 +30,13 @@
 export interface Routes {
   /** Runs the chain of a path. */
   handle(exchange: Exchange): Promise<Result<Reply, Failure>>;
+  /** Runs an item of a batch, whose team is known. */
+  handleItem(exchange: Exchange): Promise<Result<Reply, Failure>>;
   /** Whether an `authorization` header holds the token of daemons. */
   isPeerToken(header: string | undefined): boolean;
 }
 
+const SERVICE_PATH = /^\/services\/([^/]+)\/(.*)$/;
 const CREDITS_WANTED = 8;
 const ASK_INTERVAL_MS = 100;
 const DEFAULT_LINK_MS = 60;
@@ -94,6 +98,14 @@
     createParsePlainCall({ configuration, clock }),
     ...serve,
   ]);
+  const modelItem = composeFilters([
+    createParseModelCall({ configuration, clock }),
+    ...serve,
+  ]);
+  const plainItem = composeFilters([
+    createParsePlainCall({ configuration, clock }),
+    ...serve,
+  ]);
   on("POST", "/v1/chat/completions", model);
   on("POST", "/v1/completions", model);
   on(
@@ -117,6 +129,9 @@
     () => Promise.resolve(ok(createJsonReply(200, { status: "ok" }))),
   );
   on("GET", "/readyz", createReadReadiness(gateway));
+  BATCH_HANDLERS.forEach(({ method, path, handler }) =>
+    on(method, path, composeFilters([refuseEarly, identify, handler(gateway)]))
+  );
   RESOURCE_HANDLERS.forEach(({ method, path, handler }) =>
     on(
       method,
@@ -141,6 +156,15 @@
       const params = found.params;
       return await filter(Object.assign(exchange, { params }), refuseUnended);
     },
+    handleItem: async (exchange) => {
+      const match = SERVICE_PATH.exec(exchange.request.path);
+      if (match === null) return await modelItem(exchange, refuseUnended);
+      const params = { "name": match[1], "*": match[2] };
+      return await plainItem(
+        Object.assign(exchange, { params }),
+        refuseUnended,
+      );
+    },
     isPeerToken: (header) =>
       header !== undefined && timingSafeEqual(hashHeader(header), peerHash),
   };
--- a/daemon/start_controllers.ts
+++ b/daemon/start_controllers.ts
@@ -3,6 +3,9 @@
 import { createWatchInstances } from "../controllers/watch_instances.ts";
 import { createSendHeartbeats } from "../controllers/send_heartbeats.ts";
 import { createPublishEntries } from "../controllers/publish_entries.ts";
+import { createChargeUsage } from "../controllers/charge_usage.ts";
+import { createPlaceVersions } from "../controllers/place_versions.ts";
+import { createWorkBatches } from "../controllers/work_batches.ts";
 import { scheduleEvery } from "../clock/mod.ts";
 import { HEARTBEAT_INTERVAL_MS } from "../membership/mod.ts";
 import type { Gateway } from "./gateway.ts";
@@ -11,6 +14,9 @@
 const ENGINES_INTERVAL_MS = 1_000;
 const LIMITS_INTERVAL_MS = 500;
 const ENTRIES_INTERVAL_MS = 1_000;
+const PLACEMENT_INTERVAL_MS = 1_500;
+const BATCHES_INTERVAL_MS = 1_000;
+const USAGE_INTERVAL_MS = 10_000;
 
 /**
  * Starts the controllers of a daemon.
@@ -21,25 +27,20 @@
 export function startControllers(gateway: Gateway, signal: AbortSignal): void {
   const { clock } = gateway.parts;
   const watchInstances = createWatchInstances(gateway);
+  const placement = createPlaceVersions(gateway);
+  gateway.readPlacements = placement.readStatuses;
+  const series: readonly (readonly [number, () => void | Promise<void>])[] = [
+    [INSTANCES_INTERVAL_MS, watchInstances],
+    [HEARTBEAT_INTERVAL_MS, createSendHeartbeats(gateway)],
+    [ENGINES_INTERVAL_MS, createObserveEngines(gateway, signal)],
+    [LIMITS_INTERVAL_MS, createShareLimits(gateway)],
+    [ENTRIES_INTERVAL_MS, createPublishEntries(gateway)],
+    [PLACEMENT_INTERVAL_MS, placement.run],
+    [BATCHES_INTERVAL_MS, createWorkBatches(gateway, signal)],
+    [USAGE_INTERVAL_MS, createChargeUsage(gateway)],
+  ];
   void watchInstances();
-  scheduleEvery(clock, INSTANCES_INTERVAL_MS, watchInstances, signal);
-  scheduleEvery(
-    clock,
-    HEARTBEAT_INTERVAL_MS,
-    createSendHeartbeats(gateway),
-    signal,
-  );
-  scheduleEvery(
-    clock,
-    ENGINES_INTERVAL_MS,
-    createObserveEngines(gateway, signal),
-    signal,
-  );
-  scheduleEvery(clock, LIMITS_INTERVAL_MS, createShareLimits(gateway), signal);
-  scheduleEvery(
-    clock,
-    ENTRIES_INTERVAL_MS,
-    createPublishEntries(gateway),
-    signal,
+  series.forEach(([intervalMs, run]) =>
+    scheduleEvery(clock, intervalMs, run, signal)
   );
 }
--- a/filters/resource_api.ts
+++ b/filters/resource_api.ts
@@ -11,6 +11,7 @@
   type ResourceKind,
 } from "../resources/mod.ts";
 import { createFailure, type Failure } from "../results/mod.ts";
+import { readUsage } from "../usage/mod.ts";
 import {
   createJsonReply,
   type Exchange,
@@ -41,6 +42,7 @@
 }[] = [
   { method: "GET", path: "/api/v1/status", handler: readStatus },
   { method: "GET", path: "/api/v1/audit", handler: readAudit },
+  { method: "GET", path: "/api/v1/usage", handler: readUsageTotals },
   { method: "GET", path: "/api/v1/watch", handler: watchEntries },
   { method: "POST", path: "/api/v1/changes", handler: applyMany },
   { method: "POST", path: "/api/v1/drain", handler: drainInstance },
@@ -206,6 +208,7 @@
       })),
     ],
     engines: readEngines(gateway),
+    placements: gateway.readPlacements(),
     in_flight: gateway.inFlight,
     stale_dropped: configuration.staleCount,
     log_level: logger.level,
@@ -229,6 +232,16 @@
   return ok(createJsonReply(200, { items: held, is_complete: false }));
 }
 
+async function readUsageTotals(gateway: Gateway) {
+  const usage = await readUsage(gateway.store);
+  if (usage.isOk()) return ok(createJsonReply(200, { teams: usage.value }));
+  return err(
+    createFailure("STORE_UNAVAILABLE", usage.error.message, {
+      retryAfterMs: 2_000,
+    }),
+  );
+}
+
 async function watchEntries(gateway: Gateway, exchange: Exchange) {
   const after = Number(
     new URLSearchParams(exchange.request.query).get("after") ?? "0",
--- a/usage/mod.ts
+++ b/usage/mod.ts
@@ -9,3 +9,5 @@
  * @module
  */
 export * from "./usage_meter.ts";
+export * from "./fold_usage.ts";
+export * from "./usage_flusher.ts";
