--- a/configuration/configuration_controller.ts
+++ b/configuration/configuration_controller.ts
@@ -76,6 +76,19 @@
     if (outcomes.some(({ kind }) => kind === "gap")) void this.#pullFromPeers();
   }
 
+  /**
+   * Catches up with what any peer has reported in force. Before that a change
+   * must not be accepted: after a restore of the store its log may lack what
+   * peers have in force.
+   *
+   * @returns Whether nothing newer is known of any more.
+   */
+  async reachNewest(): Promise<boolean> {
+    const { readNewestHeard, state } = this.#parts;
+    if (readNewestHeard() > state.sequence) await this.#pullFromPeers();
+    return readNewestHeard() <= state.sequence;
+  }
+
   async #load(): Promise<void> {
     const { store, state } = this.#parts;
     const [fromStore] = await Promise.all([
--- a/filters/resource_api.ts
+++ b/filters/resource_api.ts
@@ -148,6 +148,11 @@
   changes: readonly RequestedChange[],
 ): Promise<Result<Reply, Failure>> {
   const query = new URLSearchParams(exchange.request.query);
+  if (!await gateway.controller.reachNewest()) {
+    const message =
+      "This instance is behind: it has not yet heard the newest change";
+    return err(createFailure("NOT_READY", message, { retryAfterMs: 500 }));
+  }
   const accepted = await acceptChanges({
     store: gateway.store,
     state: gateway.configuration,
--- /dev/null
+++ b/spec/mod.ts
@@ -0,0 +1,16 @@
+/**
+ * Small specifications of the core protocols. They call the decisions of the
+ * product's own code, and are explored exhaustively.
+ *
+ * @example
+ * ```ts
+ * import { explore, JOURNAL_SPEC } from "./spec/mod.ts";
+ * explore(JOURNAL_SPEC).violation; // undefined
+ * ```
+ * @module
+ */
+export * from "./configuration_spec.ts";
+export * from "./explore.ts";
+export * from "./journal_spec.ts";
+export * from "./lease_spec.ts";
+export * from "./specification.ts";
--- /dev/null
+++ b/spec/run_model.ts
@@ -0,0 +1,62 @@
+import {
+  CONFIGURATION_MUTANTS,
+  CONFIGURATION_SPEC,
+} from "./configuration_spec.ts";
+import { explore, type Violation } from "./explore.ts";
+import { JOURNAL_MUTANTS, JOURNAL_SPEC } from "./journal_spec.ts";
+import { FENCED_SPEC, LEASE_MUTANTS, UNFENCED_SPEC } from "./lease_spec.ts";
+import type { Mutant, Specification } from "./specification.ts";
+
+// deno-lint-ignore no-explicit-any
+const SPECIFICATIONS: readonly Specification<any>[] = [
+  JOURNAL_SPEC,
+  CONFIGURATION_SPEC,
+  FENCED_SPEC,
+  UNFENCED_SPEC,
+];
+const MUTANTS: readonly Mutant[] = [
+  ...JOURNAL_MUTANTS,
+  ...CONFIGURATION_MUTANTS,
+  ...LEASE_MUTANTS,
+];
+
+const failed = process.argv.includes("--mutants")
+  ? checkMutants()
+  : checkSpecifications();
+process.exit(failed === 0 ? 0 : 1);
+
+function checkSpecifications(): number {
+  const results = SPECIFICATIONS.map((specification) => {
+    const { states, violation } = explore(specification);
+    console.log(`${specification.name}: ${states} states`);
+    specification.invariants.forEach(({ text }) => {
+      console.log(
+        `  ${violation?.invariant === text ? "BROKEN" : "holds"}: ${text}`,
+      );
+    });
+    if (violation !== undefined) printTrace(violation);
+    return violation;
+  });
+  return results.filter((violation) => violation !== undefined).length;
+}
+
+function checkMutants(): number {
+  const missed = MUTANTS.filter(({ name, specification }) => {
+    const { states, violation } = explore(specification);
+    const outcome = violation === undefined ? "MISSED" : "caught";
+    console.log(
+      `${specification.name}, "${name}": ${outcome} in ${states} states`,
+    );
+    if (violation !== undefined) printTrace(violation);
+    return violation === undefined;
+  });
+  console.log(
+    `${MUTANTS.length - missed.length} of ${MUTANTS.length} mutants caught`,
+  );
+  return missed.length;
+}
+
+function printTrace({ invariant, trace }: Violation): void {
+  console.log(`  broken: ${invariant}`);
+  console.log(`  trace: ${trace.join(" ")}`);
+}
