Bench: real daemons on a virtual clock with fakes, and the routing benchmark

Cause: decisions were not measured. Change: FakeFleet runs real daemons behind fakes of store, network and engines; policies can be replaced for experiments; routing is measured beside random, round robin, least reported load and prefix hash.

--- /dev/null
+++ b/bench/routing_bench.ts
@@ -0,0 +1,105 @@
+import { createRandom, pickRandom } from "../clock/mod.ts";
+import type { Policies } from "../daemon/mod.ts";
+import { computeWeight } from "../membership/mod.ts";
+import type { EngineModel, PickRequest } from "../routing/mod.ts";
+import { FakeFleet } from "../standin/mod.ts";
+import { type BenchResult, toCell } from "./bench_case.ts";
+import { declareFleet, FLEET_MODEL } from "./fleet_resources.ts";
+import { createArrivals, runTraffic, summarizeTraffic, type TrafficSummary } from "./traffic.ts";
+
+const DURATION_MS = 40_000;
+const RATE = 30;
+const SESSIONS = 120;
+
+type Pick = NonNullable<Policies["pickEngine"]>;
+
+function listUsable({ engines, excluded }: PickRequest): readonly EngineModel[] {
+  return engines.filter(({ server }) => !server.isLeaving && !excluded?.has(server.id));
+}
+
+/** Returns the plain policies that the product's choice is measured against. */
+export function createBaselines(): Readonly<Record<string, Pick | undefined>> {
+  let turn = 0;
+  return {
+    "random": (request) => pickRandom(listUsable(request), request.random),
+    "round robin": (request) => {
+      const usable = listUsable(request);
+      return usable[turn++ % usable.length];
+    },
+    "least reported": (request) =>
+      listUsable(request).toSorted((a, b) =>
+        a.estimateInSystem(0, request.nowMs) - b.estimateInSystem(0, request.nowMs)
+      )[0],
+    "prefix hash": (request) =>
+      listUsable(request).toSorted((a, b) =>
+        computeWeight(request.size.prefix ?? String(request.random.nextFloat()), b.server.id) -
+        computeWeight(request.size.prefix ?? String(request.random.nextFloat()), a.server.id)
+      )[0],
+    "havenspur": undefined,
+  };
+}
+
+/** Measures the choice of an engine: old and new hardware, shared prefixes, lagging reports. */
+export async function runRoutingBench(): Promise<BenchResult> {
+  const figures: Record<string, number> = {};
+  const rows: string[][] = [];
+  for (const [name, pickEngine] of Object.entries(createBaselines())) {
+    const { summary, hitShare } = await runOne(pickEngine);
+    const key = name.replaceAll(" ", "_");
+    figures[`${key}_p95`] = summary.firstTokenP95;
+    figures[`${key}_p99`] = summary.firstTokenP99;
+    rows.push([
+      name,
+      toCell(summary.firstTokenP50, 0),
+      toCell(summary.firstTokenP95, 0),
+      toCell(summary.firstTokenP99, 0),
+      toCell(hitShare * 100),
+      toCell(summary.refusedShare * 100),
+    ]);
+  }
+  const others = ["random", "round_robin", "least_reported", "prefix_hash"];
+  figures.p95_over_best_baseline = figures.havenspur_p95! /
+    Math.min(...others.map((name) => figures[`${name}_p95`]!));
+  return {
+    head: ["POLICY", "TTFT P50 MS", "P95", "P99", "CACHE HIT %", "REFUSED %"],
+    rows,
+    figures,
+    notes: [`${RATE} calls a second over 3 daemons, 4 new and 4 old engines, ${SESSIONS} sessions`],
+  };
+}
+
+async function runOne(
+  pickEngine: Pick | undefined,
+): Promise<{ readonly summary: TrafficSummary; readonly hitShare: number }> {
+  const fleet = new FakeFleet({
+    regions: ["r1"],
+    policies: pickEngine === undefined ? {} : { pickEngine },
+  });
+  await fleet.clock.advance(3_000);
+  await declareFleet(fleet, { engines: [{ region: "r1", fresh: 4, old: 4 }] });
+  const random = createRandom(42);
+  const arrivals = createArrivals({
+    random,
+    rateAt: () => RATE / 3,
+    peakRate: RATE / 3,
+    daemons: 3,
+    durationMs: DURATION_MS,
+    create: (atMs, daemon) => ({
+      atMs,
+      daemon,
+      team: "team-0",
+      priority: "interactive",
+      promptTokens: 300 + Math.floor(random.nextFloat() * 1_200),
+      outputTokens: 16 + Math.floor(random.nextFloat() * 48),
+      prefix: `session-${Math.floor(random.nextFloat() ** 2 * SESSIONS)}`,
+      deadlineMs: 30_000,
+      model: FLEET_MODEL,
+    }),
+  });
+  const results = await runTraffic(fleet, arrivals);
+  fleet.stop();
+  const counts = [...fleet.backend.engines.values()].map(({ core }) => core.counts);
+  const lookups = counts.reduce((sum, { cacheLookups }) => sum + cacheLookups, 0);
+  const hits = counts.reduce((sum, { cacheHits }) => sum + cacheHits, 0);
+  return { summary: summarizeTraffic(results, DURATION_MS), hitShare: hits / lookups };
+}
--- /dev/null
+++ b/bench/run_bench.ts
@@ -0,0 +1,45 @@
+import { readFileSync } from "node:fs";
+import { type BenchCase, type BenchResult, printResult } from "./bench_case.ts";
+import { runRoutingBench } from "./routing_bench.ts";
+
+const CASES: readonly BenchCase[] = [
+  { name: "routing", run: runRoutingBench },
+];
+
+/** A bound on one figure: a count, or a ratio inside one run. */
+interface Bound {
+  readonly figure: string;
+  readonly min?: number;
+  readonly max?: number;
+}
+
+const [wanted = "all"] = process.argv.slice(2);
+const cases = wanted === "all" ? CASES : CASES.filter(({ name }) => name === wanted);
+if (cases.length === 0) {
+  console.error(`No benchmark "${wanted}": wanted all, ${CASES.map(({ name }) => name).join(", ")}`);
+  process.exit(2);
+}
+const bounds = readBounds();
+let broken = 0;
+for (const { name, run } of cases) {
+  const result = await run();
+  broken += checkBounds(name, result);
+  printResult(name, result);
+}
+process.exit(broken === 0 ? 0 : 1);
+
+function readBounds(): Readonly<Record<string, readonly Bound[]>> {
+  const text = readFileSync(new URL("../../bench/baselines.json", import.meta.url), "utf8");
+  return JSON.parse(text) as Readonly<Record<string, readonly Bound[]>>;
+}
+
+function checkBounds(name: string, { figures }: BenchResult): number {
+  const failures = (bounds[name] ?? []).filter(({ figure, min = -Infinity, max = Infinity }) => {
+    const value = figures[figure];
+    return value === undefined || !(value >= min && value <= max);
+  });
+  failures.forEach(({ figure, min, max }) =>
+    console.error(`BOUND BROKEN ${name}: ${figure} is ${figures[figure]}, wanted ${min} to ${max}`)
+  );
+  return failures.length;
+}
--- a/bin/start_daemon.ts
+++ b/bin/start_daemon.ts
@@ -1,4 +1,3 @@
-import { setMaxListeners } from "node:events";
 import { readFileSync } from "node:fs";
 import { EtcdStore } from "../adapters/etcd_store.ts";
 import { HttpBackendClient } from "../adapters/http_backend_client.ts";
@@ -63,8 +62,6 @@
   const signal = options.signal === undefined
     ? ended.signal
     : AbortSignal.any([ended.signal, options.signal]);
-  // Each controller listens to it, and each of their timers.
-  setMaxListeners(0, signal);
   const logger = createDaemonLogger(settings, options);
   const metrics = settings.metrics.statsd === undefined
     ? NO_METRICS
--- a/daemon/gateway.ts
+++ b/daemon/gateway.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from "node:events";
 import { err, ok, type Result } from "neverthrow";
 import { TeamLimits } from "../admission/mod.ts";
 import { createToken } from "../clock/mod.ts";
@@ -131,6 +132,8 @@
    * @param signal Ends them.
    */
   start(signal: AbortSignal): void {
+    // Each controller listens to it, and each of their timers.
+    setMaxListeners(0, signal);
     startControllers(this, signal);
     this.controller.start(signal);
   }
@@ -227,6 +230,7 @@
       random,
       readDeciders: () => Math.max(1, this.membership.liveIds.length),
       readWeights: () => this.#readWeights(service),
+      policies: this.parts.policies,
     }, { maxLength: QUEUE_LENGTH });
     this.#pools.set(service, pool);
     pool.applyServers(
--- a/daemon/gateway_parts.ts
+++ b/daemon/gateway_parts.ts
@@ -1,3 +1,6 @@
+import type { computeThreshold } from "../admission/mod.ts";
+import type { decideRetry } from "../retry/mod.ts";
+import type { decideRegion, pickEngine } from "../routing/mod.ts";
 import type { Clock, Random } from "../clock/mod.ts";
 import type { BackendClient } from "../engine/mod.ts";
 import type { Logger } from "../logs/mod.ts";
@@ -19,6 +22,26 @@
   readonly metrics: Metrics;
   readonly self: InstanceRecord;
   readonly options: GatewayOptions;
+  /** Decisions to use in place of the product's own, for experiments. Default: none. */
+  readonly policies?: Policies;
+}
+
+/** Decisions that an experiment can replace, to measure others beside them. */
+export interface Policies {
+  /** Picks an engine. */
+  readonly pickEngine?: typeof pickEngine;
+  /** Decides between home and another region. */
+  readonly decideRegion?: typeof decideRegion;
+  /** Sends work away without credits. */
+  readonly ignoresCredits?: boolean;
+  /** Busy sequences of a pool up to which batch work starts. */
+  readonly computeThreshold?: typeof computeThreshold;
+  /** Lets everything in at once, in place of the queue. */
+  readonly admitsAll?: boolean;
+  /** Decides on retries. */
+  readonly decideRetry?: typeof decideRetry;
+  /** Never ejects an engine. */
+  readonly neverEjects?: boolean;
 }
 
 /** Settings that the daemon's logic uses. */
--- a/daemon/routes.ts
+++ b/daemon/routes.ts
@@ -284,6 +284,7 @@
     purse.record(grant.value, { region, gateway: record.id, askedMs: nowMs });
   };
   return {
+    policies: gateway.parts.policies ?? {},
     clock,
     random,
     backend,
--- a/filters/route_call.ts
+++ b/filters/route_call.ts
@@ -107,14 +107,11 @@
   ) {
     return { kind: "home" };
   }
-  if (homeMs !== undefined && homeMs <= call.firstTokenMs * 0.5) {
-    return { kind: "home" };
-  }
   const fastest = Math.max(
     0.05,
     ...pool.engines.map((engine) => engine.prefillTokensPerMs),
   );
-  return decideRegion({
+  return (parts.policies.decideRegion ?? decideRegion)({
     homeMs,
     coldMs: call.size.prefixTokens / fastest,
     aimMs: call.firstTokenMs,
@@ -151,6 +148,7 @@
   region: RegionId,
 ): Promise<Result<Reply, Failure>> {
   const call = readCall(exchange);
+  if (parts.policies.ignoresCredits) return await serveBound(parts, exchange, region);
   const gateway = parts.readPurse(call.service).take(
     region,
     parts.clock.nowMs(),
@@ -181,7 +179,25 @@
     parts.recordRoute(exchange, "home");
     return await serveHere(parts, exchange);
   }
-  const records = readBoundGateways(parts, exchange);
+  return await forwardBound(parts, exchange, readBoundGateways(parts, exchange));
+}
+
+async function serveBound(
+  parts: RouteParts,
+  exchange: Exchange,
+  region: RegionId,
+): Promise<Result<Reply, Failure>> {
+  const records = parts.membership.readGateways(region, parts.clock.nowMs());
+  const at = Math.floor(parts.random.nextFloat() * records.length);
+  return await forwardBound(parts, exchange, records.slice(at, at + 1));
+}
+
+async function forwardBound(
+  parts: RouteParts,
+  exchange: Exchange,
+  records: readonly InstanceRecord[],
+): Promise<Result<Reply, Failure>> {
+  const call = readCall(exchange);
   let last: Failure | undefined;
   for (const record of records) {
     parts.recordRoute(exchange, "away");
--- a/filters/serve_here.ts
+++ b/filters/serve_here.ts
@@ -11,13 +11,22 @@
 import type { BackendServer } from "../resources/mod.ts";
 import { createFailure, type Failure } from "../results/mod.ts";
 import { decideRetry, type RetryBudget } from "../retry/mod.ts";
-import type { EngineModel, ServicePool } from "../routing/mod.ts";
+import type { decideRegion, EngineModel, ServicePool } from "../routing/mod.ts";
 import type { Call, Exchange, Reply } from "./exchange.ts";
 import { readCall, readTeam } from "./exchange.ts";
 import { relayStream, type Source } from "./relay_stream.ts";
 
+/** Decisions on the way of a request that an experiment can replace. */
+export interface ServePolicies {
+  readonly decideRegion?: typeof decideRegion;
+  readonly ignoresCredits?: boolean;
+  readonly decideRetry?: typeof decideRetry;
+}
+
 /** What serving in the own region needs. */
 export interface ServeParts {
+  /** Decisions of an experiment; empty for those of the product. */
+  readonly policies: ServePolicies;
   readonly clock: Clock;
   readonly random: Random;
   readonly region: RegionId;
@@ -103,7 +112,7 @@
       : { kind: "failed" } as const;
     engine.recordEnd(attempt.id, { event }, clock.nowMs());
     pool.queue.wake();
-    const mayRetry = !isGone && decideRetry({
+    const mayRetry = !isGone && (parts.policies.decideRetry ?? decideRetry)({
       failure,
       isIdempotent: call.isIdempotent,
       leftMs: call.dueMs - clock.nowMs(),
--- a/routing/service_pool.ts
+++ b/routing/service_pool.ts
@@ -18,6 +18,16 @@
   readonly readDeciders: () => number;
   /** Weights of the service, read at each choice. */
   readonly readWeights: () => PickWeights;
+  /** Decisions of an experiment. Default: those of the product. */
+  readonly policies?: PoolPolicies | undefined;
+}
+
+/** Decisions of a pool that an experiment can replace. */
+export interface PoolPolicies {
+  readonly pickEngine?: typeof pickEngine;
+  readonly computeThreshold?: typeof computeThreshold;
+  readonly admitsAll?: boolean;
+  readonly neverEjects?: boolean;
 }
 
 const INTERACTIVE_HEADROOM = 0.25;
@@ -74,7 +84,8 @@
 
   /** Picks a server for a call. */
   pick(size: CallSize, excluded: ReadonlySet<string>): EngineModel | undefined {
-    return pickEngine({
+    const pick = this.#parts.policies?.pickEngine ?? pickEngine;
+    return pick({
       engines: this.#list,
       size,
       weights: this.#parts.readWeights(),
@@ -112,7 +123,7 @@
     const nowMs = this.#parts.clock.nowMs();
     const deciders = this.#parts.readDeciders();
     const usable = this.#usable(nowMs);
-    if (usable.length === 0) return true;
+    if (usable.length === 0 || this.#parts.policies?.admitsAll) return true;
     if (priority === "batch") return this.#hasBatchRoom(usable, nowMs);
     return usable.some((engine) =>
       engine.estimateRoom(deciders, nowMs) +
@@ -157,7 +168,8 @@
       0,
     );
     if (this.#servedPerSecond === 0) return busy < servers;
-    const threshold = computeThreshold({
+    const compute = this.#parts.policies?.computeThreshold ?? computeThreshold;
+    const threshold = compute({
       servers,
       arrivalsPerSecond: this.#arrivals.perSecond * deciders,
       servedPerSecond: this.#servedPerSecond,
--- /dev/null
+++ b/standin/fake_fleet.ts
@@ -0,0 +1,199 @@
+import { createHash } from "node:crypto";
+import { ok } from "neverthrow";
+import { createRandom, type Random, VirtualClock } from "../clock/mod.ts";
+import { Gateway, type Policies } from "../daemon/mod.ts";
+import type { GatewayRequest, Reply } from "../filters/mod.ts";
+import { toInstanceId, toRegionId } from "../ids/mod.ts";
+import { createSilentLogger } from "../logs/mod.ts";
+import type { InstanceRecord } from "../membership/mod.ts";
+import { NO_METRICS } from "../metrics/mod.ts";
+import { FakeBackend } from "./fake_backend.ts";
+import { FakeNetwork } from "./fake_network.ts";
+import { MemoryStore } from "./memory_store.ts";
+
+/** Optional parts of a fleet. */
+export interface FakeFleetOptions {
+  /** Names of regions. Default: three. */
+  readonly regions?: readonly string[];
+  /** Daemons of each region. Default: 3. */
+  readonly daemonsPerRegion?: number;
+  /** Seed of all randomness. Default: 1. */
+  readonly seed?: number;
+  /** Decisions in place of the product's own. Default: none. */
+  readonly policies?: Policies;
+  /** Time of each store call, in milliseconds. Default: 3. */
+  readonly storeLatencyMs?: number;
+  readonly journalShards?: number;
+  readonly journalGatherMs?: number;
+  /** Calls a second that all daemons may make to the store. Default: 300. */
+  readonly storeCallsPerSecond?: number;
+  readonly storeRegions?: readonly string[];
+}
+
+/** A daemon of a fleet. */
+export interface FakeDaemon {
+  readonly record: InstanceRecord;
+  readonly gateway: Gateway;
+  readonly ended: AbortController;
+}
+
+/** Token of operators in a fleet. */
+export const FLEET_OPERATOR_TOKEN = "operator-token";
+const PEER_TOKEN = "peer-token-of-the-fleet";
+
+/** Real daemons on a virtual clock, with fakes at every interface. */
+export class FakeFleet {
+  readonly clock = new VirtualClock();
+  readonly random: Random;
+  readonly network: FakeNetwork;
+  readonly backend: FakeBackend;
+  readonly store: MemoryStore;
+  readonly daemons: FakeDaemon[] = [];
+  /** What the platform's list says. */
+  listed: InstanceRecord[] = [];
+  readonly #options: FakeFleetOptions;
+  #seeds: number;
+
+  /** @param options Places, sizes and policies. */
+  constructor(options: FakeFleetOptions = {}) {
+    this.#options = options;
+    this.#seeds = (options.seed ?? 1) * 1_000;
+    this.random = createRandom(this.#seeds++);
+    this.network = new FakeNetwork(this.clock, createRandom(this.#seeds++));
+    this.backend = new FakeBackend(this.clock, this.random.nextFloat);
+    this.store = new MemoryStore(this.clock);
+    this.store.faults.latencyMs = options.storeLatencyMs ?? 3;
+    const regions = options.regions ?? ["r1", "r2", "r3"];
+    const records = regions.flatMap((region) =>
+      Array.from(
+        { length: options.daemonsPerRegion ?? 3 },
+        (_, index) => createRecord(region, index),
+      )
+    );
+    this.listed = records;
+    records.forEach((record) => this.start(record));
+  }
+
+  /** Starts a daemon; one that was there before gets a new incarnation. */
+  start(record: InstanceRecord): FakeDaemon {
+    const options = this.#options;
+    const gateway = new Gateway({
+      clock: this.clock,
+      random: createRandom(this.#seeds++),
+      store: this.store,
+      instances: { read: () => Promise.resolve(ok(this.listed)) },
+      directory: { publish: () => Promise.resolve(ok(undefined)) },
+      backend: this.backend.createClient(record.region),
+      peers: this.network.createTransport(record),
+      logger: createSilentLogger(),
+      metrics: NO_METRICS,
+      self: record,
+      options: {
+        operatorTokenHash: hashToken(FLEET_OPERATOR_TOKEN),
+        peerToken: PEER_TOKEN,
+        storeCallsPerSecond: options.storeCallsPerSecond ?? 300,
+        storeRegions: options.storeRegions ?? [],
+        journalShards: options.journalShards ?? 6,
+        journalRetentionMs: 3_600_000,
+        journalGatherMs: options.journalGatherMs ?? 4,
+      },
+      ...(options.policies === undefined ? {} : { policies: options.policies }),
+    });
+    const ended = new AbortController();
+    const daemon = { record, gateway, ended };
+    const at = this.daemons.findIndex((known) => known.record.id === record.id);
+    if (at >= 0) this.daemons[at] = daemon;
+    else this.daemons.push(daemon);
+    this.network.connect(record, gateway);
+    this.backend.gateways.set(record.callerUrl, {
+      region: record.region,
+      handle: (request) => gateway.handle(request),
+    });
+    gateway.start(ended.signal);
+    return daemon;
+  }
+
+  /** Ends a daemon at once. */
+  kill(daemon: FakeDaemon): void {
+    daemon.ended.abort();
+    this.network.disconnect(daemon.record.id);
+    this.backend.gateways.delete(daemon.record.callerUrl);
+  }
+
+  /** Ends all daemons. */
+  stop(): void {
+    this.daemons.forEach((daemon) => this.kill(daemon));
+  }
+
+  /** Applies resources through one daemon and lets time pass until all have them. */
+  async apply(
+    changes: readonly { readonly kind: string; readonly name: string; readonly spec: unknown }[],
+    daemon: FakeDaemon = this.daemons[0]!,
+  ): Promise<Reply> {
+    const reply = this.call(daemon, {
+      token: FLEET_OPERATOR_TOKEN,
+      path: "/api/v1/changes",
+      body: { changes },
+    });
+    await this.clock.advance(3_000);
+    return await reply;
+  }
+
+  /** Makes a call at a daemon. */
+  call(
+    daemon: FakeDaemon,
+    request: {
+      readonly token: string;
+      readonly path: string;
+      readonly method?: string;
+      readonly body?: unknown;
+      readonly headers?: Readonly<Record<string, string>>;
+      readonly signal?: AbortSignal;
+    },
+  ): Promise<Reply> {
+    const body = request.body === undefined ? "" : JSON.stringify(request.body);
+    return daemon.gateway.handle(createRequest({
+      method: request.method ?? "POST",
+      path: request.path,
+      headers: { authorization: `Bearer ${request.token}`, ...request.headers },
+      body,
+      signal: request.signal ?? new AbortController().signal,
+    }));
+  }
+}
+
+/** Returns the SHA-256 of a token, as a team declares it. */
+export function hashToken(token: string): string {
+  return createHash("sha256").update(token).digest("hex");
+}
+
+function createRequest(
+  request: {
+    readonly method: string;
+    readonly path: string;
+    readonly headers: Readonly<Record<string, string>>;
+    readonly body: string;
+    readonly signal: AbortSignal;
+  },
+): GatewayRequest {
+  return {
+    method: request.method,
+    path: request.path,
+    query: "",
+    headers: request.headers,
+    readBody: () => Promise.resolve(ok(Buffer.from(request.body))),
+    signal: request.signal,
+  };
+}
+
+function createRecord(region: string, index: number): InstanceRecord {
+  const id = `${region}-i${index + 1}`;
+  return {
+    id: toInstanceId(id),
+    region: toRegionId(region),
+    failureDomain: `${region}-fd${index % 3}`,
+    peerAddress: `${id}:1`,
+    callerUrl: `http://${id}`,
+    isLeaving: false,
+  };
+}
--- a/standin/mod.ts
+++ b/standin/mod.ts
@@ -16,3 +16,6 @@
 export * from "./memory_store.ts";
 export * from "./plain_server.ts";
 export * from "./platform_server.ts";
+export * from "./fake_backend.ts";
+export * from "./fake_fleet.ts";
+export * from "./fake_network.ts";
