Routing: weigh prefill by what it holds up

Cause: the score counted a cold prefill only for the call itself, but an engine that prefills decodes nothing else; sessions went to whichever engine was idle, and half of them found a cold cache. Change: prefill counts ten times again in the score (PREFILL_WEIGHT). Conclusion: kept at 10.

--- a/bench/bench_case.ts
+++ b/bench/bench_case.ts
@@ -32,5 +32,7 @@
 /** Returns the value at a share of a list, from 0 to 1. */
 export function readQuantile(values: readonly number[], share: number): number {
   const sorted = [...values].sort((a, b) => a - b);
-  return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0;
+  return sorted[
+    Math.min(sorted.length - 1, Math.floor(sorted.length * share))
+  ] ?? 0;
 }
--- a/bench/fleet_resources.ts
+++ b/bench/fleet_resources.ts
@@ -1,4 +1,10 @@
-import { type EngineSpeed, type FakeFleet, hashToken, NEW_ENGINE, OLD_ENGINE } from "../standin/mod.ts";
+import {
+  type EngineSpeed,
+  type FakeFleet,
+  hashToken,
+  NEW_ENGINE,
+  OLD_ENGINE,
+} from "../standin/mod.ts";
 
 /** Engines of one region. */
 export interface RegionEngines {
@@ -28,10 +34,19 @@
  * @param fleet A fresh fleet.
  * @param plan Engines and teams.
  */
-export async function declareFleet(fleet: FakeFleet, plan: FleetPlan): Promise<void> {
+export async function declareFleet(
+  fleet: FakeFleet,
+  plan: FleetPlan,
+): Promise<void> {
   const engines = plan.engines.flatMap(({ region, fresh, old }) => [
-    ...Array.from({ length: fresh }, (_, index) => addEngine(fleet, region, `n${index}`, NEW_ENGINE)),
-    ...Array.from({ length: old }, (_, index) => addEngine(fleet, region, `o${index}`, OLD_ENGINE)),
+    ...Array.from(
+      { length: fresh },
+      (_, index) => addEngine(fleet, region, `n${index}`, NEW_ENGINE),
+    ),
+    ...Array.from(
+      { length: old },
+      (_, index) => addEngine(fleet, region, `o${index}`, OLD_ENGINE),
+    ),
   ]);
   const teams = Array.from({ length: plan.teams ?? 1 }, (_, index) => ({
     kind: "team",
@@ -58,7 +73,12 @@
   ]);
 }
 
-function addEngine(fleet: FakeFleet, region: string, name: string, speed: EngineSpeed) {
+function addEngine(
+  fleet: FakeFleet,
+  region: string,
+  name: string,
+  speed: EngineSpeed,
+) {
   const id = `${region}-${name}`;
   // Addresses of engines are numbers; the fakes find them by the port.
   const url = `http://127.0.0.1:${10_000 + fleet.backend.engines.size}`;
--- a/bench/routing_bench.ts
+++ b/bench/routing_bench.ts
@@ -5,7 +5,12 @@
 import { FakeFleet } from "../standin/mod.ts";
 import { type BenchResult, toCell } from "./bench_case.ts";
 import { declareFleet, FLEET_MODEL } from "./fleet_resources.ts";
-import { createArrivals, runTraffic, summarizeTraffic, type TrafficSummary } from "./traffic.ts";
+import {
+  createArrivals,
+  runTraffic,
+  summarizeTraffic,
+  type TrafficSummary,
+} from "./traffic.ts";
 
 const DURATION_MS = 40_000;
 const RATE = 30;
@@ -13,8 +18,12 @@
 
 type Pick = NonNullable<Policies["pickEngine"]>;
 
-function listUsable({ engines, excluded }: PickRequest): readonly EngineModel[] {
-  return engines.filter(({ server }) => !server.isLeaving && !excluded?.has(server.id));
+function listUsable(
+  { engines, excluded }: PickRequest,
+): readonly EngineModel[] {
+  return engines.filter(({ server }) =>
+    !server.isLeaving && !excluded?.has(server.id)
+  );
 }
 
 /** Returns the plain policies that the product's choice is measured against. */
@@ -28,12 +37,19 @@
     },
     "least reported": (request) =>
       listUsable(request).toSorted((a, b) =>
-        a.estimateInSystem(0, request.nowMs) - b.estimateInSystem(0, request.nowMs)
+        a.estimateInSystem(0, request.nowMs) -
+        b.estimateInSystem(0, request.nowMs)
       )[0],
     "prefix hash": (request) =>
       listUsable(request).toSorted((a, b) =>
-        computeWeight(request.size.prefix ?? String(request.random.nextFloat()), b.server.id) -
-        computeWeight(request.size.prefix ?? String(request.random.nextFloat()), a.server.id)
+        computeWeight(
+          request.size.prefix ?? String(request.random.nextFloat()),
+          b.server.id,
+        ) -
+        computeWeight(
+          request.size.prefix ?? String(request.random.nextFloat()),
+          a.server.id,
+        )
       )[0],
     "havenspur": undefined,
   };
@@ -64,7 +80,9 @@
     head: ["POLICY", "TTFT P50 MS", "P95", "P99", "CACHE HIT %", "REFUSED %"],
     rows,
     figures,
-    notes: [`${RATE} calls a second over 3 daemons, 4 new and 4 old engines, ${SESSIONS} sessions`],
+    notes: [
+      `${RATE} calls a second over 3 daemons, 4 new and 4 old engines, ${SESSIONS} sessions`,
+    ],
   };
 }
 
@@ -98,8 +116,16 @@
   });
   const results = await runTraffic(fleet, arrivals);
   fleet.stop();
-  const counts = [...fleet.backend.engines.values()].map(({ core }) => core.counts);
-  const lookups = counts.reduce((sum, { cacheLookups }) => sum + cacheLookups, 0);
+  const counts = [...fleet.backend.engines.values()].map(({ core }) =>
+    core.counts
+  );
+  const lookups = counts.reduce(
+    (sum, { cacheLookups }) => sum + cacheLookups,
+    0,
+  );
   const hits = counts.reduce((sum, { cacheHits }) => sum + cacheHits, 0);
-  return { summary: summarizeTraffic(results, DURATION_MS), hitShare: hits / lookups };
+  return {
+    summary: summarizeTraffic(results, DURATION_MS),
+    hitShare: hits / lookups,
+  };
 }
--- a/bench/run_bench.ts
+++ b/bench/run_bench.ts
@@ -14,9 +14,15 @@
 }
 
 const [wanted = "all"] = process.argv.slice(2);
-const cases = wanted === "all" ? CASES : CASES.filter(({ name }) => name === wanted);
+const cases = wanted === "all"
+  ? CASES
+  : CASES.filter(({ name }) => name === wanted);
 if (cases.length === 0) {
-  console.error(`No benchmark "${wanted}": wanted all, ${CASES.map(({ name }) => name).join(", ")}`);
+  console.error(
+    `No benchmark "${wanted}": wanted all, ${
+      CASES.map(({ name }) => name).join(", ")
+    }`,
+  );
   process.exit(2);
 }
 const bounds = readBounds();
@@ -29,17 +35,26 @@
 process.exit(broken === 0 ? 0 : 1);
 
 function readBounds(): Readonly<Record<string, readonly Bound[]>> {
-  const text = readFileSync(new URL("../../bench/baselines.json", import.meta.url), "utf8");
+  const text = readFileSync(
+    new URL("../../bench/baselines.json", import.meta.url),
+    "utf8",
+  );
   return JSON.parse(text) as Readonly<Record<string, readonly Bound[]>>;
 }
 
 function checkBounds(name: string, { figures }: BenchResult): number {
-  const failures = (bounds[name] ?? []).filter(({ figure, min = -Infinity, max = Infinity }) => {
-    const value = figures[figure];
-    return value === undefined || !(value >= min && value <= max);
-  });
+  const failures = (bounds[name] ?? []).filter(
+    ({ figure, min = -Infinity, max = Infinity }) => {
+      const value = figures[figure];
+      return value === undefined || !(value >= min && value <= max);
+    },
+  );
   failures.forEach(({ figure, min, max }) =>
-    console.error(`BOUND BROKEN ${name}: ${figure} is ${figures[figure]}, wanted ${min} to ${max}`)
+    console.error(
+      `BOUND BROKEN ${name}: ${figure} is ${
+        figures[figure]
+      }, wanted ${min} to ${max}`,
+    )
   );
   return failures.length;
 }
--- a/bench/traffic.ts
+++ b/bench/traffic.ts
@@ -55,7 +55,8 @@
     while (true) {
       atMs += (-Math.log(1 - plan.random.nextFloat()) / plan.peakRate) * 1_000;
       if (atMs >= plan.durationMs) return own;
-      const isKept = plan.random.nextFloat() < plan.rateAt(atMs, daemon) / plan.peakRate;
+      const isKept =
+        plan.random.nextFloat() < plan.rateAt(atMs, daemon) / plan.peakRate;
       if (isKept) own.push(plan.create(atMs, daemon));
     }
   });
@@ -81,12 +82,17 @@
   arrivals.forEach((arrival) =>
     fleet.clock.schedule(arrival.atMs, () => {
       const daemon = fleet.daemons[arrival.daemon]!;
-      void makeCall(fleet, daemon, arrival).then((result) => results.push(result));
+      void makeCall(fleet, daemon, arrival).then((result) =>
+        results.push(result)
+      );
     })
   );
   const lastMs = arrivals.at(-1)?.atMs ?? 0;
   await fleet.clock.advance(startMs + lastMs - fleet.clock.nowMs());
-  for (let waitedMs = 0; waitedMs < drainMs && results.length < arrivals.length;) {
+  for (
+    let waitedMs = 0;
+    waitedMs < drainMs && results.length < arrivals.length;
+  ) {
     await fleet.clock.advance(1_000);
     waitedMs += 1_000;
   }
@@ -114,9 +120,10 @@
       stream: true,
       max_tokens: arrival.outputTokens,
       prompt_tokens: arrival.promptTokens,
-      ...(arrival.prefix === undefined
-        ? {}
-        : { prefix: arrival.prefix, prefix_tokens: Math.floor(arrival.promptTokens * 0.8) }),
+      ...(arrival.prefix === undefined ? {} : {
+        prefix: arrival.prefix,
+        prefix_tokens: Math.floor(arrival.promptTokens * 0.8),
+      }),
     },
   });
   return await readReply(fleet, reply, { arrival, startMs });
@@ -147,8 +154,9 @@
   let code = 1402;
   for await (const { data } of reply.events) {
     if (data === "[DONE]") isWhole = true;
-    else if (data.startsWith('{"error"')) code = Number(/"code":(\d+)/.exec(data)?.[1]);
-    else {
+    else if (data.startsWith('{"error"')) {
+      code = Number(/"code":(\d+)/.exec(data)?.[1]);
+    } else {
       if (tokens === 0) firstTokenMs = fleet.clock.nowMs() - startMs;
       tokens++;
     }
@@ -191,16 +199,25 @@
   results: readonly CallResult[],
   durationMs: number,
 ): TrafficSummary {
-  const histogram = hdr.build({ highestTrackableValue: 3_600_000, numberOfSignificantValueDigits: 3 });
+  const histogram = hdr.build({
+    highestTrackableValue: 3_600_000,
+    numberOfSignificantValueDigits: 3,
+  });
   const whole = results.filter(({ isWhole }) => isWhole);
-  whole.forEach(({ firstTokenMs }) => histogram.recordValue(Math.max(1, Math.round(firstTokenMs))));
+  whole.forEach(({ firstTokenMs }) =>
+    histogram.recordValue(Math.max(1, Math.round(firstTokenMs)))
+  );
   const codes: Record<string, number> = {};
   results.filter(({ code }) => code !== 0).forEach(({ code }) => {
     codes[code] = (codes[code] ?? 0) + 1;
   });
-  const refused = results.filter(({ code }) => code >= 1_200 && code < 1_300).length;
-  const inTime = whole.filter(({ arrival, totalMs }) => totalMs <= arrival.deadlineMs).length;
-  const share = (count: number) => results.length === 0 ? 0 : count / results.length;
+  const refused =
+    results.filter(({ code }) => code >= 1_200 && code < 1_300).length;
+  const inTime =
+    whole.filter(({ arrival, totalMs }) => totalMs <= arrival.deadlineMs)
+      .length;
+  const share = (count: number) =>
+    results.length === 0 ? 0 : count / results.length;
   return {
     calls: results.length,
     answered: whole.length,
--- a/filters/route_call.ts
+++ b/filters/route_call.ts
@@ -148,7 +148,9 @@
   region: RegionId,
 ): Promise<Result<Reply, Failure>> {
   const call = readCall(exchange);
-  if (parts.policies.ignoresCredits) return await serveBound(parts, exchange, region);
+  if (parts.policies.ignoresCredits) {
+    return await serveBound(parts, exchange, region);
+  }
   const gateway = parts.readPurse(call.service).take(
     region,
     parts.clock.nowMs(),
@@ -179,7 +181,11 @@
     parts.recordRoute(exchange, "home");
     return await serveHere(parts, exchange);
   }
-  return await forwardBound(parts, exchange, readBoundGateways(parts, exchange));
+  return await forwardBound(
+    parts,
+    exchange,
+    readBoundGateways(parts, exchange),
+  );
 }
 
 async function serveBound(
--- a/routing/engine_model.ts
+++ b/routing/engine_model.ts
@@ -179,6 +179,11 @@
     return waitMs + prefillMs + crowdMs;
   }
 
+  /** Estimates the prefill of a call on this engine, which also holds up all it decodes. */
+  estimatePrefillMs(size: CallSize, nowMs: number): number {
+    return this.#computeColdTokens(size, nowMs) / this.prefillTokensPerMs;
+  }
+
   /**
    * Estimates how many more calls the engine takes before they wait.
    *
--- a/routing/pick_engine.ts
+++ b/routing/pick_engine.ts
@@ -32,6 +32,10 @@
 export const SAMPLE_SIZE = 6;
 const AFFINITY_CANDIDATES = 2;
 const COST_SCALE = 0.15;
+/** Part of the decode time that counts beside the first token. */
+const DECODE_WEIGHT = 0.3;
+/** How much prefill counts again, for the calls that it holds up. */
+const PREFILL_WEIGHT = 10;
 
 /**
  * Picks the engine with the lowest score: estimated time to the first token
@@ -71,7 +75,9 @@
   const { size, weights, deciders, nowMs } = request;
   const firstTokenMs = engine.estimateFirstTokenMs(size, deciders, nowMs);
   const decodeMs = engine.decodeMs * size.outputTokens;
-  const latency = (firstTokenMs + decodeMs * 0.1) / weights.firstTokenMs;
+  const prefillMs = engine.estimatePrefillMs(size, nowMs) * PREFILL_WEIGHT;
+  const expectedMs = firstTokenMs + prefillMs + decodeMs * DECODE_WEIGHT;
+  const latency = expectedMs / weights.firstTokenMs;
   return weights.latency * latency +
     weights.cost * COST_SCALE * engine.server.pricePerSecond;
 }
--- a/standin/fake_backend.ts
+++ b/standin/fake_backend.ts
@@ -43,7 +43,11 @@
   readonly prefix_tokens?: number;
 }
 
-const RANKS: Readonly<Record<string, number>> = { interactive: 0, normal: 1, batch: 2 };
+const RANKS: Readonly<Record<string, number>> = {
+  interactive: 0,
+  normal: 1,
+  batch: 2,
+};
 const NEAR_MS = 1;
 const FAR_MS = 25;
 
@@ -53,7 +57,10 @@
   /** Gateways that take forwarded requests, by URL. */
   readonly gateways = new Map<
     string,
-    { readonly region: string; readonly handle: (request: GatewayRequest) => Promise<Reply> }
+    {
+      readonly region: string;
+      readonly handle: (request: GatewayRequest) => Promise<Reply>;
+    }
   >();
   /** Regions that are cut off from all others. */
   cutRegions: ReadonlySet<string> = new Set();
@@ -82,7 +89,12 @@
     return {
       dispatch: (call, signal) => this.#dispatch(region, call, signal),
       resume: () =>
-        Promise.resolve(err({ kind: "broken", message: "Cannot resume: the engine has died" })),
+        Promise.resolve(
+          err({
+            kind: "broken",
+            message: "Cannot resume: the engine has died",
+          }),
+        ),
       cancel: (server, attempt) => {
         this.engines.get(server.url)?.core.cancel(attempt);
         return Promise.resolve();
@@ -90,7 +102,12 @@
       readLoad: (server) => this.#readLoad(server),
       order: () => Promise.resolve(ok<void, OrderFailure>(undefined)),
       readState: () =>
-        Promise.resolve(err<EngineState, DispatchFailure>({ kind: "broken", message: "none" })),
+        Promise.resolve(
+          err<EngineState, DispatchFailure>({
+            kind: "broken",
+            message: "none",
+          }),
+        ),
     };
   }
 
@@ -100,13 +117,17 @@
     signal: AbortSignal,
   ): Promise<Result<BackendAnswer, DispatchFailure>> {
     const gateway = this.gateways.get(call.server.url);
-    if (gateway !== undefined) return await this.#forward(region, gateway, { call, signal });
+    if (gateway !== undefined) {
+      return await this.#forward(region, gateway, { call, signal });
+    }
     const engine = this.engines.get(call.server.url);
     await waitFor(this.#clock, NEAR_MS);
     if (engine === undefined || engine.isDown) {
       return err({ kind: "not-sent", message: "Cannot connect: refused" });
     }
-    const body = JSON.parse(Buffer.from(call.body ?? "{}").toString()) as FakeBody;
+    const body = JSON.parse(
+      Buffer.from(call.body ?? "{}").toString(),
+    ) as FakeBody;
     engine.runs.push({ attempt: call.attempt, body: JSON.stringify(body) });
     if (this.#nextFloat() < engine.failShare) {
       return err({ kind: "broken", message: "The connection broke" });
@@ -116,7 +137,11 @@
 
   #run(
     engine: FakeEngine,
-    run: { readonly call: BackendCall; readonly body: FakeBody; readonly signal: AbortSignal },
+    run: {
+      readonly call: BackendCall;
+      readonly body: FakeBody;
+      readonly signal: AbortSignal;
+    },
   ): BackendAnswer {
     const { call, body, signal } = run;
     const stream: Stream = { pending: [], wake: () => {}, isEnded: false };
@@ -137,7 +162,8 @@
       prefixTokens: body.prefix_tokens ?? 0,
       outputTokens: body.max_tokens ?? 16,
       rank: RANKS[call.headers["x-priority"] ?? ""] ?? 1,
-      onToken: (token) => push(`{"choices":[{"delta":{"content":"${token} "}}]}`),
+      onToken: (token) =>
+        push(`{"choices":[{"delta":{"content":"${token} "}}]}`),
       onEnd: () => {
         push(END_OF_STREAM);
         end();
@@ -152,11 +178,15 @@
 
   async #forward(
     region: string,
-    gateway: { readonly region: string; readonly handle: (request: GatewayRequest) => Promise<Reply> },
+    gateway: {
+      readonly region: string;
+      readonly handle: (request: GatewayRequest) => Promise<Reply>;
+    },
     sent: { readonly call: BackendCall; readonly signal: AbortSignal },
   ): Promise<Result<BackendAnswer, DispatchFailure>> {
     const { call, signal } = sent;
-    const isCut = this.cutRegions.has(region) || this.cutRegions.has(gateway.region);
+    const isCut = this.cutRegions.has(region) ||
+      this.cutRegions.has(gateway.region);
     if (isCut) {
       await waitFor(this.#clock, 1_000);
       return err({ kind: "not-sent", message: "Cannot connect: timed out" });
@@ -177,7 +207,11 @@
     }
     const body = Buffer.from(reply.body);
     if (reply.headers["x-ran"] === "not-run") {
-      return err({ kind: "refused", message: body.toString(), retryAfterMs: 1_000 });
+      return err({
+        kind: "refused",
+        message: body.toString(),
+        retryAfterMs: 1_000,
+      });
     }
     return ok({
       kind: "whole",
@@ -188,7 +222,9 @@
     });
   }
 
-  async #readLoad(server: BackendServer): Promise<Result<EngineLoad, DispatchFailure>> {
+  async #readLoad(
+    server: BackendServer,
+  ): Promise<Result<EngineLoad, DispatchFailure>> {
     await waitFor(this.#clock, 2 * NEAR_MS);
     const engine = this.engines.get(server.url);
     if (engine === undefined || engine.isDown) {
--- a/standin/fake_fleet.ts
+++ b/standin/fake_fleet.ts
@@ -127,7 +127,11 @@
 
   /** Applies resources through one daemon and lets time pass until all have them. */
   async apply(
-    changes: readonly { readonly kind: string; readonly name: string; readonly spec: unknown }[],
+    changes: readonly {
+      readonly kind: string;
+      readonly name: string;
+      readonly spec: unknown;
+    }[],
     daemon: FakeDaemon = this.daemons[0]!,
   ): Promise<Reply> {
     const reply = this.call(daemon, {
--- a/standin/fake_network.ts
+++ b/standin/fake_network.ts
@@ -1,6 +1,10 @@
 import { err, ok, type Result } from "neverthrow";
 import { type Clock, type Random, waitFor } from "../clock/mod.ts";
-import { encodeHeartbeat, type Heartbeat, type InstanceRecord } from "../membership/mod.ts";
+import {
+  encodeHeartbeat,
+  type Heartbeat,
+  type InstanceRecord,
+} from "../membership/mod.ts";
 import type {
   PeerFailure,
   PeerMethod,
@@ -72,7 +76,13 @@
   readCounts(id: string): TrafficCounts {
     const known = this.counts.get(id);
     if (known !== undefined) return known;
-    const counts = { sentBytes: 0, receivedBytes: 0, heartbeats: 0, calls: 0, callBytes: 0 };
+    const counts = {
+      sentBytes: 0,
+      receivedBytes: 0,
+      heartbeats: 0,
+      calls: 0,
+      callBytes: 0,
+    };
     this.counts.set(id, counts);
     return counts;
   }
@@ -80,7 +90,8 @@
   /** Whether something from one place reaches another now. */
   isOpen(from: InstanceRecord, to: InstanceRecord): boolean {
     if (this.silent.has(from.id) || this.silent.has(to.id)) return false;
-    const isCut = this.cutRegions.has(from.region) || this.cutRegions.has(to.region);
+    const isCut = this.cutRegions.has(from.region) ||
+      this.cutRegions.has(to.region);
     return from.region === to.region || !isCut;
   }
 
@@ -102,7 +113,9 @@
     const counts = this.readCounts(from.id);
     counts.sentBytes += bytes;
     counts.heartbeats++;
-    if (!this.isOpen(from, to) || this.#random.nextFloat() < this.lossShare) return;
+    if (!this.isOpen(from, to) || this.#random.nextFloat() < this.lossShare) {
+      return;
+    }
     this.#clock.schedule(this.readLatencyMs(from, to), () => {
       if (!this.isOpen(from, to)) return;
       this.readCounts(to.id).receivedBytes += bytes;
@@ -113,7 +126,10 @@
   async #call<Method extends PeerMethod>(
     from: InstanceRecord,
     to: InstanceRecord,
-    call: { readonly method: Method; readonly params: PeerMethods[Method]["params"] },
+    call: {
+      readonly method: Method;
+      readonly params: PeerMethods[Method]["params"];
+    },
   ): Promise<Result<PeerMethods[Method]["result"], PeerFailure>> {
     const { method, params } = call;
     const counts = this.readCounts(from.id);
@@ -121,15 +137,24 @@
     const latencyMs = this.readLatencyMs(from, to);
     if (!this.isOpen(from, to)) {
       await waitFor(this.#clock, CALL_TIMEOUT_MS);
-      return err({ kind: "unknown", message: "Cannot reach the peer: no answer" });
+      return err({
+        kind: "unknown",
+        message: "Cannot reach the peer: no answer",
+      });
     }
     await waitFor(this.#clock, latencyMs);
     const peer = this.#peers.get(to.id);
-    if (peer === undefined) return err({ kind: "unreachable", message: "The peer is down" });
+    if (peer === undefined) {
+      return err({ kind: "unreachable", message: "The peer is down" });
+    }
     const result = await peer.handlePeerCall(method, params);
     await waitFor(this.#clock, latencyMs);
-    counts.callBytes += JSON.stringify({ params, result }).length + CALL_HEADER_BYTES;
+    counts.callBytes += JSON.stringify({ params, result }).length +
+      CALL_HEADER_BYTES;
     if (this.isOpen(from, to)) return ok(result);
-    return err({ kind: "unknown", message: "Cannot reach the peer: the answer is lost" });
+    return err({
+      kind: "unknown",
+      message: "Cannot reach the peer: the answer is lost",
+    });
   }
 }
