--- /dev/null
+++ b/bench/batch_bench.ts
@@ -0,0 +1,126 @@
+import { createRandom } from "../clock/mod.ts";
+import type { Policies } from "../daemon/mod.ts";
+import { FakeFleet } from "../standin/mod.ts";
+import { type BenchResult, toCell } from "./bench_case.ts";
+import { declareFleet, FLEET_MODEL } from "./fleet_resources.ts";
+import {
+  type Arrival,
+  createArrivals,
+  runTraffic,
+  summarizeTraffic,
+} from "./traffic.ts";
+
+const DURATION_MS = 60_000;
+const INTERACTIVE_RATE = 6;
+const BATCH_ITEMS = 700;
+const FIXED_RESERVE = 0.5;
+
+/** Measures batch behind interactive work, at the size of Atlas Folia's region. */
+export async function runBatchBench(): Promise<BenchResult> {
+  const policies: Readonly<Record<string, Policies>> = {
+    "priority only": { computeThreshold: ({ servers }) => servers * 10 },
+    "fixed reserve": {
+      computeThreshold: ({ servers }) =>
+        Math.floor(servers * (1 - FIXED_RESERVE)),
+    },
+    "threshold (paper, 3.4)": {},
+  };
+  const rows: string[][] = [];
+  const figures: Record<string, number> = {};
+  for (const [name, policy] of Object.entries(policies)) {
+    const run = await runOne(policy);
+    rows.push([
+      name,
+      toCell(run.interactive.firstTokenP50, 0),
+      toCell(run.interactive.firstTokenP95, 0),
+      toCell(run.interactive.firstTokenP99, 0),
+      toCell(run.batchPerSecond, 2),
+      toCell(run.cost, 2),
+    ]);
+    const key = name.split(" ")[0]!;
+    figures[`${key}_interactive_p95`] = run.interactive.firstTokenP95;
+    figures[`${key}_batch_per_second`] = run.batchPerSecond;
+    figures[`${key}_cost_per_item`] = run.cost;
+  }
+  figures.threshold_p95_over_priority = figures.threshold_interactive_p95! /
+    figures.priority_interactive_p95!;
+  figures.threshold_batch_over_fixed = figures.threshold_batch_per_second! /
+    figures.fixed_batch_per_second!;
+  return {
+    head: [
+      "POLICY",
+      "INTERACTIVE TTFT P50 MS",
+      "P95",
+      "P99",
+      "BATCH ITEMS /S",
+      "ENGINE SECONDS X PRICE PER ITEM",
+    ],
+    rows,
+    figures,
+    notes: [
+      `${INTERACTIVE_RATE} interactive calls a second, ${BATCH_ITEMS} batch items that wait, ` +
+      "1 new and 1 old engine",
+    ],
+  };
+}
+
+async function runOne(policies: Policies) {
+  const fleet = new FakeFleet({ regions: ["r1"], policies });
+  await fleet.clock.advance(3_000);
+  await declareFleet(fleet, {
+    engines: [{ region: "r1", fresh: 1, old: 1 }],
+    weights: { latency: 1, cost: 3 },
+  });
+  const random = createRandom(5);
+  const interactive = createArrivals({
+    random,
+    rateAt: () => INTERACTIVE_RATE / 3,
+    peakRate: INTERACTIVE_RATE / 3,
+    daemons: 3,
+    durationMs: DURATION_MS,
+    create: (atMs, daemon) => ({
+      ...createCall(atMs, daemon),
+      priority: "interactive",
+      promptTokens: 100 + Math.floor(random.nextFloat() * 200),
+      outputTokens: 24,
+    }),
+  });
+  // The items come through workers that hold some at a time, as batches do.
+  const batch = Array.from({ length: BATCH_ITEMS }, (_, index): Arrival => ({
+    ...createCall((index % 60) * 5, index % 3),
+    priority: "batch",
+    promptTokens: 300,
+    outputTokens: 48,
+  }));
+  const arrivals = [...interactive, ...batch].sort((a, b) => a.atMs - b.atMs);
+  const results = await runTraffic(fleet, arrivals, 1_000);
+  fleet.stop();
+  const done = results.filter(({ arrival, isWhole }) =>
+    arrival.priority === "batch" && isWhole
+  );
+  const prices = [1, 0.4];
+  const spent = [...fleet.backend.engines.values()]
+    .reduce(
+      (sum, { core }, index) =>
+        sum + core.counts.busyMs / 1_000 * prices[index]!,
+      0,
+    );
+  return {
+    interactive: summarizeTraffic(
+      results.filter(({ arrival }) => arrival.priority === "interactive"),
+      DURATION_MS,
+    ),
+    batchPerSecond: done.length / ((DURATION_MS + 1_000) / 1_000),
+    cost: spent / Math.max(1, done.length),
+  };
+}
+
+function createCall(atMs: number, daemon: number) {
+  return {
+    atMs,
+    daemon,
+    team: "team-0",
+    deadlineMs: 600_000,
+    model: FLEET_MODEL,
+  };
+}
--- /dev/null
+++ b/bench/overload_bench.ts
@@ -0,0 +1,124 @@
+import { createRandom } from "../clock/mod.ts";
+import { FakeFleet } from "../standin/mod.ts";
+import { type BenchResult, toCell } from "./bench_case.ts";
+import { declareFleet, FLEET_MODEL } from "./fleet_resources.ts";
+import { createArrivals, runTraffic, summarizeTraffic } from "./traffic.ts";
+
+const DURATION_MS = 30_000;
+/** Calls a second that the pool of the benchmark answers in time, found by this benchmark. */
+const CAPACITY = 20;
+const LOADS = [0.5, 1, 2, 10];
+const TEAMS = 4;
+const DEADLINE_MS = 6_000;
+
+/** Measures admission: goodput, tails and refusals at up to ten times the capacity. */
+export async function runOverloadBench(): Promise<BenchResult> {
+  const rows: string[][] = [];
+  const figures: Record<string, number> = {};
+  for (const admitsAll of [true, false]) {
+    const name = admitsAll ? "admit all" : "havenspur";
+    const goodputs: number[] = [];
+    for (const load of LOADS) {
+      const run = await runOne(load, admitsAll);
+      goodputs.push(run.all.goodput);
+      const share = run.all.goodput / Math.max(...goodputs);
+      rows.push([
+        name,
+        `${load} x`,
+        toCell(run.all.goodput),
+        toCell(run.interactive.firstTokenP50, 0),
+        toCell(run.interactive.firstTokenP99, 0),
+        toCell(run.refusalP50, 1),
+        toCell(run.all.refusedShare * 100),
+        toCell(run.fairness, 2),
+      ]);
+      const key = `${admitsAll ? "all" : "own"}_${load}x`;
+      figures[`${key}_goodput`] = run.all.goodput;
+      figures[`${key}_goodput_share`] = share;
+      figures[`${key}_interactive_p99`] = run.interactive.firstTokenP99;
+      figures[`${key}_false_not_run`] = run.falseNotRun;
+    }
+  }
+  figures.own_over_all_10x = figures["own_10x_goodput"]! /
+    Math.max(0.1, figures["all_10x_goodput"]!);
+  return {
+    head: [
+      "POLICY",
+      "LOAD",
+      "GOODPUT /S",
+      "TTFT P50 MS",
+      "TTFT P99",
+      "REFUSAL P50 MS",
+      "REFUSED %",
+      "LEAST/MEAN TEAM",
+    ],
+    rows,
+    figures,
+    notes: [
+      `${TEAMS} teams, one with half of all calls; deadline ${DEADLINE_MS} ms; a third is batch`,
+      "fairness: goodput of the team that got least over the mean of all",
+    ],
+  };
+}
+
+async function runOne(load: number, admitsAll: boolean) {
+  const fleet = new FakeFleet({ regions: ["r1"], policies: { admitsAll } });
+  await fleet.clock.advance(3_000);
+  await declareFleet(fleet, {
+    engines: [{ region: "r1", fresh: 3, old: 2 }],
+    teams: TEAMS,
+  });
+  const random = createRandom(11);
+  const arrivals = createArrivals({
+    random,
+    rateAt: () => (CAPACITY * load) / 3,
+    peakRate: (CAPACITY * load) / 3,
+    daemons: 3,
+    durationMs: DURATION_MS,
+    create: (atMs, daemon) => ({
+      atMs,
+      daemon,
+      team: random.nextFloat() < 0.5
+        ? "team-0"
+        : `team-${1 + Math.floor(random.nextFloat() * 3)}`,
+      priority: random.nextFloat() < 0.67 ? "interactive" : "batch",
+      promptTokens: 200 + Math.floor(random.nextFloat() * 400),
+      outputTokens: 32 + Math.floor(random.nextFloat() * 32),
+      deadlineMs: DEADLINE_MS,
+      model: FLEET_MODEL,
+    }),
+  });
+  const results = await runTraffic(fleet, arrivals);
+  fleet.stop();
+  const all = summarizeTraffic(results, DURATION_MS);
+  const interactive = results.filter(({ arrival }) =>
+    arrival.priority === "interactive"
+  );
+  const refusals = results.filter(({ code }) => code === 1202).map((
+    { totalMs },
+  ) => totalMs)
+    .sort((a, b) => a - b);
+  const goodOf = (team: string) =>
+    interactive.filter(({ arrival, isWhole }) =>
+      arrival.team === team && isWhole
+    ).length;
+  const teams = Array.from(
+    { length: TEAMS },
+    (_, index) => goodOf(`team-${index}`),
+  );
+  const ran = [...fleet.backend.engines.values()].reduce(
+    (sum, { runs }) => sum + runs.length,
+    0,
+  );
+  const notRun =
+    results.filter(({ code }) => code >= 1_200 && code < 1_300).length;
+  return {
+    all,
+    interactive: summarizeTraffic(interactive, DURATION_MS),
+    refusalP50: refusals[Math.floor(refusals.length / 2)] ?? 0,
+    fairness: Math.min(...teams) /
+      (teams.reduce((sum, count) => sum + count, 0) / TEAMS),
+    // Every call is either run by an engine or refused as not run: more than all is a lie.
+    falseNotRun: Math.max(0, ran + notRun - results.length),
+  };
+}
--- /dev/null
+++ b/bench/retries_bench.ts
@@ -0,0 +1,86 @@
+import { createRandom } from "../clock/mod.ts";
+import type { Policies } from "../daemon/mod.ts";
+import { FakeFleet } from "../standin/mod.ts";
+import { type BenchResult, toCell } from "./bench_case.ts";
+import { declareFleet, FLEET_MODEL } from "./fleet_resources.ts";
+import { createArrivals, runTraffic, summarizeTraffic } from "./traffic.ts";
+
+const DURATION_MS = 30_000;
+const RATE = 20;
+
+/** Measures retries and the ejection of engines that fail. */
+export async function runRetriesBench(): Promise<BenchResult> {
+  const always: Policies = { decideRetry: ({ attempts }) => attempts < 3 };
+  const cases:
+    readonly (readonly [string, string, number, number, Policies])[] = [
+      ["one of 8 fails", "no retries", 1, 1, {
+        decideRetry: () => false,
+        neverEjects: true,
+      }],
+      ["one of 8 fails", "havenspur", 1, 1, {}],
+      ["one of 8 fails half", "havenspur", 1, 0.5, {}],
+      ["all fail", "always 3 tries", 8, 1, always],
+      ["all fail", "havenspur", 8, 1, {}],
+      ["all fail half", "always 3 tries", 8, 0.5, always],
+      ["all fail half", "havenspur", 8, 0.5, {}],
+    ];
+  const rows: string[][] = [];
+  const figures: Record<string, number> = {};
+  for (const [fault, name, count, share, policies] of cases) {
+    const run = await runOne(count, share, policies);
+    rows.push([
+      fault,
+      name,
+      toCell(run.errorShare * 100, 2),
+      toCell(run.amplification, 3),
+      toCell(run.p95, 0),
+    ]);
+    const key = `${fault} ${name}`.replaceAll(/[^a-z0-9]+/g, "_");
+    figures[`${key}_errors`] = run.errorShare;
+    figures[`${key}_amplification`] = run.amplification;
+  }
+  return {
+    head: ["FAULT", "POLICY", "ERRORS %", "ATTEMPTS PER CALL", "TTFT P95 MS"],
+    rows,
+    figures,
+    notes: [
+      "aims: one failing engine under 1% errors; all failing at most 1.1 attempts per call",
+    ],
+  };
+}
+
+async function runOne(count: number, share: number, policies: Policies) {
+  const fleet = new FakeFleet({ regions: ["r1"], policies });
+  await fleet.clock.advance(3_000);
+  await declareFleet(fleet, { engines: [{ region: "r1", fresh: 8, old: 0 }] });
+  [...fleet.backend.engines.values()].slice(0, count)
+    .forEach((engine) => (engine.failShare = share));
+  const random = createRandom(9);
+  const arrivals = createArrivals({
+    random,
+    rateAt: () => RATE / 3,
+    peakRate: RATE / 3,
+    daemons: 3,
+    durationMs: DURATION_MS,
+    create: (atMs, daemon) => ({
+      atMs,
+      daemon,
+      team: "team-0",
+      priority: "interactive",
+      promptTokens: 100,
+      outputTokens: 24,
+      deadlineMs: 20_000,
+      model: FLEET_MODEL,
+    }),
+  });
+  const results = await runTraffic(fleet, arrivals);
+  fleet.stop();
+  const attempts = [...fleet.backend.engines.values()]
+    .reduce((sum, { runs }) => sum + runs.length, 0);
+  const summary = summarizeTraffic(results, DURATION_MS);
+  return {
+    errorShare: 1 - summary.answered / summary.calls,
+    amplification: attempts / summary.calls,
+    p95: summary.firstTokenP95,
+  };
+}
--- a/bench/run_bench.ts
+++ b/bench/run_bench.ts
@@ -1,9 +1,19 @@
 import { readFileSync } from "node:fs";
 import { type BenchCase, type BenchResult, printResult } from "./bench_case.ts";
+import { runBatchBench } from "./batch_bench.ts";
+import { runLimitsBench } from "./limits_bench.ts";
+import { runOverloadBench } from "./overload_bench.ts";
+import { runRetriesBench } from "./retries_bench.ts";
+import { runSpillBench } from "./spill_bench.ts";
 import { runRoutingBench } from "./routing_bench.ts";
 
 const CASES: readonly BenchCase[] = [
   { name: "routing", run: runRoutingBench },
+  { name: "spill", run: runSpillBench },
+  { name: "batch", run: runBatchBench },
+  { name: "overload", run: runOverloadBench },
+  { name: "limits", run: runLimitsBench },
+  { name: "retries", run: runRetriesBench },
 ];
 
 /** A bound on one figure: a count, or a ratio inside one run. */
--- /dev/null
+++ b/bench/spill_bench.ts
@@ -0,0 +1,201 @@
+import { createRandom } from "../clock/mod.ts";
+import type { Policies } from "../daemon/mod.ts";
+import { toRegionId } from "../ids/mod.ts";
+import { FakeFleet } from "../standin/mod.ts";
+import { type BenchResult, toCell } from "./bench_case.ts";
+import { declareFleet, FLEET_MODEL } from "./fleet_resources.ts";
+import {
+  createArrivals,
+  runTraffic,
+  summarizeTraffic,
+  type TrafficSummary,
+} from "./traffic.ts";
+
+const DURATION_MS = 40_000;
+const BASE_RATE = 5;
+const REGIONS = ["r1", "r2", "r3"];
+
+/** A run of the benchmark. */
+interface Scenario {
+  readonly name: string;
+  /** Calls per second of a region at a time. */
+  readonly rateOf: (region: number, atMs: number) => number;
+  /** Faults at their times. */
+  readonly schedule: (fleet: FakeFleet) => void;
+}
+
+const SCENARIOS: readonly Scenario[] = [
+  {
+    name: "rush",
+    rateOf: (region, atMs) =>
+      region === 0 && atMs > 8_000 && atMs < 30_000 ? 5 : 1,
+    schedule: () => {},
+  },
+  {
+    name: "capacity loss",
+    rateOf: () => 1.4,
+    schedule: (fleet) => {
+      const lost = [...fleet.backend.engines.values()].filter(({ region }) =>
+        region === "r1"
+      );
+      fleet.clock.schedule(10_000, () =>
+        lost.slice(0, 3).forEach((engine) => {
+          engine.isDown = true;
+          engine.core.reset();
+        }));
+      fleet.clock.schedule(
+        28_000,
+        () => lost.forEach((engine) => (engine.isDown = false)),
+      );
+    },
+  },
+  {
+    name: "partition",
+    rateOf: (region) => region === 0 ? 2.5 : 1,
+    schedule: (fleet) => {
+      fleet.clock.schedule(12_000, () => {
+        fleet.network.cutRegions.add("r1");
+        fleet.backend.cutRegions = new Set(["r1"]);
+      });
+      fleet.clock.schedule(26_000, () => {
+        fleet.network.cutRegions.clear();
+        fleet.backend.cutRegions = new Set();
+      });
+    },
+  },
+  {
+    name: "shifted peaks",
+    rateOf: (region, atMs) =>
+      2 +
+      1.8 *
+        Math.sin((2 * Math.PI * atMs) / 20_000 + (2 * Math.PI * region) / 3),
+    schedule: () => {},
+  },
+];
+
+/** Measures home against away: rush, lost capacity, partition, peaks at different hours. */
+export async function runSpillBench(): Promise<BenchResult> {
+  const rows: string[][] = [];
+  const figures: Record<string, number> = {};
+  for (const scenario of SCENARIOS) {
+    const oracle = await runOne(scenario, "least");
+    const homeOnly = await runOne(scenario, "home");
+    const own = await runOne(scenario, "own");
+    const key = scenario.name.replaceAll(" ", "_");
+    const add = (name: string, summary: TrafficSummary) =>
+      rows.push([
+        scenario.name,
+        name,
+        toCell(summary.firstTokenP50, 0),
+        toCell(summary.firstTokenP95, 0),
+        toCell(summary.firstTokenP99, 0),
+        toCell(summary.awayShare * 100),
+        toCell(summary.refusedShare * 100),
+        toCell(summary.brokenShare * 100),
+      ]);
+    add("home only", homeOnly);
+    add("global least loaded", oracle);
+    add("havenspur", own);
+    figures[`${key}_p95_over_least`] = own.firstTokenP95 /
+      Math.max(1, oracle.firstTokenP95);
+    figures[`${key}_away_over_least`] = own.awayShare /
+      Math.max(0.001, oracle.awayShare);
+    figures[`${key}_p95_over_home`] = own.firstTokenP95 /
+      Math.max(1, homeOnly.firstTokenP95);
+  }
+  return {
+    head: [
+      "SCENARIO",
+      "POLICY",
+      "TTFT P50 MS",
+      "P95",
+      "P99",
+      "AWAY %",
+      "REFUSED %",
+      "BROKEN %",
+    ],
+    rows,
+    figures,
+    notes: [
+      "global least loaded reads the true load of every engine, without lag or credit",
+      "aim: p95 within 1.1 of it, with under a third of its share sent away",
+    ],
+  };
+}
+
+async function runOne(
+  scenario: Scenario,
+  policy: "home" | "least" | "own",
+): Promise<TrafficSummary> {
+  const holder: { fleet?: FakeFleet } = {};
+  const fleet = new FakeFleet({ policies: createPolicies(policy, holder) });
+  holder.fleet = fleet;
+  await fleet.clock.advance(3_000);
+  await declareFleet(fleet, {
+    engines: REGIONS.map((region) => ({ region, fresh: 3, old: 1 })),
+  });
+  const random = createRandom(7);
+  const arrivals = createArrivals({
+    random,
+    rateAt: (atMs, daemon) =>
+      BASE_RATE / 3 * 1.5 * scenario.rateOf(Math.floor(daemon / 3), atMs),
+    peakRate: BASE_RATE / 3 * 1.5 * 5,
+    daemons: 9,
+    durationMs: DURATION_MS,
+    create: (atMs, daemon) => ({
+      atMs,
+      daemon,
+      team: "team-0",
+      priority: "interactive",
+      promptTokens: 200 + Math.floor(random.nextFloat() * 600),
+      outputTokens: 32 + Math.floor(random.nextFloat() * 64),
+      prefix: `session-${Math.floor(daemon / 3)}-${
+        Math.floor(random.nextFloat() * 40)
+      }`,
+      deadlineMs: 30_000,
+      model: FLEET_MODEL,
+    }),
+  });
+  scenario.schedule(fleet);
+  const results = await runTraffic(fleet, arrivals);
+  fleet.stop();
+  return summarizeTraffic(results, DURATION_MS);
+}
+
+function createPolicies(
+  policy: "home" | "least" | "own",
+  holder: { readonly fleet?: FakeFleet },
+): Policies {
+  switch (policy) {
+    case "own":
+      return {};
+    case "home":
+      return { decideRegion: () => ({ kind: "home" }) };
+    case "least":
+      return {
+        ignoresCredits: true,
+        decideRegion: ({ homeMs, options }) => {
+          const loadOf = (region: string) => readLoad(holder.fleet!, region);
+          const home = REGIONS.find((region) =>
+            options.every((option) => option.region !== region)
+          );
+          const best =
+            options.map(({ region }) => ({ region, load: loadOf(region) }))
+              .sort((a, b) => a.load - b.load)[0];
+          const isHomeBest = best === undefined || homeMs !== undefined &&
+              loadOf(home ?? "") <= best.load;
+          return isHomeBest
+            ? { kind: "home" }
+            : { kind: "away", region: toRegionId(best!.region) };
+        },
+      };
+  }
+}
+
+function readLoad(fleet: FakeFleet, region: string): number {
+  const engines = [...fleet.backend.engines.values()]
+    .filter((engine) => engine.region === region && !engine.isDown);
+  if (engines.length === 0) return Infinity;
+  return engines.reduce((sum, { core }) => sum + core.inSystem, 0) /
+    engines.length;
+}
