Admission: count what starts, be fair in a full queue, bound own batch work

Cause 1: the queue let in all that waited as soon as there was room for one: the room was looked at again before any of them was dispatched. Cause 2: the time of the work was not in the deadline check, so that work was begun that could not end. Cause 3: with a full queue a team with half of the calls got half of the places. Cause 4: batch work that waits in an engine counted as in the way of interactive work, which engines put before it; and each worker filled the pool before the first report. Change: calls that start are counted until dispatched; the estimated work is in the check; a full queue sheds the newest of the team that has most; own batch work is bounded by its part of the pool.

--- a/admission/admission_queue.ts
+++ b/admission/admission_queue.ts
@@ -24,6 +24,8 @@
   readonly clock: Clock;
   /** Whether a request of a class could start now. */
   readonly hasRoom: (priority: Priority) => boolean;
+  /** Called for each request that is let in, before the next one is looked at. */
+  readonly recordStart: (priority: Priority) => void;
 }
 
 /** Optional parts of a queue. */
@@ -148,7 +150,7 @@
     const longestMs = request.priority === "interactive"
       ? Math.min(leftMs, this.#maxInteractiveWaitMs)
       : leftMs;
-    if (waitMs > longestMs) {
+    if (waitMs > longestMs && !this.#makeRoomFor(request)) {
       this.refused.overloaded++;
       return createOverloaded(waitMs - longestMs);
     }
@@ -158,6 +160,28 @@
     return createOverloaded(waitMs);
   }
 
+  /**
+   * Makes room for a team that has less than its part of a full queue: the
+   * newest waiting request of the team that has most is refused in its place.
+   */
+  #makeRoomFor(request: AdmissionRequest): boolean {
+    const queue = this.#read(request.priority);
+    const byTeam = new Map<TeamId, number>();
+    queue.forEach(({ request: { team } }) =>
+      byTeam.set(team, (byTeam.get(team) ?? 0) + 1)
+    );
+    const [most, count] = [...byTeam].reduce(
+      (first, other) => other[1] > first[1] ? other : first,
+      [request.team, 0] as [TeamId, number],
+    );
+    if (count <= (byTeam.get(request.team) ?? 0) + 1) return false;
+    const at = queue.findLastIndex((waiting) => waiting.request.team === most);
+    const [shed] = queue.splice(at, 1);
+    this.refused.shed++;
+    shed!.settle(err(createOverloaded(RATE_WINDOW_MS)));
+    return true;
+  }
+
   /** Refuses the newest waiting request of a lower class, to make place. */
   #shedBelow(priority: Priority): boolean {
     const lower = PRIORITIES.slice(PRIORITIES.indexOf(priority) + 1)
@@ -220,6 +244,7 @@
   }
 
   #recordStart(request: AdmissionRequest, nowMs: number): void {
+    this.#parts.recordStart(request.priority);
     this.#startedMs.push(nowMs);
     if (this.#startedMs.length > this.#maxLength) this.#startedMs.shift();
     this.#served.forEach((count, team) => {
--- a/bench/overload_bench.ts
+++ b/bench/overload_bench.ts
@@ -6,7 +6,7 @@
 
 const DURATION_MS = 30_000;
 /** Calls a second that the pool of the benchmark answers in time, found by this benchmark. */
-const CAPACITY = 20;
+const CAPACITY = 30;
 const LOADS = [0.5, 1, 2, 10];
 const TEAMS = 4;
 const DEADLINE_MS = 6_000;
--- a/controllers/work_batches.ts
+++ b/controllers/work_batches.ts
@@ -12,9 +12,8 @@
 import { readBatchRegions } from "../filters/batch_api.ts";
 import { LEASE_TERMS } from "../leases/mod.ts";
 import { rankNames } from "../membership/mod.ts";
+import { BATCH_WORKERS } from "../routing/mod.ts";
 
-/** Daemons of a region that work on batches. */
-const WORKERS_PER_REGION = 3;
 /** Packs that one daemon works on at once. */
 const PACKS_AT_ONCE = 3;
 const ITEM_DEADLINE_MS = 60_000;
@@ -90,7 +89,7 @@
 
   return async () => {
     const live = gateway.membership.liveIds;
-    const isWorker = rankNames("batches", live).slice(0, WORKERS_PER_REGION)
+    const isWorker = rankNames("batches", live).slice(0, BATCH_WORKERS)
       .includes(self.id);
     if (!isWorker || !gateway.isReady || working.size >= PACKS_AT_ONCE) {
       if (working.size > 0) await keepLease();
--- a/filters/parse_call.ts
+++ b/filters/parse_call.ts
@@ -110,7 +110,10 @@
     isIdempotent: !isMarked,
     runKey: isMarked ? toRunKey(readTeam(exchange).id, key!) : undefined,
     firstTokenMs: service.spec.firstTokenMs,
-    size: estimateSize(json, exchange.request.headers["x-session"], body),
+    size: {
+      ...estimateSize(json, exchange.request.headers["x-session"], body),
+      isBatch: common.value.priority === "batch",
+    },
   });
 }
 
--- a/filters/serve_here.ts
+++ b/filters/serve_here.ts
@@ -70,7 +70,7 @@
     team: readTeam(exchange).id,
     priority: call.priority,
     dueMs: call.dueMs,
-    workMs: 0,
+    workMs: pool.estimateWorkMs(call.size),
     signal: exchange.request.signal,
   });
   if (admitted.isErr()) return err(admitted.error);
@@ -86,15 +86,26 @@
   const { clock } = parts;
   const tried = new Set<string>();
   let mayHaveRun = false;
+  let isStarting = true;
+  const endStart = () => {
+    if (isStarting) pool.recordDispatched(call.size);
+    isStarting = false;
+  };
   while (true) {
     const leftMs = call.dueMs - clock.nowMs();
     if (leftMs <= 0) {
+      endStart();
       return err(createFailure("DEADLINE_PASSED", "The deadline passed"));
     }
     const engine = pool.pick(call.size, tried);
-    if (engine === undefined) return err(createNoEngine(call, mayHaveRun));
+    if (engine === undefined) {
+      endStart();
+      return err(createNoEngine(call, mayHaveRun));
+    }
     tried.add(engine.server.id);
-    const attempt = await dispatchTo(parts, exchange, engine);
+    const dispatched = dispatchTo(parts, exchange, engine);
+    endStart();
+    const attempt = await dispatched;
     if (attempt.result.isOk()) {
       return ok(
         createReply(parts, exchange, {
--- a/routing/engine_model.ts
+++ b/routing/engine_model.ts
@@ -18,6 +18,8 @@
   readonly prefix: string | undefined;
   /** Tokens of that prefix. */
   readonly prefixTokens: number;
+  /** Whether it gives way to all other work in an engine's queue. Default: `false`. */
+  readonly isBatch?: boolean;
 }
 
 interface InFlight {
@@ -25,6 +27,7 @@
   readonly size: CallSize;
   /** Prompt tokens that were not expected in the cache. */
   readonly coldTokens: number;
+  readonly isBatch: boolean;
   hasFirstToken: boolean;
 }
 
@@ -65,6 +68,13 @@
     return this.#inFlight.size;
   }
 
+  /** Own calls of batches in flight. */
+  get ownBatch(): number {
+    let count = 0;
+    for (const { isBatch } of this.#inFlight.values()) if (isBatch) count++;
+    return count;
+  }
+
   /** Takes a load report; an older one than the last is dropped. */
   applyReport(load: EngineLoad, nowMs: number): void {
     const reportMs = nowMs - load.lagMs;
@@ -83,6 +93,7 @@
       dispatchedMs: nowMs,
       size,
       coldTokens,
+      isBatch: size.isBatch === true,
       hasFirstToken: false,
     });
     this.#recent.push({ dispatchedMs: nowMs, tokens: coldTokens });
--- a/routing/service_pool.ts
+++ b/routing/service_pool.ts
@@ -31,6 +31,8 @@
 }
 
 const INTERACTIVE_HEADROOM = 0.25;
+/** Daemons of a region that work on batches. */
+export const BATCH_WORKERS = 3;
 const RATE_MEMORY = 0.3;
 const RATE_WINDOW_MS = 2_000;
 /** Part of the aim for the first token that waiting for batch work may take. */
@@ -44,6 +46,8 @@
   #list: readonly EngineModel[] = [];
   #arrivals = { startMs: 0, count: 0, perSecond: 0 };
   #servedPerSecond = 0;
+  /** Calls that were let in and are not yet dispatched. */
+  readonly #starting = { batch: 0, other: 0 };
 
   /**
    * @param parts Clock, random source and weights.
@@ -54,6 +58,8 @@
     this.queue = new AdmissionQueue({
       clock: parts.clock,
       hasRoom: (priority) => this.hasRoom(priority),
+      recordStart: (priority) =>
+        this.#starting[priority === "batch" ? "batch" : "other"]++,
     }, options);
   }
 
@@ -108,6 +114,14 @@
       engine.estimateFirstTokenMs(size, this.#parts.readDeciders(), nowMs);
   }
 
+  /** Estimates how long a call takes here from its start to its end, in milliseconds. */
+  estimateWorkMs(size: CallSize): number {
+    const works = this.#list.map(({ decodeMs, prefillTokensPerMs }) =>
+      decodeMs * size.outputTokens + size.promptTokens / prefillTokensPerMs
+    );
+    return works.length === 0 ? 0 : Math.min(...works);
+  }
+
   /** Estimates the free sequences over all servers. */
   estimateSpare(): number {
     const nowMs = this.#parts.clock.nowMs();
@@ -125,10 +139,17 @@
     const usable = this.#usable(nowMs);
     if (usable.length === 0 || this.#parts.policies?.admitsAll) return true;
     if (priority === "batch") return this.#hasBatchRoom(usable, nowMs);
-    return usable.some((engine) =>
-      engine.estimateRoom(deciders, nowMs) +
-          engine.server.slots * INTERACTIVE_HEADROOM >= 1
-    );
+    // Engines serve by priority: batch work that waits there does not stand before others.
+    const room = usable.map((engine) =>
+      engine.estimateRoom(deciders, nowMs) + engine.ownBatch * deciders +
+      engine.server.slots * INTERACTIVE_HEADROOM
+    ).reduce((sum, each) => sum + Math.max(0, each), 0);
+    return room - this.#starting.other >= 1;
+  }
+
+  /** Records that a call that was let in has been dispatched, or given up. */
+  recordDispatched(size: CallSize): void {
+    this.#starting[size.isBatch ? "batch" : "other"]--;
   }
 
   /** Records an arrival of interactive work, for the batch threshold. */
@@ -167,6 +188,13 @@
       (sum, engine) => sum + engine.estimateInSystem(deciders, nowMs),
       0,
     );
+    const own = usable.reduce(
+      (sum, engine) => sum + engine.ownBatch,
+      this.#starting.batch,
+    );
+    // Reports lag: without a bound on its own part each worker would fill the pool at once.
+    const ownLimit = Math.ceil(servers / Math.min(deciders, BATCH_WORKERS));
+    if (own >= ownLimit) return false;
     if (this.#servedPerSecond === 0) return busy < servers;
     const compute = this.#parts.policies?.computeThreshold ?? computeThreshold;
     const threshold = compute({
@@ -174,6 +202,8 @@
       arrivalsPerSecond: this.#arrivals.perSecond * deciders,
       servedPerSecond: this.#servedPerSecond,
     }, this.#parts.readWeights().firstTokenMs * RESERVED_WAIT_SHARE);
-    return busy < threshold;
+    const isOwnPartFree =
+      own < Math.ceil(threshold / Math.min(deciders, BATCH_WORKERS));
+    return busy < threshold && isOwnPartFree;
   }
 }
