Spill: leave home before its aim is broken

Cause: work left home only when home's estimate broke the aim of 770 ms, so the tail grew to 1.6 times that of a global choice although other regions had room. Change: home is left above 0.4 of the aim, and returned to below 0.28.

--- a/routing/decide_region.ts
+++ b/routing/decide_region.ts
@@ -37,10 +37,10 @@
   | { readonly kind: "home-and-ask"; readonly region: RegionId }
   | { readonly kind: "nowhere" };
 
-/** Home must break its aim by this factor before work is sent away. */
-const LEAVE_HOME_FACTOR = 1;
-/** Once away, work returns when home is below this factor of the aim. */
-const RETURN_HOME_FACTOR = 0.7;
+/** Home must pass this part of its aim before work is sent away. */
+const LEAVE_HOME_FACTOR = 0.4;
+/** Once away, work returns when home is below this part of the aim. */
+const RETURN_HOME_FACTOR = 0.28;
 /** Away must be better by this factor. */
 const MARGIN = 0.7;
 const MAX_AGE_MS = 10_000;
