Limits: prolong loans and ask less where nothing is to be had; leave out engines that refuse connections

Cause 1: with demand above the limit everywhere, every daemon asked every other at each request and twice a second: 427 peer calls a second for one team. Cause 2: with three of four engines down, ejection took it for a common failure and used all of them. Change: an engine that refuses connections is left out until it answers a poll, with a slow start after; the floor holds for the others.

--- a/admission/team_limits.ts
+++ b/admission/team_limits.ts
@@ -22,11 +22,12 @@
 export const LOAN_LIFETIME_MS = 2_000;
 const BURST_SECONDS = 1;
 const DEMAND_WINDOW_MS = 1_000;
-const DEMAND_MEMORY = 0.5;
+const DEMAND_MEMORY = 0.2;
 const LEND_MARGIN = 1.1;
 /** Part of its share, and of its burst, that a lender keeps for demand to come. */
 const KEPT_SHARE = 0.06;
 const KEPT_TOKENS = 1;
+const LEAST_WISH = 0.05;
 /** A borrower asks for more than it needs now, so that growing demand finds room. */
 const BORROW_MARGIN = 1.5;
 /** Until the others have seen it, a new instance takes a part of its share. */
@@ -34,6 +35,8 @@
 const SETTLING_SHARE = 0.4;
 
 interface Loan {
+  /** The other instance. */
+  readonly party: string;
   readonly rate: number;
   readonly expiresMs: number;
 }
@@ -111,69 +114,92 @@
     };
   }
 
-  /** Returns the teams that need more than their share here. */
+  /** Returns the teams that need more than their share here, and how much in all. */
   decideBorrow(nowMs: number): readonly BorrowWish[] {
     return [...this.#buckets]
       .map(([team, bucket]) => {
         this.#rollWindow(bucket, nowMs);
-        const rate = this.#computeRate(team, bucket, nowMs);
-        const current = bucket.borrowed.filter(({ expiresMs }) =>
-          expiresMs - nowMs > LOAN_LIFETIME_MS / 2
-        ).reduce((sum, loan) => sum + loan.rate, 0);
-        const borrowed = bucket.borrowed.reduce(
-          (sum, loan) => sum + loan.rate,
-          0,
-        );
-        const lasting = rate - borrowed + current;
+        const own = this.#computeOwn(team, bucket, nowMs);
         const target = Math.min(bucket.limit, bucket.demand * BORROW_MARGIN);
-        return { team, wanted: target - lasting };
+        return { team, wanted: target - own };
       })
-      .filter(({ wanted }) => wanted > 0.05);
+      .filter(({ wanted }) => wanted > LEAST_WISH);
+  }
+
+  /** Returns what an instance has lent to this one, and still holds for a while. */
+  readBorrowed(team: TeamId, lender: string, nowMs: number): number {
+    const loans = this.#buckets.get(team)?.borrowed ?? [];
+    return loans.find(({ party, expiresMs }) =>
+      party === lender && expiresMs > nowMs
+    )?.rate ?? 0;
   }
 
   /**
-   * Lends what is spare.
+   * Lends what is spare. A loan to the same borrower is replaced, so that it
+   * can be prolonged; it does not shrink before it ends.
    *
-   * @param wish What another instance wants.
+   * @param wish What another instance wants of this one, in all.
    * @param limit The team's limit.
    * @param nowMs Time now.
    */
-  lend(wish: BorrowWish, limit: number, nowMs: number): RateLoan {
+  lend(wish: BorrowRequest, limit: number, nowMs: number): RateLoan {
     const bucket = this.#readBucket(wish.team, limit, nowMs);
     this.#rollWindow(bucket, nowMs);
-    const own = this.#computeBase(wish.team, bucket, nowMs) -
-      sumRates(bucket.lent);
+    this.#fill(bucket, this.#computeRate(wish.team, bucket, nowMs), nowMs);
+    const known = bucket.lent.find(({ party }) => party === wish.from)?.rate ??
+      0;
+    const own = this.#computeOwn(wish.team, bucket, nowMs) + known;
     const spare = Math.max(
       0,
       own * (1 - KEPT_SHARE) - bucket.demand * LEND_MARGIN,
     );
-    const rate = Math.min(spare, wish.wanted);
-    if (rate <= 0) {
-      return {
-        team: wish.team,
-        rate: 0,
-        tokens: 0,
-        lifetimeMs: LOAN_LIFETIME_MS,
-      };
-    }
-    this.#fill(bucket, this.#computeRate(wish.team, bucket, nowMs), nowMs);
-    bucket.lent.push({ rate, expiresMs: nowMs + LOAN_LIFETIME_MS });
+    const rate = Math.max(known, Math.min(spare, wish.wanted));
+    const refusal = {
+      team: wish.team,
+      rate: 0,
+      tokens: 0,
+      lifetimeMs: LOAN_LIFETIME_MS,
+    };
+    // A loan that is no longer spare runs out; it is not prolonged.
+    if (rate <= 0 || spare < known) return refusal;
+    bucket.lent = [
+      ...bucket.lent.filter(({ party }) => party !== wish.from),
+      { party: wish.from, rate, expiresMs: nowMs + LOAN_LIFETIME_MS },
+    ];
     // Tokens move with the rate: their sum over all instances stays the same.
     const tokens = Math.max(0, bucket.tokens - KEPT_TOKENS) *
-      Math.min(1, rate / own);
+      Math.min(1, (rate - known) / own);
     bucket.tokens -= tokens;
     return { team: wish.team, rate, tokens, lifetimeMs: LOAN_LIFETIME_MS };
   }
 
-  /** Records a loan that another instance granted. */
-  recordLoan(loan: RateLoan, askedMs: number, nowMs: number): void {
+  /**
+   * Records a loan that another instance granted.
+   *
+   * @param lender Who granted it.
+   * @param loan What was granted.
+   * @param at When it was asked for, and now.
+   */
+  recordLoan(
+    lender: string,
+    loan: RateLoan,
+    at: { readonly askedMs: number; readonly nowMs: number },
+  ): void {
     const bucket = this.#buckets.get(loan.team);
     if (bucket === undefined || loan.rate <= 0) return;
-    this.#fill(bucket, this.#computeRate(loan.team, bucket, nowMs), nowMs);
-    bucket.borrowed.push({
-      rate: loan.rate,
-      expiresMs: askedMs + loan.lifetimeMs,
-    });
+    this.#fill(
+      bucket,
+      this.#computeRate(loan.team, bucket, at.nowMs),
+      at.nowMs,
+    );
+    bucket.borrowed = [
+      ...bucket.borrowed.filter(({ party }) => party !== lender),
+      {
+        party: lender,
+        rate: loan.rate,
+        expiresMs: at.askedMs + loan.lifetimeMs,
+      },
+    ];
     bucket.tokens += loan.tokens;
   }
 
@@ -212,13 +238,20 @@
   }
 
   #computeRate(team: TeamId, bucket: TeamBucket, nowMs: number): number {
-    bucket.lent = bucket.lent.filter(({ expiresMs }) => expiresMs > nowMs);
+    const own = this.#computeOwn(team, bucket, nowMs);
     bucket.borrowed = bucket.borrowed.filter(({ expiresMs }) =>
       expiresMs > nowMs
     );
-    const base = this.#computeBase(team, bucket, nowMs);
-    return Math.max(0, base - sumRates(bucket.lent)) +
-      sumRates(bucket.borrowed);
+    return own + sumRates(bucket.borrowed);
+  }
+
+  /** The base share, less what is lent. */
+  #computeOwn(team: TeamId, bucket: TeamBucket, nowMs: number): number {
+    bucket.lent = bucket.lent.filter(({ expiresMs }) => expiresMs > nowMs);
+    return Math.max(
+      0,
+      this.#computeBase(team, bucket, nowMs) - sumRates(bucket.lent),
+    );
   }
 
   #fill(bucket: TeamBucket, rate: number, nowMs: number): void {
--- a/bench/limits_bench.ts
+++ b/bench/limits_bench.ts
@@ -4,7 +4,7 @@
 import { declareFleet, FLEET_MODEL } from "./fleet_resources.ts";
 import { createArrivals, runTraffic } from "./traffic.ts";
 
-const DURATION_MS = 30_000;
+const DURATION_MS = 60_000;
 const LIMIT = 60;
 
 /** Measures team limits over nine instances: the sum, and demand that sits on one. */
--- a/controllers/observe_engines.ts
+++ b/controllers/observe_engines.ts
@@ -22,7 +22,7 @@
       AbortSignal.any([signal, timeout.signal]),
     );
     if (load.isErr()) return;
-    engine.applyReport(load.value, clock.nowMs());
+    engine.recordPoll(load.value, clock.nowMs());
     wake();
   };
   return async () => {
--- a/daemon/gateway.ts
+++ b/daemon/gateway.ts
@@ -24,6 +24,7 @@
 import { CreditLedger, CreditPurse, ServicePool } from "../routing/mod.ts";
 import { GuardedStore, StoreBudget } from "../store/mod.ts";
 import type { PlacementStatus } from "../controllers/decide_placement.ts";
+import { LimitBorrower } from "../controllers/share_limits.ts";
 import { UsageMeter } from "../usage/mod.ts";
 import type {
   Exchange,
@@ -56,6 +57,7 @@
   readonly budget: StoreBudget;
   readonly journal: ShardedJournal;
   readonly limits: TeamLimits;
+  readonly borrower = new LimitBorrower(this);
   readonly ledger = new CreditLedger();
   readonly retries = new RetryBudget();
   readonly usage = new UsageMeter();
--- a/daemon/routes.ts
+++ b/daemon/routes.ts
@@ -19,7 +19,6 @@
 } from "../filters/mod.ts";
 import { BATCH_HANDLERS } from "../filters/batch_api.ts";
 import { RESOURCE_HANDLERS, toFilter } from "../filters/resource_api.ts";
-import { createBorrowNow } from "../controllers/share_limits.ts";
 import type { RegionId } from "../ids/mod.ts";
 import type { CreditPurse } from "../routing/mod.ts";
 import { readAllowedRegions } from "../resources/mod.ts";
@@ -81,7 +80,7 @@
   const limits = createApplyLimits({
     clock,
     limits: gateway.limits,
-    borrow: createBorrowNow(gateway),
+    borrow: (team) => gateway.borrower.borrowFor(team),
   });
   const refuseEarly = createRefuseNotReady(gateway);
   const model = composeFilters([
--- a/daemon/start_controllers.ts
+++ b/daemon/start_controllers.ts
@@ -1,5 +1,4 @@
 import { createObserveEngines } from "../controllers/observe_engines.ts";
-import { createShareLimits } from "../controllers/share_limits.ts";
 import { createWatchInstances } from "../controllers/watch_instances.ts";
 import { createSendHeartbeats } from "../controllers/send_heartbeats.ts";
 import { createPublishEntries } from "../controllers/publish_entries.ts";
@@ -33,7 +32,7 @@
     [INSTANCES_INTERVAL_MS, watchInstances],
     [HEARTBEAT_INTERVAL_MS, createSendHeartbeats(gateway)],
     [ENGINES_INTERVAL_MS, createObserveEngines(gateway, signal)],
-    [LIMITS_INTERVAL_MS, createShareLimits(gateway)],
+    [LIMITS_INTERVAL_MS, () => gateway.borrower.borrowAll()],
     [ENTRIES_INTERVAL_MS, createPublishEntries(gateway)],
     [PLACEMENT_INTERVAL_MS, placement.run],
     [BATCHES_INTERVAL_MS, createWorkBatches(gateway, signal)],
--- a/filters/serve_here.ts
+++ b/filters/serve_here.ts
@@ -11,7 +11,12 @@
 import type { BackendServer } from "../resources/mod.ts";
 import { createFailure, type Failure } from "../results/mod.ts";
 import { decideRetry, type RetryBudget } from "../retry/mod.ts";
-import type { decideRegion, EngineModel, ServicePool } from "../routing/mod.ts";
+import type {
+  decideRegion,
+  EngineModel,
+  HealthEvent,
+  ServicePool,
+} from "../routing/mod.ts";
 import type { Call, Exchange, Reply } from "./exchange.ts";
 import { readCall, readTeam } from "./exchange.ts";
 import { relayStream, type Source } from "./relay_stream.ts";
@@ -118,9 +123,7 @@
     const failure = attempt.result.error;
     const isGone = exchange.request.signal.aborted;
     if (failure.kind === "broken") mayHaveRun = true;
-    const event = failure.kind === "refused" || isGone
-      ? undefined
-      : { kind: "failed" } as const;
+    const event = isGone ? undefined : toHealthEvent(failure);
     engine.recordEnd(attempt.id, { event }, clock.nowMs());
     pool.queue.wake();
     const mayRetry = !isGone && (parts.policies.decideRetry ?? decideRetry)({
@@ -136,6 +139,17 @@
   }
 }
 
+function toHealthEvent(failure: DispatchFailure): HealthEvent | undefined {
+  switch (failure.kind) {
+    case "not-sent":
+      return { kind: "unreachable" };
+    case "broken":
+      return { kind: "failed" };
+    case "refused":
+      return undefined;
+  }
+}
+
 async function dispatchTo(
   parts: ServeParts,
   exchange: Exchange,
--- a/routing/engine_health.ts
+++ b/routing/engine_health.ts
@@ -6,6 +6,8 @@
   readonly ejectedUntilMs: number;
   /** Ejections in a row. */
   readonly ejections: number;
+  /** Refused its last connection; not tried until then, unless it answers a poll. */
+  readonly unreachableUntilMs: number;
   /** When it came back; its slow start counts from then. 0: it was never away. */
   readonly returnedMs: number;
 }
@@ -13,13 +15,19 @@
 /** What its health learns from. */
 export type HealthEvent =
   | { readonly kind: "succeeded" }
-  | { readonly kind: "failed" };
+  | { readonly kind: "failed" }
+  /** No connection came about: the server itself is away. */
+  | { readonly kind: "unreachable" }
+  /** It answered a poll. */
+  | { readonly kind: "polled" };
 
 /** Failures in a row that eject a server. */
 export const FAILURES_TO_EJECT = 3;
 const FIRST_EJECTION_MS = 2_000;
 const LONGEST_EJECTION_MS = 30_000;
 const SLOW_START_MS = 8_000;
+/** How long a server that refuses connections is left out, if polls do not say otherwise. */
+const UNREACHABLE_MS = 3_000;
 const SLOW_START_FLOOR = 0.1;
 /** Share of a pool that is never ejected: beyond it the failure is a common one. */
 export const HEALTHY_FLOOR = 0.5;
@@ -29,6 +37,7 @@
   failures: 0,
   ejectedUntilMs: 0,
   ejections: 0,
+  unreachableUntilMs: 0,
   returnedMs: 0,
 };
 
@@ -44,15 +53,34 @@
   event: HealthEvent,
   nowMs: number,
 ): EngineHealth {
-  if (event.kind === "succeeded") {
-    const isPastSlowStart = nowMs - health.returnedMs > SLOW_START_MS;
-    return {
-      ...health,
-      failures: 0,
-      ejections: isPastSlowStart ? 0 : health.ejections,
-      ejectedUntilMs: 0,
-    };
+  switch (event.kind) {
+    case "succeeded":
+      return recordSuccess(health, nowMs);
+    case "failed":
+      return recordFailure(health, nowMs);
+    case "unreachable":
+      return { ...health, unreachableUntilMs: nowMs + UNREACHABLE_MS };
+    case "polled": {
+      if (health.unreachableUntilMs === 0) return health;
+      // It was away: its share grows again from the floor.
+      const ejections = Math.max(1, health.ejections);
+      return { ...health, unreachableUntilMs: 0, ejections, returnedMs: nowMs };
+    }
   }
+}
+
+function recordSuccess(health: EngineHealth, nowMs: number): EngineHealth {
+  const isPastSlowStart = nowMs - health.returnedMs > SLOW_START_MS;
+  return {
+    ...health,
+    failures: 0,
+    ejections: isPastSlowStart ? 0 : health.ejections,
+    ejectedUntilMs: 0,
+    unreachableUntilMs: 0,
+  };
+}
+
+function recordFailure(health: EngineHealth, nowMs: number): EngineHealth {
   const failures = health.failures + 1;
   const hasReturned = health.ejections > 0 && nowMs >= health.ejectedUntilMs;
   if (failures < FAILURES_TO_EJECT && !hasReturned) {
@@ -63,6 +91,7 @@
     FIRST_EJECTION_MS * 2 ** health.ejections,
   );
   return {
+    ...health,
     failures,
     ejectedUntilMs: nowMs + pauseMs,
     ejections: health.ejections + 1,
@@ -70,9 +99,9 @@
   };
 }
 
-/** Whether a server is ejected now. */
+/** Whether a server is ejected or unreachable now. */
 export function isEjected(health: EngineHealth, nowMs: number): boolean {
-  return nowMs < health.ejectedUntilMs;
+  return nowMs < Math.max(health.ejectedUntilMs, health.unreachableUntilMs);
 }
 
 /**
@@ -86,7 +115,8 @@
 }
 
 /**
- * Returns the servers that may be used. If more than half of them are ejected,
+ * Returns the servers that may be used. Those that refuse connections are left
+ * out while any other is there. Of the others, if more than half are ejected,
  * the failure is not theirs, and all are used.
  *
  * @param servers All candidates.
@@ -96,6 +126,12 @@
   servers: readonly T[],
   nowMs: number,
 ): readonly T[] {
-  const healthy = servers.filter(({ health }) => !isEjected(health, nowMs));
-  return healthy.length >= servers.length * HEALTHY_FLOOR ? healthy : servers;
+  const reachable = servers.filter(({ health }) =>
+    nowMs >= health.unreachableUntilMs
+  );
+  const candidates = reachable.length > 0 ? reachable : servers;
+  const healthy = candidates.filter(({ health }) => !isEjected(health, nowMs));
+  return healthy.length >= candidates.length * HEALTHY_FLOOR
+    ? healthy
+    : candidates;
 }
--- a/routing/engine_model.ts
+++ b/routing/engine_model.ts
@@ -86,6 +86,12 @@
     );
   }
 
+  /** Records that the engine has answered a poll. */
+  recordPoll(load: EngineLoad, nowMs: number): void {
+    this.health = applyHealthEvent(this.health, { kind: "polled" }, nowMs);
+    this.applyReport(load, nowMs);
+  }
+
   /** Records a dispatch. */
   recordDispatch(attempt: AttemptId, size: CallSize, nowMs: number): void {
     const coldTokens = this.#computeColdTokens(size, nowMs);
@@ -137,7 +143,10 @@
     if (end.event !== undefined) {
       this.health = applyHealthEvent(this.health, end.event, nowMs);
     }
-    if (end.event?.kind === "failed") this.hints.clear();
+    // An engine that failed may have lost its cache; one that is away has.
+    if (end.event !== undefined && end.event.kind !== "succeeded") {
+      this.hints.clear();
+    }
     if (end.tokenMs !== undefined) {
       this.decodeMs = learn(this.decodeMs, end.tokenMs, [1, 1_000]);
     }
