--- a/store/guarded_store.ts
+++ b/store/guarded_store.ts
@@ -10,6 +10,7 @@
 import type {
   Store,
   StoreCallOptions,
+  StoreClass,
   StoreEntry,
   StoreEvent,
   StoreFailure,
@@ -35,6 +36,8 @@
 }
 
 const DEFAULT_DEADLINE_MS = 1_500;
+const JOURNAL_WAITS = 10;
+const BUDGET_WAIT_MS = 30;
 
 /**
  * The one store client of a daemon: every call has a deadline, passes the
@@ -45,6 +48,7 @@
   readonly #deadlineMs: number;
   readonly #onCircuit: (state: CircuitState["kind"]) => void;
   #circuit: CircuitState = CLOSED_CIRCUIT;
+  #probe: Promise<void> = Promise.resolve();
 
   /**
    * @param parts Store, clock, random source and budget.
@@ -108,7 +112,9 @@
     options: StoreCallOptions,
     run: (store: Store) => StoreResult<T>,
   ): StoreResult<T> {
-    const { budget, clock, store } = this.#parts;
+    const { clock, store } = this.#parts;
+    // While one call probes a store that was lost, the others wait for what it finds.
+    if (this.#circuit.kind === "half-open") await this.#probe;
     const admission = admitCall(this.#circuit, clock.nowMs());
     if (!admission.isAdmitted) {
       return err({
@@ -116,16 +122,32 @@
         message: "Cannot reach the store: the circuit is open",
       });
     }
-    if (!budget.admit(options.callClass ?? "configuration", clock.nowMs())) {
+    if (!await this.#admitToBudget(options.callClass ?? "configuration")) {
       return err({
         kind: "over-budget",
         message: "Cannot call the store: the budget is spent",
       });
     }
     this.#setCircuit(admission.state);
-    const result = await this.#withDeadline(run(store));
-    this.#learn(result);
-    return result;
+    const answered = this.#withDeadline(run(store)).then((result) => {
+      this.#learn(result);
+      return result;
+    });
+    if (admission.state.kind === "half-open") {
+      this.#probe = answered.then(() => {});
+    }
+    return await answered;
+  }
+
+  /** Callers wait for the journal: its calls wait a little for the budget before they are refused. */
+  async #admitToBudget(callClass: StoreClass): Promise<boolean> {
+    const { budget, clock } = this.#parts;
+    const waits = callClass === "journal" ? JOURNAL_WAITS : 0;
+    for (let waited = 0; waited <= waits; waited++) {
+      if (budget.admit(callClass, clock.nowMs())) return true;
+      if (waited < waits) await waitFor(clock, BUDGET_WAIT_MS);
+    }
+    return false;
   }
 
   async #withDeadline<T>(call: StoreResult<T>): StoreResult<T> {
--- a/store/store_budget.ts
+++ b/store/store_budget.ts
@@ -9,11 +9,9 @@
   usage: 0.5,
 };
 
-/** Optional parts of a budget. */
-export interface StoreBudgetOptions {
-  /** Calls that may be made at once, in seconds of the rate. Default: 1. */
-  readonly burstSeconds?: number;
-}
+/** Part of the share that flows in steadily; the rest is the burst, so that no second passes the share. */
+const STEADY_SHARE = 0.8;
+const LEAST_BURST = 4;
 
 /**
  * A token bucket over all store calls of one daemon. A class may spend only
@@ -21,32 +19,24 @@
  */
 export class StoreBudget {
   #tokens: number;
-  #capacity: number;
-  #callsPerSecond: number;
+  #capacity = 0;
+  #steadyPerSecond = 0;
   #filledMs: number;
-  readonly #burstSeconds: number;
 
   /**
    * @param callsPerSecond Share of this daemon.
    * @param nowMs Time of the first call.
-   * @param options Size of a burst.
    */
-  constructor(
-    callsPerSecond: number,
-    nowMs: number,
-    options: StoreBudgetOptions = {},
-  ) {
-    this.#burstSeconds = options.burstSeconds ?? 1;
-    this.#callsPerSecond = callsPerSecond;
-    this.#capacity = callsPerSecond * this.#burstSeconds;
-    this.#tokens = this.#capacity;
+  constructor(callsPerSecond: number, nowMs: number) {
+    this.#tokens = Infinity;
     this.#filledMs = nowMs;
+    this.setRate(callsPerSecond);
   }
 
   /** Sets the share anew, after the number of live instances changed. */
   setRate(callsPerSecond: number): void {
-    this.#callsPerSecond = callsPerSecond;
-    this.#capacity = callsPerSecond * this.#burstSeconds;
+    this.#steadyPerSecond = callsPerSecond * STEADY_SHARE;
+    this.#capacity = Math.max(LEAST_BURST, callsPerSecond * (1 - STEADY_SHARE));
     this.#tokens = Math.min(this.#tokens, this.#capacity);
   }
 
@@ -62,7 +52,7 @@
     this.#filledMs = nowMs;
     this.#tokens = Math.min(
       this.#capacity,
-      this.#tokens + elapsedSeconds * this.#callsPerSecond,
+      this.#tokens + elapsedSeconds * this.#steadyPerSecond,
     );
     if (this.#tokens - 1 < this.#capacity * RESERVES[callClass]) return false;
     this.#tokens -= 1;
