--- a/batches/run_pack.ts
+++ b/batches/run_pack.ts
@@ -23,6 +23,8 @@
   readonly runItem: (item: BatchItem, position: number) => Promise<ItemOutcome>;
   /** Saves answers; `false` when the pack is no longer this worker's. */
   readonly save: (answers: AnswerMap) => Promise<boolean>;
+  /** Whether more items may be started: not when the instance is leaving. */
+  readonly mayStart: () => boolean;
   readonly signal: AbortSignal;
 }
 
@@ -70,7 +72,7 @@
     if (isOurs) batch.forEach(([position]) => unsaved.delete(position));
   };
   const runNext = async (): Promise<void> => {
-    while (isOurs && !parts.signal.aborted) {
+    while (isOurs && !parts.signal.aborted && parts.mayStart()) {
       const position = open.shift();
       if (position === undefined) return;
       const answer = await runToEnd(parts, work, position, () => isOurs);
@@ -96,6 +98,8 @@
   let unknownTries = 0;
   while (isOurs() && !parts.signal.aborted) {
     const outcome = await parts.runItem(item, work.offset + position);
+    // What broke off since this instance ends is for the next worker, not an answer.
+    if (parts.signal.aborted) return undefined;
     const answer = {
       custom_id: item.custom_id,
       status: outcome.status,
--- a/controllers/work_batches.ts
+++ b/controllers/work_batches.ts
@@ -161,6 +161,7 @@
   await runPack({
     clock,
     signal,
+    mayStart: () => !gateway.membership.isLeaving,
     runItem: (item, position) =>
       runItem(gateway, head, { item, position, signal }),
     save: async (added) => {
--- a/daemon/gateway.ts
+++ b/daemon/gateway.ts
@@ -234,7 +234,7 @@
   readPool(service: string): ServicePool {
     const known = this.#pools.get(service);
     if (known !== undefined) return known;
-    const { clock, random, self } = this.parts;
+    const { clock, random } = this.parts;
     const pool = new ServicePool({
       clock,
       random,
--- a/standin/fake_backend.ts
+++ b/standin/fake_backend.ts
@@ -132,7 +132,8 @@
     if (this.#nextFloat() < engine.failShare) {
       return err({ kind: "broken", message: "The connection broke" });
     }
-    return ok(this.#run(engine, { call, body, signal }));
+    const answer = this.#run(engine, { call, body, signal });
+    return ok(call.isStream ? answer : await gatherAnswer(answer));
   }
 
   #run(
@@ -234,6 +235,22 @@
   }
 }
 
+/** Returns the whole answer of a call that asked for no stream. */
+async function gatherAnswer(answer: BackendAnswer): Promise<BackendAnswer> {
+  if (answer.kind === "whole") return answer;
+  const texts: string[] = [];
+  for await (const { data } of answer.events) texts.push(data);
+  const choices = [{ text: texts.slice(0, -1).join("") }];
+  const usage = { completion_tokens: texts.length - 1 };
+  return {
+    kind: "whole",
+    status: 200,
+    headers: { "content-type": "application/json" },
+    body: Buffer.from(JSON.stringify({ choices, usage })),
+    load: answer.load,
+  };
+}
+
 async function* readStream(stream: Stream): AsyncGenerator<StreamEvent> {
   while (true) {
     const event = stream.pending.shift();
