--- a/bench/run_bench.ts
+++ b/bench/run_bench.ts
@@ -2,10 +2,12 @@
 import { type BenchCase, type BenchResult, printResult } from "./bench_case.ts";
 import { runBatchBench } from "./batch_bench.ts";
 import { runConfigBench } from "./config_bench.ts";
+import { runControlBench } from "./control_bench.ts";
 import { runJournalBench } from "./journal_bench.ts";
 import { runMembershipBench } from "./membership_bench.ts";
 import { runSubsetBench } from "./subset_bench.ts";
 import { runLimitsBench } from "./limits_bench.ts";
+import { runOverheadBench } from "./overhead_bench.ts";
 import { runOverloadBench } from "./overload_bench.ts";
 import { runRetriesBench } from "./retries_bench.ts";
 import { runSpillBench } from "./spill_bench.ts";
@@ -22,6 +24,8 @@
   { name: "config", run: runConfigBench },
   { name: "membership", run: runMembershipBench },
   { name: "subset", run: runSubsetBench },
+  { name: "control", run: runControlBench },
+  { name: "overhead", run: runOverheadBench },
 ];
 
 /** A bound on one figure: a count, or a ratio inside one run. */
--- a/clock/clock.ts
+++ b/clock/clock.ts
@@ -12,6 +12,9 @@
   schedule(delayMs: number, callback: () => void, signal?: AbortSignal): void;
 }
 
+/** Reason of a timer's end; without one each abort would make an error with its stack. */
+const CANCELLED = "cancelled";
+
 /**
  * Resolves after a delay, or at once when the signal aborts.
  *
@@ -29,7 +32,7 @@
     const timer = new AbortController();
     const finish = () => {
       signal?.removeEventListener("abort", finish);
-      timer.abort();
+      timer.abort(CANCELLED);
       resolve();
     };
     signal?.addEventListener("abort", finish, { once: true });
--- a/daemon/gateway.ts
+++ b/daemon/gateway.ts
@@ -291,7 +291,7 @@
       receivedMs: this.parts.clock.nowMs(),
       origin,
       ended: ended.signal,
-      end: () => ended.abort(),
+      end: () => ended.abort("ended"),
       params: {},
     };
   }
--- a/filters/serve_here.ts
+++ b/filters/serve_here.ts
@@ -205,7 +205,7 @@
   if (exchange.deadline !== undefined) return exchange.deadline;
   const late = new AbortController();
   const leftMs = Math.max(0, readCall(exchange).dueMs - clock.nowMs());
-  clock.schedule(leftMs, () => late.abort(), exchange.ended);
+  clock.schedule(leftMs, () => late.abort("deadline"), exchange.ended);
   exchange.deadline = AbortSignal.any([exchange.request.signal, late.signal]);
   return exchange.deadline;
 }
--- a/store/guarded_store.ts
+++ b/store/guarded_store.ts
@@ -160,7 +160,7 @@
         })
       );
     const result = await Promise.race([call, late]);
-    timer.abort();
+    timer.abort("answered");
     return result;
   }
 
