--- a/configuration/configuration_controller.ts
+++ b/configuration/configuration_controller.ts
@@ -1,11 +1,13 @@
 import { type Clock, scheduleEvery, waitFor } from "../clock/mod.ts";
-import type { ConfigurationEntry } from "../resources/mod.ts";
+import { type ConfigurationEntry, groupBy } from "../resources/mod.ts";
 import type { Store } from "../store/mod.ts";
 import { catchUp } from "./accept_changes.ts";
 import {
   decodeLogEvent,
   LOG_PREFIX,
   readSnapshot,
+  toBucket,
+  toBucketPrefix,
   toLogKey,
   writeEntry,
   writeSnapshot,
@@ -184,14 +186,21 @@
    */
   async #repairStore(): Promise<void> {
     const { state, store, report } = this.#parts;
-    const newest = state.recent.at(-1);
-    if (newest === undefined) return;
     const missing: ConfigurationEntry[] = [];
-    for (const entry of state.recent.toReversed()) {
-      const read = await store.read(toLogKey(entry.sequence));
+    // From the newest bucket back, as long as something is missing: there may be a
+    // hole before an entry that was accepted after the restore.
+    const buckets = [
+      ...groupBy(state.recent, ({ sequence }) => toBucket(sequence)),
+    ].toReversed();
+    for (const [bucket, entries] of buckets) {
+      const read = await store.readPrefix(toBucketPrefix(bucket));
       if (read.isErr()) return;
-      if (read.value !== undefined) break;
-      missing.unshift(entry);
+      const present = new Set(read.value.map(({ key }) => key));
+      const lacking = entries.filter(({ sequence }) =>
+        !present.has(toLogKey(sequence))
+      );
+      missing.unshift(...lacking);
+      if (lacking.length === 0) break;
     }
     if (missing.length === 0) return;
     report(
--- a/configuration/configuration_log.ts
+++ b/configuration/configuration_log.ts
@@ -25,9 +25,21 @@
   readonly parts: number;
 }
 
+/** Returns the bucket of an entry: a hundred entries are read in one call. */
+export function toBucket(sequence: number): number {
+  return Math.floor(sequence / BUCKET_SIZE);
+}
+
+/** Returns the prefix of the keys of a bucket. */
+export function toBucketPrefix(bucket: number): string {
+  return `${LOG_PREFIX}${String(bucket).padStart(8, "0")}/`;
+}
+
 /** Returns the key of an entry. */
 export function toLogKey(sequence: number): string {
-  return `${toBucketPrefix(sequence)}${String(sequence).padStart(12, "0")}`;
+  return `${toBucketPrefix(toBucket(sequence))}${
+    String(sequence).padStart(12, "0")
+  }`;
 }
 
 /**
@@ -81,7 +93,7 @@
 ): Promise<Result<readonly ConfigurationEntry[], StoreFailure>> {
   const found: ConfigurationEntry[] = [];
   for (let next = after + 1;;) {
-    const read = await store.readPrefix(toBucketPrefix(next));
+    const read = await store.readPrefix(toBucketPrefix(toBucket(next)));
     if (read.isErr()) return err(read.error);
     const entries = read.value.map(({ value }) =>
       JSON.parse(value) as ConfigurationEntry
@@ -163,12 +175,6 @@
   return JSON.parse(event.value) as ConfigurationEntry;
 }
 
-function toBucketPrefix(sequence: number): string {
-  return `${LOG_PREFIX}${
-    String(Math.floor(sequence / BUCKET_SIZE)).padStart(8, "0")
-  }/`;
-}
-
 function toSnapshotPrefix(sequence: number): string {
   return `${SNAPSHOT_PREFIX}${String(sequence).padStart(12, "0")}/`;
 }
