--- /dev/null
+++ b/adapters/connection_errors.ts
@@ -0,0 +1,17 @@
+/** Errors before any byte of a request went out. */
+const NOT_SENT_CODES: readonly string[] = [
+  "ECONNREFUSED",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+  "UND_ERR_CONNECT_TIMEOUT",
+];
+
+/**
+ * Whether a request failed before any byte of it went out.
+ *
+ * @param error What a client threw.
+ */
+export function isNotSent(error: unknown): boolean {
+  const { code } = error as NodeJS.ErrnoException;
+  return code !== undefined && NOT_SENT_CODES.includes(code);
+}
--- a/adapters/etcd_store.ts
+++ b/adapters/etcd_store.ts
@@ -1,3 +1,4 @@
+import { isNotSent } from "./connection_errors.ts";
 import { err, ok, type Result } from "neverthrow";
 import { Agent, request } from "undici";
 import {
@@ -28,12 +29,6 @@
 
 const CALL_TIMEOUT_MS = 5_000;
 const CONNECT_TIMEOUT_MS = 1_000;
-const NOT_SENT_CODES = [
-  "ECONNREFUSED",
-  "EHOSTUNREACH",
-  "ENETUNREACH",
-  "UND_ERR_CONNECT_TIMEOUT",
-];
 
 /**
  * The platform's key-value service by the JSON form of etcd's v3 API. Only
@@ -187,9 +182,11 @@
         message,
       });
     } catch (error) {
-      const { code, message } = error as NodeJS.ErrnoException;
-      const isNotSent = code !== undefined && NOT_SENT_CODES.includes(code);
-      return err({ kind: isNotSent ? "unavailable" : "unknown", message });
+      const { message } = error as Error;
+      return err({
+        kind: isNotSent(error) ? "unavailable" : "unknown",
+        message,
+      });
     }
   }
 }
--- a/adapters/http_backend_client.ts
+++ b/adapters/http_backend_client.ts
@@ -1,3 +1,4 @@
+import { isNotSent } from "./connection_errors.ts";
 import { createParser } from "eventsource-parser";
 import { err, ok, type Result } from "neverthrow";
 import { Agent, type Dispatcher, request } from "undici";
@@ -25,12 +26,6 @@
 const CALL_TIMEOUT_MS = 1_000;
 const ORDER_TIMEOUT_MS = 5_000;
 const FENCED_STATUS = 412;
-const NOT_SENT_CODES = [
-  "ECONNREFUSED",
-  "EHOSTUNREACH",
-  "ENETUNREACH",
-  "UND_ERR_CONNECT_TIMEOUT",
-];
 const HOP_HEADERS = [
   "connection",
   "keep-alive",
@@ -269,10 +264,9 @@
 }
 
 function toFailure(error: unknown): DispatchFailure {
-  const { code, message } = error as NodeJS.ErrnoException;
-  const isNotSent = code !== undefined && NOT_SENT_CODES.includes(code);
+  const { message } = error as Error;
   return {
-    kind: isNotSent ? "not-sent" : "broken",
+    kind: isNotSent(error) ? "not-sent" : "broken",
     message: message || String(error),
   };
 }
--- a/adapters/http_listener.ts
+++ b/adapters/http_listener.ts
@@ -11,6 +11,8 @@
 import type { Server } from "node:http";
 import { once, setMaxListeners } from "node:events";
 import { err, ok, type Result } from "neverthrow";
+import { scheduleEvery } from "../clock/mod.ts";
+import { systemClock } from "./system_clock.ts";
 import type { GatewayRequest, Reply } from "../filters/mod.ts";
 import {
   createFailure,
@@ -104,17 +106,20 @@
       );
       server.closeIdleConnections();
       // What is still open is being written to: it gets time, but not for ever.
-      const timer = setInterval(
-        () => server.closeIdleConnections(),
+      const ended = new AbortController();
+      scheduleEvery(
+        systemClock,
         CLOSE_CHECK_MS,
+        () => server.closeIdleConnections(),
+        ended.signal,
       );
-      const end = setTimeout(
-        () => server.closeAllConnections(),
+      systemClock.schedule(
         CLOSE_PATIENCE_MS,
+        () => server.closeAllConnections(),
+        ended.signal,
       );
       await closed;
-      clearInterval(timer);
-      clearTimeout(end);
+      ended.abort("closed");
     },
     destroy: async () => {
       const closed = new Promise<void>((resolve) =>
@@ -226,10 +231,11 @@
   const chunks: Buffer[] = [];
   let size = 0;
   let isLate = false;
-  const timer = setTimeout(() => {
+  const read = new AbortController();
+  systemClock.schedule(limits.bodyTimeoutMs, () => {
     isLate = true;
     message.emit("late");
-  }, limits.bodyTimeoutMs);
+  }, read.signal);
   try {
     return await new Promise((resolve) => {
       message.on("data", (chunk: Buffer) => {
@@ -258,7 +264,7 @@
       });
     });
   } finally {
-    clearTimeout(timer);
+    read.abort("read");
   }
 }
 
--- a/adapters/socket_peer_transport.ts
+++ b/adapters/socket_peer_transport.ts
@@ -1,3 +1,4 @@
+import { isNotSent } from "./connection_errors.ts";
 import { createSocket, type Socket } from "node:dgram";
 import { once } from "node:events";
 import { JSONRPCClient, JSONRPCServer } from "json-rpc-2.0";
@@ -33,12 +34,6 @@
 /** Bytes that IP and UDP add to a heartbeat. */
 const UDP_HEADER_BYTES = 28;
 const CALL_TIMEOUT_MS = 1_000;
-const NOT_SENT_CODES = [
-  "ECONNREFUSED",
-  "EHOSTUNREACH",
-  "ENETUNREACH",
-  "UND_ERR_CONNECT_TIMEOUT",
-];
 
 /** Speaks to other daemons: heartbeats by UDP, calls by JSON-RPC 2.0 over HTTP. */
 export class SocketPeerTransport implements PeerTransport {
@@ -122,9 +117,11 @@
         });
         client.receive(JSON.parse(await response.body.text()));
       } catch (error) {
-        const { code, message } = error as NodeJS.ErrnoException;
-        const isNotSent = code !== undefined && NOT_SENT_CODES.includes(code);
-        failure = { kind: isNotSent ? "unreachable" : "unknown", message };
+        const { message } = error as Error;
+        failure = {
+          kind: isNotSent(error) ? "unreachable" : "unknown",
+          message,
+        };
         throw error;
       }
     }, () => ++this.#callId);
--- a/bin/start_daemon.ts
+++ b/bin/start_daemon.ts
@@ -18,13 +18,13 @@
 import { createStatsdMetrics } from "../adapters/statsd_metrics.ts";
 import { createSystemRandom, systemClock } from "../adapters/system_clock.ts";
 import { Gateway } from "../daemon/mod.ts";
-import type { GatewayRequest, Reply } from "../filters/mod.ts";
+import { type GatewayRequest, type Reply, toRefusal } from "../filters/mod.ts";
 import { toFailureDomainId, toInstanceId, toRegionId } from "../ids/mod.ts";
 import { createLogger, type Logger } from "../logs/mod.ts";
 import type { InstanceRecord } from "../membership/mod.ts";
 import { NO_METRICS } from "../metrics/mod.ts";
 import type { PeerTransport } from "../peers/mod.ts";
-import { createFailure, readRow, toErrorBody } from "../results/mod.ts";
+import { createFailure } from "../results/mod.ts";
 import type { Settings } from "../settings/mod.ts";
 
 /** Optional parts of a start. */
@@ -180,10 +180,12 @@
   return async (request) => {
     if (request.path !== PEER_PATH) return await gateway.handle(request);
     if (!gateway.isPeerToken(request.headers["authorization"])) {
-      return createRefusal("UNAUTHENTICATED", "Cannot identify the peer");
+      return toRefusal(
+        createFailure("UNAUTHENTICATED", "Cannot identify the peer"),
+      );
     }
     const body = await request.readBody();
-    if (body.isErr()) return createRefusal(body.error.name, body.error.message);
+    if (body.isErr()) return toRefusal(body.error);
     return {
       kind: "whole",
       status: 200,
@@ -194,23 +196,7 @@
 }
 
 function createNotReady(): Reply {
-  return createRefusal("NOT_READY", "This instance is starting");
-}
-
-function createRefusal(
-  name: Parameters<typeof createFailure>[0],
-  message: string,
-): Reply {
-  const failure = createFailure(name, message);
-  return {
-    kind: "whole",
-    status: readRow(failure).status,
-    headers: {
-      "content-type": "application/json",
-      "x-ran": readRow(failure).ran,
-    },
-    body: JSON.stringify(toErrorBody(failure)),
-  };
+  return toRefusal(createFailure("NOT_READY", "This instance is starting"));
 }
 
 function createRecord(settings: Settings, port: number): InstanceRecord {
--- a/bin/start_deployment.ts
+++ b/bin/start_deployment.ts
@@ -148,7 +148,7 @@
     plainServers,
     stop: async () => {
       await Promise.all([
-        platform.stop(),
+        platform.die(),
         ...[...engines.values()].map((engine) => engine.die().catch(() => {})),
         ...[...plainServers.values()].map((server) =>
           server.die().catch(() => {})
--- a/client/caller.ts
+++ b/client/caller.ts
@@ -1,6 +1,9 @@
 import { randomUUID } from "node:crypto";
 import { Agent, request } from "undici";
 import { createParser } from "eventsource-parser";
+import { isNotSent } from "../adapters/connection_errors.ts";
+import { systemClock } from "../adapters/system_clock.ts";
+import { waitFor } from "../clock/mod.ts";
 
 /** What a caller is created from. */
 export interface CallerParts {
@@ -52,7 +55,6 @@
 const SHORTEST_PAUSE_MS = 50;
 const MAX_TRIES = 8;
 const LEAVING_CODE = 1205;
-const NOT_SENT = ["ECONNREFUSED", "EHOSTUNREACH", "UND_ERR_CONNECT_TIMEOUT"];
 
 /**
  * Calls the system: asks it which entries to use, moves on from one that leaves
@@ -105,7 +107,10 @@
           if (last.code === LEAVING_CODE) await this.#refreshEntries(true);
           break;
         case "later":
-          await pause(Math.min(sent.retryAfterMs, Math.max(0, leftMs())));
+          await waitFor(
+            systemClock,
+            Math.min(sent.retryAfterMs, Math.max(0, leftMs())),
+          );
           break;
       }
     }
@@ -167,9 +172,9 @@
         if (!isElsewhere) break;
       } catch (error) {
         if (options.signal?.aborted) throw error;
-        const { code, message } = error as NodeJS.ErrnoException;
+        const { message } = error as Error;
         last = message;
-        if (!NOT_SENT.includes(code ?? "")) break;
+        if (!isNotSent(error)) break;
       }
     }
     throw new Error(last);
@@ -215,8 +220,8 @@
         isSent: true,
       };
     } catch (error) {
-      const { code, message } = error as NodeJS.ErrnoException;
-      const isSent = !NOT_SENT.includes(code ?? "");
+      const { message } = error as Error;
+      const isSent = !isNotSent(error);
       return {
         answer: {
           ...createUnreachable(message, 1),
@@ -338,7 +343,3 @@
     tries,
   };
 }
-
-function pause(durationMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, durationMs));
-}
--- a/clock/virtual_clock.ts
+++ b/clock/virtual_clock.ts
@@ -49,16 +49,7 @@
    */
   advanceSync(durationMs: number): void {
     const endMs = this.#nowMs + durationMs;
-    for (
-      let timer = this.#pop(endMs);
-      timer !== undefined;
-      timer = this.#pop(endMs)
-    ) {
-      this.#nowMs = Math.max(this.#nowMs, timer.dueMs);
-      if (timer.cancelled) continue;
-      timer.detach?.();
-      timer.callback();
-    }
+    while (this.#runNext(endMs));
     this.#nowMs = endMs;
   }
 
@@ -70,6 +61,12 @@
   async advance(durationMs: number): Promise<void> {
     const endMs = this.#nowMs + durationMs;
     await flushPromises();
+    while (this.#runNext(endMs)) await flushPromises();
+    this.#nowMs = endMs;
+  }
+
+  /** Runs the next timer that is due and not cancelled; `false` if there is none. */
+  #runNext(endMs: number): boolean {
     for (
       let timer = this.#pop(endMs);
       timer !== undefined;
@@ -79,9 +76,9 @@
       if (timer.cancelled) continue;
       timer.detach?.();
       timer.callback();
-      await flushPromises();
+      return true;
     }
-    this.#nowMs = endMs;
+    return false;
   }
 
   #push(timer: Timer): void {
--- a/controllers/observe_engines.ts
+++ b/controllers/observe_engines.ts
@@ -22,6 +22,10 @@
       AbortSignal.any([signal, timeout.signal]),
     );
     if (load.isErr()) return;
+    // What comes back is cold: other regions get little credit at first.
+    if (engine.health.unreachableUntilMs > 0) {
+      gateway.ledger.startRamp(clock.nowMs());
+    }
     engine.recordPoll(load.value, clock.nowMs());
     wake();
   };
--- a/daemon/gateway.ts
+++ b/daemon/gateway.ts
@@ -14,12 +14,7 @@
 } from "../ids/mod.ts";
 import { ShardedJournal } from "../journal/mod.ts";
 import { type Heartbeat, Membership, rankNames } from "../membership/mod.ts";
-import {
-  createFailure,
-  type Failure,
-  readRow,
-  toErrorBody,
-} from "../results/mod.ts";
+import { createFailure, type Failure, readRow } from "../results/mod.ts";
 import { RetryBudget } from "../retry/mod.ts";
 import { type BackendServer, toPoolKey } from "../resources/mod.ts";
 import {
@@ -38,7 +33,7 @@
   Origin,
   Reply,
 } from "../filters/mod.ts";
-import { holdUntilEnd } from "../filters/mod.ts";
+import { holdUntilEnd, toRefusal } from "../filters/mod.ts";
 import type { PeerHandlers, PeerMethod, PeerMethods } from "../peers/mod.ts";
 import type { GatewayParts } from "./gateway_parts.ts";
 import { createPeerHandlers } from "./peer_handlers.ts";
@@ -336,29 +331,10 @@
       return { ...result.value, headers };
     }
     const failure = result.error;
-    const row = readRow(failure);
     metrics.count("request.count", 1, { service, result: failure.name });
-    logger.debug("refused", {
-      requestId,
-      code: row.code,
-      reason: failure.message,
-    });
-    const retryAfter: Record<string, string> =
-      failure.retryAfterMs === undefined
-        ? {}
-        : { "retry-after": String(Math.ceil(failure.retryAfterMs / 1_000)) };
-    return {
-      kind: "whole",
-      status: row.status,
-      headers: {
-        "content-type": "application/json",
-        "x-request-id": requestId,
-        "x-result-code": String(row.code),
-        "x-ran": row.ran,
-        ...retryAfter,
-      },
-      body: JSON.stringify(toErrorBody(failure)),
-    };
+    const { code } = readRow(failure);
+    logger.debug("refused", { requestId, code, reason: failure.message });
+    return toRefusal(failure, { "x-request-id": requestId });
   }
 
   #readOrigin(request: GatewayRequest): Origin {
--- a/filters/identify_caller.ts
+++ b/filters/identify_caller.ts
@@ -1,8 +1,8 @@
 import { createHash, timingSafeEqual } from "node:crypto";
-import { err } from "neverthrow";
+import { err, ok, type Result } from "neverthrow";
 import type { ConfigurationState } from "../configuration/mod.ts";
 import type { Team } from "../resources/mod.ts";
-import { createFailure } from "../results/mod.ts";
+import { createFailure, type Failure } from "../results/mod.ts";
 import type { Exchange, Filter } from "./exchange.ts";
 
 /** What identifying needs. */
@@ -40,26 +40,11 @@
  */
 export function createIdentifyCaller(parts: IdentifyParts): Filter {
   return async (exchange, next) => {
-    const token = readToken(exchange);
-    if (token === undefined) {
-      return err(
-        createFailure(
-          "UNAUTHENTICATED",
-          "Cannot identify the caller: no bearer token",
-        ),
-      );
-    }
-    const hash = computeTokenHash(token);
-    const team = findTeam(parts.configuration, hash);
-    if (team === undefined) {
-      return err(
-        createFailure(
-          "UNAUTHENTICATED",
-          "Cannot identify the caller: unknown token",
-        ),
-      );
-    }
-    exchange.team = team;
+    const hash = readTokenHash(exchange);
+    if (hash.isErr()) return err(hash.error);
+    const team = findTeam(parts.configuration, hash.value);
+    if (team.isErr()) return err(team.error);
+    exchange.team = team.value;
     return await next();
   };
 }
@@ -72,39 +57,42 @@
  */
 export function createIdentifyOperator(parts: IdentifyParts): Filter {
   return async (exchange, next) => {
-    const token = readToken(exchange);
-    if (token === undefined) {
-      return err(
-        createFailure(
-          "UNAUTHENTICATED",
-          "Cannot identify the operator: no bearer token",
-        ),
-      );
-    }
-    const hash = computeTokenHash(token);
-    if (isSameHash(hash, parts.operatorTokenHash)) return await next();
-    const team = findTeam(parts.configuration, hash);
-    if (team === undefined) {
-      return err(
-        createFailure(
-          "UNAUTHENTICATED",
-          "Cannot identify the operator: unknown token",
-        ),
-      );
-    }
-    if (team.spec.role !== "operator") {
+    const hash = readTokenHash(exchange);
+    if (hash.isErr()) return err(hash.error);
+    if (isSameHash(hash.value, parts.operatorTokenHash)) return await next();
+    const team = findTeam(parts.configuration, hash.value);
+    if (team.isErr()) return err(team.error);
+    if (team.value.spec.role !== "operator") {
       return err(
-        createFailure("FORBIDDEN", `Team ${team.id} is not an operator`),
+        createFailure("FORBIDDEN", `Team ${team.value.id} is not an operator`),
       );
     }
-    exchange.team = team;
+    exchange.team = team.value;
     return await next();
   };
 }
 
+function readTokenHash(exchange: Exchange): Result<string, Failure> {
+  const token = readToken(exchange);
+  if (token !== undefined) return ok(computeTokenHash(token));
+  return err(
+    createFailure(
+      "UNAUTHENTICATED",
+      "Cannot identify the sender: no bearer token",
+    ),
+  );
+}
+
 function findTeam(
   configuration: ConfigurationState,
   hash: string,
-): Team | undefined {
-  return configuration.view.teamsByTokenHash.get(hash);
+): Result<Team, Failure> {
+  const team = configuration.view.teamsByTokenHash.get(hash);
+  if (team !== undefined) return ok(team);
+  return err(
+    createFailure(
+      "UNAUTHENTICATED",
+      "Cannot identify the sender: unknown token",
+    ),
+  );
 }
--- a/filters/mod.ts
+++ b/filters/mod.ts
@@ -19,3 +19,4 @@
 export * from "./relay_stream.ts";
 export * from "./route_call.ts";
 export * from "./serve_here.ts";
+export * from "./to_refusal.ts";
--- /dev/null
+++ b/filters/to_refusal.ts
@@ -0,0 +1,31 @@
+import { type Failure, readRow, toErrorBody } from "../results/mod.ts";
+import type { Reply } from "./exchange.ts";
+
+/**
+ * Returns what is sent back for a failure: its status, its number and whether
+ * the work ran in headers, and all of it in the body.
+ *
+ * @param failure Any failure.
+ * @param headers Further headers. Default: none.
+ */
+export function toRefusal(
+  failure: Failure,
+  headers: Readonly<Record<string, string>> = {},
+): Extract<Reply, { kind: "whole" }> {
+  const row = readRow(failure);
+  const retryAfter: Record<string, string> = failure.retryAfterMs === undefined
+    ? {}
+    : { "retry-after": String(Math.ceil(failure.retryAfterMs / 1_000)) };
+  return {
+    kind: "whole",
+    status: row.status,
+    headers: {
+      ...headers,
+      "content-type": "application/json",
+      "x-result-code": String(row.code),
+      "x-ran": row.ran,
+      ...retryAfter,
+    },
+    body: JSON.stringify(toErrorBody(failure)),
+  };
+}
--- a/load/run_load.ts
+++ b/load/run_load.ts
@@ -3,7 +3,8 @@
 import { createParser } from "eventsource-parser";
 import { Agent, request } from "undici";
 import { Caller } from "../client/mod.ts";
-import { createRandom, type Random } from "../clock/mod.ts";
+import { systemClock } from "../adapters/system_clock.ts";
+import { createRandom, type Random, waitFor } from "../clock/mod.ts";
 import type { LoadCall } from "./load_report.ts";
 import type { Scenario } from "./scenario.ts";
 
@@ -50,9 +51,7 @@
   ]));
   const startMs = performance.now();
   const waitUntil = (atMs: number) =>
-    new Promise((resolve) =>
-      setTimeout(resolve, startMs + atMs - performance.now())
-    );
+    waitFor(systemClock, Math.max(0, startMs + atMs - performance.now()));
   scenario.fault.forEach(({ at_s, target, set }) =>
     void waitUntil(at_s * 1_000).then(() => parts.setFault(target, set))
   );
@@ -214,7 +213,7 @@
         return { ...known, firstTokenMs, isDisconnected: true };
       }
       if (mix.kind === "slow-reader") {
-        await new Promise((resolve) => setTimeout(resolve, SLOW_READ_MS));
+        await waitFor(systemClock, SLOW_READ_MS);
       }
     }
     const error = seen.find((data) => data.startsWith('{"error"'));
--- a/membership/membership.ts
+++ b/membership/membership.ts
@@ -10,6 +10,11 @@
   ServiceDigest,
 } from "./member.ts";
 import { rankNames } from "./rank.ts";
+import {
+  type AgedDigest,
+  DIGEST_FRESH_MS,
+  RegionDigests,
+} from "./region_digests.ts";
 
 /** Pause between heartbeats, in milliseconds. */
 export const HEARTBEAT_INTERVAL_MS = 400;
@@ -25,7 +30,6 @@
 const RUMOUR_TICKS = 6;
 const RUMOURS_PER_MESSAGE = 6;
 const RETRY_DEAD_EVERY_TICKS = 5;
-const DIGEST_FRESH_MS = 12_000;
 const DIGEST_GATEWAYS = 3;
 
 /** What a membership is created from. */
@@ -54,11 +58,6 @@
   ticksLeft: number;
 }
 
-interface HeldDigest {
-  readonly digest: RegionDigest;
-  readonly receivedMs: number;
-}
-
 /**
  * Who is live, leaving, suspect or dead, as one instance sees it. Members of a
  * region watch each other in a ring and spread rumours; two observers a region
@@ -78,7 +77,7 @@
   #isLeaving = false;
   readonly #members = new Map<InstanceId, Member>();
   #others = new Map<InstanceId, InstanceRecord>();
-  readonly #digests = new Map<string, HeldDigest>();
+  readonly #digests = new RegionDigests();
   readonly #rumours = new Map<InstanceId, HeldRumour>();
   #monitored: readonly InstanceId[] = [];
   #newestHeard = 0;
@@ -146,22 +145,8 @@
   }
 
   /** The newest digest of each other region, with its age in milliseconds. */
-  readDigests(
-    nowMs: number,
-  ): readonly { readonly digest: RegionDigest; readonly ageMs: number }[] {
-    const newest = new Map<RegionId, HeldDigest>();
-    this.#digests.forEach((held) => {
-      const { region } = held.digest;
-      const known = newest.get(region);
-      if (region === this.#self.region) return;
-      if (known === undefined || held.receivedMs > known.receivedMs) {
-        newest.set(region, held);
-      }
-    });
-    return [...newest.values()].map(({ digest, receivedMs }) => ({
-      digest,
-      ageMs: nowMs - receivedMs,
-    }));
+  readDigests(nowMs: number): readonly AgedDigest[] {
+    return this.#digests.readNewest(this.#self.region, nowMs);
   }
 
   /** Returns instances of another region that may take work, the best known first. */
@@ -240,7 +225,7 @@
     const own = withDigests && this.isObserver
       ? [this.#createDigest(local)]
       : [];
-    own.forEach((digest) => this.#keepDigest(digest, nowMs));
+    own.forEach((digest) => this.#digests.apply(digest, nowMs));
     const targets = this.#pickTargets();
     const regular = targets.map((to, index) => ({
       to,
@@ -466,11 +451,10 @@
     const candidates = [...this.#others.values()].filter((record) =>
       record.region === region
     );
-    const told = [...this.#digests.values()].filter(({ digest }) =>
-      digest.region === region
-    )
-      .flatMap(({ digest }) => digest.gateways)
-      .filter((id) => candidates.some((record) => record.id === id));
+    const gateways = this.#digests.listGateways(region);
+    const told = gateways.filter((id) =>
+      candidates.some((record) => record.id === id)
+    );
     const known = candidates.filter(({ id }) => told.includes(id));
     const isTold = known.length > 0 && this.#random.nextFloat() < 0.8;
     const target = pickRandom(isTold ? known : candidates, this.#random);
@@ -500,33 +484,18 @@
   }
 
   #applyDigest(digest: RegionDigest, nowMs: number): void {
-    if (
-      digest.region === this.#self.region && digest.author === this.#self.id
-    ) return;
+    const isOwn = digest.region === this.#self.region &&
+      digest.author === this.#self.id;
+    if (isOwn) return;
     this.#newestHeard = Math.max(this.#newestHeard, digest.configuration[1]);
-    const known = this.#digests.get(toDigestKey(digest))?.digest;
-    const isNewer = known === undefined ||
-      digest.incarnation > known.incarnation ||
-      (digest.incarnation === known.incarnation &&
-        digest.sequence > known.sequence);
-    if (isNewer) this.#keepDigest(digest, nowMs);
-  }
-
-  #keepDigest(digest: RegionDigest, nowMs: number): void {
-    this.#digests.set(toDigestKey(digest), { digest, receivedMs: nowMs });
+    this.#digests.apply(digest, nowMs);
   }
 
   #pickDigests(
     own: readonly RegionDigest[],
     nowMs: number,
   ): readonly RegionDigest[] {
-    const fresh = [...this.#digests.values()]
-      .filter(({ digest, receivedMs }) =>
-        digest.author !== this.#self.id && nowMs - receivedMs < DIGEST_FRESH_MS
-      )
-      .map((held) => ({ held, order: this.#random.nextFloat() }))
-      .sort((a, b) => a.order - b.order)
-      .map(({ held }) => held.digest);
+    const fresh = this.#digests.pickFresh(this.#self.id, nowMs, this.#random);
     return [...own, ...fresh].slice(0, DIGESTS_PER_MESSAGE);
   }
 
@@ -565,7 +534,3 @@
 function toRumour(member: Member, status: Rumour["status"]): Rumour {
   return { id: member.record.id, incarnation: member.incarnation, status };
 }
-
-function toDigestKey({ region, author }: RegionDigest): string {
-  return `${region}/${author}`;
-}
--- a/membership/mod.ts
+++ b/membership/mod.ts
@@ -13,3 +13,4 @@
 export * from "./member.ts";
 export * from "./membership.ts";
 export * from "./rank.ts";
+export * from "./region_digests.ts";
--- a/standin/engine_server.ts
+++ b/standin/engine_server.ts
@@ -1,10 +1,4 @@
-import {
-  createServer,
-  type IncomingMessage,
-  type ServerResponse,
-} from "node:http";
-import { once } from "node:events";
-import type { AddressInfo, Socket } from "node:net";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import { createHash } from "node:crypto";
 import type { Clock } from "../clock/mod.ts";
 import type { EngineOrder, EngineState } from "../engine/mod.ts";
@@ -16,6 +10,7 @@
 } from "./answer_text.ts";
 import { EngineCore, type EngineSpeed } from "./engine_core.ts";
 import { readBody, sendJson } from "./http_basics.ts";
+import { LoopbackServer } from "./loopback_server.ts";
 
 /** Faults of an engine, set while it runs. */
 export interface EngineFaults {
@@ -72,7 +67,7 @@
 const DEFAULT_LOAD_MS = 200;
 
 /** A stand-in for a model engine, over HTTP. */
-export class EngineServer {
+export class EngineServer extends LoopbackServer {
   readonly faults: EngineFaults = {
     refuse: false,
     acceptThenDie: false,
@@ -90,10 +85,6 @@
   readonly cancelled: string[] = [];
   readonly core: EngineCore;
   readonly #parts: EngineServerParts;
-  readonly #server = createServer((message, response) =>
-    void this.#serve(message, response)
-  );
-  readonly #sockets = new Set<Socket>();
   readonly #streams = new Map<string, StreamRecord>();
   #state: EngineState = {
     version: undefined,
@@ -105,41 +96,26 @@
 
   /** @param parts Clock, speed and place. */
   constructor(parts: EngineServerParts) {
+    super();
     this.#parts = parts;
     this.core = new EngineCore(parts.clock, parts.speed);
   }
 
-  /** Base URL, after {@linkcode start}. */
-  get url(): string {
-    return `http://127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
-  }
-
   /** What the engine serves now. */
   get state(): EngineState {
     return this.#state;
   }
 
-  /** Starts to listen. */
-  async start(): Promise<void> {
-    this.#server.on("connection", (socket) => {
-      this.#sockets.add(socket);
-      socket.on("close", () => this.#sockets.delete(socket));
-    });
-    this.#server.listen(this.#parts.port, "127.0.0.1");
-    await once(this.#server, "listening");
+  override async start(): Promise<void> {
+    await super.start(this.#parts.port);
   }
 
-  /** Dies: closes every connection at once and listens no more. */
-  async die(): Promise<void> {
-    const closed = new Promise<void>((resolve) =>
-      this.#server.close(() => resolve())
-    );
-    this.#sockets.forEach((socket) => socket.destroy());
+  override async die(): Promise<void> {
     this.core.reset();
-    await closed;
+    await super.die();
   }
 
-  async #serve(
+  protected override async serve(
     message: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
--- /dev/null
+++ b/standin/loopback_server.ts
@@ -0,0 +1,49 @@
+import { once } from "node:events";
+import {
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+
+/** An HTTP server of a stand-in, on loopback, that can die like a process. */
+export abstract class LoopbackServer {
+  readonly #server = createServer((message, response) =>
+    void this.serve(message, response)
+  );
+  readonly #sockets = new Set<Socket>();
+
+  /** Base URL, after {@linkcode start}. */
+  get url(): string {
+    return `http://127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @param port Port; 0 picks a free one. Default: 0.
+   */
+  async start(port = 0): Promise<void> {
+    this.#server.on("connection", (socket) => {
+      this.#sockets.add(socket);
+      socket.on("close", () => this.#sockets.delete(socket));
+    });
+    this.#server.listen(port, "127.0.0.1");
+    await once(this.#server, "listening");
+  }
+
+  /** Closes every connection at once and listens no more. */
+  async die(): Promise<void> {
+    const closed = new Promise<void>((resolve) =>
+      this.#server.close(() => resolve())
+    );
+    this.#sockets.forEach((socket) => socket.destroy());
+    await closed;
+  }
+
+  /** Answers one request. */
+  protected abstract serve(
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void>;
+}
--- a/standin/plain_server.ts
+++ b/standin/plain_server.ts
@@ -1,12 +1,7 @@
-import { once } from "node:events";
-import {
-  createServer,
-  type IncomingMessage,
-  type ServerResponse,
-} from "node:http";
-import type { AddressInfo, Socket } from "node:net";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import { type Clock, waitFor } from "../clock/mod.ts";
 import { readBody, sendJson } from "./http_basics.ts";
+import { LoopbackServer } from "./loopback_server.ts";
 
 /** Faults of a plain service, set while it runs. */
 export interface PlainFaults {
@@ -26,50 +21,23 @@
 }
 
 /** A stand-in for a plain service: it records every call, and answers with its number. */
-export class PlainServer {
+export class PlainServer extends LoopbackServer {
   readonly faults: PlainFaults = { loseAnswers: 0, latencyMs: 0 };
   readonly runs: PlainRun[] = [];
   readonly #clock: Clock;
   readonly #region: string;
-  readonly #server = createServer((message, response) =>
-    void this.#serve(message, response)
-  );
-  readonly #sockets = new Set<Socket>();
 
   /**
    * @param clock Source of time.
    * @param region Where it stands.
    */
   constructor(clock: Clock, region: string) {
+    super();
     this.#clock = clock;
     this.#region = region;
   }
 
-  /** Base URL, after {@linkcode start}. */
-  get url(): string {
-    return `http://127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
-  }
-
-  /** Starts to listen. */
-  async start(port = 0): Promise<void> {
-    this.#server.on("connection", (socket) => {
-      this.#sockets.add(socket);
-      socket.on("close", () => this.#sockets.delete(socket));
-    });
-    this.#server.listen(port, "127.0.0.1");
-    await once(this.#server, "listening");
-  }
-
-  /** Closes every connection at once and listens no more. */
-  async die(): Promise<void> {
-    const closed = new Promise<void>((resolve) =>
-      this.#server.close(() => resolve())
-    );
-    this.#sockets.forEach((socket) => socket.destroy());
-    await closed;
-  }
-
-  async #serve(
+  protected override async serve(
     message: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
--- a/standin/platform_server.ts
+++ b/standin/platform_server.ts
@@ -1,13 +1,8 @@
-import { once } from "node:events";
-import {
-  createServer,
-  type IncomingMessage,
-  type ServerResponse,
-} from "node:http";
-import type { AddressInfo, Socket } from "node:net";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import { type Clock, waitFor } from "../clock/mod.ts";
 import type { StoreEvent, StoreFailure } from "../store/mod.ts";
 import { readBody, sendJson } from "./http_basics.ts";
+import { LoopbackServer } from "./loopback_server.ts";
 import { MemoryStore } from "./memory_store.ts";
 
 /** One row of the platform's list of instances. */
@@ -31,7 +26,7 @@
 }
 
 /** A stand-in for the platform: its key-value service, its list and its directory. */
-export class PlatformServer {
+export class PlatformServer extends LoopbackServer {
   readonly store: MemoryStore;
   /** What the list says; it shows changes after the lag. */
   readonly directory = new Map<string, readonly string[]>();
@@ -39,41 +34,14 @@
   listLagMs = 0;
   readonly #clock: Clock;
   #listed: readonly ListedInstance[] = [];
-  readonly #server = createServer((message, response) =>
-    void this.#serve(message, response)
-  );
-  readonly #sockets = new Set<Socket>();
 
   /** @param clock Source of time. */
   constructor(clock: Clock) {
+    super();
     this.#clock = clock;
     this.store = new MemoryStore(clock);
   }
 
-  /** Base URL, after {@linkcode start}. */
-  get url(): string {
-    return `http://127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
-  }
-
-  /** Starts to listen. */
-  async start(port = 0): Promise<void> {
-    this.#server.on("connection", (socket) => {
-      this.#sockets.add(socket);
-      socket.on("close", () => this.#sockets.delete(socket));
-    });
-    this.#server.listen(port, "127.0.0.1");
-    await once(this.#server, "listening");
-  }
-
-  /** Closes every connection and listens no more. */
-  async stop(): Promise<void> {
-    const closed = new Promise<void>((resolve) =>
-      this.#server.close(() => resolve())
-    );
-    this.#sockets.forEach((socket) => socket.destroy());
-    await closed;
-  }
-
   /** Sets the list of instances; it is seen after the lag. */
   setInstances(instances: readonly ListedInstance[]): void {
     void waitFor(this.#clock, this.listLagMs).then(() => {
@@ -81,7 +49,7 @@
     });
   }
 
-  async #serve(
+  protected override async serve(
     message: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
--- a/tests/processes_test.ts
+++ b/tests/processes_test.ts
@@ -120,7 +120,7 @@
 
   after(async () => {
     daemons.forEach(({ child }) => child.kill("SIGKILL"));
-    await platform.stop();
+    await platform.die();
     await Promise.all(engines.map((engine) => engine.die()));
     rmSync(folder, { recursive: true });
   });
