Routing: cost is the price of the time that a call takes

Cause: the score added an engine's price of a second. Change: price times prefill and a share of the steps by what runs beside it. Also: tests of TLS reload without a cut request, slow senders, slow readers, and of a store outage of 30 s with nine daemons under load (at most 300 calls in any second, back within 8 s).

--- /dev/null
+++ b/adapters/http_listener_test.ts
@@ -0,0 +1,145 @@
+import assert from "node:assert/strict";
+import { request as requestTls } from "node:https";
+import { connect } from "node:net";
+import { describe, it } from "node:test";
+import { ok } from "neverthrow";
+import { generate } from "selfsigned";
+import type { GatewayRequest, Reply } from "../filters/mod.ts";
+import {
+  DEFAULT_LISTENER_LIMITS,
+  startListener,
+  type TlsFiles,
+} from "./http_listener.ts";
+
+async function createCertificate(name: string): Promise<TlsFiles> {
+  const made = await generate([{ name: "commonName", value: name }], {
+    keySize: 2048,
+  });
+  return { cert: made.cert, key: made.private };
+}
+
+function readWhole(reply: string): Reply {
+  return { kind: "whole", status: 200, headers: {}, body: reply };
+}
+
+interface TlsAnswer {
+  readonly text: string;
+  readonly name: string;
+}
+
+function askTls(port: number): Promise<TlsAnswer> {
+  return new Promise((resolve, reject) => {
+    const request = requestTls({
+      host: "127.0.0.1",
+      port,
+      rejectUnauthorized: false,
+      agent: false,
+    });
+    request.on("error", reject);
+    request.on("response", (response) => {
+      const socket = response.socket as import("node:tls").TLSSocket;
+      const name = String(socket.getPeerCertificate().subject.CN);
+      let text = "";
+      response.on("data", (chunk: Buffer) => (text += chunk.toString()));
+      response.on("end", () => resolve({ text, name }));
+      response.on("error", reject);
+    });
+    request.end();
+  });
+}
+
+describe("startListener()", () => {
+  describe("when certificates are reloaded", () => {
+    it("shows the new one to new connections, and cuts off no request", async () => {
+      let release = () => {};
+      const held = new Promise<void>((resolve) => (release = resolve));
+      let isWaiting = () => {};
+      const waiting = new Promise<void>((resolve) => (isWaiting = resolve));
+      let calls = 0;
+      const listener = await startListener({
+        address: "127.0.0.1:0",
+        limits: DEFAULT_LISTENER_LIMITS,
+        tls: await createCertificate("first"),
+        handle: async () => {
+          calls++;
+          if (calls > 1) return readWhole("quick");
+          isWaiting();
+          await held;
+          return readWhole("held");
+        },
+      });
+      const slow = askTls(listener.port);
+      await waiting;
+      listener.setTls(await createCertificate("second"));
+      assert.deepEqual(await askTls(listener.port), {
+        text: "quick",
+        name: "second",
+      });
+      release();
+      assert.deepEqual(await slow, { text: "held", name: "first" });
+      await listener.close();
+    });
+  });
+
+  describe("when a sender is slow", () => {
+    it("refuses a body that does not arrive in time, and closes", async () => {
+      const listener = await startListener({
+        address: "127.0.0.1:0",
+        limits: { ...DEFAULT_LISTENER_LIMITS, bodyTimeoutMs: 50 },
+        handle: async (request: GatewayRequest) => {
+          const body = await request.readBody();
+          return readWhole(body.isOk() ? "read" : body.error.name);
+        },
+      });
+      const text = await new Promise<string>((resolve) => {
+        const socket = connect(listener.port, "127.0.0.1");
+        let received = "";
+        socket.on("data", (chunk) => (received += chunk.toString()));
+        socket.on("close", () => resolve(received));
+        socket.write(
+          "POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 100\r\n\r\nslow",
+        );
+      });
+      assert.match(text, /BODY_TIMEOUT/);
+      assert.match(text, /connection: close/i);
+      await listener.destroy();
+    });
+  });
+
+  describe("when a reader is slow", () => {
+    it("holds back the stream: the source is asked for no more than fits", async () => {
+      const chunk = "x".repeat(64_000);
+      let produced = 0;
+      async function* produce() {
+        for (; produced < 5_000; produced++) {
+          await Promise.resolve();
+          yield { data: chunk };
+        }
+      }
+      const listener = await startListener({
+        address: "127.0.0.1:0",
+        limits: DEFAULT_LISTENER_LIMITS,
+        handle: async () => {
+          const body = ok<Reply, never>({
+            kind: "events",
+            headers: {},
+            events: produce(),
+          });
+          return await Promise.resolve(body.value);
+        },
+      });
+      const socket = connect(listener.port, "127.0.0.1");
+      socket.pause();
+      socket.write("GET / HTTP/1.1\r\nhost: x\r\n\r\n");
+      // Until the source stands still: what fits into the buffers of both ends.
+      let before = -1;
+      while (produced === 0 || produced !== before) {
+        before = produced;
+        await new Promise((resolve) => setTimeout(resolve, 100));
+      }
+      assert.ok(produced < 1_000, `${produced} of 5000 chunks were made`);
+      socket.destroy();
+      await listener.destroy();
+    });
+  });
+});
--- a/bench/routing_bench.ts
+++ b/bench/routing_bench.ts
@@ -15,6 +15,8 @@
 const DURATION_MS = 40_000;
 const RATE = 30;
 const SESSIONS = 120;
+/** Price of a second of an old engine; a new one costs 1. */
+const OLD_PRICE = 0.4;
 
 type Pick = NonNullable<Policies["pickEngine"]>;
 
@@ -52,6 +54,7 @@
         )
       )[0],
     "havenspur": undefined,
+    "havenspur, cost x 3": undefined,
   };
 }
 
@@ -60,10 +63,14 @@
   const figures: Record<string, number> = {};
   const rows: string[][] = [];
   for (const [name, pickEngine] of Object.entries(createBaselines())) {
-    const { summary, hitShare } = await runOne(pickEngine);
+    const weights = name.includes("cost")
+      ? { latency: 1, cost: 3 }
+      : { latency: 1, cost: 0 };
+    const { summary, hitShare, cost } = await runOne(pickEngine, weights);
     const key = name.replaceAll(" ", "_");
     figures[`${key}_p95`] = summary.firstTokenP95;
     figures[`${key}_p99`] = summary.firstTokenP99;
+    figures[`${key}_cost`] = cost;
     rows.push([
       name,
       toCell(summary.firstTokenP50, 0),
@@ -71,13 +78,22 @@
       toCell(summary.firstTokenP99, 0),
       toCell(hitShare * 100),
       toCell(summary.refusedShare * 100),
+      toCell(cost, 3),
     ]);
   }
   const others = ["random", "round_robin", "least_reported", "prefix_hash"];
   figures.p95_over_best_baseline = figures.havenspur_p95! /
     Math.min(...others.map((name) => figures[`${name}_p95`]!));
   return {
-    head: ["POLICY", "TTFT P50 MS", "P95", "P99", "CACHE HIT %", "REFUSED %"],
+    head: [
+      "POLICY",
+      "TTFT P50 MS",
+      "P95",
+      "P99",
+      "CACHE HIT %",
+      "REFUSED %",
+      "COST PER CALL",
+    ],
     rows,
     figures,
     notes: [
@@ -88,13 +104,23 @@
 
 async function runOne(
   pickEngine: Pick | undefined,
-): Promise<{ readonly summary: TrafficSummary; readonly hitShare: number }> {
+  weights: { readonly latency: number; readonly cost: number },
+): Promise<
+  {
+    readonly summary: TrafficSummary;
+    readonly hitShare: number;
+    readonly cost: number;
+  }
+> {
   const fleet = new FakeFleet({
     regions: ["r1"],
     policies: pickEngine === undefined ? {} : { pickEngine },
   });
   await fleet.clock.advance(3_000);
-  await declareFleet(fleet, { engines: [{ region: "r1", fresh: 4, old: 4 }] });
+  await declareFleet(fleet, {
+    engines: [{ region: "r1", fresh: 4, old: 4 }],
+    weights,
+  });
   const random = createRandom(42);
   const arrivals = createArrivals({
     random,
@@ -124,8 +150,14 @@
     0,
   );
   const hits = counts.reduce((sum, { cacheHits }) => sum + cacheHits, 0);
+  const spent = counts.reduce(
+    (sum, { busyMs }, index) =>
+      sum + busyMs / 1_000 * (index < 4 ? 1 : OLD_PRICE),
+    0,
+  );
   return {
     summary: summarizeTraffic(results, DURATION_MS),
     hitShare: hits / lookups,
+    cost: spent / results.length,
   };
 }
--- a/bench/run_bench.ts
+++ b/bench/run_bench.ts
@@ -10,6 +10,7 @@
 import { runOverheadBench } from "./overhead_bench.ts";
 import { runOverloadBench } from "./overload_bench.ts";
 import { runRetriesBench } from "./retries_bench.ts";
+import { runSoakBench } from "./soak_bench.ts";
 import { runSpillBench } from "./spill_bench.ts";
 import { runRoutingBench } from "./routing_bench.ts";
 
@@ -35,10 +36,13 @@
   readonly max?: number;
 }
 
+/** Too long for `all`. */
+const LONG_CASES: readonly BenchCase[] = [{ name: "soak", run: runSoakBench }];
+
 const [wanted = "all"] = process.argv.slice(2);
 const cases = wanted === "all"
   ? CASES
-  : CASES.filter(({ name }) => name === wanted);
+  : [...CASES, ...LONG_CASES].filter(({ name }) => name === wanted);
 if (cases.length === 0) {
   console.error(
     `No benchmark "${wanted}": wanted all, ${
--- a/routing/pick_engine.ts
+++ b/routing/pick_engine.ts
@@ -31,7 +31,8 @@
 /** Engines drawn at random from a larger pool. */
 export const SAMPLE_SIZE = 6;
 const AFFINITY_CANDIDATES = 2;
-const COST_SCALE = 0.15;
+/** Puts a price of 1 for a fifth of a second of an engine on a par with the aim. */
+const COST_SCALE = 0.3;
 /** Part of the decode time that counts beside the first token. */
 const DECODE_WEIGHT = 0.3;
 /** How much prefill counts again, for the calls that it holds up. */
@@ -79,7 +80,20 @@
   const expectedMs = firstTokenMs + prefillMs + decodeMs * DECODE_WEIGHT;
   const latency = expectedMs / weights.firstTokenMs;
   return weights.latency * latency +
-    weights.cost * COST_SCALE * engine.server.pricePerSecond;
+    weights.cost * COST_SCALE * estimateCost(engine, request);
+}
+
+/**
+ * Price of the part of an engine's time that a call takes: its prefill, and its
+ * part of the steps, which it shares with the sequences that run beside it.
+ */
+function estimateCost(engine: EngineModel, request: PickRequest): number {
+  const { deciders, nowMs, size } = request;
+  const { pricePerSecond } = engine.server;
+  const sharing = engine.estimateInSystem(deciders, nowMs) + 1;
+  const decodeMs = engine.decodeMs * size.outputTokens / sharing;
+  return pricePerSecond * (engine.estimatePrefillMs(size, nowMs) + decodeMs) /
+    1_000;
 }
 
 function pickCandidates(request: PickRequest): readonly EngineModel[] {
--- a/tests/fleet_test.ts
+++ b/tests/fleet_test.ts
@@ -365,3 +365,44 @@
     fleet.stop();
   });
 });
+
+describe("a store outage of 30 s under load", () => {
+  it("keeps the calls of all nine daemons below the budget throughout", async () => {
+    const fleet = await createFleet({ storeCallsPerSecond: 300 });
+    const perSecond: number[] = [];
+    let number = 0;
+    let backAfterSeconds = -1;
+    for (let second = 0; second < 55; second++) {
+      if (second === 10) fleet.store.setDown(true);
+      if (second === 40) fleet.store.setDown(false);
+      const { reads, writes, watches } = fleet.store.counts;
+      const codes: number[] = [];
+      for (let step = 0; step < 20; step++) {
+        const daemon = fleet.daemons[number % 9]!;
+        void fleet.call(daemon, {
+          token: FREE,
+          path: "/v1/completions",
+          headers: {
+            "x-non-idempotent": "true",
+            "idempotency-key": `load-${number++}`,
+          },
+          body: { model: "m", prompt: "q", max_tokens: 1 },
+        }).then(readAnswer).then(({ code }) => codes.push(code));
+        await fleet.clock.advance(50);
+      }
+      const after = fleet.store.counts;
+      perSecond.push(
+        after.reads + after.writes + after.watches - reads - writes - watches,
+      );
+      const isBack = second >= 40 && codes.length > 0 &&
+        codes.every((code) => code === 0);
+      if (isBack && backAfterSeconds < 0) backAfterSeconds = second - 39;
+    }
+    fleet.stop();
+    assert.ok(Math.max(...perSecond) <= 300, `calls a second: ${perSecond}`);
+    assert.ok(
+      backAfterSeconds > 0 && backAfterSeconds <= 8,
+      `back after ${backAfterSeconds} s`,
+    );
+  });
+});
