Engine reports: two polls a second where a pool is large

Cause: with 123 engines and 15 daemons a region each daemon would poll 16 engines a second, about 9 KB a second, over the 2 KB for control. Change: in pools above 16 engines only those without a fresh report are polled, at most two a second, those that were away first.

--- a/adapters/http_backend_client.ts
+++ b/adapters/http_backend_client.ts
@@ -2,16 +2,17 @@
 import { createParser } from "eventsource-parser";
 import { err, ok, type Result } from "neverthrow";
 import { Agent, type Dispatcher, request } from "undici";
-import type {
-  BackendAnswer,
-  BackendCall,
-  BackendClient,
-  DispatchFailure,
-  EngineLoad,
-  EngineOrder,
-  EngineState,
-  OrderFailure,
-  StreamEvent,
+import {
+  type BackendAnswer,
+  type BackendCall,
+  type BackendClient,
+  type DispatchFailure,
+  END_OF_STREAM,
+  type EngineLoad,
+  type EngineOrder,
+  type EngineState,
+  type OrderFailure,
+  type StreamEvent,
 } from "../engine/mod.ts";
 import type { AttemptId } from "../ids/mod.ts";
 import type { BackendServer } from "../resources/mod.ts";
@@ -207,14 +208,21 @@
   readonly signal: AbortSignal;
 }
 
+/**
+ * Reads the events of a stream. After its terminal event the rest of the body is
+ * read to its end, so that the connection can be used again; a stream that is
+ * given up before is closed.
+ */
 async function* readEvents(
-  body: AsyncIterable<Buffer>,
+  body: Dispatcher.ResponseData["body"],
 ): AsyncGenerator<StreamEvent> {
   const ready: StreamEvent[] = [];
+  let hasEnded = false;
   const parser = createParser({
     onEvent: ({ id, data }) => {
       const at = id?.lastIndexOf("/") ?? -1;
       if (id === undefined || at < 0) return;
+      if (data === END_OF_STREAM) hasEnded = true;
       ready.push({
         attempt: id.slice(0, at),
         index: Number(id.slice(at + 1)),
@@ -223,9 +231,16 @@
     },
   });
   const decoder = new TextDecoder();
-  for await (const chunk of body) {
-    parser.feed(decoder.decode(chunk, { stream: true }));
-    yield* ready.splice(0);
+  try {
+    for await (const chunk of body.iterator({ destroyOnReturn: false })) {
+      parser.feed(decoder.decode(chunk as Buffer, { stream: true }));
+      yield* ready.splice(0);
+    }
+  } finally {
+    if (!body.destroyed) {
+      if (hasEnded) void body.dump().catch(() => {});
+      else body.destroy();
+    }
   }
 }
 
--- a/bench/overhead_bench.ts
+++ b/bench/overhead_bench.ts
@@ -14,6 +14,8 @@
 const ROUND_MS = 2_000;
 const RATES = [100, 250, 500, 1_000];
 const TOKENS = 8;
+const TOKEN_SIZES = [8, 64, 256, 512];
+const TOKEN_RATE = 100;
 const OPEN_STREAMS = 1_000;
 /** A stream of this length is held open by the small server. */
 const HELD_TOKENS = 100_001;
@@ -91,6 +93,19 @@
     figures[`p50_ratio_${rate}`] = through.getValueAtPercentile(50) /
       direct.getValueAtPercentile(50);
   }
+  const sizes = await measureTokens(load, { ...round, url, rate: TOKEN_RATE });
+  sizes.forEach(([tokens, micros]) => {
+    rows.push([
+      `${TOKEN_RATE} of ${tokens} tokens`,
+      "-",
+      "-",
+      "-",
+      "-",
+      toCell(micros, 0),
+      "-",
+    ]);
+    figures[`cpu_us_per_call_of_${tokens}`] = micros;
+  });
   const memory = await measureStreams(url, daemon.gateway);
   figures.kilobytes_per_stream = memory;
   await load.terminate();
@@ -136,6 +151,24 @@
   latencies.forEach((latency) => histogram?.recordValue(latency));
 }
 
+/** Time that the daemon's thread is busy for a call, by its tokens, less its idle time. */
+async function measureTokens(
+  load: Worker,
+  round: LoadRound,
+): Promise<readonly (readonly [tokens: number, micros: number])[]> {
+  const idleStart = performance.eventLoopUtilization();
+  await new Promise((resolve) => setTimeout(resolve, ROUND_MS));
+  const idle = performance.eventLoopUtilization(idleStart).active;
+  const found: (readonly [number, number])[] = [];
+  for (const tokens of TOKEN_SIZES) {
+    const start = performance.eventLoopUtilization();
+    await runRound(load, { ...round, tokens });
+    const active = performance.eventLoopUtilization(start).active - idle;
+    found.push([tokens, active * 1_000 / (round.rate * ROUND_MS / 1_000)]);
+  }
+  return found;
+}
+
 async function measureStreams(
   url: string,
   gateway: { readonly inFlight: number },
--- a/bench/subset_bench.ts
+++ b/bench/subset_bench.ts
@@ -127,7 +127,13 @@
         deciders.forEach(({ models, self }) =>
           models.forEach((model) => {
             const isObserver = observers.get(model.server.id)!.includes(self);
-            if (policy === "subset of 64, own reports" && !isObserver) return;
+            const isOwnOnly = policy === "subset of 64, own reports";
+            if (isOwnOnly && !isObserver) return;
+            // Two polls a second for the 16 engines that a daemon observes.
+            if (
+              isOwnOnly &&
+              (Number(model.server.id.slice(1)) + atMs / 1_000) % 8 !== 0
+            ) return;
             const load = cores.get(model.server.id)!.readLoad();
             clock.schedule(isObserver ? 2 : 600, () =>
               model.applyReport({
--- a/controllers/observe_engines.ts
+++ b/controllers/observe_engines.ts
@@ -1,22 +1,34 @@
 import type { Gateway } from "../daemon/gateway.ts";
-import type { EngineModel } from "../routing/mod.ts";
-import { pickObservers } from "../routing/mod.ts";
+import {
+  type EngineModel,
+  pickObservers,
+  type ServicePool,
+} from "../routing/mod.ts";
 
-/** Daemons that poll each engine. */
+/** Daemons that poll each engine of a large pool. */
 const OBSERVERS_PER_ENGINE = 2;
-/** Up to so many engines a daemon polls all of them. */
+/** Up to so many engines a daemon polls all of them, each second. */
 const POLL_ALL = 16;
+/** Every answer carries a report; in large pools only engines without one are polled. */
+const FRESH_MS = 900;
+/** Polls of one round where a pool is large: a poll is about half a kilobyte. */
+const MAX_POLLS_LARGE = 2;
 const POLL_TIMEOUT_MS = 900;
 
+interface Observed {
+  readonly pool: ServicePool;
+  readonly engine: EngineModel;
+}
+
 /** Returns the controller that polls the load of engines. */
 export function createObserveEngines(
   gateway: Gateway,
   signal: AbortSignal,
 ): () => Promise<void> {
   const { backend, clock } = gateway.parts;
-  const observe = async (engine: EngineModel, wake: () => void) => {
+  const observe = async ({ engine, pool }: Observed) => {
     const timeout = new AbortController();
-    clock.schedule(POLL_TIMEOUT_MS, () => timeout.abort(), signal);
+    clock.schedule(POLL_TIMEOUT_MS, () => timeout.abort("timeout"), signal);
     const load = await backend.readLoad(
       engine.server,
       AbortSignal.any([signal, timeout.signal]),
@@ -27,28 +39,37 @@
       gateway.ledger.startRamp(clock.nowMs());
     }
     engine.recordPoll(load.value, clock.nowMs());
-    wake();
+    pool.queue.wake();
   };
   return async () => {
-    const polls = [...gateway.configuration.view.services.keys()].flatMap(
-      (service) => {
-        const pool = gateway.readPool(service);
-        return pickOwn(gateway, pool.engines)
-          .map((engine) => observe(engine, () => pool.queue.wake()));
-      },
-    );
-    await Promise.all(polls);
+    const due = [...gateway.configuration.view.services.keys()]
+      .map((service) => gateway.readPool(service))
+      .flatMap((pool) => listDue(gateway, pool));
+    await Promise.all(due.map(observe));
   };
 }
 
-function pickOwn(
-  gateway: Gateway,
-  engines: readonly EngineModel[],
-): readonly EngineModel[] {
-  if (engines.length <= POLL_ALL) return engines;
-  const { self } = gateway.parts;
+function listDue(gateway: Gateway, pool: ServicePool): readonly Observed[] {
+  const { clock, self } = gateway.parts;
+  const nowMs = clock.nowMs();
+  const all = pool.engines.map((engine) => ({ pool, engine }));
+  if (all.length <= POLL_ALL) return all;
   const live = gateway.membership.liveIds;
-  return engines.filter(({ server }) =>
-    pickObservers(server.id, live, OBSERVERS_PER_ENGINE).includes(self.id)
-  );
+  return all
+    .filter(({ engine }) =>
+      pickObservers(engine.server.id, live, OBSERVERS_PER_ENGINE).includes(
+        self.id,
+      )
+    )
+    .filter(({ engine }) => engine.readReportAgeMs(nowMs) > FRESH_MS)
+    .toSorted((a, b) => compareUrgency(a.engine, b.engine, nowMs))
+    .slice(0, MAX_POLLS_LARGE);
+}
+
+/** Engines that were away first, since they wait for a poll; then those with the oldest report. */
+function compareUrgency(a: EngineModel, b: EngineModel, nowMs: number): number {
+  const isAway = ({ health }: EngineModel) =>
+    health.unreachableUntilMs > 0 ? 0 : 1;
+  return isAway(a) - isAway(b) ||
+    b.readReportAgeMs(nowMs) - a.readReportAgeMs(nowMs);
 }
--- a/routing/engine_model.ts
+++ b/routing/engine_model.ts
@@ -86,6 +86,11 @@
     );
   }
 
+  /** Returns the age of the last report, in milliseconds. */
+  readReportAgeMs(nowMs: number): number {
+    return nowMs - this.#reportMs;
+  }
+
   /** Records that the engine has answered a poll. */
   recordPoll(load: EngineLoad, nowMs: number): void {
     this.health = applyHealthEvent(this.health, { kind: "polled" }, nowMs);
