--- a/batches/batch_document.ts
+++ b/batches/batch_document.ts
@@ -50,6 +50,8 @@
 
 /** Prefix of everything of all batches. */
 export const BATCH_PREFIX = "/havenspur/batch/";
+/** Prefix of the pointers to batches that have ended; the value is when. */
+export const ENDED_PREFIX = "/havenspur/batch-ended/";
 /** Prefix of the pointers to open batches. */
 export const OPEN_PREFIX = "/havenspur/batch-open/";
 
--- a/batches/batch_store.ts
+++ b/batches/batch_store.ts
@@ -1,12 +1,19 @@
 import { err, ok, type Result } from "neverthrow";
 import type { ChangeId } from "../ids/mod.ts";
 import { createFailure, type Failure } from "../results/mod.ts";
-import { type Store, type StoreFailure, writeChange } from "../store/mod.ts";
 import {
+  type Store,
+  type StoreEntry,
+  type StoreFailure,
+  writeChange,
+} from "../store/mod.ts";
+import {
+  BATCH_PREFIX,
   type BatchAnswer,
   type BatchHead,
   type BatchItem,
   type BatchPack,
+  ENDED_PREFIX,
   OPEN_PREFIX,
   type PackAnswers,
   toAnswersKey,
@@ -188,7 +195,14 @@
           : { ...current, state, endedMs: nowMs },
     }, OPTIONS);
     if (ended.isErr()) return err(ended.error);
-    await this.dropPointer(id);
+    const endedMs = ended.value.document?.endedMs ?? nowMs;
+    // The pointer for the removal goes before the one of open batches is dropped.
+    const key = ENDED_PREFIX + id;
+    const noted = await this.#store.swap(
+      { key, expectedRevision: 0, value: String(endedMs) },
+      OPTIONS,
+    );
+    if (noted.isOk()) await this.dropPointer(id);
     return ok(ended.value.document);
   }
 
@@ -204,6 +218,38 @@
     }, OPTIONS);
   }
 
+  /**
+   * Removes batches that ended before a time: items and answers first, the head
+   * and the pointer last, so that a removal that breaks off is taken up again.
+   *
+   * @param beforeMs Time, in milliseconds since the epoch.
+   * @returns The number of batches removed.
+   */
+  async removeEnded(beforeMs: number): Promise<Result<number, StoreFailure>> {
+    const ended = await this.#store.readPrefix(ENDED_PREFIX, OPTIONS);
+    if (ended.isErr()) return err(ended.error);
+    const due = ended.value.filter(({ value }) => Number(value) < beforeMs);
+    for (const pointer of due) {
+      const id = pointer.key.slice(ENDED_PREFIX.length);
+      const held = await this.#store.readPrefix(
+        `${BATCH_PREFIX}${id}/`,
+        OPTIONS,
+      );
+      if (held.isErr()) return err(held.error);
+      const isHead = ({ key }: StoreEntry) => key === toHeadKey(id);
+      const inOrder = [
+        ...held.value.filter((entry) => !isHead(entry)),
+        ...held.value.filter(isHead),
+      ];
+      for (const { key, revision } of [...inOrder, pointer]) {
+        const swap = { key, expectedRevision: revision, value: undefined };
+        const removed = await this.#store.swap(swap, OPTIONS);
+        if (removed.isErr()) return err(removed.error);
+      }
+    }
+    return ok(due.length);
+  }
+
   async #writePack(
     id: string,
     index: number,
--- a/controllers/work_batches.ts
+++ b/controllers/work_batches.ts
@@ -17,6 +17,10 @@
 /** Packs that one daemon works on at once. */
 const PACKS_AT_ONCE = 3;
 const IDLE_LIST_MS = 4_000;
+/** How long answers are kept after the end of a batch. */
+const RETENTION_MS = 7 * 86_400_000;
+/** Pause between two looks for batches to remove, for each worker. */
+const REMOVAL_INTERVAL_MS = 3_600_000;
 const ITEM_DEADLINE_MS = 60_000;
 
 /**
@@ -37,6 +41,13 @@
   );
   const working = new Set<string>();
   let nextListMs = 0;
+  let nextRemovalMs = clock.nowMs() + REMOVAL_INTERVAL_MS * random.nextFloat();
+  const removeEnded = async () => {
+    if (clock.nowMs() < nextRemovalMs) return;
+    nextRemovalMs = clock.nowMs() +
+      REMOVAL_INTERVAL_MS * (0.5 + random.nextFloat());
+    await store.removeEnded(clock.nowMs() - RETENTION_MS);
+  };
   let lease: { readonly id: string; readonly renewedMs: number } | undefined;
 
   const keepLease = async (): Promise<boolean> => {
@@ -97,6 +108,7 @@
       if (working.size > 0) await keepLease();
       return;
     }
+    await removeEnded();
     if (clock.nowMs() < nextListMs && working.size === 0) return;
     const open = await store.listOpen();
     if (open.isErr() || open.value.length === 0) {
--- a/tests/state_test.ts
+++ b/tests/state_test.ts
@@ -1,6 +1,7 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { BatchStore } from "../batches/mod.ts";
 import { createRandom, createToken, VirtualClock } from "../clock/mod.ts";
 import {
   decidePlacement,
@@ -323,6 +324,69 @@
   });
 });
 
+describe("BatchStore", () => {
+  function createBatches() {
+    const store = new MemoryStore(new VirtualClock());
+    const random = createRandom(1);
+    const batches = new BatchStore(
+      store,
+      () => toChangeId(createToken(random)),
+    );
+    const submit = (bodyHash = "hash") =>
+      batches.submit({
+        id: "b1",
+        team: "t",
+        bodyHash,
+        services: ["chat"],
+        items: [1, 2].map((number) => ({
+          custom_id: `c${number}`,
+          url: "/v1/completions",
+          method: "POST",
+          body: {},
+          non_idempotent: false,
+        })),
+        createdMs: 0,
+        dueMs: 1_000,
+      });
+    return { store, batches, submit };
+  }
+
+  it("accepts a batch once, also after lost answers, and refuses another under its key", async () => {
+    const { store, submit } = createBatches();
+    store.faults.loseAnswers = 1;
+    assert.ok((await submit()).isOk());
+    store.faults.loseAnswers = 2;
+    assert.ok((await submit()).isOk());
+    const other = await submit("other");
+    assert.equal(other._unsafeUnwrapErr().name, "KEY_BODY_MISMATCH");
+  });
+
+  it("keeps the first answer, whoever comes later", async () => {
+    const { batches, submit } = createBatches();
+    await submit();
+    const answer = (status: number) => ({
+      0: { custom_id: "c1", status, body: null },
+    });
+    await batches.writeAnswers("b1", 0, answer(200));
+    await batches.writeAnswers("b1", 0, answer(499));
+    const all = (await batches.readAllAnswers("b1"))._unsafeUnwrap();
+    assert.deepEqual(all.map(({ status }) => status), [200]);
+  });
+
+  it("removes a cancelled batch after its retention, and leaves nothing behind", async () => {
+    const { store, batches, submit } = createBatches();
+    await submit();
+    const head = (await batches.end("b1", "cancelled", 500))._unsafeUnwrap();
+    assert.equal(head?.state, "cancelled");
+    assert.deepEqual((await batches.listOpen())._unsafeUnwrap(), []);
+    assert.equal((await batches.removeEnded(500))._unsafeUnwrap(), 0);
+    store.faults.loseAnswers = 1;
+    await batches.removeEnded(501);
+    await batches.removeEnded(501);
+    assert.equal(store.snapshot().size, 0);
+  });
+});
+
 describe("a batch of 2,000 items", () => {
   it("survives the death of every daemon in turn, each answer once and none missing", async () => {
     const fleet = new FakeFleet({ regions: ["r1"], storeCallsPerSecond: 600 });
