--- a/store/guarded_store.ts
+++ b/store/guarded_store.ts
@@ -36,7 +36,14 @@
 }
 
 const DEFAULT_DEADLINE_MS = 1_500;
-const JOURNAL_WAITS = 10;
+/** How long a call waits for the budget: callers wait for the journal, batches have time. */
+const BUDGET_PATIENCE_MS: Readonly<Record<StoreClass, number>> = {
+  journal: 300,
+  lease: 300,
+  configuration: 300,
+  batch: 3_000,
+  usage: 0,
+};
 const BUDGET_WAIT_MS = 30;
 
 /**
@@ -139,15 +146,17 @@
     return await answered;
   }
 
-  /** Callers wait for the journal: its calls wait a little for the budget before they are refused. */
+  /** Waits a while for the budget, by class, before a call is refused. */
   async #admitToBudget(callClass: StoreClass): Promise<boolean> {
     const { budget, clock } = this.#parts;
-    const waits = callClass === "journal" ? JOURNAL_WAITS : 0;
-    for (let waited = 0; waited <= waits; waited++) {
-      if (budget.admit(callClass, clock.nowMs())) return true;
-      if (waited < waits) await waitFor(clock, BUDGET_WAIT_MS);
+    const startMs = clock.nowMs();
+    while (!budget.admit(callClass, clock.nowMs())) {
+      if (clock.nowMs() - startMs >= BUDGET_PATIENCE_MS[callClass]) {
+        return false;
+      }
+      await waitFor(clock, BUDGET_WAIT_MS);
     }
-    return false;
+    return true;
   }
 
   async #withDeadline<T>(call: StoreResult<T>): StoreResult<T> {
--- a/store/store_test.ts
+++ b/store/store_test.ts
@@ -134,6 +134,33 @@
     });
   });
 
+  describe("when its budget is spent", () => {
+    it("waits for batches, a little for the journal, and not for usage", async () => {
+      const clock = new VirtualClock();
+      const guarded = new GuardedStore({
+        store: new MemoryStore(clock),
+        clock,
+        random: createRandom(3),
+        budget: new StoreBudget(5, clock.nowMs()),
+      });
+      const ends: string[] = [];
+      const call = (callClass: "batch" | "journal" | "usage") =>
+        void guarded.read("key", { callClass }).then((result) =>
+          ends.push(`${callClass} ${result.isOk() ? "ok" : result.error.kind}`)
+        );
+      Array.from({ length: 4 }).forEach(() => call("journal"));
+      await clock.advance(0);
+      assert.deepEqual(ends, Array.from({ length: 4 }, () => "journal ok"));
+      ["usage" as const, "journal" as const, "batch" as const].forEach(call);
+      await clock.advance(1_500);
+      assert.deepEqual(ends.slice(4), [
+        "usage over-budget",
+        "journal ok",
+        "batch ok",
+      ]);
+    });
+  });
+
   describe("when the store does not answer", () => {
     it("fails as unknown at its deadline", async () => {
       const clock = new VirtualClock();
