Placement: the weight store's rate, and fewer questions to settled engines

Cause: the holder of a region's lease asked every engine every 1.5 s, about 40 KB a second with 123 engines; the rate of the weight store was two loads at once and not a rate. Change: an engine that serves what is wanted is asked again after 15 to 45 s; a token bucket of the region's part of [platform] weight_loads_per_minute bounds the loads that start. Measured (test, virtual clock): at 20 loads a minute six engines get two at once and then one every 3 s; then at most 24 questions a minute for six engines (240 before), no order where nothing differs, and a load again when one has lost its version.

--- a/bin/start_daemon.ts
+++ b/bin/start_daemon.ts
@@ -163,6 +163,7 @@
       peerToken: settings.tokens.peer,
       storeCallsPerSecond: settings.platform.store_calls_per_second,
       storeRegions: settings.platform.store_regions,
+      weightLoadsPerMinute: settings.platform.weight_loads_per_minute,
       journalShards: settings.journal.shards,
       journalRetentionMs: settings.journal.retention_ms,
       journalGatherMs: settings.journal.gather_ms,
--- a/controllers/place_versions.ts
+++ b/controllers/place_versions.ts
@@ -1,8 +1,10 @@
 import { createToken } from "../clock/mod.ts";
+import { LoadRate } from "./load_rate.ts";
 import type { Gateway } from "../daemon/gateway.ts";
+import type { EngineState } from "../engine/mod.ts";
 import { decideOrder, LEASE_TERMS, LeaseHolder } from "../leases/mod.ts";
 import { rankNames } from "../membership/mod.ts";
-import { readResources } from "../resources/mod.ts";
+import { readRegions, readResources } from "../resources/mod.ts";
 import type { BackendServer } from "../resources/mod.ts";
 import {
   decidePlacement,
@@ -22,6 +24,8 @@
 
 const ORDER_MS = 5_000;
 const MAX_LOADS = 2;
+/** How long an engine that serves what is wanted is not asked again, on average. */
+const SETTLED_PAUSE_MS = 30_000;
 const FIRST_RETRY_MS = 2_000;
 const LONGEST_RETRY_MS = 120_000;
 
@@ -30,6 +34,9 @@
   failures: number;
   retryAtMs: number;
   lastFailedOrder: string | undefined;
+  /** What it reported last, and when it is asked again if it is as wanted. */
+  state: EngineState | undefined;
+  askAgainMs: number;
 }
 
 /**
@@ -50,6 +57,14 @@
   });
   const memories = new Map<string, EngineMemory>();
   let statuses: readonly PlacementStatus[] = [];
+  const loadRate = new LoadRate(clock.nowMs());
+  /** The weight store's rate is shared by regions, since each has one holder. */
+  const countFreeLoads = () => {
+    const regions = readRegions(gateway.configuration.catalog).length;
+    const part = gateway.parts.options.weightLoadsPerMinute /
+      Math.max(1, regions);
+    return loadRate.countFree(part, clock.nowMs());
+  };
 
   const readMemory = (id: string): EngineMemory => {
     const known = memories.get(id);
@@ -59,14 +74,39 @@
       failures: 0,
       retryAtMs: 0,
       lastFailedOrder: undefined,
+      state: undefined,
+      askAgainMs: 0,
     };
     memories.set(id, memory);
     return memory;
   };
 
-  const observe = async (server: BackendServer): Promise<PlacedEngine> => {
-    const state = (await backend.readState(server)).unwrapOr(undefined);
+  /** An engine that serves what is wanted is asked less often than one that differs. */
+  const observe = async (
+    server: BackendServer,
+    wanted: string,
+  ): Promise<PlacedEngine> => {
     const memory = readMemory(server.id);
+    const nowMs = clock.nowMs();
+    if (nowMs >= memory.askAgainMs) {
+      memory.state = (await backend.readState(server)).unwrapOr(undefined);
+      recordFailure(memory);
+      const isSettled = memory.state?.version === wanted &&
+        memory.state.loading === undefined;
+      const pauseMs = SETTLED_PAUSE_MS * (0.5 + random.nextFloat());
+      memory.askAgainMs = isSettled ? nowMs + pauseMs : nowMs;
+    }
+    return {
+      id: server.id,
+      service: server.service,
+      isLeaving: server.isLeaving,
+      state: memory.state,
+      retryAtMs: memory.retryAtMs,
+    };
+  };
+
+  const recordFailure = (memory: EngineMemory) => {
+    const { state } = memory;
     const isNewFailure = state?.failure !== undefined &&
       state.orderId !== memory.lastFailedOrder;
     if (isNewFailure) {
@@ -82,13 +122,6 @@
     if (state?.failure === undefined && state?.loading === undefined) {
       memory.failures = 0;
     }
-    return {
-      id: server.id,
-      service: server.service,
-      isLeaving: server.isLeaving,
-      state,
-      retryAtMs: memory.retryAtMs,
-    };
   };
 
   const send = async (server: BackendServer, version: string | undefined) => {
@@ -100,6 +133,8 @@
     }, holder.isSafe(ORDER_MS));
     if (decision.kind === "wait" || held === undefined) return;
     memory.hasOrderInFlight = true;
+    if (version !== undefined) loadRate.take();
+    memory.askAgainMs = 0;
     metrics.count("placement.orders");
     const orderId = createToken(random);
     const sent = await backend.order(server, {
@@ -129,11 +164,18 @@
       const servers = wanted.flatMap(({ service }) =>
         gateway.readPool(service).engines.map(({ server }) => server)
       );
-      const engines = await Promise.all(servers.map(observe));
+      const versions = new Map(
+        wanted.map(({ service, version }) => [service, version]),
+      );
+      const engines = await Promise.all(
+        servers.map((server) => observe(server, versions.get(server.service)!)),
+      );
+      const loading =
+        engines.filter(({ state }) => state?.loading !== undefined).length;
       const decision = decidePlacement({
         wanted,
         engines,
-        maxLoads: MAX_LOADS,
+        maxLoads: Math.min(MAX_LOADS, loading + countFreeLoads()),
         nowMs: clock.nowMs(),
       });
       statuses = decision.statuses;
--- a/daemon/gateway_parts.ts
+++ b/daemon/gateway_parts.ts
@@ -50,6 +50,8 @@
   /** Calls a second that all daemons together may make to the store. */
   readonly storeCallsPerSecond: number;
   readonly storeRegions: readonly string[];
+  /** Loads of weights a minute that the weight store takes from all regions together. */
+  readonly weightLoadsPerMinute: number;
   readonly journalShards: number;
   readonly journalRetentionMs: number;
   readonly journalGatherMs: number;
--- a/settings/settings.ts
+++ b/settings/settings.ts
@@ -30,6 +30,8 @@
     directory_url: url,
     /** Regions in which the store keeps its data; for residency. */
     store_regions: z.array(z.string()).default([]),
+    /** Loads of model weights a minute that the weight store takes from all regions together. */
+    weight_loads_per_minute: z.number().positive().max(100_000).default(120),
     /** Calls a second that all daemons together may make. */
     store_calls_per_second: z.number().positive().max(100_000).default(300),
   }),
--- a/standin/fake_fleet.ts
+++ b/standin/fake_fleet.ts
@@ -34,6 +34,8 @@
   /** Calls a second that all daemons may make to the store. Default: 300. */
   readonly storeCallsPerSecond?: number;
   readonly storeRegions?: readonly string[];
+  /** Loads of weights a minute over all regions. Default: 600. */
+  readonly weightLoadsPerMinute?: number;
 }
 
 /** A daemon of a fleet. */
@@ -101,6 +103,7 @@
         peerToken: PEER_TOKEN,
         storeCallsPerSecond: options.storeCallsPerSecond ?? 300,
         storeRegions: options.storeRegions ?? [],
+        weightLoadsPerMinute: options.weightLoadsPerMinute ?? 600,
         journalShards: options.journalShards ?? 4,
         journalRetentionMs: 3_600_000,
         journalGatherMs: options.journalGatherMs ?? 2,
