Clean up streams whose caller left before they began; bound the cache of weights

Cause 1: found by reading: a stream whose caller had gone before its first event was closed without being begun, and a generator that was never begun does not run its clean-up: the request stayed in flight for ever, a drain would not end, and the team's count of streams was off by one. Change: it is begun and left. Test: a caller leaves while the handler works; the clean-up runs. Cause 2: the cache of rendezvous weights held 200,000 entries, about 20 MB, filled by keys of requests. Change: 20,000 entries.

--- a/adapters/http_listener.ts
+++ b/adapters/http_listener.ts
@@ -143,9 +143,7 @@
   });
   const reply = await parts.handle(toRequest(parts, message, gone.signal));
   if (response.destroyed) {
-    if (reply.kind === "events") {
-      await reply.events[Symbol.asyncIterator]().return?.();
-    }
+    if (reply.kind === "events") await endUnread(reply.events);
     return;
   }
   if (reply.kind === "whole") {
@@ -165,6 +163,14 @@
   await writeEvents(response, reply);
 }
 
+/**
+ * Ends a stream whose caller went away before its first event. It is begun and
+ * then left: a generator that was never begun would not run its clean-up.
+ */
+async function endUnread(events: AsyncIterable<unknown>): Promise<void> {
+  for await (const _ of events) break;
+}
+
 async function writeEvents(
   response: ServerResponse,
   reply: Extract<Reply, { kind: "events" }>,
--- a/adapters/http_listener_test.ts
+++ b/adapters/http_listener_test.ts
@@ -106,6 +106,39 @@
     });
   });
 
+  describe("when a caller goes away before its stream begins", () => {
+    it("runs the clean-up of the stream", async () => {
+      let isCleaned = false;
+      async function* produce() {
+        try {
+          await Promise.resolve();
+          yield { data: "x" };
+        } finally {
+          isCleaned = true;
+        }
+      }
+      let arrive = () => {};
+      const arrived = new Promise<void>((resolve) => (arrive = resolve));
+      const listener = await startListener({
+        address: "127.0.0.1:0",
+        limits: DEFAULT_LISTENER_LIMITS,
+        handle: async ({ signal }) => {
+          arrive();
+          await new Promise((resolve) =>
+            signal.addEventListener("abort", resolve)
+          );
+          return { kind: "events", headers: {}, events: produce() };
+        },
+      });
+      const socket = connect(listener.port, "127.0.0.1");
+      socket.write("GET / HTTP/1.1\r\nhost: x\r\n\r\n");
+      await arrived;
+      socket.destroy();
+      while (!isCleaned) await new Promise((resolve) => setTimeout(resolve, 5));
+      await listener.destroy();
+    });
+  });
+
   describe("when a reader is slow", () => {
     it("holds back the stream: the source is asked for no more than fits", async () => {
       const chunk = "x".repeat(64_000);
--- a/membership/rank.ts
+++ b/membership/rank.ts
@@ -1,7 +1,8 @@
 import { createHash } from "node:crypto";
 
 const cache = new Map<string, number>();
-const CACHE_LIMIT = 200_000;
+/** Entries of about 100 bytes: request keys pass through, too, and must not pile up. */
+const CACHE_LIMIT = 20_000;
 
 /**
  * Returns the weight of a name for a key, from 0 to 2^32 - 1, by SHA-256.
