Read again: a baseline that did not do what it said, a figure without a command, dead code

The policy neverEjects of the retries benchmark was declared and nowhere read, so its baseline 'no retries' still ejected. Four benchmarks wrote the same steady arrivals: createSteadyArrivals().

--- a/bench/batch_bench.ts
+++ b/bench/batch_bench.ts
@@ -6,7 +6,7 @@
 import { declareFleet, FLEET_MODEL } from "./fleet_resources.ts";
 import {
   type Arrival,
-  createArrivals,
+  createSteadyArrivals,
   runTraffic,
   summarizeTraffic,
 } from "./traffic.ts";
@@ -86,10 +86,9 @@
     weights: { latency: 1, cost: 3 },
   });
   const random = createRandom(5);
-  const interactive = createArrivals({
+  const interactive = createSteadyArrivals({
     random,
-    rateAt: () => INTERACTIVE_RATE / 3,
-    peakRate: INTERACTIVE_RATE / 3,
+    rate: INTERACTIVE_RATE,
     daemons: 3,
     durationMs: DURATION_MS,
     create: (atMs, daemon) => ({
--- a/bench/overload_bench.ts
+++ b/bench/overload_bench.ts
@@ -2,7 +2,11 @@
 import { FakeFleet } from "../standin/mod.ts";
 import { type BenchResult, toCell } from "./bench_case.ts";
 import { declareFleet, FLEET_MODEL } from "./fleet_resources.ts";
-import { createArrivals, runTraffic, summarizeTraffic } from "./traffic.ts";
+import {
+  createSteadyArrivals,
+  runTraffic,
+  summarizeTraffic,
+} from "./traffic.ts";
 
 const DURATION_MS = 30_000;
 /** Calls a second that the pool of the benchmark answers in time, found by this benchmark. */
@@ -69,10 +73,9 @@
     teams: TEAMS,
   });
   const random = createRandom(11);
-  const arrivals = createArrivals({
+  const arrivals = createSteadyArrivals({
     random,
-    rateAt: () => (CAPACITY * load) / 3,
-    peakRate: (CAPACITY * load) / 3,
+    rate: CAPACITY * load,
     daemons: 3,
     durationMs: DURATION_MS,
     create: (atMs, daemon) => ({
--- a/bench/retries_bench.ts
+++ b/bench/retries_bench.ts
@@ -3,7 +3,11 @@
 import { FakeFleet } from "../standin/mod.ts";
 import { type BenchResult, toCell } from "./bench_case.ts";
 import { declareFleet, FLEET_MODEL } from "./fleet_resources.ts";
-import { createArrivals, runTraffic, summarizeTraffic } from "./traffic.ts";
+import {
+  createSteadyArrivals,
+  runTraffic,
+  summarizeTraffic,
+} from "./traffic.ts";
 
 const DURATION_MS = 30_000;
 const RATE = 20;
@@ -56,10 +60,9 @@
   [...fleet.backend.engines.values()].slice(0, count)
     .forEach((engine) => (engine.failShare = share));
   const random = createRandom(9);
-  const arrivals = createArrivals({
+  const arrivals = createSteadyArrivals({
     random,
-    rateAt: () => RATE / 3,
-    peakRate: RATE / 3,
+    rate: RATE,
     daemons: 3,
     durationMs: DURATION_MS,
     create: (atMs, daemon) => ({
--- a/bench/routing_bench.ts
+++ b/bench/routing_bench.ts
@@ -6,7 +6,7 @@
 import { type BenchResult, toCell } from "./bench_case.ts";
 import { declareFleet, FLEET_MODEL } from "./fleet_resources.ts";
 import {
-  createArrivals,
+  createSteadyArrivals,
   runTraffic,
   summarizeTraffic,
   type TrafficSummary,
@@ -122,10 +122,9 @@
     weights,
   });
   const random = createRandom(42);
-  const arrivals = createArrivals({
+  const arrivals = createSteadyArrivals({
     random,
-    rateAt: () => RATE / 3,
-    peakRate: RATE / 3,
+    rate: RATE,
     daemons: 3,
     durationMs: DURATION_MS,
     create: (atMs, daemon) => ({
--- a/bench/run_bench.ts
+++ b/bench/run_bench.ts
@@ -3,6 +3,7 @@
 import { runBatchBench } from "./batch_bench.ts";
 import { runConfigBench } from "./config_bench.ts";
 import { runControlBench } from "./control_bench.ts";
+import { runIdleBench } from "./idle_bench.ts";
 import { runJournalBench } from "./journal_bench.ts";
 import { runMembershipBench } from "./membership_bench.ts";
 import { runSubsetBench } from "./subset_bench.ts";
@@ -26,6 +27,7 @@
   { name: "membership", run: runMembershipBench },
   { name: "subset", run: runSubsetBench },
   { name: "control", run: runControlBench },
+  { name: "idle", run: runIdleBench },
   { name: "overhead", run: runOverheadBench },
 ];
 
--- a/bench/traffic.ts
+++ b/bench/traffic.ts
@@ -63,6 +63,17 @@
   return arrivals.flat().sort((a, b) => a.atMs - b.atMs);
 }
 
+/** Returns Poisson arrivals at one rate, spread evenly over the daemons. */
+export function createSteadyArrivals(
+  plan: Omit<TrafficPlan, "rateAt" | "peakRate"> & {
+    /** Calls per second over all daemons. */
+    readonly rate: number;
+  },
+): readonly Arrival[] {
+  const each = plan.rate / plan.daemons;
+  return createArrivals({ ...plan, rateAt: () => each, peakRate: each });
+}
+
 /**
  * Runs arrivals against a fleet, open loop: a call starts at its time, however
  * the earlier ones fare. Time is counted from the planned start, so that
--- a/filters/serve_here.ts
+++ b/filters/serve_here.ts
@@ -26,6 +26,8 @@
   readonly decideRegion?: typeof decideRegion;
   readonly ignoresCredits?: boolean;
   readonly decideRetry?: typeof decideRetry;
+  /** Failures teach nothing of a server's health. */
+  readonly neverEjects?: boolean;
 }
 
 /** What serving in the own region needs. */
@@ -123,7 +125,8 @@
     const failure = attempt.result.error;
     const isGone = exchange.request.signal.aborted;
     if (failure.kind === "broken") mayHaveRun = true;
-    const event = isGone ? undefined : toHealthEvent(failure);
+    const teachesNothing = isGone || parts.policies.neverEjects === true;
+    const event = teachesNothing ? undefined : toHealthEvent(failure);
     engine.recordEnd(attempt.id, { event }, clock.nowMs());
     pool.queue.wake();
     const mayRetry = !isGone && (parts.policies.decideRetry ?? decideRetry)({
--- a/results/mod.ts
+++ b/results/mod.ts
@@ -9,6 +9,5 @@
  * ```
  * @module
  */
-export * from "./assert_never.ts";
 export * from "./failure.ts";
 export * from "./result_code.ts";
--- a/routing/service_pool.ts
+++ b/routing/service_pool.ts
@@ -28,7 +28,6 @@
   /** Returns the busy sequences up to which batch work starts. */
   readonly computeThreshold?: (servers: number) => number;
   readonly admitsAll?: boolean;
-  readonly neverEjects?: boolean;
 }
 
 const INTERACTIVE_HEADROOM = 0.25;
