--- a/daemon/gateway.ts
+++ b/daemon/gateway.ts
@@ -12,7 +12,7 @@
   toIncarnation,
   toRequestId,
 } from "../ids/mod.ts";
-import { ShardedJournal } from "../journal/mod.ts";
+import { ShardedJournal } from "../run_journal/mod.ts";
 import { type Heartbeat, Membership, rankNames } from "../membership/mod.ts";
 import { createFailure, type Failure, readRow } from "../results/mod.ts";
 import { RetryBudget } from "../retry/mod.ts";
--- a/filters/journal_run.ts
+++ b/filters/journal_run.ts
@@ -11,7 +11,7 @@
   KeptAnswer,
   RunEnd,
   RunJournal,
-} from "../journal/mod.ts";
+} from "../run_journal/mod.ts";
 import { createFailure, type Failure, readRow } from "../results/mod.ts";
 import {
   type Exchange,
--- a/peers/peer_transport.ts
+++ b/peers/peer_transport.ts
@@ -2,7 +2,7 @@
 import type { BorrowRequest, RateLoan } from "../admission/mod.ts";
 import type { CatchUp } from "../configuration/mod.ts";
 import type { AttemptId, InstanceId, RunKey } from "../ids/mod.ts";
-import type { BeginOutcome, Run, RunEnd } from "../journal/mod.ts";
+import type { BeginOutcome, Run, RunEnd } from "../run_journal/mod.ts";
 import type { Heartbeat, InstanceRecord } from "../membership/mod.ts";
 import type { ConfigurationEntry } from "../resources/mod.ts";
 import type { Failure } from "../results/mod.ts";
--- a/journal/key_journal.ts
+++ b/run_journal/key_journal.ts
@@ -0,0 +1,83 @@
+import { err, ok, type Result } from "neverthrow";
+import { type Clock, createToken, type Random } from "../clock/mod.ts";
+import {
+  type AttemptId,
+  type ChangeId,
+  type Incarnation,
+  type RunKey,
+  toChangeId,
+} from "../ids/mod.ts";
+import { createFailure, type Failure } from "../results/mod.ts";
+import { type ChangeLog, type Store, writeChange } from "../store/mod.ts";
+import type { RunJournal } from "./run_journal.ts";
+import {
+  applyEnd,
+  type BeginOutcome,
+  decideBegin,
+  type Run,
+  type RunEnd,
+  type RunRecord,
+} from "./run_record.ts";
+
+interface RunDocument extends RunRecord, ChangeLog {}
+
+/** What a journal is created from. */
+export interface KeyJournalParts {
+  readonly store: Store;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly isGone: (holder: Incarnation) => boolean;
+}
+
+const KEY_PREFIX = "/havenspur/journal/key/";
+
+/**
+ * A journal with one key in the store for each run: two writes a run. Kept as
+ * the baseline that the sharded journal is measured against.
+ */
+export class KeyJournal implements RunJournal {
+  readonly #parts: KeyJournalParts;
+
+  /** @param parts Store, clock, random source and knowledge of holders. */
+  constructor(parts: KeyJournalParts) {
+    this.#parts = parts;
+  }
+
+  async begin(run: Run): Promise<Result<BeginOutcome, Failure>> {
+    const { store, clock, isGone } = this.#parts;
+    const changeId = this.#createChangeId();
+    let decision: BeginOutcome | undefined;
+    const written = await writeChange<RunDocument>(store, {
+      key: KEY_PREFIX + run.key,
+      changeId,
+      // A new run is the common case: try the create before any read.
+      known: { document: undefined, revision: 0 },
+      update: (known) => {
+        const decided = decideBegin(known, run, clock.nowMs(), { isGone });
+        decision = decided.kind === "claim" ? undefined : decided;
+        if (decided.kind !== "claim") return undefined;
+        return { ...run, begunMs: clock.nowMs(), end: undefined };
+      },
+    }, { callClass: "journal" });
+    if (written.isErr()) {
+      const message = `Cannot journal the run: ${written.error.message}`;
+      return err(
+        createFailure("JOURNAL_UNAVAILABLE", message, { retryAfterMs: 1_000 }),
+      );
+    }
+    if (written.value.kind === "written") return ok({ kind: "granted" });
+    return ok(decision!);
+  }
+
+  async finish(key: RunKey, attempt: AttemptId, end: RunEnd): Promise<void> {
+    await writeChange<RunDocument>(this.#parts.store, {
+      key: KEY_PREFIX + key,
+      changeId: this.#createChangeId(),
+      update: (known) => applyEnd(known, attempt, end),
+    }, { callClass: "journal" });
+  }
+
+  #createChangeId(): ChangeId {
+    return toChangeId(createToken(this.#parts.random));
+  }
+}
--- a/spec/journal_spec.ts
+++ b/spec/journal_spec.ts
@@ -11,7 +11,7 @@
   type Run,
   type RunEnd,
   type RunRecord,
-} from "../journal/mod.ts";
+} from "../run_journal/mod.ts";
 import {
   type Mutant,
   parseEvent,
