Refused connections no longer end the process; hops avoid what failed; leaving waits for answers to leave

Ruled out: the engines' resets, which pass through onError.

Change: the socket may be undefined; a call avoids the instance that could not be reached and the region that refused it; leaving counts answers that are not yet with their callers; servers of an evacuated failure domain return cold; copies of peers are taken after 250 ms; tests at raw sockets, of streams, hops, reports, budgets and the state.

--- a/adapters/call_listener.ts
+++ b/adapters/call_listener.ts
@@ -48,6 +48,7 @@
   readonly #sockets = new Set<Socket>();
   #limits: CallerLimits = INITIAL_LIMITS;
   #isLeaving = false;
+  #openCount = 0;
 
   /** @param parts Address and handler. */
   constructor(parts: CallListenerParts) {
@@ -88,6 +89,11 @@
     this.#server.keepAliveTimeout = limits.idleTimeoutMs;
   }
 
+  /** Answers that have not left in full yet. */
+  get openCount(): number {
+    return this.#openCount;
+  }
+
   /** Asks callers from now on, with each answer, to use another connection. */
   startLeaving(): void {
     this.#isLeaving = true;
@@ -111,6 +117,8 @@
   ): Promise<void> {
     const receivedMs = this.#parts.nowMs();
     response.sendDate = false;
+    this.#openCount++;
+    response.on("close", () => this.#openCount--);
     if (this.#isLeaving) response.shouldKeepAlive = false;
     const sink = new ResponseSink(response);
     const refuse = (refusal: Refusal) => {
--- a/adapters/connection_pool.ts
+++ b/adapters/connection_pool.ts
@@ -121,8 +121,9 @@
         connect: (options, callback) => {
           this.opened++;
           connect(options, (...result) => {
-            const socket = result[1];
-            if (socket !== null) {
+            // Its types say null for a failure; it passes one argument.
+            const socket: Socket | null | undefined = result[1];
+            if (socket) {
               connection.socket = socket;
               socket.setNoDelay(true);
               socket.setKeepAlive(true, PROBE_AFTER_MS);
--- a/daemon/http_gateway.ts
+++ b/daemon/http_gateway.ts
@@ -39,7 +39,7 @@
 /** Pause between attempts to reach instances that are known by address only, in milliseconds. */
 const CONTACT_INTERVAL_MS = 500;
 /** How long a peer must be ahead before its state is read, in milliseconds: the own watch is most often as quick. */
-const AHEAD_PATIENCE_MS = 400;
+const AHEAD_PATIENCE_MS = 250;
 /** Pause between sweeps of what is gone, in milliseconds. */
 const SWEEP_INTERVAL_MS = 250;
 /** How long calls are still taken after leaving began, in milliseconds: callers hear of it within a few answers. */
@@ -56,7 +56,10 @@
   readonly store: RevisionedStore;
   readonly decoder: StateDecoder;
   readonly grammar: CallGrammar;
+  /** Sends to backend servers. */
   readonly client: ServerClient;
+  /** Sends to other instances. */
+  readonly peerClient: ServerClient;
   readonly self: Omit<MemberRecord, "state">;
   readonly seedHosts: readonly string[];
   readonly peerPort: number;
@@ -93,12 +96,15 @@
     this.#parts = parts;
     const loads = new LoadBoard();
     this.fleet = new FleetView({ self: parts.self, loads });
-    this.registry = new ServerRegistry();
+    this.registry = new ServerRegistry({
+      readWarmUpMs: (service) => this.forwarder.readWarmUpMs(service),
+    });
     this.forwarder = new CallForwarder({
       clock,
       random,
       grammar: parts.grammar,
       client: parts.client,
+      peerClient: parts.peerClient,
       registry: this.registry,
       fleet: this.fleet,
       loads,
@@ -189,8 +195,9 @@
    * resolves when it is done or the grace is nearly over.
    *
    * @param graceMs Time until the process is killed.
+   * @param countOpen Returns the answers that are not yet with their callers.
    */
-  async leave(graceMs: number): Promise<void> {
+  async leave(graceMs: number, countOpen: () => number): Promise<void> {
     const { clock, logger } = this.#parts;
     const startMs = clock.nowMs();
     this.#leavingSinceMs = startMs;
@@ -198,17 +205,15 @@
     this.#report();
     this.#reportRegion();
     void this.#entry.remove();
-    logger.info("leaving", { inFlight: this.forwarder.inFlight });
+    logger.info("leaving", { inFlight: countOpen() });
     const endMs = startMs + graceMs - GRACE_MARGIN_MS;
     const earliestMs = startMs + LEAVING_TAKES_CALLS_MS;
     while (clock.nowMs() < endMs) {
-      const isDone = this.forwarder.inFlight === 0 &&
-        clock.nowMs() > earliestMs;
-      if (isDone) break;
+      if (countOpen() === 0 && clock.nowMs() > earliestMs) break;
       await waitFor(clock, DRAIN_CHECK_MS);
     }
     logger.info("left", {
-      inFlight: this.forwarder.inFlight,
+      cutOff: countOpen(),
       afterMs: Math.round(clock.nowMs() - startMs),
     });
   }
--- /dev/null
+++ b/fleet/fleet_view_test.ts
@@ -0,0 +1,132 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { toFailureDomainId, toInstanceId, toRegionId } from "../ids/mod.ts";
+import { decodeReport, encodeReport } from "./encode_report.ts";
+import type { FleetReport, MemberRecord, MemberState } from "./fleet_report.ts";
+import { FleetView, NEAR_SILENCE_MS } from "./fleet_view.ts";
+import { LoadBoard } from "./load_board.ts";
+
+const NORTH = toRegionId("north");
+const SOUTH = toRegionId("south");
+
+function createMember(
+  name: string,
+  state: MemberState = "ready",
+  more: Partial<MemberRecord> = {},
+): MemberRecord {
+  return {
+    id: toInstanceId(name),
+    incarnation: "1",
+    host: `host-${name}`,
+    region: NORTH,
+    failureDomain: toFailureDomainId("north-a"),
+    state,
+    ...more,
+  };
+}
+
+function createReport(
+  from: MemberRecord,
+  sequence: number,
+  more: Partial<FleetReport> = {},
+): FleetReport {
+  return {
+    from,
+    sequence,
+    scope: "instance",
+    known: { configurationVersion: 1, storeRevision: 5 },
+    loads: [],
+    prefixes: [],
+    news: [],
+    wantsNews: false,
+    ...more,
+  };
+}
+
+function createView(): FleetView {
+  const view = new FleetView({
+    self: createMember("self"),
+    loads: new LoadBoard(),
+  });
+  view.setState("ready");
+  return view;
+}
+
+function listNames(members: readonly MemberRecord[]): readonly string[] {
+  return members.map(({ id }) => id).sort();
+}
+
+describe("FleetView", () => {
+  it("takes members off that fall silent, and back on when they are heard", () => {
+    const view = createView();
+    view.applyReport(createReport(createMember("a"), 1), 0);
+    assert.deepEqual(listNames(view.listReady(NORTH, 100)), ["a", "self"]);
+    assert.deepEqual(listNames(view.listReady(NORTH, NEAR_SILENCE_MS)), [
+      "self",
+    ]);
+    view.applyReport(createReport(createMember("a"), 2), 5_000);
+    assert.deepEqual(listNames(view.listReady(NORTH, 5_100)), ["a", "self"]);
+  });
+
+  it("takes a leaving member off, whatever others say of it later", () => {
+    const view = createView();
+    view.applyReport(createReport(createMember("a"), 1), 0);
+    view.applyReport(createReport(createMember("a", "leaving"), 2), 100);
+    const news = [{ member: createMember("a"), ageMs: 0 }];
+    view.applyReport(createReport(createMember("b"), 1, { news }), 200);
+    assert.deepEqual(listNames(view.listReady(NORTH, 200)), ["b", "self"]);
+  });
+
+  it("takes a member back that has started again", () => {
+    const view = createView();
+    view.applyReport(createReport(createMember("a", "leaving"), 9), 0);
+    const again = createMember("a", "ready", { incarnation: "2" });
+    view.applyReport(createReport(again, 1), 100);
+    assert.deepEqual(listNames(view.listReady(NORTH, 100)), ["a", "self"]);
+  });
+
+  it("drops reports that come late", () => {
+    const view = createView();
+    view.applyReport(createReport(createMember("a", "leaving"), 2), 0);
+    view.applyReport(createReport(createMember("a"), 1), 10);
+    assert.deepEqual(listNames(view.listReady(NORTH, 10)), ["self"]);
+  });
+
+  it("hears of members from others, with the age of the news", () => {
+    const view = createView();
+    const far = createMember("far", "ready", { region: SOUTH });
+    const news = [{ member: far, ageMs: 1_000 }];
+    view.applyReport(createReport(createMember("a"), 1, { news }), 0);
+    assert.deepEqual(listNames(view.listReady(SOUTH, 0)), ["far"]);
+    assert.deepEqual(listNames(view.listReady(SOUTH, 1_600)), []);
+  });
+
+  it("finds who knows more of the store, of the own region first", () => {
+    const view = createView();
+    const known = { configurationVersion: 2, storeRevision: 9 };
+    const far = createMember("far", "ready", { region: SOUTH });
+    view.applyReport(createReport(far, 1, { known }), 0);
+    view.applyReport(createReport(createMember("a"), 1, { known }), 0);
+    const own = { configurationVersion: 2, storeRevision: 8 };
+    assert.equal(view.findAhead(own, 0)?.member.id, "a");
+    assert.equal(view.findAhead(known, 0), undefined);
+  });
+});
+
+describe("decodeReport()", () => {
+  it("returns what was encoded", () => {
+    const report = createReport(createMember("a"), 7, {
+      scope: "region",
+      news: [{ member: createMember("b", "leaving"), ageMs: 12 }],
+      wantsNews: true,
+    });
+    assert.deepEqual(decodeReport(encodeReport(report)), report);
+  });
+
+  it("returns nothing for bytes that are no report", () => {
+    ["", "{}", "[1]", "null", '{"method":"fleet.report","params":[1,2]}']
+      .forEach((text) =>
+        assert.equal(decodeReport(Buffer.from(text)), undefined)
+      );
+  });
+});
--- a/forwarding/call_forwarder.ts
+++ b/forwarding/call_forwarder.ts
@@ -50,7 +50,10 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly grammar: CallGrammar;
+  /** Sends to backend servers. */
   readonly client: ServerClient;
+  /** Sends to other instances. */
+  readonly peerClient: ServerClient;
   readonly registry: ServerRegistry;
   readonly fleet: FleetView;
   readonly loads: LoadBoard;
@@ -107,6 +110,11 @@
     this.#line.wakeFirst(this.#line.length);
   }
 
+  /** Returns how long the servers of a service are cold after a start, in milliseconds. */
+  readWarmUpMs(service: string): number {
+    return this.#table?.findService(service)?.warmUpMs ?? 0;
+  }
+
   /** Lets waiting calls look for room again. */
   wake(): void {
     this.#line.wakeFirst(WOKEN_AT_ONCE);
@@ -227,7 +235,8 @@
       sends: 0,
       mayHaveRun: false,
       heldAnswer: undefined,
-      isKeptHome: false,
+      avoidedRegions: new Set(),
+      avoidedInstances: new Set(),
     };
     if (origin.kind === "caller") {
       this.#readBudget(service.name).recordCall(call.receivedMs);
@@ -380,7 +389,7 @@
       this.#places.addUnderWay(region, -candidate.unreadTokens);
     };
     const outcome = await runAttempt({
-      client: this.#parts.client,
+      client: this.#parts.peerClient,
       grammar,
       sink: exchange.sink,
       request: {
@@ -435,7 +444,7 @@
         return false;
       case "not-sent":
         this.#log(exchange, "not sent", { at, reason: outcome.message });
-        if (isHop) exchange.isKeptHome = true;
+        if (isHop) exchange.avoidedInstances.add(place.member.id);
         return false;
       case "rejected": {
         this.#log(exchange, "rejected", {
@@ -443,7 +452,7 @@
           isOtherServer: outcome.isOtherServer,
         });
         if (isHop) {
-          exchange.isKeptHome = true;
+          exchange.avoidedRegions.add(place.region);
           exchange.attemptsLeft -= outcome.sends;
         } else if (!outcome.isOtherServer) exchange.attemptsLeft--;
         return this.#decideRepeat(exchange, true, {
@@ -465,7 +474,7 @@
         this.#log(exchange, outcome.kind, { at, reason: outcome.message });
         exchange.attemptsLeft--;
         exchange.mayHaveRun = true;
-        if (isHop) exchange.isKeptHome = true;
+        if (isHop) exchange.avoidedInstances.add(place.member.id);
         return this.#decideRepeat(exchange, isRepeatable(exchange), {
           reason: "no-answer",
           message: "A server had the call and gave no whole answer",
--- a/forwarding/choose_place.ts
+++ b/forwarding/choose_place.ts
@@ -66,10 +66,12 @@
     const here = allowed.includes(own)
       ? this.#parts.servers.choose(needs, own, nowMs)
       : undefined;
-    const others = isForwarded || exchange.isKeptHome
+    const others = isForwarded
       ? []
-      : allowed.filter((region) => region !== own);
-    const away = this.#chooseAway(needs, others, nowMs);
+      : allowed.filter((region) =>
+        region !== own && !exchange.avoidedRegions.has(region)
+      );
+    const away = this.#chooseAway(exchange, needs, others, nowMs);
     if (here === undefined && away === undefined) {
       return this.#hasServers(exchange, allowed, isForwarded)
         ? { kind: "wait" }
@@ -98,6 +100,7 @@
   }
 
   #chooseAway(
+    exchange: Exchange,
     needs: CallNeeds,
     regions: readonly RegionId[],
     nowMs: number,
@@ -113,7 +116,9 @@
         extraTokens: this.#tokensUnderWay.get(region) ?? 0,
       });
       if (candidate === undefined) return [];
-      const member = pickRandom(fleet.listReady(region, nowMs), random);
+      const members = fleet.listReady(region, nowMs)
+        .filter(({ id }) => !exchange.avoidedInstances.has(id));
+      const member = pickRandom(members, random);
       if (member === undefined) return [];
       const place = { kind: "away", member, region, candidate } as const;
       const totalMs = candidate.estimateMs + this.#readRoundTrip(region);
--- a/forwarding/exchange.ts
+++ b/forwarding/exchange.ts
@@ -1,5 +1,5 @@
 import type { HttpRoute, HttpService } from "../http_routes/mod.ts";
-import type { BackendId } from "../ids/mod.ts";
+import type { BackendId, InstanceId, RegionId } from "../ids/mod.ts";
 import type { CallFacts } from "./call_grammar.ts";
 import type { CallSink, OpaqueCall } from "./opaque_call.ts";
 import type { PlacedPart } from "./prefix_memory.ts";
@@ -29,8 +29,10 @@
   mayHaveRun: boolean;
   /** A server's failure that goes to the caller if nothing better comes. */
   heldAnswer: HeldAnswer | undefined;
-  /** Whether another region has refused it: it is not asked again. */
-  isKeptHome: boolean;
+  /** Other regions that refused it or gave no answer: they are not asked again. */
+  readonly avoidedRegions: Set<RegionId>;
+  /** Other instances that could not be reached. */
+  readonly avoidedInstances: Set<InstanceId>;
 }
 
 /** Whether a call may run a second time. */
--- /dev/null
+++ b/forwarding/prefix_memory_test.ts
@@ -0,0 +1,47 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { toBackendId } from "../ids/mod.ts";
+import { placeParts, PrefixMemory } from "./prefix_memory.ts";
+
+const SERVER = toBackendId("s1");
+
+describe("placeParts()", () => {
+  it("names a part by all parts before it, and leaves out small ones", () => {
+    const placed = placeParts([
+      { id: "a", tokens: 800 },
+      { id: "b", tokens: 10 },
+      { id: "c", tokens: 500 },
+    ]);
+    assert.deepEqual(placed, [
+      { key: "a", tokens: 800 },
+      { key: "a.b.c", tokens: 500 },
+    ]);
+  });
+});
+
+describe("PrefixMemory", () => {
+  it("counts parts only behind all parts before them", () => {
+    const memory = new PrefixMemory();
+    const parts = placeParts([{ id: "a", tokens: 800 }, {
+      id: "b",
+      tokens: 500,
+    }]);
+    memory.record(SERVER, parts[1]!, 10_000);
+    assert.equal(memory.countCached(SERVER, parts), 0);
+    memory.record(SERVER, parts[0]!, 10_000);
+    assert.equal(memory.countCached(SERVER, parts), 1_300);
+  });
+
+  it("forgets the part that was used least recently", () => {
+    const memory = new PrefixMemory();
+    const [a] = placeParts([{ id: "a", tokens: 600 }]);
+    const [b] = placeParts([{ id: "b", tokens: 600 }]);
+    const [c] = placeParts([{ id: "c", tokens: 600 }]);
+    memory.record(SERVER, a!, 1_300);
+    memory.record(SERVER, b!, 1_300);
+    memory.record(SERVER, a!, 1_300);
+    memory.record(SERVER, c!, 1_300);
+    assert.equal(memory.countCached(SERVER, [a!]), 600);
+    assert.equal(memory.countCached(SERVER, [b!]), 0);
+  });
+});
--- /dev/null
+++ b/forwarding/repeat_budget_test.ts
@@ -0,0 +1,56 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import fc from "fast-check";
+import { RepeatBudget } from "./repeat_budget.ts";
+
+const BOUNDS = { ratio: 0.2, slack: 58, windowMs: 10_000 };
+
+describe("RepeatBudget", () => {
+  describe("when several instances take all that they may", () => {
+    it("keeps their sum inside the bound in any window", () => {
+      const steps = fc.array(
+        fc.record({
+          pauseMs: fc.integer({ min: 0, max: 400 }),
+          instance: fc.integer({ min: 0, max: 3 }),
+          isCall: fc.boolean(),
+        }),
+        { maxLength: 600 },
+      );
+      fc.assert(fc.property(steps, (list) => {
+        const budgets = Array.from(
+          { length: 4 },
+          () => new RepeatBudget(BOUNDS),
+        );
+        const calls: number[] = [];
+        const repeats: number[] = [];
+        let nowMs = 50_000;
+        list.forEach(({ pauseMs, instance, isCall }) => {
+          nowMs += pauseMs;
+          const budget = budgets[instance]!;
+          if (isCall) {
+            budget.recordCall(nowMs);
+            calls.push(nowMs);
+          } else if (budget.take(nowMs, budgets.length)) repeats.push(nowMs);
+        });
+        repeats.forEach((endMs) => {
+          const isInside = (atMs: number) =>
+            atMs <= endMs && atMs > endMs - BOUNDS.windowMs;
+          // The bound counts the calls of the window or of the one before it.
+          const counted = calls.filter((atMs) =>
+            atMs <= endMs && atMs > endMs - 2 * BOUNDS.windowMs
+          ).length;
+          const sent = repeats.filter(isInside).length;
+          assert.ok(sent <= BOUNDS.ratio * counted + BOUNDS.slack);
+        });
+      }));
+    });
+  });
+
+  it("lets repeats through again when the window has passed", () => {
+    const budget = new RepeatBudget({ ratio: 0, slack: 10, windowMs: 10_000 });
+    const taken = Array.from({ length: 20 }, () => budget.take(1_000, 1));
+    assert.equal(taken.filter((isTaken) => isTaken).length, 7);
+    assert.equal(budget.take(6_000, 1), false);
+    assert.equal(budget.take(12_000, 1), true);
+  });
+});
--- a/standin/memory_store.ts
+++ b/standin/memory_store.ts
@@ -2,12 +2,16 @@
 import type { Clock } from "../clock/mod.ts";
 import { waitFor } from "../clock/mod.ts";
 import {
+  type AwaitChangesRequest,
   MAX_VALUE_BYTES,
-  type Store,
+  type RevisionedStore,
+  type StoreCallOptions,
+  type StoreChanges,
   type StoreEntry,
   type StoreEvent,
   type StoreFailure,
   type StoreResult,
+  type StoreSnapshot,
   type Swap,
   type SwapOutcome,
 } from "../store/mod.ts";
@@ -46,7 +50,7 @@
 }
 
 /** A stand-in for the platform's key-value service, in memory. */
-export class MemoryStore implements Store {
+export class MemoryStore implements RevisionedStore {
   /** Faults in force now. */
   readonly faults: StoreFaults = {
     isDown: false,
@@ -70,6 +74,10 @@
   #watchers = new Set<Watcher>();
   #revision = 0;
   #leaseSequence = 0;
+  #history: StoreEvent[] = [];
+  /** Changes up to this revision are no longer in the history. */
+  #compactedRevision = 0;
+  readonly #changeWaits = new Set<AbortController>();
   readonly #clock: Clock;
 
   /** @param clock Source of time for latency and leases. */
@@ -115,6 +123,46 @@
     return ok(found.sort((a, b) => (a.key < b.key ? -1 : 1)));
   }
 
+  async readSnapshot(prefix: string): StoreResult<StoreSnapshot> {
+    const entries = await this.readPrefix(prefix);
+    return entries.map((found) => ({
+      entries: found,
+      revision: this.#revision,
+    }));
+  }
+
+  async awaitChanges(
+    request: AwaitChangesRequest,
+    options: StoreCallOptions = {},
+  ): StoreResult<StoreChanges> {
+    this.counts.watches++;
+    const failure = await this.#enter();
+    if (failure) return err(failure);
+    const { afterRevision, prefix, waitMs } = request;
+    const listEvents = () =>
+      this.#history.filter(({ key, revision }) =>
+        revision > afterRevision && key.startsWith(prefix)
+      );
+    if (afterRevision < this.#compactedRevision) {
+      return ok({ kind: "compacted" });
+    }
+    if (listEvents().length === 0) await this.#awaitWrite(waitMs, options);
+    const closed = await this.#enter();
+    if (closed) return err(closed);
+    return ok({
+      kind: "changes",
+      events: listEvents(),
+      revision: this.#revision,
+    });
+  }
+
+  /** Drops the history: watches from an earlier revision must read anew. */
+  compact(): void {
+    this.#history = [];
+    this.#compactedRevision = this.#revision;
+    this.#endChangeWaits();
+  }
+
   async swap(swap: Swap): StoreResult<SwapOutcome> {
     this.counts.writes++;
     this.counts.bytesWritten += swap.value?.length ?? 0;
@@ -220,6 +268,8 @@
     if (value === undefined) this.#entries.delete(key);
     else this.#entries.set(key, { key, value, revision, leaseId });
     const event = { key, value, revision };
+    this.#history.push(event);
+    this.#endChangeWaits();
     const { latencyMs } = this.faults;
     [...this.#watchers].filter((watcher) => key.startsWith(watcher.prefix))
       .forEach((watcher) => {
@@ -257,7 +307,22 @@
     };
   }
 
+  async #awaitWrite(waitMs: number, options: StoreCallOptions): Promise<void> {
+    const wait = new AbortController();
+    this.#changeWaits.add(wait);
+    const end = () => wait.abort("ended");
+    options.signal?.addEventListener("abort", end, { once: true });
+    await waitFor(this.#clock, waitMs, wait.signal);
+    options.signal?.removeEventListener("abort", end);
+    this.#changeWaits.delete(wait);
+  }
+
+  #endChangeWaits(): void {
+    this.#changeWaits.forEach((wait) => wait.abort("changed"));
+  }
+
   #closeWatchers(): void {
+    this.#endChangeWaits();
     [...this.#watchers].forEach((watcher) => this.#closeWatcher(watcher));
   }
 
--- a/state/state_follower.ts
+++ b/state/state_follower.ts
@@ -22,6 +22,12 @@
  * milliseconds: entries that lapsed meanwhile are back within two seconds.
  */
 const LAPSED_GRACE_MS = 2_000;
+/**
+ * How long servers that are missing from a peer's copy are kept, in milliseconds:
+ * shorter, since the copy is some hundred ms old, and whoever left must get
+ * nothing new within seconds.
+ */
+const COPY_GRACE_MS = 1_500;
 /** An outage counts for the grace until so long after its end, in milliseconds. */
 const AFTER_OUTAGE_MS = 3_000;
 
@@ -118,7 +124,7 @@
    */
   applyCopy(copy: StateCopy): boolean {
     if (copy.revision <= this.#revision) return false;
-    this.#applySnapshot(copy, LAPSED_GRACE_MS);
+    this.#applySnapshot(copy, COPY_GRACE_MS);
     return true;
   }
 
--- /dev/null
+++ b/tests/http_gateway_fixture.ts
@@ -0,0 +1,225 @@
+import type { AddressInfo } from "node:net";
+import { createServer } from "node:net";
+import { once } from "node:events";
+import { err } from "neverthrow";
+import { CallListener } from "../adapters/call_listener.ts";
+import { ConnectionPool } from "../adapters/connection_pool.ts";
+import { systemClock } from "../adapters/system_clock.ts";
+import { createRandom } from "../clock/mod.ts";
+import { HttpGateway } from "../daemon/http_gateway.ts";
+import { readHop } from "../forwarding/mod.ts";
+import { toFailureDomainId, toInstanceId, toRegionId } from "../ids/mod.ts";
+import { createSilentLogger } from "../logs/mod.ts";
+import { createDocumentDecoder, PLATFORM_GRAMMAR } from "../platform/mod.ts";
+import { MemoryStore } from "../standin/mod.ts";
+
+/** A route as a test declares it; what it leaves out has a usual value. */
+export interface RouteFixture {
+  readonly prefix: string;
+  readonly kind?: "safe" | "unsafe" | "streaming";
+  readonly timeoutMs?: number;
+  readonly maxAttempts?: number;
+  readonly resumable?: boolean;
+  readonly service?: string;
+  readonly homeRegions?: readonly string[];
+}
+
+/** What a gateway of a test is started from. */
+export interface GatewayFixtureParts {
+  readonly routes: readonly RouteFixture[];
+  /** Address of each server by id. */
+  readonly servers: Readonly<Record<string, string>>;
+  /** Region of a server. Default: `north` for all. */
+  readonly serverRegions?: Readonly<Record<string, string>>;
+  readonly limits?: Readonly<Record<string, number>>;
+  /** Region of the gateway. Default: `north`. */
+  readonly region?: string;
+  /** Loopback address of the gateway. Default: `127.0.0.1`. */
+  readonly host?: string;
+  /** Port between instances. Default: a free one. */
+  readonly peerPort?: number;
+}
+
+/** A gateway with real sockets on loopback. */
+export interface GatewayFixture {
+  readonly gateway: HttpGateway;
+  readonly port: number;
+  readonly peerPort: number;
+  readonly pool: ConnectionPool;
+  /** Puts another configuration in force. */
+  configure(version: number, parts: Partial<GatewayFixtureParts>): void;
+  close(): void;
+}
+
+/** Host of all routes of a test. */
+export const TEST_HOST = "app.example";
+
+const REGIONS = new Map([
+  [toFailureDomainId("north-a"), toRegionId("north")],
+  [toFailureDomainId("south-a"), toRegionId("south")],
+]);
+
+/** Starts a gateway that knows its routes and servers from a copy, without a store. */
+export async function startGateway(
+  parts: GatewayFixtureParts,
+): Promise<GatewayFixture> {
+  const host = parts.host ?? "127.0.0.1";
+  const region = parts.region ?? "north";
+  const peerPort = parts.peerPort ?? await findFreePort(host);
+  const pool = new ConnectionPool();
+  const listeners: CallListener[] = [];
+  const gateway: HttpGateway = new HttpGateway({
+    clock: systemClock,
+    random: createRandom(7),
+    logger: createSilentLogger(),
+    store: new MemoryStore(systemClock),
+    decoder: createDocumentDecoder(REGIONS),
+    grammar: PLATFORM_GRAMMAR,
+    client: pool,
+    peerClient: pool,
+    self: {
+      id: toInstanceId(`instance-${host}`),
+      incarnation: "1",
+      host,
+      region: toRegionId(region),
+      failureDomain: toFailureDomainId(`${region}-a`),
+    },
+    seedHosts: [],
+    peerPort,
+    entry: { key: "own", value: "{}" },
+    statePrefix: "",
+    repeatBounds: { ratio: 0.2, slack: 58, windowMs: 10_000 },
+    sendReport: () => {},
+    readPeerState: () => Promise.resolve(err("no peer")),
+    applyLimits: (limits) =>
+      listeners.forEach((listener) => listener.setLimits(limits)),
+    applyAddresses: () => {},
+  });
+  const createListener = (port: number, isPeer: boolean) =>
+    new CallListener({
+      host,
+      port,
+      nowMs: () => systemClock.nowMs(),
+      readOrigin: (headers) => isPeer ? readHop(headers) : { kind: "caller" },
+      handle: (call, sink) => gateway.handle(call, sink),
+    });
+  const callers = createListener(0, false);
+  const peers = createListener(peerPort, true);
+  listeners.push(callers, peers);
+  const port = await callers.open();
+  await peers.open();
+  const configure: GatewayFixture["configure"] = (version, changed) => {
+    gateway.follower.applyCopy(toCopy(version, { ...parts, ...changed }));
+  };
+  configure(1, {});
+  return {
+    gateway,
+    port,
+    peerPort,
+    pool,
+    configure,
+    close: () => {
+      listeners.forEach((listener) => listener.destroy());
+      pool.close();
+    },
+  };
+}
+
+/** Returns a port that is free on a loopback address. */
+export async function findFreePort(host: string): Promise<number> {
+  const server = createServer().listen(0, host);
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  server.close();
+  await once(server, "close");
+  return port;
+}
+
+function toCopy(version: number, parts: GatewayFixtureParts) {
+  const names = new Set(parts.routes.map(({ service }) => service ?? "app"));
+  const configuration = {
+    version,
+    routes: parts.routes.map((route, index) => ({
+      name: `route-${index}`,
+      host: TEST_HOST,
+      kind: "safe",
+      timeoutMs: 5_000,
+      targetLatencyMs: 2_000,
+      service: "app",
+      maxAttempts: 1,
+      ...route,
+    })),
+    services: [...names].map((name) => ({ name, maxConnections: 20 })),
+    limits: {
+      maxHeaderBytes: 4_096,
+      maxBodyBytes: 1_000_000,
+      headerTimeoutMs: 3_000,
+      idleTimeoutMs: 15_000,
+      ...parts.limits,
+    },
+  };
+  const servers = Object.entries(parts.servers).map(([id, address]) => ({
+    key: `servers/${id}`,
+    value: {
+      service: "app",
+      address,
+      zone: `${parts.serverRegions?.[id] ?? "north"}-a`,
+      slots: 8,
+      state: "ready",
+    },
+  }));
+  const documents = [
+    { key: "op/config", value: configuration },
+    ...servers,
+  ];
+  return {
+    revision: version,
+    entries: documents.map(({ key, value }) => ({
+      key,
+      value: JSON.stringify(value),
+      revision: version,
+    })),
+  };
+}
+
+/** Signed answers, as a sound backend server gives them. */
+export function createAnswer(
+  callId: string,
+  body: string,
+  headers: readonly string[] = [],
+): string {
+  return [
+    "HTTP/1.1 200 OK",
+    `X-Havenspur-Attempt-Id: ${callId}`,
+    "X-Havenspur-Response-Signature: sig",
+    ...headers,
+    `Content-Length: ${body.length}`,
+    "",
+    body,
+  ].join("\r\n");
+}
+
+/** A request of a caller as bytes. */
+export function createRequest(
+  path: string,
+  more: {
+    readonly method?: string;
+    readonly callId?: string;
+    readonly headers?: readonly string[];
+    readonly body?: string;
+  } = {},
+): string {
+  const body = more.body ?? "";
+  const isFramed = more.headers?.some((line) =>
+    /^(content-length|transfer-encoding):/i.test(line)
+  );
+  return [
+    `${more.method ?? "GET"} ${path} HTTP/1.1`,
+    `Host: ${TEST_HOST}`,
+    `X-Havenspur-Attempt-Id: ${more.callId ?? "c1"}`,
+    ...(more.headers ?? []),
+    ...(body !== "" && !isFramed ? [`Content-Length: ${body.length}`] : []),
+    "",
+    body,
+  ].join("\r\n");
+}
--- /dev/null
+++ b/tests/opaque_answers_test.ts
@@ -0,0 +1,430 @@
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { type AddressInfo, createServer } from "node:net";
+import { afterEach, describe, it } from "node:test";
+import {
+  createAnswer,
+  createRequest,
+  type GatewayFixture,
+  startGateway,
+} from "./http_gateway_fixture.ts";
+import {
+  findHeader,
+  openRawCaller,
+  type RawServer,
+  startRawServer,
+} from "./raw_http.ts";
+
+const CLEAN_UPS: (() => void)[] = [];
+afterEach(() => CLEAN_UPS.splice(0).forEach((cleanUp) => cleanUp()));
+
+type Answer = Parameters<typeof startRawServer>[0];
+type Kind = "safe" | "unsafe" | "streaming";
+
+interface Setting {
+  readonly gateway: GatewayFixture;
+  readonly server: RawServer;
+}
+
+async function start(
+  answer: Answer,
+  route: { readonly kind?: Kind; readonly timeoutMs?: number } = {},
+  limits: Readonly<Record<string, number>> = {},
+): Promise<Setting> {
+  const server = await startRawServer(answer);
+  const gateway = await startGateway({
+    routes: [{ prefix: "/a/", ...route }],
+    servers: { s1: server.address },
+    limits,
+  });
+  CLEAN_UPS.push(() => gateway.close(), () => server.close());
+  return { gateway, server };
+}
+
+/** Sends one request, closes with it, and returns all bytes of the answer. */
+async function askOnce(
+  { gateway }: Pick<Setting, "gateway">,
+  request: string,
+): Promise<string> {
+  const caller = await openRawCaller(gateway.port);
+  CLEAN_UPS.push(() => caller.socket.destroy());
+  caller.socket.write(request.replace("\r\n", "\r\nConnection: close\r\n"));
+  return await caller.awaitEnd();
+}
+
+function readStatus(answer: string): string {
+  return answer.split(" ")[1] ?? "";
+}
+
+function readBody(answer: string): string {
+  return answer.slice(answer.indexOf("\r\n\r\n") + 4);
+}
+
+describe("an answer", () => {
+  it("keeps status, headers, repeated names, signature and bytes", async () => {
+    const setting = await start((_, socket) =>
+      socket.write(
+        createAnswer("c1", "whole", ["X-Odd: One", "X-Odd: two", "ETag: W/7"])
+          .replace("200 OK", "203 Own Words"),
+      )
+    );
+    const answer = await askOnce(setting, createRequest("/a/x?y=1%2F2"));
+    assert.match(answer, /^HTTP\/1\.1 203 Own Words\r\n/);
+    assert.match(answer, /X-Odd: One\r\nX-Odd: two\r\n/);
+    assert.match(answer, /X-Havenspur-Response-Signature: sig\r\n/);
+    assert.equal(readBody(answer), "whole");
+    assert.match(setting.server.requests[0]!, /^GET \/a\/x\?y=1%2F2 HTTP/);
+  });
+
+  it("has no body for HEAD, and keeps the length", async () => {
+    const setting = await start((_, socket) =>
+      socket.write(createAnswer("c1", "whole").replace("whole", ""))
+    );
+    const answer = await askOnce(
+      setting,
+      createRequest("/a/x", { method: "HEAD" }),
+    );
+    assert.match(answer, /Content-Length: 5\r\n/);
+    assert.equal(readBody(answer), "");
+  });
+
+  it("passes over interim answers", async () => {
+    const setting = await start((_, socket) =>
+      socket.write(
+        "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n" +
+          createAnswer("c1", "whole"),
+      )
+    );
+    const answer = await askOnce(setting, createRequest("/a/x"));
+    assert.equal(readStatus(answer), "200");
+    assert.equal(readBody(answer), "whole");
+  });
+
+  it("keeps trailers", async () => {
+    const setting = await start((_, socket) =>
+      socket.write(
+        createAnswer("c1", "").replace(
+          "Content-Length: 0\r\n",
+          "Trailer: X-Sum\r\nTransfer-Encoding: chunked\r\n",
+        ) + "5\r\nwhole\r\n0\r\nX-Sum: 9\r\n\r\n",
+      )
+    );
+    const answer = await askOnce(setting, createRequest("/a/x"));
+    assert.match(answer, /whole\r\n0\r\nX-Sum: 9\r\n\r\n$/);
+  });
+
+  describe("that ends early", () => {
+    it("looks broken where it has a length", async () => {
+      const setting = await start((_, socket) => {
+        const answer = createAnswer("c1", "0123456789");
+        socket.write(answer.slice(0, -4), () => socket.destroy());
+      });
+      const answer = await askOnce(setting, createRequest("/a/x"));
+      assert.notEqual(readBody(answer), "0123456789");
+      const isRefused = readStatus(answer) === "502";
+      assert.ok(isRefused || readBody(answer) === "012345");
+    });
+
+    it("looks broken where it comes in chunks", async () => {
+      const setting = await start((_, socket) => {
+        const head = createAnswer("c1", "").replace(
+          "Content-Length: 0\r\n",
+          "Transfer-Encoding: chunked\r\n",
+        );
+        socket.write(`${head}5\r\nwhole\r\n`, () => socket.destroy());
+      });
+      const answer = await askOnce(setting, createRequest("/a/x"));
+      assert.doesNotMatch(answer, /\r\n0\r\n\r\n$/);
+    });
+
+    it("looks broken where it has no length and its connection is reset", async () => {
+      const setting = await start((_, socket) => {
+        const head = createAnswer("c1", "").replace(
+          "Content-Length: 0\r\n",
+          "Connection: close\r\n",
+        );
+        socket.write(`${head}who`, () => {
+          setTimeout(() => socket.resetAndDestroy(), 20);
+        });
+      });
+      const answer = await askOnce(setting, createRequest("/a/x"));
+      assert.doesNotMatch(answer, /\r\n0\r\n\r\n$/);
+    });
+  });
+
+  it("without a length is whole when its connection ends", async () => {
+    const setting = await start((_, socket) => {
+      const head = createAnswer("c1", "").replace(
+        "Content-Length: 0\r\n",
+        "Connection: close\r\n",
+      );
+      socket.end(`${head}whole`);
+    });
+    const answer = await askOnce(setting, createRequest("/a/x"));
+    assert.match(answer, /5\r\nwhole\r\n0\r\n\r\n$/);
+  });
+
+  describe("that cannot be trusted", () => {
+    const spoiled: readonly (readonly [string, string])[] = [
+      [
+        "without a signature",
+        createAnswer("c1", "x").replace(/X-Havenspur-Response.*\r\n/, ""),
+      ],
+      ["of another call", createAnswer("other", "x")],
+      [
+        "with a coded body",
+        createAnswer("c1", "x", ["Content-Encoding: gzip"]),
+      ],
+      ["that is no HTTP", "\u0001\u0002garbage\r\n\r\n"],
+      [
+        "that promises without the server's word",
+        createAnswer("c1", "x").replace("200 OK", "503 Full"),
+      ],
+    ];
+    spoiled.forEach(([what, bytes]) => {
+      it(`${what} is a 502 for a call that may not be repeated`, async () => {
+        const setting = await start((_, socket) => socket.write(bytes), {
+          kind: "unsafe",
+        });
+        const answer = await askOnce(
+          setting,
+          createRequest("/a/x", { method: "POST", body: "b" }),
+        );
+        assert.equal(readStatus(answer), "502");
+        assert.doesNotMatch(answer, /Signature/i);
+        assert.equal(setting.server.requests.length, 1);
+      });
+    });
+  });
+
+  it("is not mixed with bytes that follow an earlier answer", async () => {
+    let count = 0;
+    const setting = await start((request, socket) => {
+      const callId = findHeader(request, "x-havenspur-attempt-id")!;
+      const extra = count++ === 0 ? createAnswer("c1", "again") : "";
+      socket.write(createAnswer(callId, `for ${callId}`) + extra);
+    });
+    const first = await askOnce(setting, createRequest("/a/x"));
+    assert.equal(readBody(first), "for c1");
+    const second = await askOnce(
+      setting,
+      createRequest("/a/x", { callId: "c2" }),
+    );
+    assert.equal(readBody(second), "for c2");
+  });
+
+  it("of a server that did not run the call promises so, with a time to come back", async () => {
+    const setting = await start((_, socket) =>
+      socket.write(
+        "HTTP/1.1 503 Full\r\nX-Havenspur-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+      ), { kind: "unsafe" });
+    const answer = await askOnce(
+      setting,
+      createRequest("/a/x", { method: "POST", body: "b" }),
+    );
+    assert.equal(readStatus(answer), "503");
+    assert.match(answer, /Retry-After: \d/);
+  });
+
+  it("of a failed call that may not be repeated is the server's own", async () => {
+    const setting = await start((_, socket) =>
+      socket.write(
+        createAnswer("c1", "failed").replace("200 OK", "500 Own Error"),
+      ), { kind: "unsafe" });
+    const answer = await askOnce(
+      setting,
+      createRequest("/a/x", { method: "POST", body: "b" }),
+    );
+    assert.match(answer, /^HTTP\/1\.1 500 Own Error/);
+    assert.match(answer, /Signature: sig/);
+  });
+
+  it("is refused in time where the route's time is over", async () => {
+    const setting = await start(() => {}, { timeoutMs: 60 });
+    const answer = await askOnce(setting, createRequest("/a/x"));
+    assert.equal(readStatus(answer), "504");
+  });
+});
+
+describe("a call", () => {
+  it("reaches the server with its body unchanged when it comes in chunks", async () => {
+    const setting = await start((_, socket) =>
+      socket.write(createAnswer("c1", "ok"))
+    );
+    const answer = await askOnce(
+      setting,
+      createRequest("/a/x", {
+        method: "POST",
+        headers: ["Transfer-Encoding: chunked"],
+      }) + "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n",
+    );
+    assert.equal(readStatus(answer), "200");
+    const [request] = setting.server.requests;
+    assert.match(request!, /content-length: 5\r\n/i);
+    assert.ok(request!.endsWith("abcde"));
+  });
+
+  it("names the server, the time left and nothing that only a gateway may set", async () => {
+    const setting = await start((_, socket) =>
+      socket.write(createAnswer("c1", "ok"))
+    );
+    await askOnce(
+      setting,
+      createRequest("/a/x", {
+        headers: [
+          "X-Havenspur-Deadline-Remaining: 900",
+          "X-Havenspur-Expected-Instance: forged",
+          "X-Havenspur-Hold: forged",
+          "X-Havenspur-Pin-Duration: 1",
+          "X-Havenspur-Key-Value-Backup: 1.2.3.4:5",
+          "Kv-From: 1.2.3.4:5/h",
+          "havenspur-hop: forged 1 1",
+        ],
+      }),
+    );
+    const request = setting.server.requests[0]!;
+    assert.equal(findHeader(request, "x-havenspur-expected-instance"), "s1");
+    const left = Number(findHeader(request, "x-havenspur-deadline-remaining"));
+    assert.ok(left > 0 && left <= 900);
+    assert.doesNotMatch(request, /forged|Pin-Duration|Backup|Kv-From/i);
+  });
+
+  it("loses headers that Connection names, but none of its own", async () => {
+    const setting = await start((_, socket) =>
+      socket.write(createAnswer("c1", "ok"))
+    );
+    const caller = await openRawCaller(setting.gateway.port);
+    CLEAN_UPS.push(() => caller.socket.destroy());
+    caller.socket.write(
+      createRequest("/a/x", {
+        headers: [
+          "Connection: x-private, x-havenspur-model",
+          "X-Private: p",
+          "X-Havenspur-Model: m",
+          "X-Public: q",
+        ],
+      }),
+    );
+    await caller.awaitText("ok");
+    const request = setting.server.requests[0]!;
+    assert.equal(findHeader(request, "x-private"), undefined);
+    assert.equal(findHeader(request, "x-havenspur-model"), "m");
+    assert.equal(findHeader(request, "x-public"), "q");
+  });
+
+  it("goes on to the server's last byte of a body that it answers early", async () => {
+    const body = "b".repeat(300_000);
+    let received = "";
+    const slow = createServer((socket) => {
+      let hasAnswered = false;
+      socket.on("error", () => {});
+      socket.on("data", (chunk) => {
+        received += chunk.toString("latin1");
+        if (hasAnswered) return;
+        hasAnswered = true;
+        socket.write(createAnswer("c1", "early"));
+      });
+    }).listen(0, "127.0.0.1");
+    await once(slow, "listening");
+    const { port } = slow.address() as AddressInfo;
+    const gateway = await startGateway({
+      routes: [{ prefix: "/a/", kind: "unsafe" }],
+      servers: { s1: `127.0.0.1:${port}` },
+    });
+    CLEAN_UPS.push(() => gateway.close(), () => slow.close());
+    const answer = await askOnce(
+      { gateway },
+      createRequest("/a/x", { method: "POST", body }),
+    );
+    assert.equal(readBody(answer), "early");
+    // Whatever the server reads on this connection is the body, or the end.
+    assert.ok(
+      body.startsWith(received.slice(received.indexOf("\r\n\r\n") + 4)),
+    );
+  });
+
+  describe("that is framed in two ways", () => {
+    const shapes: readonly (readonly [string, readonly string[]])[] = [
+      ["by length and chunks", [
+        "Content-Length: 3",
+        "Transfer-Encoding: chunked",
+      ]],
+      ["by two lengths", ["Content-Length: 3", "Content-Length: 4"]],
+      ["by an unknown coding", ["Transfer-Encoding: chunked, odd"]],
+      ["by a length with a sign", ["Content-Length: +3"]],
+    ];
+    shapes.forEach(([what, headers]) => {
+      it(`${what} is refused, and reaches no server`, async () => {
+        const setting = await start((_, socket) =>
+          socket.write(createAnswer("c1", "ok"))
+        );
+        const answer = await askOnce(
+          setting,
+          createRequest("/a/x", { method: "POST", headers }) +
+            "0\r\n\r\nGET /a/smuggled HTTP/1.1\r\n\r\n",
+        );
+        assert.match(readStatus(answer), /^4/);
+        assert.equal(setting.server.requests.length, 0);
+      });
+    });
+  });
+
+  it("that a caller gives up is given up at the server, too", async () => {
+    let wasClosed = () => {};
+    const closed = new Promise<void>((resolve) => (wasClosed = resolve));
+    const setting = await start((_, socket) => {
+      socket.on("close", wasClosed);
+      caller.socket.destroy();
+    });
+    const caller = await openRawCaller(setting.gateway.port);
+    caller.socket.write(createRequest("/a/x"));
+    await closed;
+  });
+
+  it("without a route is a 404, without a configuration a 503", async () => {
+    const setting = await start(() => {});
+    const unrouted = await askOnce(setting, createRequest("/b/x"));
+    assert.equal(readStatus(unrouted), "404");
+  });
+});
+
+describe("the bounds on callers", () => {
+  it("hold, and follow the configuration", async () => {
+    const setting = await start(
+      (_, socket) => socket.write(createAnswer("c1", "ok")),
+      {},
+      { maxBodyBytes: 10, maxHeaderBytes: 300 },
+    );
+    const large = createRequest("/a/x", {
+      method: "POST",
+      body: "b".repeat(20),
+    });
+    const wide = createRequest("/a/x", {
+      headers: [`X-Wide: ${"w".repeat(400)}`],
+    });
+    assert.equal(readStatus(await askOnce(setting, large)), "413");
+    assert.equal(readStatus(await askOnce(setting, wide)), "431");
+    setting.gateway.configure(2, {
+      limits: { maxBodyBytes: 30, maxHeaderBytes: 900 },
+    });
+    assert.equal(readStatus(await askOnce(setting, large)), "200");
+    assert.equal(readStatus(await askOnce(setting, wide)), "200");
+  });
+
+  it("hold for a body in chunks", async () => {
+    const setting = await start(
+      (_, socket) => socket.write(createAnswer("c1", "ok")),
+      {},
+      { maxBodyBytes: 10 },
+    );
+    const answer = await askOnce(
+      setting,
+      createRequest("/a/x", {
+        method: "POST",
+        headers: ["Transfer-Encoding: chunked"],
+      }) + `14\r\n${"b".repeat(20)}\r\n0\r\n\r\n`,
+    );
+    assert.equal(readStatus(answer), "413");
+    assert.equal(setting.server.requests.length, 0);
+  });
+});
--- /dev/null
+++ b/tests/region_hop_test.ts
@@ -0,0 +1,188 @@
+import assert from "node:assert/strict";
+import { afterEach, describe, it } from "node:test";
+import { type FleetReport } from "../fleet/mod.ts";
+import { toFailureDomainId, toInstanceId, toRegionId } from "../ids/mod.ts";
+import {
+  createAnswer,
+  createRequest,
+  findFreePort,
+  type GatewayFixture,
+  startGateway,
+} from "./http_gateway_fixture.ts";
+import {
+  findHeader,
+  openRawCaller,
+  type RawServer,
+  startRawServer,
+} from "./raw_http.ts";
+
+const CLEAN_UPS: (() => void)[] = [];
+afterEach(() => CLEAN_UPS.splice(0).forEach((cleanUp) => cleanUp()));
+
+const FAR_HOST = "127.0.0.2";
+
+/** What the far instance says of itself. */
+function createFarReport(): FleetReport {
+  return {
+    from: {
+      id: toInstanceId(`instance-${FAR_HOST}`),
+      incarnation: "1",
+      host: FAR_HOST,
+      region: toRegionId("south"),
+      failureDomain: toFailureDomainId("south-a"),
+      state: "ready",
+    },
+    sequence: 1,
+    scope: "region",
+    known: { configurationVersion: 1, storeRevision: 1 },
+    loads: [],
+    prefixes: [],
+    news: [],
+    wantsNews: false,
+  };
+}
+
+/** A gateway in the north whose only server is in the south, behind another gateway. */
+async function startTwo(
+  answer: Parameters<typeof startRawServer>[0],
+  route: {
+    readonly kind?: "safe" | "unsafe" | "streaming";
+    readonly homeRegions?: readonly string[];
+    readonly timeoutMs?: number;
+  } = {},
+): Promise<
+  {
+    readonly near: GatewayFixture;
+    readonly far: GatewayFixture;
+    readonly server: RawServer;
+  }
+> {
+  const server = await startRawServer(answer);
+  const peerPort = await findFreePort(FAR_HOST);
+  const shared = {
+    routes: [{ prefix: "/a/", kind: "unsafe" as const, ...route }],
+    servers: { s1: server.address },
+    serverRegions: { s1: "south" },
+    peerPort,
+  };
+  const far = await startGateway({
+    ...shared,
+    host: FAR_HOST,
+    region: "south",
+  });
+  const near = await startGateway(shared);
+  near.gateway.receiveReport(createFarReport(), FAR_HOST);
+  CLEAN_UPS.push(
+    () => near.close(),
+    () => far.close(),
+    () => server.close(),
+  );
+  return { near, far, server };
+}
+
+async function ask(port: number): Promise<string> {
+  const caller = await openRawCaller(port);
+  CLEAN_UPS.push(() => caller.socket.destroy());
+  caller.socket.write(
+    createRequest("/a/x", {
+      method: "POST",
+      body: "payload",
+      headers: ["X-Havenspur-Deadline-Remaining: 900", "Connection: close"],
+    }),
+  );
+  return await caller.awaitEnd();
+}
+
+describe("a call whose servers are in another region", () => {
+  it("takes one hop, with what is left of its time, and comes back unchanged", async () => {
+    const { near, server } = await startTwo((_, socket) =>
+      socket.write(createAnswer("c1", "from afar", ["X-Own: 1"]))
+    );
+    const answer = await ask(near.port);
+    assert.match(answer, /^HTTP\/1\.1 200 OK/);
+    assert.match(answer, /X-Own: 1\r\n/);
+    assert.doesNotMatch(answer, /havenspur-(hop|run-state|served)/i);
+    assert.ok(answer.endsWith("from afar"));
+    const [request] = server.requests;
+    assert.ok(request!.endsWith("payload"));
+    assert.doesNotMatch(request!, /havenspur-hop/i);
+    const left = Number(findHeader(request!, "x-havenspur-deadline-remaining"));
+    assert.ok(left > 0 && left <= 900);
+  });
+
+  it("is refused as not run where the server there did not run it", async () => {
+    const { near } = await startTwo((_, socket) =>
+      socket.write(
+        "HTTP/1.1 503 Full\r\nX-Havenspur-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+      )
+    );
+    assert.match(await ask(near.port), /^HTTP\/1\.1 503 /);
+  });
+
+  it("is a 502, never a 503, where the server there broke off", async () => {
+    const { near } = await startTwo((_, socket) => socket.destroy());
+    assert.match(await ask(near.port), /^HTTP\/1\.1 502 /);
+  });
+
+  it("is a 502 where the other instance breaks off", async () => {
+    const { near, far } = await startTwo(() => far.close());
+    assert.match(await ask(near.port), /^HTTP\/1\.1 502 /);
+  });
+
+  it("ends visibly broken where the server there breaks off half-way", async () => {
+    const { near } = await startTwo((_, socket) => {
+      socket.write(
+        createAnswer("c1", "0123456789").slice(0, -4),
+        () => setTimeout(() => socket.destroy(), 20),
+      );
+    });
+    const answer = await ask(near.port);
+    assert.doesNotMatch(answer, /0123456789$/);
+    assert.match(answer, /^HTTP\/1\.1 (200|502)/);
+  });
+
+  it("is given up at the server when the caller leaves", async () => {
+    let wasClosed = () => {};
+    const closed = new Promise<void>((resolve) => (wasClosed = resolve));
+    const { near } = await startTwo((_, socket) => {
+      socket.on("close", wasClosed);
+      caller.socket.destroy();
+    });
+    const caller = await openRawCaller(near.port);
+    caller.socket.write(createRequest("/a/x"));
+    await closed;
+  });
+
+  it("goes nowhere that is not its home", async () => {
+    const { near, server } = await startTwo(
+      (_, socket) => socket.write(createAnswer("c1", "x")),
+      { homeRegions: ["north"] },
+    );
+    assert.match(await ask(near.port), /^HTTP\/1\.1 503 /);
+    assert.equal(server.requests.length, 0);
+  });
+
+  it("is refused as not run by an instance that cannot be reached", async () => {
+    const { near, far, server } = await startTwo(() => {});
+    far.close();
+    assert.match(await ask(near.port), /^HTTP\/1\.1 503 /);
+    assert.equal(server.requests.length, 0);
+  });
+
+  it("takes no second hop", async () => {
+    const { far, server } = await startTwo(() => {}, {
+      homeRegions: ["north"],
+    });
+    const caller = await openRawCaller(far.peerPort, FAR_HOST);
+    CLEAN_UPS.push(() => caller.socket.destroy());
+    caller.socket.write(
+      createRequest("/a/x", {
+        headers: ["havenspur-hop: instance-x 500 1", "Connection: close"],
+      }),
+    );
+    const answer = await caller.awaitEnd();
+    assert.match(answer, /^HTTP\/1\.1 503 /);
+    assert.match(answer, /havenspur-run-state: not-run 0/);
+    assert.equal(server.requests.length, 0);
+  });
+});
