--- a/forwarding/call_forwarder.ts
+++ b/forwarding/call_forwarder.ts
@@ -12,7 +12,13 @@
 import { type Place, PlaceChooser } from "./choose_place.ts";
 import { type Candidate, ServerChooser } from "./choose_server.ts";
 import { type Exchange, isRepeatable } from "./exchange.ts";
-import { isHopHeader, writeHop, writeRunState } from "./hop_headers.ts";
+import {
+  isHopHeader,
+  readServedMs,
+  writeHop,
+  writeRunState,
+  writeServedMs,
+} from "./hop_headers.ts";
 import { pickForwarded } from "./http_headers.ts";
 import type { CallSink, OpaqueCall } from "./opaque_call.ts";
 import { placeParts, PrefixMemory } from "./prefix_memory.ts";
@@ -155,8 +161,11 @@
    */
   async handle(call: OpaqueCall, sink: CallSink): Promise<void> {
     this.#inFlight++;
+    const answering = call.origin.kind === "instance"
+      ? this.#tellServedMs(call, sink)
+      : sink;
     try {
-      await this.#serve(call, sink);
+      await this.#serve(call, answering);
     } finally {
       this.#inFlight--;
     }
@@ -246,6 +255,22 @@
     sink.signal.removeEventListener("abort", giveUp);
   }
 
+  /** Says to the other instance how long the call was here. */
+  #tellServedMs(call: OpaqueCall, sink: CallSink): CallSink {
+    return {
+      signal: sink.signal,
+      begin: (head) => {
+        const servedMs = this.#parts.clock.nowMs() - call.receivedMs;
+        const headers = [...head.headers, ...writeServedMs(servedMs)];
+        sink.begin({ ...head, headers });
+      },
+      write: (chunk) => sink.write(chunk),
+      onDrain: (callback) => sink.onDrain(callback),
+      end: (trailers) => sink.end(trailers),
+      breakOff: () => sink.breakOff(),
+    };
+  }
+
   #refuseUnrouted(call: OpaqueCall, sink: CallSink, host: string): void {
     // Another instance may be ahead of this one: its call has a route.
     const isForwarded = call.origin.kind === "instance";
@@ -416,6 +441,12 @@
       framesEvents: isRepeatable(exchange) &&
         exchange.route.routeClass === "stream",
       progress: exchange.progress,
+      onHeaders: (headers) => {
+        const servedMs = readServedMs(headers);
+        if (servedMs === undefined) return;
+        const roundTripMs = clock.nowMs() - startMs - servedMs;
+        this.#places.recordRoundTrip(region, roundTripMs);
+      },
       onFirstByte: settleUnderWay,
       signal: exchange.signal,
     });
--- a/forwarding/run_attempt.ts
+++ b/forwarding/run_attempt.ts
@@ -62,6 +62,8 @@
   /** Whether only whole events are passed on, so that a stream can be resumed. */
   readonly framesEvents: boolean;
   readonly progress: StreamProgress;
+  /** Called with the headers of the answer. */
+  readonly onHeaders?: (headers: RawHeaders) => void;
   /** Called at the first byte of the answer's body, or at its end. */
   readonly onFirstByte: () => void;
   /** Gives the send up. */
@@ -122,6 +124,7 @@
   onHead(head: AnswerHead): void {
     if (this.#isFinished) return;
     const { callId, grammar, holdsFailures, isHop } = this.#parts;
+    this.#parts.onHeaders?.(head.headers);
     const facts = grammar.readAnswer(head.status, head.headers);
     const runState = isHop ? readRunState(head.headers) : undefined;
     if (runState?.isNotRun) {
--- /dev/null
+++ b/standin/platform_store_server.ts
@@ -0,0 +1,213 @@
+import { once } from "node:events";
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo } from "node:net";
+import type { Result } from "neverthrow";
+import type { RevisionedStore, StoreFailure } from "../store/mod.ts";
+
+/** A stand-in for the platform's store that listens on loopback. */
+export interface StoreStandin {
+  /** IP address and port. */
+  readonly address: string;
+  close(): void;
+}
+
+interface Answer {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+interface TransactionBody {
+  readonly precondition: readonly {
+    readonly key: string;
+    readonly revision: number;
+  }[];
+  readonly puts: readonly {
+    readonly key: string;
+    readonly value: string;
+    readonly lease: number;
+  }[];
+  readonly remove: readonly string[];
+}
+
+/**
+ * Serves a store through the platform's calls, so that the client is tested
+ * without the platform. It takes transactions of one key, which is all that the
+ * project sends.
+ *
+ * @param store What answers.
+ * @param port Port on loopback; 0 takes a free one.
+ */
+export async function startStoreStandin(
+  store: RevisionedStore,
+  port = 0,
+): Promise<StoreStandin> {
+  const server: Server = createServer((request, response) => {
+    void answer(store, request, response);
+  });
+  server.listen(port, "127.0.0.1");
+  await once(server, "listening");
+  const { port: bound } = server.address() as AddressInfo;
+  return {
+    address: `127.0.0.1:${bound}`,
+    close: () => {
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+}
+
+async function answer(
+  store: RevisionedStore,
+  request: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request) chunks.push(chunk);
+  const text = Buffer.concat(chunks).toString("utf8");
+  const { status, body } = await handle(store, request, text);
+  response.writeHead(status, { "content-type": "application/json" });
+  response.end(JSON.stringify(body));
+}
+
+async function handle(
+  store: RevisionedStore,
+  request: IncomingMessage,
+  text: string,
+): Promise<Answer> {
+  const url = new URL(request.url ?? "/", "http://store");
+  const query = url.searchParams;
+  const [, , call, id] = url.pathname.split("/");
+  const leaseId = id ?? "";
+  switch (call) {
+    case "kv-key": {
+      const key = query.get("key") ?? "";
+      return toAnswer(
+        await store.read(key),
+        (entry) =>
+          entry === undefined
+            ? { status: 404, body: {} }
+            : { status: 200, body: toItem(entry) },
+      );
+    }
+    case "kv-range": {
+      const prefix = query.get("prefix") ?? "";
+      return toAnswer(await store.readSnapshot(prefix), (snapshot) => ({
+        status: 200,
+        body: toPage(snapshot, query.get("after") ?? ""),
+      }));
+    }
+    case "kv-watch": {
+      const wanted = {
+        prefix: query.get("prefix") ?? "",
+        afterRevision: Number(query.get("after")),
+        waitMs: Number(query.get("waitMs")),
+      };
+      return toAnswer(
+        await store.awaitChanges(wanted),
+        (changes) =>
+          changes.kind === "compacted" ? { status: 410, body: {} } : {
+            status: 200,
+            body: {
+              events: changes.events.map(toEvent),
+              atRevision: changes.revision,
+            },
+          },
+      );
+    }
+    case "kv-txn":
+      return await runTransaction(store, JSON.parse(text) as TransactionBody);
+    case "kv-lease": {
+      const { ttlMs } = JSON.parse(text) as { readonly ttlMs: number };
+      return toAnswer(await store.grantLease(ttlMs), (lease) => ({
+        status: 200,
+        body: { lease: Number(lease), ttlMs },
+      }));
+    }
+    case "kv-keep":
+      return toAnswer(await store.renewLease(leaseId), (isKept) => ({
+        status: isKept ? 200 : 404,
+        body: {},
+      }));
+    case "kv-lease-end":
+      return toAnswer(await store.revokeLease(leaseId), () => ({
+        status: 200,
+        body: {},
+      }));
+    default:
+      return { status: 404, body: {} };
+  }
+}
+
+async function runTransaction(
+  store: RevisionedStore,
+  { precondition, puts, remove }: TransactionBody,
+): Promise<Answer> {
+  const [put] = puts;
+  const key = put?.key ?? remove[0] ?? "";
+  const swapped = await store.swap({
+    key,
+    expectedRevision: precondition[0]?.revision ?? 0,
+    value: put && Buffer.from(put.value, "base64").toString("utf8"),
+    ...(put !== undefined && put.lease > 0
+      ? { leaseId: String(put.lease) }
+      : {}),
+  });
+  return toAnswer(
+    swapped,
+    (outcome) =>
+      outcome.kind === "conflict"
+        ? { status: 412, body: { items: [] } }
+        : { status: 200, body: { revision: outcome.revision } },
+  );
+}
+
+function toAnswer<T>(
+  result: Result<T, StoreFailure>,
+  describe: (value: T) => Answer,
+): Answer {
+  if (result.isOk()) return describe(result.value);
+  return { status: 503, body: { error: result.error.message } };
+}
+
+/** Items on one page: few, so that tests read several pages. */
+const PAGE_ITEMS = 3;
+
+function toPage(
+  snapshot: { readonly entries: readonly Item[]; readonly revision: number },
+  after: string,
+) {
+  const rest = snapshot.entries.filter(({ key }) => key > after);
+  return {
+    items: rest.slice(0, PAGE_ITEMS).map(toItem),
+    hasMore: rest.length > PAGE_ITEMS,
+    atRevision: snapshot.revision,
+  };
+}
+
+interface Item {
+  readonly key: string;
+  readonly value: string;
+  readonly revision: number;
+}
+
+function toItem({ key, revision, value }: Item) {
+  return { key, revision, value: Buffer.from(value).toString("base64") };
+}
+
+function toEvent(
+  event: {
+    readonly key: string;
+    readonly value: string | undefined;
+    readonly revision: number;
+  },
+) {
+  const { key, revision, value } = event;
+  return value === undefined
+    ? { key, revision, tombstone: true }
+    : toItem({ key, revision, value });
+}
