A forwarded stream goes on after the event that the caller has; one instance repeats a call

Two instances could also repeat the same call, each with its own attempts.

Change: the hop carries the last event and the servers that had the call, its answer the servers that it tried; only the instance that the caller reached repeats.

--- a/bench/opaque_backend.ts
+++ b/bench/opaque_backend.ts
@@ -1,6 +1,10 @@
 import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
 import { parentPort } from "node:worker_threads";
+import {
+  CALL_ID_HEADER,
+  SIGNATURE_HEADER,
+} from "../standin/platform_headers.ts";
 
 /** Events of a streamed answer. */
 const EVENTS = 20;
@@ -13,9 +17,9 @@
 const server = createServer((request, response) => {
   request.resume();
   request.on("end", () => {
-    const callId = request.headers["x-havenspur-attempt-id"] ?? "";
-    response.setHeader("X-Havenspur-Attempt-Id", callId);
-    response.setHeader("X-Havenspur-Response-Signature", "bench");
+    const callId = request.headers[CALL_ID_HEADER] ?? "";
+    response.setHeader(CALL_ID_HEADER, callId);
+    response.setHeader(SIGNATURE_HEADER, "bench");
     if (!request.url?.includes("/stream")) {
       response.setHeader("Content-Length", WHOLE_BODY.length);
       response.end(WHOLE_BODY);
--- a/bench/opaque_load.ts
+++ b/bench/opaque_load.ts
@@ -1,5 +1,9 @@
 import { parentPort } from "node:worker_threads";
 import { Agent, request } from "undici";
+import {
+  CALL_ID_HEADER,
+  REMAINING_HEADER,
+} from "../standin/platform_headers.ts";
 
 /** A round of calls that the load thread is asked for. */
 export interface OpaqueRound {
@@ -33,8 +37,8 @@
         method: body === null ? "GET" : "POST",
         headers: {
           host: "app.example",
-          "x-havenspur-attempt-id": String(++callId),
-          "x-havenspur-deadline-remaining": "5000",
+          [CALL_ID_HEADER]: String(++callId),
+          [REMAINING_HEADER]: "5000",
         },
         body,
         dispatcher: agent,
--- a/forwarding/call_forwarder.ts
+++ b/forwarding/call_forwarder.ts
@@ -13,11 +13,11 @@
 import { type Candidate, ServerChooser } from "./choose_server.ts";
 import { type Exchange, isRepeatable } from "./exchange.ts";
 import {
+  type HopAnswer,
   isHopHeader,
-  readServedMs,
+  readHopAnswer,
   writeHop,
-  writeRunState,
-  writeServedMs,
+  writeHopAnswer,
 } from "./hop_headers.ts";
 import { pickForwarded } from "./http_headers.ts";
 import type { CallSink, OpaqueCall } from "./opaque_call.ts";
@@ -161,26 +161,34 @@
    */
   async handle(call: OpaqueCall, sink: CallSink): Promise<void> {
     this.#inFlight++;
-    const answering = call.origin.kind === "instance"
-      ? this.#tellServedMs(call, sink)
-      : sink;
     try {
-      await this.#serve(call, answering);
+      await this.#serve(call, sink);
     } finally {
       this.#inFlight--;
     }
   }
 
-  /** Answers a call with a refusal, in the form that its sender understands. */
-  refuse(call: OpaqueCall, sink: CallSink, refusal: Refusal, sends = 0): void {
+  /**
+   * Answers a call with a refusal, in the form that its sender understands.
+   *
+   * @param call The call.
+   * @param sink Where the answer goes.
+   * @param refusal Why it is refused.
+   * @param tried Servers that refused it.
+   */
+  refuse(
+    call: OpaqueCall,
+    sink: CallSink,
+    refusal: Refusal,
+    tried: readonly BackendId[] = [],
+  ): void {
     const { head, body } = toRefusalAnswer(refusal);
-    const marked = call.origin.kind === "instance"
-      ? [
-        ...head.headers,
-        ...writeRunState({ isNotRun: isNotRun(refusal.reason), sends }),
-      ]
-      : head.headers;
-    sink.begin({ ...head, headers: marked });
+    const marks = this.#markAnswer(
+      call,
+      isNotRun(refusal.reason) ? "not-run" : "unknown",
+      tried,
+    );
+    sink.begin({ ...head, headers: [...head.headers, ...marks] });
     sink.write(body);
     sink.end([]);
   }
@@ -212,8 +220,9 @@
       return;
     }
     const { origin } = call;
-    const remainingMs = origin.kind === "instance"
-      ? origin.remainingMs
+    const hop = origin.kind === "instance" ? origin.hop : undefined;
+    const remainingMs = hop !== undefined
+      ? hop.remainingMs
       : Math.min(facts.remainingMs ?? NO_BOUND_MS, route.timeoutMs);
     const dueMs = call.receivedMs + remainingMs;
     const given = new AbortController();
@@ -225,9 +234,6 @@
       giveUp,
       timer.signal,
     );
-    const attemptsLeft = origin.kind === "instance"
-      ? origin.attemptsLeft
-      : route.maxAttempts;
     const exchange: Exchange = {
       call,
       facts,
@@ -237,11 +243,15 @@
       parts: placeParts(facts.prompt?.parts ?? []),
       dueMs,
       signal: given.signal,
-      progress: { hasBegun: false, lastEventId: facts.lastEventId },
-      tried: new Set(),
+      progress: {
+        hasBegun: false,
+        lastEventId: hop?.resumeAfter ?? facts.lastEventId,
+      },
+      tried: new Set(hop?.tried),
       waitOrder: this.#line.takeOrder(),
-      attemptsLeft,
-      sends: 0,
+      // Only the instance that the caller reached repeats calls.
+      attemptsLeft: hop === undefined ? route.maxAttempts : 1,
+      sentTo: [],
       mayHaveRun: false,
       heldAnswer: undefined,
       avoidedRegions: new Set(),
@@ -255,20 +265,15 @@
     sink.signal.removeEventListener("abort", giveUp);
   }
 
-  /** Says to the other instance how long the call was here. */
-  #tellServedMs(call: OpaqueCall, sink: CallSink): CallSink {
-    return {
-      signal: sink.signal,
-      begin: (head) => {
-        const servedMs = this.#parts.clock.nowMs() - call.receivedMs;
-        const headers = [...head.headers, ...writeServedMs(servedMs)];
-        sink.begin({ ...head, headers });
-      },
-      write: (chunk) => sink.write(chunk),
-      onDrain: (callback) => sink.onDrain(callback),
-      end: (trailers) => sink.end(trailers),
-      breakOff: () => sink.breakOff(),
-    };
+  /** Returns what an answer tells another instance; nothing for a caller. */
+  #markAnswer(
+    call: OpaqueCall,
+    kind: HopAnswer["kind"],
+    tried: readonly BackendId[],
+  ): readonly string[] {
+    if (call.origin.kind === "caller") return [];
+    const servedMs = this.#parts.clock.nowMs() - call.receivedMs;
+    return writeHopAnswer({ kind, servedMs, tried });
   }
 
   #refuseUnrouted(call: OpaqueCall, sink: CallSink, host: string): void {
@@ -343,6 +348,7 @@
     loads.addOwn(entry.id, load);
     this.#recordParts(exchange, entry.id);
     exchange.tried.add(entry.id);
+    exchange.sentTo.push(entry.id);
     let isPending = true;
     const settlePending = () => {
       if (!isPending) return;
@@ -378,6 +384,7 @@
       framesEvents: isRepeatable(exchange) &&
         exchange.route.routeClass === "stream",
       progress: exchange.progress,
+      createMarks: () => this.#markAnswer(call, "answered", exchange.sentTo),
       onFirstByte: () => {
         settlePending();
         this.#speeds.record(entry.id, service.name, {
@@ -429,7 +436,8 @@
           ...writeHop({
             from: fleet.self.id,
             remainingMs: Math.max(1, exchange.dueMs - startMs),
-            attemptsLeft: exchange.attemptsLeft,
+            resumeAfter: exchange.progress.lastEventId,
+            tried: [...exchange.tried],
           }),
         ],
         body: call.body,
@@ -442,9 +450,10 @@
         exchange.route.routeClass === "stream",
       progress: exchange.progress,
       onHeaders: (headers) => {
-        const servedMs = readServedMs(headers);
-        if (servedMs === undefined) return;
-        const roundTripMs = clock.nowMs() - startMs - servedMs;
+        const answer = readHopAnswer(headers);
+        if (answer === undefined) return;
+        answer.tried.forEach((server) => exchange.tried.add(server));
+        const roundTripMs = clock.nowMs() - startMs - answer.servedMs;
         this.#places.recordRoundTrip(region, roundTripMs);
       },
       onFirstByte: settleUnderWay,
@@ -521,7 +530,6 @@
   ): boolean {
     const { clock, fleet } = this.#parts;
     const nowMs = clock.nowMs();
-    exchange.sends++;
     const isAllowed = mayRepeat && exchange.attemptsLeft > 0 &&
       !exchange.signal.aborted &&
       this.#readBudget(exchange.service.name).take(
@@ -549,7 +557,10 @@
     if (heldAnswer !== undefined) {
       sink.begin({
         ...heldAnswer.head,
-        headers: pickForwarded(heldAnswer.head.headers),
+        headers: [
+          ...pickForwarded(heldAnswer.head.headers),
+          ...this.#markAnswer(call, "answered", exchange.sentTo),
+        ],
       });
       sink.write(heldAnswer.body);
       sink.end(heldAnswer.trailers);
@@ -563,7 +574,7 @@
       detail: honest.message,
       ...inputs,
     });
-    this.refuse(call, sink, honest, exchange.sends);
+    this.refuse(call, sink, honest, exchange.sentTo);
   }
 
   /** Says of each server of the own region why it has no room, for the log. */
@@ -643,7 +654,7 @@
       route: route.name,
       service: service.name,
       configuration: this.#table?.configuration.version,
-      origin: call.origin.kind === "instance" ? call.origin.from : "caller",
+      origin: call.origin.kind === "instance" ? call.origin.hop.from : "caller",
       afterMs: Math.round(clock.nowMs() - call.receivedMs),
       attemptsLeft: exchange.attemptsLeft,
       ...fields,
--- a/forwarding/exchange.ts
+++ b/forwarding/exchange.ts
@@ -23,8 +23,8 @@
   /** Keeps its place among those that wait. */
   readonly waitOrder: number;
   attemptsLeft: number;
-  /** Sends that reached a server. */
-  sends: number;
+  /** Servers that this instance sent it to, in order. */
+  readonly sentTo: BackendId[];
   /** Whether it was sent where it may have run. */
   mayHaveRun: boolean;
   /** A server's failure that goes to the caller if nothing better comes. */
--- a/forwarding/hop_headers.ts
+++ b/forwarding/hop_headers.ts
@@ -1,73 +1,97 @@
-import { toInstanceId } from "../ids/mod.ts";
+import {
+  type BackendId,
+  type InstanceId,
+  toBackendId,
+  toInstanceId,
+} from "../ids/mod.ts";
 import type { RawHeaders } from "./call_grammar.ts";
 import { readHeader } from "./http_headers.ts";
-import type { CallOrigin } from "./opaque_call.ts";
 
 /** Carries what the first instance says of a call that it forwards. */
 const HOP_HEADER = "havenspur-hop";
-/** Carries whether a call that the second instance refuses has run. */
-const RUN_STATE_HEADER = "havenspur-run-state";
-/** Carries how long the second instance had the call before it answered. */
-const SERVED_MS_HEADER = "havenspur-served-ms";
+/** Carries what the second instance says of its refusal or answer. */
+const HOP_ANSWER_HEADER = "havenspur-hop-answer";
+
+/** What the first instance says of a call. */
+export interface Hop {
+  readonly from: InstanceId;
+  /** What is left of the caller's time, in milliseconds. */
+  readonly remainingMs: number;
+  /** The caller has this event of a stream; go on after it. Default: as it asked. */
+  readonly resumeAfter: string | undefined;
+  /** Backend servers that had the call before. */
+  readonly tried: readonly BackendId[];
+}
+
+/** What the second instance says of its answer. */
+export interface HopAnswer {
+  /** Whether it refuses, and whether the call has run; `answered`: a server's own answer. */
+  readonly kind: "answered" | "not-run" | "unknown";
+  /** How long it had the call, in milliseconds. */
+  readonly servedMs: number;
+  /** Servers that it sent the call to. */
+  readonly tried: readonly BackendId[];
+}
+
+const KINDS: ReadonlySet<string> = new Set(["answered", "not-run", "unknown"]);
 
 /** Headers that only instances set; those of a caller are dropped. */
 export function isHopHeader(name: string): boolean {
-  return name === HOP_HEADER || name === RUN_STATE_HEADER ||
-    name === SERVED_MS_HEADER;
+  return name === HOP_HEADER || name === HOP_ANSWER_HEADER;
 }
 
 /** Returns the header of a forwarded call. */
-export function writeHop(
-  hop: Omit<Extract<CallOrigin, { kind: "instance" }>, "kind">,
-): readonly [string, string] {
-  return [
-    HOP_HEADER,
-    `${hop.from} ${Math.floor(hop.remainingMs)} ${hop.attemptsLeft}`,
-  ];
+export function writeHop(hop: Hop): readonly [string, string] {
+  const fields = new URLSearchParams({
+    from: hop.from,
+    remainingMs: String(Math.floor(hop.remainingMs)),
+    tried: hop.tried.join(" "),
+  });
+  if (hop.resumeAfter !== undefined) fields.set("after", hop.resumeAfter);
+  return [HOP_HEADER, fields.toString()];
 }
 
 /** Reads who forwarded a call, or `undefined` where nobody did. */
-export function readHop(headers: RawHeaders): CallOrigin | undefined {
-  const [from, remainingMs, attemptsLeft] =
-    readHeader(headers, HOP_HEADER)?.split(" ") ?? [];
-  if (attemptsLeft === undefined) return undefined;
+export function readHop(headers: RawHeaders): Hop | undefined {
+  const value = readHeader(headers, HOP_HEADER);
+  if (value === undefined) return undefined;
+  const fields = new URLSearchParams(value);
+  const from = fields.get("from");
+  const remainingMs = Number(fields.get("remainingMs") ?? Number.NaN);
+  if (from === null || !Number.isFinite(remainingMs)) return undefined;
   return {
-    kind: "instance",
-    from: toInstanceId(from!),
-    remainingMs: Number(remainingMs),
-    attemptsLeft: Number(attemptsLeft),
+    from: toInstanceId(from),
+    remainingMs,
+    resumeAfter: fields.get("after") ?? undefined,
+    tried: toServers(fields.get("tried")),
   };
 }
 
-/** What an instance says of a call that it refuses. */
-export interface RunState {
-  /** Whether the call has not run and never will. */
-  readonly isNotRun: boolean;
-  /** Servers that refused it. */
-  readonly sends: number;
+/** Returns the header of an answer to a forwarded call. */
+export function writeHopAnswer(answer: HopAnswer): readonly [string, string] {
+  const fields = new URLSearchParams({
+    kind: answer.kind,
+    servedMs: String(Math.round(answer.servedMs)),
+    tried: answer.tried.join(" "),
+  });
+  return [HOP_ANSWER_HEADER, fields.toString()];
 }
 
-/** Returns the header that marks a refusal of an instance. */
-export function writeRunState(state: RunState): readonly [string, string] {
-  const word = state.isNotRun ? "not-run" : "unknown";
-  return [RUN_STATE_HEADER, `${word} ${state.sends}`];
-}
-
-/** Reads the mark of a refusal; `undefined`: the answer is a backend server's. */
-export function readRunState(headers: RawHeaders): RunState | undefined {
-  const value = readHeader(headers, RUN_STATE_HEADER);
+/** Reads the header of an answer to a forwarded call. */
+export function readHopAnswer(headers: RawHeaders): HopAnswer | undefined {
+  const value = readHeader(headers, HOP_ANSWER_HEADER);
   if (value === undefined) return undefined;
-  const [word, sends] = value.split(" ");
-  return { isNotRun: word === "not-run", sends: Number(sends ?? 0) };
-}
-
-/** Returns the header that says how long the call was here. */
-export function writeServedMs(servedMs: number): readonly [string, string] {
-  return [SERVED_MS_HEADER, String(Math.round(servedMs))];
+  const fields = new URLSearchParams(value);
+  const kind = fields.get("kind") ?? "";
+  if (!KINDS.has(kind)) return undefined;
+  return {
+    kind: kind as HopAnswer["kind"],
+    servedMs: Number(fields.get("servedMs") ?? 0),
+    tried: toServers(fields.get("tried")),
+  };
 }
 
-/** Reads how long the other instance had the call, in milliseconds. */
-export function readServedMs(headers: RawHeaders): number | undefined {
-  const value = readHeader(headers, SERVED_MS_HEADER);
-  return value === undefined ? undefined : Number(value);
+function toServers(text: string | null): readonly BackendId[] {
+  if (text === null || text === "") return [];
+  return text.split(" ").map(toBackendId);
 }
--- a/forwarding/opaque_call.ts
+++ b/forwarding/opaque_call.ts
@@ -1,19 +1,12 @@
-import type { InstanceId } from "../ids/mod.ts";
 import type { RawHeaders } from "./call_grammar.ts";
+import type { Hop } from "./hop_headers.ts";
 import type { AnswerHead } from "./server_client.ts";
 
 /** Who sent a call here. */
 export type CallOrigin =
   | { readonly kind: "caller" }
   /** Another instance, which the caller has reached: the call goes no further. */
-  | {
-    readonly kind: "instance";
-    readonly from: InstanceId;
-    /** What is left of the caller's time, in milliseconds. */
-    readonly remainingMs: number;
-    /** Backend servers that the call may still be sent to. */
-    readonly attemptsLeft: number;
-  };
+  | { readonly kind: "instance"; readonly hop: Hop };
 
 /** A call that was read in full. */
 export interface OpaqueCall {
--- a/forwarding/run_attempt.ts
+++ b/forwarding/run_attempt.ts
@@ -1,6 +1,6 @@
 import type { CallGrammar, RawHeaders } from "./call_grammar.ts";
 import { EventFramer } from "./event_framer.ts";
-import { isHopHeader, readRunState } from "./hop_headers.ts";
+import { isHopHeader, readHopAnswer } from "./hop_headers.ts";
 import { pickForwarded } from "./http_headers.ts";
 import type { CallSink } from "./opaque_call.ts";
 import type {
@@ -62,6 +62,8 @@
   /** Whether only whole events are passed on, so that a stream can be resumed. */
   readonly framesEvents: boolean;
   readonly progress: StreamProgress;
+  /** Returns headers to add to an answer that is passed on. Default: none. */
+  readonly createMarks?: () => readonly string[];
   /** Called with the headers of the answer. */
   readonly onHeaders?: (headers: RawHeaders) => void;
   /** Called at the first byte of the answer's body, or at its end. */
@@ -126,17 +128,17 @@
     const { callId, grammar, holdsFailures, isHop } = this.#parts;
     this.#parts.onHeaders?.(head.headers);
     const facts = grammar.readAnswer(head.status, head.headers);
-    const runState = isHop ? readRunState(head.headers) : undefined;
-    if (runState?.isNotRun) {
+    const hopAnswer = isHop ? readHopAnswer(head.headers) : undefined;
+    if (hopAnswer?.kind === "not-run") {
       this.#finish({
         kind: "rejected",
         isOtherServer: false,
         coldForMs: undefined,
-        sends: runState.sends,
+        sends: hopAnswer.tried.length,
       });
       return;
     }
-    if (runState !== undefined) {
+    if (hopAnswer?.kind === "unknown") {
       this.#finish({
         kind: "no-answer",
         message: "The other instance got no answer",
@@ -243,14 +245,12 @@
     const { progress, sink } = this.#parts;
     if (progress.hasBegun) return;
     progress.hasBegun = true;
-    const { headers } = this.#head!;
-    sink.begin({
-      ...this.#head!,
-      headers: pickForwarded(
-        headers,
-        (name) => isHopHeader(name) ? "never" : "unless-named",
-      ),
-    });
+    const kept = pickForwarded(
+      this.#head!.headers,
+      (name) => isHopHeader(name) ? "never" : "unless-named",
+    );
+    const marks = this.#parts.createMarks?.() ?? [];
+    sink.begin({ ...this.#head!, headers: [...kept, ...marks] });
   }
 
   #finish(outcome: AttemptOutcome, isAborted = false): void {
