HTTP routes on the embedded default: a kind of resource, a listener, one gateway for both

Cause: opaque calls existed on the users' platform alone; the product's own deployments declare routes, too.

Change: the resource kind http-route; settings [http] with addresses for callers and instances; HttpGateway takes its state from a port, of which the follower of the store is one and the daemon's own catalog another; members are known by address and port; the product's own header grammar. npm start shows a route, its check calls one.

Conclusion: the port holds for two sources; affinity over regions is weighed next.

--- a/adapters/report_socket.ts
+++ b/adapters/report_socket.ts
@@ -4,38 +4,37 @@
 
 /** Sends and receives reports as datagrams. */
 export class ReportSocket {
-  readonly #host: string;
-  readonly #port: number;
+  readonly #address: string;
   readonly #socket: Socket = createSocket("udp4");
 
-  /** @param address Own host, and the port that all instances use. */
-  constructor(address: { readonly host: string; readonly port: number }) {
-    this.#host = address.host;
-    this.#port = address.port;
+  /** @param address Own IP address and port. */
+  constructor(address: string) {
+    this.#address = address;
   }
 
   /**
    * Opens the socket.
    *
-   * @param receive Takes each report with the host that sent it.
+   * @param receive Takes each report with the address that sent it.
    */
   async open(
-    receive: (report: FleetReport, host: string) => void,
+    receive: (report: FleetReport, from: string) => void,
   ): Promise<void> {
-    this.#socket.on("message", (datagram, { address }) => {
+    this.#socket.on("message", (datagram, { address, port }) => {
       const report = decodeReport(datagram);
-      if (report !== undefined) receive(report, address);
+      if (report !== undefined) receive(report, `${address}:${port}`);
     });
-    this.#socket.bind(this.#port, this.#host);
+    const { host, port } = splitAddress(this.#address);
+    this.#socket.bind(port, host);
     await once(this.#socket, "listening");
   }
 
-  /** Sends a report to several hosts; what is lost is made up for by the next. */
-  send(report: FleetReport, hosts: readonly string[]): void {
-    if (hosts.length === 0) return;
+  /** Sends a report to several addresses; what is lost is made up for by the next. */
+  send(report: FleetReport, addresses: readonly string[]): void {
+    if (addresses.length === 0) return;
     const datagram = encodeReport(report);
-    hosts.forEach((host) =>
-      this.#socket.send(datagram, this.#port, host, ignoreError)
+    addresses.map(splitAddress).forEach(({ host, port }) =>
+      this.#socket.send(datagram, port, host, ignoreError)
     );
   }
 
@@ -44,5 +43,10 @@
   }
 }
 
-/** A host that cannot be reached is noticed by its silence. */
+function splitAddress(address: string) {
+  const at = address.lastIndexOf(":");
+  return { host: address.slice(0, at), port: Number(address.slice(at + 1)) };
+}
+
+/** An instance that cannot be reached is noticed by its silence. */
 function ignoreError(): void {}
--- a/bin/check_deployment.ts
+++ b/bin/check_deployment.ts
@@ -116,6 +116,19 @@
       }
       return runs.length === 1 ? undefined : `it ran ${runs.length} times`;
     }],
+    ["HTTP route", async () => {
+      const route = deployment.resources.find(({ kind }) =>
+        kind === "http-route"
+      );
+      const path = `${route?.spec.pathPrefix}7?full=1`;
+      const answer = await request(`${deployment.daemons[4]!.httpUrl}${path}`, {
+        headers: { host: String(route?.spec.host) },
+      });
+      const text = await answer.body.text();
+      return answer.statusCode === 200 && text.includes(path)
+        ? undefined
+        : `got ${answer.statusCode} ${text}`;
+    }],
     ["batch", async () => {
       const items = Array.from({ length: 20 }, (_, index) => ({
         custom_id: `item-${index}`,
--- a/bin/havenspur_embedded.ts
+++ b/bin/havenspur_embedded.ts
@@ -74,6 +74,7 @@
   process.exit(EXIT_CODES.REFUSED);
 }
 const [entry] = urls;
+const route = deployment.resources.find(({ kind }) => kind === "http-route");
 console.log(`havenspur runs the deployment ${options.deployment} on loopback.
 
 Entries:
@@ -88,6 +89,11 @@
     -H 'content-type: application/json' \\
     -d '{"model":"${model}","stream":true,"max_tokens":12,"messages":[{"role":"user","content":"hello"}]}'
 
+Call a plain service as an HTTP route declares it, bytes unchanged:
+  curl ${
+  deployment.daemons[0]!.httpUrl
+}${route?.spec.pathPrefix}7 -H 'host: ${route?.spec.host}'
+
 What to try next:
   export HAVENSPUR_SERVER=${entry} HAVENSPUR_TOKEN=${OPERATOR_TOKEN}
   node dist/bin/havenspurctl.js status
--- a/bin/start_daemon.ts
+++ b/bin/start_daemon.ts
@@ -26,6 +26,7 @@
 import type { PeerTransport } from "../peers/mod.ts";
 import { createFailure } from "../results/mod.ts";
 import type { Settings } from "../settings/mod.ts";
+import { startHttpGateway } from "./start_http_gateway.ts";
 
 /** Optional parts of a start. */
 export interface StartDaemonOptions {
@@ -39,6 +40,8 @@
 export interface RunningDaemon {
   readonly gateway: Gateway;
   readonly record: InstanceRecord;
+  /** Base URL for plain HTTP calls; `undefined`: not taken. */
+  readonly httpUrl: string | undefined;
   readonly peerBytes: { readonly sent: number; readonly received: number };
   /** Reads the certificates of the settings again. */
   reloadTls(): void;
@@ -104,6 +107,12 @@
     logger,
     metrics,
   });
+  const { http } = settings;
+  const httpGateway = http === undefined ? undefined : await startHttpGateway(
+    { ...settings, http },
+    gateway.configuration,
+    logger,
+  );
   await transport.open((heartbeat) => gateway.receiveHeartbeat(heartbeat));
   serving.handle = createHandler(gateway);
   gateway.start(signal);
@@ -120,6 +129,7 @@
   return {
     gateway,
     record,
+    httpUrl: httpGateway?.url,
     peerBytes: transport.bytes,
     reloadTls: () => reloadTls(settings, listener, logger),
     leave: async () => {
@@ -129,10 +139,16 @@
         () => patience.abort(),
         signal,
       );
-      await gateway.leave(patience.signal);
+      await Promise.all([
+        gateway.leave(patience.signal),
+        httpGateway?.leave(settings.limits.drain_timeout_ms),
+      ]);
       await close(() => listener.close());
     },
-    kill: () => close(() => listener.destroy()),
+    kill: async () => {
+      httpGateway?.kill();
+      await close(() => listener.destroy());
+    },
   };
 }
 
--- a/bin/start_deployment.ts
+++ b/bin/start_deployment.ts
@@ -16,8 +16,11 @@
   PlainServer,
   PlatformServer,
 } from "../standin/mod.ts";
+import { findFreePort } from "../standin/free_port.ts";
 import { type RunningDaemon, startDaemon } from "./start_daemon.ts";
 
+const LOOPBACK = "127.0.0.1";
+
 /** Schema of the file that describes the stand-ins of a deployment. */
 export const STANDINS_SCHEMA = z.strictObject({
   platform: z.strictObject({ port: z.number().int().min(0).max(65_535) }),
@@ -176,10 +179,13 @@
   );
   const { platform } = standins;
   const files = readdirSync(join(directory, "daemons")).sort();
-  const settings = files.map((file) => {
-    const read = readSettingsFile(join(directory, "daemons", file));
-    return usesFilePorts ? read : withFreePort(read, platform.url);
-  });
+  const read = files.map((file) =>
+    readSettingsFile(join(directory, "daemons", file))
+  );
+  const settings = usesFilePorts
+    ? read
+    : await Promise.all(read.map((each) => withFreePort(each, platform.url)))
+      .then(withSeeds);
   const running = new Map<string, RunningDaemon>();
   const start = async (each: Settings) => {
     const daemon = await startDaemon(each, { writeLog });
@@ -233,9 +239,18 @@
   );
 }
 
-function withFreePort(settings: Settings, platformUrl: string): Settings {
+async function withFreePort(
+  settings: Settings,
+  platformUrl: string,
+): Promise<Settings> {
+  const peerPort = await findFreePort(LOOPBACK);
   return {
     ...settings,
+    http: settings.http && {
+      address: `${LOOPBACK}:0`,
+      peer_address: `${LOOPBACK}:${peerPort}`,
+      seeds: [],
+    },
     listen: { address: "127.0.0.1:0" },
     platform: {
       ...settings.platform,
@@ -246,6 +261,15 @@
   };
 }
 
+/** Each instance is told of the others, as the files do. */
+function withSeeds(list: readonly Settings[]): readonly Settings[] {
+  const seeds = list.flatMap(({ http }) => http?.peer_address ?? []);
+  return list.map((settings) => ({
+    ...settings,
+    http: settings.http && { ...settings.http, seeds },
+  }));
+}
+
 function withStandinUrl(
   standins: RunningStandins,
   resource: DeclaredResource,
--- a/daemon/http_gateway.ts
+++ b/daemon/http_gateway.ts
@@ -19,18 +19,12 @@
   type RepeatBounds,
   type ServerClient,
 } from "../forwarding/mod.ts";
-import type { CallerLimits } from "../http_routes/mod.ts";
+import type { CallerLimits, RouteTable } from "../http_routes/mod.ts";
 import type { RegionId } from "../ids/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import { ServerRegistry } from "../servers/mod.ts";
-import {
-  InstanceEntry,
-  type StateCopy,
-  type StateDecoder,
-  StateFollower,
-} from "../state/mod.ts";
+import type { StateCopy, StateSource } from "../state/mod.ts";
 import type { Result } from "neverthrow";
-import type { RevisionedStore } from "../store/mod.ts";
 
 /** Pause between reports to the own region, in milliseconds: several a second. */
 const REPORT_INTERVAL_MS = 150;
@@ -48,29 +42,40 @@
 const GRACE_MARGIN_MS = 300;
 const DRAIN_CHECK_MS = 50;
 
+/** What a source of routes and servers changes. */
+export interface StateSinks {
+  readonly registry: ServerRegistry;
+  /** Takes each configuration that comes into force. */
+  readonly applyTable: (table: RouteTable) => void;
+  /** Called after each change of the registry. */
+  readonly onServers: () => void;
+}
+
 /** Ports and settings of a gateway. */
 export interface HttpGatewayParts {
   readonly clock: Clock;
   readonly random: Random;
   readonly logger: Logger;
-  readonly store: RevisionedStore;
-  readonly decoder: StateDecoder;
   readonly grammar: CallGrammar;
   /** Sends to backend servers. */
   readonly client: ServerClient;
   /** Sends to other instances. */
   readonly peerClient: ServerClient;
   readonly self: Omit<MemberRecord, "state">;
-  readonly seedHosts: readonly string[];
-  readonly peerPort: number;
-  /** Key and value of the own entry in the store. */
-  readonly entry: { readonly key: string; readonly value: string };
-  readonly statePrefix: string;
+  /** Addresses of a few instances; they may be gone. */
+  readonly seedAddresses: readonly string[];
+  /** Creates the source of routes and servers. */
+  readonly createState: (sinks: StateSinks) => StateSource;
   readonly repeatBounds: RepeatBounds;
   /** Sends a report to other instances. */
-  readonly sendReport: (report: FleetReport, hosts: readonly string[]) => void;
-  /** Reads what another instance knows of the store. */
-  readonly readPeerState: (host: string) => Promise<Result<StateCopy, string>>;
+  readonly sendReport: (
+    report: FleetReport,
+    addresses: readonly string[],
+  ) => void;
+  /** Reads what the instance at an address knows. */
+  readonly readPeerState: (
+    address: string,
+  ) => Promise<Result<StateCopy, string>>;
   /** Takes the bounds on callers of each configuration. */
   readonly applyLimits: (limits: CallerLimits) => void;
   /** Takes the addresses of the servers, after each change. */
@@ -81,10 +86,9 @@
 export class HttpGateway {
   readonly fleet: FleetView;
   readonly forwarder: CallForwarder;
-  readonly follower: StateFollower;
+  readonly state: StateSource;
   readonly registry: ServerRegistry;
   readonly #parts: HttpGatewayParts;
-  readonly #entry: InstanceEntry;
   #ticks = 0;
   #aheadSinceMs: number | undefined;
   #isReadingPeer = false;
@@ -110,16 +114,9 @@
       loads,
       logger,
       repeatBounds: parts.repeatBounds,
-      peerPort: parts.peerPort,
     });
-    this.follower = new StateFollower({
-      store: parts.store,
-      decoder: parts.decoder,
+    this.state = parts.createState({
       registry: this.registry,
-      clock,
-      random,
-      logger,
-      prefix: parts.statePrefix,
       applyTable: (table) => {
         parts.applyLimits(table.configuration.limits);
         this.forwarder.setTable(table);
@@ -127,31 +124,22 @@
       },
       onServers: () => this.#applyServers(),
     });
-    this.#entry = new InstanceEntry({
-      store: parts.store,
-      clock,
-      logger,
-      ...parts.entry,
-      readRevision: () =>
-        this.follower.readEntry(parts.entry.key)?.revision ?? 0,
-    });
   }
 
   /** Whether callers may be sent here. */
   get isReady(): boolean {
-    return this.follower.isLoaded && this.#leavingSinceMs === undefined;
+    return this.state.isLoaded && this.#leavingSinceMs === undefined;
   }
 
-  /** Returns the hosts that a caller of a region may connect to. */
-  pickEntries(region: RegionId): readonly string[] {
+  /** Returns the instances that a caller of a region may connect to. */
+  pickEntries(region: RegionId): readonly MemberRecord[] {
     return pickEntries(this.fleet, region, this.#parts.clock.nowMs());
   }
 
   /** Starts following the store and talking to other instances. */
   start(signal: AbortSignal): void {
     const { clock } = this.#parts;
-    void this.follower.run(signal);
-    this.#entry.start(signal);
+    void this.state.run(signal);
     this.#contactOthers();
     scheduleEvery(clock, REPORT_INTERVAL_MS, () => this.#report(), signal);
     scheduleEvery(
@@ -181,12 +169,12 @@
   }
 
   /** Takes a report of another instance. */
-  receiveReport(report: FleetReport, host: string): void {
+  receiveReport(report: FleetReport, from: string): void {
     const { clock, sendReport } = this.#parts;
     const nowMs = clock.nowMs();
     this.forwarder.learnPrefixes(this.fleet.applyReport(report, nowMs));
     if (report.wantsNews) {
-      sendReport(this.fleet.createAnswer(this.follower.known, nowMs), [host]);
+      sendReport(this.fleet.createAnswer(this.state.known, nowMs), [from]);
     }
   }
 
@@ -204,7 +192,6 @@
     this.fleet.setState("leaving");
     this.#report();
     this.#reportRegion();
-    void this.#entry.remove();
     logger.info("leaving", { inFlight: countOpen() });
     const endMs = startMs + graceMs - GRACE_MARGIN_MS;
     const earliestMs = startMs + LEAVING_TAKES_CALLS_MS;
@@ -231,10 +218,10 @@
     const nowMs = clock.nowMs();
     const near = this.fleet.listLive(nowMs)
       .filter(({ region }) => region === this.fleet.self.region)
-      .map(({ host }) => host);
+      .map(({ address }) => address);
     const prefixes = this.forwarder.takePrefixes();
     sendReport(
-      this.fleet.createReport(this.follower.known, prefixes, nowMs),
+      this.fleet.createReport(this.state.known, prefixes, nowMs),
       near,
     );
     this.#ticks++;
@@ -249,34 +236,38 @@
     if (!this.fleet.isRegionReporter(nowMs)) return;
     const far = this.fleet.listLive(nowMs)
       .filter(({ region }) => region !== this.fleet.self.region)
-      .map(({ host }) => host);
+      .map(({ address }) => address);
     if (far.length === 0) return;
     sendReport(
-      this.fleet.createRegionReport(this.follower.known, nowMs),
+      this.fleet.createRegionReport(this.state.known, nowMs),
       far,
     );
   }
 
   /** Greets instances that are known by address only, and asks whom they know. */
   #contactOthers(): void {
-    const { clock, seedHosts, self, sendReport } = this.#parts;
+    const { clock, seedAddresses, self, sendReport } = this.#parts;
     const nowMs = clock.nowMs();
-    const live = new Set(this.fleet.listLive(nowMs).map(({ host }) => host));
-    const unknown = [...new Set([...seedHosts, ...this.follower.instanceHosts])]
-      .filter((host) => host !== self.host && !live.has(host));
+    const live = new Set(
+      this.fleet.listLive(nowMs).map(({ address }) => address),
+    );
+    const named = [...seedAddresses, ...this.state.instanceAddresses];
+    const unknown = [...new Set(named)].filter((address) =>
+      address !== self.address && !live.has(address)
+    );
     if (unknown.length === 0) return;
-    const report = this.fleet.createAnswer(this.follower.known, nowMs);
+    const report = this.fleet.createAnswer(this.state.known, nowMs);
     sendReport({ ...report, wantsNews: true }, unknown);
   }
 
   #sweep(): void {
     this.fleet.sweep(this.#parts.clock.nowMs());
-    this.follower.sweep();
+    this.state.sweep();
   }
 
   /** Reads the state of a peer that stays ahead: the store may not answer here. */
   #catchUp(nowMs: number): void {
-    const ahead = this.fleet.findAhead(this.follower.known, nowMs);
+    const ahead = this.fleet.findAhead(this.state.known, nowMs);
     if (ahead === undefined) {
       this.#aheadSinceMs = undefined;
       return;
@@ -290,7 +281,7 @@
   async #readPeer(member: MemberRecord): Promise<void> {
     const { logger, readPeerState } = this.#parts;
     this.#isReadingPeer = true;
-    const copy = await readPeerState(member.host);
+    const copy = await readPeerState(member.address);
     this.#isReadingPeer = false;
     if (copy.isErr()) {
       logger.warn("peer state not read", {
@@ -299,7 +290,7 @@
       });
       return;
     }
-    const isNewer = this.follower.applyCopy(copy.value);
+    const isNewer = this.state.applyCopy(copy.value);
     logger.info("peer state read", {
       peer: member.id,
       revision: copy.value.revision,
--- a/daemon/mod.ts
+++ b/daemon/mod.ts
@@ -12,3 +12,4 @@
 export * from "./gateway.ts";
 export * from "./gateway_parts.ts";
 export * from "./http_gateway.ts";
+export * from "./catalog_state.ts";
--- a/fleet/encode_report.ts
+++ b/fleet/encode_report.ts
@@ -22,7 +22,7 @@
 type MemberRow = readonly [
   id: string,
   incarnation: string,
-  host: string,
+  address: string,
   region: string,
   failureDomain: string,
   state: number,
@@ -106,18 +106,25 @@
 }
 
 function toMemberRow(member: MemberRecord): MemberRow {
-  const { id, incarnation, host, region, failureDomain, state } = member;
-  return [id, incarnation, host, region, failureDomain, STATES.indexOf(state)];
+  const { id, incarnation, address, region, failureDomain, state } = member;
+  return [
+    id,
+    incarnation,
+    address,
+    region,
+    failureDomain,
+    STATES.indexOf(state),
+  ];
 }
 
 function fromMemberRow(row: MemberRow): MemberRecord {
-  const [id, incarnation, host, region, failureDomain, state] = row;
+  const [id, incarnation, address, region, failureDomain, state] = row;
   const known = STATES[state];
   if (known === undefined) throw new TypeError(`Unknown state ${state}`);
   return {
     id: toInstanceId(toText(id)),
     incarnation: toText(incarnation),
-    host: toText(host),
+    address: toText(address),
     region: toRegionId(toText(region)),
     failureDomain: toFailureDomainId(toText(failureDomain)),
     state: known,
@@ -146,12 +153,12 @@
 }
 
 function fromNewsRow(row: readonly [...MemberRow, number]): MemberNews {
-  const [id, incarnation, host, region, failureDomain, state, ageMs] = row;
+  const [id, incarnation, address, region, failureDomain, state, ageMs] = row;
   return {
     member: fromMemberRow([
       id,
       incarnation,
-      host,
+      address,
       region,
       failureDomain,
       state,
--- a/fleet/fleet_report.ts
+++ b/fleet/fleet_report.ts
@@ -13,8 +13,8 @@
   readonly id: InstanceId;
   /** Names one start of the process. */
   readonly incarnation: string;
-  /** IP address, without a port: ports are the same on all instances. */
-  readonly host: string;
+  /** IP address and port on which other instances reach it. */
+  readonly address: string;
   readonly region: RegionId;
   readonly failureDomain: FailureDomainId;
   readonly state: MemberState;
--- a/fleet/fleet_view_test.ts
+++ b/fleet/fleet_view_test.ts
@@ -17,7 +17,7 @@
   return {
     id: toInstanceId(name),
     incarnation: "1",
-    host: `host-${name}`,
+    address: `${name}:1`,
     region: NORTH,
     failureDomain: toFailureDomainId("north-a"),
     state,
--- a/forwarding/call_forwarder.ts
+++ b/forwarding/call_forwarder.ts
@@ -65,8 +65,6 @@
   readonly loads: LoadBoard;
   readonly logger: Logger;
   readonly repeatBounds: RepeatBounds;
-  /** Port on which instances take calls of other instances. */
-  readonly peerPort: number;
 }
 
 /** Takes calls, finds a server for each, and passes answers on. */
@@ -425,7 +423,7 @@
       grammar,
       sink: exchange.sink,
       request: {
-        address: `${member.host}:${this.#parts.peerPort}`,
+        address: member.address,
         method: call.method,
         target: call.target,
         headers: [
--- a/forwarding/mod.ts
+++ b/forwarding/mod.ts
@@ -13,6 +13,7 @@
  */
 export * from "./call_grammar.ts";
 export * from "./http_headers.ts";
+export * from "./own_grammar.ts";
 export * from "./server_client.ts";
 export * from "./opaque_call.ts";
 export * from "./refusal.ts";
--- /dev/null
+++ b/forwarding/own_grammar.ts
@@ -0,0 +1,63 @@
+import type {
+  AnswerFacts,
+  CallFacts,
+  CallGrammar,
+  RawHeaders,
+  SendFacts,
+} from "./call_grammar.ts";
+import { isHopHeader } from "./hop_headers.ts";
+import { pickForwarded, readHeader } from "./http_headers.ts";
+
+/** The caller's id of one call, which a server may echo. */
+const CALL_ID = "x-call-id";
+/** Milliseconds that the sender will wait. */
+const REMAINING_MS = "x-deadline-ms";
+/** Id of the backend server that a call is meant for. */
+const SERVER_ID = "x-server-id";
+/** Set by a server that did not run the call. */
+const NOT_RUN = "x-not-run";
+const LAST_EVENT_ID = "last-event-id";
+const MISDIRECTED = 421;
+
+/** The product's own headers, for deployments without another convention. */
+export const OWN_GRAMMAR: CallGrammar = {
+  readCall(headers: RawHeaders): CallFacts {
+    const remaining = readHeader(headers, REMAINING_MS);
+    const remainingMs = Number(remaining);
+    return {
+      callId: readHeader(headers, CALL_ID) ?? "",
+      host: readHeader(headers, "host") ?? "",
+      remainingMs: remaining !== undefined && remainingMs >= 0
+        ? remainingMs
+        : undefined,
+      prompt: undefined,
+      lastEventId: readHeader(headers, LAST_EVENT_ID),
+    };
+  },
+
+  writeSend(headers: RawHeaders, facts: SendFacts): string[] {
+    const kept = pickForwarded(headers, (name) => {
+      const isReplaced = name === REMAINING_MS || name === SERVER_ID ||
+        (name === LAST_EVENT_ID && facts.lastEventId !== undefined);
+      return isReplaced || isHopHeader(name) ? "never" : "unless-named";
+    });
+    kept.push(REMAINING_MS, String(facts.remainingMs));
+    kept.push(SERVER_ID, facts.serverId);
+    if (facts.lastEventId !== undefined) {
+      kept.push(LAST_EVENT_ID, facts.lastEventId);
+    }
+    return kept;
+  },
+
+  readAnswer(status: number, headers: RawHeaders): AnswerFacts {
+    return {
+      callId: readHeader(headers, CALL_ID),
+      // These servers sign nothing: whatever they send is their own.
+      isSigned: true,
+      isNotExecuted: readHeader(headers, NOT_RUN) !== undefined,
+      isOtherServer: status === MISDIRECTED,
+      isCoded: false,
+      coldForMs: undefined,
+    };
+  },
+};
--- a/resources/resource_schemas.ts
+++ b/resources/resource_schemas.ts
@@ -94,6 +94,31 @@
   leaving: z.boolean().default(false),
 });
 
+const httpRoute = z.strictObject({
+  /** Host of the calls, without a port. */
+  host: z.string().min(1).max(253),
+  /** Path of the calls; the longest that fits wins. */
+  pathPrefix: z.string().regex(/^\/(.*\/)?$/, {
+    message: "must begin and end with a slash",
+  }),
+  routeClass: z.enum(["idempotent", "non-idempotent", "stream"])
+    .default("non-idempotent"),
+  timeoutMs: z.number().int().min(10).max(600_000).default(10_000),
+  /** Response-time objective; of a stream, to its first event. */
+  targetMs: z.number().int().min(1).max(600_000).default(1_000),
+  /** Rank of the calls; 0 is the most urgent. */
+  priority: z.number().int().min(0).max(9).default(0),
+  /** Plain services that share the calls, by weight. */
+  services: z.array(z.strictObject({
+    service: resourceName,
+    weight: z.number().min(0).default(1),
+  })).min(1),
+  maxAttempts: z.number().int().min(1).max(10).default(1),
+  /** Whether a broken stream may go on at another server. */
+  resumable: z.boolean().default(false),
+  residency: resourceName.optional(),
+});
+
 /** The schema of each kind of resource. */
 export const RESOURCE_SCHEMAS = {
   "service": service,
@@ -106,6 +131,7 @@
   "team": team,
   "engine": engine,
   "plain-server": plainServer,
+  "http-route": httpRoute,
 } as const;
 
 /** The declared state of each kind of resource. */
--- a/resources/validate_changes.ts
+++ b/resources/validate_changes.ts
@@ -166,6 +166,15 @@
       return toOne("service", "service");
     case "plain-server":
       return toOne("service", "plain-service");
+    case "http-route":
+      return [
+        ...toOne("residency", "residency"),
+        ...((fields.services ?? []) as readonly { readonly service: string }[])
+          .map(({ service }) => ({
+            kinds: ["plain-service"] as const,
+            name: service,
+          })),
+      ];
     case "model":
     case "residency":
       return [];
--- a/settings/settings.ts
+++ b/settings/settings.ts
@@ -35,6 +35,15 @@
     /** Calls a second that all daemons together may make. */
     store_calls_per_second: z.number().positive().max(100_000).default(300),
   }),
+  /** Plain HTTP calls, passed on unchanged as routes declare. Default: not taken. */
+  http: z.strictObject({
+    /** Address for callers. */
+    address,
+    /** Address for other instances: calls over TCP, reports over UDP. */
+    peer_address: address,
+    /** Such addresses of a few other instances. */
+    seeds: z.array(address).default([]),
+  }).optional(),
   tokens: z.strictObject({
     /** SHA-256 of the first operators' token. */
     operator_hash: hash,
--- a/state/mod.ts
+++ b/state/mod.ts
@@ -10,5 +10,6 @@
  * @module
  */
 export * from "./state_change.ts";
+export * from "./state_source.ts";
 export * from "./state_follower.ts";
 export * from "./instance_entry.ts";
--- a/state/state_change.ts
+++ b/state/state_change.ts
@@ -13,7 +13,7 @@
   /** The servers of a failure domain are to get nothing. */
   | { readonly kind: "evacuation"; readonly failureDomain: FailureDomainId }
   /** Where another instance can be reached. */
-  | { readonly kind: "instance"; readonly host: string }
+  | { readonly kind: "instance"; readonly address: string }
   /** Nothing that is followed here. */
   | { readonly kind: "other" };
 
--- a/state/state_follower.ts
+++ b/state/state_follower.ts
@@ -11,6 +11,7 @@
   StoreSnapshot,
 } from "../store/mod.ts";
 import type { StateDecoder, StateDocument } from "./state_change.ts";
+import type { StateCopy, StateSource } from "./state_source.ts";
 
 /** How long one watch waits at the store, in milliseconds: a lost answer is noticed that late. */
 const WATCH_WAIT_MS = 5_000;
@@ -47,12 +48,6 @@
   readonly onServers: () => void;
 }
 
-/** Everything that an instance knows of the store, to hand to another one. */
-export interface StateCopy {
-  readonly revision: number;
-  readonly entries: readonly StoreEntry[];
-}
-
 interface Held {
   readonly entry: StoreEntry;
   readonly document: StateDocument;
@@ -67,7 +62,7 @@
  * change has the store's revision, and nothing at or below the revision that is
  * in force is applied again. A configuration needs a higher version as well.
  */
-export class StateFollower {
+export class StateFollower implements StateSource {
   readonly #parts: StateFollowerParts;
   readonly #held = new Map<string, Held>();
   #revision = 0;
@@ -99,10 +94,10 @@
     return this.#isReachable;
   }
 
-  /** Hosts of instances that have an entry in the store. */
-  get instanceHosts(): readonly string[] {
+  /** Addresses of instances that have an entry in the store. */
+  get instanceAddresses(): readonly string[] {
     return this.#documents().flatMap((document) =>
-      document.kind === "instance" ? [document.host] : []
+      document.kind === "instance" ? [document.address] : []
     );
   }
 
--- a/tests/http_gateway_fixture.ts
+++ b/tests/http_gateway_fixture.ts
@@ -1,6 +1,3 @@
-import type { AddressInfo } from "node:net";
-import { createServer } from "node:net";
-import { once } from "node:events";
 import { err } from "neverthrow";
 import { CallListener } from "../adapters/call_listener.ts";
 import { ConnectionPool } from "../adapters/connection_pool.ts";
@@ -11,7 +8,9 @@
 import { toFailureDomainId, toInstanceId, toRegionId } from "../ids/mod.ts";
 import { createSilentLogger } from "../logs/mod.ts";
 import { createDocumentDecoder, PLATFORM_GRAMMAR } from "../platform/mod.ts";
+import { findFreePort } from "../standin/free_port.ts";
 import { MemoryStore } from "../standin/mod.ts";
+import { StateFollower } from "../state/mod.ts";
 
 /** A route as a test declares it; what it leaves out has a usual value. */
 export interface RouteFixture {
@@ -74,22 +73,27 @@
     clock: systemClock,
     random: createRandom(7),
     logger: createSilentLogger(),
-    store: new MemoryStore(systemClock),
-    decoder: createDocumentDecoder(REGIONS),
     grammar: PLATFORM_GRAMMAR,
     client: pool,
     peerClient: pool,
     self: {
       id: toInstanceId(`instance-${host}`),
       incarnation: "1",
-      host,
+      address: `${host}:${peerPort}`,
       region: toRegionId(region),
       failureDomain: toFailureDomainId(`${region}-a`),
     },
-    seedHosts: [],
-    peerPort,
-    entry: { key: "own", value: "{}" },
-    statePrefix: "",
+    seedAddresses: [],
+    createState: (sinks) =>
+      new StateFollower({
+        ...sinks,
+        store: new MemoryStore(systemClock),
+        decoder: createDocumentDecoder(REGIONS),
+        clock: systemClock,
+        random: createRandom(7),
+        logger: createSilentLogger(),
+        prefix: "",
+      }),
     repeatBounds: { ratio: 0.2, slack: 58, windowMs: 10_000 },
     sendReport: () => {},
     readPeerState: () => Promise.resolve(err("no peer")),
@@ -115,7 +119,7 @@
   const port = await callers.open();
   await peers.open();
   const configure: GatewayFixture["configure"] = (version, changed) => {
-    gateway.follower.applyCopy(toCopy(version, { ...parts, ...changed }));
+    gateway.state.applyCopy(toCopy(version, { ...parts, ...changed }));
   };
   configure(1, {});
   return {
@@ -131,16 +135,6 @@
   };
 }
 
-/** Returns a port that is free on a loopback address. */
-export async function findFreePort(host: string): Promise<number> {
-  const server = createServer().listen(0, host);
-  await once(server, "listening");
-  const { port } = server.address() as AddressInfo;
-  server.close();
-  await once(server, "close");
-  return port;
-}
-
 function toCopy(version: number, parts: GatewayFixtureParts) {
   const names = new Set(parts.routes.map(({ service }) => service ?? "app"));
   const configuration = {
--- a/tests/region_hop_test.ts
+++ b/tests/region_hop_test.ts
@@ -1,11 +1,11 @@
 import assert from "node:assert/strict";
 import { afterEach, describe, it } from "node:test";
+import { findFreePort } from "../standin/free_port.ts";
 import { type FleetReport } from "../fleet/mod.ts";
 import { toFailureDomainId, toInstanceId, toRegionId } from "../ids/mod.ts";
 import {
   createAnswer,
   createRequest,
-  findFreePort,
   type GatewayFixture,
   startGateway,
 } from "./http_gateway_fixture.ts";
@@ -22,12 +22,12 @@
 const FAR_HOST = "127.0.0.2";
 
 /** What the far instance says of itself. */
-function createFarReport(name = FAR_HOST): FleetReport {
+function createFarReport(peerPort: number, name = FAR_HOST): FleetReport {
   return {
     from: {
       id: toInstanceId(`instance-${name}`),
       incarnation: "1",
-      host: FAR_HOST,
+      address: `${FAR_HOST}:${peerPort}`,
       region: toRegionId("south"),
       failureDomain: toFailureDomainId("south-a"),
       state: "ready",
@@ -77,7 +77,7 @@
     region: "south",
   });
   const near = await startGateway(shared);
-  near.gateway.receiveReport(createFarReport(), FAR_HOST);
+  near.gateway.receiveReport(createFarReport(peerPort), FAR_HOST);
   CLEAN_UPS.push(
     () => near.close(),
     () => far.close(),
@@ -203,7 +203,10 @@
       serverCount: 2,
     });
     // A second instance of the far region takes the call over.
-    near.gateway.receiveReport(createFarReport("other"), FAR_HOST);
+    near.gateway.receiveReport(
+      createFarReport(near.peerPort, "other"),
+      FAR_HOST,
+    );
     const answer = await ask(near.port);
     const ids = [...answer.matchAll(/^id: (\d)$/gm)].map(([, id]) => id);
     assert.deepEqual(ids, ["1", "2"]);
