--- a/daemon/http_gateway.ts
+++ b/daemon/http_gateway.ts
@@ -10,6 +10,7 @@
   FleetView,
   LoadBoard,
   type MemberRecord,
+  type ReportedPrefix,
 } from "../fleet/mod.ts";
 import {
   CallForwarder,
@@ -30,6 +31,8 @@
 const REPORT_INTERVAL_MS = 150;
 /** One report of the region to the others in so many reports: bytes between regions are dear. */
 const REGION_REPORT_EVERY = 2;
+/** Prompt parts that one report of the region names at the most: it stays within one packet. */
+const MAX_REGION_PREFIXES = 16;
 /** Pause between attempts to reach instances that are known by address only, in milliseconds. */
 const CONTACT_INTERVAL_MS = 500;
 /** How long a peer must be ahead before its state is read, in milliseconds: the own watch is most often as quick. */
@@ -89,6 +92,7 @@
   readonly state: StateSource;
   readonly registry: ServerRegistry;
   readonly #parts: HttpGatewayParts;
+  #regionPrefixes: readonly ReportedPrefix[] = [];
   #ticks = 0;
   #aheadSinceMs: number | undefined;
   #isReadingPeer = false;
@@ -172,7 +176,11 @@
   receiveReport(report: FleetReport, from: string): void {
     const { clock, sendReport } = this.#parts;
     const nowMs = clock.nowMs();
-    this.forwarder.learnPrefixes(this.fleet.applyReport(report, nowMs));
+    const prefixes = this.fleet.applyReport(report, nowMs);
+    this.forwarder.learnPrefixes(prefixes);
+    if (report.from.region === this.fleet.self.region) {
+      this.#gatherForRegion(prefixes);
+    }
     if (report.wantsNews) {
       sendReport(this.fleet.createAnswer(this.state.known, nowMs), [from]);
     }
@@ -220,6 +228,7 @@
       .filter(({ region }) => region === this.fleet.self.region)
       .map(({ address }) => address);
     const prefixes = this.forwarder.takePrefixes();
+    this.#gatherForRegion(prefixes);
     sendReport(
       this.fleet.createReport(this.state.known, prefixes, nowMs),
       near,
@@ -239,9 +248,20 @@
       .map(({ address }) => address);
     if (far.length === 0) return;
     sendReport(
-      this.fleet.createRegionReport(this.state.known, nowMs),
+      this.fleet.createRegionReport(
+        this.state.known,
+        this.#regionPrefixes,
+        nowMs,
+      ),
       far,
     );
+    this.#regionPrefixes = [];
+  }
+
+  /** Keeps what the instances of the region sent to servers, for the other regions. */
+  #gatherForRegion(prefixes: readonly ReportedPrefix[]): void {
+    this.#regionPrefixes = [...this.#regionPrefixes, ...prefixes]
+      .slice(-MAX_REGION_PREFIXES);
   }
 
   /** Greets instances that are known by address only, and asks whom they know. */
--- a/fleet/fleet_view.ts
+++ b/fleet/fleet_view.ts
@@ -226,12 +226,16 @@
   }
 
   /** Returns what to tell other regions of the own one. */
-  createRegionReport(known: KnownState, nowMs: number): FleetReport {
+  createRegionReport(
+    known: KnownState,
+    prefixes: readonly ReportedPrefix[],
+    nowMs: number,
+  ): FleetReport {
     const near = [...this.#seen.values()].filter((seen) =>
       seen.member.region === this.#self.region && this.#isLive(seen, nowMs)
     );
     return {
-      ...this.createReport(known, [], nowMs),
+      ...this.createReport(known, prefixes, nowMs),
       scope: "region",
       loads: this.#loads.listNear(),
       news: near.slice(0, NEWS_PER_REPORT).map((seen) => toNews(seen, nowMs)),
--- a/forwarding/choose_place.ts
+++ b/forwarding/choose_place.ts
@@ -80,8 +80,8 @@
     const marginMs = AWAY_MARGIN * exchange.route.targetMs;
     const staysHere = here !== undefined &&
       (away === undefined ||
-        here.estimateMs <= away.totalMs + marginMs);
-    return staysHere ? { kind: "here", candidate: here! } : away!.place;
+        here.costMs <= away.candidate.costMs + marginMs);
+    return staysHere ? { kind: "here", candidate: here! } : away!;
   }
 
   /** Learns how long the way to another region and back takes. */
@@ -104,27 +104,21 @@
     needs: CallNeeds,
     regions: readonly RegionId[],
     nowMs: number,
-  ):
-    | {
-      readonly place: Extract<Place, { kind: "away" }>;
-      readonly totalMs: number;
-    }
-    | undefined {
+  ): Extract<Place, { kind: "away" }> | undefined {
     const { fleet, random, servers } = this.#parts;
     const options = regions.flatMap((region) => {
       const candidate = servers.choose(needs, region, nowMs, {
         extraTokens: this.#tokensUnderWay.get(region) ?? 0,
+        wayMs: this.#readRoundTrip(region),
       });
       if (candidate === undefined) return [];
       const members = fleet.listReady(region, nowMs)
         .filter(({ id }) => !exchange.avoidedInstances.has(id));
       const member = pickRandom(members, random);
       if (member === undefined) return [];
-      const place = { kind: "away", member, region, candidate } as const;
-      const totalMs = candidate.estimateMs + this.#readRoundTrip(region);
-      return [{ place, totalMs }];
+      return [{ kind: "away", member, region, candidate } as const];
     });
-    return options.sort((a, b) => a.totalMs - b.totalMs)[0];
+    return options.sort((a, b) => a.candidate.costMs - b.candidate.costMs)[0];
   }
 
   #hasServers(
@@ -156,12 +150,13 @@
 }
 
 function toNeeds(exchange: Exchange): CallNeeds {
-  const { facts, parts, service, tried } = exchange;
+  const { facts, parts, route, service, tried } = exchange;
   return {
     service,
     parts,
     promptTokens: facts.prompt?.promptTokens ?? 0,
     maxOutputTokens: facts.prompt?.maxOutputTokens ?? 0,
+    targetMs: route.targetMs,
     tried,
   };
 }
--- a/forwarding/choose_server.ts
+++ b/forwarding/choose_server.ts
@@ -25,6 +25,18 @@
  * known to hold, in milliseconds: it gathers calls that begin alike.
  */
 const FIRST_RANK_BONUS_MS = 40;
+/**
+ * Cost of reading a shared part again, in milliseconds a token, beside the time
+ * that it takes: it holds up the prompts behind it, and evicts what others share.
+ */
+const REREAD_COST_MS_PER_TOKEN = 0.03;
+/**
+ * Part of the objective from which an estimate counts as probably late: estimates
+ * are off by what arrives in the meantime.
+ */
+const SAFE_PART_OF_TARGET = 0.6;
+/** Cost of each millisecond beyond that, beside the millisecond. */
+const LATENESS_WEIGHT = 2;
 
 /** What a choice needs to know of a call. */
 export interface CallNeeds {
@@ -32,6 +44,8 @@
   readonly parts: readonly PlacedPart[];
   readonly promptTokens: number;
   readonly maxOutputTokens: number;
+  /** Response-time objective, in milliseconds. */
+  readonly targetMs: number;
   /** Servers that had the call before. */
   readonly tried: ReadonlySet<BackendId>;
 }
@@ -41,16 +55,24 @@
   readonly server: KnownServer;
   /** Estimated time to the first byte, in milliseconds. */
   readonly estimateMs: number;
+  /** What choices compare: the estimate, and what the call costs others. */
+  readonly costMs: number;
   /** Tokens of the prompt that the server has to read. */
   readonly unreadTokens: number;
+  /** Those of them that other calls share. */
+  readonly unreadSharedTokens: number;
   /** Tokens of memory that the call will hold beside what is cached. */
   readonly memoryTokens: number;
 }
 
+type Judged = Omit<Candidate, "costMs">;
+
 /** Optional parts of a choice. */
 export interface ChooseServerOptions {
   /** Prompt tokens on their way to the region, which no report counts yet. Default: none. */
   readonly extraTokens?: number;
+  /** Time to the region and back, in milliseconds. Default: none. */
+  readonly wayMs?: number;
 }
 
 /** What choices are made from. */
@@ -98,17 +120,19 @@
     const first = this.#findFirstRank(needs, considered);
     const extraTokens = (options.extraTokens ?? 0) /
       Math.max(1, considered.length);
-    const candidates = considered.flatMap((server) =>
-      this.#judge(needs, server, nowMs, extraTokens) ?? []
-    );
     const meanFailures = this.#computeMeanFailures(considered);
-    const cost = ({ server, estimateMs }: Candidate) =>
-      estimateMs - (server.entry.id === first ? FIRST_RANK_BONUS_MS : 0) +
-      FAILURE_PENALTY_MS *
-        Math.max(0, health.readFailureShare(server.entry.id) - meanFailures);
+    const candidates = considered.flatMap((server) => {
+      const judged = this.#judge(needs, server, nowMs, extraTokens);
+      if (judged === undefined) return [];
+      const bonusMs = server.entry.id === first ? FIRST_RANK_BONUS_MS : 0;
+      const failures = health.readFailureShare(server.entry.id) - meanFailures;
+      const costMs = computeCost(judged, needs, options.wayMs ?? 0) -
+        bonusMs + FAILURE_PENALTY_MS * Math.max(0, failures);
+      return [{ ...judged, costMs }];
+    });
     return candidates.reduce<Candidate | undefined>(
       (best, each) =>
-        best === undefined || cost(each) < cost(best) ? each : best,
+        best === undefined || each.costMs < best.costMs ? each : best,
       undefined,
     );
   }
@@ -124,7 +148,7 @@
     server: KnownServer,
     nowMs: number,
     extraTokens: number,
-  ): Candidate | undefined {
+  ): Judged | undefined {
     const { entry } = server;
     const { service } = needs;
     const { loads, prefixes, speeds, warmUp } = this.#parts;
@@ -137,12 +161,19 @@
     const cached = prefixes.countCached(entry.id, needs.parts);
     const unreadTokens = Math.max(1, needs.promptTokens - cached);
     const memoryTokens = unreadTokens + needs.maxOutputTokens;
+    const unreadSharedTokens = countShared(needs.parts) - cached;
     if (service.engine === undefined) {
       if (load.calls >= entry.slots * CALLS_PER_PLAIN_SLOT) return undefined;
       const waiting = Math.max(0, load.calls + 1 - entry.slots);
       const oneMs = speeds.estimateMs(entry.id, service.name, 0);
       const estimateMs = oneMs * (1 + waiting / entry.slots);
-      return { server, estimateMs, unreadTokens, memoryTokens };
+      return {
+        server,
+        estimateMs,
+        unreadTokens,
+        unreadSharedTokens: 0,
+        memoryTokens,
+      };
     }
     const { cacheTokens, maxSequences } = service.engine;
     const isEmpty = load.calls === 0;
@@ -154,15 +185,20 @@
       service.name,
       load.pendingTokens + extraTokens + unreadTokens,
     );
-    return { server, estimateMs, unreadTokens, memoryTokens };
+    return {
+      server,
+      estimateMs,
+      unreadTokens,
+      unreadSharedTokens: Math.max(0, unreadSharedTokens),
+      memoryTokens,
+    };
   }
 
   #findFirstRank(
     needs: CallNeeds,
     servers: readonly KnownServer[],
   ): BackendId | undefined {
-    // The last part is the caller's own: nobody else's call begins with it.
-    const part = needs.parts.length > 1 ? needs.parts[0] : undefined;
+    const part = needs.parts.find(({ isShared }) => isShared);
     if (part === undefined) return undefined;
     return servers.map(({ entry }) => entry.id).reduce<BackendId | undefined>(
       (best, id) =>
@@ -182,3 +218,15 @@
     return shares.reduce((sum, share) => sum + share, 0) / servers.length;
   }
 }
+
+function countShared(parts: readonly PlacedPart[]): number {
+  return parts.filter(({ isShared }) => isShared)
+    .reduce((sum, { tokens }) => sum + tokens, 0);
+}
+
+function computeCost(judged: Judged, needs: CallNeeds, wayMs: number): number {
+  const totalMs = judged.estimateMs + wayMs;
+  const lateMs = Math.max(0, totalMs - SAFE_PART_OF_TARGET * needs.targetMs);
+  return totalMs + LATENESS_WEIGHT * lateMs +
+    REREAD_COST_MS_PER_TOKEN * judged.unreadSharedTokens;
+}
--- a/forwarding/prefix_memory.ts
+++ b/forwarding/prefix_memory.ts
@@ -12,6 +12,8 @@
   /** Names this part and all before it. */
   readonly key: string;
   readonly tokens: number;
+  /** Whether other calls may begin with it: the last part is the caller's own. */
+  readonly isShared: boolean;
 }
 
 /**
@@ -24,9 +26,9 @@
   parts: readonly PromptPart[],
 ): readonly PlacedPart[] {
   let key = "";
-  return parts.map(({ id, tokens }) => {
+  return parts.map(({ id, tokens }, index) => {
     key = key === "" ? id : `${key}.${id}`;
-    return { key, tokens };
+    return { key, tokens, isShared: index < parts.length - 1 };
   }).filter(({ tokens }) => tokens >= LEAST_PART_TOKENS);
 }
 
@@ -57,7 +59,11 @@
    * @param part Which.
    * @param capacityTokens What the server's memory holds.
    */
-  record(server: BackendId, part: PlacedPart, capacityTokens: number): void {
+  record(
+    server: BackendId,
+    part: Pick<PlacedPart, "key" | "tokens">,
+    capacityTokens: number,
+  ): void {
     const held = this.#byServer.get(server) ?? new Map<string, number>();
     this.#byServer.set(server, held);
     const before = held.get(part.key) ?? 0;
--- a/forwarding/prefix_memory_test.ts
+++ b/forwarding/prefix_memory_test.ts
@@ -13,8 +13,8 @@
       { id: "c", tokens: 500 },
     ]);
     assert.deepEqual(placed, [
-      { key: "a", tokens: 800 },
-      { key: "a.b.c", tokens: 500 },
+      { key: "a", tokens: 800, isShared: true },
+      { key: "a.b.c", tokens: 500, isShared: false },
     ]);
   });
 });
