--- a/daemon/catalog_state.ts
+++ b/daemon/catalog_state.ts
@@ -102,6 +102,7 @@
     routeClass: spec.routeClass,
     timeoutMs: spec.timeoutMs,
     targetMs: spec.targetMs,
+    longestGapMs: undefined,
     priority: spec.priority,
     services: spec.services,
     maxAttempts: spec.maxAttempts,
--- a/forwarding/call_forwarder.ts
+++ b/forwarding/call_forwarder.ts
@@ -239,6 +239,7 @@
       service,
       sink,
       parts: placeParts(facts.prompt?.parts ?? []),
+      leastGapMs: this.#table.findLeastGapMs(service.name),
       dueMs,
       signal: given.signal,
       progress: {
--- a/forwarding/choose_place.ts
+++ b/forwarding/choose_place.ts
@@ -150,13 +150,14 @@
 }
 
 function toNeeds(exchange: Exchange): CallNeeds {
-  const { facts, parts, route, service, tried } = exchange;
+  const { facts, leastGapMs, parts, route, service, tried } = exchange;
   return {
     service,
     parts,
     promptTokens: facts.prompt?.promptTokens ?? 0,
     maxOutputTokens: facts.prompt?.maxOutputTokens ?? 0,
     targetMs: route.targetMs,
+    leastGapMs,
     tried,
   };
 }
--- a/forwarding/choose_server.ts
+++ b/forwarding/choose_server.ts
@@ -46,6 +46,8 @@
   readonly maxOutputTokens: number;
   /** Response-time objective, in milliseconds. */
   readonly targetMs: number;
+  /** Shortest pause that streams of the service must keep, in milliseconds. */
+  readonly leastGapMs: number | undefined;
   /** Servers that had the call before. */
   readonly tried: ReadonlySet<BackendId>;
 }
@@ -59,12 +61,23 @@
   readonly costMs: number;
   /** Tokens of the prompt that the server has to read. */
   readonly unreadTokens: number;
+  /** Running streams that would pause too long while the prompt is read. */
+  readonly heldUpStreams: number;
   /** Those of them that other calls share. */
   readonly unreadSharedTokens: number;
   /** Tokens of memory that the call will hold beside what is cached. */
   readonly memoryTokens: number;
 }
 
+/**
+ * Part of the shortest pause between events that prompts may be read without a
+ * pause: an engine reads prompts between the tokens of running streams, which
+ * all wait meanwhile.
+ */
+const READING_PART_OF_GAP = 0.8;
+/** Cost of each stream that is held up beyond that, in milliseconds. */
+const HELD_UP_STREAM_COST_MS = 20;
+
 type Judged = Omit<Candidate, "costMs">;
 
 /** Optional parts of a choice. */
@@ -172,6 +185,7 @@
         estimateMs,
         unreadTokens,
         unreadSharedTokens: 0,
+        heldUpStreams: 0,
         memoryTokens,
       };
     }
@@ -185,11 +199,17 @@
       service.name,
       load.pendingTokens + extraTokens + unreadTokens,
     );
+    const leastGapMs = needs.leastGapMs ?? Number.POSITIVE_INFINITY;
+    const readingMs = estimateMs -
+      speeds.estimateMs(entry.id, service.name, 0);
     return {
       server,
       estimateMs,
       unreadTokens,
       unreadSharedTokens: Math.max(0, unreadSharedTokens),
+      heldUpStreams: readingMs > READING_PART_OF_GAP * leastGapMs
+        ? load.calls
+        : 0,
       memoryTokens,
     };
   }
@@ -228,5 +248,6 @@
   const totalMs = judged.estimateMs + wayMs;
   const lateMs = Math.max(0, totalMs - SAFE_PART_OF_TARGET * needs.targetMs);
   return totalMs + LATENESS_WEIGHT * lateMs +
-    REREAD_COST_MS_PER_TOKEN * judged.unreadSharedTokens;
+    REREAD_COST_MS_PER_TOKEN * judged.unreadSharedTokens +
+    HELD_UP_STREAM_COST_MS * judged.heldUpStreams;
 }
--- a/forwarding/exchange.ts
+++ b/forwarding/exchange.ts
@@ -13,6 +13,8 @@
   readonly service: HttpService;
   readonly sink: CallSink;
   readonly parts: readonly PlacedPart[];
+  /** Shortest pause that streams of the service must keep, in milliseconds. */
+  readonly leastGapMs: number | undefined;
   /** When the call is of no use any more, on the own clock. */
   readonly dueMs: number;
   /** Aborts when the caller leaves or the time is out. */
--- a/http_routes/http_route.ts
+++ b/http_routes/http_route.ts
@@ -28,6 +28,8 @@
   readonly timeoutMs: number;
   /** Response-time objective, in milliseconds; of a stream, to its first event. */
   readonly targetMs: number;
+  /** Longest pause between events for which a stream is on time, in milliseconds. Default: no bound. */
+  readonly longestGapMs: number | undefined;
   /** Rank of the calls: 0 is the most urgent. */
   readonly priority: number;
   readonly services: readonly WeightedService[];
--- a/http_routes/route_table.ts
+++ b/http_routes/route_table.ts
@@ -9,6 +9,7 @@
   readonly configuration: RouteConfiguration;
   readonly #routesByHost: ReadonlyMap<string, ReadonlyMap<string, HttpRoute>>;
   readonly #services: ReadonlyMap<string, HttpService>;
+  readonly #leastGapMs: ReadonlyMap<string, number>;
 
   /** @param configuration Routes and services. */
   constructor(configuration: RouteConfiguration) {
@@ -19,6 +20,7 @@
       hosts.set(route.host, prefixes.set(route.pathPrefix, route));
     });
     this.#routesByHost = hosts;
+    this.#leastGapMs = listLeastGaps(configuration.routes);
     this.#services = new Map(
       configuration.services.map((service) => [service.name, service]),
     );
@@ -47,12 +49,31 @@
     return undefined;
   }
 
+  /** Returns the shortest pause that streams of a service must keep, in milliseconds. */
+  findLeastGapMs(service: string): number | undefined {
+    return this.#leastGapMs.get(service);
+  }
+
   /** Returns a service by its name. */
   findService(name: string): HttpService | undefined {
     return this.#services.get(name);
   }
 }
 
+function listLeastGaps(
+  routes: readonly HttpRoute[],
+): ReadonlyMap<string, number> {
+  const gaps = new Map<string, number>();
+  routes.forEach(({ longestGapMs, services }) => {
+    if (longestGapMs === undefined) return;
+    services.forEach(({ service }) => {
+      const known = gaps.get(service) ?? longestGapMs;
+      gaps.set(service, Math.min(known, longestGapMs));
+    });
+  });
+  return gaps;
+}
+
 /**
  * Picks one of the services that share a route.
  *
