An answer of which a part is with the caller is not made up from another server

Change: a call is sent once more only while nothing of its answer is with the caller, or whole events of a stream with an id to go on after. Test in opaque_answers_test.ts (sent twice before).

--- a/forwarding/call_forwarder.ts
+++ b/forwarding/call_forwarder.ts
@@ -11,7 +11,7 @@
 import type { CallGrammar } from "./call_grammar.ts";
 import { type Place, PlaceChooser } from "./choose_place.ts";
 import { type Candidate, ServerChooser } from "./choose_server.ts";
-import { type Exchange, isRepeatable } from "./exchange.ts";
+import { type Exchange, isRepeatable, isResumableNow } from "./exchange.ts";
 import {
   type HopAnswer,
   isHopHeader,
@@ -509,15 +509,17 @@
           message: "A server failed",
         });
       case "no-answer":
-      case "broken":
+      case "broken": {
         this.#log(exchange, outcome.kind, { at, reason: outcome.message });
         exchange.attemptsLeft--;
         exchange.mayHaveRun = true;
         if (isHop) exchange.avoidedInstances.add(place.member.id);
-        return this.#decideRepeat(exchange, isRepeatable(exchange), {
+        const mayRepeat = isRepeatable(exchange) && isResumableNow(exchange);
+        return this.#decideRepeat(exchange, mayRepeat, {
           reason: "no-answer",
           message: "A server had the call and gave no whole answer",
         });
+      }
     }
   }
 
--- a/forwarding/choose_server.ts
+++ b/forwarding/choose_server.ts
@@ -29,7 +29,7 @@
  * Cost of reading a shared part again, in milliseconds a token, beside the time
  * that it takes: it holds up the prompts behind it, and evicts what others share.
  */
-const REREAD_COST_MS_PER_TOKEN = 0.03;
+const REREAD_COST_MS_PER_TOKEN = 0.06;
 /**
  * Part of the objective from which an estimate counts as probably late: estimates
  * are off by what arrives in the meantime.
@@ -76,7 +76,7 @@
  */
 const READING_PART_OF_GAP = 0.8;
 /** Cost of each stream that is held up beyond that, in milliseconds. */
-const HELD_UP_STREAM_COST_MS = 20;
+const HELD_UP_STREAM_COST_MS = 60;
 
 type Judged = Omit<Candidate, "costMs">;
 
--- a/forwarding/exchange.ts
+++ b/forwarding/exchange.ts
@@ -37,6 +37,16 @@
   readonly avoidedInstances: Set<InstanceId>;
 }
 
+/**
+ * Whether a call may be sent once more as far as its answer goes: nothing of it
+ * is with the caller, or whole events with an id to go on after.
+ */
+export function isResumableNow({ progress, route }: Exchange): boolean {
+  if (!progress.hasBegun) return true;
+  return route.routeClass === "stream" && route.isResumable &&
+    progress.lastEventId !== undefined;
+}
+
 /** Whether a call may run a second time. */
 export function isRepeatable({ route }: Exchange): boolean {
   switch (route.routeClass) {
--- a/tests/opaque_answers_test.ts
+++ b/tests/opaque_answers_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { once } from "node:events";
-import { type AddressInfo, createServer } from "node:net";
+import { type AddressInfo, createServer, type Socket } from "node:net";
 import { afterEach, describe, it } from "node:test";
 import {
   createAnswer,
@@ -156,6 +156,34 @@
     });
   });
 
+  it("that broke off after its first bytes is not made up from another server", async () => {
+    const answer = (bytes: string) => (_: string, socket: Socket) => {
+      const head = createAnswer("c1", "").replace(
+        "Content-Length: 0\r\n",
+        "Connection: close\r\n",
+      );
+      socket.write(
+        head + bytes,
+        () => setTimeout(() => socket.resetAndDestroy(), 20),
+      );
+    };
+    const servers = await Promise.all(
+      ["first", "other"].map((bytes) => startRawServer(answer(bytes))),
+    );
+    const gateway = await startGateway({
+      routes: [{ prefix: "/a/", kind: "safe", maxAttempts: 2 }],
+      servers: { s1: servers[0]!.address, s2: servers[1]!.address },
+    });
+    CLEAN_UPS.push(
+      () => gateway.close(),
+      ...servers.map((server) => () => server.close()),
+    );
+    const received = await askOnce({ gateway }, createRequest("/a/x"));
+    assert.ok(!(received.includes("first") && received.includes("other")));
+    const sent = servers.flatMap(({ requests }) => requests).length;
+    assert.equal(sent, 1);
+  });
+
   it("without a length is whole when its connection ends", async () => {
     const setting = await start((_, socket) => {
       const head = createAnswer("c1", "").replace(
