Metrics, settings that change live, an explanation of a call from logs

Cause: the platform's program had no metrics, took a changed settings file only by a log line, and logs had to be read by hand.

--- a/bin/havenspur_platform.ts
+++ b/bin/havenspur_platform.ts
@@ -1,4 +1,12 @@
 #!/usr/bin/env node
-import { runInstance } from "../platform/run_instance.ts";
+import { checkSettings, runInstance } from "../platform/run_instance.ts";
+import { EXIT_CODES } from "./exit_codes.ts";
 
-await runInstance();
+// Two words need no argument parser, which a start on a small machine would pay for.
+const [option, path] = process.argv.slice(2);
+if (option === "--check-settings") {
+  process.exitCode = checkSettings(path) ? EXIT_CODES.OK : EXIT_CODES.USAGE;
+} else if (option !== undefined) {
+  console.error("Usage: havenspur_platform [--check-settings [FILE]]");
+  process.exitCode = EXIT_CODES.USAGE;
+} else await runInstance();
--- a/bin/havenspurctl.ts
+++ b/bin/havenspurctl.ts
@@ -1,7 +1,9 @@
 #!/usr/bin/env node
 import { Command } from "commander";
+import { readFileSync } from "node:fs";
 import { isDeepStrictEqual } from "node:util";
 import { err, ok, type Result } from "neverthrow";
+import { explainCall } from "../logs/mod.ts";
 import { EXIT_CODES } from "./exit_codes.ts";
 import { formatTable } from "./format_table.ts";
 import { OperatorClient, type OperatorFailure } from "./operator_client.ts";
@@ -55,9 +57,11 @@
 type Outcome = Result<unknown, OperatorFailure>;
 
 const WAIT_INTERVAL_MS = 200;
+/** File descriptor of the standard input. */
+const STANDARD_INPUT = 0;
 const KINDS =
   "service, plain-service, model, adapter, version, residency, placement, team, " +
-  "engine, plain-server";
+  "engine, plain-server, http-route";
 
 const program = new Command("havenspurctl")
   .description("Declares resources of havenspur, and shows what is in force.")
@@ -289,6 +293,30 @@
     );
   }));
 
+program.command("explain")
+  .description(
+    "Shows from logs what became of a call, and what its instances had learned.",
+  )
+  .argument("<call>", "the caller's id of the call")
+  .option(
+    "-l, --log <file>",
+    "file with log lines; - is the standard input",
+    "-",
+  )
+  .action((call: string, options: { readonly log: string }) => {
+    const source = options.log === "-" ? STANDARD_INPUT : options.log;
+    const explained = explainCall(
+      readFileSync(source, "utf8").split("\n"),
+      call,
+    );
+    if (explained.length === 0) {
+      console.error(`No line names call "${call}"`);
+      process.exitCode = EXIT_CODES.REFUSED;
+      return;
+    }
+    console.log(explained.join("\n"));
+  });
+
 program.command("log-level")
   .description("Sets the level of the log of the daemon at --server.")
   .argument("<level>", "trace, debug, info, warn, error or silent")
--- a/bin/start_daemon.ts
+++ b/bin/start_daemon.ts
@@ -111,7 +111,7 @@
   const httpGateway = http === undefined ? undefined : await startHttpGateway(
     { ...settings, http },
     gateway.configuration,
-    logger,
+    { logger, metrics },
   );
   await transport.open((heartbeat) => gateway.receiveHeartbeat(heartbeat));
   serving.handle = createHandler(gateway);
--- a/bin/start_http_gateway.ts
+++ b/bin/start_http_gateway.ts
@@ -9,6 +9,7 @@
 import { OWN_GRAMMAR, readHop } from "../forwarding/mod.ts";
 import { toFailureDomainId, toInstanceId, toRegionId } from "../ids/mod.ts";
 import type { Logger } from "../logs/mod.ts";
+import type { Metrics } from "../metrics/mod.ts";
 import type { Settings } from "../settings/mod.ts";
 
 /** Repeated sends that all instances together may make, where no operator says it. */
@@ -29,12 +30,15 @@
  *
  * @param settings With the `http` section.
  * @param configuration What is in force at the daemon.
- * @param logger Where decisions are told.
+ * @param told Where decisions are told.
  */
 export async function startHttpGateway(
   settings: Settings & { readonly http: NonNullable<Settings["http"]> },
   configuration: ConfigurationState,
-  logger: Logger,
+  { logger, metrics }: {
+    readonly logger: Logger;
+    readonly metrics: Metrics;
+  },
 ): Promise<RunningHttpGateway> {
   const { http, instance } = settings;
   const ended = new AbortController();
@@ -45,6 +49,7 @@
     clock: systemClock,
     random,
     logger,
+    metrics,
     grammar: OWN_GRAMMAR,
     client: new ConnectionPool(),
     peerClient: new ConnectionPool(),
--- a/daemon/catalog_state.ts
+++ b/daemon/catalog_state.ts
@@ -56,6 +56,10 @@
     return this.#configuration.isLoaded;
   }
 
+  get isReachable(): boolean {
+    return this.#configuration.isLoaded;
+  }
+
   /** The daemon spreads its configuration itself: there is nothing to copy. */
   createCopy(): StateCopy {
     return { revision: 0, entries: [] };
--- a/daemon/http_gateway.ts
+++ b/daemon/http_gateway.ts
@@ -23,6 +23,7 @@
 import type { CallerLimits, RouteTable } from "../http_routes/mod.ts";
 import type { RegionId } from "../ids/mod.ts";
 import type { Logger } from "../logs/mod.ts";
+import type { Metrics } from "../metrics/mod.ts";
 import { ServerRegistry } from "../servers/mod.ts";
 import type { StateCopy, StateSource } from "../state/mod.ts";
 import type { Result } from "neverthrow";
@@ -59,6 +60,7 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly logger: Logger;
+  readonly metrics: Metrics;
   readonly grammar: CallGrammar;
   /** Sends to backend servers. */
   readonly client: ServerClient;
@@ -85,6 +87,12 @@
   readonly applyAddresses: (addresses: ReadonlySet<string>) => void;
 }
 
+/** Settings of a gateway that can change while it runs. */
+export type LiveSettings = Pick<
+  HttpGatewayParts,
+  "seedAddresses" | "repeatBounds"
+>;
+
 /** One instance that forwards plain HTTP calls, without its sockets. */
 export class HttpGateway {
   readonly fleet: FleetView;
@@ -93,6 +101,7 @@
   readonly registry: ServerRegistry;
   readonly #parts: HttpGatewayParts;
   #regionPrefixes: readonly ReportedPrefix[] = [];
+  #seedAddresses: readonly string[];
   #ticks = 0;
   #aheadSinceMs: number | undefined;
   #isReadingPeer = false;
@@ -102,6 +111,7 @@
   constructor(parts: HttpGatewayParts) {
     const { clock, logger, random } = parts;
     this.#parts = parts;
+    this.#seedAddresses = parts.seedAddresses;
     const loads = new LoadBoard();
     this.fleet = new FleetView({ self: parts.self, loads });
     this.registry = new ServerRegistry({
@@ -117,6 +127,7 @@
       fleet: this.fleet,
       loads,
       logger,
+      metrics: parts.metrics,
       repeatBounds: parts.repeatBounds,
     });
     this.state = parts.createState({
@@ -155,6 +166,12 @@
     scheduleEvery(clock, SWEEP_INTERVAL_MS, () => this.#sweep(), signal);
   }
 
+  /** Takes settings that can change while it runs. */
+  applySettings(settings: LiveSettings): void {
+    this.#seedAddresses = settings.seedAddresses;
+    this.forwarder.setRepeatBounds(settings.repeatBounds);
+  }
+
   /** Serves one call. */
   async handle(call: OpaqueCall, sink: CallSink): Promise<void> {
     const { clock } = this.#parts;
@@ -266,12 +283,12 @@
 
   /** Greets instances that are known by address only, and asks whom they know. */
   #contactOthers(): void {
-    const { clock, seedAddresses, self, sendReport } = this.#parts;
+    const { clock, self, sendReport } = this.#parts;
     const nowMs = clock.nowMs();
     const live = new Set(
       this.fleet.listLive(nowMs).map(({ address }) => address),
     );
-    const named = [...seedAddresses, ...this.state.instanceAddresses];
+    const named = [...this.#seedAddresses, ...this.state.instanceAddresses];
     const unknown = [...new Set(named)].filter((address) =>
       address !== self.address && !live.has(address)
     );
@@ -281,8 +298,17 @@
   }
 
   #sweep(): void {
-    this.fleet.sweep(this.#parts.clock.nowMs());
+    const { clock, metrics } = this.#parts;
+    const nowMs = clock.nowMs();
+    this.fleet.sweep(nowMs);
     this.state.sweep();
+    const { configurationVersion, storeRevision } = this.state.known;
+    metrics.gauge("call.in_flight", this.forwarder.inFlight);
+    metrics.gauge("call.waiting", this.forwarder.waiting);
+    metrics.gauge("state.configuration_version", configurationVersion);
+    metrics.gauge("state.store_revision", storeRevision);
+    metrics.gauge("state.store_reachable", this.state.isReachable ? 1 : 0);
+    metrics.gauge("fleet.live", this.fleet.countAll(nowMs));
   }
 
   /** Reads the state of a peer that stays ahead: the store may not answer here. */
--- a/forwarding/call_forwarder.ts
+++ b/forwarding/call_forwarder.ts
@@ -7,6 +7,7 @@
 import { pickService, type RouteTable } from "../http_routes/mod.ts";
 import type { BackendId } from "../ids/mod.ts";
 import type { Logger } from "../logs/mod.ts";
+import type { Metrics } from "../metrics/mod.ts";
 import type { ServerRegistry } from "../servers/mod.ts";
 import type { CallGrammar } from "./call_grammar.ts";
 import { type Place, PlaceChooser } from "./choose_place.ts";
@@ -64,6 +65,7 @@
   readonly fleet: FleetView;
   readonly loads: LoadBoard;
   readonly logger: Logger;
+  readonly metrics: Metrics;
   readonly repeatBounds: RepeatBounds;
 }
 
@@ -77,6 +79,7 @@
   readonly #warmUp = new WarmUpGate();
   readonly #line: WaitingLine;
   readonly #repeats = new Map<string, RepeatBudget>();
+  #repeatBounds: RepeatBounds;
   #unreported: readonly ReportedPrefix[] = [];
   #table: RouteTable | undefined;
   #inFlight = 0;
@@ -85,6 +88,7 @@
   constructor(parts: CallForwarderParts) {
     const { fleet, loads, random, registry } = parts;
     this.#parts = parts;
+    this.#repeatBounds = parts.repeatBounds;
     this.#line = new WaitingLine(parts.clock);
     const servers = new ServerChooser({
       ownRegion: fleet.self.region,
@@ -108,6 +112,11 @@
     return this.#inFlight;
   }
 
+  /** Calls that wait for room. */
+  get waiting(): number {
+    return this.#line.length;
+  }
+
   /** Puts a configuration in force. */
   setTable(table: RouteTable): void {
     this.#table = table;
@@ -119,6 +128,12 @@
     return this.#table?.findService(service)?.warmUpMs ?? 0;
   }
 
+  /** Takes other bounds on repeated sends; what was sent so far is forgotten. */
+  setRepeatBounds(bounds: RepeatBounds): void {
+    this.#repeatBounds = bounds;
+    this.#repeats.clear();
+  }
+
   /** Lets waiting calls look for room again. */
   wake(): void {
     this.#line.wakeFirst(WOKEN_AT_ONCE);
@@ -386,9 +401,13 @@
       createMarks: () => this.#markAnswer(call, "answered", exchange.sentTo),
       onFirstByte: () => {
         settlePending();
+        const firstByteMs = clock.nowMs() - startMs;
         this.#speeds.record(entry.id, service.name, {
           tokens: aheadTokens + unreadTokens,
-          firstByteMs: clock.nowMs() - startMs,
+          firstByteMs,
+        });
+        this.#parts.metrics.time("call.first_byte_ms", firstByteMs, {
+          service: service.name,
         });
       },
       signal: exchange.signal,
@@ -412,6 +431,10 @@
     const { call, facts } = exchange;
     const { candidate, member, region } = place;
     const startMs = clock.nowMs();
+    this.#parts.metrics.count("call.away", 1, {
+      service: exchange.service.name,
+      region,
+    });
     this.#places.addUnderWay(region, candidate.unreadTokens);
     let isUnderWay = true;
     const settleUnderWay = () => {
@@ -476,6 +499,7 @@
     const at = isHop ? place.member.id : place.candidate.server.entry.id;
     switch (outcome.kind) {
       case "answered":
+        this.#count(exchange, "answered");
         return true;
       case "given-up":
         exchange.mayHaveRun = true;
@@ -537,7 +561,12 @@
         nowMs,
         fleet.countAll(nowMs),
       );
-    if (isAllowed) return false;
+    if (isAllowed) {
+      this.#parts.metrics.count("call.repeats", 1, {
+        service: exchange.service.name,
+      });
+      return false;
+    }
     this.#finishWithout(exchange, refusal);
     return true;
   }
@@ -549,7 +578,11 @@
     inputs: Readonly<Record<string, string>> = {},
   ): void {
     const { call, heldAnswer, progress, sink } = exchange;
-    if (sink.signal.aborted) return;
+    if (sink.signal.aborted) {
+      this.#count(exchange, "caller-left");
+      return;
+    }
+    this.#count(exchange, refusal.reason);
     if (progress.hasBegun) {
       this.#log(exchange, "answer broken off", { reason: refusal.reason });
       sink.breakOff();
@@ -638,11 +671,19 @@
   #readBudget(service: string): RepeatBudget {
     const known = this.#repeats.get(service);
     if (known !== undefined) return known;
-    const budget = new RepeatBudget(this.#parts.repeatBounds);
+    const budget = new RepeatBudget(this.#repeatBounds);
     this.#repeats.set(service, budget);
     return budget;
   }
 
+  #count(exchange: Exchange, result: string): void {
+    const { clock, metrics } = this.#parts;
+    const service = exchange.service.name;
+    metrics.count("call.count", 1, { service, result });
+    const totalMs = clock.nowMs() - exchange.call.receivedMs;
+    metrics.time("call.total_ms", totalMs, { service });
+  }
+
   #log(
     exchange: Exchange,
     message: string,
--- /dev/null
+++ b/forwarding/choose_server_test.ts
@@ -0,0 +1,175 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { LoadBoard } from "../fleet/mod.ts";
+import type { HttpService } from "../http_routes/mod.ts";
+import { toBackendId, toFailureDomainId, toRegionId } from "../ids/mod.ts";
+import { ServerRegistry } from "../servers/mod.ts";
+import { type CallNeeds, ServerChooser } from "./choose_server.ts";
+import { placeParts, PrefixMemory } from "./prefix_memory.ts";
+import { ServerHealth } from "./server_health.ts";
+import { ServerSpeeds } from "./server_speed.ts";
+import { WarmUpGate } from "./warm_up_gate.ts";
+
+const NORTH = toRegionId("north");
+const ENGINES: HttpService = {
+  name: "lm",
+  maxConnections: 100,
+  warmUpMs: 3_000,
+  warmUpCallsPerSecond: 10,
+  engine: { maxSequences: 4, cacheTokens: 100_000 },
+};
+const PLAIN: HttpService = { ...ENGINES, name: "app", engine: undefined };
+
+function start(servers: readonly string[], coldForMs = 0) {
+  const parts = {
+    ownRegion: NORTH,
+    registry: new ServerRegistry(),
+    loads: new LoadBoard(),
+    speeds: new ServerSpeeds(),
+    health: new ServerHealth(),
+    prefixes: new PrefixMemory(),
+    warmUp: new WarmUpGate(),
+  };
+  servers.forEach((id) =>
+    ["lm", "app"].forEach((service) =>
+      parts.registry.put({
+        id: toBackendId(`${service}-${id}`),
+        service,
+        address: `${id}:1`,
+        failureDomain: toFailureDomainId("north-a"),
+        region: NORTH,
+        slots: 2,
+        isDraining: false,
+        coldForMs,
+      }, 0)
+    )
+  );
+  const chooser = new ServerChooser(parts);
+  const choose = (needs: CallNeeds, nowMs = 10) =>
+    chooser.choose(needs, NORTH, nowMs)?.server.entry.id;
+  return { ...parts, choose };
+}
+
+function createNeeds(more: Partial<CallNeeds> = {}): CallNeeds {
+  return {
+    service: ENGINES,
+    parts: [],
+    promptTokens: 400,
+    maxOutputTokens: 100,
+    targetMs: 1_000,
+    leastGapMs: 400,
+    tried: new Set(),
+    ...more,
+  };
+}
+
+const LONG = createNeeds({
+  promptTokens: 17_000,
+  parts: placeParts([{ id: "shared", tokens: 13_000 }, {
+    id: "own",
+    tokens: 4_000,
+  }]),
+});
+
+describe("ServerChooser", () => {
+  it("prefers the engine with fewer prompt tokens to read", () => {
+    const { choose, loads } = start(["a", "b"]);
+    loads.addOwn(toBackendId("lm-a"), {
+      calls: 1,
+      pendingTokens: 9_000,
+      memoryTokens: 9_000,
+    });
+    assert.equal(choose(createNeeds()), "lm-b");
+  });
+
+  it("prefers the engine that holds the shared part, though it is busier", () => {
+    const { choose, loads, prefixes } = start(["a", "b"]);
+    LONG.parts.forEach((part) =>
+      prefixes.record(toBackendId("lm-a"), part, 90_000)
+    );
+    loads.addOwn(toBackendId("lm-a"), {
+      calls: 2,
+      pendingTokens: 2_000,
+      memoryTokens: 2_000,
+    });
+    assert.equal(choose(LONG), "lm-a");
+  });
+
+  it("gives calls that begin alike to the same engine before any holds the part", () => {
+    const { choose } = start(["a", "b", "c"]);
+    const first = choose(LONG);
+    assert.equal(choose(LONG), first);
+  });
+
+  it("sends a long prompt where it holds up fewer streams", () => {
+    const { choose, loads } = start(["a", "b"]);
+    const reading = { calls: 3, pendingTokens: 1_000, memoryTokens: 1_000 };
+    loads.addOwn(toBackendId("lm-a"), reading);
+    loads.addOwn(toBackendId("lm-b"), { ...reading, calls: 1 });
+    assert.equal(choose(LONG), "lm-b");
+  });
+
+  describe("when an engine is full", () => {
+    it("leaves it out, by sequences", () => {
+      const { choose, loads } = start(["a"]);
+      loads.addOwn(toBackendId("lm-a"), {
+        calls: 4,
+        pendingTokens: 0,
+        memoryTokens: 0,
+      });
+      assert.equal(choose(createNeeds()), undefined);
+    });
+
+    it("leaves it out, by memory", () => {
+      const { choose, loads } = start(["a"]);
+      loads.addOwn(toBackendId("lm-a"), {
+        calls: 1,
+        pendingTokens: 0,
+        memoryTokens: 84_000,
+      });
+      assert.equal(choose(LONG), undefined);
+      assert.equal(choose(createNeeds()), "lm-a");
+    });
+  });
+
+  it("gives a plain server no more than twice its slots", () => {
+    const { choose, loads } = start(["a"]);
+    const needs = createNeeds({ service: PLAIN });
+    loads.addOwn(toBackendId("app-a"), {
+      calls: 3,
+      pendingTokens: 0,
+      memoryTokens: 0,
+    });
+    assert.equal(choose(needs), "app-a");
+    loads.addOwn(toBackendId("app-a"), {
+      calls: 1,
+      pendingTokens: 0,
+      memoryTokens: 0,
+    });
+    assert.equal(choose(needs), undefined);
+  });
+
+  it("lets through to a cold engine what its gate lets through", () => {
+    const { choose, warmUp } = start(["a"], 2_000);
+    const id = toBackendId("lm-a");
+    assert.equal(choose(createNeeds(), 10), id);
+    warmUp.record(id, { callsPerSecond: 10, instances: 3 }, 10);
+    assert.equal(choose(createNeeds(), 100), undefined);
+    assert.equal(choose(createNeeds(), 600), id);
+    warmUp.record(id, { callsPerSecond: 10, instances: 3 }, 1_990);
+    assert.equal(choose(createNeeds(), 2_001), id);
+  });
+
+  it("leaves out servers that had the call, that drain or that do not answer", () => {
+    const { choose, health, registry } = start(["a", "b", "c"]);
+    const known = registry.find(toBackendId("lm-a"))!.entry;
+    registry.put({ ...known, isDraining: true }, 0);
+    [1, 2].forEach((nowMs) =>
+      health.record(toBackendId("lm-b"), "no-answer", nowMs)
+    );
+    assert.equal(choose(createNeeds()), "lm-c");
+    const tried = new Set([toBackendId("lm-c")]);
+    // With no other left, a suspended server is better than none.
+    assert.equal(choose(createNeeds({ tried })), "lm-b");
+  });
+});
--- a/logs/mod.ts
+++ b/logs/mod.ts
@@ -9,3 +9,4 @@
  * @module
  */
 export * from "./logger.ts";
+export * from "./explain_call.ts";
--- a/metrics/metrics.ts
+++ b/metrics/metrics.ts
@@ -16,6 +16,17 @@
   "usage.flush_failed": "counter",
   "batch.items_done": "counter",
   "placement.orders": "counter",
+  "call.count": "counter; tags: service, result",
+  "call.total_ms": "timing; tags: service",
+  "call.first_byte_ms": "timing; tags: service",
+  "call.in_flight": "gauge",
+  "call.waiting": "gauge",
+  "call.repeats": "counter; tags: service",
+  "call.away": "counter; tags: service, region",
+  "state.configuration_version": "gauge",
+  "state.store_revision": "gauge",
+  "state.store_reachable": "gauge; 1 answers, 0 does not",
+  "fleet.live": "gauge",
 } as const;
 
 /** Name of a metric. */
--- a/state/state_source.ts
+++ b/state/state_source.ts
@@ -13,6 +13,8 @@
   readonly known: KnownState;
   /** Whether a configuration is in force. */
   readonly isLoaded: boolean;
+  /** Whether the source answered the last time. */
+  readonly isReachable: boolean;
   /** Addresses of other instances that the source names. */
   readonly instanceAddresses: readonly string[];
   /** Returns a copy for a peer. */
--- a/tests/http_gateway_fixture.ts
+++ b/tests/http_gateway_fixture.ts
@@ -7,6 +7,7 @@
 import { readHop } from "../forwarding/mod.ts";
 import { toFailureDomainId, toInstanceId, toRegionId } from "../ids/mod.ts";
 import { createSilentLogger } from "../logs/mod.ts";
+import { NO_METRICS } from "../metrics/mod.ts";
 import { createDocumentDecoder, PLATFORM_GRAMMAR } from "../platform/mod.ts";
 import { findFreePort } from "../standin/free_port.ts";
 import { MemoryStore } from "../standin/mod.ts";
@@ -73,6 +74,7 @@
     clock: systemClock,
     random: createRandom(7),
     logger: createSilentLogger(),
+    metrics: NO_METRICS,
     grammar: PLATFORM_GRAMMAR,
     client: pool,
     peerClient: pool,
