Silent servers are left after a while; bounds are shared with who fell silent; 421 leaves a server out

Cause: (1) a call to a server that went dark waited for its whole time; (2) an instance that is cut off from its peers took the full rate of a cold server and the whole share of repeats and connections, though its peers use theirs; (3) a server whose address another one has was asked again until its entry lapsed; (4) a caller that stops within a body was waited for without end.

Change: a call that may be repeated is sent elsewhere after four times its estimate and at least half of its objective; shares count members for 30 s after they fell silent; a misdirected call leaves its server out for 4 s; a body has the idle time of the configuration. Tests in opaque_answers_test.ts and fleet_view_test.ts.

--- a/adapters/call_listener.ts
+++ b/adapters/call_listener.ts
@@ -56,7 +56,6 @@
     this.#server = createServer({
       maxHeaderSize: PARSER_HEADER_BYTES,
       connectionsCheckingInterval: CHECK_INTERVAL_MS,
-      requestTimeout: 0,
       noDelay: true,
       keepAlive: true,
       insecureHTTPParser: false,
@@ -87,6 +86,11 @@
     this.#limits = limits;
     this.#server.headersTimeout = limits.headerTimeoutMs;
     this.#server.keepAliveTimeout = limits.idleTimeoutMs;
+    // A caller that stops within a body is as idle as one between two calls.
+    this.#server.requestTimeout = Math.max(
+      limits.idleTimeoutMs,
+      limits.headerTimeoutMs,
+    );
   }
 
   /** Answers that have not left in full yet. */
--- a/fleet/fleet_view.ts
+++ b/fleet/fleet_view.ts
@@ -99,12 +99,16 @@
     return [...new Set([this.#self.region, ...known])];
   }
 
-  /** Number of instances that run in a region, also those that start or leave. */
-  countLive(region: RegionId, nowMs: number): number {
-    const others = this.listLive(nowMs).filter((member) =>
-      member.region === region
+  /**
+   * Number of instances that share a bound, in a region or everywhere. Who fell
+   * silent still counts for a while: behind a cut it uses its share, too.
+   */
+  countSharing(region?: RegionId): number {
+    const others = [...this.#seen.values()].filter(({ member }) =>
+      region === undefined || member.region === region
     );
-    return others.length + (this.#self.region === region ? 1 : 0);
+    const isSelf = region === undefined || this.#self.region === region;
+    return Math.max(1, others.length + (isSelf ? 1 : 0));
   }
 
   /** Number of instances that run anywhere. */
--- a/fleet/fleet_view_test.ts
+++ b/fleet/fleet_view_test.ts
@@ -101,6 +101,18 @@
     assert.deepEqual(listNames(view.listReady(SOUTH, 1_600)), []);
   });
 
+  it("counts members that fell silent among those that share a bound", () => {
+    const view = createView();
+    view.applyReport(createReport(createMember("a"), 1), 0);
+    const far = createMember("far", "ready", { region: SOUTH });
+    view.applyReport(createReport(far, 1), 0);
+    view.sweep(5_000);
+    assert.equal(view.countSharing(NORTH), 2);
+    assert.equal(view.countSharing(), 3);
+    view.sweep(31_000);
+    assert.equal(view.countSharing(), 1);
+  });
+
   it("finds who knows more of the store, of the own region first", () => {
     const view = createView();
     const known = { configurationVersion: 2, storeRevision: 9 };
--- a/forwarding/call_forwarder.ts
+++ b/forwarding/call_forwarder.ts
@@ -37,6 +37,15 @@
  * enough for the caller to be served elsewhere in time.
  */
 const WAIT_PART_OF_TARGET = 0.25;
+/**
+ * Silence after which a call that may be repeated is sent elsewhere: so many times
+ * what its answer was estimated to take, and at least this part of its objective,
+ * so that the second server can still answer in time.
+ */
+const SILENCE_ESTIMATES = 4;
+const SILENCE_PART_OF_TARGET = 0.5;
+/** How long a server is left out whose address another one has, in milliseconds: its entry lapses meanwhile. */
+const REPLACED_PAUSE_MS = 4_000;
 /** When to come back after a refusal for want of room, in milliseconds. */
 const NO_ROOM_RETRY_MS = 150;
 /** When to come back to an instance that knows no configuration yet, in milliseconds. */
@@ -352,7 +361,7 @@
     const { entry } = server;
     const { call, service } = exchange;
     const startMs = clock.nowMs();
-    const instances = fleet.countLive(entry.region, startMs);
+    const instances = fleet.countSharing(entry.region);
     if (startMs < server.coldUntilMs && service.warmUpCallsPerSecond > 0) {
       const callsPerSecond = service.warmUpCallsPerSecond;
       this.#warmUp.record(entry.id, { callsPerSecond, instances }, startMs);
@@ -411,6 +420,8 @@
         });
       },
       signal: exchange.signal,
+      clock,
+      patienceMs: readPatience(exchange, candidate),
     });
     settlePending();
     loads.addOwn(entry.id, {
@@ -480,6 +491,7 @@
       },
       onFirstByte: settleUnderWay,
       signal: exchange.signal,
+      clock,
     });
     settleUnderWay();
     return outcome;
@@ -559,7 +571,7 @@
       !exchange.signal.aborted &&
       this.#readBudget(exchange.service.name).take(
         nowMs,
-        fleet.countAll(nowMs),
+        fleet.countSharing(),
       );
     if (isAllowed) {
       this.#parts.metrics.count("call.repeats", 1, {
@@ -636,6 +648,9 @@
     if (outcome.kind === "rejected" && outcome.coldForMs !== undefined) {
       registry.markCold(server, nowMs + outcome.coldForMs);
     }
+    if (outcome.kind === "rejected" && outcome.isOtherServer) {
+      this.#health.suspend(server, nowMs + REPLACED_PAUSE_MS);
+    }
     const told = toServerOutcome(outcome);
     if (told === undefined) return;
     if (this.#health.record(server, told, nowMs)) {
@@ -704,6 +719,18 @@
   }
 }
 
+/** Only the first send of a call that may be repeated is cut short. */
+function readPatience(
+  exchange: Exchange,
+  { estimateMs }: Candidate,
+): number | undefined {
+  if (!isRepeatable(exchange) || exchange.attemptsLeft < 2) return undefined;
+  return Math.max(
+    SILENCE_ESTIMATES * estimateMs,
+    SILENCE_PART_OF_TARGET * exchange.route.targetMs,
+  );
+}
+
 function toServerOutcome(outcome: AttemptOutcome): ServerOutcome | undefined {
   switch (outcome.kind) {
     case "answered":
--- a/forwarding/run_attempt.ts
+++ b/forwarding/run_attempt.ts
@@ -1,3 +1,4 @@
+import type { Clock } from "../clock/mod.ts";
 import type { CallGrammar, RawHeaders } from "./call_grammar.ts";
 import { EventFramer } from "./event_framer.ts";
 import { isHopHeader, readHopAnswer } from "./hop_headers.ts";
@@ -70,6 +71,12 @@
   readonly onFirstByte: () => void;
   /** Gives the send up. */
   readonly signal: AbortSignal;
+  /**
+   * Silence before the first byte after which the call is sent elsewhere, in
+   * milliseconds. Default: it is waited for as long as the call has time.
+   */
+  readonly patienceMs?: number | undefined;
+  readonly clock: Clock;
 }
 
 const LEAST_FAILURE_STATUS = 500;
@@ -94,6 +101,7 @@
   readonly #parts: AttemptParts;
   readonly #resolve: (outcome: AttemptOutcome) => void;
   readonly #framer: EventFramer | undefined;
+  readonly #patience = new AbortController();
   readonly #giveUp = () => this.#finish({ kind: "given-up" }, true);
   #send: ActiveSend | undefined;
   #head: AnswerHead | undefined;
@@ -113,12 +121,19 @@
   }
 
   start(): void {
-    const { client, request, signal } = this.#parts;
+    const { client, clock, patienceMs, request, signal } = this.#parts;
     if (signal.aborted) {
       this.#finish({ kind: "given-up" });
       return;
     }
     signal.addEventListener("abort", this.#giveUp, { once: true });
+    if (patienceMs !== undefined) {
+      clock.schedule(
+        patienceMs,
+        () => this.#loseAnswer(`The server was silent for ${patienceMs} ms`),
+        this.#patience.signal,
+      );
+    }
     this.#send = client.send(request, this);
     if (this.#isFinished) this.#send.abort();
   }
@@ -229,6 +244,7 @@
   #noteFirstByte(): void {
     if (this.#hasFirstByte) return;
     this.#hasFirstByte = true;
+    this.#patience.abort("answered");
     this.#parts.onFirstByte();
   }
 
@@ -256,6 +272,7 @@
   #finish(outcome: AttemptOutcome, isAborted = false): void {
     if (this.#isFinished) return;
     this.#isFinished = true;
+    this.#patience.abort("finished");
     this.#parts.signal.removeEventListener("abort", this.#giveUp);
     if (isAborted) this.#send?.abort();
     this.#resolve(outcome);
--- a/forwarding/server_health.ts
+++ b/forwarding/server_health.ts
@@ -36,6 +36,13 @@
     return nowMs < (this.#byServer.get(server)?.suspendedUntilMs ?? 0);
   }
 
+  /** Leaves a server out until a time. */
+  suspend(server: BackendId, untilMs: number): void {
+    const health = this.#byServer.get(server) ?? createHealth();
+    this.#byServer.set(server, health);
+    health.suspendedUntilMs = Math.max(health.suspendedUntilMs, untilMs);
+  }
+
   /** Returns the running share of calls that failed at a server, from 0 to 1. */
   readFailureShare(server: BackendId): number {
     return this.#byServer.get(server)?.failureShare ?? 0;
--- a/tests/http_gateway_fixture.ts
+++ b/tests/http_gateway_fixture.ts
@@ -18,6 +18,8 @@
   readonly prefix: string;
   readonly kind?: "safe" | "unsafe" | "streaming";
   readonly timeoutMs?: number;
+  /** Response-time objective, in milliseconds. Default: 2,000. */
+  readonly targetMs?: number;
   readonly maxAttempts?: number;
   readonly resumable?: boolean;
   readonly service?: string;
@@ -141,12 +143,12 @@
   const names = new Set(parts.routes.map(({ service }) => service ?? "app"));
   const configuration = {
     version,
-    routes: parts.routes.map((route, index) => ({
+    routes: parts.routes.map(({ targetMs = 2_000, ...route }, index) => ({
       name: `route-${index}`,
       host: TEST_HOST,
       kind: "safe",
       timeoutMs: 5_000,
-      targetLatencyMs: 2_000,
+      targetLatencyMs: targetMs,
       service: "app",
       maxAttempts: 1,
       ...route,
--- a/tests/opaque_answers_test.ts
+++ b/tests/opaque_answers_test.ts
@@ -184,6 +184,30 @@
     assert.equal(sent, 1);
   });
 
+  it("of a server that stays silent is taken from another one, where the call may be repeated", async () => {
+    const silent = await startRawServer(() => {});
+    const sound = await startRawServer((_, socket) =>
+      socket.write(createAnswer("c1", "sound"))
+    );
+    const gateway = await startGateway({
+      routes: [{ prefix: "/a/", kind: "safe", maxAttempts: 2, targetMs: 100 }],
+      servers: { s1: silent.address, s2: sound.address },
+    });
+    CLEAN_UPS.push(
+      () => gateway.close(),
+      () => silent.close(),
+      () => sound.close(),
+    );
+    // Whichever server is asked first, both callers get the sound one's answer.
+    for (const callId of ["c1", "c1"]) {
+      const answer = await askOnce(
+        { gateway },
+        createRequest("/a/x", { callId }),
+      );
+      assert.equal(readBody(answer), "sound");
+    }
+  });
+
   it("without a length is whole when its connection ends", async () => {
     const setting = await start((_, socket) => {
       const head = createAnswer("c1", "").replace(
