--- /dev/null
+++ b/tests/platform_processes_test.ts
@@ -0,0 +1,208 @@
+import assert from "node:assert/strict";
+import { type ChildProcess, spawn } from "node:child_process";
+import { once } from "node:events";
+import { mkdtempSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { afterEach, describe, it } from "node:test";
+import { fileURLToPath } from "node:url";
+import { request } from "undici";
+import { systemClock } from "../adapters/system_clock.ts";
+import { findFreePort } from "../standin/free_port.ts";
+import { MemoryStore } from "../standin/memory_store.ts";
+import { startStoreStandin } from "../standin/platform_store_server.ts";
+import {
+  createAnswer,
+  createRequest,
+  TEST_HOST,
+} from "./http_gateway_fixture.ts";
+import { openRawCaller, startRawServer } from "./raw_http.ts";
+
+const PROGRAM = fileURLToPath(
+  new URL("../bin/havenspur_platform.js", import.meta.url),
+);
+const CLEAN_UPS: (() => void)[] = [];
+afterEach(() => CLEAN_UPS.splice(0).forEach((cleanUp) => cleanUp()));
+
+interface Instance {
+  readonly process: ChildProcess;
+  readonly host: string;
+  readonly ports: Ports;
+}
+
+interface Ports {
+  readonly callers: number;
+  readonly readiness: number;
+  readonly directory: number;
+  readonly control: number;
+  readonly peers: number;
+}
+
+async function findPorts(): Promise<Ports> {
+  const [callers, readiness, directory, control, peers] = await Promise.all(
+    Array.from({ length: 5 }, () => findFreePort("127.0.0.1")),
+  );
+  return {
+    callers: callers!,
+    readiness: readiness!,
+    directory: directory!,
+    control: control!,
+    peers: peers!,
+  };
+}
+
+function startInstance(
+  name: string,
+  host: string,
+  ports: Ports,
+  storeAddress: string,
+): Instance {
+  const path = join(mkdtempSync(join(tmpdir(), "instance-")), "node.conf");
+  writeFileSync(
+    path,
+    [
+      `nodeName=${name}`,
+      `ipAddress=${host}`,
+      "zone=north-a",
+      "region=north",
+      "zones.north-a=north",
+      `listen.front=${host}:${ports.callers}`,
+      `listen.ready=${host}:${ports.readiness}`,
+      `listen.directory=${host}:${ports.directory}`,
+      `listen.control=${host}:${ports.control}`,
+      `internalPorts=${ports.peers},${ports.peers}`,
+      `seeds=127.0.0.1:${ports.control}`,
+      "bounds.graceS=8",
+      `platform.address=${storeAddress}`,
+    ].join("\n"),
+  );
+  const child = spawn(process.execPath, [PROGRAM], {
+    env: { PATH: process.env.PATH, HAVENSPUR_SETTINGS: path },
+    stdio: ["ignore", "ignore", "inherit"],
+  });
+  CLEAN_UPS.push(() => child.kill("SIGKILL"));
+  return { process: child, host, ports };
+}
+
+async function readStatus(url: string): Promise<number> {
+  try {
+    const { statusCode, body } = await request(url);
+    await body.dump();
+    return statusCode;
+  } catch {
+    // Not listening yet, or not any more.
+    return 0;
+  }
+}
+
+async function awaitThat(isSo: () => Promise<boolean>): Promise<void> {
+  while (!await isSo()) await new Promise((resolve) => setTimeout(resolve, 30));
+}
+
+function awaitReady({ host, ports }: Instance): Promise<void> {
+  const url = `http://${host}:${ports.readiness}/havenspur/readiness`;
+  return awaitThat(async () => await readStatus(url) === 200);
+}
+
+async function listEntries(
+  { host, ports }: Instance,
+): Promise<readonly string[]> {
+  const url = `http://${host}:${ports.directory}/havenspur/resolve` +
+    `?name=${TEST_HOST}&region=north&zone=north-a`;
+  const { statusCode, body } = await request(url);
+  if (statusCode !== 200) {
+    await body.dump();
+    return [];
+  }
+  const answer = await body.json() as { readonly addresses: readonly string[] };
+  return [...answer.addresses].sort();
+}
+
+async function startPlatform(answer: Parameters<typeof startRawServer>[0]) {
+  const server = await startRawServer(answer);
+  const store = new MemoryStore(systemClock);
+  const standin = await startStoreStandin(store);
+  CLEAN_UPS.push(() => standin.close(), () => server.close());
+  const put = async (key: string, value: unknown) => {
+    const known = (await store.read(key))._unsafeUnwrap();
+    await store.swap({
+      key,
+      value: JSON.stringify(value),
+      expectedRevision: known?.revision ?? 0,
+    });
+  };
+  await put("servers/s1", {
+    service: "app",
+    address: server.address,
+    zone: "north-a",
+    slots: 8,
+    state: "ready",
+  });
+  await put("op/config", {
+    version: 1,
+    routes: [{
+      name: "r",
+      host: TEST_HOST,
+      prefix: "/a/",
+      kind: "unsafe",
+      timeoutMs: 5_000,
+      service: "app",
+    }],
+    services: [{ name: "app" }],
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 100_000,
+      headerTimeoutMs: 3_000,
+      idleTimeoutMs: 15_000,
+    },
+  });
+  return { store, standin, server };
+}
+
+describe("two instances as processes of their own", () => {
+  it("serve, name each other in the directory, and cut nothing when one leaves", async () => {
+    let finish = () => {};
+    const { standin } = await startPlatform((_, socket) => {
+      finish = () => socket.write(createAnswer("c1", "late but whole"));
+    });
+    const ports = await findPorts();
+    const first = startInstance("a", "127.0.0.1", ports, standin.address);
+    const second = startInstance("b", "127.0.0.2", ports, standin.address);
+    await Promise.all([awaitReady(first), awaitReady(second)]);
+    const both = [first, second].map(({ host }) => `${host}:${ports.callers}`);
+    await awaitThat(async () =>
+      (await listEntries(first)).join() === both.join()
+    );
+    const caller = await openRawCaller(ports.callers, second.host);
+    CLEAN_UPS.push(() => caller.socket.destroy());
+    caller.socket.write(
+      createRequest("/a/x", { method: "POST", body: "change" }),
+    );
+    await awaitThat(() => Promise.resolve(String(finish).includes("write")));
+    second.process.kill("SIGTERM");
+    await awaitThat(async () => (await listEntries(first)).join() === both[0]);
+    const url = `http://${second.host}:${ports.readiness}/havenspur/readiness`;
+    assert.equal(await readStatus(url), 503);
+    finish();
+    const answer = await caller.awaitText("late but whole");
+    assert.match(answer, /^HTTP\/1\.1 200 OK/);
+    const [code] = await once(second.process, "exit");
+    assert.equal(code, 0);
+  });
+
+  it("learn the state from each other when one starts without the store", async () => {
+    const { standin } = await startPlatform((_, socket) =>
+      socket.write(createAnswer("c1", "served"))
+    );
+    const ports = await findPorts();
+    const first = startInstance("a", "127.0.0.1", ports, standin.address);
+    await awaitReady(first);
+    const nowhere = `127.0.0.1:${await findFreePort("127.0.0.1")}`;
+    const second = startInstance("b", "127.0.0.2", ports, nowhere);
+    await awaitReady(second);
+    const caller = await openRawCaller(ports.callers, second.host);
+    CLEAN_UPS.push(() => caller.socket.destroy());
+    caller.socket.write(createRequest("/a/x"));
+    assert.match(await caller.awaitText("served"), /^HTTP\/1\.1 200 OK/);
+  });
+});
