--- a/spec/state_spec.ts
+++ b/spec/state_spec.ts
@@ -129,13 +129,25 @@
   ];
   const ofInstances = instances.flatMap(({ watchAfter }, index) => [
     ...copies.map((_, at) => ({ type: `take(${index},${at})` })),
-    ...(watchAfter === undefined ? [] : [{ type: `watch(${index})` }]),
+    ...(watchAfter === undefined
+      ? []
+      : listAnswers(watchAfter, writes.length).map((upTo) => ({
+        type: `watch(${index},${upTo})`,
+      }))),
     ...(copies.length < MAX_COPIES ? [{ type: `copy(${index})` }] : []),
     ...(restarts < 1 ? [{ type: `restart(${index})` }] : []),
   ]);
   return [...ofStore, ...ofInstances];
 }
 
+/** Revisions that an answer to a watch may end at: it may have been on its way for a while. */
+function listAnswers(after: number, newest: number): readonly number[] {
+  return Array.from(
+    { length: newest - after },
+    (_, index) => after + 1 + index,
+  );
+}
+
 function applyEvent(
   state: StateSpecState,
   event: SpecEvent,
@@ -168,7 +180,7 @@
     case "take":
       return withInstance(takeCopy(instance, copies[at]!, faults));
     case "watch":
-      return withInstance(watch(state, instance, faults));
+      return withInstance(watch(state, instance, at, faults));
     default:
       throw new Error(`Unknown event ${event.type}`);
   }
@@ -191,6 +203,7 @@
 function watch(
   { compacted, writes }: StateSpecState,
   instance: SpecInstance,
+  upTo: number,
   faults: StateFaults,
 ): SpecInstance {
   const after = instance.watchAfter ?? 0;
@@ -205,7 +218,7 @@
   const events = writes.map((write, position) => ({
     write,
     revision: position + 1,
-  })).filter(({ revision }) => revision > after);
+  })).filter(({ revision }) => revision > after && revision <= upTo);
   const fresh = faults.appliesOldChanges
     ? events
     : pickFresh(instance.view.revision, events);
@@ -213,7 +226,7 @@
     (known, { revision, write }) => applyWrite(known, write, revision, writes),
     instance.view,
   );
-  return record({ ...instance, watchAfter: writes.length }, view);
+  return record({ ...instance, watchAfter: upTo }, view);
 }
 
 function applyWrite(
