Ports of tests and of the embedded deployment are no longer found and then lost

Its log has EADDRINUSE at a child: a port that was free when it was asked for had gone to another test's process before the child opened it, and the test waited for readiness without end. The embedded deployment found its ports in the same way.

Change: tests listen on loopback addresses that only their process uses; the embedded deployment opens port 0 and tells its instances each other's addresses; a test fails at once when its instance has ended.

--- a/bench/opaque_bench.ts
+++ b/bench/opaque_bench.ts
@@ -38,8 +38,8 @@
     const round = { ...kind, durationMs: ROUND_MS };
     const busyMs = { bare: 0, gateway: 0 };
     for (let count = 0; count <= ROUNDS; count++) {
-      const bareMs = await measure(load, round, bare.port);
-      const gatewayMs = await measure(load, round, gateway.port);
+      const bareMs = await measure(load, round, bare);
+      const gatewayMs = await measure(load, round, gateway);
       // The first round warms up caches and the compiler.
       if (count === 0) continue;
       busyMs.bare += bareMs;
@@ -72,11 +72,14 @@
 async function measure(
   load: Worker,
   kind: Omit<OpaqueRound, "url"> & { readonly path: string },
-  port: number,
+  { host = "127.0.0.1", port }: {
+    readonly host?: string;
+    readonly port: number;
+  },
 ): Promise<number> {
   const { path, ...round } = kind;
   const start = performance.eventLoopUtilization();
-  load.postMessage({ ...round, url: `http://127.0.0.1:${port}${path}` });
+  load.postMessage({ ...round, url: `http://${host}:${port}${path}` });
   const [whole] = await once(load, "message") as [number];
   const busy = performance.eventLoopUtilization(start).active;
   const wanted = Math.floor((round.rate * round.durationMs) / 1_000);
--- a/bin/check_deployment.ts
+++ b/bin/check_deployment.ts
@@ -121,9 +121,12 @@
         kind === "http-route"
       );
       const path = `${route?.spec.pathPrefix}7?full=1`;
-      const answer = await request(`${deployment.daemons[4]!.httpUrl}${path}`, {
-        headers: { host: String(route?.spec.host) },
-      });
+      const answer = await request(
+        `${deployment.daemons[4]!.http?.url}${path}`,
+        {
+          headers: { host: String(route?.spec.host) },
+        },
+      );
       const text = await answer.body.text();
       return answer.statusCode === 200 && text.includes(path)
         ? undefined
--- a/bin/havenspur_embedded.ts
+++ b/bin/havenspur_embedded.ts
@@ -91,7 +91,7 @@
 
 Call a plain service as an HTTP route declares it, bytes unchanged:
   curl ${
-  deployment.daemons[0]!.httpUrl
+  deployment.daemons[0]!.http?.url
 }${route?.spec.pathPrefix}7 -H 'host: ${route?.spec.host}'
 
 What to try next:
--- a/bin/start_daemon.ts
+++ b/bin/start_daemon.ts
@@ -26,7 +26,10 @@
 import type { PeerTransport } from "../peers/mod.ts";
 import { createFailure } from "../results/mod.ts";
 import type { Settings } from "../settings/mod.ts";
-import { startHttpGateway } from "./start_http_gateway.ts";
+import {
+  type RunningHttpGateway,
+  startHttpGateway,
+} from "./start_http_gateway.ts";
 
 /** Optional parts of a start. */
 export interface StartDaemonOptions {
@@ -40,8 +43,8 @@
 export interface RunningDaemon {
   readonly gateway: Gateway;
   readonly record: InstanceRecord;
-  /** Base URL for plain HTTP calls; `undefined`: not taken. */
-  readonly httpUrl: string | undefined;
+  /** The part for plain HTTP calls; `undefined`: they are not taken. */
+  readonly http: RunningHttpGateway | undefined;
   readonly peerBytes: { readonly sent: number; readonly received: number };
   /** Reads the certificates of the settings again. */
   reloadTls(): void;
@@ -129,7 +132,7 @@
   return {
     gateway,
     record,
-    httpUrl: httpGateway?.url,
+    http: httpGateway,
     peerBytes: transport.bytes,
     reloadTls: () => reloadTls(settings, listener, logger),
     leave: async () => {
--- a/bin/start_deployment.ts
+++ b/bin/start_deployment.ts
@@ -16,7 +16,6 @@
   PlainServer,
   PlatformServer,
 } from "../standin/mod.ts";
-import { findFreePort } from "../standin/free_port.ts";
 import { type RunningDaemon, startDaemon } from "./start_daemon.ts";
 
 const LOOPBACK = "127.0.0.1";
@@ -184,8 +183,7 @@
   );
   const settings = usesFilePorts
     ? read
-    : await Promise.all(read.map((each) => withFreePort(each, platform.url)))
-      .then(withSeeds);
+    : read.map((each) => withFreePort(each, platform.url));
   const running = new Map<string, RunningDaemon>();
   const start = async (each: Settings) => {
     const daemon = await startDaemon(each, { writeLog });
@@ -204,6 +202,7 @@
     })));
   const daemons = settings.map(({ instance }) => running.get(instance.id)!);
   listInstances(daemons);
+  shareSeeds(daemons);
   return {
     standins,
     daemons,
@@ -214,6 +213,7 @@
       const known = settings.find(({ instance }) => instance.id === id)!;
       const daemon = await start(known);
       listInstances([...running.values()]);
+      shareSeeds([...running.values()]);
       return daemon;
     },
     stop: async () => {
@@ -239,16 +239,12 @@
   );
 }
 
-async function withFreePort(
-  settings: Settings,
-  platformUrl: string,
-): Promise<Settings> {
-  const peerPort = await findFreePort(LOOPBACK);
+function withFreePort(settings: Settings, platformUrl: string): Settings {
   return {
     ...settings,
     http: settings.http && {
       address: `${LOOPBACK}:0`,
-      peer_address: `${LOOPBACK}:${peerPort}`,
+      peer_address: `${LOOPBACK}:0`,
       seeds: [],
     },
     listen: { address: "127.0.0.1:0" },
@@ -262,12 +258,9 @@
 }
 
 /** Each instance is told of the others, as the files do. */
-function withSeeds(list: readonly Settings[]): readonly Settings[] {
-  const seeds = list.flatMap(({ http }) => http?.peer_address ?? []);
-  return list.map((settings) => ({
-    ...settings,
-    http: settings.http && { ...settings.http, seeds },
-  }));
+function shareSeeds(daemons: readonly RunningDaemon[]): void {
+  const seeds = daemons.flatMap(({ http }) => http?.peerAddress ?? []);
+  daemons.forEach(({ http }) => http?.setSeeds(seeds));
 }
 
 function withStandinUrl(
--- a/bin/start_http_gateway.ts
+++ b/bin/start_http_gateway.ts
@@ -1,5 +1,8 @@
 import { err } from "neverthrow";
-import { CallListener } from "../adapters/call_listener.ts";
+import {
+  CallListener,
+  type CallListenerParts,
+} from "../adapters/call_listener.ts";
 import { ConnectionPool } from "../adapters/connection_pool.ts";
 import { ReportSocket } from "../adapters/report_socket.ts";
 import { createSystemRandom, systemClock } from "../adapters/system_clock.ts";
@@ -19,6 +22,10 @@
 export interface RunningHttpGateway {
   /** Base URL for callers. */
   readonly url: string;
+  /** Where other instances reach it. */
+  readonly peerAddress: string;
+  /** Takes the addresses of a few other instances. */
+  setSeeds(addresses: readonly string[]): void;
   /** Leaves within a time, in milliseconds. */
   leave(graceMs: number): Promise<void>;
   /** Ends at once. */
@@ -43,9 +50,29 @@
   const { http, instance } = settings;
   const ended = new AbortController();
   const random = createSystemRandom();
-  const socket = new ReportSocket(http.peer_address);
   const nowMs = () => systemClock.nowMs();
-  const gateway = new HttpGateway({
+  const [callerHost, callerPort] = splitAddress(http.address);
+  const [peerHost, wantedPeerPort] = splitAddress(http.peer_address);
+  const createListener = (
+    host: string,
+    port: number,
+    readOrigin: CallListenerParts["readOrigin"],
+  ) =>
+    new CallListener({
+      host,
+      port,
+      nowMs,
+      readOrigin,
+      handle: (call, sink) => gateway.handle(call, sink),
+    });
+  const peers = createListener(peerHost, wantedPeerPort, (headers) => {
+    const hop = readHop(headers);
+    return hop && { kind: "instance", hop };
+  });
+  // Opened first: the system chooses the port where the settings say 0.
+  const peerAddress = `${peerHost}:${await peers.open()}`;
+  const socket = new ReportSocket(peerAddress);
+  const gateway: HttpGateway = new HttpGateway({
     clock: systemClock,
     random,
     logger,
@@ -56,7 +83,7 @@
     self: {
       id: toInstanceId(instance.id),
       incarnation: createToken(random),
-      address: http.peer_address,
+      address: peerAddress,
       region: toRegionId(instance.region),
       failureDomain: toFailureDomainId(instance.failure_domain),
     },
@@ -68,27 +95,12 @@
     applyLimits: () => {},
     applyAddresses: () => {},
   });
-  const [callerHost, callerPort] = splitAddress(http.address);
-  const [peerHost, peerPort] = splitAddress(http.peer_address);
-  const callers = new CallListener({
-    host: callerHost,
-    port: callerPort,
-    nowMs,
-    readOrigin: () => ({ kind: "caller" }),
-    handle: (call, sink) => gateway.handle(call, sink),
-  });
-  const peers = new CallListener({
-    host: peerHost,
-    port: peerPort,
-    nowMs,
-    readOrigin: (headers) => {
-      const hop = readHop(headers);
-      return hop && { kind: "instance", hop };
-    },
-    handle: (call, sink) => gateway.handle(call, sink),
-  });
+  const callers = createListener(
+    callerHost,
+    callerPort,
+    () => ({ kind: "caller" }),
+  );
   const port = await callers.open();
-  await peers.open();
   await socket.open((report, from) => gateway.receiveReport(report, from));
   gateway.start(ended.signal);
   const kill = () => {
@@ -99,6 +111,9 @@
   };
   return {
     url: `http://${callerHost}:${port}`,
+    peerAddress,
+    setSeeds: (seedAddresses) =>
+      gateway.applySettings({ seedAddresses, repeatBounds: REPEAT_BOUNDS }),
     leave: async (graceMs) => {
       [callers, peers].forEach((listener) => listener.startLeaving());
       await gateway.leave(
--- a/tests/http_gateway_fixture.ts
+++ b/tests/http_gateway_fixture.ts
@@ -10,6 +10,7 @@
 import { NO_METRICS } from "../metrics/mod.ts";
 import { createDocumentDecoder, PLATFORM_GRAMMAR } from "../platform/mod.ts";
 import { findFreePort } from "../standin/free_port.ts";
+import { toOwnLoopback } from "../standin/loopback_net.ts";
 import { MemoryStore } from "../standin/mod.ts";
 import { StateFollower } from "../state/mod.ts";
 
@@ -38,7 +39,7 @@
   readonly slots?: number;
   /** Region of the gateway. Default: `north`. */
   readonly region?: string;
-  /** Loopback address of the gateway. Default: `127.0.0.1`. */
+  /** Loopback address of the gateway. Default: one of this process alone. */
   readonly host?: string;
   /** Port between instances. Default: a free one. */
   readonly peerPort?: number;
@@ -47,6 +48,7 @@
 /** A gateway with real sockets on loopback. */
 export interface GatewayFixture {
   readonly gateway: HttpGateway;
+  readonly host: string;
   readonly port: number;
   readonly peerPort: number;
   readonly pool: ConnectionPool;
@@ -67,7 +69,7 @@
 export async function startGateway(
   parts: GatewayFixtureParts,
 ): Promise<GatewayFixture> {
-  const host = parts.host ?? "127.0.0.1";
+  const host = parts.host ?? toOwnLoopback(1);
   const region = parts.region ?? "north";
   const peerPort = parts.peerPort ?? await findFreePort(host);
   const pool = new ConnectionPool();
@@ -128,6 +130,7 @@
   configure(1, {});
   return {
     gateway,
+    host,
     port,
     peerPort,
     pool,
--- a/tests/platform_processes_test.ts
+++ b/tests/platform_processes_test.ts
@@ -8,7 +8,7 @@
 import { fileURLToPath } from "node:url";
 import { request } from "undici";
 import { systemClock } from "../adapters/system_clock.ts";
-import { findFreePort } from "../standin/free_port.ts";
+import { toOwnLoopback } from "../standin/loopback_net.ts";
 import { MemoryStore } from "../standin/memory_store.ts";
 import { startStoreStandin } from "../standin/platform_store_server.ts";
 import {
@@ -38,25 +38,22 @@
   readonly peers: number;
 }
 
-async function findPorts(): Promise<Ports> {
-  const [callers, readiness, directory, control, peers] = await Promise.all(
-    Array.from({ length: 5 }, () => findFreePort("127.0.0.1")),
-  );
-  return {
-    callers: callers!,
-    readiness: readiness!,
-    directory: directory!,
-    control: control!,
-    peers: peers!,
-  };
-}
+/** Free on every address that only this process uses. */
+const PORTS: Ports = {
+  callers: 8_144,
+  readiness: 8_140,
+  directory: 8_143,
+  control: 8_146,
+  peers: 7_660,
+};
 
 function startInstance(
   name: string,
   host: string,
-  ports: Ports,
+  seedHost: string,
   storeAddress: string,
 ): Instance {
+  const ports = PORTS;
   const path = join(mkdtempSync(join(tmpdir(), "instance-")), "node.conf");
   writeFileSync(
     path,
@@ -71,7 +68,7 @@
       `listen.directory=${host}:${ports.directory}`,
       `listen.control=${host}:${ports.control}`,
       `internalPorts=${ports.peers},${ports.peers}`,
-      `seeds=127.0.0.1:${ports.control}`,
+      `seeds=${seedHost}:${ports.control}`,
       "bounds.graceS=8",
       `platform.address=${storeAddress}`,
     ].join("\n"),
@@ -99,9 +96,12 @@
   while (!await isSo()) await new Promise((resolve) => setTimeout(resolve, 30));
 }
 
-function awaitReady({ host, ports }: Instance): Promise<void> {
+function awaitReady({ host, ports, process }: Instance): Promise<void> {
   const url = `http://${host}:${ports.readiness}/havenspur/readiness`;
-  return awaitThat(async () => await readStatus(url) === 200);
+  return awaitThat(async () => {
+    assert.equal(process.exitCode, null, "the instance has ended");
+    return await readStatus(url) === 200;
+  });
 }
 
 async function listEntries(
@@ -165,9 +165,11 @@
     const { standin } = await startPlatform((_, socket) => {
       finish = () => socket.write(createAnswer("c1", "late but whole"));
     });
-    const ports = await findPorts();
-    const first = startInstance("a", "127.0.0.1", ports, standin.address);
-    const second = startInstance("b", "127.0.0.2", ports, standin.address);
+    const hosts = [toOwnLoopback(1), toOwnLoopback(2)] as const;
+    const [seed] = hosts;
+    const ports = PORTS;
+    const first = startInstance("a", hosts[0], seed, standin.address);
+    const second = startInstance("b", hosts[1], seed, standin.address);
     await Promise.all([awaitReady(first), awaitReady(second)]);
     const both = [first, second].map(({ host }) => `${host}:${ports.callers}`);
     await awaitThat(async () =>
@@ -194,11 +196,13 @@
     const { standin } = await startPlatform((_, socket) =>
       socket.write(createAnswer("c1", "served"))
     );
-    const ports = await findPorts();
-    const first = startInstance("a", "127.0.0.1", ports, standin.address);
+    const hosts = [toOwnLoopback(3), toOwnLoopback(4)] as const;
+    const [seed] = hosts;
+    const ports = PORTS;
+    const first = startInstance("a", hosts[0], seed, standin.address);
     await awaitReady(first);
-    const nowhere = `127.0.0.1:${await findFreePort("127.0.0.1")}`;
-    const second = startInstance("b", "127.0.0.2", ports, nowhere);
+    const nowhere = `${toOwnLoopback(5)}:1`;
+    const second = startInstance("b", hosts[1], seed, nowhere);
     await awaitReady(second);
     const caller = await openRawCaller(ports.callers, second.host);
     CLEAN_UPS.push(() => caller.socket.destroy());
--- a/tests/raw_http.ts
+++ b/tests/raw_http.ts
@@ -1,6 +1,7 @@
 import { once } from "node:events";
 import { connect, createServer, type Server, type Socket } from "node:net";
 import type { AddressInfo } from "node:net";
+import { toOwnLoopback } from "../standin/loopback_net.ts";
 
 /** A backend server that answers with whatever bytes a test wants. */
 export interface RawServer {
@@ -67,10 +68,10 @@
   awaitEnd(): Promise<string>;
 }
 
-/** Opens a connection to a port on loopback. */
+/** Opens a connection to a port on loopback, by default where gateways of tests listen. */
 export async function openRawCaller(
   port: number,
-  host = "127.0.0.1",
+  host = toOwnLoopback(1),
 ): Promise<RawCaller> {
   const socket = connect(port, host);
   await once(socket, "connect");
--- a/tests/region_hop_test.ts
+++ b/tests/region_hop_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { afterEach, describe, it } from "node:test";
 import { findFreePort } from "../standin/free_port.ts";
+import { toOwnLoopback } from "../standin/loopback_net.ts";
 import { type FleetReport } from "../fleet/mod.ts";
 import { toFailureDomainId, toInstanceId, toRegionId } from "../ids/mod.ts";
 import {
@@ -19,7 +20,7 @@
 const CLEAN_UPS: (() => void)[] = [];
 afterEach(() => CLEAN_UPS.splice(0).forEach((cleanUp) => cleanUp()));
 
-const FAR_HOST = "127.0.0.2";
+const FAR_HOST = toOwnLoopback(2);
 
 /** What the far instance says of itself. */
 function createFarReport(peerPort: number, name = FAR_HOST): FleetReport {
