Call forwarder does one job: sends, hops, settlement and replies stand apart

Cause: forwarding/call_forwarder.ts had 748 lines and did three jobs (sending, settling, learning); how an attempt is settled could be tested over sockets only. Change: server_sender.ts and instance_sender.ts send, settle_attempt.ts decides what follows an attempt (tested by itself), learned_servers.ts holds what is learned of servers, call_replies.ts ends and tells calls; the forwarder finds the route and goes round. LoadBoard.readOwn, which nothing used, is gone.

--- a/fleet/load_board.ts
+++ b/fleet/load_board.ts
@@ -57,11 +57,6 @@
     };
   }
 
-  /** Returns what own calls hold at a server. */
-  readOwn(server: BackendId): ServerLoad {
-    return this.#own.get(server) ?? NO_LOAD;
-  }
-
   /**
    * Adds to the own load of a server.
    *
--- /dev/null
+++ b/forwarding/call_replies.ts
@@ -0,0 +1,148 @@
+import type { Clock } from "../clock/mod.ts";
+import type { BackendId } from "../ids/mod.ts";
+import type { Logger } from "../logs/mod.ts";
+import type { Metrics } from "../metrics/mod.ts";
+import type { Exchange } from "./exchange.ts";
+import { type HopAnswer, writeHopAnswer } from "./hop_headers.ts";
+import { pickForwarded } from "./http_headers.ts";
+import type { CallSink, OpaqueCall } from "./opaque_call.ts";
+import { isNotRun, type Refusal, toRefusalAnswer } from "./refusal.ts";
+
+/** What replies are written and told with. */
+export interface CallRepliesParts {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  /** Returns the version of the configuration in force. */
+  readonly readVersion: () => number | undefined;
+}
+
+/** Ends calls that no server answers, and tells logs and metrics how calls end. */
+export class CallReplies {
+  readonly #parts: CallRepliesParts;
+
+  /** @param parts Clock, log and metrics. */
+  constructor(parts: CallRepliesParts) {
+    this.#parts = parts;
+  }
+
+  /**
+   * Answers a call with a refusal, in the form that its sender understands.
+   *
+   * @param call The call.
+   * @param sink Where the answer goes.
+   * @param refusal Why it is refused.
+   * @param sentTo Servers that had it.
+   */
+  refuse(
+    call: OpaqueCall,
+    sink: CallSink,
+    refusal: Refusal,
+    sentTo: readonly BackendId[] = [],
+  ): void {
+    const { head, body } = toRefusalAnswer(refusal);
+    const kind = isNotRun(refusal.reason) ? "not-run" : "unknown";
+    const marks = this.#markAnswer(call, kind, sentTo);
+    sink.begin({ ...head, headers: [...head.headers, ...marks] });
+    sink.write(body);
+    sink.end([]);
+  }
+
+  /** Returns what a server's answer tells another instance; nothing for a caller. */
+  markAnswered({ call, sentTo }: Exchange): readonly string[] {
+    return this.#markAnswer(call, "answered", sentTo);
+  }
+
+  /**
+   * Ends a call that no server answered.
+   *
+   * @param exchange The call.
+   * @param refusal Why.
+   * @param inputs What decided it, for the log.
+   */
+  finishWithout(
+    exchange: Exchange,
+    refusal: Refusal,
+    inputs: Readonly<Record<string, string>> = {},
+  ): void {
+    const { call, progress, sink } = exchange;
+    if (sink.signal.aborted) {
+      this.count(exchange, "caller-left");
+      return;
+    }
+    this.count(exchange, refusal.reason);
+    if (progress.hasBegun) {
+      this.log(exchange, "answer broken off", { reason: refusal.reason });
+      sink.breakOff();
+      return;
+    }
+    if (exchange.heldAnswer !== undefined) {
+      this.#passHeldAnswer(exchange, exchange.heldAnswer);
+      return;
+    }
+    const honest: Refusal = exchange.mayHaveRun && isNotRun(refusal.reason)
+      ? { reason: "no-answer", message: refusal.message }
+      : refusal;
+    this.log(exchange, "refused", {
+      reason: honest.reason,
+      detail: honest.message,
+      ...inputs,
+    });
+    this.refuse(call, sink, honest, exchange.sentTo);
+  }
+
+  /** Counts a call that has ended. */
+  count(exchange: Exchange, result: string): void {
+    const { clock, metrics } = this.#parts;
+    const service = exchange.service.name;
+    metrics.count("call.count", 1, { service, result });
+    const totalMs = clock.nowMs() - exchange.call.receivedMs;
+    metrics.time("call.total_ms", totalMs, { service });
+  }
+
+  /** Writes a line about a call. */
+  log(
+    exchange: Exchange,
+    message: string,
+    fields: Readonly<Record<string, string | number | boolean>>,
+  ): void {
+    const { clock, logger, readVersion } = this.#parts;
+    const { call, facts, route, service } = exchange;
+    logger.info(message, {
+      call: facts.callId,
+      route: route.name,
+      service: service.name,
+      configuration: readVersion(),
+      origin: call.origin.kind === "instance" ? call.origin.hop.from : "caller",
+      afterMs: Math.round(clock.nowMs() - call.receivedMs),
+      attemptsLeft: exchange.attemptsLeft,
+      ...fields,
+    });
+  }
+
+  #passHeldAnswer(
+    exchange: Exchange,
+    { head, body, trailers }: NonNullable<Exchange["heldAnswer"]>,
+  ): void {
+    const { sink } = exchange;
+    sink.begin({
+      ...head,
+      headers: [
+        ...pickForwarded(head.headers),
+        ...this.markAnswered(exchange),
+      ],
+    });
+    sink.write(body);
+    sink.end(trailers);
+  }
+
+  #markAnswer(
+    call: OpaqueCall,
+    kind: HopAnswer["kind"],
+    sentTo: readonly BackendId[],
+  ): readonly string[] {
+    if (call.origin.kind === "caller") return [];
+    const servedMs = this.#parts.clock.nowMs() - call.receivedMs;
+    return writeHopAnswer({ kind, servedMs, tried: sentTo });
+  }
+}
--- a/forwarding/choose_server.ts
+++ b/forwarding/choose_server.ts
@@ -3,10 +3,8 @@
 import { computeWeight } from "../membership/mod.ts";
 import type { LoadBoard } from "../fleet/mod.ts";
 import type { KnownServer, ServerRegistry } from "../servers/mod.ts";
-import type { PlacedPart, PrefixMemory } from "./prefix_memory.ts";
-import type { ServerHealth } from "./server_health.ts";
-import type { ServerSpeeds } from "./server_speed.ts";
-import type { WarmUpGate } from "./warm_up_gate.ts";
+import type { LearnedServers } from "./learned_servers.ts";
+import type { PlacedPart } from "./prefix_memory.ts";
 
 /**
  * Calls that a plain server is given for each of its slots: one works, one
@@ -93,10 +91,7 @@
   readonly ownRegion: RegionId;
   readonly registry: ServerRegistry;
   readonly loads: LoadBoard;
-  readonly speeds: ServerSpeeds;
-  readonly health: ServerHealth;
-  readonly prefixes: PrefixMemory;
-  readonly warmUp: WarmUpGate;
+  readonly learned: LearnedServers;
 }
 
 /** Finds the backend server that begins to answer a call first. */
@@ -122,7 +117,7 @@
     nowMs: number,
     options: ChooseServerOptions = {},
   ): Candidate | undefined {
-    const { registry, health } = this.#parts;
+    const { registry, learned: { health } } = this.#parts;
     const servers = registry.listUsable(needs.service.name, region);
     const open = servers.filter(({ entry }) => !needs.tried.has(entry.id));
     const healthy = open.filter(({ entry }) =>
@@ -164,7 +159,7 @@
   ): Judged | undefined {
     const { entry } = server;
     const { service } = needs;
-    const { loads, prefixes, speeds, warmUp } = this.#parts;
+    const { loads, learned: { prefixes, speeds, warmUp } } = this.#parts;
     const isCold = nowMs < server.coldUntilMs &&
       service.warmUpCallsPerSecond > 0;
     const isNear = entry.region === this.#parts.ownRegion;
@@ -233,7 +228,7 @@
   #computeMeanFailures(servers: readonly KnownServer[]): number {
     if (servers.length === 0) return 0;
     const shares = servers.map(({ entry }) =>
-      this.#parts.health.readFailureShare(entry.id)
+      this.#parts.learned.health.readFailureShare(entry.id)
     );
     return shares.reduce((sum, share) => sum + share, 0) / servers.length;
   }
--- a/forwarding/choose_server_test.ts
+++ b/forwarding/choose_server_test.ts
@@ -5,10 +5,8 @@
 import { toBackendId, toFailureDomainId, toRegionId } from "../ids/mod.ts";
 import { ServerRegistry } from "../servers/mod.ts";
 import { type CallNeeds, ServerChooser } from "./choose_server.ts";
-import { placeParts, PrefixMemory } from "./prefix_memory.ts";
-import { ServerHealth } from "./server_health.ts";
-import { ServerSpeeds } from "./server_speed.ts";
-import { WarmUpGate } from "./warm_up_gate.ts";
+import { LearnedServers } from "./learned_servers.ts";
+import { placeParts } from "./prefix_memory.ts";
 
 const NORTH = toRegionId("north");
 const ENGINES: HttpService = {
@@ -25,10 +23,7 @@
     ownRegion: NORTH,
     registry: new ServerRegistry(),
     loads: new LoadBoard(),
-    speeds: new ServerSpeeds(),
-    health: new ServerHealth(),
-    prefixes: new PrefixMemory(),
-    warmUp: new WarmUpGate(),
+    learned: new LearnedServers(),
   };
   servers.forEach((id) =>
     ["lm", "app"].forEach((service) =>
@@ -47,7 +42,7 @@
   const chooser = new ServerChooser(parts);
   const choose = (needs: CallNeeds, nowMs = 10) =>
     chooser.choose(needs, NORTH, nowMs)?.server.entry.id;
-  return { ...parts, choose };
+  return { ...parts, ...parts.learned, choose };
 }
 
 function createNeeds(more: Partial<CallNeeds> = {}): CallNeeds {
--- /dev/null
+++ b/forwarding/server_sender.ts
@@ -0,0 +1,215 @@
+import type { Clock } from "../clock/mod.ts";
+import type { FleetView, LoadBoard } from "../fleet/mod.ts";
+import type { Logger } from "../logs/mod.ts";
+import type { Metrics } from "../metrics/mod.ts";
+import type { ServerRegistry } from "../servers/mod.ts";
+import type { CallGrammar } from "./call_grammar.ts";
+import type { Candidate } from "./choose_server.ts";
+import { type Exchange, isRepeatable } from "./exchange.ts";
+import type { LearnedServers } from "./learned_servers.ts";
+import { type AttemptOutcome, runAttempt } from "./run_attempt.ts";
+import type { ServerClient } from "./server_client.ts";
+import type { ServerOutcome } from "./server_health.ts";
+
+/**
+ * Silence after which a call that may be repeated is sent elsewhere: so many times
+ * what its answer was estimated to take, and at least this part of its objective,
+ * so that the second server can still answer in time.
+ */
+const SILENCE_ESTIMATES = 4;
+const SILENCE_PART_OF_TARGET = 0.5;
+/** How long a server is left out whose address another one has, in milliseconds: its entry lapses meanwhile. */
+const REPLACED_PAUSE_MS = 4_000;
+
+/** What sends to backend servers are made with. */
+export interface ServerSenderParts {
+  readonly clock: Clock;
+  readonly grammar: CallGrammar;
+  readonly client: ServerClient;
+  readonly registry: ServerRegistry;
+  readonly fleet: FleetView;
+  readonly loads: LoadBoard;
+  readonly learned: LearnedServers;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  /** Returns headers that an answer gets beside the server's own. */
+  readonly createMarks: (exchange: Exchange) => readonly string[];
+}
+
+/** Sends calls to backend servers, counts their load meanwhile, and learns from their ends. */
+export class ServerSender {
+  readonly #parts: ServerSenderParts;
+
+  /** @param parts Ports, and what is counted and learned. */
+  constructor(parts: ServerSenderParts) {
+    this.#parts = parts;
+  }
+
+  /**
+   * Sends a call to a server and passes its answer on.
+   *
+   * @param exchange The call.
+   * @param candidate The server, with what the call costs it.
+   */
+  async send(
+    exchange: Exchange,
+    candidate: Candidate,
+  ): Promise<AttemptOutcome> {
+    const { clock, grammar, learned, loads, metrics } = this.#parts;
+    const { server: { entry }, unreadTokens } = candidate;
+    const { call, service } = exchange;
+    const startMs = clock.nowMs();
+    const aheadTokens = loads.readTotal(entry.id).pendingTokens;
+    const load = this.#beginLoad(candidate);
+    this.#recordSend(exchange, candidate, startMs);
+    const outcome = await runAttempt({
+      client: this.#parts.client,
+      grammar,
+      sink: exchange.sink,
+      request: {
+        address: entry.address,
+        method: call.method,
+        target: call.target,
+        headers: grammar.writeSend(call.headers, {
+          serverId: entry.id,
+          remainingMs: Math.max(1, Math.floor(exchange.dueMs - startMs)),
+          lastEventId: exchange.progress.lastEventId,
+        }),
+        body: call.body,
+        maxConnections: this.#readConnectionShare(candidate, exchange),
+      },
+      callId: exchange.facts.callId,
+      isHop: false,
+      holdsFailures: isRepeatable(exchange) && exchange.attemptsLeft > 1,
+      framesEvents: isRepeatable(exchange) &&
+        exchange.route.routeClass === "stream",
+      progress: exchange.progress,
+      createMarks: () => this.#parts.createMarks(exchange),
+      onFirstByte: () => {
+        load.endReading();
+        const firstByteMs = clock.nowMs() - startMs;
+        learned.speeds.record(entry.id, service.name, {
+          tokens: aheadTokens + unreadTokens,
+          firstByteMs,
+        });
+        metrics.time("call.first_byte_ms", firstByteMs, {
+          service: service.name,
+        });
+      },
+      signal: exchange.signal,
+      clock,
+      patienceMs: readPatience(exchange, candidate),
+    });
+    load.end();
+    this.#learn(exchange, candidate, outcome);
+    return outcome;
+  }
+
+  /** Counts a call as load of its server until it ends. */
+  #beginLoad(
+    candidate: Candidate,
+  ): { readonly endReading: () => void; readonly end: () => void } {
+    const { loads } = this.#parts;
+    const { memoryTokens, unreadTokens, server: { entry: { id } } } = candidate;
+    loads.addOwn(id, { calls: 1, pendingTokens: unreadTokens, memoryTokens });
+    let isReading = true;
+    const endReading = () => {
+      if (!isReading) return;
+      isReading = false;
+      loads.addOwn(id, {
+        calls: 0,
+        pendingTokens: -unreadTokens,
+        memoryTokens: 0,
+      });
+    };
+    const end = () => {
+      endReading();
+      loads.addOwn(id, {
+        calls: -1,
+        pendingTokens: 0,
+        memoryTokens: -memoryTokens,
+      });
+    };
+    return { endReading, end };
+  }
+
+  #recordSend(
+    exchange: Exchange,
+    { server: { entry, coldUntilMs } }: Candidate,
+    nowMs: number,
+  ): void {
+    const { fleet, learned } = this.#parts;
+    const { service } = exchange;
+    if (nowMs < coldUntilMs && service.warmUpCallsPerSecond > 0) {
+      learned.warmUp.record(entry.id, {
+        callsPerSecond: service.warmUpCallsPerSecond,
+        instances: fleet.countSharing(entry.region),
+      }, nowMs);
+    }
+    if (service.engine !== undefined) {
+      learned.recordSent(entry.id, exchange.parts);
+    }
+    exchange.tried.add(entry.id);
+    exchange.sentTo.push(entry.id);
+  }
+
+  #readConnectionShare(
+    { server: { entry } }: Candidate,
+    { service }: Exchange,
+  ): number {
+    const instances = this.#parts.fleet.countSharing(entry.region);
+    return Math.max(1, Math.floor(service.maxConnections / instances));
+  }
+
+  #learn(
+    exchange: Exchange,
+    candidate: Candidate,
+    outcome: AttemptOutcome,
+  ): void {
+    const { clock, learned: { health }, logger, registry } = this.#parts;
+    const { id } = candidate.server.entry;
+    const nowMs = clock.nowMs();
+    if (outcome.kind === "rejected" && outcome.coldForMs !== undefined) {
+      registry.markCold(id, nowMs + outcome.coldForMs);
+    }
+    if (outcome.kind === "rejected" && outcome.isOtherServer) {
+      health.suspend(id, nowMs + REPLACED_PAUSE_MS);
+    }
+    const told = toServerOutcome(outcome);
+    if (told === undefined) return;
+    if (health.record(id, told, nowMs)) {
+      logger.warn("server left out", {
+        server: id,
+        service: exchange.service.name,
+      });
+    }
+  }
+}
+
+/** Only the first send of a call that may be repeated is cut short. */
+function readPatience(
+  exchange: Exchange,
+  { estimateMs }: Candidate,
+): number | undefined {
+  if (!isRepeatable(exchange) || exchange.attemptsLeft < 2) return undefined;
+  return Math.max(
+    SILENCE_ESTIMATES * estimateMs,
+    SILENCE_PART_OF_TARGET * exchange.route.targetMs,
+  );
+}
+
+function toServerOutcome(outcome: AttemptOutcome): ServerOutcome | undefined {
+  switch (outcome.kind) {
+    case "answered":
+      return outcome.status >= 500 ? "error" : "answered";
+    case "failed":
+      return "error";
+    case "not-sent":
+    case "no-answer":
+    case "broken":
+      return "no-answer";
+    case "rejected":
+    case "given-up":
+      return undefined;
+  }
+}
