--- a/adapters/http_platform.ts
+++ b/adapters/http_platform.ts
@@ -1,6 +1,6 @@
 import { err, ok, type Result } from "neverthrow";
 import { request } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 import { toInstanceId, toRegionId } from "../ids/mod.ts";
 import type { InstanceRecord } from "../membership/mod.ts";
 import type { Directory, InstanceList, PlatformFailure } from "../peers/mod.ts";
--- a/bin/havenspur_platform.ts
+++ b/bin/havenspur_platform.ts
@@ -9,4 +9,4 @@
 } else if (option !== undefined) {
   console.error("Usage: havenspur_platform [--check-settings [FILE]]");
   process.exitCode = EXIT_CODES.USAGE;
-} else await runInstance();
+} else void runInstance();
--- a/bin/start_deployment.ts
+++ b/bin/start_deployment.ts
@@ -1,7 +1,7 @@
 import { readdirSync, readFileSync } from "node:fs";
 import { join } from "node:path";
 import { parse } from "smol-toml";
-import { z } from "zod";
+import * as z from "zod";
 import { systemClock } from "../adapters/system_clock.ts";
 import {
   formatProblem,
--- a/filters/batch_api.ts
+++ b/filters/batch_api.ts
@@ -1,6 +1,6 @@
 import { createHash } from "node:crypto";
 import { err, ok, type Result } from "neverthrow";
-import { z } from "zod";
+import * as z from "zod";
 import { type BatchHead, type BatchItem, BatchStore } from "../batches/mod.ts";
 import { createToken } from "../clock/mod.ts";
 import type { Gateway } from "../daemon/gateway.ts";
--- a/forwarding/call_forwarder.ts
+++ b/forwarding/call_forwarder.ts
@@ -31,6 +31,12 @@
  * enough for the caller to be served elsewhere in time.
  */
 const WAIT_PART_OF_TARGET = 0.25;
+/**
+ * How long a call waits for the first configuration after a start, in
+ * milliseconds: reading it takes less than a tenth of a second, and a refusal
+ * later than a quarter of the shortest objectives would come late.
+ */
+const CONFIGURATION_PATIENCE_MS = 100;
 /** When to come back to an instance that knows no configuration yet, in milliseconds. */
 const NO_CONFIGURATION_RETRY_MS = 500;
 /** Calls that are woken when room appears. */
@@ -182,6 +188,7 @@
 
   async #serve(call: OpaqueCall, sink: CallSink): Promise<void> {
     const facts = this.#parts.grammar.readCall(call.headers);
+    await this.#awaitTable(call, sink);
     if (this.#table === undefined) {
       this.refuse(call, sink, {
         reason: "no-configuration",
@@ -215,6 +222,18 @@
     );
   }
 
+  /** Waits a little for the first configuration: this instance has just started. */
+  async #awaitTable(call: OpaqueCall, sink: CallSink): Promise<void> {
+    const { clock } = this.#parts;
+    const untilMs = call.receivedMs + CONFIGURATION_PATIENCE_MS;
+    const place = { priority: 0, order: this.#line.takeOrder() };
+    while (this.#table === undefined && !sink.signal.aborted) {
+      const patienceMs = untilMs - clock.nowMs();
+      if (patienceMs <= 0) return;
+      await this.#line.wait(place, patienceMs, sink.signal);
+    }
+  }
+
   #refuseUnrouted(call: OpaqueCall, sink: CallSink, host: string): void {
     // Another instance may be ahead of this one: its call has a route.
     const isForwarded = call.origin.kind === "instance";
--- /dev/null
+++ b/forwarding/call_forwarder_test.ts
@@ -0,0 +1,140 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { createRandom, VirtualClock } from "../clock/mod.ts";
+import { FleetView, LoadBoard } from "../fleet/mod.ts";
+import { INITIAL_LIMITS, RouteTable } from "../http_routes/mod.ts";
+import {
+  toBackendId,
+  toFailureDomainId,
+  toInstanceId,
+  toRegionId,
+} from "../ids/mod.ts";
+import { createSilentLogger } from "../logs/mod.ts";
+import { NO_METRICS } from "../metrics/mod.ts";
+import { ServerRegistry } from "../servers/mod.ts";
+import { CallForwarder } from "./call_forwarder.ts";
+import type { CallSink, OpaqueCall } from "./opaque_call.ts";
+import { OWN_GRAMMAR } from "./own_grammar.ts";
+import type { AnswerHead, ServerClient } from "./server_client.ts";
+
+const NORTH = toRegionId("north");
+
+/** Answers each send at once with 200. */
+const ANSWERING: ServerClient = {
+  send: (_, events) => {
+    queueMicrotask(() => {
+      events.onHead({ status: 200, statusText: "OK", headers: [] });
+      events.onEnd([]);
+    });
+    return { resume: () => {}, abort: () => {} };
+  },
+};
+
+function start() {
+  const clock = new VirtualClock();
+  const loads = new LoadBoard();
+  const fleet = new FleetView({
+    self: {
+      id: toInstanceId("a"),
+      incarnation: "1",
+      address: "a:1",
+      region: NORTH,
+      failureDomain: toFailureDomainId("north-a"),
+    },
+    loads,
+  });
+  const registry = new ServerRegistry();
+  registry.put({
+    id: toBackendId("s1"),
+    service: "app",
+    address: "s1:1",
+    failureDomain: toFailureDomainId("north-a"),
+    region: NORTH,
+    slots: 4,
+    isDraining: false,
+    coldForMs: 0,
+  }, clock.nowMs());
+  const forwarder = new CallForwarder({
+    clock,
+    random: createRandom(1),
+    grammar: OWN_GRAMMAR,
+    client: ANSWERING,
+    peerClient: ANSWERING,
+    registry,
+    fleet,
+    loads,
+    logger: createSilentLogger(),
+    metrics: NO_METRICS,
+    repeatBounds: { ratio: 0.2, slack: 50, windowMs: 10_000 },
+  });
+  const handle = () => {
+    const heads: AnswerHead[] = [];
+    const call: OpaqueCall = {
+      method: "GET",
+      target: "/a/x",
+      headers: ["Host", "app.example"],
+      body: Buffer.alloc(0),
+      receivedMs: clock.nowMs(),
+      origin: { kind: "caller" },
+    };
+    const sink: CallSink = {
+      signal: new AbortController().signal,
+      begin: (head) => void heads.push(head),
+      write: () => true,
+      onDrain: () => {},
+      end: () => {},
+      breakOff: () => {},
+    };
+    void forwarder.handle(call, sink);
+    return heads;
+  };
+  return { clock, forwarder, handle };
+}
+
+const TABLE = new RouteTable({
+  version: 1,
+  routes: [{
+    name: "r",
+    host: "app.example",
+    pathPrefix: "/a/",
+    routeClass: "idempotent",
+    timeoutMs: 2_000,
+    targetMs: 1_000,
+    longestGapMs: undefined,
+    priority: 0,
+    services: [{ service: "app", weight: 1 }],
+    maxAttempts: 2,
+    isResumable: false,
+    homeRegions: [],
+  }],
+  services: [{
+    name: "app",
+    maxConnections: 10,
+    warmUpMs: 0,
+    warmUpCallsPerSecond: 0,
+    engine: undefined,
+  }],
+  limits: INITIAL_LIMITS,
+});
+
+describe("CallForwarder", () => {
+  describe("when it has just started and knows no configuration", () => {
+    it("serves a call whose configuration arrives shortly after", async () => {
+      const { clock, forwarder, handle } = start();
+      const heads = handle();
+      await clock.advance(60);
+      assert.deepEqual(heads, []);
+      forwarder.setTable(TABLE);
+      await clock.advance(1);
+      assert.deepEqual(heads.map(({ status }) => status), [200]);
+    });
+
+    it("refuses the call as not run, with a time to come back, once that takes long", async () => {
+      const { clock, handle } = start();
+      const heads = handle();
+      await clock.advance(200);
+      assert.deepEqual(heads.map(({ status }) => status), [503]);
+      assert.ok(heads[0]?.headers.includes("Retry-After"));
+    });
+  });
+});
--- a/load/scenario.ts
+++ b/load/scenario.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const shape = z.discriminatedUnion("kind", [
   z.strictObject({ kind: z.literal("poisson"), rate: z.number().positive() }),
--- a/membership/encode_heartbeat.ts
+++ b/membership/encode_heartbeat.ts
@@ -1,5 +1,5 @@
 import { createHmac, timingSafeEqual } from "node:crypto";
-import { z } from "zod";
+import * as z from "zod";
 import type { Heartbeat } from "./member.ts";
 import type { InstanceId, RegionId } from "../ids/mod.ts";
 
--- a/resources/resource_schemas.ts
+++ b/resources/resource_schemas.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const resourceName = z.string().regex(/^[a-z0-9][a-z0-9.-]{0,62}$/);
 const regionName = z.string().min(1).max(64);
--- a/settings/settings.ts
+++ b/settings/settings.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const address = z.string().regex(
   /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/,
--- a/tests/platform_processes_test.ts
+++ b/tests/platform_processes_test.ts
@@ -1,5 +1,5 @@
 import assert from "node:assert/strict";
-import { type ChildProcess, spawn } from "node:child_process";
+import { type ChildProcess, execFileSync, spawn } from "node:child_process";
 import { once } from "node:events";
 import { mkdtempSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
@@ -18,9 +18,18 @@
 } from "./http_gateway_fixture.ts";
 import { openRawCaller, startRawServer } from "./raw_http.ts";
 
-const PROGRAM = fileURLToPath(
-  new URL("../bin/havenspur_platform.js", import.meta.url),
-);
+const ROOT = fileURLToPath(new URL("../..", import.meta.url));
+
+/** The bundle that the platform runs, which leaves parts of libraries out. */
+const PROGRAM = buildProgram();
+
+function buildProgram(): string {
+  const path = join(mkdtempSync(join(tmpdir(), "program-")), "havenspur.cjs");
+  const words = ["run", "-s", "build:platform", "--", `--outfile=${path}`];
+  execFileSync("npm", words, { cwd: ROOT });
+  return path;
+}
+
 const CLEAN_UPS: (() => void)[] = [];
 afterEach(() => CLEAN_UPS.splice(0).forEach((cleanUp) => cleanUp()));
 
