Regions report to the first instances of the others, which pass it on

Cause: each of two reporters told every instance of every other region 3.3 times a second. Besides, a report named the first 12 members of a region only: the others of a larger one were unknown abroad. Change: the first instance of a region speaks for it and is spoken to; the second one every fourth time, so that it takes over unnoticed; who hears another region's report passes it on in its own, once. Members are named in turn. Test: tests/region_reports_test.ts, over 200 datagrams a second before, 60 at the most now; nobody alive is forgotten when the first of all regions are lost at once.

--- a/daemon/http_gateway.ts
+++ b/daemon/http_gateway.ts
@@ -10,6 +10,7 @@
   FleetView,
   LoadBoard,
   type MemberRecord,
+  REGION_REPORTERS,
   type ReportedPrefix,
 } from "../fleet/mod.ts";
 import {
@@ -32,6 +33,11 @@
 const REPORT_INTERVAL_MS = 150;
 /** One report of the region to the others in so many reports: bytes between regions are dear. */
 const REGION_REPORT_EVERY = 2;
+/**
+ * One report of the region in so many goes from and to the second instance that
+ * speaks for a region as well, so that either can be lost unnoticed by callers.
+ */
+const SECOND_REPORTER_EVERY = 4;
 /** Prompt parts that one report of the region names at the most: it stays within one packet. */
 const MAX_REGION_PREFIXES = 16;
 /** Pause between attempts to reach instances that are known by address only, in milliseconds. */
@@ -103,6 +109,7 @@
   #regionPrefixes: readonly ReportedPrefix[] = [];
   #seedAddresses: readonly string[];
   #ticks = 0;
+  #regionTicks = 0;
   #aheadSinceMs: number | undefined;
   #isReadingPeer = false;
   #leavingSinceMs: number | undefined;
@@ -193,10 +200,11 @@
   receiveReport(report: FleetReport, from: string): void {
     const { clock, sendReport } = this.#parts;
     const nowMs = clock.nowMs();
-    const prefixes = this.fleet.applyReport(report, nowMs);
-    this.forwarder.learnPrefixes(prefixes);
-    if (report.from.region === this.fleet.self.region) {
-      this.#gatherForRegion(prefixes);
+    if (this.fleet.applyReport(report, nowMs)) {
+      this.forwarder.learnPrefixes(report.prefixes);
+      const isNear = report.from.region === this.fleet.self.region;
+      if (isNear) this.#gatherForRegion(report.prefixes);
+      else this.#passOn(report, nowMs);
     }
     if (report.wantsNews) {
       sendReport(this.fleet.createAnswer(this.state.known, nowMs), [from]);
@@ -216,7 +224,7 @@
     this.#leavingSinceMs = startMs;
     this.fleet.setState("leaving");
     this.#report();
-    this.#reportRegion();
+    this.#reportRegion(REGION_REPORTERS);
     logger.info("leaving", { inFlight: countOpen() });
     const endMs = startMs + graceMs - GRACE_MARGIN_MS;
     const earliestMs = startMs + LEAVING_TAKES_CALLS_MS;
@@ -241,27 +249,32 @@
   #report(): void {
     const { clock, sendReport } = this.#parts;
     const nowMs = clock.nowMs();
-    const near = this.fleet.listLive(nowMs)
-      .filter(({ region }) => region === this.fleet.self.region)
-      .map(({ address }) => address);
     const prefixes = this.forwarder.takePrefixes();
     this.#gatherForRegion(prefixes);
     sendReport(
       this.fleet.createReport(this.state.known, prefixes, nowMs),
-      near,
+      this.fleet.listNear(nowMs).map(({ address }) => address),
     );
     this.#ticks++;
-    if (this.#ticks % REGION_REPORT_EVERY === 0) this.#reportRegion();
+    if (this.#ticks % REGION_REPORT_EVERY === 0) {
+      const isForBoth = this.#regionTicks++ % SECOND_REPORTER_EVERY === 0;
+      this.#reportRegion(isForBoth ? REGION_REPORTERS : 1);
+    }
     this.forwarder.wake();
     this.#catchUp(nowMs);
   }
 
-  #reportRegion(): void {
+  /**
+   * Tells the other regions of the own one.
+   *
+   * @param reporters How many instances of each region speak and are spoken to.
+   */
+  #reportRegion(reporters: number): void {
     const { clock, sendReport } = this.#parts;
     const nowMs = clock.nowMs();
-    if (!this.fleet.isRegionReporter(nowMs)) return;
-    const far = this.fleet.listLive(nowMs)
-      .filter(({ region }) => region !== this.fleet.self.region)
+    const rank = this.fleet.readReporterRank(nowMs);
+    if (rank === undefined || rank >= reporters) return;
+    const far = this.fleet.listReceivers(reporters, nowMs)
       .map(({ address }) => address);
     if (far.length === 0) return;
     sendReport(
@@ -275,6 +288,15 @@
     this.#regionPrefixes = [];
   }
 
+  /** Tells the own region what another one reports: only its first reporter hears of all. */
+  #passOn(report: FleetReport, nowMs: number): void {
+    const isForRegion = report.scope === "region" &&
+      this.fleet.readReporterRank(nowMs) === 0;
+    if (!isForRegion) return;
+    const near = this.fleet.listNear(nowMs).map(({ address }) => address);
+    this.#parts.sendReport(report, near);
+  }
+
   /** Keeps what the instances of the region sent to servers, for the other regions. */
   #gatherForRegion(prefixes: readonly ReportedPrefix[]): void {
     this.#regionPrefixes = [...this.#regionPrefixes, ...prefixes]
--- a/fleet/fleet_view.ts
+++ b/fleet/fleet_view.ts
@@ -19,8 +19,12 @@
  * and two reports of a region between which its news wait.
  */
 export const FAR_SILENCE_MS = 2_500;
-/** Instances of a region that report it to the other regions. */
-const REGION_REPORTERS = 2;
+/**
+ * Instances of a region that speak with the other regions, in the order of their
+ * ids: the first one does so all the time, the second one often enough to be
+ * known and to take over once the first falls silent.
+ */
+export const REGION_REPORTERS = 2;
 /** Most members that one report names: it stays within one packet. */
 const NEWS_PER_REPORT = 12;
 /** One report in so many names members: who runs changes seldom, loads often. */
@@ -61,6 +65,7 @@
   #state: MemberState = "starting";
   #sequence = 0;
   #newsAt = 0;
+  #nearNewsAt = 0;
 
   /** @param parts Own record and the board that reports feed. */
   constructor(parts: FleetViewParts) {
@@ -134,15 +139,15 @@
    *
    * @param report From another instance.
    * @param nowMs Time now.
-   * @returns Prompt parts that it names, where it is new.
+   * @returns Whether it is new; an old one changes nothing.
    */
-  applyReport(report: FleetReport, nowMs: number): readonly ReportedPrefix[] {
+  applyReport(report: FleetReport, nowMs: number): boolean {
     const { from, sequence } = report;
-    if (from.id === this.#self.id) return [];
+    if (from.id === this.#self.id) return false;
     const seen = this.#seen.get(from.id);
     const isOld = seen !== undefined &&
       seen.member.incarnation === from.incarnation && sequence <= seen.sequence;
-    if (isOld) return [];
+    if (isOld) return false;
     this.#seen.set(from.id, {
       member: from,
       heardMs: nowMs,
@@ -151,7 +156,7 @@
     });
     report.news.forEach((news) => this.applyNews(news, nowMs));
     this.#applyLoads(report);
-    return report.prefixes;
+    return true;
   }
 
   /**
@@ -238,21 +243,48 @@
     const near = [...this.#seen.values()].filter((seen) =>
       seen.member.region === this.#self.region && this.#isLive(seen, nowMs)
     );
+    const news = pickInTurn(near, this.#nearNewsAt, NEWS_PER_REPORT);
+    this.#nearNewsAt += NEWS_PER_REPORT;
     return {
       ...this.createReport(known, prefixes, nowMs),
       scope: "region",
       loads: this.#loads.listNear(),
-      news: near.slice(0, NEWS_PER_REPORT).map((seen) => toNews(seen, nowMs)),
+      news: news.map((seen) => toNews(seen, nowMs)),
     };
   }
 
-  /** Whether this instance reports its region to the others. */
-  isRegionReporter(nowMs: number): boolean {
-    const ids = this.listLive(nowMs)
-      .filter(({ region }) => region === this.#self.region)
-      .map(({ id }) => id);
-    const before = ids.filter((id) => id < this.#self.id).length;
-    return before < REGION_REPORTERS;
+  /**
+   * Returns this instance's place among those that speak for its region, from 0,
+   * or `undefined` where it is none of them.
+   */
+  readReporterRank(nowMs: number): number | undefined {
+    const before = this.listNear(nowMs)
+      .filter(({ id }) => id < this.#self.id).length;
+    return before < REGION_REPORTERS ? before : undefined;
+  }
+
+  /**
+   * Returns the members of other regions that reports of this one go to. They
+   * pass them on in their regions.
+   *
+   * @param perRegion How many in each region, up to those that speak for it.
+   * @param nowMs Time now.
+   */
+  listReceivers(perRegion: number, nowMs: number): readonly MemberRecord[] {
+    const live = this.listLive(nowMs);
+    const regions = new Set(live.map(({ region }) => region));
+    regions.delete(this.#self.region);
+    return [...regions].flatMap((region) =>
+      live.filter((member) => member.region === region)
+        .sort((a, b) => a.id < b.id ? -1 : 1)
+        .slice(0, Math.min(perRegion, REGION_REPORTERS))
+    );
+  }
+
+  /** Returns the other members of the own region that are taken as running. */
+  listNear(nowMs: number): readonly MemberRecord[] {
+    return this.listLive(nowMs)
+      .filter(({ region }) => region === this.#self.region);
   }
 
   #applyLoads(report: FleetReport): void {
@@ -286,11 +318,9 @@
     const live = [...this.#seen.values()].filter((seen) =>
       this.#isLive(seen, nowMs)
     );
-    const start = live.length === 0 ? 0 : this.#newsAt % live.length;
+    const picked = pickInTurn(live, this.#newsAt, NEWS_PER_REPORT);
     this.#newsAt += NEWS_PER_REPORT;
-    return [...live.slice(start), ...live.slice(0, start)]
-      .slice(0, NEWS_PER_REPORT)
-      .map((seen) => toNews(seen, nowMs));
+    return picked.map((seen) => toNews(seen, nowMs));
   }
 }
 
@@ -303,6 +333,16 @@
   return { member, ageMs: nowMs - heardMs };
 }
 
+/** Returns so many entries of a list from a place on, past its end from the start. */
+function pickInTurn<Entry>(
+  list: readonly Entry[],
+  place: number,
+  count: number,
+): readonly Entry[] {
+  const start = list.length === 0 ? 0 : place % list.length;
+  return [...list.slice(start), ...list.slice(0, start)].slice(0, count);
+}
+
 function toRegionReporter(region: RegionId): string {
   return `region ${region}`;
 }
--- /dev/null
+++ b/tests/region_reports_test.ts
@@ -0,0 +1,140 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { err } from "neverthrow";
+import { createRandom, VirtualClock } from "../clock/mod.ts";
+import { HttpGateway } from "../daemon/http_gateway.ts";
+import type { FleetReport } from "../fleet/mod.ts";
+import { OWN_GRAMMAR, type ServerClient } from "../forwarding/mod.ts";
+import { toFailureDomainId, toInstanceId, toRegionId } from "../ids/mod.ts";
+import { createSilentLogger } from "../logs/mod.ts";
+import { NO_METRICS } from "../metrics/mod.ts";
+import type { StateSource } from "../state/mod.ts";
+
+const REGIONS = ["north", "south", "west"] as const;
+const NO_CLIENT: ServerClient = {
+  send: () => ({ resume: () => {}, abort: () => {} }),
+};
+const LOADED_STATE: StateSource = {
+  known: { configurationVersion: 1, storeRevision: 1 },
+  isLoaded: true,
+  isReachable: true,
+  instanceAddresses: [],
+  createCopy: () => ({ revision: 1, entries: [] }),
+  applyCopy: () => false,
+  sweep: () => {},
+  run: () => Promise.resolve(),
+};
+
+interface Sent {
+  readonly from: string;
+  readonly to: string;
+  readonly report: FleetReport;
+}
+
+/** Instances of three regions whose reports travel at once. */
+function startFleet(perRegion: number) {
+  const clock = new VirtualClock();
+  const sent: Sent[] = [];
+  const gateways = new Map<string, HttpGateway>();
+  const ends = new Map<string, AbortController>();
+  const addresses = REGIONS.flatMap((region) =>
+    Array.from({ length: perRegion }, (_, at) => `${region}-${at}`)
+  );
+  addresses.forEach((address, at) => {
+    const region = address.split("-")[0]!;
+    const end = new AbortController();
+    const gateway = new HttpGateway({
+      clock,
+      random: createRandom(at),
+      logger: createSilentLogger(),
+      metrics: NO_METRICS,
+      grammar: OWN_GRAMMAR,
+      client: NO_CLIENT,
+      peerClient: NO_CLIENT,
+      self: {
+        id: toInstanceId(address),
+        incarnation: "1",
+        address,
+        region: toRegionId(region),
+        failureDomain: toFailureDomainId(`${region}-a`),
+      },
+      seedAddresses: ["north-0"],
+      createState: () => LOADED_STATE,
+      repeatBounds: { ratio: 0.2, slack: 10, windowMs: 10_000 },
+      sendReport: (report, to) =>
+        to.forEach((other) => {
+          if (end.signal.aborted) return;
+          sent.push({ from: address, to: other, report });
+          if (ends.get(other)?.signal.aborted) return;
+          gateways.get(other)?.receiveReport(report, address);
+        }),
+      readPeerState: () => Promise.resolve(err("none")),
+      applyLimits: () => {},
+      applyAddresses: () => {},
+    });
+    gateway.fleet.setState("ready");
+    gateways.set(address, gateway);
+    ends.set(address, end);
+  });
+  gateways.forEach((gateway, address) =>
+    gateway.start(ends.get(address)!.signal)
+  );
+  const countFar = () =>
+    sent.filter(({ from, to }) => from.split("-")[0] !== to.split("-")[0])
+      .length;
+  return { clock, sent, gateways, ends, countFar };
+}
+
+describe("reports between regions", () => {
+  it("reach every instance, though few are sent to", async () => {
+    const { clock, countFar, gateways, sent } = startFleet(5);
+    await clock.advance(5_000);
+    sent.length = 0;
+    await clock.advance(6_000);
+    gateways.forEach((gateway) =>
+      assert.equal(gateway.fleet.countAll(clock.nowMs()), 15)
+    );
+    // Ten others a region would take 20 a second each way from two reporters.
+    const perSecond = countFar() / 6;
+    assert.ok(perSecond <= 60, `${perSecond} datagrams a second`);
+  });
+
+  it("go on when the first instances of all regions are lost", async () => {
+    const { clock, ends, gateways } = startFleet(4);
+    await clock.advance(5_000);
+    REGIONS.forEach((region) => ends.get(`${region}-0`)?.abort("lost"));
+    let fewest = Number.POSITIVE_INFINITY;
+    // Who is alive stays known all the while; who is lost is forgotten.
+    for (let step = 0; step < 60; step++) {
+      await clock.advance(100);
+      gateways.forEach((gateway, address) => {
+        if (ends.get(address)?.signal.aborted) return;
+        fewest = Math.min(fewest, gateway.fleet.countAll(clock.nowMs()));
+      });
+    }
+    assert.equal(fewest, 9);
+    gateways.forEach((gateway, address) => {
+      if (ends.get(address)?.signal.aborted) return;
+      assert.equal(gateway.fleet.countAll(clock.nowMs()), 9);
+    });
+  });
+
+  it("are passed on once, also where two instances take themselves for the first", async () => {
+    const { clock, gateways, sent } = startFleet(3);
+    await clock.advance(5_000);
+    sent.length = 0;
+    const report: FleetReport = {
+      from: { ...gateways.get("south-0")!.fleet.self },
+      sequence: 1_000_000,
+      scope: "region",
+      known: LOADED_STATE.known,
+      loads: [],
+      prefixes: [],
+      news: [],
+      wantsNews: false,
+    };
+    gateways.get("north-0")!.receiveReport(report, "south-0");
+    gateways.get("north-0")!.receiveReport(report, "south-0");
+    assert.deepEqual(sent.map(({ to }) => to).sort(), ["north-1", "north-2"]);
+  });
+});
