Urgency by priority; long prompts that wait do not shut short calls out

Memory is planned for prompts that have not been read yet. Ruled out: a bound on callers' part (the engines' places were free). Change: calls that hold less than a sequence's part of the memory may use 0.97 of it in place of 0.85; engines are told an urgency by the route's priority.

--- a/forwarding/call_grammar.ts
+++ b/forwarding/call_grammar.ts
@@ -34,6 +34,8 @@
 export interface SendFacts {
   /** The only start of a server that may run the call. */
   readonly serverId: string;
+  /** Rank of the call, 0 the highest. */
+  readonly priority: number;
   /** How long its answer is of use, in milliseconds. */
   readonly remainingMs: number;
   /** Goes on after this event. Default: as the caller sent it. */
--- a/forwarding/choose_server.ts
+++ b/forwarding/choose_server.ts
@@ -16,6 +16,11 @@
  * only bounded by what it asks for, and gossip is some hundred ms behind.
  */
 const PLANNED_MEMORY_PART = 0.85;
+/**
+ * The same for calls that hold less than one of the engine's sequences has on
+ * average: long prompts that wait to be read must not shut out short calls.
+ */
+const PLANNED_MEMORY_PART_SHORT = 0.97;
 /** Added time for a share of failures of one, in milliseconds: a failed call is lost. */
 const FAILURE_PENALTY_MS = 3_000;
 /**
@@ -186,8 +191,12 @@
     }
     const { cacheTokens, maxSequences } = service.engine;
     const isEmpty = load.calls === 0;
+    const isShort = memoryTokens < cacheTokens / maxSequences;
+    const plannedPart = isShort
+      ? PLANNED_MEMORY_PART_SHORT
+      : PLANNED_MEMORY_PART;
     const isFull = load.calls >= maxSequences ||
-      load.memoryTokens + memoryTokens > PLANNED_MEMORY_PART * cacheTokens;
+      load.memoryTokens + memoryTokens > plannedPart * cacheTokens;
     if (isFull && !isEmpty) return undefined;
     const estimateMs = speeds.estimateMs(
       entry.id,
--- a/forwarding/choose_server_test.ts
+++ b/forwarding/choose_server_test.ts
@@ -125,6 +125,22 @@
       assert.equal(choose(LONG), undefined);
       assert.equal(choose(createNeeds()), "lm-a");
     });
+
+    it("still gives a short call what long prompts leave", () => {
+      const { choose, loads } = start(["a"]);
+      loads.addOwn(toBackendId("lm-a"), {
+        calls: 2,
+        pendingTokens: 50_000,
+        memoryTokens: 90_000,
+      });
+      assert.equal(choose(createNeeds({ promptTokens: 6_000 })), "lm-a");
+      loads.addOwn(toBackendId("lm-a"), {
+        calls: 0,
+        pendingTokens: 0,
+        memoryTokens: 6_500,
+      });
+      assert.equal(choose(createNeeds({ promptTokens: 6_000 })), undefined);
+    });
   });
 
   it("gives a plain server no more than twice its slots", () => {
--- a/forwarding/server_sender.ts
+++ b/forwarding/server_sender.ts
@@ -72,6 +72,7 @@
         target: call.target,
         headers: grammar.writeSend(call.headers, {
           serverId: entry.id,
+          priority: exchange.route.priority,
           remainingMs: Math.max(1, Math.floor(exchange.dueMs - startMs)),
           lastEventId: exchange.progress.lastEventId,
         }),
