Engines are asked, once after a start, what their memory holds

Cause: what engines hold outlives the instances; after the loss of all of them each prompt was sent anywhere, read again, and held up the prompts behind it. Ruled out: copies from peers, which are lost in the same moment. Change: an instance that has started lists the memory of the engines of its region (one call an engine), learns it, and names it to the other regions behind what is newer. An engine that does not tell it is learned from sends, as before.

--- a/daemon/http_gateway.ts
+++ b/daemon/http_gateway.ts
@@ -18,14 +18,16 @@
   type CallGrammar,
   type CallSink,
   type OpaqueCall,
+  type PromptPart,
   type RepeatBounds,
   type ServerClient,
+  toHeldPrefixes,
 } from "../forwarding/mod.ts";
 import type { CallerLimits, RouteTable } from "../http_routes/mod.ts";
 import type { RegionId } from "../ids/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
-import { ServerRegistry } from "../servers/mod.ts";
+import { type RegisteredServer, ServerRegistry } from "../servers/mod.ts";
 import type { StateCopy, StateSource } from "../state/mod.ts";
 import type { Result } from "neverthrow";
 
@@ -40,6 +42,8 @@
 const SECOND_REPORTER_EVERY = 4;
 /** Prompt parts that one report of the region names at the most: it stays within one packet. */
 const MAX_REGION_PREFIXES = 16;
+/** Prompt parts that wait for reports of the region at the most: what several engines hold after a start. */
+const MAX_WAITING_PREFIXES = 256;
 /** Pause between attempts to reach instances that are known by address only, in milliseconds. */
 const CONTACT_INTERVAL_MS = 500;
 /** How long a peer must be ahead before its state is read, in milliseconds: the own watch is most often as quick. */
@@ -87,6 +91,11 @@
   readonly readPeerState: (
     address: string,
   ) => Promise<Result<StateCopy, string>>;
+  /** Reads which prompt parts the engine at an address holds. Default: it is learned from what is sent. */
+  readonly readHeldParts?: (
+    address: string,
+    signal: AbortSignal,
+  ) => Promise<Result<readonly PromptPart[], string>>;
   /** Takes the bounds on callers of each configuration. */
   readonly applyLimits: (limits: CallerLimits) => void;
   /** Takes the addresses of the servers, after each change. */
@@ -106,13 +115,16 @@
   readonly state: StateSource;
   readonly registry: ServerRegistry;
   readonly #parts: HttpGatewayParts;
-  #regionPrefixes: readonly ReportedPrefix[] = [];
+  /** The newest at the end, which go first. */
+  #regionPrefixes: ReportedPrefix[] = [];
   #seedAddresses: readonly string[];
   #ticks = 0;
   #regionTicks = 0;
   #aheadSinceMs: number | undefined;
   #isReadingPeer = false;
   #leavingSinceMs: number | undefined;
+  #hasAskedEngines = false;
+  #ended: AbortSignal | undefined;
 
   /** @param parts Ports and settings. */
   constructor(parts: HttpGatewayParts) {
@@ -161,6 +173,7 @@
   /** Starts following the store and talking to other instances. */
   start(signal: AbortSignal): void {
     const { clock } = this.#parts;
+    this.#ended = signal;
     void this.state.run(signal);
     this.#contactOthers();
     scheduleEvery(clock, REPORT_INTERVAL_MS, () => this.#report(), signal);
@@ -240,12 +253,39 @@
 
   #applyServers(): void {
     this.forwarder.forgetGone();
+    this.#askEngines();
     this.forwarder.wake();
     this.#parts.applyAddresses(
       new Set(this.registry.servers.map(({ entry }) => entry.address)),
     );
   }
 
+  /**
+   * Asks the engines of the own region, once after a start, what their memory
+   * holds: it outlives the instances, and prompts that are read again hold up
+   * all others. Engines that come later start empty.
+   */
+  #askEngines(): void {
+    if (this.#hasAskedEngines || !this.state.isLoaded) return;
+    const engines = this.forwarder.listEngines(this.fleet.self.region);
+    this.#hasAskedEngines = engines.length > 0;
+    engines.forEach((engine) => void this.#askEngine(engine));
+  }
+
+  async #askEngine({ id, address }: RegisteredServer): Promise<void> {
+    const { logger, readHeldParts } = this.#parts;
+    if (readHeldParts === undefined || this.#ended === undefined) return;
+    const held = await readHeldParts(address, this.#ended);
+    if (held.isErr()) {
+      logger.warn("engine memory not read", { server: id, reason: held.error });
+      return;
+    }
+    logger.info("engine memory read", { server: id, parts: held.value.length });
+    const prefixes = toHeldPrefixes(id, held.value);
+    this.forwarder.learnPrefixes(prefixes);
+    this.#gatherForRegion(prefixes);
+  }
+
   #report(): void {
     const { clock, sendReport } = this.#parts;
     const nowMs = clock.nowMs();
@@ -280,12 +320,11 @@
     sendReport(
       this.fleet.createRegionReport(
         this.state.known,
-        this.#regionPrefixes,
+        this.#regionPrefixes.splice(-MAX_REGION_PREFIXES),
         nowMs,
       ),
       far,
     );
-    this.#regionPrefixes = [];
   }
 
   /** Tells the own region what another one reports: only its first reporter hears of all. */
@@ -300,7 +339,7 @@
   /** Keeps what the instances of the region sent to servers, for the other regions. */
   #gatherForRegion(prefixes: readonly ReportedPrefix[]): void {
     this.#regionPrefixes = [...this.#regionPrefixes, ...prefixes]
-      .slice(-MAX_REGION_PREFIXES);
+      .slice(-MAX_WAITING_PREFIXES);
   }
 
   /** Greets instances that are known by address only, and asks whom they know. */
--- a/forwarding/call_forwarder.ts
+++ b/forwarding/call_forwarder.ts
@@ -1,10 +1,10 @@
 import type { Clock, Random } from "../clock/mod.ts";
 import type { FleetView, LoadBoard, ReportedPrefix } from "../fleet/mod.ts";
 import { pickService, type RouteTable } from "../http_routes/mod.ts";
-import type { BackendId } from "../ids/mod.ts";
+import type { BackendId, RegionId } from "../ids/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
-import type { ServerRegistry } from "../servers/mod.ts";
+import type { RegisteredServer, ServerRegistry } from "../servers/mod.ts";
 import type { CallGrammar } from "./call_grammar.ts";
 import { CallReplies } from "./call_replies.ts";
 import { PlaceChooser } from "./choose_place.ts";
@@ -144,6 +144,15 @@
     this.#line.wakeFirst(WOKEN_AT_ONCE);
   }
 
+  /** Returns the model engines of a region that may get calls. */
+  listEngines(region: RegionId): readonly RegisteredServer[] {
+    return this.#parts.registry.servers.map(({ entry }) => entry)
+      .filter(({ id, service }) =>
+        this.#parts.registry.isUsable(id) &&
+        this.#table?.findService(service)?.engine !== undefined
+      ).filter((entry) => entry.region === region);
+  }
+
   /** Returns the prompt parts sent since the last call, for the next report. */
   takePrefixes(): readonly ReportedPrefix[] {
     return this.#learned.takeUnreported();
--- a/forwarding/prefix_memory.ts
+++ b/forwarding/prefix_memory.ts
@@ -1,3 +1,4 @@
+import type { ReportedPrefix } from "../fleet/mod.ts";
 import type { BackendId } from "../ids/mod.ts";
 import type { PromptPart } from "./call_grammar.ts";
 
@@ -32,6 +33,23 @@
   }).filter(({ tokens }) => tokens >= LEAST_PART_TOKENS);
 }
 
+/**
+ * Returns what an engine's own list says in the form of parts that were sent to
+ * it. The list does not tell what stood before a part, so it holds for first
+ * parts, by far the largest; they come last, so that they are the last to yield.
+ *
+ * @param server Whose list.
+ * @param held Its parts.
+ */
+export function toHeldPrefixes(
+  server: BackendId,
+  held: readonly PromptPart[],
+): readonly ReportedPrefix[] {
+  return held.filter(({ tokens }) => tokens >= LEAST_PART_TOKENS)
+    .sort((a, b) => a.tokens - b.tokens)
+    .map(({ id, tokens }) => ({ server, part: id, tokens }));
+}
+
 /**
  * Which prompt parts each engine probably holds, from what it was sent. The
  * least recently used parts yield, as they do in an engine.
--- a/forwarding/prefix_memory_test.ts
+++ b/forwarding/prefix_memory_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { toBackendId } from "../ids/mod.ts";
-import { placeParts, PrefixMemory } from "./prefix_memory.ts";
+import { placeParts, PrefixMemory, toHeldPrefixes } from "./prefix_memory.ts";
 
 const SERVER = toBackendId("s1");
 
@@ -45,3 +45,21 @@
     assert.equal(memory.countCached(SERVER, [b!]), 0);
   });
 });
+
+describe("toHeldPrefixes()", () => {
+  it("leaves small parts out and puts the largest last, where they yield last", () => {
+    const engine = toBackendId("e1");
+    const prefixes = toHeldPrefixes(engine, [
+      { id: "large", tokens: 13_000 },
+      { id: "tiny", tokens: 40 },
+      { id: "own", tokens: 4_000 },
+    ]);
+    assert.deepEqual(prefixes.map(({ part }) => part), ["own", "large"]);
+    const memory = new PrefixMemory();
+    prefixes.forEach(({ part, tokens }) =>
+      memory.record(engine, { key: part, tokens }, 13_500)
+    );
+    const parts = placeParts([{ id: "large", tokens: 13_000 }]);
+    assert.equal(memory.countCached(engine, parts), 13_000);
+  });
+});
--- a/tests/region_reports_test.ts
+++ b/tests/region_reports_test.ts
@@ -1,29 +1,11 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { err } from "neverthrow";
-import { createRandom, VirtualClock } from "../clock/mod.ts";
-import { HttpGateway } from "../daemon/http_gateway.ts";
+import { VirtualClock } from "../clock/mod.ts";
+import type { HttpGateway } from "../daemon/http_gateway.ts";
 import type { FleetReport } from "../fleet/mod.ts";
-import { OWN_GRAMMAR, type ServerClient } from "../forwarding/mod.ts";
-import { toFailureDomainId, toInstanceId, toRegionId } from "../ids/mod.ts";
-import { createSilentLogger } from "../logs/mod.ts";
-import { NO_METRICS } from "../metrics/mod.ts";
-import type { StateSource } from "../state/mod.ts";
+import { createVirtualGateway, LOADED_STATE } from "./virtual_gateway.ts";
 
 const REGIONS = ["north", "south", "west"] as const;
-const NO_CLIENT: ServerClient = {
-  send: () => ({ resume: () => {}, abort: () => {} }),
-};
-const LOADED_STATE: StateSource = {
-  known: { configurationVersion: 1, storeRevision: 1 },
-  isLoaded: true,
-  isReachable: true,
-  instanceAddresses: [],
-  createCopy: () => ({ revision: 1, entries: [] }),
-  applyCopy: () => false,
-  sweep: () => {},
-  run: () => Promise.resolve(),
-};
 
 interface Sent {
   readonly from: string;
@@ -40,27 +22,11 @@
   const addresses = REGIONS.flatMap((region) =>
     Array.from({ length: perRegion }, (_, at) => `${region}-${at}`)
   );
-  addresses.forEach((address, at) => {
-    const region = address.split("-")[0]!;
+  addresses.forEach((address) => {
     const end = new AbortController();
-    const gateway = new HttpGateway({
+    const gateway = createVirtualGateway(address, {
       clock,
-      random: createRandom(at),
-      logger: createSilentLogger(),
-      metrics: NO_METRICS,
-      grammar: OWN_GRAMMAR,
-      client: NO_CLIENT,
-      peerClient: NO_CLIENT,
-      self: {
-        id: toInstanceId(address),
-        incarnation: "1",
-        address,
-        region: toRegionId(region),
-        failureDomain: toFailureDomainId(`${region}-a`),
-      },
       seedAddresses: ["north-0"],
-      createState: () => LOADED_STATE,
-      repeatBounds: { ratio: 0.2, slack: 10, windowMs: 10_000 },
       sendReport: (report, to) =>
         to.forEach((other) => {
           if (end.signal.aborted) return;
@@ -68,11 +34,7 @@
           if (ends.get(other)?.signal.aborted) return;
           gateways.get(other)?.receiveReport(report, address);
         }),
-      readPeerState: () => Promise.resolve(err("none")),
-      applyLimits: () => {},
-      applyAddresses: () => {},
     });
-    gateway.fleet.setState("ready");
     gateways.set(address, gateway);
     ends.set(address, end);
   });
--- /dev/null
+++ b/tests/virtual_gateway.ts
@@ -0,0 +1,64 @@
+import { err } from "neverthrow";
+import { createRandom, VirtualClock } from "../clock/mod.ts";
+import { HttpGateway, type HttpGatewayParts } from "../daemon/http_gateway.ts";
+import { OWN_GRAMMAR, type ServerClient } from "../forwarding/mod.ts";
+import { toFailureDomainId, toInstanceId, toRegionId } from "../ids/mod.ts";
+import { createSilentLogger } from "../logs/mod.ts";
+import { NO_METRICS } from "../metrics/mod.ts";
+import type { StateSource } from "../state/mod.ts";
+
+/** Sends nothing. */
+const NO_CLIENT: ServerClient = {
+  send: () => ({ resume: () => {}, abort: () => {} }),
+};
+
+/** A source that knows a configuration and never changes by itself. */
+export const LOADED_STATE: StateSource = {
+  known: { configurationVersion: 1, storeRevision: 1 },
+  isLoaded: true,
+  isReachable: true,
+  instanceAddresses: [],
+  createCopy: () => ({ revision: 1, entries: [] }),
+  applyCopy: () => false,
+  sweep: () => {},
+  run: () => Promise.resolve(),
+};
+
+/**
+ * Creates a gateway without sockets whose time stands still until advanced.
+ *
+ * @param address Its address and id; what stands before the dash is its region.
+ * @param parts What differs from a gateway alone with nothing to send to.
+ */
+export function createVirtualGateway(
+  address: string,
+  parts: Partial<HttpGatewayParts> = {},
+): HttpGateway {
+  const region = address.split("-")[0]!;
+  const gateway = new HttpGateway({
+    clock: new VirtualClock(),
+    random: createRandom(7),
+    logger: createSilentLogger(),
+    metrics: NO_METRICS,
+    grammar: OWN_GRAMMAR,
+    client: NO_CLIENT,
+    peerClient: NO_CLIENT,
+    self: {
+      id: toInstanceId(address),
+      incarnation: "1",
+      address,
+      region: toRegionId(region),
+      failureDomain: toFailureDomainId(`${region}-a`),
+    },
+    seedAddresses: [],
+    createState: () => LOADED_STATE,
+    repeatBounds: { ratio: 0.2, slack: 10, windowMs: 10_000 },
+    sendReport: () => {},
+    readPeerState: () => Promise.resolve(err("none")),
+    applyLimits: () => {},
+    applyAddresses: () => {},
+    ...parts,
+  });
+  gateway.fleet.setState("ready");
+  return gateway;
+}
