A silent store is noticed, and its return too, before an instance counts as in touch

Their watches had begun with the same event, timed out together, and the next ones, sent while the store was still silent, hung for another 6.5 s. Ruled out: the copies of peers (nobody had the version). Change: a watch waits 3 s at the most in place of 5 s, of which a quarter at random; a store that does not answer is asked for what is there, without waiting.

--- /dev/null
+++ b/state/silent_store_test.ts
@@ -0,0 +1,139 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { err, ok } from "neverthrow";
+import { createRandom, VirtualClock, waitFor } from "../clock/mod.ts";
+import { INITIAL_LIMITS, type RouteTable } from "../http_routes/mod.ts";
+import { createSilentLogger } from "../logs/mod.ts";
+import { ServerRegistry } from "../servers/mod.ts";
+import { MemoryStore } from "../standin/memory_store.ts";
+import type { StoreFailure } from "../store/mod.ts";
+import type { StateDecoder } from "./state_change.ts";
+import { StateFollower } from "./state_follower.ts";
+
+/** Time that a client gives a call beside what it waits at the store, in milliseconds. */
+const CALL_TIMEOUT_MS = 1_500;
+/**
+ * Longest time from the end of a silence until what changed meanwhile is in
+ * force, in milliseconds: the users take an instance as in touch after 5 s.
+ */
+const LONGEST_BLINDNESS_MS = 4_600;
+const LOST: StoreFailure = { kind: "unknown", message: "no answer in time" };
+
+/** Every key holds the version of a configuration. */
+const DECODER: StateDecoder = {
+  decode: (_, value) =>
+    ok({
+      kind: "configuration",
+      configuration: {
+        version: Number(value),
+        routes: [],
+        services: [],
+        limits: INITIAL_LIMITS,
+      },
+    }),
+};
+
+/** A store whose answers are lost while it is silent; calls end by their timeout. */
+class SilentStore extends MemoryStore {
+  readonly #clock: VirtualClock;
+  #silences = 0;
+  #isSilent = false;
+
+  constructor(clock: VirtualClock) {
+    super(clock);
+    this.#clock = clock;
+  }
+
+  setSilent(isSilent: boolean): void {
+    this.#isSilent = isSilent;
+    if (isSilent) this.#silences++;
+  }
+
+  override readSnapshot(
+    ...words: Parameters<MemoryStore["readSnapshot"]>
+  ): ReturnType<MemoryStore["readSnapshot"]> {
+    return this.#bound(0, super.readSnapshot(...words));
+  }
+
+  override awaitChanges(
+    ...words: Parameters<MemoryStore["awaitChanges"]>
+  ): ReturnType<MemoryStore["awaitChanges"]> {
+    return this.#bound(words[0].waitMs, super.awaitChanges(...words));
+  }
+
+  async #bound<Answer>(
+    waitMs: number,
+    answer: Promise<Answer>,
+  ): Promise<Answer> {
+    const limitMs = this.#clock.nowMs() + waitMs + CALL_TIMEOUT_MS;
+    const silencesBefore = this.#silences;
+    const wasSilent = this.#isSilent;
+    const given = await answer;
+    if (!wasSilent && this.#silences === silencesBefore) return given;
+    await waitFor(this.#clock, Math.max(0, limitMs - this.#clock.nowMs()));
+    return err(LOST) as Answer;
+  }
+}
+
+/** Returns how long after a silence a configuration written at its end is in force. */
+async function measureBlindness(
+  startMs: number,
+  lengthMs: number,
+  seed: number,
+): Promise<number> {
+  const clock = new VirtualClock();
+  const store = new SilentStore(clock);
+  const ended = new AbortController();
+  const versions: number[] = [];
+  const follower = new StateFollower({
+    store,
+    decoder: DECODER,
+    registry: new ServerRegistry(),
+    clock,
+    random: createRandom(seed),
+    logger: createSilentLogger(),
+    prefix: "",
+    applyTable: (table: RouteTable) =>
+      void versions.push(table.configuration.version),
+    onServers: () => {},
+  });
+  await store.swap({ key: "config", value: "1", expectedRevision: 0 });
+  void follower.run(ended.signal);
+  await clock.advance(startMs);
+  store.setSilent(true);
+  await clock.advance(lengthMs);
+  store.setSilent(false);
+  const known = (await store.read("config"))._unsafeUnwrap();
+  await store.swap({
+    key: "config",
+    value: "2",
+    expectedRevision: known?.revision ?? 0,
+  });
+  const endMs = clock.nowMs();
+  while (versions.at(-1) !== 2 && clock.nowMs() < endMs + 20_000) {
+    await clock.advance(50);
+  }
+  ended.abort();
+  return clock.nowMs() - endMs;
+}
+
+describe("StateFollower, when the store is silent for a while", () => {
+  it("has what changed in force before the instance counts as in touch", async () => {
+    const starts = Array.from({ length: 12 }, (_, at) => 400 + at * 530);
+    const lengths = [300, 1_000, 2_500, 4_500, 7_000];
+    const cases = starts.flatMap((startMs) =>
+      lengths.map((lengthMs) => ({ startMs, lengthMs }))
+    );
+    const measured = await Promise.all(
+      cases.map(async ({ startMs, lengthMs }, seed) => ({
+        startMs,
+        lengthMs,
+        blindMs: await measureBlindness(startMs, lengthMs, seed + 1),
+      })),
+    );
+    const late = measured.filter(({ blindMs }) =>
+      blindMs > LONGEST_BLINDNESS_MS
+    );
+    assert.deepEqual(late, []);
+  });
+});
--- a/state/state_follower.ts
+++ b/state/state_follower.ts
@@ -14,8 +14,17 @@
 import type { StateDecoder, StateDocument } from "./state_change.ts";
 import type { StateCopy, StateSource } from "./state_source.ts";
 
-/** How long one watch waits at the store, in milliseconds: a lost answer is noticed that late. */
-const WATCH_WAIT_MS = 5_000;
+/**
+ * How long one watch waits at the store at the most, in milliseconds. A lost
+ * answer is noticed only when the wait and the call's timeout (1.5 s) are over:
+ * the sum stays below the 5 s after which the users take an instance as in touch.
+ */
+const WATCH_WAIT_MS = 3_000;
+/**
+ * Part of the wait that is chosen at random, so that instances whose watches
+ * began with the same event do not all wait for a lost answer equally long.
+ */
+const WATCH_WAIT_JITTER = 0.25;
 /** Pause after a failed call, in milliseconds; it doubles, is jittered, and has an upper bound. */
 const FIRST_PAUSE_MS = 150;
 const LONGEST_PAUSE_MS = 1_000;
@@ -174,7 +183,7 @@
     const changes = await store.awaitChanges({
       prefix,
       afterRevision,
-      waitMs: WATCH_WAIT_MS,
+      waitMs: this.#pickWaitMs(),
     }, { signal });
     if (changes.isErr()) return this.#noteFailure(changes.error.message);
     this.#noteSuccess();
@@ -187,6 +196,13 @@
     return Math.max(afterRevision, changes.value.revision);
   }
 
+  /** While the store does not answer it is asked for what is there: waiting would hide its return. */
+  #pickWaitMs(): number {
+    if (!this.#isReachable) return 0;
+    const jitter = WATCH_WAIT_JITTER * this.#parts.random.nextFloat();
+    return Math.round(WATCH_WAIT_MS * (1 - jitter));
+  }
+
   #applyEvents(events: readonly StoreEvent[], revision: number): void {
     const fresh = pickFresh(this.#revision, events);
     fresh.forEach((event) => {
