Folders import one way: filters and controllers declare the part of the daemon that they need

Cause: daemon/gateway.ts and ten files of filters and controllers imported each other, controllers and filters as well, and the architecture's table of folders did not hold (peers named folders below it, benchmarks the programs). Change: each of the ten declares its own port (PublishEntriesGateway and so on) of types from below; GatewayParts stands in ports/, PlacementStatus in engine/; the table's order is that of the code. tests/import_rules_test.ts reads the table and fails where an import goes up, where two folders import each other, or where anything but programs, benchmarks and stand-ins names the daemon; it failed on each before the change (daemon and filters, daemon and controllers, controllers and filters; peers and bench against the table). Conclusion: no behaviour changed; tests of fleets and clusters pass.

--- a/controllers/charge_usage.ts
+++ b/controllers/charge_usage.ts
@@ -1,8 +1,19 @@
 import { createToken } from "../clock/mod.ts";
-import type { Gateway } from "../daemon/gateway.ts";
-import { toChangeId, toIncarnation } from "../ids/mod.ts";
-import { rankNames } from "../membership/mod.ts";
-import { foldUsage, UsageFlusher } from "../usage/mod.ts";
+import { type Incarnation, toChangeId, toIncarnation } from "../ids/mod.ts";
+import { type Membership, rankNames } from "../membership/mod.ts";
+import type { GatewayParts } from "../ports/mod.ts";
+import type { GuardedStore } from "../store/mod.ts";
+import { foldUsage, UsageFlusher, type UsageMeter } from "../usage/mod.ts";
+
+/** What charging usage needs of a daemon. */
+export interface ChargeUsageGateway {
+  readonly parts: Pick<GatewayParts, "clock" | "metrics" | "random" | "self">;
+  readonly incarnation: Incarnation;
+  isGone(holder: Incarnation): boolean;
+  readonly membership: Membership;
+  readonly store: GuardedStore;
+  readonly usage: UsageMeter;
+}
 
 /** Folding runs at every so many flushes. */
 const FOLD_EVERY = 6;
@@ -13,7 +24,9 @@
  *
  * @param gateway The daemon.
  */
-export function createChargeUsage(gateway: Gateway): () => Promise<void> {
+export function createChargeUsage(
+  gateway: ChargeUsageGateway,
+): () => Promise<void> {
   const { clock, metrics, random, self } = gateway.parts;
   const createChangeId = () => toChangeId(createToken(random));
   const flusher = new UsageFlusher({
@@ -46,7 +59,7 @@
 }
 
 /** Need not be certain: a document that is folded too early is sealed first. */
-function isGone(gateway: Gateway, incarnation: string): boolean {
+function isGone(gateway: ChargeUsageGateway, incarnation: string): boolean {
   const id = incarnation.slice(0, incarnation.lastIndexOf(":"));
   const listed = [gateway.parts.self, ...gateway.membership.listed];
   return listed.every((record) => record.id !== id) ||
--- a/controllers/decide_placement.ts
+++ b/controllers/decide_placement.ts
@@ -1,3 +1,4 @@
+import type { PlacementStatus } from "../engine/mod.ts";
 import type { EngineState } from "../engine/mod.ts";
 
 /** What operators want of one service in one region. */
@@ -25,16 +26,6 @@
   readonly version: string | undefined;
 }
 
-/** How far a placement is, for operators. */
-export interface PlacementStatus {
-  readonly service: string;
-  readonly wanted: number;
-  readonly serving: number;
-  readonly loading: number;
-  /** Why it is not complete; empty if it is. */
-  readonly reason: string;
-}
-
 /** What is decided. */
 export interface PlacementDecision {
   readonly orders: readonly PlacementOrder[];
--- a/controllers/observe_engines.ts
+++ b/controllers/observe_engines.ts
@@ -1,10 +1,22 @@
-import type { Gateway } from "../daemon/gateway.ts";
+import type { ConfigurationState } from "../configuration/mod.ts";
+import type { Membership } from "../membership/mod.ts";
+import type { GatewayParts } from "../ports/mod.ts";
 import {
+  type CreditLedger,
   type EngineModel,
   pickObservers,
   type ServicePool,
 } from "../routing/mod.ts";
 
+/** What observing engines needs of a daemon. */
+export interface ObserveEnginesGateway {
+  readonly parts: Pick<GatewayParts, "backend" | "clock" | "self">;
+  readonly configuration: ConfigurationState;
+  readonly ledger: CreditLedger;
+  readonly membership: Membership;
+  readPool(service: string): ServicePool;
+}
+
 /** Daemons that poll each engine of a large pool. */
 const OBSERVERS_PER_ENGINE = 2;
 /** Up to so many engines a daemon polls all of them, each second. */
@@ -22,7 +34,7 @@
 
 /** Returns the controller that polls the load of engines. */
 export function createObserveEngines(
-  gateway: Gateway,
+  gateway: ObserveEnginesGateway,
   signal: AbortSignal,
 ): () => Promise<void> {
   const { backend, clock } = gateway.parts;
@@ -49,7 +61,10 @@
   };
 }
 
-function listDue(gateway: Gateway, pool: ServicePool): readonly Observed[] {
+function listDue(
+  gateway: ObserveEnginesGateway,
+  pool: ServicePool,
+): readonly Observed[] {
   const { clock, self } = gateway.parts;
   const nowMs = clock.nowMs();
   const all = pool.engines.map((engine) => ({ pool, engine }));
--- a/controllers/place_versions.ts
+++ b/controllers/place_versions.ts
@@ -1,16 +1,30 @@
 import { createToken } from "../clock/mod.ts";
-import { LoadRate } from "./load_rate.ts";
-import type { Gateway } from "../daemon/gateway.ts";
-import type { EngineState } from "../engine/mod.ts";
+import type { ConfigurationState } from "../configuration/mod.ts";
+import type { EngineState, PlacementStatus } from "../engine/mod.ts";
 import { decideOrder, LEASE_TERMS, LeaseHolder } from "../leases/mod.ts";
-import { rankNames } from "../membership/mod.ts";
-import { readRegions, readResources } from "../resources/mod.ts";
-import type { BackendServer } from "../resources/mod.ts";
+import { type Membership, rankNames } from "../membership/mod.ts";
+import type { GatewayParts } from "../ports/mod.ts";
 import {
-  decidePlacement,
-  type PlacedEngine,
-  type PlacementStatus,
-} from "./decide_placement.ts";
+  type BackendServer,
+  readRegions,
+  readResources,
+} from "../resources/mod.ts";
+import type { ServicePool } from "../routing/mod.ts";
+import type { GuardedStore } from "../store/mod.ts";
+import { decidePlacement, type PlacedEngine } from "./decide_placement.ts";
+import { LoadRate } from "./load_rate.ts";
+
+/** What placing versions needs of a daemon. */
+export interface PlaceVersionsGateway {
+  readonly parts: Pick<
+    GatewayParts,
+    "backend" | "clock" | "metrics" | "options" | "random" | "self"
+  >;
+  readonly configuration: ConfigurationState;
+  readonly membership: Membership;
+  readPool(service: string): ServicePool;
+  readonly store: GuardedStore;
+}
 
 /** The controller of a region's placement. */
 export interface PlaceVersions {
@@ -45,7 +59,9 @@
  *
  * @param gateway The daemon.
  */
-export function createPlaceVersions(gateway: Gateway): PlaceVersions {
+export function createPlaceVersions(
+  gateway: PlaceVersionsGateway,
+): PlaceVersions {
   const { backend, clock, metrics, random, self } = gateway.parts;
   const holder = new LeaseHolder({
     store: gateway.store,
--- a/controllers/publish_entries.ts
+++ b/controllers/publish_entries.ts
@@ -1,10 +1,19 @@
-import type { Gateway } from "../daemon/gateway.ts";
-import { rankNames } from "../membership/mod.ts";
+import { type Membership, rankNames } from "../membership/mod.ts";
+import type { GatewayParts } from "../ports/mod.ts";
+
+/** What publishing entries needs of a daemon. */
+export interface PublishEntriesGateway {
+  readonly parts: Pick<GatewayParts, "clock" | "directory" | "self">;
+  readonly isReady: boolean;
+  readonly membership: Membership;
+}
 
 const REPUBLISH_MS = 10_000;
 
 /** Returns the controller that publishes the entries of its region in the directory. */
-export function createPublishEntries(gateway: Gateway): () => Promise<void> {
+export function createPublishEntries(
+  gateway: PublishEntriesGateway,
+): () => Promise<void> {
   const { clock, directory, self } = gateway.parts;
   let published = "";
   let publishedMs = 0;
--- a/controllers/send_heartbeats.ts
+++ b/controllers/send_heartbeats.ts
@@ -1,5 +1,15 @@
-import type { Gateway } from "../daemon/gateway.ts";
-import type { ServiceDigest } from "../membership/mod.ts";
+import type { ConfigurationState } from "../configuration/mod.ts";
+import type { Membership, ServiceDigest } from "../membership/mod.ts";
+import type { GatewayParts } from "../ports/mod.ts";
+import type { ServicePool } from "../routing/mod.ts";
+
+/** What sending heartbeats needs of a daemon. */
+export interface SendHeartbeatsGateway {
+  readonly parts: Pick<GatewayParts, "clock" | "metrics" | "peers">;
+  readonly configuration: ConfigurationState;
+  readonly membership: Membership;
+  readPool(service: string): ServicePool;
+}
 
 const TYPICAL_CALL = {
   promptTokens: 200,
@@ -9,7 +19,9 @@
 };
 
 /** Returns the controller that sends heartbeats. */
-export function createSendHeartbeats(gateway: Gateway): () => void {
+export function createSendHeartbeats(
+  gateway: SendHeartbeatsGateway,
+): () => void {
   const { clock, metrics, peers } = gateway.parts;
   return () => {
     const local = {
@@ -22,7 +34,9 @@
   };
 }
 
-function readServices(gateway: Gateway): readonly ServiceDigest[] {
+function readServices(
+  gateway: SendHeartbeatsGateway,
+): readonly ServiceDigest[] {
   return [...gateway.configuration.view.services.keys()].flatMap((service) => {
     const pool = gateway.readPool(service);
     const firstTokenMs = pool.estimateFirstTokenMs(TYPICAL_CALL);
--- a/controllers/share_limits.ts
+++ b/controllers/share_limits.ts
@@ -1,7 +1,15 @@
-import type { BorrowWish } from "../admission/mod.ts";
+import type { BorrowWish, TeamLimits } from "../admission/mod.ts";
 import type { TeamId } from "../ids/mod.ts";
-import type { Gateway } from "../daemon/gateway.ts";
-import type { InstanceRecord } from "../membership/mod.ts";
+import type { InstanceRecord, Membership } from "../membership/mod.ts";
+import type { GatewayParts } from "../ports/mod.ts";
+
+/** What sharing limits needs of a daemon. */
+export interface ShareLimitsGateway {
+  readonly parts: Pick<GatewayParts, "clock" | "peers" | "self">;
+  readonly limits: TeamLimits;
+  readonly membership: Membership;
+  readLimitHolders(team: TeamId): readonly string[];
+}
 
 const SHORTEST_PAUSE_MS = 150;
 const LONGEST_PAUSE_MS = 2_000;
@@ -24,11 +32,11 @@
  * it asks less and less often.
  */
 export class LimitBorrower {
-  readonly #gateway: Gateway;
+  readonly #gateway: ShareLimitsGateway;
   readonly #rounds = new Map<TeamId, LastRound>();
 
   /** @param gateway The daemon. */
-  constructor(gateway: Gateway) {
+  constructor(gateway: ShareLimitsGateway) {
     this.#gateway = gateway;
   }
 
@@ -75,7 +83,10 @@
 }
 
 /** Asks all lenders for equal parts, then those that had them for the rest. */
-async function askAll(gateway: Gateway, wish: BorrowWish): Promise<number> {
+async function askAll(
+  gateway: ShareLimitsGateway,
+  wish: BorrowWish,
+): Promise<number> {
   const { clock, self } = gateway.parts;
   const lenders = gateway.readLimitHolders(wish.team)
     .filter((id) => id !== self.id)
@@ -107,7 +118,7 @@
 }
 
 async function askOne(
-  gateway: Gateway,
+  gateway: ShareLimitsGateway,
   lender: InstanceRecord,
   wish: BorrowWish,
 ): Promise<number> {
--- a/controllers/watch_instances.ts
+++ b/controllers/watch_instances.ts
@@ -1,9 +1,24 @@
-import type { Gateway } from "../daemon/gateway.ts";
+import type { Membership } from "../membership/mod.ts";
+import type { GatewayParts } from "../ports/mod.ts";
+import type { StoreBudget } from "../store/mod.ts";
+
+/** What watching instances needs of a daemon. */
+export interface WatchInstancesGateway {
+  readonly parts: Pick<
+    GatewayParts,
+    "clock" | "instances" | "logger" | "options"
+  >;
+  readonly budget: StoreBudget;
+  readonly membership: Membership;
+  refreshPools(): void;
+}
 
 const MIN_STORE_CALLS = 5;
 
 /** Returns the controller that reads the platform's list and shares the store's budget by it. */
-export function createWatchInstances(gateway: Gateway): () => Promise<void> {
+export function createWatchInstances(
+  gateway: WatchInstancesGateway,
+): () => Promise<void> {
   const { clock, instances, logger, options } = gateway.parts;
   let known = "";
   return async () => {
--- a/controllers/work_batches.ts
+++ b/controllers/work_batches.ts
@@ -1,18 +1,35 @@
 import {
   type BatchHead,
+  type BatchItem,
   BatchStore,
   type ItemOutcome,
   runPack,
   toClaimKey,
 } from "../batches/mod.ts";
 import { createToken } from "../clock/mod.ts";
-import type { Gateway } from "../daemon/gateway.ts";
-import type { BatchItem } from "../batches/mod.ts";
-import { toChangeId } from "../ids/mod.ts";
+import type { ConfigurationState } from "../configuration/mod.ts";
 import { readBatchRegions } from "../filters/batch_api.ts";
+import type { GatewayRequest, Reply } from "../filters/exchange.ts";
+import { type Incarnation, toChangeId } from "../ids/mod.ts";
 import { LEASE_TERMS } from "../leases/mod.ts";
-import { rankNames } from "../membership/mod.ts";
+import { type Membership, rankNames } from "../membership/mod.ts";
+import type { GatewayParts } from "../ports/mod.ts";
 import { BATCH_WORKERS } from "../routing/mod.ts";
+import type { GuardedStore } from "../store/mod.ts";
+
+/** What working on batches needs of a daemon. */
+export interface WorkBatchesGateway {
+  readonly parts: Pick<GatewayParts, "clock" | "metrics" | "random" | "self">;
+  readonly configuration: ConfigurationState;
+  handleForTeam(
+    name: string,
+    request: Omit<GatewayRequest, "readBody"> & { readonly body: Buffer },
+  ): Promise<Reply>;
+  readonly incarnation: Incarnation;
+  readonly isReady: boolean;
+  readonly membership: Membership;
+  readonly store: GuardedStore;
+}
 
 /** Packs that one daemon works on at once. */
 const PACKS_AT_ONCE = 3;
@@ -31,7 +48,7 @@
  * @param signal Ends the work.
  */
 export function createWorkBatches(
-  gateway: Gateway,
+  gateway: WorkBatchesGateway,
   signal: AbortSignal,
 ): () => Promise<void> {
   const { clock, random, self } = gateway.parts;
@@ -153,7 +170,7 @@
 }
 
 async function runClaimed(
-  gateway: Gateway,
+  gateway: WorkBatchesGateway,
   store: BatchStore,
   work: {
     readonly head: BatchHead;
@@ -186,7 +203,7 @@
 }
 
 async function runItem(
-  gateway: Gateway,
+  gateway: WorkBatchesGateway,
   head: BatchHead,
   work: {
     readonly item: BatchItem;
@@ -232,7 +249,7 @@
 }
 
 /** The items pass through the region that works on them. */
-function isAllowedHere(gateway: Gateway, head: BatchHead): boolean {
+function isAllowedHere(gateway: WorkBatchesGateway, head: BatchHead): boolean {
   const { view } = gateway.configuration;
   const allowed = readBatchRegions(view, head.team, head.services);
   return allowed === undefined || allowed.has(gateway.parts.self.region);
--- a/daemon/gateway.ts
+++ b/daemon/gateway.ts
@@ -24,7 +24,7 @@
   ServicePool,
 } from "../routing/mod.ts";
 import { GuardedStore, StoreBudget } from "../store/mod.ts";
-import type { PlacementStatus } from "../controllers/decide_placement.ts";
+import type { PlacementStatus } from "../engine/mod.ts";
 import { LimitBorrower } from "../controllers/share_limits.ts";
 import { UsageMeter } from "../usage/mod.ts";
 import type {
@@ -35,7 +35,7 @@
 } from "../filters/mod.ts";
 import { holdUntilEnd, toRefusal } from "../filters/mod.ts";
 import type { PeerHandlers, PeerMethod, PeerMethods } from "../peers/mod.ts";
-import type { GatewayParts } from "./gateway_parts.ts";
+import type { GatewayParts } from "../ports/mod.ts";
 import { createPeerHandlers } from "./peer_handlers.ts";
 import { createRoutes, type Routes } from "./routes.ts";
 import { startControllers } from "./start_controllers.ts";
--- a/daemon/mod.ts
+++ b/daemon/mod.ts
@@ -10,6 +10,6 @@
  * @module
  */
 export * from "./gateway.ts";
-export * from "./gateway_parts.ts";
+export * from "../ports/mod.ts";
 export * from "./http_gateway.ts";
 export * from "./catalog_state.ts";
--- a/engine/mod.ts
+++ b/engine/mod.ts
@@ -9,3 +9,4 @@
  * @module
  */
 export * from "./backend_client.ts";
+export * from "./placement_status.ts";
--- a/filters/batch_api.ts
+++ b/filters/batch_api.ts
@@ -1,13 +1,13 @@
 import { createHash } from "node:crypto";
 import { err, ok, type Result } from "neverthrow";
-import * as z from "zod";
 import { type BatchHead, type BatchItem, BatchStore } from "../batches/mod.ts";
 import { createToken } from "../clock/mod.ts";
-import type { Gateway } from "../daemon/gateway.ts";
+import type { ConfigurationState } from "../configuration/mod.ts";
 import { type RegionId, toChangeId } from "../ids/mod.ts";
+import type { GatewayParts } from "../ports/mod.ts";
 import { type CatalogView, readAllowedRegions } from "../resources/mod.ts";
 import { createFailure, type Failure } from "../results/mod.ts";
-import type { StoreFailure } from "../store/mod.ts";
+import type { GuardedStore, StoreFailure } from "../store/mod.ts";
 import {
   createJsonReply,
   type Exchange,
@@ -17,6 +17,15 @@
 } from "./exchange.ts";
 import { parseJsonObject } from "./parse_call.ts";
 
+import * as z from "zod";
+
+/** What the batch API needs of a daemon. */
+export interface BatchApiGateway {
+  readonly parts: Pick<GatewayParts, "clock" | "options" | "random">;
+  readonly configuration: ConfigurationState;
+  readonly store: GuardedStore;
+}
+
 type Handler = (exchange: Exchange) => Promise<Result<Reply, Failure>>;
 
 const MAX_ITEMS = 10_000;
@@ -42,7 +51,7 @@
 export const BATCH_HANDLERS: readonly {
   readonly method: "GET" | "POST";
   readonly path: string;
-  readonly handler: (gateway: Gateway) => Filter;
+  readonly handler: (gateway: BatchApiGateway) => Filter;
 }[] = [
   { method: "POST", path: "/v1/batches", handler: createSubmit },
   { method: "GET", path: "/v1/batches/:id", handler: createReadStatus },
@@ -83,7 +92,7 @@
     );
 }
 
-function createSubmit(gateway: Gateway): Handler {
+function createSubmit(gateway: BatchApiGateway): Handler {
   const store = createStore(gateway);
   return async (exchange) => {
     const body = await exchange.request.readBody();
@@ -113,7 +122,7 @@
   };
 }
 
-function createReadStatus(gateway: Gateway): Handler {
+function createReadStatus(gateway: BatchApiGateway): Handler {
   const store = createStore(gateway);
   return async (exchange) => {
     const head = await readOwn(store, exchange);
@@ -128,7 +137,7 @@
   };
 }
 
-function createReadResults(gateway: Gateway): Handler {
+function createReadResults(gateway: BatchApiGateway): Handler {
   const store = createStore(gateway);
   return async (exchange) => {
     const head = await readOwn(store, exchange);
@@ -147,7 +156,7 @@
   };
 }
 
-function createCancel(gateway: Gateway): Handler {
+function createCancel(gateway: BatchApiGateway): Handler {
   const store = createStore(gateway);
   return async (exchange) => {
     const head = await readOwn(store, exchange);
@@ -162,7 +171,7 @@
   };
 }
 
-function createStore(gateway: Gateway): BatchStore {
+function createStore(gateway: BatchApiGateway): BatchStore {
   return new BatchStore(
     gateway.store,
     () => toChangeId(createToken(gateway.parts.random)),
@@ -186,7 +195,7 @@
 }
 
 function parseSubmission(
-  gateway: Gateway,
+  gateway: BatchApiGateway,
   exchange: Exchange,
   body: Buffer,
 ): Result<
@@ -270,7 +279,7 @@
 
 /** Items and answers lie in the store: its regions must all be allowed. */
 function checkStoreRegions(
-  gateway: Gateway,
+  gateway: BatchApiGateway,
   team: string,
   services: readonly string[],
 ): Failure | undefined {
--- a/filters/resource_api.ts
+++ b/filters/resource_api.ts
@@ -1,6 +1,13 @@
 import { err, ok, type Result } from "neverthrow";
-import { acceptChanges, readEntriesAfter } from "../configuration/mod.ts";
-import type { Gateway } from "../daemon/gateway.ts";
+import {
+  acceptChanges,
+  type ConfigurationController,
+  type ConfigurationState,
+  readEntriesAfter,
+} from "../configuration/mod.ts";
+import type { PlacementStatus } from "../engine/mod.ts";
+import type { Membership } from "../membership/mod.ts";
+import type { GatewayParts } from "../ports/mod.ts";
 import {
   type ConfigurationEntry,
   readResource,
@@ -11,6 +18,8 @@
   type ResourceKind,
 } from "../resources/mod.ts";
 import { createFailure, type Failure } from "../results/mod.ts";
+import type { ServicePool } from "../routing/mod.ts";
+import type { GuardedStore } from "../store/mod.ts";
 import { readUsage } from "../usage/mod.ts";
 import {
   createJsonReply,
@@ -21,6 +30,24 @@
 } from "./exchange.ts";
 import { parseJsonObject } from "./parse_call.ts";
 
+/** What the resource API needs of a daemon. */
+export interface ResourceApiGateway {
+  readonly parts: Pick<
+    GatewayParts,
+    "clock" | "logger" | "options" | "random" | "self"
+  >;
+  readonly configuration: ConfigurationState;
+  readonly controller: ConfigurationController;
+  readonly inFlight: number;
+  leave(signal: AbortSignal): Promise<void>;
+  readonly membership: Membership;
+  readonly pools: ReadonlyMap<string, ServicePool>;
+  readPlacements: () => readonly PlacementStatus[];
+  readPool(service: string): ServicePool;
+  runInTurn<T>(run: () => Promise<T>): Promise<T>;
+  readonly store: GuardedStore;
+}
+
 /** A resource as operators see it. */
 export interface ResourceView extends Resource {
   /** What is reported of it. */
@@ -28,7 +55,7 @@
 }
 
 type Handler = (
-  gateway: Gateway,
+  gateway: ResourceApiGateway,
   exchange: Exchange,
 ) => Promise<Result<Reply, Failure>>;
 
@@ -66,11 +93,14 @@
 ];
 
 /** Returns the filter that ends the chain of one handler. */
-export function toFilter(gateway: Gateway, handler: Handler): Filter {
+export function toFilter(
+  gateway: ResourceApiGateway,
+  handler: Handler,
+): Filter {
   return (exchange) => handler(gateway, exchange);
 }
 
-async function listResources(gateway: Gateway, exchange: Exchange) {
+async function listResources(gateway: ResourceApiGateway, exchange: Exchange) {
   const kind = parseKind(exchange);
   if (kind.isErr()) return err(kind.error);
   const items = readResources(gateway.configuration.catalog, kind.value)
@@ -78,7 +108,7 @@
   return await Promise.resolve(ok(createJsonReply(200, { items })));
 }
 
-async function getResource(gateway: Gateway, exchange: Exchange) {
+async function getResource(gateway: ResourceApiGateway, exchange: Exchange) {
   const kind = parseKind(exchange);
   if (kind.isErr()) return err(kind.error);
   const name = exchange.params.name ?? "";
@@ -97,7 +127,7 @@
   );
 }
 
-async function putResource(gateway: Gateway, exchange: Exchange) {
+async function putResource(gateway: ResourceApiGateway, exchange: Exchange) {
   const body = await readJson(exchange);
   if (body.isErr()) return err(body.error);
   const { spec, version } = body.value;
@@ -111,7 +141,7 @@
   ]);
 }
 
-async function deleteResource(gateway: Gateway, exchange: Exchange) {
+async function deleteResource(gateway: ResourceApiGateway, exchange: Exchange) {
   const version = new URLSearchParams(exchange.request.query).get("version");
   const wanted = version === null ? undefined : Number(version);
   return await accept(gateway, exchange, [
@@ -119,7 +149,7 @@
   ]);
 }
 
-async function applyMany(gateway: Gateway, exchange: Exchange) {
+async function applyMany(gateway: ResourceApiGateway, exchange: Exchange) {
   const body = await readJson(exchange);
   if (body.isErr()) return err(body.error);
   const { changes } = body.value;
@@ -143,7 +173,7 @@
 }
 
 async function accept(
-  gateway: Gateway,
+  gateway: ResourceApiGateway,
   exchange: Exchange,
   changes: readonly RequestedChange[],
 ): Promise<Result<Reply, Failure>> {
@@ -169,7 +199,7 @@
   return accepted.map((change) => createJsonReply(200, change));
 }
 
-async function readStatus(gateway: Gateway) {
+async function readStatus(gateway: ResourceApiGateway) {
   const { clock, logger, self } = gateway.parts;
   const { membership, configuration } = gateway;
   const nowMs = clock.nowMs();
@@ -222,7 +252,7 @@
   })));
 }
 
-async function readAudit(gateway: Gateway, exchange: Exchange) {
+async function readAudit(gateway: ResourceApiGateway, exchange: Exchange) {
   const after = Number(
     new URLSearchParams(exchange.request.query).get("after") ?? "0",
   );
@@ -239,7 +269,7 @@
   return ok(createJsonReply(200, { items: held, is_complete: false }));
 }
 
-async function readUsageTotals(gateway: Gateway) {
+async function readUsageTotals(gateway: ResourceApiGateway) {
   const usage = await readUsage(gateway.store);
   if (usage.isOk()) return ok(createJsonReply(200, { teams: usage.value }));
   return err(
@@ -249,7 +279,7 @@
   );
 }
 
-async function watchEntries(gateway: Gateway, exchange: Exchange) {
+async function watchEntries(gateway: ResourceApiGateway, exchange: Exchange) {
   const after = Number(
     new URLSearchParams(exchange.request.query).get("after") ?? "0",
   );
@@ -264,7 +294,7 @@
 }
 
 async function* followEntries(
-  gateway: Gateway,
+  gateway: ResourceApiGateway,
   after: number,
   exchange: Exchange,
 ): AsyncGenerator<ReplyEvent> {
@@ -287,7 +317,7 @@
   }
 }
 
-async function drainInstance(gateway: Gateway) {
+async function drainInstance(gateway: ResourceApiGateway) {
   void gateway.leave(new AbortController().signal);
   return await Promise.resolve(
     ok(
@@ -299,7 +329,7 @@
   );
 }
 
-async function setLogLevel(gateway: Gateway, exchange: Exchange) {
+async function setLogLevel(gateway: ResourceApiGateway, exchange: Exchange) {
   const body = await readJson(exchange);
   if (body.isErr()) return err(body.error);
   const { level } = body.value;
@@ -349,12 +379,12 @@
   return person === undefined ? name : `${name}/${person.slice(0, 64)}`;
 }
 
-function toView(gateway: Gateway, resource: Resource): ResourceView {
+function toView(gateway: ResourceApiGateway, resource: Resource): ResourceView {
   return { ...resource, status: readResourceStatus(gateway, resource) };
 }
 
 function readResourceStatus(
-  gateway: Gateway,
+  gateway: ResourceApiGateway,
   resource: Resource,
 ): Readonly<Record<string, unknown>> {
   const nowMs = gateway.parts.clock.nowMs();
@@ -388,7 +418,7 @@
 }
 
 function readEngines(
-  gateway: Gateway,
+  gateway: ResourceApiGateway,
 ): readonly Readonly<Record<string, unknown>>[] {
   const nowMs = gateway.parts.clock.nowMs();
   return [...gateway.pools].flatMap(([service, pool]) =>
--- a/tests/import_rules_test.ts
+++ b/tests/import_rules_test.ts
@@ -49,6 +49,58 @@
   return readFileSync(join(ROOT, path), "utf8");
 }
 
+/** Folders in the order of docs/ARCHITECTURE.md, each with its place from the bottom. */
+function readFolderRanks(): ReadonlyMap<string, number> {
+  const page = readSource("docs/ARCHITECTURE.md");
+  const table = page.slice(page.indexOf("| folder | holds |"));
+  const rows = table.split("\n").filter((line) => line.startsWith("| `"));
+  return new Map(rows.flatMap((row, rank) => {
+    const names = row.split("|")[1]!.match(/[a-z_]+/g) ?? [];
+    return names.map((name): [string, number] => [name, rank]);
+  }));
+}
+
+/** Imports from one topic folder into another, without those of tests. */
+function listFolderImports(): readonly {
+  readonly path: string;
+  readonly from: string;
+  readonly to: string;
+}[] {
+  return listSources().filter((path) =>
+    !path.endsWith("_test.ts") && !path.startsWith("tests/")
+  ).flatMap((path) => {
+    const from = path.split("/")[0]!;
+    return [...readSource(path).matchAll(/from "\.\.\/([a-z_]+)\//g)]
+      .map((found) => ({ path, from, to: found[1]! }))
+      .filter(({ to }) => to !== from);
+  });
+}
+
+describe("the folders", () => {
+  it("import only from those above them in the architecture's table", () => {
+    const ranks = readFolderRanks();
+    const wrong = listFolderImports().filter(({ from, to }) =>
+      (ranks.get(from) ?? -1) < (ranks.get(to) ?? Number.POSITIVE_INFINITY)
+    );
+    assert.deepEqual(wrong, []);
+  });
+
+  it("never import each other", () => {
+    const imports = listFolderImports();
+    const edges = new Set(imports.map(({ from, to }) => `${from} ${to}`));
+    const mutual = imports.filter(({ from, to }) => edges.has(`${to} ${from}`));
+    assert.deepEqual(mutual, []);
+  });
+
+  it("leave the daemon to programs, benchmarks and stand-ins", () => {
+    const naming = listFolderImports().filter(({ to }) => to === "daemon")
+      .filter(({ from }) =>
+        !["bin", "bench", "standin", "platform"].includes(from)
+      );
+    assert.deepEqual(naming, []);
+  });
+});
+
 describe("the sources", () => {
   it("speak the platform's words in its adapter alone", () => {
     const speaking = listSources().filter((path) => !MAY_SPEAK.test(path))
