Hops that stay silent are left; instances that fell behind their region get none

Cause: instances that stand still or lose power are taken as gone after 2.5 s by other regions; until then calls went to them, and none was given up before its time, while calls to servers were. Change: a call that may be repeated leaves a silent instance as it leaves a silent server (forwarding/read_patience.ts, the way there included); a hop goes to members that were heard within 0.6 s of the last one heard of their region. Tests: forwarding/call_forwarder_test.ts (no answer before), fleet/fleet_view_test.ts.

--- a/fleet/fleet_view.ts
+++ b/fleet/fleet_view.ts
@@ -19,6 +19,12 @@
  * and two reports of a region between which its news wait.
  */
 export const FAR_SILENCE_MS = 2_500;
+/**
+ * How much longer than the last one heard of its region a member may have been
+ * silent to be sent calls, in milliseconds: four reports. News of a whole region
+ * come late together; a member that stands still falls behind the others.
+ */
+export const BEHIND_MS = 600;
 /**
  * Instances of a region that speak with the other regions, in the order of their
  * ids: the first one does so all the time, the second one often enough to be
@@ -98,6 +104,21 @@
     return isSelf ? [this.self, ...others] : others;
   }
 
+  /**
+   * Returns the members of another region that take calls, without those that
+   * fell behind the others: they may have stopped, though it is too early to take
+   * them as gone.
+   */
+  listFresh(region: RegionId, nowMs: number): readonly MemberRecord[] {
+    const ready = [...this.#seen.values()].filter((seen) =>
+      seen.member.region === region && seen.member.state === "ready" &&
+      this.#isLive(seen, nowMs)
+    );
+    const lastMs = Math.max(...ready.map(({ heardMs }) => heardMs));
+    return ready.filter(({ heardMs }) => lastMs - heardMs < BEHIND_MS)
+      .map(({ member }) => member);
+  }
+
   /** Returns the regions of which a member is known. */
   listRegions(): readonly RegionId[] {
     const known = [...this.#seen.values()].map(({ member }) => member.region);
--- a/fleet/fleet_view_test.ts
+++ b/fleet/fleet_view_test.ts
@@ -3,7 +3,7 @@
 import { toFailureDomainId, toInstanceId, toRegionId } from "../ids/mod.ts";
 import { decodeReport, encodeReport } from "./encode_report.ts";
 import type { FleetReport, MemberRecord, MemberState } from "./fleet_report.ts";
-import { FleetView, NEAR_SILENCE_MS } from "./fleet_view.ts";
+import { BEHIND_MS, FleetView, NEAR_SILENCE_MS } from "./fleet_view.ts";
 import { LoadBoard } from "./load_board.ts";
 
 const NORTH = toRegionId("north");
@@ -101,6 +101,20 @@
     assert.deepEqual(listNames(view.listReady(SOUTH, 1_600)), []);
   });
 
+  it("sends nothing to a member that fell behind the others of its region", () => {
+    const view = createView();
+    const [stopped, running] = ["far-1", "far-2"].map((name) =>
+      createMember(name, "ready", { region: SOUTH })
+    ) as [MemberRecord, MemberRecord];
+    view.applyReport(createReport(stopped, 1), 0);
+    view.applyReport(createReport(running, 1), 0);
+    assert.equal(view.listFresh(SOUTH, 900).length, 2);
+    view.applyReport(createReport(running, 2), BEHIND_MS);
+    assert.deepEqual(listNames(view.listFresh(SOUTH, 900)), ["far-2"]);
+    assert.equal(view.listReady(SOUTH, 900).length, 2);
+    assert.deepEqual(view.listFresh(NORTH, 900), []);
+  });
+
   it("counts members that fell silent among those that share a bound", () => {
     const view = createView();
     view.applyReport(createReport(createMember("a"), 1), 0);
--- a/forwarding/call_forwarder_test.ts
+++ b/forwarding/call_forwarder_test.ts
@@ -30,7 +30,27 @@
   },
 };
 
-function start() {
+/** Never answers the first send, and the others at once. */
+function createMuteAtFirst(): ServerClient & { readonly addresses: string[] } {
+  const addresses: string[] = [];
+  return {
+    addresses,
+    send: (request, events) => {
+      addresses.push(request.address);
+      if (addresses.length > 1) return ANSWERING.send(request, events);
+      return { resume: () => {}, abort: () => {} };
+    },
+  };
+}
+
+interface StartOptions {
+  /** Region of the only server. Default: that of the instance. */
+  readonly serverRegion?: string;
+  readonly peerClient?: ServerClient;
+}
+
+function start(options: StartOptions = {}) {
+  const { serverRegion = "north", peerClient = ANSWERING } = options;
   const clock = new VirtualClock();
   const loads = new LoadBoard();
   const fleet = new FleetView({
@@ -49,7 +69,7 @@
     service: "app",
     address: "s1:1",
     failureDomain: toFailureDomainId("north-a"),
-    region: NORTH,
+    region: toRegionId(serverRegion),
     slots: 4,
     isDraining: false,
     coldForMs: 0,
@@ -59,7 +79,7 @@
     random: createRandom(1),
     grammar: OWN_GRAMMAR,
     client: ANSWERING,
-    peerClient: ANSWERING,
+    peerClient,
     registry,
     fleet,
     loads,
@@ -88,7 +108,25 @@
     void forwarder.handle(call, sink);
     return heads;
   };
-  return { clock, forwarder, handle };
+  const meet = (name: string, region: string) =>
+    fleet.applyReport({
+      from: {
+        id: toInstanceId(name),
+        incarnation: "1",
+        address: `${name}:1`,
+        region: toRegionId(region),
+        failureDomain: toFailureDomainId(`${region}-a`),
+        state: "ready",
+      },
+      sequence: 1,
+      scope: "region",
+      known: { configurationVersion: 1, storeRevision: 1 },
+      loads: [],
+      prefixes: [],
+      news: [],
+      wantsNews: false,
+    }, clock.nowMs());
+  return { clock, forwarder, handle, meet };
 }
 
 const TABLE = new RouteTable({
@@ -118,6 +156,26 @@
 });
 
 describe("CallForwarder", () => {
+  describe("when the instance of another region is silent", () => {
+    it("sends a call that may be repeated to another one there, in time", async () => {
+      const peerClient = createMuteAtFirst();
+      const { clock, forwarder, handle, meet } = start({
+        serverRegion: "south",
+        peerClient,
+      });
+      forwarder.setTable(TABLE);
+      meet("south-1", "south");
+      meet("south-2", "south");
+      const heads = handle();
+      await clock.advance(800);
+      assert.deepEqual(heads.map(({ status }) => status), [200]);
+      assert.deepEqual([...peerClient.addresses].sort(), [
+        "south-1:1",
+        "south-2:1",
+      ]);
+    });
+  });
+
   describe("when it has just started and knows no configuration", () => {
     it("serves a call whose configuration arrives shortly after", async () => {
       const { clock, forwarder, handle } = start();
--- a/forwarding/choose_place.ts
+++ b/forwarding/choose_place.ts
@@ -84,9 +84,14 @@
     return staysHere ? { kind: "here", candidate: here! } : away!;
   }
 
+  /** Returns how long the way to another region and back takes, in milliseconds. */
+  readRoundTripMs(region: RegionId): number {
+    return this.#roundTripMs.get(region) ?? INITIAL_ROUND_TRIP_MS;
+  }
+
   /** Learns how long the way to another region and back takes. */
   recordRoundTrip(region: RegionId, roundTripMs: number): void {
-    const known = this.#readRoundTrip(region);
+    const known = this.readRoundTripMs(region);
     this.#roundTripMs.set(
       region,
       known + ROUND_TRIP_WEIGHT * (Math.max(0, roundTripMs) - known),
@@ -109,10 +114,10 @@
     const options = regions.flatMap((region) => {
       const candidate = servers.choose(needs, region, nowMs, {
         extraTokens: this.#tokensUnderWay.get(region) ?? 0,
-        wayMs: this.#readRoundTrip(region),
+        wayMs: this.readRoundTripMs(region),
       });
       if (candidate === undefined) return [];
-      const members = fleet.listReady(region, nowMs)
+      const members = fleet.listFresh(region, nowMs)
         .filter(({ id }) => !exchange.avoidedInstances.has(id));
       const member = pickRandom(members, random);
       if (member === undefined) return [];
@@ -134,10 +139,6 @@
       this.#parts.servers.hasAny(exchange.service.name, region)
     );
   }
-
-  #readRoundTrip(region: RegionId): number {
-    return this.#roundTripMs.get(region) ?? INITIAL_ROUND_TRIP_MS;
-  }
 }
 
 /** Regions that may serve a call: its homes, or all. */
--- a/forwarding/instance_sender.ts
+++ b/forwarding/instance_sender.ts
@@ -6,6 +6,7 @@
 import { type Exchange, isRepeatable } from "./exchange.ts";
 import { isHopHeader, readHopAnswer, writeHop } from "./hop_headers.ts";
 import { pickForwarded } from "./http_headers.ts";
+import { readPatience } from "./read_patience.ts";
 import { type AttemptOutcome, runAttempt } from "./run_attempt.ts";
 import type { ServerClient } from "./server_client.ts";
 
@@ -94,6 +95,10 @@
       onFirstByte: endWay,
       signal: exchange.signal,
       clock,
+      patienceMs: readPatience(
+        exchange,
+        candidate.estimateMs + places.readRoundTripMs(region),
+      ),
     });
     endWay();
     return outcome;
--- a/forwarding/server_sender.ts
+++ b/forwarding/server_sender.ts
@@ -7,17 +7,11 @@
 import type { Candidate } from "./choose_server.ts";
 import { type Exchange, isRepeatable } from "./exchange.ts";
 import type { LearnedServers } from "./learned_servers.ts";
+import { readPatience } from "./read_patience.ts";
 import { type AttemptOutcome, runAttempt } from "./run_attempt.ts";
 import type { ServerClient } from "./server_client.ts";
 import type { ServerOutcome } from "./server_health.ts";
 
-/**
- * Silence after which a call that may be repeated is sent elsewhere: so many times
- * what its answer was estimated to take, and at least this part of its objective,
- * so that the second server can still answer in time.
- */
-const SILENCE_ESTIMATES = 4;
-const SILENCE_PART_OF_TARGET = 0.5;
 /** How long a server is left out whose address another one has, in milliseconds: its entry lapses meanwhile. */
 const REPLACED_PAUSE_MS = 4_000;
 
@@ -99,7 +93,7 @@
       },
       signal: exchange.signal,
       clock,
-      patienceMs: readPatience(exchange, candidate),
+      patienceMs: readPatience(exchange, candidate.estimateMs),
     });
     load.end();
     this.#learn(exchange, candidate, outcome);
@@ -187,18 +181,6 @@
   }
 }
 
-/** Only the first send of a call that may be repeated is cut short. */
-function readPatience(
-  exchange: Exchange,
-  { estimateMs }: Candidate,
-): number | undefined {
-  if (!isRepeatable(exchange) || exchange.attemptsLeft < 2) return undefined;
-  return Math.max(
-    SILENCE_ESTIMATES * estimateMs,
-    SILENCE_PART_OF_TARGET * exchange.route.targetMs,
-  );
-}
-
 function toServerOutcome(outcome: AttemptOutcome): ServerOutcome | undefined {
   switch (outcome.kind) {
     case "answered":
