Kept connections that went silent are not tried one after the other

Cause: open connections can go silent for good, without a reset, while new ones work; each idle one then cost one call its whole time, and probes of the operating system take eleven seconds to notice. Change: when a send on a kept connection is given up after 0.4 s without a byte, the idle connections of that address on which nothing came since are closed. The count of opened connections, which nothing served, is gone. Tests: adapters/connection_pool_test.ts.

--- a/adapters/connection_pool.ts
+++ b/adapters/connection_pool.ts
@@ -9,6 +9,7 @@
   type ServerClient,
 } from "../forwarding/mod.ts";
 import { isNotSent } from "./connection_errors.ts";
+import { systemClock } from "./system_clock.ts";
 
 /** Longest time to open a connection, in milliseconds: several round trips between regions. */
 const CONNECT_TIMEOUT_MS = 1_000;
@@ -19,9 +20,24 @@
 /** Idle connections after which the operating system probes the other side, in milliseconds. */
 const PROBE_AFTER_MS = 1_000;
 
+/**
+ * Silence of a kept connection, in milliseconds, after which a send that is given
+ * up speaks against the other idle ones as well: connections can go silent without
+ * a reset. Below the half of an objective of a second, when sends are first given up.
+ */
+const SILENCE_MS = 400;
+
 interface Connection {
   readonly client: Client;
   socket: Socket | undefined;
+  /** When the last byte of an answer came, on the own clock; `undefined`: none has. */
+  answeredMs: number | undefined;
+}
+
+/** Optional parts of a pool. */
+export interface ConnectionPoolOptions {
+  /** Silence that speaks against idle connections, in milliseconds. Default: 400. */
+  readonly silenceMs?: number;
 }
 
 /**
@@ -31,25 +47,23 @@
  */
 export class ConnectionPool implements ServerClient {
   readonly #hosts = new Map<string, HostConnections>();
+  readonly #silenceMs: number;
+
+  /** @param options Bounds. */
+  constructor(options: ConnectionPoolOptions = {}) {
+    this.#silenceMs = options.silenceMs ?? SILENCE_MS;
+  }
 
   send(request: SendRequest, events: SendEvents): ActiveSend {
     const { address, maxConnections } = request;
     let host = this.#hosts.get(address);
     if (host === undefined) {
-      host = new HostConnections(address);
+      host = new HostConnections(address, this.#silenceMs);
       this.#hosts.set(address, host);
     }
     return host.send(request, events, maxConnections);
   }
 
-  /** Connections opened so far. */
-  get openedCount(): number {
-    return [...this.#hosts.values()].reduce(
-      (sum, { opened }) => sum + opened,
-      0,
-    );
-  }
-
   /** Closes the connections to addresses that are of no use any more. */
   keepOnly(addresses: ReadonlySet<string>): void {
     this.#hosts.forEach((host, address) => {
@@ -67,14 +81,15 @@
 }
 
 class HostConnections {
-  opened = 0;
   busy = 0;
   readonly #address: string;
+  readonly #silenceMs: number;
   /** Free connections, the one used last at the end: it is the least likely to be closed. */
   readonly #free: Connection[] = [];
 
-  constructor(address: string) {
+  constructor(address: string, silenceMs: number) {
     this.#address = address;
+    this.#silenceMs = silenceMs;
   }
 
   send(
@@ -91,27 +106,45 @@
     }
     const connection = this.#free.pop() ?? this.#open();
     this.busy++;
+    const startMs = systemClock.nowMs();
+    const wasKept = connection.answeredMs !== undefined;
     const send = new Send(connection, events, (isReusable) => {
       this.busy--;
-      if (isReusable) this.#free.push(connection);
-      else {connection.client.destroy().catch(
-          () => {/* it is closed either way */},
-        );}
+      if (isReusable) {
+        this.#free.push(connection);
+        return;
+      }
+      destroyQuietly(connection);
+      const wasSilent = (connection.answeredMs ?? 0) < startMs &&
+        systemClock.nowMs() - startMs >= this.#silenceMs;
+      if (wasKept && wasSilent) this.#dropUnheard(startMs);
     });
     send.start(request);
     return send;
   }
 
   destroy(): void {
-    this.#free.splice(0).forEach(({ client }) => {
-      client.destroy().catch(() => {/* it is closed either way */});
-    });
+    this.#free.splice(0).forEach(destroyQuietly);
+  }
+
+  /** Closes idle connections on which nothing came since a time: they may be as silent. */
+  #dropUnheard(sinceMs: number): void {
+    const isUnheard = ({ answeredMs }: Connection) =>
+      (answeredMs ?? 0) < sinceMs;
+    const unheard = this.#free.filter(isUnheard);
+    this.#free.splice(
+      0,
+      Infinity,
+      ...this.#free.filter((each) => !isUnheard(each)),
+    );
+    unheard.forEach(destroyQuietly);
   }
 
   #open(): Connection {
     const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
     const connection: Connection = {
       socket: undefined,
+      answeredMs: undefined,
       client: new Client(`http://${this.#address}`, {
         pipelining: 1,
         keepAliveTimeout: IDLE_MS,
@@ -120,7 +153,6 @@
         headersTimeout: 0,
         bodyTimeout: 0,
         connect: (options, callback) => {
-          this.opened++;
           connect(options, (...result) => {
             // Its types say null for a failure; it passes one argument.
             const socket: Socket | null | undefined = result[1];
@@ -139,12 +171,16 @@
       const at = this.#free.indexOf(connection);
       if (at < 0) return;
       this.#free.splice(at, 1);
-      connection.client.destroy().catch(() => {/* it is closed either way */});
+      destroyQuietly(connection);
     });
     return connection;
   }
 }
 
+function destroyQuietly({ client }: Connection): void {
+  client.destroy().catch(() => {/* it is closed either way */});
+}
+
 class Send implements ActiveSend, Dispatcher.DispatchHandler {
   readonly #connection: Connection;
   readonly #events: SendEvents;
@@ -209,6 +245,7 @@
     resume: () => void,
     statusText: string,
   ): boolean {
+    this.#connection.answeredMs = systemClock.nowMs();
     // Interim answers (1xx) concern only the connection: the body has been sent.
     if (status < 200 || this.#isDone) return true;
     this.#resume = resume;
@@ -222,6 +259,7 @@
 
   onData(chunk: Buffer): boolean {
     if (this.#isDone) return true;
+    this.#connection.answeredMs = systemClock.nowMs();
     return this.#events.onData(chunk);
   }
 
--- /dev/null
+++ b/adapters/connection_pool_test.ts
@@ -0,0 +1,81 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { startRawServer } from "../tests/raw_http.ts";
+import { ConnectionPool } from "./connection_pool.ts";
+
+const ANSWER = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+/** Sends one call; `ended` resolves with how it ended. */
+function send(pool: ConnectionPool, address: string) {
+  let finish: (outcome: string) => void;
+  const ended = new Promise<string>((resolve) => {
+    finish = resolve;
+  });
+  const active = pool.send({
+    address,
+    method: "GET",
+    target: "/",
+    headers: [],
+    body: Buffer.alloc(0),
+    maxConnections: 8,
+  }, {
+    onHead: () => {},
+    onData: () => true,
+    onEnd: () => finish("answered"),
+    onFailure: ({ message }) => finish(message),
+  });
+  return { active, ended };
+}
+
+function awaitTurn(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
+
+describe("ConnectionPool", () => {
+  describe("when kept connections go silent without a reset", () => {
+    it("opens new ones once a silent send was given up", async () => {
+      const mute = new Set<unknown>();
+      const waiting: (() => void)[] = [];
+      const server = await startRawServer((_, socket) => {
+        if (mute.has(socket)) return;
+        waiting.push(() => socket.write(ANSWER));
+        // The first three are answered together, so that three connections are kept.
+        if (waiting.length >= 3) waiting.forEach((answer) => answer());
+      });
+      const pool = new ConnectionPool({ silenceMs: 20 });
+      const first = [1, 2, 3].map(() => send(pool, server.address));
+      assert.deepEqual(
+        await Promise.all(first.map(({ ended }) => ended)),
+        ["answered", "answered", "answered"],
+      );
+      assert.equal(server.sockets.length, 3);
+      server.sockets.forEach((socket) => mute.add(socket));
+      const silent = send(pool, server.address);
+      await awaitTurn(60);
+      silent.active.abort();
+      const next = send(pool, server.address);
+      assert.equal(await next.ended, "answered");
+      assert.equal(server.sockets.length, 4);
+      pool.close();
+      server.close();
+    });
+
+    it("keeps the others where the send was given up at once", async () => {
+      let isMute = false;
+      const server = await startRawServer((_, socket) => {
+        if (!isMute) socket.write(ANSWER);
+      });
+      const pool = new ConnectionPool({ silenceMs: 60_000 });
+      const first = [1, 2].map(() => send(pool, server.address));
+      await Promise.all(first.map(({ ended }) => ended));
+      const opened = server.sockets.length;
+      isMute = true;
+      send(pool, server.address).active.abort();
+      isMute = false;
+      assert.equal(await send(pool, server.address).ended, "answered");
+      assert.equal(server.sockets.length, opened);
+      pool.close();
+      server.close();
+    });
+  });
+});
