--- /dev/null
+++ b/fleet/fleet_view_property_test.ts
@@ -0,0 +1,187 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import fc from "fast-check";
+import { toFailureDomainId, toInstanceId, toRegionId } from "../ids/mod.ts";
+import type { FleetReport, MemberRecord } from "./fleet_report.ts";
+import { FAR_SILENCE_MS, FleetView, NEAR_SILENCE_MS } from "./fleet_view.ts";
+import { LoadBoard } from "./load_board.ts";
+
+const NORTH = toRegionId("north");
+const SOUTH = toRegionId("south");
+/** Reports of a member from this number on say that it leaves. */
+const LEAVES_AT = 6;
+
+/** One thing that reaches a view; messages may come late, twice or never. */
+type Event =
+  | { readonly kind: "report"; readonly who: number; readonly sequence: number }
+  | {
+    readonly kind: "news";
+    readonly by: number;
+    readonly who: number;
+    readonly sequence: number;
+    readonly ageMs: number;
+  }
+  | { readonly kind: "restart"; readonly who: number }
+  | { readonly kind: "wait"; readonly ms: number };
+
+const MEMBERS = [0, 1, 2, 3];
+const who = fc.constantFrom(...MEMBERS);
+const sequence = fc.integer({ min: 1, max: 12 });
+const EVENT: fc.Arbitrary<Event> = fc.oneof(
+  fc.record({ kind: fc.constant("report" as const), who, sequence }),
+  fc.record({
+    kind: fc.constant("news" as const),
+    by: who,
+    who,
+    sequence,
+    ageMs: fc.integer({ min: 0, max: 3_000 }),
+  }),
+  fc.record({ kind: fc.constant("restart" as const), who }),
+  fc.record({
+    kind: fc.constant("wait" as const),
+    ms: fc.integer({ min: 1, max: 1_500 }),
+  }),
+);
+
+/** A view with what a reader of the same events knows of each member. */
+class Run {
+  readonly loads = new LoadBoard();
+  readonly view = new FleetView({
+    self: {
+      id: toInstanceId("self"),
+      incarnation: "1",
+      address: "self:1",
+      region: NORTH,
+      failureDomain: toFailureDomainId("north-a"),
+    },
+    loads: this.loads,
+  });
+  readonly incarnations = MEMBERS.map(() => 1);
+  /** Incarnation in which a member's own report said that it leaves. */
+  readonly left = new Map<number, number>();
+  /** When a member was last known to run, by any word of it. */
+  readonly heardMs = new Map<number, number>();
+  nowMs = 10_000;
+  #sent = 0;
+
+  apply(event: Event): void {
+    switch (event.kind) {
+      case "wait":
+        this.nowMs += event.ms;
+        this.view.sweep(this.nowMs);
+        return;
+      case "restart":
+        this.incarnations[event.who]!++;
+        return;
+      case "report":
+        this.#applyReport(event.who, event.sequence, []);
+        return;
+      case "news": {
+        const { ageMs, by } = event;
+        const member = this.createMember(event.who, event.sequence);
+        // Its own number is the newest, so that the news in it are taken.
+        this.#applyReport(by, 1_000 + ++this.#sent, [{ member, ageMs }]);
+        this.#note(event.who, this.nowMs - ageMs);
+        return;
+      }
+    }
+  }
+
+  createMember(index: number, sequence: number): MemberRecord {
+    const isNear = index < 2;
+    return {
+      id: toInstanceId(`m${index}`),
+      incarnation: String(this.incarnations[index]),
+      address: `m${index}:1`,
+      region: isNear ? NORTH : SOUTH,
+      failureDomain: toFailureDomainId(isNear ? "north-a" : "south-a"),
+      state: sequence >= LEAVES_AT ? "leaving" : "ready",
+    };
+  }
+
+  #applyReport(
+    index: number,
+    sequence: number,
+    news: FleetReport["news"],
+  ): void {
+    const from = this.createMember(index, sequence);
+    const isNew = this.view.applyReport({
+      from,
+      sequence,
+      scope: "instance",
+      known: { configurationVersion: 1, storeRevision: 1 },
+      loads: [],
+      prefixes: [],
+      news,
+      wantsNews: false,
+    }, this.nowMs);
+    if (!isNew) return;
+    this.#note(index, this.nowMs);
+    if (from.state === "leaving") {
+      this.left.set(index, this.incarnations[index]!);
+    }
+  }
+
+  #note(index: number, heardMs: number): void {
+    this.heardMs.set(
+      index,
+      Math.max(heardMs, this.heardMs.get(index) ?? heardMs),
+    );
+  }
+}
+
+function checkAfterEach(check: (run: Run) => void): void {
+  fc.assert(
+    fc.property(fc.array(EVENT, { maxLength: 40 }), (events) => {
+      const run = new Run();
+      events.forEach((event) => {
+        run.apply(event);
+        check(run);
+      });
+    }),
+    { numRuns: 400, seed: 20_261_202 },
+  );
+}
+
+describe("FleetView, whatever order words come in", () => {
+  it("never takes a member back that said that it leaves, before it starts again", () => {
+    checkAfterEach((run) => {
+      const ready = [NORTH, SOUTH].flatMap((region) =>
+        run.view.listReady(region, run.nowMs)
+      ).map(({ id }) => id);
+      run.left.forEach((incarnation, index) => {
+        if (run.incarnations[index] !== incarnation) return;
+        assert.ok(!ready.includes(toInstanceId(`m${index}`)));
+      });
+    });
+  });
+
+  it("never lists a member of whose running nobody has heard in time", () => {
+    checkAfterEach((run) => {
+      run.view.listLive(run.nowMs).forEach(({ id, region }) => {
+        const heardMs = run.heardMs.get(Number(id.slice(1))) ?? -Infinity;
+        const limitMs = region === NORTH ? NEAR_SILENCE_MS : FAR_SILENCE_MS;
+        assert.ok(run.nowMs - heardMs < limitMs);
+      });
+    });
+  });
+
+  it("shares a bound with at least all that are listed", () => {
+    checkAfterEach((run) => {
+      const live = run.view.listLive(run.nowMs);
+      assert.ok(run.view.countSharing() >= live.length + 1);
+      const near = live.filter(({ region }) => region === NORTH);
+      assert.ok(run.view.countSharing(NORTH) >= near.length + 1);
+    });
+  });
+
+  it("names receivers and fresh members among those that it lists", () => {
+    checkAfterEach((run) => {
+      const live = new Set(run.view.listLive(run.nowMs).map(({ id }) => id));
+      [
+        ...run.view.listReceivers(2, run.nowMs),
+        ...run.view.listFresh(SOUTH, run.nowMs),
+      ].forEach(({ id }) => assert.ok(live.has(id)));
+    });
+  });
+});
