--- a/fleet/fleet_view_property_test.ts
+++ b/fleet/fleet_view_property_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import fc from "fast-check";
+import { createReport } from "../tests/report_fixture.ts";
 import { toFailureDomainId, toInstanceId, toRegionId } from "../ids/mod.ts";
 import type { FleetReport, MemberRecord } from "./fleet_report.ts";
 import { FAR_SILENCE_MS, FleetView, NEAR_SILENCE_MS } from "./fleet_view.ts";
@@ -105,16 +106,10 @@
     news: FleetReport["news"],
   ): void {
     const from = this.createMember(index, sequence);
-    const isNew = this.view.applyReport({
-      from,
-      sequence,
-      scope: "instance",
-      known: { configurationVersion: 1, storeRevision: 1 },
-      loads: [],
-      prefixes: [],
-      news,
-      wantsNews: false,
-    }, this.nowMs);
+    const isNew = this.view.applyReport(
+      createReport(from, sequence, { news }),
+      this.nowMs,
+    );
     if (!isNew) return;
     this.#note(index, this.nowMs);
     if (from.state === "leaving") {
--- a/fleet/fleet_view_test.ts
+++ b/fleet/fleet_view_test.ts
@@ -2,9 +2,10 @@
 import { describe, it } from "node:test";
 import { toFailureDomainId, toInstanceId, toRegionId } from "../ids/mod.ts";
 import { decodeReport, encodeReport } from "./encode_report.ts";
-import type { FleetReport, MemberRecord, MemberState } from "./fleet_report.ts";
+import type { MemberRecord, MemberState } from "./fleet_report.ts";
 import { BEHIND_MS, FleetView, NEAR_SILENCE_MS } from "./fleet_view.ts";
 import { LoadBoard } from "./load_board.ts";
+import { createReport } from "../tests/report_fixture.ts";
 
 const NORTH = toRegionId("north");
 const SOUTH = toRegionId("south");
@@ -25,24 +26,6 @@
   };
 }
 
-function createReport(
-  from: MemberRecord,
-  sequence: number,
-  more: Partial<FleetReport> = {},
-): FleetReport {
-  return {
-    from,
-    sequence,
-    scope: "instance",
-    known: { configurationVersion: 1, storeRevision: 5 },
-    loads: [],
-    prefixes: [],
-    news: [],
-    wantsNews: false,
-    ...more,
-  };
-}
-
 function createView(): FleetView {
   const view = new FleetView({
     self: createMember("self"),
--- a/forwarding/call_forwarder_test.ts
+++ b/forwarding/call_forwarder_test.ts
@@ -12,6 +12,7 @@
 import { createSilentLogger } from "../logs/mod.ts";
 import { NO_METRICS } from "../metrics/mod.ts";
 import { ServerRegistry } from "../servers/mod.ts";
+import { createReport } from "../tests/report_fixture.ts";
 import { CallForwarder } from "./call_forwarder.ts";
 import type { CallSink, OpaqueCall } from "./opaque_call.ts";
 import { OWN_GRAMMAR } from "./own_grammar.ts";
@@ -109,23 +110,21 @@
     return heads;
   };
   const meet = (name: string, region: string) =>
-    fleet.applyReport({
-      from: {
-        id: toInstanceId(name),
-        incarnation: "1",
-        address: `${name}:1`,
-        region: toRegionId(region),
-        failureDomain: toFailureDomainId(`${region}-a`),
-        state: "ready",
-      },
-      sequence: 1,
-      scope: "region",
-      known: { configurationVersion: 1, storeRevision: 1 },
-      loads: [],
-      prefixes: [],
-      news: [],
-      wantsNews: false,
-    }, clock.nowMs());
+    fleet.applyReport(
+      createReport(
+        {
+          id: toInstanceId(name),
+          incarnation: "1",
+          address: `${name}:1`,
+          region: toRegionId(region),
+          failureDomain: toFailureDomainId(`${region}-a`),
+          state: "ready",
+        },
+        1,
+        { scope: "region" },
+      ),
+      clock.nowMs(),
+    );
   return { clock, forwarder, handle, meet };
 }
 
--- a/tests/engine_memory_test.ts
+++ b/tests/engine_memory_test.ts
@@ -11,6 +11,7 @@
   RouteTable,
 } from "../http_routes/mod.ts";
 import { toBackendId, toFailureDomainId, toRegionId } from "../ids/mod.ts";
+import { createReport } from "./report_fixture.ts";
 import { createVirtualGateway, LOADED_STATE } from "./virtual_gateway.ts";
 
 const PLAIN: HttpService = {
@@ -85,20 +86,15 @@
       { id: "tiny", tokens: 9 },
     ]);
     await clock.advance(10);
-    gateway.receiveReport({
-      from: {
-        ...gateway.fleet.self,
-        id: createVirtualGateway("south-0").fleet.self.id,
-        region: toRegionId("south"),
-      },
-      sequence: 1,
-      scope: "region",
-      known: LOADED_STATE.known,
-      loads: [],
-      prefixes: [],
-      news: [],
-      wantsNews: false,
-    }, "south-0");
+    const south = {
+      ...gateway.fleet.self,
+      id: createVirtualGateway("south-0").fleet.self.id,
+      region: toRegionId("south"),
+    };
+    gateway.receiveReport(
+      createReport(south, 1, { scope: "region" }),
+      "south-0",
+    );
     await clock.advance(600);
     const told = reports.filter(({ scope }) => scope === "region")
       .flatMap(({ prefixes }) => prefixes);
--- a/tests/region_hop_test.ts
+++ b/tests/region_hop_test.ts
@@ -1,3 +1,4 @@
+import { createReport } from "./report_fixture.ts";
 import assert from "node:assert/strict";
 import { afterEach, describe, it } from "node:test";
 import { findFreePort } from "../standin/free_port.ts";
@@ -24,8 +25,8 @@
 
 /** What the far instance says of itself. */
 function createFarReport(peerPort: number, name = FAR_HOST): FleetReport {
-  return {
-    from: {
+  return createReport(
+    {
       id: toInstanceId(`instance-${name}`),
       incarnation: "1",
       address: `${FAR_HOST}:${peerPort}`,
@@ -33,14 +34,9 @@
       failureDomain: toFailureDomainId("south-a"),
       state: "ready",
     },
-    sequence: 1,
-    scope: "region",
-    known: { configurationVersion: 1, storeRevision: 1 },
-    loads: [],
-    prefixes: [],
-    news: [],
-    wantsNews: false,
-  };
+    1,
+    { scope: "region" },
+  );
 }
 
 /** A gateway in the north whose only server is in the south, behind another gateway. */
--- a/tests/region_reports_test.ts
+++ b/tests/region_reports_test.ts
@@ -3,7 +3,8 @@
 import { VirtualClock } from "../clock/mod.ts";
 import type { HttpGateway } from "../daemon/http_gateway.ts";
 import type { FleetReport } from "../fleet/mod.ts";
-import { createVirtualGateway, LOADED_STATE } from "./virtual_gateway.ts";
+import { createReport } from "./report_fixture.ts";
+import { createVirtualGateway } from "./virtual_gateway.ts";
 
 const REGIONS = ["north", "south", "west"] as const;
 
@@ -85,16 +86,8 @@
     const { clock, gateways, sent } = startFleet(3);
     await clock.advance(5_000);
     sent.length = 0;
-    const report: FleetReport = {
-      from: { ...gateways.get("south-0")!.fleet.self },
-      sequence: 1_000_000,
-      scope: "region",
-      known: LOADED_STATE.known,
-      loads: [],
-      prefixes: [],
-      news: [],
-      wantsNews: false,
-    };
+    const { self } = gateways.get("south-0")!.fleet;
+    const report = createReport(self, 1_000_000, { scope: "region" });
     gateways.get("north-0")!.receiveReport(report, "south-0");
     gateways.get("north-0")!.receiveReport(report, "south-0");
     assert.deepEqual(sent.map(({ to }) => to).sort(), ["north-1", "north-2"]);
--- /dev/null
+++ b/tests/report_fixture.ts
@@ -0,0 +1,26 @@
+import type { FleetReport, MemberRecord } from "../fleet/mod.ts";
+
+/**
+ * Returns a report of an instance that has nothing to tell.
+ *
+ * @param from Whose.
+ * @param sequence Its number.
+ * @param more What it tells all the same.
+ */
+export function createReport(
+  from: MemberRecord,
+  sequence: number,
+  more: Partial<FleetReport> = {},
+): FleetReport {
+  return {
+    from,
+    sequence,
+    scope: "instance",
+    known: { configurationVersion: 1, storeRevision: 5 },
+    loads: [],
+    prefixes: [],
+    news: [],
+    wantsNews: false,
+    ...more,
+  };
+}
