--- a/bench/run_bench.ts
+++ b/bench/run_bench.ts
@@ -11,6 +11,7 @@
 import { runOpaqueBench } from "./opaque_bench.ts";
 import { runOverheadBench } from "./overhead_bench.ts";
 import { runOverloadBench } from "./overload_bench.ts";
+import { runReportsBench } from "./reports_bench.ts";
 import { runRetriesBench } from "./retries_bench.ts";
 import { runSoakBench } from "./soak_bench.ts";
 import { runSpillBench } from "./spill_bench.ts";
@@ -28,6 +29,7 @@
   { name: "membership", run: runMembershipBench },
   { name: "subset", run: runSubsetBench },
   { name: "control", run: runControlBench },
+  { name: "reports", run: runReportsBench },
   { name: "idle", run: runIdleBench },
   { name: "opaque", run: runOpaqueBench },
   { name: "overhead", run: runOverheadBench },
