The directory names other regions only where they can serve what is asked for

An instance of another region cannot serve calls that are bound elsewhere: their homes have nobody to forward them to either. Ruled out: stale members (the log has each of rabat's and casablanca's three instances leaving at once, and none named after it left). Change: with no instance of the caller's region ready, those of the regions where all bound routes of the host may be served are named; all others only if some route of the host is bound to no region, or none has a home in common.

--- a/daemon/http_gateway.ts
+++ b/daemon/http_gateway.ts
@@ -165,9 +165,16 @@
     return this.state.isLoaded && this.#leavingSinceMs === undefined;
   }
 
-  /** Returns the instances that a caller of a region may connect to. */
-  pickEntries(region: RegionId): readonly MemberRecord[] {
-    return pickEntries(this.fleet, region, this.#parts.clock.nowMs());
+  /**
+   * Returns the instances that a caller may connect to.
+   *
+   * @param region Of the caller.
+   * @param host Which it wants to call.
+   */
+  pickEntries(region: RegionId, host: string): readonly MemberRecord[] {
+    const readHomes = () => this.forwarder.readHomes(host);
+    const nowMs = this.#parts.clock.nowMs();
+    return pickEntries(this.fleet, { region, readHomes }, nowMs);
   }
 
   /** Starts following the store and talking to other instances. */
--- a/directory/mod.ts
+++ b/directory/mod.ts
@@ -4,7 +4,7 @@
  * @example
  * ```ts
  * import { pickEntries } from "./directory/mod.ts";
- * pickEntries(fleet, region, nowMs);
+ * pickEntries(fleet, { region, readHomes: () => table.readHomes(host) }, nowMs);
  * ```
  * @module
  */
--- a/directory/pick_entries.ts
+++ b/directory/pick_entries.ts
@@ -1,25 +1,40 @@
 import type { FleetView, MemberRecord } from "../fleet/mod.ts";
+import type { HostHomes } from "../http_routes/mod.ts";
 import type { RegionId } from "../ids/mod.ts";
 
 /** Most entries that one answer names. */
 const MAX_ENTRIES = 64;
 
+/** Who asks where to connect. */
+export interface EntryRequest {
+  /** Region of the caller. */
+  readonly region: RegionId;
+  /** Returns where the calls of the wanted host may be served. */
+  readonly readHomes: () => HostHomes;
+}
+
 /**
- * Returns the instances that a caller may connect to: those of its region, or, if
- * none there takes calls, those of the other regions.
+ * Returns the instances that a caller may connect to: those of its region. If none
+ * there takes calls, as when all of a region are restarted in turn, those of the
+ * regions where its data may be. Those of other regions are named only if they can
+ * serve some of its calls.
  *
  * @param fleet Who runs where.
- * @param region Region of the caller.
+ * @param request Who asks.
  * @param nowMs Time now.
  */
 export function pickEntries(
   fleet: FleetView,
-  region: RegionId,
+  request: EntryRequest,
   nowMs: number,
 ): readonly MemberRecord[] {
-  const near = fleet.listReady(region, nowMs);
-  const entries = near.length > 0
-    ? near
-    : fleet.listRegions().flatMap((each) => fleet.listReady(each, nowMs));
+  const listIn = (regions: readonly RegionId[]) =>
+    regions.flatMap((region) => fleet.listReady(region, nowMs));
+  const near = listIn([request.region]);
+  if (near.length > 0) return near.slice(0, MAX_ENTRIES);
+  const { isBound, regions } = request.readHomes();
+  const home = listIn(regions);
+  const isEnough = isBound || home.length > 0;
+  const entries = isEnough ? home : listIn(fleet.listRegions());
   return entries.slice(0, MAX_ENTRIES);
 }
--- /dev/null
+++ b/directory/pick_entries_test.ts
@@ -0,0 +1,74 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { FleetView, LoadBoard, type MemberState } from "../fleet/mod.ts";
+import { toFailureDomainId, toInstanceId, toRegionId } from "../ids/mod.ts";
+import { createReport } from "../tests/report_fixture.ts";
+import { pickEntries } from "./pick_entries.ts";
+
+const [NORTH, SOUTH, WEST] = ["north", "south", "west"].map(toRegionId) as [
+  ReturnType<typeof toRegionId>,
+  ReturnType<typeof toRegionId>,
+  ReturnType<typeof toRegionId>,
+];
+
+/** One instance in each of three regions; that of the west answers. */
+function start(states: Partial<Record<string, MemberState>>) {
+  const createMember = (region: string) => ({
+    id: toInstanceId(`${region}-1`),
+    incarnation: "1",
+    address: `${region}-1:1`,
+    region: toRegionId(region),
+    failureDomain: toFailureDomainId(`${region}-a`),
+  });
+  const fleet = new FleetView({
+    self: createMember("west"),
+    loads: new LoadBoard(),
+  });
+  fleet.setState(states.west ?? "ready");
+  ["north", "south"].forEach((region) =>
+    fleet.applyReport(
+      createReport(
+        { ...createMember(region), state: states[region] ?? "ready" },
+        1,
+      ),
+      0,
+    )
+  );
+  return (
+    region: typeof NORTH,
+    regions: readonly (typeof NORTH)[],
+    isBound = regions.length > 0,
+  ) =>
+    pickEntries(fleet, { region, readHomes: () => ({ regions, isBound }) }, 10)
+      .map(({ id }) => id);
+}
+
+describe("pickEntries()", () => {
+  it("names the instances of the caller's region, wherever its data may be", () => {
+    const pick = start({});
+    assert.deepEqual(pick(NORTH, []), ["north-1"]);
+    assert.deepEqual(pick(WEST, [NORTH, SOUTH]), ["west-1"]);
+  });
+
+  describe("when no instance of the caller's region takes calls", () => {
+    it("names those where its data may be, and no others", () => {
+      const pick = start({ north: "leaving" });
+      assert.deepEqual(pick(NORTH, [NORTH, SOUTH]), ["south-1"]);
+    });
+
+    it("names all others where its data is bound to no region", () => {
+      const pick = start({ north: "leaving" });
+      assert.deepEqual([...pick(NORTH, [])].sort(), ["south-1", "west-1"]);
+    });
+
+    it("names none where none takes calls at home either, and no other can serve", () => {
+      const pick = start({ north: "leaving", south: "leaving" });
+      assert.deepEqual(pick(NORTH, [NORTH, SOUTH]), []);
+    });
+
+    it("names all others then where some of its calls are bound to no region", () => {
+      const pick = start({ north: "leaving", south: "leaving" });
+      assert.deepEqual(pick(NORTH, [NORTH, SOUTH], false), ["west-1"]);
+    });
+  });
+});
--- a/forwarding/call_forwarder.ts
+++ b/forwarding/call_forwarder.ts
@@ -1,6 +1,10 @@
 import type { Clock, Random } from "../clock/mod.ts";
 import type { FleetView, LoadBoard, ReportedPrefix } from "../fleet/mod.ts";
-import { pickService, type RouteTable } from "../http_routes/mod.ts";
+import {
+  type HostHomes,
+  pickService,
+  type RouteTable,
+} from "../http_routes/mod.ts";
 import type { BackendId, RegionId } from "../ids/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
@@ -133,6 +137,11 @@
     return this.#table?.findService(service)?.warmUpMs ?? 0;
   }
 
+  /** Returns where the calls of a host may be served. */
+  readHomes(host: string): HostHomes {
+    return this.#table?.readHomes(host) ?? { regions: [], isBound: false };
+  }
+
   /** Takes other bounds on repeated sends; what was sent so far is forgotten. */
   setRepeatBounds(bounds: RepeatBounds): void {
     this.#repeatBounds = bounds;
