A call's time is counted from when it may have arrived, not from when it was read

Cause: an instance that is behind counted the time of a call from when it parsed its head; what the call had waited in the socket before was given to it once more, and the server was passed it as well. Ruled out: waiting for room or a connection, which afterMs includes; a configuration that is not in force.

Change: LoopDelay measures by the lateness of its own timer for how long bytes read now may have waited; a call is taken as received that much earlier, the first one of a connection also by what accepting may have taken. A call without time left is refused as not run and not sent: a timer of 0 ms fired only after the send. Lines about a call say unreadMs, and loop.delay_ms is a metric.

What is left: nothing bounds how far an instance falls behind.

--- a/adapters/call_listener.ts
+++ b/adapters/call_listener.ts
@@ -36,6 +36,8 @@
   readonly port: number;
   /** Time source of `receivedMs`. */
   readonly nowMs: () => number;
+  /** Returns the longest that bytes read now have waited, in milliseconds. */
+  readonly readDelayMs: () => number;
   /** Reads who sent a call; `undefined` refuses it as malformed. */
   readonly readOrigin: (headers: RawHeaders) => CallOrigin | undefined;
   readonly handle: (call: OpaqueCall, sink: CallSink) => Promise<void>;
@@ -45,7 +47,8 @@
 export class CallListener {
   readonly #parts: CallListenerParts;
   readonly #server: Server;
-  readonly #sockets = new Set<Socket>();
+  /** Open connections, and for how long each may have waited to be accepted before its first call. */
+  readonly #sockets = new Map<Socket, number>();
   #limits: CallerLimits = INITIAL_LIMITS;
   #isLeaving = false;
   #openCount = 0;
@@ -61,7 +64,7 @@
       insecureHTTPParser: false,
     });
     this.#server.on("connection", (socket: Socket) => {
-      this.#sockets.add(socket);
+      this.#sockets.set(socket, parts.readDelayMs());
       socket.on("close", () => this.#sockets.delete(socket));
     });
     this.#server.on("request", (message, response) => {
@@ -112,14 +115,17 @@
   /** Closes everything at once. */
   destroy(): void {
     this.#server.close();
-    this.#sockets.forEach((socket) => socket.destroy());
+    [...this.#sockets.keys()].forEach((socket) => socket.destroy());
   }
 
   async #take(
     message: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const receivedMs = this.#parts.nowMs();
+    const unreadMs = this.#readUnreadMs(message.socket);
+    // A caller counts its time from when it sent the call, not from when this
+    // process gets to it: a loop that is behind must not give it more.
+    const receivedMs = this.#parts.nowMs() - unreadMs;
     response.sendDate = false;
     this.#openCount++;
     response.on("close", () => this.#openCount--);
@@ -158,10 +164,18 @@
       headers: message.rawHeaders,
       body,
       receivedMs,
+      unreadMs,
       origin,
     };
     await this.#parts.handle(call, sink);
   }
+
+  /** How long a call may have waited until now; the first of a connection also to be accepted. */
+  #readUnreadMs(socket: Socket): number {
+    const acceptMs = this.#sockets.get(socket) ?? 0;
+    if (acceptMs > 0) this.#sockets.set(socket, 0);
+    return acceptMs + this.#parts.readDelayMs();
+  }
 }
 
 class ResponseSink implements CallSink {
--- a/bin/start_http_gateway.ts
+++ b/bin/start_http_gateway.ts
@@ -63,6 +63,7 @@
       host,
       port,
       nowMs,
+      readDelayMs: () => gateway.loopDelay.readMs(),
       readOrigin,
       handle: (call, sink) => gateway.handle(call, sink),
     });
--- a/clock/mod.ts
+++ b/clock/mod.ts
@@ -12,5 +12,6 @@
  * @module
  */
 export * from "./clock.ts";
+export * from "./loop_delay.ts";
 export * from "./random.ts";
 export * from "./virtual_clock.ts";
--- a/daemon/http_gateway.ts
+++ b/daemon/http_gateway.ts
@@ -1,5 +1,6 @@
 import {
   type Clock,
+  LoopDelay,
   pickRandom,
   type Random,
   scheduleEvery,
@@ -122,6 +123,8 @@
 
 /** One instance that forwards plain HTTP calls, without its sockets. */
 export class HttpGateway {
+  /** How far this process is behind; counted from `start` on. */
+  readonly loopDelay: LoopDelay;
   readonly fleet: FleetView;
   readonly forwarder: CallForwarder;
   readonly state: StateSource;
@@ -141,6 +144,7 @@
     const { clock, logger, random } = parts;
     this.#parts = parts;
     this.#seedAddresses = parts.seedAddresses;
+    this.loopDelay = new LoopDelay(clock);
     const loads = new LoadBoard();
     this.fleet = new FleetView({
       self: parts.self,
@@ -205,6 +209,7 @@
   start(signal: AbortSignal): void {
     const { clock } = this.#parts;
     this.#ended = signal;
+    this.loopDelay.start(signal);
     void this.state.run(signal);
     this.#contactOthers();
     scheduleEvery(clock, REPORT_INTERVAL_MS, () => this.#report(), signal);
@@ -412,5 +417,6 @@
     metrics.gauge("state.store_revision", storeRevision);
     metrics.gauge("state.store_reachable", this.state.isReachable ? 1 : 0);
     metrics.gauge("fleet.live", this.fleet.countAll(nowMs));
+    metrics.gauge("loop.delay_ms", this.loopDelay.readMs());
   }
 }
--- a/forwarding/call_forwarder.ts
+++ b/forwarding/call_forwarder.ts
@@ -274,8 +274,10 @@
     const giveUp = () => given.abort("given up");
     sink.signal.addEventListener("abort", giveUp, { once: true });
     const dueMs = call.receivedMs + readRemainingMs(routed);
-    const leftMs = Math.max(0, dueMs - clock.nowMs());
-    clock.schedule(leftMs, giveUp, timer.signal);
+    const leftMs = dueMs - clock.nowMs();
+    // A timer of no time would fire after the call was sent.
+    if (leftMs > 0) clock.schedule(leftMs, giveUp, timer.signal);
+    else giveUp();
     await this.#forward(this.#createExchange(routed, dueMs, given.signal));
     timer.abort("done");
     sink.signal.removeEventListener("abort", giveUp);
--- a/forwarding/call_forwarder_test.ts
+++ b/forwarding/call_forwarder_test.ts
@@ -97,6 +97,7 @@
       headers: ["Host", "app.example"],
       body: Buffer.alloc(0),
       receivedMs: clock.nowMs(),
+      unreadMs: 0,
       origin: { kind: "caller" },
     };
     const sink: CallSink = {
--- a/forwarding/call_replies.ts
+++ b/forwarding/call_replies.ts
@@ -115,6 +115,7 @@
       configuration: readVersion(),
       origin: call.origin.kind === "instance" ? call.origin.hop.from : "caller",
       afterMs: Math.round(clock.nowMs() - call.receivedMs),
+      ...(call.unreadMs > 0 ? { unreadMs: Math.round(call.unreadMs) } : {}),
       attemptsLeft: exchange.attemptsLeft,
       ...fields,
     });
--- a/forwarding/opaque_call.ts
+++ b/forwarding/opaque_call.ts
@@ -15,8 +15,10 @@
   readonly target: string;
   readonly headers: RawHeaders;
   readonly body: Buffer;
-  /** When its head was read, on the own clock. */
+  /** When it may have arrived: when its head was read, less `unreadMs`. On the own clock. */
   readonly receivedMs: number;
+  /** The longest that it may have waited to be read, in milliseconds. */
+  readonly unreadMs: number;
   readonly origin: CallOrigin;
 }
 
--- a/tests/http_gateway_fixture.ts
+++ b/tests/http_gateway_fixture.ts
@@ -74,6 +74,7 @@
   const peerPort = parts.peerPort ?? await findFreePort(host);
   const pool = new ConnectionPool();
   const listeners: CallListener[] = [];
+  const ended = new AbortController();
   const gateway: HttpGateway = new HttpGateway({
     clock: systemClock,
     random: createRandom(7),
@@ -112,6 +113,7 @@
       host,
       port,
       nowMs: () => systemClock.nowMs(),
+      readDelayMs: () => gateway.loopDelay.readMs(),
       readOrigin: (headers) => {
         if (!isPeer) return { kind: "caller" };
         const hop = readHop(headers);
@@ -128,6 +130,7 @@
     gateway.state.applyCopy(toCopy(version, { ...parts, ...changed }));
   };
   configure(1, {});
+  gateway.loopDelay.start(ended.signal);
   return {
     gateway,
     host,
@@ -136,6 +139,7 @@
     pool,
     configure,
     close: () => {
+      ended.abort("closed");
       listeners.forEach((listener) => listener.destroy());
       pool.close();
     },
