--- a/clock/loop_delay_test.ts
+++ b/clock/loop_delay_test.ts
@@ -1,34 +1,8 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import type { Clock } from "./clock.ts";
+import { SlowLoop } from "../tests/slow_loop.ts";
 import { LoopDelay } from "./loop_delay.ts";
 
-/** A loop whose turns take as long as a test says; timers run between them. */
-class SlowLoop implements Clock {
-  #nowMs = 0;
-  #timers: { readonly dueMs: number; readonly callback: () => void }[] = [];
-
-  nowMs(): number {
-    return this.#nowMs;
-  }
-
-  schedule(delayMs: number, callback: () => void): void {
-    this.#timers.push({ dueMs: this.#nowMs + delayMs, callback });
-  }
-
-  /** Works for a time, without running timers. */
-  work(forMs: number): void {
-    this.#nowMs += forMs;
-  }
-
-  /** Runs the timers that are due. */
-  turn(): void {
-    const due = this.#timers.filter(({ dueMs }) => dueMs <= this.#nowMs);
-    this.#timers = this.#timers.filter((timer) => !due.includes(timer));
-    due.forEach(({ callback }) => callback());
-  }
-}
-
 function start() {
   const loop = new SlowLoop();
   const delay = new LoopDelay(loop);
--- /dev/null
+++ b/daemon/overload_test.ts
@@ -0,0 +1,184 @@
+// What callers saw: more calls came to an instance than its processor could forward.
+// It took them all, each later than the one before: calls waited 1.25 s to be read,
+// connections of callers grew from 250 to 1,200, and nothing was answered in time. The
+// evidence: it used all of its processor time for nine seconds, refused nothing of its
+// own accord, and calls reached their servers over a second after they were sent.
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { setImmediate } from "node:timers/promises";
+import { createRandom } from "../clock/mod.ts";
+import type {
+  AnswerHead,
+  CallSink,
+  OpaqueCall,
+  ServerClient,
+} from "../forwarding/mod.ts";
+import { INITIAL_LIMITS, RouteTable } from "../http_routes/mod.ts";
+import { toBackendId, toFailureDomainId, toRegionId } from "../ids/mod.ts";
+import { SlowLoop } from "../tests/slow_loop.ts";
+import { createVirtualGateway } from "../tests/virtual_gateway.ts";
+
+/** Processor time of a call that is forwarded, and of one that is refused, as measured on a platform's instance. */
+const FORWARD_MS = 2.6;
+const REFUSE_MS = 0.6;
+/** Calls a second of an instance that does nothing else. */
+const CAPACITY = 1_000 / FORWARD_MS;
+const PLAYED_MS = 6_000;
+/** Time that the gateway is given to settle, in milliseconds. */
+const SETTLED_MS = 1_500;
+const TARGET_MS = 800;
+
+const ANSWERING: ServerClient = {
+  send: (_, events) => {
+    queueMicrotask(() => {
+      events.onHead({ status: 200, statusText: "OK", headers: [] });
+      events.onEnd([]);
+    });
+    return { resume: () => {}, abort: () => {} };
+  },
+};
+
+function createLoadedGateway(loop: SlowLoop) {
+  const gateway = createVirtualGateway("north-1", {
+    clock: loop,
+    random: createRandom(3),
+    client: ANSWERING,
+  });
+  gateway.registry.put({
+    id: toBackendId("s1"),
+    service: "app",
+    address: "s1:1",
+    failureDomain: toFailureDomainId("north-a"),
+    region: toRegionId("north"),
+    slots: 1_000,
+    isDraining: false,
+    coldForMs: 0,
+  }, loop.nowMs());
+  gateway.forwarder.setTable(
+    new RouteTable({
+      version: 1,
+      routes: [{
+        name: "r",
+        host: "app.example",
+        pathPrefix: "/a/",
+        routeClass: "idempotent",
+        timeoutMs: 4_000,
+        targetMs: TARGET_MS,
+        longestGapMs: undefined,
+        priority: 0,
+        services: [{ service: "app", weight: 1 }],
+        maxAttempts: 1,
+        isResumable: false,
+        homeRegions: [],
+      }],
+      services: [{
+        name: "app",
+        maxConnections: 1_000,
+        warmUpMs: 0,
+        warmUpCallsPerSecond: 0,
+        engine: undefined,
+      }],
+      limits: INITIAL_LIMITS,
+    }),
+  );
+  gateway.start(new AbortController().signal);
+  return gateway;
+}
+
+interface Played {
+  readonly arrivedMs: number;
+  readonly unreadMs: number;
+  readonly head: AnswerHead | undefined;
+}
+
+/**
+ * Plays arrivals at an even rate. A turn of the loop reads what had arrived when it
+ * began, and each call costs its processor time.
+ */
+async function play(callsPerSecond: number): Promise<readonly Played[]> {
+  const loop = new SlowLoop();
+  const gateway = createLoadedGateway(loop);
+  const played: Played[] = [];
+  let nextMs = 0;
+  while (loop.nowMs() < PLAYED_MS) {
+    loop.turn();
+    const readUntilMs = loop.nowMs();
+    if (nextMs > readUntilMs) loop.work(1);
+    while (nextMs <= readUntilMs) {
+      const unreadMs = loop.nowMs() - nextMs;
+      const delayMs = gateway.loopDelay.readMs();
+      let head: AnswerHead | undefined;
+      const sink: CallSink = {
+        signal: new AbortController().signal,
+        begin: (begun) => head = begun,
+        write: () => true,
+        onDrain: () => {},
+        end: () => {},
+        breakOff: () => {},
+      };
+      const call: OpaqueCall = {
+        method: "GET",
+        target: "/a/x",
+        headers: ["Host", "app.example"],
+        body: Buffer.alloc(0),
+        receivedMs: loop.nowMs() - delayMs,
+        unreadMs: delayMs,
+        origin: { kind: "caller" },
+      };
+      await gateway.handle(call, sink);
+      played.push({ arrivedMs: nextMs, unreadMs, head });
+      loop.work(head?.status === 200 ? FORWARD_MS : REFUSE_MS);
+      nextMs += 1_000 / callsPerSecond;
+    }
+    await setImmediate();
+  }
+  return played.filter(({ arrivedMs }) => arrivedMs > SETTLED_MS);
+}
+
+function countServed(played: readonly Played[]): number {
+  return played.filter(({ head }) => head?.status === 200).length;
+}
+
+/** Returns the wait that so large a part of the calls stays below, in milliseconds. */
+function readQuantile(played: readonly Played[], part: number): number {
+  const sorted = played.map(({ unreadMs }) => unreadMs).sort((a, b) => a - b);
+  return sorted[Math.floor(part * (sorted.length - 1))]!;
+}
+
+describe("HttpGateway", () => {
+  describe("when more calls come than its processor can forward", () => {
+    [1.2, 1.6, 2.5].forEach((load) => {
+      describe(`${load} times as many`, () => {
+        it("reads all of them early, and serves most of what it can", async () => {
+          const played = await play(load * CAPACITY);
+          const waitMs = readQuantile(played, 0.99);
+          assert.ok(waitMs < TARGET_MS / 3, `waited ${waitMs} ms`);
+          // What refusing costs is not there for serving.
+          const seconds = (PLAYED_MS - SETTLED_MS) / 1_000;
+          const servable = (1_000 - REFUSE_MS * load * CAPACITY) * seconds /
+            (FORWARD_MS - REFUSE_MS);
+          const served = countServed(played);
+          assert.ok(served > 0.85 * servable, `served ${served}/${servable}`);
+        });
+
+        it("refuses the others as not run, with a time to come back", async () => {
+          const played = await play(load * CAPACITY);
+          const refused = played.filter(({ head }) => head?.status !== 200);
+          assert.ok(refused.length > 0);
+          assert.ok(
+            refused.every(({ head }) =>
+              head?.status === 503 && head.headers.includes("Retry-After")
+            ),
+          );
+        });
+      });
+    });
+  });
+
+  describe("when its processor can forward all calls", () => {
+    it("refuses none", async () => {
+      const played = await play(0.8 * CAPACITY);
+      assert.equal(countServed(played), played.length);
+    });
+  });
+});
