An instance that falls behind refuses a share of its callers' calls at once

Cause: nothing bounds what an instance takes on. Above its processor's capacity each call waits longer unread than the one before it, callers give up or come again on new connections, and nothing is answered in time. Ruled out: a bound on calls in flight, which engines that answer slowly reach as well; bounds by objective, which would refuse the calls with the shortest objectives only.

Lines: overload begins, overload is over, refused with reason overloaded; metrics call.shed and loop.delay_ms.

--- a/daemon/http_gateway.ts
+++ b/daemon/http_gateway.ts
@@ -20,10 +20,12 @@
   CallForwarder,
   type CallGrammar,
   type CallSink,
+  NO_ROOM_RETRY_MS,
   type OpaqueCall,
   type PromptPart,
   type RepeatBounds,
   type ServerClient,
+  ShedShare,
   toHeldPrefixes,
   type WarmUpBounds,
 } from "../forwarding/mod.ts";
@@ -131,6 +133,7 @@
   readonly registry: ServerRegistry;
   readonly #parts: HttpGatewayParts;
   readonly #catchUp: PeerCatchUp | undefined;
+  readonly #shedShare = new ShedShare();
   readonly #regionPrefixes = new PrefixQueue(MAX_WAITING_PREFIXES);
   #seedAddresses: readonly string[];
   #ticks = 0;
@@ -145,6 +148,7 @@
     this.#parts = parts;
     this.#seedAddresses = parts.seedAddresses;
     this.loopDelay = new LoopDelay(clock);
+    this.loopDelay.subscribe((...measured) => this.#noteDelay(...measured));
     const loads = new LoadBoard();
     this.fleet = new FleetView({
       self: parts.self,
@@ -242,6 +246,10 @@
       });
       return;
     }
+    if (this.#mustShed(call)) {
+      this.#shed(call, sink);
+      return;
+    }
     await this.forwarder.handle(call, sink);
   }
 
@@ -288,6 +296,40 @@
     });
   }
 
+  #noteDelay(delayMs: number, sinceMs: number): void {
+    const before = this.#shedShare.value;
+    this.#shedShare.record(delayMs, sinceMs);
+    const now = this.#shedShare.value;
+    const { logger } = this.#parts;
+    if (before === 0 && now > 0) {
+      logger.warn("overload begins", { loopDelayMs: Math.round(delayMs) });
+    }
+    if (before > 0 && now === 0) logger.info("overload is over", {});
+  }
+
+  /** Whether a call must be refused for others to be read in time. What another instance sent was taken there. */
+  #mustShed({ origin }: OpaqueCall): boolean {
+    const share = this.#shedShare.value;
+    return share > 0 && origin.kind === "caller" &&
+      this.#parts.random.nextFloat() < share;
+  }
+
+  #shed(call: OpaqueCall, sink: CallSink): void {
+    const { grammar, logger, metrics } = this.#parts;
+    metrics.count("call.shed");
+    logger.info("refused", {
+      call: grammar.readCall(call.headers).callId,
+      reason: "overloaded",
+      unreadMs: Math.round(call.unreadMs),
+      share: Number(this.#shedShare.value.toFixed(2)),
+    });
+    this.forwarder.refuse(call, sink, {
+      reason: "overloaded",
+      message: "More calls come than this instance can forward",
+      retryAfterMs: NO_ROOM_RETRY_MS,
+    });
+  }
+
   #applyServers(): void {
     this.fleet.setNamedCount(this.state.instanceAddresses.length);
     this.forwarder.forgetGone();
--- a/forwarding/refusal.ts
+++ b/forwarding/refusal.ts
@@ -10,6 +10,8 @@
   /** The call did not arrive in time. */
   | "too-slow"
   | "leaving"
+  /** More calls come than this instance can forward. */
+  | "overloaded"
   /** Every server that may run the call is full, or none is there. */
   | "no-room"
   /** The time ran out before the call was sent anywhere. */
@@ -41,6 +43,7 @@
   "header-too-large": [431, "Request Header Fields Too Large"],
   "too-slow": [408, "Request Timeout"],
   "leaving": [503, "Service Unavailable"],
+  "overloaded": [503, "Service Unavailable"],
   "no-room": [503, "Service Unavailable"],
   "no-time": [503, "Service Unavailable"],
   "rejected": [503, "Service Unavailable"],
