--- a/clock/clock.ts
+++ b/clock/clock.ts
@@ -40,6 +40,25 @@
   });
 }
 
+/**
+ * Calls back after a delay and one more turn of the loop. Timers run before what
+ * has arrived is read: without the turn, a process that is behind takes its own
+ * lateness for the silence of others.
+ *
+ * @param clock Source of time.
+ * @param delayMs Delay in milliseconds.
+ * @param callback What to call.
+ * @param signal Cancels the timer.
+ */
+export function scheduleAfterReading(
+  clock: Clock,
+  delayMs: number,
+  callback: () => void,
+  signal: AbortSignal,
+): void {
+  clock.schedule(delayMs, () => clock.schedule(0, callback, signal), signal);
+}
+
 /**
  * Calls back every interval until the signal aborts. A call that takes longer
  * than the interval delays the next one, so that calls never overlap.
--- a/daemon/http_gateway.ts
+++ b/daemon/http_gateway.ts
@@ -3,6 +3,7 @@
   LoopDelay,
   pickRandom,
   type Random,
+  scheduleAfterReading,
   scheduleEvery,
   waitFor,
 } from "../clock/mod.ts";
@@ -223,7 +224,10 @@
       () => this.#contactOthers(),
       signal,
     );
-    scheduleEvery(clock, SWEEP_INTERVAL_MS, () => this.#sweep(), signal);
+    // After a pause of the process the reports that wait are read first.
+    const sweepAfterReading = () =>
+      scheduleAfterReading(clock, 0, () => this.#sweep(), signal);
+    scheduleEvery(clock, SWEEP_INTERVAL_MS, sweepAfterReading, signal);
   }
 
   /** Takes settings that can change while it runs. */
--- a/forwarding/call_forwarder.ts
+++ b/forwarding/call_forwarder.ts
@@ -1,4 +1,4 @@
-import type { Clock, Random } from "../clock/mod.ts";
+import { type Clock, type Random, scheduleAfterReading } from "../clock/mod.ts";
 import type { FleetView, LoadBoard, ReportedPrefix } from "../fleet/mod.ts";
 import {
   type HostHomes,
@@ -275,8 +275,9 @@
     sink.signal.addEventListener("abort", giveUp, { once: true });
     const dueMs = call.receivedMs + readRemainingMs(routed);
     const leftMs = dueMs - clock.nowMs();
-    // A timer of no time would fire after the call was sent.
-    if (leftMs > 0) clock.schedule(leftMs, giveUp, timer.signal);
+    // A timer of no time would fire after the call was sent. An answer that has
+    // arrived in time goes to the caller, though this instance reads it late.
+    if (leftMs > 0) scheduleAfterReading(clock, leftMs, giveUp, timer.signal);
     else giveUp();
     await this.#forward(this.#createExchange(routed, dueMs, given.signal));
     timer.abort("done");
--- a/forwarding/run_attempt.ts
+++ b/forwarding/run_attempt.ts
@@ -1,4 +1,4 @@
-import type { Clock } from "../clock/mod.ts";
+import { type Clock, scheduleAfterReading } from "../clock/mod.ts";
 import type { CallGrammar, RawHeaders } from "./call_grammar.ts";
 import { EventFramer } from "./event_framer.ts";
 import { isHopHeader, readHopAnswer } from "./hop_headers.ts";
@@ -139,9 +139,11 @@
     }
     signal.addEventListener("abort", this.#giveUp, { once: true });
     if (patienceMs !== undefined) {
-      clock.schedule(
+      const heldMs = Math.round(patienceMs);
+      scheduleAfterReading(
+        clock,
         patienceMs,
-        () => this.#loseAnswer(`The server was silent for ${patienceMs} ms`),
+        () => this.#loseAnswer(`The server was silent for ${heldMs} ms`),
         this.#patience.signal,
       );
     }
@@ -253,7 +255,7 @@
   #checkServer(): void {
     const { clock, isServerGone } = this.#parts;
     if (isServerGone === undefined) return;
-    clock.schedule(GONE_CHECK_MS, () => {
+    scheduleAfterReading(clock, GONE_CHECK_MS, () => {
       if (!isServerGone()) return this.#checkServer();
       const message = "The server is silent on all connections";
       const kind = this.#hasPassedBytes ? "broken" : "no-answer";
