Failing tests: connections that are not accepted, and calls of callers that have gone

With turns of the loop and accepted connections logged (trial): as many accepted as turns, 4 in 0.5 s at turns of 125 ms, while 250 connections were open; later 250 in 0.5 s with two calls in flight and all of the processor used, for callers that had gone.

--- a/daemon/overload_test.ts
+++ b/daemon/overload_test.ts
@@ -2,7 +2,9 @@
 // It took them all, each later than the one before: calls waited 1.25 s to be read,
 // connections of callers grew from 250 to 1,200, and nothing was answered in time. The
 // evidence: it used all of its processor time for nine seconds, refused nothing of its
-// own accord, and calls reached their servers over a second after they were sent.
+// own accord, and calls reached their servers over a second after they were sent; on a
+// day of the same kind it accepted as many connections as its loop took turns, 4 in half
+// a second, since the runtime accepts one a turn and each turn handled all that had come.
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { setImmediate } from "node:timers/promises";
@@ -38,11 +40,11 @@
   },
 };
 
-function createLoadedGateway(loop: SlowLoop) {
+function createLoadedGateway(loop: SlowLoop, client: ServerClient) {
   const gateway = createVirtualGateway("north-1", {
     clock: loop,
     random: createRandom(3),
-    client: ANSWERING,
+    client,
   });
   gateway.registry.put({
     id: toBackendId("s1"),
@@ -87,61 +89,90 @@
 
 interface Played {
   readonly arrivedMs: number;
-  readonly unreadMs: number;
-  readonly head: AnswerHead | undefined;
+  /** From its arrival until its answer began, in milliseconds; `undefined`: it had none. */
+  answeredMs: number | undefined;
+  head: AnswerHead | undefined;
 }
 
+/** What of the calls comes over connections that are open, and what on new ones. */
+const NEW_CONNECTION_PART = 0.4;
+
 /**
- * Plays arrivals at an even rate. A turn of the loop reads what had arrived when it
- * began, and each call costs its processor time.
+ * Plays arrivals at an even rate. A turn of the loop reads the calls of open
+ * connections that had arrived when it began, and accepts one connection, as the
+ * runtime does; what comes over it is read in the next turn. Each call costs its
+ * processor time.
  */
 async function play(callsPerSecond: number): Promise<readonly Played[]> {
   const loop = new SlowLoop();
-  const gateway = createLoadedGateway(loop);
+  const gateway = createLoadedGateway(loop, ANSWERING);
   const played: Played[] = [];
+  const open: Played[] = [];
+  const unaccepted: Played[] = [];
+  let accepted: Played | undefined;
   let nextMs = 0;
-  while (loop.nowMs() < PLAYED_MS) {
-    loop.turn();
-    const readUntilMs = loop.nowMs();
-    if (nextMs > readUntilMs) loop.work(1);
-    while (nextMs <= readUntilMs) {
-      const unreadMs = loop.nowMs() - nextMs;
-      const delayMs = gateway.loopDelay.readMs();
-      let head: AnswerHead | undefined;
-      const sink: CallSink = {
-        signal: new AbortController().signal,
-        begin: (begun) => head = begun,
-        write: () => true,
-        onDrain: () => {},
-        end: () => {},
-        breakOff: () => {},
-      };
-      const call: OpaqueCall = {
-        method: "GET",
-        target: "/a/x",
-        headers: ["Host", "app.example"],
-        body: Buffer.alloc(0),
-        receivedMs: loop.nowMs() - delayMs,
-        unreadMs: delayMs,
-        origin: { kind: "caller" },
+  const read = (arrived: Played) => {
+    const delayMs = gateway.loopDelay.readMs();
+    const call: OpaqueCall = {
+      method: "GET",
+      target: "/a/x",
+      headers: ["Host", "app.example"],
+      body: Buffer.alloc(0),
+      receivedMs: loop.nowMs() - delayMs,
+      unreadMs: delayMs,
+      origin: { kind: "caller" },
+    };
+    const begin = (head: AnswerHead) => {
+      arrived.answeredMs = loop.nowMs() - arrived.arrivedMs;
+      arrived.head = head;
+      loop.work(head.status === 200 ? FORWARD_MS : REFUSE_MS);
+    };
+    const sink: CallSink = {
+      signal: new AbortController().signal,
+      begin,
+      write: () => true,
+      onDrain: () => {},
+      end: () => {},
+      breakOff: () => {},
+    };
+    void gateway.handle(call, sink);
+  };
+  const arrive = () => {
+    while (nextMs <= loop.nowMs()) {
+      const call = {
+        arrivedMs: nextMs,
+        answeredMs: undefined,
+        head: undefined,
       };
-      await gateway.handle(call, sink);
-      played.push({ arrivedMs: nextMs, unreadMs, head });
-      loop.work(head?.status === 200 ? FORWARD_MS : REFUSE_MS);
+      const isNew = played.length % 10 < 10 * NEW_CONNECTION_PART;
+      (isNew ? unaccepted : open).push(call);
+      played.push(call);
       nextMs += 1_000 / callsPerSecond;
     }
+  };
+  while (loop.nowMs() < PLAYED_MS) {
+    loop.work(0.2);
+    loop.turn();
+    await setImmediate();
+    arrive();
+    if (accepted !== undefined) read(accepted);
+    accepted = unaccepted.shift();
+    open.splice(0).forEach(read);
     await setImmediate();
   }
-  return played.filter(({ arrivedMs }) => arrivedMs > SETTLED_MS);
+  return played.filter(({ arrivedMs }) =>
+    arrivedMs > SETTLED_MS && arrivedMs < PLAYED_MS - TARGET_MS
+  );
 }
 
 function countServed(played: readonly Played[]): number {
   return played.filter(({ head }) => head?.status === 200).length;
 }
 
-/** Returns the wait that so large a part of the calls stays below, in milliseconds. */
+/** Returns the time to an answer that so large a part of the calls stays below, in milliseconds. */
 function readQuantile(played: readonly Played[], part: number): number {
-  const sorted = played.map(({ unreadMs }) => unreadMs).sort((a, b) => a - b);
+  const sorted = played.map(({ answeredMs }) => answeredMs ?? PLAYED_MS)
+    .sort((a, b) => a - b);
   return sorted[Math.floor(part * (sorted.length - 1))]!;
 }
 
@@ -149,12 +180,12 @@
   describe("when more calls come than its processor can forward", () => {
     [1.2, 1.6, 2.5].forEach((load) => {
       describe(`${load} times as many`, () => {
-        it("reads all of them early, and serves most of what it can", async () => {
+        it("answers all of them early, and serves most of what it can", async () => {
           const played = await play(load * CAPACITY);
           const waitMs = readQuantile(played, 0.99);
           assert.ok(waitMs < TARGET_MS / 3, `waited ${waitMs} ms`);
           // What refusing costs is not there for serving.
-          const seconds = (PLAYED_MS - SETTLED_MS) / 1_000;
+          const seconds = (PLAYED_MS - TARGET_MS - SETTLED_MS) / 1_000;
           const servable = (1_000 - REFUSE_MS * load * CAPACITY) * seconds /
             (FORWARD_MS - REFUSE_MS);
           const served = countServed(played);
--- a/tests/busy_instance_test.ts
+++ b/tests/busy_instance_test.ts
@@ -4,6 +4,8 @@
 // route's timeout, 49 of 72 had no answer half a second later. The evidence: its log
 // said `timed-out` with `afterMs=403`, and the server was passed the whole 400 ms.
 import assert from "node:assert/strict";
+import { once } from "node:events";
+import { connect } from "node:net";
 import { describe, it } from "node:test";
 import {
   createAnswer,
@@ -95,6 +97,31 @@
     });
   });
 
+  describe("when its caller has gone before its connection was accepted", () => {
+    // An instance at its limit served such calls for seconds: 250 connections in
+    // half a second, two calls in flight, all of its processor time used.
+    it("is not sent", async () => {
+      const server = await startRawServer(() => {});
+      const fixture = await startGateway({
+        routes: [{ prefix: "/slow/" }],
+        servers: { s1: server.address },
+      });
+      const caller = connect(fixture.port, fixture.host);
+      caller.end(createRequest("/slow/"));
+      caller.once("connect", () => {
+        setImmediate(() => {
+          caller.destroy();
+          blockLoop(50);
+        });
+      });
+      await once(caller, "close");
+      await new Promise((resolve) => setTimeout(resolve, WARM_UP_MS));
+      fixture.close();
+      server.close();
+      assert.deepEqual(server.requests, []);
+    });
+  });
+
   describe("when it is read in time", () => {
     it("has what is left of the timeout", async () => {
       const { answer, requests } = await callBehind(TIMEOUT_MS / 2);
