Calls are spread over the turns of the loop; who would wait too long is refused at once

New connections waited in a queue of 1,024 until their callers had gone; then the calls of those were forwarded one by one, 1.8 ms each, while the next ones waited. An overload of a few seconds outlived itself.

Change: one call begins a turn, as many as connections are accepted (forwarding/ turn_gate.ts); a call that would wait over 100 ms is refused as overloaded, not run; the first call of a connection waits until its socket was read once more, and is dropped if its caller has gone; 128 connections wait to be accepted in place of 1,024. The share of refused calls is gone.

--- a/adapters/call_listener.ts
+++ b/adapters/call_listener.ts
@@ -5,6 +5,7 @@
   type ServerResponse,
 } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
+import { setImmediate } from "node:timers/promises";
 import type { Duplex } from "node:stream";
 import {
   type AnswerHead,
@@ -25,8 +26,13 @@
 const PARSER_HEADER_BYTES = 65_536;
 /** Pause between checks of slow headers and idle connections, in milliseconds. */
 const CHECK_INTERVAL_MS = 1_000;
-/** Connections that wait to be accepted. */
-const BACKLOG = 1_024;
+/**
+ * Connections that wait to be accepted. One is accepted a turn of the loop, of 1 to
+ * 5 ms: what waits behind so many would be accepted when its caller has gone. Enough
+ * for the callers of another instance that ends, who come together. Callers whose
+ * connection finds no place go to another instance.
+ */
+const BACKLOG = 128;
 /** The body of calls without one. */
 const NO_BODY = Buffer.alloc(0);
 
@@ -47,8 +53,7 @@
 export class CallListener {
   readonly #parts: CallListenerParts;
   readonly #server: Server;
-  /** Open connections, and for how long each may have waited to be accepted before its first call. */
-  readonly #sockets = new Map<Socket, number>();
+  readonly #sockets = new Map<Socket, OpenConnection>();
   #limits: CallerLimits = INITIAL_LIMITS;
   #isLeaving = false;
   #openCount = 0;
@@ -64,7 +69,10 @@
       insecureHTTPParser: false,
     });
     this.#server.on("connection", (socket: Socket) => {
-      this.#sockets.set(socket, parts.readDelayMs());
+      this.#sockets.set(socket, {
+        isNew: true,
+        acceptMs: parts.readDelayMs(),
+      });
       socket.on("close", () => this.#sockets.delete(socket));
     });
     this.#server.on("request", (message, response) => {
@@ -122,7 +130,9 @@
     message: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const unreadMs = this.#readUnreadMs(message.socket);
+    const { socket } = message;
+    const isFirst = this.#sockets.get(socket)?.isNew ?? false;
+    const unreadMs = this.#readUnreadMs(socket);
     // A caller counts its time from when it sent the call, not from when this
     // process gets to it: a loop that is behind must not give it more.
     const receivedMs = this.#parts.nowMs() - unreadMs;
@@ -158,6 +168,10 @@
       });
     }
     if (body === "broken") return;
+    // Connections are accepted late where many wait: the end of one whose caller has
+    // gone meanwhile comes behind its call, and is read a turn later.
+    if (isFirst) await passTurn();
+    if (!socket.readable) return;
     const call: OpaqueCall = {
       method: message.method ?? "GET",
       target: message.url,
@@ -172,12 +186,27 @@
 
   /** How long a call may have waited until now; the first of a connection also to be accepted. */
   #readUnreadMs(socket: Socket): number {
-    const acceptMs = this.#sockets.get(socket) ?? 0;
-    if (acceptMs > 0) this.#sockets.set(socket, 0);
+    const connection = this.#sockets.get(socket);
+    const acceptMs = connection?.isNew ? connection.acceptMs : 0;
+    if (connection !== undefined) connection.isNew = false;
     return acceptMs + this.#parts.readDelayMs();
   }
 }
 
+/** A connection, from when it was accepted. */
+interface OpenConnection {
+  /** Whether no call has come over it yet. */
+  isNew: boolean;
+  /** For how long it may have waited to be accepted, in milliseconds. */
+  readonly acceptMs: number;
+}
+
+/** Resolves when the loop has read its sockets once more. */
+async function passTurn(): Promise<void> {
+  await setImmediate();
+  await setImmediate();
+}
+
 class ResponseSink implements CallSink {
   readonly signal: AbortSignal;
   readonly #response: ServerResponse;
--- a/clock/loop_delay.ts
+++ b/clock/loop_delay.ts
@@ -13,9 +13,6 @@
 /** Delay up to which the loop counts as keeping up, in milliseconds: timers are a little late. */
 const LEAST_DELAY_MS = 20;
 
-/** Called after each look with the delay, and the time since the last look, in milliseconds. */
-export type DelayListener = (delayMs: number, sinceMs: number) => void;
-
 /**
  * How far the event loop is behind: for how long bytes that are read now may have
  * waited unread. A process that has more to do than it can reads late, and only the
@@ -23,7 +20,6 @@
  */
 export class LoopDelay {
   readonly #clock: Clock;
-  readonly #listeners: DelayListener[] = [];
   #lookedMs: number | undefined;
   #intervalMs = LOOK_INTERVAL_MS;
   #lateMs = 0;
@@ -39,11 +35,6 @@
     this.#scheduleLook(signal);
   }
 
-  /** Calls back after each look. */
-  subscribe(listener: DelayListener): void {
-    this.#listeners.push(listener);
-  }
-
   /**
    * Returns the longest that bytes read now may have waited, in milliseconds; 0
    * while the loop keeps up.
@@ -63,8 +54,6 @@
       this.#lateMs = Math.max(0, sinceMs - this.#intervalMs);
       const isBehind = this.#lateMs > LEAST_DELAY_MS;
       this.#intervalMs = isBehind ? BEHIND_INTERVAL_MS : LOOK_INTERVAL_MS;
-      const delayMs = this.readMs();
-      this.#listeners.forEach((listener) => listener(delayMs, sinceMs));
       this.#scheduleLook(signal);
     }, signal);
   }
--- a/daemon/http_gateway.ts
+++ b/daemon/http_gateway.ts
@@ -26,8 +26,8 @@
   type PromptPart,
   type RepeatBounds,
   type ServerClient,
-  ShedShare,
   toHeldPrefixes,
+  TurnGate,
   type WarmUpBounds,
 } from "../forwarding/mod.ts";
 import type { CallerLimits, RouteTable } from "../http_routes/mod.ts";
@@ -134,7 +134,7 @@
   readonly registry: ServerRegistry;
   readonly #parts: HttpGatewayParts;
   readonly #catchUp: PeerCatchUp | undefined;
-  readonly #shedShare = new ShedShare();
+  readonly #turns: TurnGate;
   readonly #regionPrefixes = new PrefixQueue(MAX_WAITING_PREFIXES);
   #seedAddresses: readonly string[];
   #ticks = 0;
@@ -149,7 +149,7 @@
     this.#parts = parts;
     this.#seedAddresses = parts.seedAddresses;
     this.loopDelay = new LoopDelay(clock);
-    this.loopDelay.subscribe((...measured) => this.#noteDelay(...measured));
+    this.#turns = new TurnGate(clock);
     const loads = new LoadBoard();
     this.fleet = new FleetView({
       self: parts.self,
@@ -239,6 +239,11 @@
   /** Serves one call. */
   async handle(call: OpaqueCall, sink: CallSink): Promise<void> {
     const { clock } = this.#parts;
+    if (!await this.#turns.enter()) {
+      this.#refuseOverloaded(call, sink);
+      return;
+    }
+    if (sink.signal.aborted) return;
     const leftMs = this.#leavingSinceMs;
     if (
       leftMs !== undefined && clock.nowMs() - leftMs > LEAVING_TAKES_CALLS_MS
@@ -250,10 +255,6 @@
       });
       return;
     }
-    if (this.#mustShed(call)) {
-      this.#shed(call, sink);
-      return;
-    }
     await this.forwarder.handle(call, sink);
   }
 
@@ -300,32 +301,14 @@
     });
   }
 
-  #noteDelay(delayMs: number, sinceMs: number): void {
-    const before = this.#shedShare.value;
-    this.#shedShare.record(delayMs, sinceMs);
-    const now = this.#shedShare.value;
-    const { logger } = this.#parts;
-    if (before === 0 && now > 0) {
-      logger.warn("overload begins", { loopDelayMs: Math.round(delayMs) });
-    }
-    if (before > 0 && now === 0) logger.info("overload is over", {});
-  }
-
-  /** Whether a call must be refused for others to be read in time. What another instance sent was taken there. */
-  #mustShed({ origin }: OpaqueCall): boolean {
-    const share = this.#shedShare.value;
-    return share > 0 && origin.kind === "caller" &&
-      this.#parts.random.nextFloat() < share;
-  }
-
-  #shed(call: OpaqueCall, sink: CallSink): void {
+  #refuseOverloaded(call: OpaqueCall, sink: CallSink): void {
     const { grammar, logger, metrics } = this.#parts;
-    metrics.count("call.shed");
+    metrics.count("call.overloaded");
     logger.info("refused", {
       call: grammar.readCall(call.headers).callId,
       reason: "overloaded",
       unreadMs: Math.round(call.unreadMs),
-      share: Number(this.#shedShare.value.toFixed(2)),
+      waitMs: Math.round(this.#turns.waitMs),
     });
     this.forwarder.refuse(call, sink, {
       reason: "overloaded",
--- a/forwarding/mod.ts
+++ b/forwarding/mod.ts
@@ -34,7 +34,7 @@
 export * from "./exchange.ts";
 export * from "./read_patience.ts";
 export * from "./settle_attempt.ts";
-export * from "./shed_share.ts";
+export * from "./turn_gate.ts";
 export * from "./call_replies.ts";
 export * from "./server_sender.ts";
 export * from "./instance_sender.ts";
--- /dev/null
+++ b/forwarding/turn_gate_test.ts
@@ -0,0 +1,67 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { setImmediate } from "node:timers/promises";
+import { SlowLoop } from "../tests/slow_loop.ts";
+import { TurnGate } from "./turn_gate.ts";
+
+function start() {
+  const loop = new SlowLoop();
+  const gate = new TurnGate(loop);
+  const begun: number[] = [];
+  const enter = (call: number) =>
+    void gate.enter().then(() => begun.push(call));
+  const takeTurn = async () => {
+    loop.work(1);
+    loop.turn();
+    await setImmediate();
+  };
+  return { gate, begun, enter, loop, takeTurn };
+}
+
+describe("TurnGate", () => {
+  it("lets the first call of a turn through at once", async () => {
+    const { begun, enter } = start();
+    enter(1);
+    await setImmediate();
+    assert.deepEqual(begun, [1]);
+  });
+
+  it("begins the others in later turns, in order", async () => {
+    const { begun, enter, gate, takeTurn } = start();
+    [1, 2, 3].forEach(enter);
+    await takeTurn();
+    assert.deepEqual(begun, [1, 2]);
+    assert.ok(gate.waitMs > 0);
+    enter(4);
+    await takeTurn();
+    await takeTurn();
+    assert.deepEqual(begun, [1, 2, 3, 4]);
+    assert.equal(gate.waitMs, 0);
+  });
+
+  it("lets no more in where they would wait for too long", async () => {
+    const { gate, enter } = start();
+    Array.from({ length: 103 }, (_, call) => enter(call));
+    assert.equal(await gate.enter(), false);
+  });
+
+  it("counts with what turns have taken lately", async () => {
+    const { gate, enter, loop, takeTurn } = start();
+    Array.from({ length: 60 }, (_, call) => enter(call));
+    for (let turn = 0; turn < 30; turn++) {
+      loop.work(9);
+      await takeTurn();
+    }
+    assert.ok(gate.waitMs > 200, `waits ${gate.waitMs} ms`);
+    assert.equal(await gate.enter(), false);
+  });
+
+  it("is open again after a turn in which nothing waited", async () => {
+    const { begun, enter, takeTurn } = start();
+    enter(1);
+    await takeTurn();
+    enter(2);
+    await setImmediate();
+    assert.deepEqual(begun, [1, 2]);
+  });
+});
--- a/metrics/metrics.ts
+++ b/metrics/metrics.ts
@@ -27,7 +27,7 @@
   "state.store_revision": "gauge",
   "state.store_reachable": "gauge; 1 answers, 0 does not",
   "fleet.live": "gauge",
-  "call.shed": "counter",
+  "call.overloaded": "counter",
   "loop.delay_ms": "gauge; longest that bytes read now have waited",
 } as const;
 
