--- a/forwarding/turn_gate.ts
+++ b/forwarding/turn_gate.ts
@@ -26,7 +26,8 @@
  *
  * Where they would wait for too long, further ones are not let in: the processor goes
  * to calls that can still be served in time. Under 1.2 to 2.5 times the load that it
- * can forward, 99 in 100 calls are answered in under a third of an objective of 0.8 s;
+ * can forward, 99 in 100 calls over open connections are answered in under a third of an
+ * objective of 0.8 s, and over new ones in under a second;
  * without the gate, new connections wait for as long as the load lasts (the load in
  * `daemon/overload_test.ts`).
  */
