--- a/adapters/http_listener_test.ts
+++ b/adapters/http_listener_test.ts
@@ -1,4 +1,5 @@
 import assert from "node:assert/strict";
+import { once } from "node:events";
 import { request as requestTls } from "node:https";
 import { connect } from "node:net";
 import { describe, it } from "node:test";
@@ -49,6 +50,35 @@
 }
 
 describe("startListener()", () => {
+  describe("when a caller has gone before its connection was accepted", () => {
+    // A process at its limit accepts connections late, one a turn: work for callers
+    // that had gone took the time of those that had not.
+    it("does not handle its request", async () => {
+      let calls = 0;
+      const listener = await startListener({
+        address: "127.0.0.1:0",
+        limits: DEFAULT_LISTENER_LIMITS,
+        handle: () => {
+          calls++;
+          return Promise.resolve(readWhole("done"));
+        },
+      });
+      const caller = connect(listener.port, "127.0.0.1");
+      caller.end("GET / HTTP/1.1\r\nhost: a\r\n\r\n");
+      caller.once("connect", () => {
+        setImmediate(() => {
+          caller.destroy();
+          const untilMs = performance.now() + 50;
+          while (performance.now() < untilMs);
+        });
+      });
+      await once(caller, "close");
+      await new Promise((resolve) => setTimeout(resolve, 100));
+      await listener.close();
+      assert.equal(calls, 0);
+    });
+  });
+
   describe("when certificates are reloaded", () => {
     it("shows the new one to new connections, and cuts off no request", async () => {
       let release = () => {};
