--- a/adapters/call_listener.ts
+++ b/adapters/call_listener.ts
@@ -32,7 +32,7 @@
  * for the callers of another instance that ends, who come together. Callers whose
  * connection finds no place go to another instance.
  */
-const BACKLOG = 128;
+export const BACKLOG = 128;
 /** The body of calls without one. */
 const NO_BODY = Buffer.alloc(0);
 
@@ -202,7 +202,7 @@
 }
 
 /** Resolves when the loop has read its sockets once more. */
-async function passTurn(): Promise<void> {
+export async function passTurn(): Promise<void> {
   await setImmediate();
   await setImmediate();
 }
