--- a/soak/apply_fault.ts
+++ b/soak/apply_fault.ts
@@ -1,12 +1,15 @@
-import { type Clock, waitFor } from "../clock/mod.ts";
+import { type Clock, type Random, waitFor } from "../clock/mod.ts";
+import { gatherCrowd } from "./crowd.ts";
 import { type Fault, formatFault, type PlannedFault } from "./plan.ts";
-import type { SeenDeparture, SeenStop } from "./observation.ts";
+import type { SeenDeparture, SeenLeft, SeenStop } from "./observation.ts";
 import type { ServerSlot, SoakFleet, SoakInstance } from "./soak_fleet.ts";
 
 /** What faults are applied to, and who hears of their effects. */
 export interface FaultParts {
   readonly fleet: SoakFleet;
   readonly clock: Clock;
+  /** Source of the ids of crowds' calls. */
+  readonly random: Random;
   readonly print: (line: string) => void;
 }
 
@@ -24,6 +27,7 @@
 export class FaultRunner {
   readonly serverDepartures: SeenDeparture[] = [];
   readonly instanceDepartures: SeenDeparture[] = [];
+  readonly left: SeenLeft[] = [];
   /** Spans in which some instance could not know or do what the bounds ask. */
   readonly disturbedMs: Span[] = [];
   readonly #stops: (Span & { readonly instance: string })[] = [];
@@ -67,6 +71,7 @@
     const { instances, slots, store } = this.#parts.fleet;
     switch (fault.kind) {
       case "instance":
+      case "crowd":
         return instances[fault.index];
       case "link":
         return fault.to === "store"
@@ -90,6 +95,8 @@
           fault.what,
           forMs,
         );
+      case "crowd":
+        return this.#sendCrowd(instances[fault.index]!, forMs);
       case "link":
         return this.#disturbLink(fault, forMs);
       case "server":
@@ -133,6 +140,22 @@
     }
   }
 
+  async #sendCrowd(instance: SoakInstance, forMs: number): Promise<void> {
+    const { clock, fleet, random } = this.#parts;
+    const { process } = instance;
+    await this.#disturb(async () => {
+      process.signal("SIGSTOP");
+      const left = await gatherCrowd(fleet.toCalled(instance), {
+        clock,
+        random,
+        stayMs: forMs / 2,
+      });
+      this.left.push(...left);
+      await this.#wait(forMs / 2);
+      process.signal("SIGCONT");
+    });
+  }
+
   async #restart(
     process: SoakInstance["process"],
     afterMs: number,
--- a/soak/check_promises.ts
+++ b/soak/check_promises.ts
@@ -19,6 +19,7 @@
   | "configuration never back"
   | "directory names no dead instance"
   | "a stop cuts nothing"
+  | "who has gone is not served"
   | "service after the faults"
   | "no growth";
 
@@ -31,6 +32,8 @@
 const LEFT_AFTER_MS = 6_000;
 /** Time after which the directory forgets an instance, in milliseconds: the users' 8 s, and 4 s more. */
 const FORGOTTEN_AFTER_MS = 12_000;
+/** Time after which a call of a caller that has gone is not begun, in milliseconds: the users' half a second. */
+const GONE_AFTER_MS = 500;
 /** Part of the calls after the faults that must be served. */
 const SERVED_PART = 0.95;
 /** What one process may hold: half as much again as was seen in runs with 6 instances. */
@@ -47,6 +50,7 @@
     ...checkVersions(seen),
     ...checkDirectories(seen),
     ...checkStops(seen),
+    ...checkLeft(seen),
     ...checkService(seen),
     ...checkProcesses(seen),
   ];
@@ -183,6 +187,18 @@
   );
 }
 
+function checkLeft({ left, runs }: Observation): readonly Violation[] {
+  const leftMs = new Map(left.map((each) => [each.callId, each.leftMs]));
+  return runs.filter(({ atMs, callId }) =>
+    atMs > (leftMs.get(callId) ?? Infinity) + GONE_AFTER_MS
+  ).map(({ atMs, callId, server }) => ({
+    promise: "who has gone is not served",
+    detail: `${server} ran ${callId} ${
+      Math.round(atMs - leftMs.get(callId)!)
+    } ms after its caller had left`,
+  }));
+}
+
 function checkService(
   { calls, calmFromMs, lastVersion }: Observation,
 ): readonly Violation[] {
--- a/soak/check_promises_test.ts
+++ b/soak/check_promises_test.ts
@@ -56,6 +56,7 @@
   const violations = checkPromises({
     calls: [createCall()],
     runs: [],
+    left: [],
     serverDepartures: [],
     instanceDepartures: [],
     directories: [],
@@ -166,6 +167,13 @@
     assert.equal(checkStop(false), false);
   });
 
+  it("finds a server that works for a caller that has gone", () => {
+    const leave = (leftMs: number) =>
+      check({ left: [{ callId: "c1", leftMs }], runs: [createRun()] });
+    assert.deepEqual(leave(19_900), []);
+    assert.deepEqual(leave(19_000), ["who has gone is not served"]);
+  });
+
   it("finds missing service and old versions after the faults", () => {
     const failed = createCall({ end: { kind: "not-connected" } });
     assert.deepEqual(check({ calls: [createCall(), failed] }), [
--- a/soak/mod.ts
+++ b/soak/mod.ts
@@ -20,6 +20,7 @@
 export * from "./apply_fault.ts";
 export * from "./caller.ts";
 export * from "./check_promises.ts";
+export * from "./crowd.ts";
 export * from "./link_proxy.ts";
 export * from "./observation.ts";
 export * from "./plan.ts";
--- a/soak/observation.ts
+++ b/soak/observation.ts
@@ -30,6 +30,12 @@
   readonly end: CallEnd;
 }
 
+/** A call whose caller went away without an answer. */
+export interface SeenLeft {
+  readonly callId: string;
+  readonly leftMs: number;
+}
+
 /** What a server left or an instance was gone for, and since when. */
 export interface SeenDeparture {
   readonly id: string;
@@ -63,6 +69,8 @@
 export interface Observation {
   readonly calls: readonly SeenCall[];
   readonly runs: readonly RecordedRun[];
+  /** Calls of crowds. */
+  readonly left: readonly SeenLeft[];
   readonly serverDepartures: readonly SeenDeparture[];
   readonly instanceDepartures: readonly SeenDeparture[];
   readonly directories: readonly SeenDirectory[];
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -8,6 +8,8 @@
     readonly what: "kill" | "pause" | "stop" | "reload";
     readonly index: number;
   }
+  /** Many callers connect to an instance that stands still, and leave before it goes on. */
+  | { readonly kind: "crowd"; readonly index: number }
   | {
     readonly kind: "link";
     /** Whose calls the link carries: of an instance to the store, or of all to a server. */
@@ -61,6 +63,10 @@
  * touch again after 5 s, and servers that were silent are tried again after 4 s.
  */
 export const CALM_END_MS = 9_000;
+/** One crowd in so much time, in milliseconds. */
+const CROWD_EVERY_MS = 6_000;
+/** How long a crowd's instance stands still, in milliseconds: its callers leave in the middle. */
+const CROWD_MS = 2_000;
 const PAUSE_MS = { least: 300, most: 1_500 };
 const DURATION_MS = { least: 300, most: 4_000 };
 
@@ -75,7 +81,25 @@
     faults.push({ fault: pickFault(parts, random), atMs, forMs });
     atMs += pickBetween(PAUSE_MS, random);
   }
-  return faults;
+  return [...faults, ...planCrowds(parts, endMs)];
+}
+
+/** Plans crowds from numbers of their own: the other faults of a seed stay as they were. */
+function planCrowds(
+  { instances, seed }: PlanParts,
+  endMs: number,
+): readonly PlannedFault[] {
+  const random = createRandom(~seed);
+  const count = Math.floor((endMs - CALM_START_MS) / CROWD_EVERY_MS) + 1;
+  return Array.from({ length: count }, (_, turn) => ({
+    fault: {
+      kind: "crowd" as const,
+      index: Math.floor(random.nextFloat() * instances),
+    },
+    atMs: CALM_START_MS + turn * CROWD_EVERY_MS +
+      Math.round(random.nextFloat() * (CROWD_EVERY_MS - CROWD_MS)),
+    forMs: CROWD_MS,
+  })).filter(({ atMs, forMs }) => atMs + forMs <= endMs);
 }
 
 /** Returns a fault in one line. */
--- a/soak/run_soak.ts
+++ b/soak/run_soak.ts
@@ -83,7 +83,12 @@
   const directories: SeenDirectory[] = [];
   const callers = startCallers(fleet, calls, parts.seed, ended.signal);
   const asking = askDirectories(fleet, directories, ended.signal);
-  const faults = new FaultRunner({ fleet, clock, print: parts.print });
+  const faults = new FaultRunner({
+    fleet,
+    clock,
+    random: createRandom(parts.seed + 2),
+    print: parts.print,
+  });
   const plan = createPlan({
     seed: parts.seed,
     seconds: parts.seconds,
@@ -103,6 +108,7 @@
   const violations = checkPromises({
     calls,
     runs,
+    left: faults.left,
     directories,
     processes,
     serverDepartures: faults.serverDepartures,
