--- a/adapters/http_listener_test.ts
+++ b/adapters/http_listener_test.ts
@@ -1,11 +1,11 @@
 import assert from "node:assert/strict";
-import { once } from "node:events";
 import { request as requestTls } from "node:https";
 import { connect } from "node:net";
 import { describe, it } from "node:test";
 import { ok } from "neverthrow";
 import { generate } from "selfsigned";
 import type { GatewayRequest, Reply } from "../filters/mod.ts";
+import { leaveUnaccepted } from "../tests/busy_loop.ts";
 import {
   DEFAULT_LISTENER_LIMITS,
   startListener,
@@ -63,16 +63,8 @@
           return Promise.resolve(readWhole("done"));
         },
       });
-      const caller = connect(listener.port, "127.0.0.1");
-      caller.end("GET / HTTP/1.1\r\nhost: a\r\n\r\n");
-      caller.once("connect", () => {
-        setImmediate(() => {
-          caller.destroy();
-          const untilMs = performance.now() + 50;
-          while (performance.now() < untilMs);
-        });
-      });
-      await once(caller, "close");
+      const request = "GET / HTTP/1.1\r\nhost: a\r\n\r\n";
+      await leaveUnaccepted(listener.port, "127.0.0.1", request);
       await new Promise((resolve) => setTimeout(resolve, 100));
       await listener.close();
       assert.equal(calls, 0);
--- a/daemon/overload_test.ts
+++ b/daemon/overload_test.ts
@@ -9,15 +9,15 @@
 import { describe, it } from "node:test";
 import { setImmediate } from "node:timers/promises";
 import { createRandom } from "../clock/mod.ts";
-import type {
-  AnswerHead,
-  CallSink,
-  OpaqueCall,
-  ServerClient,
-} from "../forwarding/mod.ts";
-import { INITIAL_LIMITS, RouteTable } from "../http_routes/mod.ts";
+import type { AnswerHead } from "../forwarding/mod.ts";
 import { toBackendId, toFailureDomainId, toRegionId } from "../ids/mod.ts";
 import type { HttpGateway } from "./http_gateway.ts";
+import {
+  ANSWERING_CLIENT,
+  createHeadSink,
+  createOpaqueCall,
+  ONE_ROUTE,
+} from "../tests/opaque_call_fixture.ts";
 import { SlowLoop } from "../tests/slow_loop.ts";
 import { createVirtualGateway } from "../tests/virtual_gateway.ts";
 
@@ -36,21 +36,11 @@
 /** How long callers wait for a connection to be accepted and read, in milliseconds. */
 const CONNECT_PATIENCE_MS = 1_000;
 
-const ANSWERING: ServerClient = {
-  send: (_, events) => {
-    queueMicrotask(() => {
-      events.onHead({ status: 200, statusText: "OK", headers: [] });
-      events.onEnd([]);
-    });
-    return { resume: () => {}, abort: () => {} };
-  },
-};
-
 function createLoadedGateway(loop: SlowLoop): HttpGateway {
   const gateway = createVirtualGateway("north-1", {
     clock: loop,
     random: createRandom(3),
-    client: ANSWERING,
+    client: ANSWERING_CLIENT,
   });
   gateway.registry.put({
     id: toBackendId("s1"),
@@ -62,33 +52,7 @@
     isDraining: false,
     coldForMs: 0,
   }, loop.nowMs());
-  gateway.forwarder.setTable(
-    new RouteTable({
-      version: 1,
-      routes: [{
-        name: "r",
-        host: "app.example",
-        pathPrefix: "/a/",
-        routeClass: "idempotent",
-        timeoutMs: 4_000,
-        targetMs: TARGET_MS,
-        longestGapMs: undefined,
-        priority: 0,
-        services: [{ service: "app", weight: 1 }],
-        maxAttempts: 1,
-        isResumable: false,
-        homeRegions: [],
-      }],
-      services: [{
-        name: "app",
-        maxConnections: 1_000,
-        warmUpMs: 0,
-        warmUpCallsPerSecond: 0,
-        engine: undefined,
-      }],
-      limits: INITIAL_LIMITS,
-    }),
-  );
+  gateway.forwarder.setTable(ONE_ROUTE);
   gateway.start(new AbortController().signal);
   return gateway;
 }
@@ -106,18 +70,6 @@
 /** What of the calls comes over connections that are open, and what on new ones. */
 const NEW_CONNECTION_PART = 0.4;
 
-/** Takes the head of an answer, and says that its caller stays. */
-function createSink(begin: (head: AnswerHead) => void): CallSink {
-  return {
-    signal: new AbortController().signal,
-    begin,
-    write: () => true,
-    onDrain: () => {},
-    end: () => {},
-    breakOff: () => {},
-  };
-}
-
 /** An instance whose loop accepts one connection a turn, as the runtime does. */
 class LoadedInstance {
   readonly loop = new SlowLoop();
@@ -143,16 +95,8 @@
   #read(arrived: Played): void {
     const { loop } = this;
     const unreadMs = this.#gateway.loopDelay.readMs();
-    const call: OpaqueCall = {
-      method: "GET",
-      target: "/a/x",
-      headers: ["Host", "app.example"],
-      body: Buffer.alloc(0),
-      receivedMs: loop.nowMs() - unreadMs,
-      unreadMs,
-      origin: { kind: "caller" },
-    };
-    const sink = createSink((head) => {
+    const call = createOpaqueCall(loop.nowMs() - unreadMs, unreadMs);
+    const sink = createHeadSink((head) => {
       arrived.answeredMs = loop.nowMs() - arrived.arrivedMs;
       arrived.head = head;
       loop.work(head.status === 200 ? FORWARD_MS : REFUSE_MS);
--- a/forwarding/call_forwarder_test.ts
+++ b/forwarding/call_forwarder_test.ts
@@ -2,7 +2,6 @@
 import { describe, it } from "node:test";
 import { createRandom, VirtualClock } from "../clock/mod.ts";
 import { FleetView, LoadBoard } from "../fleet/mod.ts";
-import { INITIAL_LIMITS, RouteTable } from "../http_routes/mod.ts";
 import {
   toBackendId,
   toFailureDomainId,
@@ -12,25 +11,19 @@
 import { createSilentLogger } from "../logs/mod.ts";
 import { NO_METRICS } from "../metrics/mod.ts";
 import { ServerRegistry } from "../servers/mod.ts";
+import {
+  ANSWERING_CLIENT,
+  createHeadSink,
+  createOpaqueCall,
+  ONE_ROUTE,
+} from "../tests/opaque_call_fixture.ts";
 import { createReport } from "../tests/report_fixture.ts";
 import { CallForwarder } from "./call_forwarder.ts";
-import type { CallSink, OpaqueCall } from "./opaque_call.ts";
 import { OWN_GRAMMAR } from "./own_grammar.ts";
 import type { AnswerHead, ServerClient } from "./server_client.ts";
 
 const NORTH = toRegionId("north");
 
-/** Answers each send at once with 200. */
-const ANSWERING: ServerClient = {
-  send: (_, events) => {
-    queueMicrotask(() => {
-      events.onHead({ status: 200, statusText: "OK", headers: [] });
-      events.onEnd([]);
-    });
-    return { resume: () => {}, abort: () => {} };
-  },
-};
-
 /** Never answers the first send, and the others at once. */
 function createMuteAtFirst(): ServerClient & { readonly addresses: string[] } {
   const addresses: string[] = [];
@@ -38,7 +31,7 @@
     addresses,
     send: (request, events) => {
       addresses.push(request.address);
-      if (addresses.length > 1) return ANSWERING.send(request, events);
+      if (addresses.length > 1) return ANSWERING_CLIENT.send(request, events);
       return { resume: () => {}, abort: () => {} };
     },
   };
@@ -51,7 +44,7 @@
 }
 
 function start(options: StartOptions = {}) {
-  const { serverRegion = "north", peerClient = ANSWERING } = options;
+  const { serverRegion = "north", peerClient = ANSWERING_CLIENT } = options;
   const clock = new VirtualClock();
   const loads = new LoadBoard();
   const fleet = new FleetView({
@@ -79,7 +72,7 @@
     clock,
     random: createRandom(1),
     grammar: OWN_GRAMMAR,
-    client: ANSWERING,
+    client: ANSWERING_CLIENT,
     peerClient,
     registry,
     fleet,
@@ -91,23 +84,8 @@
   });
   const handle = () => {
     const heads: AnswerHead[] = [];
-    const call: OpaqueCall = {
-      method: "GET",
-      target: "/a/x",
-      headers: ["Host", "app.example"],
-      body: Buffer.alloc(0),
-      receivedMs: clock.nowMs(),
-      unreadMs: 0,
-      origin: { kind: "caller" },
-    };
-    const sink: CallSink = {
-      signal: new AbortController().signal,
-      begin: (head) => void heads.push(head),
-      write: () => true,
-      onDrain: () => {},
-      end: () => {},
-      breakOff: () => {},
-    };
+    const call = createOpaqueCall(clock.nowMs());
+    const sink = createHeadSink((head) => heads.push(head));
     void forwarder.handle(call, sink);
     return heads;
   };
@@ -130,32 +108,6 @@
   return { clock, forwarder, handle, meet };
 }
 
-const TABLE = new RouteTable({
-  version: 1,
-  routes: [{
-    name: "r",
-    host: "app.example",
-    pathPrefix: "/a/",
-    routeClass: "idempotent",
-    timeoutMs: 2_000,
-    targetMs: 1_000,
-    longestGapMs: undefined,
-    priority: 0,
-    services: [{ service: "app", weight: 1 }],
-    maxAttempts: 2,
-    isResumable: false,
-    homeRegions: [],
-  }],
-  services: [{
-    name: "app",
-    maxConnections: 10,
-    warmUpMs: 0,
-    warmUpCallsPerSecond: 0,
-    engine: undefined,
-  }],
-  limits: INITIAL_LIMITS,
-});
-
 describe("CallForwarder", () => {
   describe("when the instance of another region is silent", () => {
     it("sends a call that may be repeated to another one there, in time", async () => {
@@ -164,7 +116,7 @@
         serverRegion: "south",
         peerClient,
       });
-      forwarder.setTable(TABLE);
+      forwarder.setTable(ONE_ROUTE);
       meet("south-1", "south");
       meet("south-2", "south");
       const heads = handle();
@@ -183,7 +135,7 @@
       const heads = handle();
       await clock.advance(60);
       assert.deepEqual(heads, []);
-      forwarder.setTable(TABLE);
+      forwarder.setTable(ONE_ROUTE);
       await clock.advance(1);
       assert.deepEqual(heads.map(({ status }) => status), [200]);
     });
--- a/tests/busy_instance_test.ts
+++ b/tests/busy_instance_test.ts
@@ -4,9 +4,8 @@
 // route's timeout, 49 of 72 had no answer half a second later. The evidence: its log
 // said `timed-out` with `afterMs=403`, and the server was passed the whole 400 ms.
 import assert from "node:assert/strict";
-import { once } from "node:events";
-import { connect } from "node:net";
 import { describe, it } from "node:test";
+import { blockLoop, leaveUnaccepted } from "./busy_loop.ts";
 import {
   createAnswer,
   createRequest,
@@ -21,12 +20,6 @@
 /** Pause in which the gauge of the loop has begun to run, in milliseconds. */
 const WARM_UP_MS = 150;
 
-/** Keeps the event loop from running for a time, as work of other calls does. */
-function blockLoop(forMs: number): void {
-  const untilMs = performance.now() + forMs;
-  while (performance.now() < untilMs);
-}
-
 /** Sends a call to an instance that does not get to read it for a while. */
 async function callBehind(blockedMs: number) {
   const server = await startRawServer(() => {});
@@ -106,15 +99,11 @@
         routes: [{ prefix: "/slow/" }],
         servers: { s1: server.address },
       });
-      const caller = connect(fixture.port, fixture.host);
-      caller.end(createRequest("/slow/"));
-      caller.once("connect", () => {
-        setImmediate(() => {
-          caller.destroy();
-          blockLoop(50);
-        });
-      });
-      await once(caller, "close");
+      await leaveUnaccepted(
+        fixture.port,
+        fixture.host,
+        createRequest("/slow/"),
+      );
       await new Promise((resolve) => setTimeout(resolve, WARM_UP_MS));
       fixture.close();
       server.close();
