--- a/adapters/call_listener.ts
+++ b/adapters/call_listener.ts
@@ -5,7 +5,6 @@
   type ServerResponse,
 } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
-import { setImmediate } from "node:timers/promises";
 import type { Duplex } from "node:stream";
 import {
   type AnswerHead,
@@ -18,6 +17,7 @@
   toRefusalAnswer,
 } from "../forwarding/mod.ts";
 import { type CallerLimits, INITIAL_LIMITS } from "../http_routes/mod.ts";
+import { ACCEPT_BACKLOG, NewConnections } from "./new_connections.ts";
 
 /**
  * Largest header block that the parser takes, in bytes. The bound in force is
@@ -26,13 +26,6 @@
 const PARSER_HEADER_BYTES = 65_536;
 /** Pause between checks of slow headers and idle connections, in milliseconds. */
 const CHECK_INTERVAL_MS = 1_000;
-/**
- * Connections that wait to be accepted. One is accepted a turn of the loop, of 1 to
- * 5 ms: what waits behind so many would be accepted when its caller has gone. Enough
- * for the callers of another instance that ends, who come together. Callers whose
- * connection finds no place go to another instance.
- */
-export const BACKLOG = 128;
 /** The body of calls without one. */
 const NO_BODY = Buffer.alloc(0);
 
@@ -53,7 +46,9 @@
 export class CallListener {
   readonly #parts: CallListenerParts;
   readonly #server: Server;
-  readonly #sockets = new Map<Socket, OpenConnection>();
+  /** Open connections, and for how long each may have waited to be accepted; 0 from its first call on. */
+  readonly #sockets = new Map<Socket, number>();
+  readonly #newConnections = new NewConnections();
   #limits: CallerLimits = INITIAL_LIMITS;
   #isLeaving = false;
   #openCount = 0;
@@ -69,10 +64,7 @@
       insecureHTTPParser: false,
     });
     this.#server.on("connection", (socket: Socket) => {
-      this.#sockets.set(socket, {
-        isNew: true,
-        acceptMs: parts.readDelayMs(),
-      });
+      this.#sockets.set(socket, parts.readDelayMs());
       socket.on("close", () => this.#sockets.delete(socket));
     });
     this.#server.on("request", (message, response) => {
@@ -87,7 +79,7 @@
     const { host, port } = this.#parts;
     await new Promise<void>((resolve, reject) => {
       this.#server.once("error", reject);
-      this.#server.listen({ host, port, backlog: BACKLOG }, resolve);
+      this.#server.listen({ host, port, backlog: ACCEPT_BACKLOG }, resolve);
     });
     return (this.#server.address() as AddressInfo).port;
   }
@@ -123,16 +115,14 @@
   /** Closes everything at once. */
   destroy(): void {
     this.#server.close();
-    [...this.#sockets.keys()].forEach((socket) => socket.destroy());
+    this.#sockets.forEach((_, socket) => socket.destroy());
   }
 
   async #take(
     message: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const { socket } = message;
-    const isFirst = this.#sockets.get(socket)?.isNew ?? false;
-    const unreadMs = this.#readUnreadMs(socket);
+    const unreadMs = this.#readUnreadMs(message.socket);
     // A caller counts its time from when it sent the call, not from when this
     // process gets to it: a loop that is behind must not give it more.
     const receivedMs = this.#parts.nowMs() - unreadMs;
@@ -168,10 +158,7 @@
       });
     }
     if (body === "broken") return;
-    // Connections are accepted late where many wait: the end of one whose caller has
-    // gone meanwhile comes behind its call, and is read a turn later.
-    if (isFirst) await passTurn();
-    if (!socket.readable) return;
+    if (!await this.#newConnections.isCallerThere(message.socket)) return;
     const call: OpaqueCall = {
       method: message.method ?? "GET",
       target: message.url,
@@ -186,27 +173,12 @@
 
   /** How long a call may have waited until now; the first of a connection also to be accepted. */
   #readUnreadMs(socket: Socket): number {
-    const connection = this.#sockets.get(socket);
-    const acceptMs = connection?.isNew ? connection.acceptMs : 0;
-    if (connection !== undefined) connection.isNew = false;
+    const acceptMs = this.#sockets.get(socket) ?? 0;
+    if (acceptMs > 0) this.#sockets.set(socket, 0);
     return acceptMs + this.#parts.readDelayMs();
   }
 }
 
-/** A connection, from when it was accepted. */
-interface OpenConnection {
-  /** Whether no call has come over it yet. */
-  isNew: boolean;
-  /** For how long it may have waited to be accepted, in milliseconds. */
-  readonly acceptMs: number;
-}
-
-/** Resolves when the loop has read its sockets once more. */
-export async function passTurn(): Promise<void> {
-  await setImmediate();
-  await setImmediate();
-}
-
 class ResponseSink implements CallSink {
   readonly signal: AbortSignal;
   readonly #response: ServerResponse;
--- a/adapters/http_listener.ts
+++ b/adapters/http_listener.ts
@@ -7,12 +7,12 @@
   createServer as createTlsServer,
   type Server as TlsServer,
 } from "node:https";
-import type { AddressInfo, Socket } from "node:net";
+import type { AddressInfo } from "node:net";
 import type { Server } from "node:http";
 import { once, setMaxListeners } from "node:events";
 import { err, ok, type Result } from "neverthrow";
 import { scheduleEvery } from "../clock/mod.ts";
-import { BACKLOG, passTurn } from "./call_listener.ts";
+import { ACCEPT_BACKLOG, NewConnections } from "./new_connections.ts";
 import { systemClock } from "./system_clock.ts";
 import type { GatewayRequest, Reply } from "../filters/mod.ts";
 import {
@@ -76,18 +76,14 @@
  * @param parts Address, bounds and handler.
  */
 export async function startListener(parts: ListenerParts): Promise<Listener> {
-  const known = new WeakSet<Socket>();
+  const newConnections = new NewConnections();
   const onRequest = async (
     message: IncomingMessage,
     response: ServerResponse,
   ) => {
-    const { socket } = message;
-    const isFirst = !known.has(socket);
-    known.add(socket);
-    // As in the listener of opaque calls: who has gone before its connection was
-    // accepted is not served.
-    if (isFirst) await passTurn();
-    if (socket.readable) await serveMessage(parts, message, response);
+    if (await newConnections.isCallerThere(message.socket)) {
+      await serveMessage(parts, message, response);
+    }
   };
   const options = {
     maxHeaderSize: parts.limits.maxHeaderBytes,
@@ -104,7 +100,7 @@
   server.listen({
     host,
     port: Number(parts.address.slice(at + 1)),
-    backlog: BACKLOG,
+    backlog: ACCEPT_BACKLOG,
   });
   await once(server, "listening");
   return {
--- a/daemon/http_gateway.ts
+++ b/daemon/http_gateway.ts
@@ -3,7 +3,6 @@
   LoopDelay,
   pickRandom,
   type Random,
-  scheduleAfterReading,
   scheduleEvery,
   waitFor,
 } from "../clock/mod.ts";
@@ -224,9 +223,9 @@
       () => this.#contactOthers(),
       signal,
     );
-    // After a pause of the process the reports that wait are read first.
+    // After a pause of the process the reports that wait are read first: one turn.
     const sweepAfterReading = () =>
-      scheduleAfterReading(clock, 0, () => this.#sweep(), signal);
+      clock.schedule(0, () => this.#sweep(), signal);
     scheduleEvery(clock, SWEEP_INTERVAL_MS, sweepAfterReading, signal);
   }
 
--- a/forwarding/run_attempt.ts
+++ b/forwarding/run_attempt.ts
@@ -139,11 +139,11 @@
     }
     signal.addEventListener("abort", this.#giveUp, { once: true });
     if (patienceMs !== undefined) {
-      const heldMs = Math.round(patienceMs);
+      const silentMs = Math.round(patienceMs);
       scheduleAfterReading(
         clock,
         patienceMs,
-        () => this.#loseAnswer(`The server was silent for ${heldMs} ms`),
+        () => this.#loseAnswer(`The server was silent for ${silentMs} ms`),
         this.#patience.signal,
       );
     }
