Tests share their streams, members and server entries

The head, events, start and call of a stream stood in two test files, the record of an instance in eight, the entry of a server in three.

--- a/daemon/overload_test.ts
+++ b/daemon/overload_test.ts
@@ -10,7 +10,6 @@
 import { setImmediate } from "node:timers/promises";
 import { createRandom } from "../clock/mod.ts";
 import type { AnswerHead } from "../forwarding/mod.ts";
-import { toBackendId, toFailureDomainId, toRegionId } from "../ids/mod.ts";
 import type { HttpGateway } from "./http_gateway.ts";
 import {
   ANSWERING_CLIENT,
@@ -20,6 +19,7 @@
 } from "../tests/opaque_call_fixture.ts";
 import { SlowLoop } from "../tests/slow_loop.ts";
 import { createVirtualGateway } from "../tests/virtual_gateway.ts";
+import { createServerEntry } from "../tests/member_fixture.ts";
 
 /** Processor time of a call that is forwarded: a platform's instance used 24% of a core for 91 a second. */
 const FORWARD_MS = 2.6;
@@ -42,16 +42,8 @@
     random: createRandom(3),
     client: ANSWERING_CLIENT,
   });
-  gateway.registry.put({
-    id: toBackendId("s1"),
-    service: "app",
-    address: "s1:1",
-    failureDomain: toFailureDomainId("north-a"),
-    region: toRegionId("north"),
-    slots: 1_000,
-    isDraining: false,
-    coldForMs: 0,
-  }, loop.nowMs());
+  const server = createServerEntry("s1", { slots: 1_000 });
+  gateway.registry.put(server, loop.nowMs());
   gateway.forwarder.setTable(ONE_ROUTE);
   gateway.start(new AbortController().signal);
   return gateway;
--- a/directory/pick_entries_test.ts
+++ b/directory/pick_entries_test.ts
@@ -1,9 +1,10 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { FleetView, LoadBoard, type MemberState } from "../fleet/mod.ts";
-import { toFailureDomainId, toInstanceId, toRegionId } from "../ids/mod.ts";
+import { toRegionId } from "../ids/mod.ts";
 import { createReport } from "../tests/report_fixture.ts";
 import { pickEntries } from "./pick_entries.ts";
+import { createMember } from "../tests/member_fixture.ts";
 
 const [NORTH, SOUTH, WEST] = ["north", "south", "west"].map(toRegionId) as [
   ReturnType<typeof toRegionId>,
@@ -16,15 +17,9 @@
 
 /** One instance in each of three regions; that of the west answers. */
 function start(states: Partial<Record<string, MemberState>>) {
-  const createMember = (region: string) => ({
-    id: toInstanceId(`${region}-1`),
-    incarnation: "1",
-    address: `${region}-1:1`,
-    region: toRegionId(region),
-    failureDomain: toFailureDomainId(`${region}-a`),
-  });
+  const createOne = (region: string) => createMember(`${region}-1`, region);
   const fleet = new FleetView({
-    self: createMember("west"),
+    self: createOne("west"),
     loads: new LoadBoard(),
   });
   fleet.setState(states.west ?? "ready");
@@ -33,7 +28,7 @@
     ["north", "south"].forEach((region) =>
       fleet.applyReport(
         createReport(
-          { ...createMember(region), state: states[region] ?? "ready" },
+          { ...createOne(region), state: states[region] ?? "ready" },
           sequence + 1,
         ),
         atMs,
--- a/fleet/fleet_view_property_test.ts
+++ b/fleet/fleet_view_property_test.ts
@@ -6,6 +6,7 @@
 import type { FleetReport, MemberRecord } from "./fleet_report.ts";
 import { FAR_SILENCE_MS, FleetView, NEAR_SILENCE_MS } from "./fleet_view.ts";
 import { LoadBoard } from "./load_board.ts";
+import { createMember } from "../tests/member_fixture.ts";
 
 const NORTH = toRegionId("north");
 const SOUTH = toRegionId("south");
@@ -48,13 +49,7 @@
 class Run {
   readonly loads = new LoadBoard();
   readonly view = new FleetView({
-    self: {
-      id: toInstanceId("self"),
-      incarnation: "1",
-      address: "self:1",
-      region: NORTH,
-      failureDomain: toFailureDomainId("north-a"),
-    },
+    self: createMember("self"),
     loads: this.loads,
   });
   readonly incarnations = MEMBERS.map(() => 1);
--- a/fleet/fleet_view_test.ts
+++ b/fleet/fleet_view_test.ts
@@ -1,11 +1,12 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { toFailureDomainId, toInstanceId, toRegionId } from "../ids/mod.ts";
+import { toRegionId } from "../ids/mod.ts";
 import { decodeReport, encodeReport } from "./encode_report.ts";
 import type { MemberRecord, MemberState } from "./fleet_report.ts";
 import { BEHIND_MS, FleetView, NEAR_SILENCE_MS } from "./fleet_view.ts";
 import { LoadBoard } from "./load_board.ts";
 import { createReport } from "../tests/report_fixture.ts";
+import { createMember as createNamedMember } from "../tests/member_fixture.ts";
 
 const NORTH = toRegionId("north");
 const SOUTH = toRegionId("south");
@@ -15,15 +16,7 @@
   state: MemberState = "ready",
   more: Partial<MemberRecord> = {},
 ): MemberRecord {
-  return {
-    id: toInstanceId(name),
-    incarnation: "1",
-    address: `${name}:1`,
-    region: NORTH,
-    failureDomain: toFailureDomainId("north-a"),
-    state,
-    ...more,
-  };
+  return { ...createNamedMember(name), state, ...more };
 }
 
 function createView(): FleetView {
--- a/fleet/pick_relays_test.ts
+++ b/fleet/pick_relays_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import fc from "fast-check";
-import { toFailureDomainId, toInstanceId, toRegionId } from "../ids/mod.ts";
+import { toFailureDomainId } from "../ids/mod.ts";
 import type { MemberRecord, MemberState } from "./fleet_report.ts";
 import {
   pickRelays,
@@ -9,20 +9,15 @@
   type RelayCandidate,
   RELAYS_PER_REGION,
 } from "./pick_relays.ts";
+import { createMember as createNamedMember } from "../tests/member_fixture.ts";
 
 function createMember(
   name: string,
   domain: string,
   state: MemberState = "ready",
 ): MemberRecord {
-  return {
-    id: toInstanceId(name),
-    incarnation: "1",
-    address: `${name}:1`,
-    region: toRegionId("north"),
-    failureDomain: toFailureDomainId(domain),
-    state,
-  };
+  const failureDomain = toFailureDomainId(domain);
+  return { ...createNamedMember(name), failureDomain, state };
 }
 
 function listIds(members: readonly MemberRecord[]): readonly string[] {
--- a/forwarding/call_forwarder_test.ts
+++ b/forwarding/call_forwarder_test.ts
@@ -2,15 +2,11 @@
 import { describe, it } from "node:test";
 import { createRandom, VirtualClock } from "../clock/mod.ts";
 import { FleetView, LoadBoard } from "../fleet/mod.ts";
-import {
-  toBackendId,
-  toFailureDomainId,
-  toInstanceId,
-  toRegionId,
-} from "../ids/mod.ts";
+import { toRegionId } from "../ids/mod.ts";
 import { createSilentLogger } from "../logs/mod.ts";
 import { NO_METRICS } from "../metrics/mod.ts";
 import { ServerRegistry } from "../servers/mod.ts";
+import { createMember, createServerEntry } from "../tests/member_fixture.ts";
 import {
   ANSWERING_CLIENT,
   createHeadSink,
@@ -22,8 +18,6 @@
 import { OWN_GRAMMAR } from "./own_grammar.ts";
 import type { AnswerHead, ServerClient } from "./server_client.ts";
 
-const NORTH = toRegionId("north");
-
 /** Never answers the first send, and the others at once. */
 function createMuteAtFirst(): ServerClient & { readonly addresses: string[] } {
   const addresses: string[] = [];
@@ -48,26 +42,12 @@
   const clock = new VirtualClock();
   const loads = new LoadBoard();
   const fleet = new FleetView({
-    self: {
-      id: toInstanceId("a"),
-      incarnation: "1",
-      address: "a:1",
-      region: NORTH,
-      failureDomain: toFailureDomainId("north-a"),
-    },
+    self: createMember("a"),
     loads,
   });
   const registry = new ServerRegistry();
-  registry.put({
-    id: toBackendId("s1"),
-    service: "app",
-    address: "s1:1",
-    failureDomain: toFailureDomainId("north-a"),
-    region: toRegionId(serverRegion),
-    slots: 4,
-    isDraining: false,
-    coldForMs: 0,
-  }, clock.nowMs());
+  const region = toRegionId(serverRegion);
+  registry.put(createServerEntry("s1", { region }), clock.nowMs());
   const forwarder = new CallForwarder({
     clock,
     random: createRandom(1),
@@ -91,18 +71,7 @@
   };
   const meet = (name: string, region: string) =>
     fleet.applyReport(
-      createReport(
-        {
-          id: toInstanceId(name),
-          incarnation: "1",
-          address: `${name}:1`,
-          region: toRegionId(region),
-          failureDomain: toFailureDomainId(`${region}-a`),
-          state: "ready",
-        },
-        1,
-        { scope: "region" },
-      ),
+      createReport(createMember(name, region), 1, { scope: "region" }),
       clock.nowMs(),
     );
   return { clock, forwarder, handle, meet };
--- a/forwarding/choose_server_test.ts
+++ b/forwarding/choose_server_test.ts
@@ -2,16 +2,12 @@
 import { describe, it } from "node:test";
 import { FleetView, LoadBoard } from "../fleet/mod.ts";
 import type { HttpService } from "../http_routes/mod.ts";
-import {
-  toBackendId,
-  toFailureDomainId,
-  toInstanceId,
-  toRegionId,
-} from "../ids/mod.ts";
+import { toBackendId, toRegionId } from "../ids/mod.ts";
 import { ServerRegistry } from "../servers/mod.ts";
 import { type CallNeeds, ServerChooser } from "./choose_server.ts";
 import { LearnedServers } from "./learned_servers.ts";
 import { placeParts } from "./prefix_memory.ts";
+import { createMember, createServerEntry } from "../tests/member_fixture.ts";
 
 const NORTH = toRegionId("north");
 const ENGINES: HttpService = {
@@ -26,13 +22,7 @@
 function start(servers: readonly string[], coldForMs = 0) {
   const loads = new LoadBoard();
   const fleet = new FleetView({
-    self: {
-      id: toInstanceId("self"),
-      incarnation: "1",
-      address: "self:1",
-      region: NORTH,
-      failureDomain: toFailureDomainId("north-a"),
-    },
+    self: createMember("self"),
     loads,
   });
   const parts = {
@@ -45,16 +35,15 @@
   };
   servers.forEach((id) =>
     ["lm", "app"].forEach((service) =>
-      parts.registry.put({
-        id: toBackendId(`${service}-${id}`),
-        service,
-        address: `${id}:1`,
-        failureDomain: toFailureDomainId("north-a"),
-        region: NORTH,
-        slots: 2,
-        isDraining: false,
-        coldForMs,
-      }, 0)
+      parts.registry.put(
+        createServerEntry(id, {
+          id: toBackendId(`${service}-${id}`),
+          service,
+          slots: 2,
+          coldForMs,
+        }),
+        0,
+      )
     )
   );
   const chooser = new ServerChooser(parts);
--- a/forwarding/warm_up_gate_test.ts
+++ b/forwarding/warm_up_gate_test.ts
@@ -2,39 +2,21 @@
 import { describe, it } from "node:test";
 import fc from "fast-check";
 import { createRandom } from "../clock/mod.ts";
-import type { MemberRecord } from "../fleet/mod.ts";
-import {
-  type InstanceId,
-  toBackendId,
-  toFailureDomainId,
-  toInstanceId,
-  toRegionId,
-} from "../ids/mod.ts";
+import { type InstanceId, toBackendId, toInstanceId } from "../ids/mod.ts";
 import { WarmUpGate } from "./warm_up_gate.ts";
+import { createMember } from "../tests/member_fixture.ts";
 
 const SERVER = toBackendId("s1");
 const BOUNDS = { overshoot: 1.5, slack: 3 };
-const NORTH = toRegionId("north");
 
 function toName(index: number): InstanceId {
   return toInstanceId(`north-${index}`);
 }
 
-function createRecord(id: InstanceId): MemberRecord {
-  return {
-    id,
-    incarnation: "1",
-    address: `${id}:1`,
-    region: NORTH,
-    failureDomain: toFailureDomainId("north-a"),
-    state: "ready",
-  };
-}
-
 /** A gate whose members can be changed. */
 function createGate(self: InstanceId, known: readonly InstanceId[]) {
   const fleet = {
-    self: createRecord(self),
+    self: createMember(self),
     membershipVersion: 1,
     known,
     isSettledNow: true,
--- a/tests/opaque_streams_test.ts
+++ b/tests/opaque_streams_test.ts
@@ -1,91 +1,49 @@
 import assert from "node:assert/strict";
 import { afterEach, describe, it } from "node:test";
 import type { Socket } from "node:net";
-import { createRequest, startGateway } from "./http_gateway_fixture.ts";
-import { findHeader, openRawCaller, startRawServer } from "./raw_http.ts";
+import { createRequest } from "./http_gateway_fixture.ts";
+import { findHeader, openRawCaller } from "./raw_http.ts";
+import {
+  askStream,
+  CLEAN_UPS,
+  createEvent,
+  startStreams,
+  STREAM_END,
+  STREAM_HEAD,
+  type StreamAnswer,
+  toChunk,
+} from "./stream_fixture.ts";
 
-const CLEAN_UPS: (() => void)[] = [];
 afterEach(() => CLEAN_UPS.splice(0).forEach((cleanUp) => cleanUp()));
 
-const HEAD = [
-  "HTTP/1.1 200 OK",
-  "X-Havenspur-Attempt-Id: c1",
-  "X-Havenspur-Response-Signature: sig",
-  "Content-Type: text/event-stream",
-  "Transfer-Encoding: chunked",
-  "",
-  "",
-].join("\r\n");
-const END = "0\r\n\r\n";
-
-function toChunk(text: string): string {
-  return `${text.length.toString(16)}\r\n${text}\r\n`;
-}
-
-function createEvent(id: number): string {
-  return `id: ${id}\ndata: token ${id}\n\n`;
-}
-
 function listIds(answer: string): readonly string[] {
   return [...answer.matchAll(/^id: (\d+)$/gm)].map(([, id]) => id!);
 }
 
-type Answer = Parameters<typeof startRawServer>[0];
-
-async function start(
-  answers: readonly Answer[],
-  route: { readonly resumable: boolean; readonly maxAttempts: number },
-) {
-  const servers = await Promise.all(answers.map(startRawServer));
-  const gateway = await startGateway({
-    routes: [{ prefix: "/a/", kind: "streaming", ...route }],
-    servers: Object.fromEntries(
-      servers.map(({ address }, index) => [`s${index}`, address]),
-    ),
-  });
-  CLEAN_UPS.push(
-    () => gateway.close(),
-    ...servers.map((server) => () => server.close()),
-  );
-  return { gateway, servers };
-}
-
 /** Breaks off after two whole events and a torn one, or goes on from what is asked. */
 function answerInPart(request: string, socket: Socket): void {
   const after = findHeader(request, "last-event-id");
   if (after === undefined) {
     const torn = createEvent(3).slice(0, 12);
     socket.write(
-      HEAD + toChunk(createEvent(1)) + toChunk(createEvent(2) + torn),
+      STREAM_HEAD + toChunk(createEvent(1)) + toChunk(createEvent(2) + torn),
       () => setTimeout(() => socket.destroy(), 20),
     );
     return;
   }
   const first = Number(after) + 1;
   socket.write(
-    HEAD + toChunk(createEvent(first)) + toChunk(createEvent(first + 1)) + END,
+    STREAM_HEAD + toChunk(createEvent(first)) +
+      toChunk(createEvent(first + 1)) + STREAM_END,
   );
 }
 
-async function ask(port: number): Promise<string> {
-  const caller = await openRawCaller(port);
-  CLEAN_UPS.push(() => caller.socket.destroy());
-  caller.socket.write(
-    createRequest("/a/x", {
-      method: "POST",
-      body: "prompt",
-      headers: ["Connection: close"],
-    }),
-  );
-  return await caller.awaitEnd();
-}
-
 describe("a stream", () => {
   it("goes out event by event as it arrives", async () => {
     let goOn = () => {};
-    const { gateway } = await start([(_, socket) => {
-      socket.write(HEAD + toChunk(createEvent(1)));
-      goOn = () => socket.write(toChunk(createEvent(2)) + END);
+    const { gateway } = await startStreams([(_, socket) => {
+      socket.write(STREAM_HEAD + toChunk(createEvent(1)));
+      goOn = () => socket.write(toChunk(createEvent(2)) + STREAM_END);
     }], { resumable: true, maxAttempts: 2 });
     const caller = await openRawCaller(gateway.port);
     CLEAN_UPS.push(() => caller.socket.destroy());
@@ -93,20 +51,23 @@
     const early = await caller.awaitText("token 1");
     assert.deepEqual(listIds(early), ["1"]);
     goOn();
-    const all = await caller.awaitText(END);
+    const all = await caller.awaitText(STREAM_END);
     assert.deepEqual(listIds(all), ["1", "2"]);
   });
 
   describe("that breaks off and may be resumed", () => {
     it("goes on at another server with no event torn, missing or doubled", async () => {
-      const { gateway, servers } = await start([answerInPart, answerInPart], {
+      const { gateway, servers } = await startStreams([
+        answerInPart,
+        answerInPart,
+      ], {
         resumable: true,
         maxAttempts: 2,
       });
-      const answer = await ask(gateway.port);
+      const answer = await askStream(gateway.port);
       assert.deepEqual(listIds(answer), ["1", "2", "3", "4"]);
       assert.equal(answer.match(/token 3/g)?.length, 1);
-      assert.ok(answer.endsWith(END));
+      assert.ok(answer.endsWith(STREAM_END));
       assert.equal(answer.match(/HTTP\/1\.1/g)?.length, 1);
       const asked = servers.flatMap(({ requests }) => requests)
         .map((request) => findHeader(request, "last-event-id"));
@@ -114,58 +75,64 @@
     });
 
     it("goes on at another server when its own says nothing more", async () => {
-      const fallSilent: Answer = (request, socket) => {
+      const fallSilent: StreamAnswer = (request, socket) => {
         if (findHeader(request, "last-event-id") !== undefined) {
           return answerInPart(request, socket);
         }
-        socket.write(HEAD + toChunk(createEvent(1)) + toChunk(createEvent(2)));
+        socket.write(
+          STREAM_HEAD + toChunk(createEvent(1)) + toChunk(createEvent(2)),
+        );
       };
-      const { gateway } = await start([fallSilent, fallSilent], {
+      const { gateway } = await startStreams([fallSilent, fallSilent], {
         resumable: true,
         maxAttempts: 2,
       });
-      const answer = await ask(gateway.port);
+      const answer = await askStream(gateway.port);
       assert.deepEqual(listIds(answer), ["1", "2", "3", "4"]);
-      assert.ok(answer.endsWith(END));
+      assert.ok(answer.endsWith(STREAM_END));
     });
 
     it("ends visibly broken when no attempt is left", async () => {
-      const { gateway } = await start([answerInPart, answerInPart], {
+      const { gateway } = await startStreams([answerInPart, answerInPart], {
         resumable: true,
         maxAttempts: 1,
       });
-      const answer = await ask(gateway.port);
+      const answer = await askStream(gateway.port);
       assert.deepEqual(listIds(answer), ["1", "2"]);
-      assert.ok(!answer.endsWith(END));
+      assert.ok(!answer.endsWith(STREAM_END));
     });
 
     it("passes on no failure of the second server behind its events", async () => {
-      const fail: Answer = (request, socket) => {
+      const fail: StreamAnswer = (request, socket) => {
         if (findHeader(request, "last-event-id") === undefined) {
           return answerInPart(request, socket);
         }
         socket.write(
-          HEAD.replace("200 OK", "500 Error") + toChunk("failure") + END,
+          STREAM_HEAD.replace("200 OK", "500 Error") + toChunk("failure") +
+            STREAM_END,
         );
       };
-      const { gateway } = await start([fail, fail], {
+      const { gateway } = await startStreams([fail, fail], {
         resumable: true,
         maxAttempts: 2,
       });
-      const answer = await ask(gateway.port);
+      const answer = await askStream(gateway.port);
       assert.deepEqual(listIds(answer), ["1", "2"]);
       assert.doesNotMatch(answer, /failure/);
-      assert.ok(!answer.endsWith(END));
+      assert.ok(!answer.endsWith(STREAM_END));
     });
   });
 
   it("that breaks off and may not be resumed ends visibly broken", async () => {
-    const { gateway, servers } = await start([answerInPart, answerInPart], {
+    const { gateway, servers } = await startStreams([
+      answerInPart,
+      answerInPart,
+    ], {
       resumable: false,
       maxAttempts: 2,
     });
-    const answer = await ask(gateway.port);
-    assert.ok(!answer.endsWith(END));
+    const answer = await askStream(gateway.port);
+    assert.ok(!answer.endsWith(STREAM_END));
     assert.equal(servers.flatMap(({ requests }) => requests).length, 1);
   });
 
@@ -174,8 +141,8 @@
     let sent = 0;
     let finish = (_sent: number) => {};
     const stalled = new Promise<number>((resolve) => (finish = resolve));
-    const { gateway } = await start([(_, socket) => {
-      socket.write(HEAD);
+    const { gateway } = await startStreams([(_, socket) => {
+      socket.write(STREAM_HEAD);
       const push = () => {
         if (sent > 100_000_000) return finish(sent);
         sent += large.length;
