A silent server keeps its call until another place has taken it on

Cause: a server that said nothing for a second was left at once, and the call was then looked a place for. Where the next server refused it, or none had room, an answer that was only slow was lost: a stream ended in the middle, a call that had not begun was answered as failed though its server went on with it. Both ways had it, the check of begun streams and the patience before the first byte.

Ruled out: a longer silence (any length loses an answer that pauses longer), and asking the next server for room first (its answer holds for no time at all).

Change: the call is offered to a second place while the first send goes on. One offer at a time, within the attempts of the route and the shared budget for repeats.

--- a/forwarding/call_forwarder.ts
+++ b/forwarding/call_forwarder.ts
@@ -13,20 +13,28 @@
 import { CallReplies } from "./call_replies.ts";
 import { PlaceChooser } from "./choose_place.ts";
 import { ServerChooser } from "./choose_server.ts";
-import type { Exchange } from "./exchange.ts";
+import {
+  beginOffer,
+  endOffer,
+  type Exchange,
+  mayBeOffered,
+} from "./exchange.ts";
 import { InstanceSender } from "./instance_sender.ts";
 import { LearnedServers } from "./learned_servers.ts";
+import { Offer, type OfferEvents } from "./offer.ts";
 import type { CallSink, OpaqueCall } from "./opaque_call.ts";
 import { placeParts } from "./prefix_memory.ts";
 import type { Refusal } from "./refusal.ts";
 import { type RepeatBounds, RepeatBudget } from "./repeat_budget.ts";
-import type { AttemptOutcome } from "./run_attempt.ts";
+import type { AttemptOutcome, EndedOutcome } from "./run_attempt.ts";
 import type { ServerClient } from "./server_client.ts";
-import { ServerSender } from "./server_sender.ts";
+import { type SendOptions, ServerSender } from "./server_sender.ts";
 import {
+  avoidInstance,
   NO_ROOM_RETRY_MS,
   type SentPlace,
   settleAttempt,
+  settleOffer,
 } from "./settle_attempt.ts";
 import { WaitingLine } from "./waiting_line.ts";
 import type { WarmUpBounds } from "./warm_up_gate.ts";
@@ -305,6 +313,7 @@
       // Only the instance that the caller reached repeats calls.
       attemptsLeft: hop === undefined ? route.maxAttempts : 1,
       sentTo: [],
+      isOnOffer: false,
       mayHaveRun: false,
       heldAnswer: undefined,
       avoidedRegions: new Set(),
@@ -317,8 +326,7 @@
       const nowMs = this.#parts.clock.nowMs();
       const place = this.#places.choose(exchange, nowMs);
       if (place.kind === "here" || place.kind === "away") {
-        const outcome = await this.#attempt(exchange, place);
-        if (this.#settle(exchange, place, outcome)) return;
+        if (await this.#sendOnce(exchange, place)) return;
         continue;
       }
       const { targetMs, priority } = exchange.route;
@@ -347,23 +355,76 @@
     });
   }
 
+  /** @returns Whether the call is done. */
+  async #sendOnce(exchange: Exchange, first: SentPlace): Promise<boolean> {
+    let place = first;
+    let outcome = await this.#attempt(exchange, place);
+    while (outcome.kind === "handed-over") {
+      const { left, offer } = outcome;
+      endOffer(exchange);
+      this.#logOutcome(exchange, place, left);
+      settleAttempt(exchange, place, left);
+      place = offer.place;
+      outcome = await offer.outcome;
+    }
+    return this.#settle(exchange, place, outcome);
+  }
+
   async #attempt(
     exchange: Exchange,
     place: SentPlace,
+    offered: Pick<SendOptions, "signal" | "onTaken"> = {},
   ): Promise<AttemptOutcome> {
+    const options: SendOptions = {
+      ...offered,
+      offerElsewhere: (events) => this.#offerElsewhere(exchange, place, events),
+    };
     if (place.kind === "away") {
-      return await this.#toInstances.send(exchange, place);
+      return await this.#toInstances.send(exchange, place, options);
     }
-    const outcome = await this.#toServers.send(exchange, place.candidate);
+    const outcome = await this.#toServers.send(
+      exchange,
+      place.candidate,
+      options,
+    );
     this.wake();
     return outcome;
   }
 
+  /** Offers a call to a second place, while the attempt of the first one is held back. */
+  #offerElsewhere(
+    exchange: Exchange,
+    from: SentPlace,
+    events: OfferEvents,
+  ): Offer | undefined {
+    const { clock } = this.#parts;
+    if (!mayBeOffered(exchange)) return undefined;
+    avoidInstance(exchange, from);
+    const place = this.#places.choose(exchange, clock.nowMs());
+    if (place.kind !== "here" && place.kind !== "away") return undefined;
+    if (!this.#takeRepeat(exchange)) return undefined;
+    beginOffer(exchange);
+    return new Offer({
+      clock,
+      place,
+      send: ({ signal, onTaken }) =>
+        this.#attempt(exchange, place, {
+          signal: AbortSignal.any([exchange.signal, signal]),
+          onTaken,
+        }),
+      settle: (outcome) => {
+        endOffer(exchange);
+        this.#logOutcome(exchange, place, outcome);
+        settleOffer(exchange, place, outcome);
+      },
+    }, events);
+  }
+
   /** @returns Whether the call is done. */
   #settle(
     exchange: Exchange,
     place: SentPlace,
-    outcome: AttemptOutcome,
+    outcome: EndedOutcome,
   ): boolean {
     this.#logOutcome(exchange, place, outcome);
     const step = settleAttempt(exchange, place, outcome);
@@ -397,7 +458,7 @@
   #logOutcome(
     exchange: Exchange,
     place: SentPlace,
-    outcome: AttemptOutcome,
+    outcome: EndedOutcome,
   ): void {
     const at = place.kind === "away"
       ? place.member.id
--- a/forwarding/exchange.ts
+++ b/forwarding/exchange.ts
@@ -27,6 +27,8 @@
   attemptsLeft: number;
   /** Servers that this instance sent it to, in order. */
   readonly sentTo: BackendId[];
+  /** Whether it is offered to a second place while a first one has it. */
+  isOnOffer: boolean;
   /** Whether it was sent where it may have run. */
   mayHaveRun: boolean;
   /** A server's failure that goes to the caller if nothing better comes. */
@@ -58,3 +60,21 @@
       return route.isResumable;
   }
 }
+
+/** Whether a call may be sent to a second place while a first one has it. */
+export function mayBeOffered(exchange: Exchange): boolean {
+  return !exchange.isOnOffer && exchange.attemptsLeft > 1 &&
+    isRepeatable(exchange) && isResumableNow(exchange);
+}
+
+/** Begins an offer: an attempt is kept for the place that has the call. */
+export function beginOffer(exchange: Exchange): void {
+  exchange.isOnOffer = true;
+  exchange.attemptsLeft--;
+}
+
+/** Ends an offer: who has the call now is settled like any other place. */
+export function endOffer(exchange: Exchange): void {
+  exchange.isOnOffer = false;
+  exchange.attemptsLeft++;
+}
--- a/forwarding/instance_sender.ts
+++ b/forwarding/instance_sender.ts
@@ -9,6 +9,7 @@
 import { readPatience } from "./read_patience.ts";
 import { type AttemptOutcome, runAttempt } from "./run_attempt.ts";
 import type { ServerClient } from "./server_client.ts";
+import type { SendOptions } from "./server_sender.ts";
 
 /** Connections to one instance, for calls that go to another region. */
 const MAX_PEER_CONNECTIONS = 256;
@@ -38,10 +39,12 @@
    *
    * @param exchange The call.
    * @param place The instance, and the server that it will probably choose.
+   * @param options How it goes on beside other sends.
    */
   async send(
     exchange: Exchange,
     place: Extract<Place, { kind: "away" }>,
+    options: SendOptions,
   ): Promise<AttemptOutcome> {
     const { clock, fleet, grammar, metrics, places } = this.#parts;
     const { call, facts, progress } = exchange;
@@ -94,7 +97,9 @@
         places.recordRoundTrip(region, roundTripMs);
       },
       onFirstByte: endWay,
-      signal: exchange.signal,
+      signal: options.signal ?? exchange.signal,
+      onTaken: options.onTaken,
+      offerElsewhere: options.offerElsewhere,
       clock,
       patienceMs: readPatience(
         exchange,
--- a/forwarding/mod.ts
+++ b/forwarding/mod.ts
@@ -31,6 +31,7 @@
 export * from "./choose_server.ts";
 export * from "./choose_place.ts";
 export * from "./run_attempt.ts";
+export * from "./offer.ts";
 export * from "./exchange.ts";
 export * from "./read_patience.ts";
 export * from "./settle_attempt.ts";
--- a/forwarding/run_attempt.ts
+++ b/forwarding/run_attempt.ts
@@ -3,6 +3,7 @@
 import { EventFramer } from "./event_framer.ts";
 import { isHopHeader, readHopAnswer } from "./hop_headers.ts";
 import { pickForwarded } from "./http_headers.ts";
+import type { Offer, OfferEvents } from "./offer.ts";
 import type { CallSink } from "./opaque_call.ts";
 import type {
   ActiveSend,
@@ -34,7 +35,19 @@
   /** Part of the answer went to the caller. */
   | { readonly kind: "broken"; readonly message: string }
   /** The caller went away, or the time ran out; the send was given up. */
-  | { readonly kind: "given-up" };
+  | { readonly kind: "given-up" }
+  /** Another place has the call; `left` is how it ended here. */
+  | {
+    readonly kind: "handed-over";
+    readonly left: EndedOutcome;
+    readonly offer: Offer;
+  };
+
+/** How a send ended that no other place took over. */
+export type EndedOutcome = Exclude<
+  AttemptOutcome,
+  { readonly kind: "handed-over" }
+>;
 
 /** An answer that was read in full and not passed on. */
 export interface HeldAnswer {
@@ -74,20 +87,24 @@
   /** Gives the send up. */
   readonly signal: AbortSignal;
   /**
-   * Silence before the first byte after which the call is sent elsewhere, in
+   * Silence before the first byte after which the call is offered elsewhere, in
    * milliseconds. Default: it is waited for as long as the call has time.
    */
   readonly patienceMs?: number | undefined;
   /**
-   * Whether the server is to be taken as gone, though its connection is open.
-   * Asked now and then while the call runs. Default: never.
+   * Whether the server is probably gone, though its connection is open. Asked
+   * now and then while the call runs. Default: never.
    */
   readonly isServerGone?: (() => boolean) | undefined;
+  /** Offers the call to another place; `undefined`: there is none now. */
+  readonly offerElsewhere: (events: OfferEvents) => Offer | undefined;
+  /** Called before anything of an answer is passed on. Default: nothing. */
+  readonly onTaken?: (() => void) | undefined;
   readonly clock: Clock;
 }
 
-/** Pause between looks whether the server is gone, in milliseconds: a fraction of the silence that tells it. */
-const GONE_CHECK_MS = 250;
+/** Pause between looks whether the server is silent, in milliseconds: a fraction of the silence that counts. */
+const SILENCE_CHECK_MS = 250;
 
 const LEAST_FAILURE_STATUS = 500;
 /** Statuses by which a gateway promises that a call has not run. */
@@ -111,10 +128,11 @@
   readonly #parts: AttemptParts;
   readonly #resolve: (outcome: AttemptOutcome) => void;
   readonly #framer: EventFramer | undefined;
-  readonly #patience = new AbortController();
   readonly #ended = new AbortController();
   readonly #giveUp = () => this.#finish({ kind: "given-up" }, true);
   #send: ActiveSend | undefined;
+  #offer: Offer | undefined;
+  #isPatienceOver = false;
   #head: AnswerHead | undefined;
   #held: Buffer[] | undefined;
   #heldBytes = 0;
@@ -139,15 +157,12 @@
     }
     signal.addEventListener("abort", this.#giveUp, { once: true });
     if (patienceMs !== undefined) {
-      const silentMs = Math.round(patienceMs);
-      scheduleAfterReading(
-        clock,
-        patienceMs,
-        () => this.#loseAnswer(`The server was silent for ${silentMs} ms`),
-        this.#patience.signal,
-      );
+      scheduleAfterReading(clock, patienceMs, () => {
+        this.#isPatienceOver = true;
+        this.#checkSilence();
+      }, this.#ended.signal);
     }
-    this.#checkServer();
+    this.#checkSilenceLater();
     this.#send = client.send(request, this);
     if (this.#isFinished) this.#send.abort();
   }
@@ -202,15 +217,19 @@
     }
     this.#head = head;
     const isFailure = head.status >= LEAST_FAILURE_STATUS;
-    if (isFailure && (holdsFailures || this.#parts.progress.hasBegun)) {
-      this.#held = [];
-    }
+    // An answer that has begun goes on with nothing but a success.
+    const isHeld = this.#parts.progress.hasBegun
+      ? !isSuccess
+      : isFailure && holdsFailures;
+    if (isHeld) this.#held = [];
+    else this.#keepAnswer();
   }
 
   onData(chunk: Buffer): boolean {
     if (this.#isFinished) return true;
     this.#parts.onHeard?.();
     this.#noteFirstByte();
+    this.#takeOfferBack();
     if (this.#held !== undefined) {
       this.#heldBytes += chunk.length;
       if (this.#heldBytes <= MAX_HELD_BYTES) this.#held.push(chunk);
@@ -252,26 +271,57 @@
     else this.#finish({ kind: "no-answer", message });
   }
 
-  #checkServer(): void {
-    const { clock, isServerGone } = this.#parts;
-    if (isServerGone === undefined) return;
-    scheduleAfterReading(clock, GONE_CHECK_MS, () => {
-      if (!isServerGone()) return this.#checkServer();
-      const message = "The server is silent on all connections";
-      const kind = this.#hasPassedBytes ? "broken" : "no-answer";
-      this.#finish({ kind, message }, true);
-    }, this.#ended.signal);
+  #checkSilenceLater(): void {
+    scheduleAfterReading(
+      this.#parts.clock,
+      SILENCE_CHECK_MS,
+      () => this.#checkSilence(),
+      this.#ended.signal,
+    );
+  }
+
+  /**
+   * Offers the call elsewhere where this server is silent. The send goes on until
+   * another place has the call: a server that pauses for a second with answers
+   * under way looks like one that is gone.
+   */
+  #checkSilence(): void {
+    if (this.#isFinished || this.#offer !== undefined) return;
+    const isLate = this.#isPatienceOver && !this.#hasFirstByte;
+    if (isLate || this.#parts.isServerGone?.()) {
+      this.#offer = this.#parts.offerElsewhere({
+        onTaken: () => this.#loseAnswer("The server is silent"),
+        onRefused: () => {
+          this.#offer = undefined;
+          this.#checkSilenceLater();
+        },
+      });
+    }
+    if (this.#offer === undefined) this.#checkSilenceLater();
+  }
+
+  /** This server answers: whoever else was offered the call is to stop. */
+  #takeOfferBack(): void {
+    if (this.#offer === undefined) return;
+    this.#offer.withdraw();
+    this.#offer = undefined;
+    this.#checkSilenceLater();
+  }
+
+  #keepAnswer(): void {
+    this.#takeOfferBack();
+    this.#parts.onTaken?.();
   }
 
   /** Drops the connection: what follows on it cannot be trusted. */
   #loseAnswer(message: string): void {
-    this.#finish({ kind: "no-answer", message }, true);
+    const kind = this.#hasPassedBytes ? "broken" : "no-answer";
+    this.#finish({ kind, message }, true);
   }
 
   #noteFirstByte(): void {
     if (this.#hasFirstByte) return;
     this.#hasFirstByte = true;
-    this.#patience.abort("answered");
     this.#parts.onFirstByte();
   }
 
@@ -296,13 +346,24 @@
     sink.begin({ ...this.#head!, headers: [...kept, ...marks] });
   }
 
-  #finish(outcome: AttemptOutcome, isAborted = false): void {
+  #finish(outcome: EndedOutcome, isAborted = false): void {
     if (this.#isFinished) return;
     this.#isFinished = true;
-    this.#patience.abort("finished");
     this.#ended.abort("finished");
     this.#parts.signal.removeEventListener("abort", this.#giveUp);
     if (isAborted) this.#send?.abort();
-    this.#resolve(outcome);
+    this.#resolve(this.#settleOffer(outcome));
+  }
+
+  /** An offer under way goes on without this send, unless the answer is whole or nobody waits. */
+  #settleOffer(outcome: EndedOutcome): AttemptOutcome {
+    const offer = this.#offer;
+    if (offer === undefined) return outcome;
+    if (outcome.kind === "answered" || outcome.kind === "given-up") {
+      offer.withdraw();
+      return outcome;
+    }
+    offer.release();
+    return { kind: "handed-over", left: outcome, offer };
   }
 }
--- a/forwarding/server_sender.ts
+++ b/forwarding/server_sender.ts
@@ -8,13 +8,28 @@
 import { type Exchange, isRepeatable } from "./exchange.ts";
 import type { LearnedServers } from "./learned_servers.ts";
 import { readPatience } from "./read_patience.ts";
-import { type AttemptOutcome, runAttempt } from "./run_attempt.ts";
+import type { Offer, OfferEvents } from "./offer.ts";
+import {
+  type AttemptOutcome,
+  type EndedOutcome,
+  runAttempt,
+} from "./run_attempt.ts";
 import type { ServerClient } from "./server_client.ts";
 import type { ServerOutcome } from "./server_health.ts";
 
 /** How long a server is left out whose address another one has, in milliseconds: its entry lapses meanwhile. */
 const REPLACED_PAUSE_MS = 4_000;
 
+/** How one send goes on beside others of the same call. */
+export interface SendOptions {
+  /** Offers the call to another place while this one has it; `undefined`: there is none now. */
+  readonly offerElsewhere: (events: OfferEvents) => Offer | undefined;
+  /** Gives the send up. Default: the signal of the call. */
+  readonly signal?: AbortSignal;
+  /** Called before anything of an answer is passed on. Default: nothing. */
+  readonly onTaken?: () => void;
+}
+
 /** What sends to backend servers are made with. */
 export interface ServerSenderParts {
   readonly clock: Clock;
@@ -44,10 +59,12 @@
    *
    * @param exchange The call.
    * @param candidate The server, with what the call costs it.
+   * @param options How it goes on beside other sends.
    */
   async send(
     exchange: Exchange,
     candidate: Candidate,
+    options: SendOptions,
   ): Promise<AttemptOutcome> {
     const { clock, grammar, learned, loads, metrics } = this.#parts;
     const { server: { entry }, unreadTokens } = candidate;
@@ -94,7 +111,9 @@
           service: service.name,
         });
       },
-      signal: exchange.signal,
+      signal: options.signal ?? exchange.signal,
+      onTaken: options.onTaken,
+      offerElsewhere: options.offerElsewhere,
       clock,
       patienceMs: readPatience(exchange, candidate.estimateMs),
       isServerGone: mayGoOn
@@ -103,7 +122,11 @@
     });
     load.end();
     pulse.end();
-    this.#learn(exchange, candidate, outcome);
+    this.#learn(
+      exchange,
+      candidate,
+      outcome.kind === "handed-over" ? outcome.left : outcome,
+    );
     return outcome;
   }
 
@@ -163,7 +186,7 @@
   #learn(
     exchange: Exchange,
     candidate: Candidate,
-    outcome: AttemptOutcome,
+    outcome: EndedOutcome,
   ): void {
     const { clock, learned: { health }, logger, registry } = this.#parts;
     const { id } = candidate.server.entry;
@@ -185,7 +208,7 @@
   }
 }
 
-function toServerOutcome(outcome: AttemptOutcome): ServerOutcome | undefined {
+function toServerOutcome(outcome: EndedOutcome): ServerOutcome | undefined {
   switch (outcome.kind) {
     case "answered":
       return outcome.status >= 500 ? "error" : "answered";
--- a/forwarding/settle_attempt.ts
+++ b/forwarding/settle_attempt.ts
@@ -1,7 +1,7 @@
 import type { Place } from "./choose_place.ts";
 import { type Exchange, isRepeatable, isResumableNow } from "./exchange.ts";
 import type { Refusal } from "./refusal.ts";
-import type { AttemptOutcome } from "./run_attempt.ts";
+import type { EndedOutcome } from "./run_attempt.ts";
 
 /** When to come back after a refusal for want of room, in milliseconds. */
 export const NO_ROOM_RETRY_MS = 150;
@@ -34,7 +34,7 @@
 export function settleAttempt(
   exchange: Exchange,
   place: SentPlace,
-  outcome: AttemptOutcome,
+  outcome: EndedOutcome,
 ): NextStep {
   switch (outcome.kind) {
     case "answered":
@@ -84,6 +84,24 @@
   }
 }
 
-function avoidInstance(exchange: Exchange, place: SentPlace): void {
+/**
+ * Records what an offer cost that another place did not take on.
+ *
+ * @param exchange The call, which its first place still has.
+ * @param place Where it was offered.
+ * @param outcome How that ended.
+ */
+export function settleOffer(
+  exchange: Exchange,
+  place: SentPlace,
+  outcome: EndedOutcome,
+): void {
+  // A server from which the call was taken back may have run it.
+  if (outcome.kind === "given-up") exchange.attemptsLeft--;
+  settleAttempt(exchange, place, outcome);
+}
+
+/** Leaves the instance that a call was forwarded to out of its next choices. */
+export function avoidInstance(exchange: Exchange, place: SentPlace): void {
   if (place.kind === "away") exchange.avoidedInstances.add(place.member.id);
 }
--- a/forwarding/settle_attempt_test.ts
+++ b/forwarding/settle_attempt_test.ts
@@ -32,6 +32,7 @@
     tried: new Set([toBackendId("s1")]),
     attemptsLeft: 2,
     sentTo: [],
+    isOnOffer: false,
     mayHaveRun: false,
     heldAnswer: undefined,
     avoidedRegions: new Set(),
