--- a/daemon/catalog_state.ts
+++ b/daemon/catalog_state.ts
@@ -138,6 +138,8 @@
 function toRegisteredServer(server: BackendServer): RegisteredServer {
   return {
     id: server.id,
+    name: server.id,
+    startedMs: undefined,
     service: server.service,
     address: new URL(server.url).host,
     failureDomain: toFailureDomainId(server.failureDomain),
--- a/servers/server_registry.ts
+++ b/servers/server_registry.ts
@@ -2,8 +2,14 @@
 
 /** One backend server as it registered itself. */
 export interface RegisteredServer {
-  /** Names one start of the server: a restart comes under a new id. */
+  /**
+   * Names one start of the server: what is learned of it holds for no other one.
+   */
   readonly id: BackendId;
+  /** What it calls itself, and answers to; another start may have the same name. */
+  readonly name: string;
+  /** When it started, in milliseconds since the epoch on its own clock, where it says so. */
+  readonly startedMs: number | undefined;
   readonly service: string;
   /** IP address and port. */
   readonly address: string;
--- a/tests/engine_memory_test.ts
+++ b/tests/engine_memory_test.ts
@@ -53,6 +53,8 @@
   const register = (id: string, service: string, region: string) =>
     gateway.registry.put({
       id: toBackendId(id),
+      name: id,
+      startedMs: undefined,
       service,
       address: id,
       failureDomain: toFailureDomainId(`${region}-a`),
--- a/tests/member_fixture.ts
+++ b/tests/member_fixture.ts
@@ -38,6 +38,8 @@
 ): RegisteredServer {
   return {
     id: toBackendId(name),
+    name,
+    startedMs: undefined,
     service: "app",
     address: `${name}:1`,
     failureDomain: toFailureDomainId("north-a"),
--- a/tests/state_fixture.ts
+++ b/tests/state_fixture.ts
@@ -28,6 +28,8 @@
           kind: "server",
           server: {
             id: toBackendId(name!),
+            name: name!,
+            startedMs: undefined,
             service: "app",
             address: `${name}:1`,
             failureDomain: toFailureDomainId("a"),
