A start of a server is a server of its own; entries that can't be read name none

Cause: the start that an engine says of itself was not read, so that what was learned, counted or told of a lost process stood for the one that came back under its name. A refused entry was passed over: the one before it stayed in use, fields that were missing were filled in, and a bad one was decoded and logged again with each full read.

Change: the id of a server names one start, its name and start together, so that prompt parts, speeds, health, pulses, loads and cold rates of an earlier start name an id that nobody has, in whatever order they are told. Calls carry the name. A late write of an earlier start only makes its server more careful (leaving, cold): an engine whose clock went back looks the same. An entry must have all its fields, of their types, a known state, an address and a name that fit a header; else its server gets nothing new until the next good one, what is known of it is kept, and one line says key, revision and reason. A configuration that can't be read never replaces the one in force, here or in copies for peers. An engine's list of its memory is dropped where it names another start. The time that an entry says a server stays cold counts from when it was first read, not anew with each full read.

Ruled out: refusing a start that is earlier (an engine with a clock that went back could not say that it leaves), and a table of starts beside the ids (each of seven places that know servers would have had to ask it).

Soak: servers start again under their name at another address, and entries are overwritten for 8 s, from numbers of their own; the check of servers that left was excused by faults after it was due, and is stricter by that.

Left: an entry that lacks only its start is told from a good one only by those that knew the server before.

--- a/daemon/http_gateway.ts
+++ b/daemon/http_gateway.ts
@@ -20,9 +20,9 @@
   CallForwarder,
   type CallGrammar,
   type CallSink,
+  type HeldParts,
   NO_ROOM_RETRY_MS,
   type OpaqueCall,
-  type PromptPart,
   type RepeatBounds,
   type ServerClient,
   toHeldPrefixes,
@@ -110,7 +110,7 @@
   readonly readHeldParts?: (
     address: string,
     signal: AbortSignal,
-  ) => Promise<Result<readonly PromptPart[], string>>;
+  ) => Promise<Result<HeldParts, string>>;
   /** Takes the bounds on callers of each configuration. */
   readonly applyLimits: (limits: CallerLimits) => void;
   /** Takes the addresses of the servers, after each change. */
@@ -340,7 +340,9 @@
     engines.forEach((engine) => void this.#askEngine(engine));
   }
 
-  async #askEngine({ id, address }: RegisteredServer): Promise<void> {
+  async #askEngine(
+    { address, id, startedMs }: RegisteredServer,
+  ): Promise<void> {
     const { logger, readHeldParts } = this.#parts;
     if (readHeldParts === undefined || this.#ended === undefined) return;
     const held = await readHeldParts(address, this.#ended);
@@ -348,8 +350,15 @@
       logger.warn("engine memory not read", { server: id, reason: held.error });
       return;
     }
-    logger.info("engine memory read", { server: id, parts: held.value.length });
-    const prefixes = toHeldPrefixes(id, held.value);
+    const { parts, startedMs: saidBy } = held.value;
+    const isSame = startedMs === undefined || saidBy === undefined ||
+      saidBy === startedMs;
+    if (!isSame) {
+      logger.warn("engine memory of another start", { server: id, saidBy });
+      return;
+    }
+    logger.info("engine memory read", { server: id, parts: parts.length });
+    const prefixes = toHeldPrefixes(id, parts);
     this.forwarder.learnPrefixes(prefixes);
     this.#regionPrefixes.add(prefixes);
   }
--- a/forwarding/call_grammar.ts
+++ b/forwarding/call_grammar.ts
@@ -32,8 +32,8 @@
 
 /** What a send to a backend server says beside what the caller sent. */
 export interface SendFacts {
-  /** The only start of a server that may run the call. */
-  readonly serverId: string;
+  /** The only server that may run the call, as it calls itself. */
+  readonly serverName: string;
   /** Rank of the call, 0 the highest. */
   readonly priority: number;
   /** How long its answer is of use, in milliseconds. */
--- a/forwarding/own_grammar.ts
+++ b/forwarding/own_grammar.ts
@@ -42,7 +42,7 @@
       return isReplaced || isHopHeader(name) ? "never" : "unless-named";
     });
     kept.push(REMAINING_MS, String(facts.remainingMs));
-    kept.push(SERVER_ID, facts.serverId);
+    kept.push(SERVER_ID, facts.serverName);
     if (facts.lastEventId !== undefined) {
       kept.push(LAST_EVENT_ID, facts.lastEventId);
     }
--- a/forwarding/prefix_memory.ts
+++ b/forwarding/prefix_memory.ts
@@ -8,6 +8,13 @@
  */
 export const LEAST_PART_TOKENS = 256;
 
+/** What an engine says that its memory holds. */
+export interface HeldParts {
+  readonly parts: readonly PromptPart[];
+  /** When the engine that says so started, where it says that too. */
+  readonly startedMs: number | undefined;
+}
+
 /** A prompt part with its place: parts are cached only behind all before them. */
 export interface PlacedPart {
   /** Names this part and all before it. */
--- a/forwarding/server_sender.ts
+++ b/forwarding/server_sender.ts
@@ -84,7 +84,7 @@
         method: call.method,
         target: call.target,
         headers: grammar.writeSend(call.headers, {
-          serverId: entry.id,
+          serverName: entry.name,
           priority: exchange.route.priority,
           remainingMs: Math.max(1, Math.floor(exchange.dueMs - startMs)),
           lastEventId: exchange.progress.lastEventId,
--- a/ids/mod.ts
+++ b/ids/mod.ts
@@ -18,7 +18,7 @@
 export type InstanceId = Branded<"InstanceId">;
 /** One start of one daemon process. */
 export type Incarnation = Branded<"Incarnation">;
-/** One model engine or plain service server. */
+/** One start of a model engine or plain service server. */
 export type BackendId = Branded<"BackendId">;
 /** One region. */
 export type RegionId = Branded<"RegionId">;
@@ -35,6 +35,9 @@
 /** One write to the store, unique for ever. */
 export type ChangeId = Branded<"ChangeId">;
 
+/** Base in which the start of a server is written into its id: 8 signs in place of 13. */
+const START_RADIX = 36;
+
 /** Returns the text as an instance id. */
 export const toInstanceId = (text: string): InstanceId => text as InstanceId;
 /** Returns the text as an incarnation. */
@@ -55,6 +58,21 @@
 /** Returns the text as a change id. */
 export const toChangeId = (text: string): ChangeId => text as ChangeId;
 
+/**
+ * Returns the id of one start of a backend server. A server that comes back under
+ * its name is another one: what was learned, counted or told of the start before
+ * names an id that nobody has any more, in whatever order it arrives.
+ *
+ * @param name What the server calls itself, without an `@`.
+ * @param startedMs When it started, in milliseconds since the epoch. Default: its
+ * name stands for all its starts.
+ */
+export function toStartedId(name: string, startedMs?: number): BackendId {
+  if (startedMs === undefined) return toBackendId(name);
+  // Short, since reports between instances name servers many times a second.
+  return toBackendId(`${name}@${startedMs.toString(START_RADIX)}`);
+}
+
 /**
  * Returns the key of a run: an idempotency key is scoped to its team.
  *
--- a/servers/server_registry.ts
+++ b/servers/server_registry.ts
@@ -168,9 +168,12 @@
   }
 
   #putOne(entry: RegisteredServer, nowMs: number): void {
-    const before = this.#servers.get(entry.id)?.coldUntilMs ?? 0;
-    const coldUntilMs = entry.coldForMs > 0 ? nowMs + entry.coldForMs : 0;
+    const known = this.#servers.get(entry.id);
     this.#missingUntilMs.delete(entry.id);
+    // The time that an entry says is left counts from when it was first read.
+    if (known?.entry === entry) return;
+    const before = known?.coldUntilMs ?? 0;
+    const coldUntilMs = entry.coldForMs > 0 ? nowMs + entry.coldForMs : 0;
     this.#servers.set(entry.id, {
       entry,
       coldUntilMs: Math.max(before, coldUntilMs),
--- a/soak/apply_fault.ts
+++ b/soak/apply_fault.ts
@@ -204,6 +204,18 @@
         await this.#wait(LAPSE_MS);
         await fleet.operator.unregister(server.id);
         return await fleet.replaceServer(slot);
+      case "restart":
+        return await fleet.restartServer(slot);
+      case "overwrite": {
+        await fleet.operator.overwrite(server.id);
+        const atMs = clock.nowMs();
+        await this.#wait(forMs);
+        const untilMs = clock.nowMs();
+        this.serverDepartures.push({ id: server.id, atMs, untilMs });
+        // Whoever has its place by now registers itself.
+        if (slot.server === server) await fleet.register(slot);
+        return;
+      }
       case "hang":
       case "fail":
       case "break-off":
--- a/soak/check_promises.ts
+++ b/soak/check_promises.ts
@@ -123,7 +123,7 @@
     const dueMs = atMs + LEFT_AFTER_MS;
     // Whoever was cut off or stood still meanwhile could not know.
     const isExcused = disturbedMs.some(({ fromMs, toMs }) =>
-      fromMs < dueMs + LEFT_AFTER_MS && toMs > atMs - LEFT_AFTER_MS
+      fromMs < dueMs && toMs > atMs - LEFT_AFTER_MS
     );
     if (isExcused) return [];
     return runs.filter((run) =>
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -19,7 +19,16 @@
   }
   | {
     readonly kind: "server";
-    readonly what: "crash" | "hang" | "fail" | "break-off" | "drain";
+    readonly what:
+      | "crash"
+      | "hang"
+      | "fail"
+      | "break-off"
+      | "drain"
+      /** It starts again under its name. */
+      | "restart"
+      /** Another writer overwrites its entry. */
+      | "overwrite";
     readonly index: number;
   }
   | { readonly kind: "store"; readonly what: "down" | "slow" | "forget" }
@@ -67,6 +76,10 @@
 const CROWD_EVERY_MS = 6_000;
 /** How long a crowd's instance stands still, in milliseconds: its callers leave in the middle. */
 const CROWD_MS = 2_000;
+/** One restart and one overwritten entry of servers in so much time, in milliseconds. */
+const START_EVERY_MS = 10_000;
+/** How long an overwritten entry stays, in milliseconds: longer than servers that left may get calls. */
+const OVERWRITTEN_MS = 8_000;
 const PAUSE_MS = { least: 300, most: 1_500 };
 const DURATION_MS = { least: 300, most: 4_000 };
 
@@ -81,7 +94,33 @@
     faults.push({ fault: pickFault(parts, random), atMs, forMs });
     atMs += pickBetween(PAUSE_MS, random);
   }
-  return [...faults, ...planCrowds(parts, endMs)];
+  return [
+    ...faults,
+    ...planCrowds(parts, endMs),
+    ...planServerStarts(parts, endMs),
+  ];
+}
+
+/** Plans what befalls the entries of servers, from numbers of their own as crowds are. */
+function planServerStarts(
+  { seed, servers }: PlanParts,
+  endMs: number,
+): readonly PlannedFault[] {
+  const random = createRandom(~seed ^ 1);
+  const count = Math.floor((endMs - CALM_START_MS) / START_EVERY_MS) + 1;
+  const plan = (what: "restart" | "overwrite", forMs: number) =>
+    Array.from({ length: count }, (_, turn) => ({
+      fault: {
+        kind: "server" as const,
+        what,
+        index: Math.floor(random.nextFloat() * servers),
+      },
+      atMs: CALM_START_MS + turn * START_EVERY_MS +
+        Math.round(random.nextFloat() * (START_EVERY_MS - forMs)),
+      forMs,
+    }));
+  return [...plan("restart", 0), ...plan("overwrite", OVERWRITTEN_MS)]
+    .filter(({ atMs, forMs }) => atMs + forMs <= endMs);
 }
 
 /** Plans crowds from numbers of their own: the other faults of a seed stay as they were. */
--- a/soak/soak_fleet.ts
+++ b/soak/soak_fleet.ts
@@ -39,6 +39,7 @@
   server: RecordingServer;
   link: LinkProxy;
   address: string;
+  startedMs: number;
 }
 
 /** Service of the calls that work. */
@@ -153,17 +154,22 @@
 
   /** Starts a new server in a slot, under a new id and address. */
   async replaceServer(slot: ServerSlot): Promise<void> {
-    const { address, link, server } = await this.#createSlot(
-      slot.region,
-      slot.service,
-    );
-    Object.assign(slot, { address, link, server });
+    const next = await this.#createSlot(slot.region, slot.service);
+    Object.assign(slot, next);
+  }
+
+  /** Starts the server of a slot again, under its name and at another address. */
+  async restartServer(slot: ServerSlot): Promise<void> {
+    slot.server.crash();
+    const { region, server, service } = slot;
+    Object.assign(slot, await this.#createSlot(region, service, server.id));
   }
 
   /** Tells the store whether a slot's server drains. */
   register(slot: ServerSlot, isDraining = false): Promise<void> {
-    const { address, region, server: { id, service } } = slot;
-    return this.operator.register({ id, service, address, region, isDraining });
+    const { address, region, startedMs, server: { id, service } } = slot;
+    const entry = { id, service, address, region, isDraining, startedMs };
+    return this.operator.register(entry);
   }
 
   /** Ends all processes and sockets. */
@@ -176,16 +182,22 @@
     this.#closers.forEach((close) => close());
   }
 
-  async #createSlot(region: string, service: string): Promise<ServerSlot> {
+  async #createSlot(
+    region: string,
+    service: string,
+    id = `s-${++this.#serverCount}`,
+  ): Promise<ServerSlot> {
     const { clock, recordRun } = this.#parts;
     const server = new RecordingServer({
-      id: `s-${++this.#serverCount}`,
+      id,
       service,
       nowMs: () => clock.nowMs(),
       record: recordRun,
     });
     const link = new LinkProxy(await server.open());
-    const slot = { region, service, server, link, address: await link.open() };
+    const address = await link.open();
+    const startedMs = Math.floor(clock.nowMs());
+    const slot = { region, service, server, link, address, startedMs };
     this.#closers.push(() => link.close(), () => server.crash());
     await this.register(slot);
     return slot;
--- a/standin/platform_operator.ts
+++ b/standin/platform_operator.ts
@@ -8,6 +8,8 @@
   readonly address: string;
   readonly region: string;
   readonly isDraining: boolean;
+  /** When it started, in milliseconds since the epoch. */
+  readonly startedMs: number;
 }
 
 /** A route that an operator declares. */
@@ -33,6 +35,7 @@
 export class PlatformOperator {
   readonly #store: MemoryStore;
   readonly #clock: Clock;
+  #sequence = 0;
 
   /**
    * @param store Stands in for the platform's.
@@ -79,11 +82,20 @@
       service: server.service,
       address: server.address,
       zone: `${server.region}-a`,
+      version: "v1",
       slots: 16,
       state: server.isDraining ? "draining" : "ready",
+      warmupRemainingMs: 0,
+      sequence: ++this.#sequence,
+      born: server.startedMs,
     });
   }
 
+  /** Writes bytes over a server's entry that are none. */
+  async overwrite(id: string): Promise<void> {
+    await this.#put(`servers/${id}`, "no entry");
+  }
+
   /** Removes a server's entry. */
   async unregister(id: string): Promise<void> {
     await this.#put(`servers/${id}`, undefined);
--- a/state/state_follower.ts
+++ b/state/state_follower.ts
@@ -10,6 +10,7 @@
   StoreEvent,
   StoreSnapshot,
 } from "../store/mod.ts";
+import { judgeServerEntry, withdrawServer } from "./judge_server_entry.ts";
 import { mayReplace, pickFresh } from "./merge_state.ts";
 import type { StateDecoder, StateDocument } from "./state_change.ts";
 import { RemovalLog, type RemovedKey } from "./removal_log.ts";
@@ -78,6 +79,9 @@
 }
 
 interface Held {
+  /** Last revision of the key that was judged. */
+  readonly revision: number;
+  /** What copies for peers carry. */
   readonly entry: StoreEntry;
   readonly document: StateDocument;
 }
@@ -312,29 +316,100 @@
   }
 
   #applyEntry(entry: StoreEntry): void {
-    const { clock, decoder, logger, registry } = this.#parts;
-    const before = this.#held.get(entry.key);
-    if (before !== undefined && before.entry.revision >= entry.revision) return;
-    const decoded = decoder.decode(entry.key, entry.value);
+    const { key, revision, value } = entry;
+    const before = this.#held.get(key);
+    if (before !== undefined && before.revision >= revision) return;
+    const decoded = this.#parts.decoder.decode(key, value);
     if (decoded.isErr()) {
-      logger.error("document refused", {
-        key: entry.key,
-        revision: entry.revision,
-        reason: decoded.error,
-      });
+      this.#refuseEntry(entry, decoded.error);
       return;
     }
     const document = decoded.value;
-    this.#held.set(entry.key, { entry, document });
     if (document.kind === "server") {
-      this.#logServer(document.server, entry.revision);
-      registry.put(document.server, clock.nowMs());
+      this.#applyServer(entry, document.server);
+      return;
     }
+    this.#held.set(key, { revision, entry, document });
     if (document.kind === "configuration") {
       this.#applyConfiguration(document.configuration);
     }
   }
 
+  /**
+   * Passes over an entry that can't be read. A configuration stays in force; a
+   * server gets nothing new until its next good entry: whoever wrote there, it is
+   * not known to be the server that was.
+   */
+  #refuseEntry(entry: StoreEntry, reason: string): void {
+    const { clock, logger, registry } = this.#parts;
+    const { key, revision } = entry;
+    logger.error("document refused", { key, revision, reason });
+    const before = this.#held.get(key);
+    switch (before?.document.kind) {
+      case "configuration":
+        this.#held.set(key, { ...before, revision });
+        return;
+      case "server": {
+        const server = withdrawServer(before.document.server);
+        this.#held.set(key, {
+          revision,
+          entry,
+          document: { kind: "server", server },
+        });
+        registry.put(server, clock.nowMs());
+        return;
+      }
+      default:
+        this.#held.set(key, { revision, entry, document: { kind: "other" } });
+    }
+  }
+
+  #applyServer(entry: StoreEntry, told: RegisteredServer): void {
+    const { clock, logger, registry } = this.#parts;
+    const { key, revision } = entry;
+    const before = this.#held.get(key)?.document;
+    const verdict = judgeServerEntry(
+      before?.kind === "server" ? before.server : undefined,
+      told,
+    );
+    const { server } = verdict;
+    switch (verdict.kind) {
+      case "put":
+        this.#logServer(server, revision);
+        break;
+      case "restarted":
+        logger.info("server started again", {
+          server: server.id,
+          before: verdict.gone,
+          startedMs: server.startedMs,
+          revision,
+        });
+        registry.remove(verdict.gone);
+        break;
+      case "outdated":
+        logger.warn("entry of an earlier start", {
+          server: server.id,
+          startedMs: told.startedMs,
+          inForceMs: server.startedMs,
+          revision,
+        });
+        break;
+      case "foreign":
+        logger.error("document refused", {
+          key,
+          revision,
+          reason: verdict.reason,
+        });
+        break;
+    }
+    this.#held.set(key, {
+      revision,
+      entry,
+      document: { kind: "server", server },
+    });
+    registry.put(server, clock.nowMs());
+  }
+
   #removeKey({ key, revision }: RemovedKey, isAfterOutage: boolean): void {
     const { clock, logger, registry } = this.#parts;
     const held = this.#held.get(key);
--- a/tests/http_gateway_fixture.ts
+++ b/tests/http_gateway_fixture.ts
@@ -175,8 +175,11 @@
       service: "app",
       address,
       zone: `${parts.serverRegions?.[id] ?? "north"}-a`,
+      version: "v1",
       slots: parts.slots ?? 8,
       state: "ready",
+      warmupRemainingMs: 0,
+      sequence: 1,
     },
   }));
   const documents = [
--- a/tests/platform_processes_test.ts
+++ b/tests/platform_processes_test.ts
@@ -78,8 +78,11 @@
     service: "app",
     address: server.address,
     zone: "north-a",
+    version: "v1",
     slots: 8,
     state: "ready",
+    warmupRemainingMs: 0,
+    sequence: 1,
   });
   await put("op/config", {
     version: 1,
