Tests take the port that they were given, not one that was found free before

Cause: the fixture of gateways asked for a free port, closed it and opened it later, since instances say their port to each other before they listen. Beside other processes that listen on all addresses the port was taken in between: EADDRINUSE in two assertions, and sockets of the failed test held its file up to its limit.

Ruled out: an address that only one process uses (it was one already; a listener on all addresses takes the port there too).

Change: the listener of instances opens port 0 first and the gateway is told what it got; nobody knows the port until then. A second instance takes the port of the one it stands for.

--- a/tests/http_gateway_fixture.ts
+++ b/tests/http_gateway_fixture.ts
@@ -8,7 +8,6 @@
 import { createSilentLogger } from "../logs/mod.ts";
 import { NO_METRICS } from "../metrics/mod.ts";
 import { createDocumentDecoder, PLATFORM_GRAMMAR } from "../platform/mod.ts";
-import { findFreePort } from "../standin/free_port.ts";
 import { toOwnLoopback } from "../standin/loopback_net.ts";
 import { MemoryStore } from "../standin/mod.ts";
 import { StateFollower } from "../state/mod.ts";
@@ -41,8 +40,6 @@
   readonly region?: string;
   /** Loopback address of the gateway. Default: one of this process alone. */
   readonly host?: string;
-  /** Port between instances. Default: a free one. */
-  readonly peerPort?: number;
 }
 
 /** A gateway with real sockets on loopback. */
@@ -71,10 +68,27 @@
 ): Promise<GatewayFixture> {
   const host = parts.host ?? toOwnLoopback(1);
   const region = parts.region ?? "north";
-  const peerPort = parts.peerPort ?? await findFreePort(host);
   const pool = new ConnectionPool();
-  const listeners: CallListener[] = [];
   const ended = new AbortController();
+  const createListener = (isPeer: boolean) =>
+    new CallListener({
+      host,
+      port: 0,
+      nowMs: () => systemClock.nowMs(),
+      readDelayMs: () => gateway.loopDelay.readMs(),
+      readOrigin: (headers) => {
+        if (!isPeer) return { kind: "caller" };
+        const hop = readHop(headers);
+        return hop && { kind: "instance", hop };
+      },
+      handle: (call, sink) => gateway.handle(call, sink),
+    });
+  const callers = createListener(false);
+  const peers = createListener(true);
+  const listeners = [callers, peers];
+  // An instance says its port to others: it has to have it before. Nobody knows the
+  // port yet, so that no call comes before the gateway is there.
+  const peerPort = await peers.open();
   const gateway: HttpGateway = new HttpGateway({
     clock: systemClock,
     random: createRandom(7),
@@ -108,24 +122,7 @@
       listeners.forEach((listener) => listener.setLimits(limits)),
     applyAddresses: () => {},
   });
-  const createListener = (port: number, isPeer: boolean) =>
-    new CallListener({
-      host,
-      port,
-      nowMs: () => systemClock.nowMs(),
-      readDelayMs: () => gateway.loopDelay.readMs(),
-      readOrigin: (headers) => {
-        if (!isPeer) return { kind: "caller" };
-        const hop = readHop(headers);
-        return hop && { kind: "instance", hop };
-      },
-      handle: (call, sink) => gateway.handle(call, sink),
-    });
-  const callers = createListener(0, false);
-  const peers = createListener(peerPort, true);
-  listeners.push(callers, peers);
   const port = await callers.open();
-  await peers.open();
   const configure: GatewayFixture["configure"] = (version, changed) => {
     gateway.state.applyCopy(toCopy(version, { ...parts, ...changed }));
   };
--- a/tests/region_hop_test.ts
+++ b/tests/region_hop_test.ts
@@ -1,7 +1,6 @@
 import { createReport } from "./report_fixture.ts";
 import assert from "node:assert/strict";
 import { afterEach, describe, it } from "node:test";
-import { findFreePort } from "../standin/free_port.ts";
 import { toOwnLoopback } from "../standin/loopback_net.ts";
 import { type FleetReport } from "../fleet/mod.ts";
 import { toFailureDomainId, toInstanceId, toRegionId } from "../ids/mod.ts";
@@ -59,27 +58,23 @@
   }
 > {
   const server = await startRawServer(answer);
-  const peerPort = await findFreePort(FAR_HOST);
+  CLEAN_UPS.push(() => server.close());
   const { serverCount = 1, ...declared } = route;
   const ids = Array.from({ length: serverCount }, (_, index) => `s${index}`);
   const shared = {
     routes: [{ prefix: "/a/", kind: "unsafe" as const, ...declared }],
     servers: Object.fromEntries(ids.map((id) => [id, server.address])),
     serverRegions: Object.fromEntries(ids.map((id) => [id, "south"])),
-    peerPort,
   };
   const far = await startGateway({
     ...shared,
     host: FAR_HOST,
     region: "south",
   });
+  CLEAN_UPS.push(() => far.close());
   const near = await startGateway(shared);
-  near.gateway.receiveReport(createFarReport(peerPort), FAR_HOST);
-  CLEAN_UPS.push(
-    () => near.close(),
-    () => far.close(),
-    () => server.close(),
-  );
+  CLEAN_UPS.push(() => near.close());
+  near.gateway.receiveReport(createFarReport(far.peerPort), FAR_HOST);
   return { near, far, server };
 }
 
@@ -197,7 +192,7 @@
     ].join("\r\n");
     const toChunk = (text: string) =>
       `${text.length.toString(16)}\r\n${text}\r\n`;
-    const { near, server } = await startTwo((request, socket) => {
+    const { far, near, server } = await startTwo((request, socket) => {
       const after = Number(findHeader(request, "last-event-id") ?? 0);
       const event = toChunk(`id: ${after + 1}\ndata: t${after + 1}\n\n`);
       if (after > 0) socket.write(`${head}${event}0\r\n\r\n`);
@@ -215,7 +210,7 @@
     });
     // A second instance of the far region takes the call over.
     near.gateway.receiveReport(
-      createFarReport(near.peerPort, "other"),
+      createFarReport(far.peerPort, "other"),
       FAR_HOST,
     );
     const answer = await ask(near.port);
