Reports inside large regions are summed up by two instances

The first reporter passed each far report on to 64 others too.

Change: above 8 instances all tell two aggregators in different failure domains, the speakers of the region, and each tells its domain the sum, with the number of the receiver's own report that it holds: own calls are taken out as they were counted and added as they are. Far reports take the same way. A late aggregator is stood in for after 450 ms; whoever gets no summary asks for one and is told whatever the plan; who is relieved goes on until it hears its successor; nobody is taken as gone because nobody tells of it. Reporting has a class of its own (daemon/fleet_reporter.ts), and writing reports too. Walking over all members for who is ahead is done only for reports that say something new of the store.

Ruled out: fewer reports, parts of sums by name, a binary codec: docs/design/large_regions.md. Failed on the way: with both aggregators lost all members took each other as gone in the same moment, and groups of 7 never met again; an aggregator stopped telling its successor before that knew.

--- a/adapters/report_socket.ts
+++ b/adapters/report_socket.ts
@@ -1,6 +1,13 @@
 import { createSocket, type Socket } from "node:dgram";
 import { once } from "node:events";
-import { decodeReport, encodeReport, type FleetReport } from "../fleet/mod.ts";
+import {
+  compressReport,
+  decodeReport,
+  encodeCompressedHead,
+  encodeReport,
+  type FleetReport,
+  type SendReportOptions,
+} from "../fleet/mod.ts";
 
 /** Sends and receives reports as datagrams. */
 export class ReportSocket {
@@ -30,12 +37,20 @@
   }
 
   /** Sends a report to several addresses; what is lost is made up for by the next. */
-  send(report: FleetReport, addresses: readonly string[]): void {
+  send(
+    report: FleetReport,
+    addresses: readonly string[],
+    { echoes = [], isCompressed = false }: SendReportOptions = {},
+  ): void {
     if (addresses.length === 0) return;
-    const datagram = encodeReport(report);
-    addresses.map(splitAddress).forEach(({ host, port }) =>
-      this.#socket.send(datagram, port, host, ignoreError)
-    );
+    const body = isCompressed ? compressReport(report) : encodeReport(report);
+    addresses.forEach((address, at) => {
+      const { host, port } = splitAddress(address);
+      const datagram = isCompressed
+        ? [encodeCompressedHead(echoes[at] ?? 0), body]
+        : body;
+      this.#socket.send(datagram, port, host, ignoreError);
+    });
   }
 
   close(): void {
--- a/bench/reports_bench.ts
+++ b/bench/reports_bench.ts
@@ -1,11 +1,11 @@
 import { VirtualClock } from "../clock/mod.ts";
 import type { HttpGateway } from "../daemon/http_gateway.ts";
-import { encodeReport } from "../fleet/mod.ts";
+import { compressReport, encodeReport } from "../fleet/mod.ts";
 import { createVirtualGateway } from "../tests/virtual_gateway.ts";
 import { type BenchResult, toCell } from "./bench_case.ts";
 
 const REGIONS = ["north", "south", "west"] as const;
-const PER_REGION = [3, 6, 12, 24] as const;
+const PER_REGION = [3, 6, 12, 24, 65] as const;
 const WARM_MS = 5_000;
 const RUN_MS = 6_000;
 
@@ -22,6 +22,8 @@
   for (const perRegion of PER_REGION) {
     measured.push(await measureReports(perRegion));
   }
+  const at = (perRegion: number) =>
+    measured[PER_REGION.findIndex((each) => each === perRegion)]!;
   return {
     head: ["INSTANCES A REGION", "OWN REGION B/S EACH", "BETWEEN REGIONS B/S"],
     rows: measured.map(({ nearPerSecond, farPerSecond }, at) => [
@@ -30,9 +32,11 @@
       toCell(farPerSecond, 0),
     ]),
     figures: {
-      near_24: measured.at(-1)!.nearPerSecond,
-      far_24: measured.at(-1)!.farPerSecond,
-      far_growth: measured.at(-1)!.farPerSecond / measured[0]!.farPerSecond,
+      near_24: at(24).nearPerSecond,
+      near_65: at(65).nearPerSecond,
+      far_24: at(24).farPerSecond,
+      far_65: at(65).farPerSecond,
+      far_growth: at(24).farPerSecond / at(3).farPerSecond,
     },
   };
 }
@@ -51,13 +55,16 @@
     const gateway = createVirtualGateway(address, {
       clock,
       seedAddresses: ["north-0"],
-      sendReport: (report, to) =>
-        to.forEach((other) => {
-          const bytes = encodeReport(report).length;
-          if (other.startsWith(`${region}-`)) nearBytes += bytes;
-          else farBytes += bytes;
-          gateways.get(other)?.receiveReport(report, address);
-        }),
+      sendReport: (report, to, { echoes, isCompressed } = {}) => {
+        const encode = isCompressed ? compressReport : encodeReport;
+        const { length } = encode(report);
+        to.forEach((other, at) => {
+          if (other.startsWith(`${region}-`)) nearBytes += length;
+          else farBytes += length;
+          const echo = echoes?.[at] ?? 0;
+          gateways.get(other)?.receiveReport({ ...report, echo }, address);
+        });
+      },
     });
     gateways.set(address, gateway);
     const end = new AbortController();
--- a/bin/start_http_gateway.ts
+++ b/bin/start_http_gateway.ts
@@ -93,7 +93,7 @@
     createState: (sinks) => new CatalogState(configuration, sinks, nowMs),
     repeatBounds: REPEAT_BOUNDS,
     warmUpBounds: WARM_UP_BOUNDS,
-    sendReport: (report, addresses) => socket.send(report, addresses),
+    sendReport: (...sent) => socket.send(...sent),
     applyLimits: () => {},
     applyAddresses: () => {},
   });
--- a/daemon/http_gateway.ts
+++ b/daemon/http_gateway.ts
@@ -1,7 +1,6 @@
 import {
   type Clock,
   LoopDelay,
-  pickRandom,
   type Random,
   scheduleEvery,
   waitFor,
@@ -12,9 +11,7 @@
   FleetView,
   LoadBoard,
   type MemberRecord,
-  PrefixQueue,
-  RELAYS_PER_REGION,
-  type ReportedPrefix,
+  type SendReport,
 } from "../fleet/mod.ts";
 import {
   CallForwarder,
@@ -36,28 +33,9 @@
 import { type RegisteredServer, ServerRegistry } from "../servers/mod.ts";
 import type { StateSource } from "../state/mod.ts";
 import type { Result } from "neverthrow";
+import { FleetReporter } from "./fleet_reporter.ts";
 import { PeerCatchUp, type ReadPeerState } from "./peer_catch_up.ts";
 
-/** Pause between reports to the own region, in milliseconds: several a second. */
-const REPORT_INTERVAL_MS = 150;
-/** One report of the region to the others in so many reports: bytes between regions are dear. */
-const REGION_REPORT_EVERY = 2;
-/**
- * One report of the region in so many goes from and to the second instance that
- * speaks for a region as well, so that either can be lost unnoticed by callers.
- */
-const SECOND_REPORTER_EVERY = 4;
-/**
- * Shared prompt parts that one report of the region names at the most, two
- * packets: what 20 instances send to their servers meanwhile.
- */
-const MAX_REGION_PREFIXES = 48;
-/** Prompt parts that wait for reports of the region at the most: what several engines hold after a start. */
-const MAX_WAITING_PREFIXES = 256;
-/** Pause between attempts to reach instances that are known by address only, in milliseconds. */
-const CONTACT_INTERVAL_MS = 500;
-/** Addresses that are greeted at a time beside the seeds: many entries may be of instances that are gone. */
-const GREETED_AT_ONCE = 4;
 /** Pause between sweeps of what is gone, in milliseconds. */
 const SWEEP_INTERVAL_MS = 250;
 /** How long calls are still taken after leaving began, in milliseconds: callers hear of it within a few answers. */
@@ -96,11 +74,7 @@
   readonly repeatBounds: RepeatBounds;
   /** What cold servers bear. */
   readonly warmUpBounds: WarmUpBounds;
-  /** Sends a report to other instances. */
-  readonly sendReport: (
-    report: FleetReport,
-    addresses: readonly string[],
-  ) => void;
+  readonly sendReport: SendReport;
   /**
    * Reads what the instance at an address knows beyond a revision. Default: none,
    * the source spreads its changes itself.
@@ -134,10 +108,7 @@
   readonly #parts: HttpGatewayParts;
   readonly #catchUp: PeerCatchUp | undefined;
   readonly #turns: TurnGate;
-  readonly #regionPrefixes = new PrefixQueue(MAX_WAITING_PREFIXES);
-  #seedAddresses: readonly string[];
-  #ticks = 0;
-  #regionTicks = 0;
+  readonly #reporter: FleetReporter;
   #leavingSinceMs: number | undefined;
   #hasAskedEngines = false;
   #ended: AbortSignal | undefined;
@@ -146,7 +117,6 @@
   constructor(parts: HttpGatewayParts) {
     const { clock, logger, random } = parts;
     this.#parts = parts;
-    this.#seedAddresses = parts.seedAddresses;
     this.loopDelay = new LoopDelay(clock);
     this.#turns = new TurnGate(clock);
     const loads = new LoadBoard();
@@ -190,6 +160,22 @@
       logger,
       readPeerState,
     });
+    this.#reporter = new FleetReporter({
+      clock,
+      random,
+      loads,
+      fleet: this.fleet,
+      state: this.state,
+      seedAddresses: parts.seedAddresses,
+      sendReport: parts.sendReport,
+      takePrefixes: () => this.forwarder.takePrefixes(),
+      learnPrefixes: (prefixes) => this.forwarder.learnPrefixes(prefixes),
+      onRound: () => {
+        this.forwarder.wake();
+        this.#catchUp?.check();
+      },
+      onNewState: () => this.#catchUp?.check(),
+    });
   }
 
   /** Whether callers may be sent here. */
@@ -215,14 +201,7 @@
     this.#ended = signal;
     this.loopDelay.start(signal);
     void this.state.run(signal);
-    this.#contactOthers();
-    scheduleEvery(clock, REPORT_INTERVAL_MS, () => this.#report(), signal);
-    scheduleEvery(
-      clock,
-      CONTACT_INTERVAL_MS,
-      () => this.#contactOthers(),
-      signal,
-    );
+    this.#reporter.start(signal);
     // After a pause of the process the reports that wait are read first: one turn.
     const sweepAfterReading = () =>
       clock.schedule(0, () => this.#sweep(), signal);
@@ -231,7 +210,7 @@
 
   /** Takes settings that can change while it runs. */
   applySettings(settings: LiveSettings): void {
-    this.#seedAddresses = settings.seedAddresses;
+    this.#reporter.setSeedAddresses(settings.seedAddresses);
     this.forwarder.setRepeatBounds(settings.repeatBounds);
   }
 
@@ -259,18 +238,7 @@
 
   /** Takes a report of another instance. */
   receiveReport(report: FleetReport, from: string): void {
-    const { clock, sendReport } = this.#parts;
-    const nowMs = clock.nowMs();
-    if (this.fleet.applyReport(report, nowMs)) {
-      this.forwarder.learnPrefixes(report.prefixes);
-      const isNear = report.from.region === this.fleet.self.region;
-      if (isNear) this.#regionPrefixes.add(report.prefixes);
-      else this.#passOn(report, nowMs);
-      this.#catchUp?.check();
-    }
-    if (report.wantsNews) {
-      sendReport(this.fleet.createAnswer(this.state.known, nowMs), [from]);
-    }
+    this.#reporter.receive(report, from);
   }
 
   /**
@@ -285,8 +253,7 @@
     const startMs = clock.nowMs();
     this.#leavingSinceMs = startMs;
     this.fleet.setState("leaving", startMs);
-    this.#report();
-    this.#reportRegion(RELAYS_PER_REGION);
+    this.#reporter.tellAll();
     logger.info("leaving", { inFlight: countOpen() });
     const endMs = startMs + graceMs - GRACE_MARGIN_MS;
     const earliestMs = startMs + LEAVING_TAKES_CALLS_MS;
@@ -322,7 +289,7 @@
     this.#askEngines();
     this.forwarder.wake();
     // The others of the region wait for what their relays hear of.
-    if (this.#isRelay()) this.#tellNear([]);
+    if (this.#isRelay()) this.#reporter.tellNear();
     this.#parts.applyAddresses(
       new Set(this.registry.servers.map(({ entry }) => entry.address)),
     );
@@ -360,88 +327,13 @@
     logger.info("engine memory read", { server: id, parts: parts.length });
     const prefixes = toHeldPrefixes(id, parts);
     this.forwarder.learnPrefixes(prefixes);
-    this.#regionPrefixes.add(prefixes);
+    this.#reporter.addPrefixes(prefixes);
   }
 
   #isRelay(): boolean {
     return this.fleet.isRelay(this.state.known, this.#parts.clock.nowMs());
   }
 
-  #tellNear(prefixes: readonly ReportedPrefix[]): void {
-    const { clock, sendReport } = this.#parts;
-    const nowMs = clock.nowMs();
-    sendReport(
-      this.fleet.createReport(this.state.known, prefixes, nowMs),
-      this.fleet.listNear(nowMs).map(({ address }) => address),
-    );
-  }
-
-  #report(): void {
-    const prefixes = this.forwarder.takePrefixes();
-    this.#regionPrefixes.add(prefixes);
-    this.#tellNear(prefixes);
-    this.#ticks++;
-    if (this.#ticks % REGION_REPORT_EVERY === 0) {
-      const isForBoth = this.#regionTicks++ % SECOND_REPORTER_EVERY === 0;
-      this.#reportRegion(isForBoth ? RELAYS_PER_REGION : 1);
-    }
-    this.forwarder.wake();
-    this.#catchUp?.check();
-  }
-
-  /**
-   * Tells the other regions of the own one.
-   *
-   * @param reporters How many instances of each region speak and are spoken to.
-   */
-  #reportRegion(reporters: number): void {
-    const { clock, sendReport } = this.#parts;
-    const nowMs = clock.nowMs();
-    const rank = this.fleet.readReporterRank(nowMs);
-    if (rank === undefined || rank >= reporters) return;
-    const far = this.fleet.listReceivers(reporters, nowMs)
-      .map(({ address }) => address);
-    if (far.length === 0) return;
-    sendReport(
-      this.fleet.createRegionReport(
-        this.state.known,
-        this.#regionPrefixes.take(MAX_REGION_PREFIXES),
-        nowMs,
-      ),
-      far,
-    );
-  }
-
-  /** Tells the own region what another one reports: only its first reporter hears of all. */
-  #passOn(report: FleetReport, nowMs: number): void {
-    const isForRegion = report.scope === "region" &&
-      this.fleet.readReporterRank(nowMs) === 0;
-    if (!isForRegion) return;
-    const near = this.fleet.listNear(nowMs).map(({ address }) => address);
-    this.#parts.sendReport(report, near);
-  }
-
-  /** Greets instances that are known by address only, and asks whom they know. */
-  #contactOthers(): void {
-    const { clock, random, self, sendReport } = this.#parts;
-    const nowMs = clock.nowMs();
-    const live = new Set(
-      this.fleet.listLive(nowMs).map(({ address }) => address),
-    );
-    const isUnknown = (address: string) =>
-      address !== self.address && !live.has(address);
-    const named = this.state.instanceAddresses.filter(isUnknown);
-    const picked = Array.from(
-      { length: GREETED_AT_ONCE },
-      () => pickRandom(named, random) ?? [],
-    ).flat();
-    const seeds = this.#seedAddresses.filter(isUnknown);
-    const greeted = [...new Set([...seeds, ...picked])];
-    if (greeted.length === 0) return;
-    const report = this.fleet.createReport(this.state.known, [], nowMs);
-    sendReport({ ...report, wantsNews: true }, greeted);
-  }
-
   #sweep(): void {
     const { clock, metrics } = this.#parts;
     const nowMs = clock.nowMs();
--- a/fleet/encode_report.ts
+++ b/fleet/encode_report.ts
@@ -1,3 +1,4 @@
+import { deflateRawSync, inflateRawSync } from "node:zlib";
 import {
   toBackendId,
   toFailureDomainId,
@@ -15,6 +16,22 @@
 
 /** Method of the JSON-RPC notification that carries a report. */
 const METHOD = "fleet.report";
+const SCOPES: readonly FleetReport["scope"][] = [
+  "instance",
+  "region",
+  "summary",
+];
+/**
+ * First byte of a compressed report, which text never begins with. The echo follows
+ * in four bytes, outside of what is compressed once for all receivers.
+ */
+const COMPRESSED = 1;
+const COMPRESSED_HEAD_BYTES = 5;
+/** Most bytes of a report: far more than a region of hundreds of instances fills. */
+const MAX_REPORT_BYTES = 262_144;
+/** What a sender asks for, one bit each. */
+const WANTS_NEWS = 1;
+const WANTS_SUMMARY = 2;
 const STATES: readonly MemberState[] = ["starting", "ready", "leaving"];
 
 // Rows in place of objects: reports go out many times a second, and bytes
@@ -37,7 +54,7 @@
   const params = [
     toMemberRow(report.from),
     report.sequence,
-    report.scope === "region" ? 1 : 0,
+    SCOPES.indexOf(report.scope),
     report.known.configurationVersion,
     report.known.storeRevision,
     report.known.isStoreLost ? 1 : 0,
@@ -56,13 +73,36 @@
       ...toMemberRow(member),
       Math.round(ageMs),
     ]),
-    report.wantsNews ? 1 : 0,
+    (report.wantsNews ? WANTS_NEWS : 0) |
+    (report.wantsSummary ? WANTS_SUMMARY : 0),
   ];
   return Buffer.from(
     JSON.stringify({ jsonrpc: "2.0", method: METHOD, params }),
   );
 }
 
+/**
+ * Returns a report compressed, for many receivers: names of servers and members
+ * come again and again in it.
+ *
+ * @param report What to tell.
+ */
+export function compressReport(report: FleetReport): Buffer {
+  return deflateRawSync(encodeReport(report));
+}
+
+/**
+ * Returns what stands before a compressed report.
+ *
+ * @param echo The receiver's own report that a summary counts; 0: none.
+ */
+export function encodeCompressedHead(echo: number): Buffer {
+  const head = Buffer.alloc(COMPRESSED_HEAD_BYTES);
+  head.writeUInt8(COMPRESSED);
+  head.writeUInt32BE(echo, 1);
+  return head;
+}
+
 /**
  * Returns the report in a datagram, or `undefined` where it holds none.
  *
@@ -70,18 +110,32 @@
  */
 export function decodeReport(datagram: Buffer): FleetReport | undefined {
   try {
-    const message = JSON.parse(datagram.toString("utf8"));
-    if (message.method !== METHOD) return undefined;
-    return fromParams(message.params);
+    if (datagram[0] !== COMPRESSED) return parseReport(datagram);
+    const report = parseReport(
+      inflateRawSync(datagram.subarray(COMPRESSED_HEAD_BYTES), {
+        maxOutputLength: MAX_REPORT_BYTES,
+      }),
+    );
+    return report && { ...report, echo: datagram.readUInt32BE(1) };
   } catch (error) {
-    // Whatever reaches the port may be no report; a bug of ours is none of these.
-    if (error instanceof SyntaxError || error instanceof TypeError) {
-      return undefined;
-    }
+    if (isNoReport(error)) return undefined;
     throw error;
   }
 }
 
+function parseReport(text: Buffer): FleetReport | undefined {
+  const message = JSON.parse(text.toString("utf8"));
+  return message.method === METHOD ? fromParams(message.params) : undefined;
+}
+
+/** Whatever reaches the port may be no report; a bug of ours is none of these. */
+function isNoReport(error: unknown): boolean {
+  const code = (error as { readonly code?: unknown }).code;
+  return error instanceof SyntaxError || error instanceof TypeError ||
+    error instanceof RangeError ||
+    typeof code === "string" && code.startsWith("Z_");
+}
+
 // deno-lint-ignore no-explicit-any
 function fromParams(params: any): FleetReport {
   const [
@@ -94,12 +148,12 @@
     loads,
     prefixes,
     news,
-    wantsNews,
+    wants,
   ] = params;
   return {
     from: fromMemberRow(from),
     sequence: toNumber(sequence),
-    scope: scope === 1 ? "region" : "instance",
+    scope: SCOPES[scope] ?? "instance",
     known: {
       configurationVersion: toNumber(configurationVersion),
       storeRevision: toNumber(storeRevision),
@@ -108,7 +162,8 @@
     loads: loads.map(fromLoadRow),
     prefixes: prefixes.map(fromPrefixRow),
     news: news.map(fromNewsRow),
-    wantsNews: wantsNews === 1,
+    wantsNews: (toNumber(wants) & WANTS_NEWS) > 0,
+    wantsSummary: (toNumber(wants) & WANTS_SUMMARY) > 0,
   };
 }
 
--- a/fleet/fleet_report.ts
+++ b/fleet/fleet_report.ts
@@ -65,12 +65,40 @@
   readonly from: MemberRecord;
   /** Grows with each report of one incarnation. */
   readonly sequence: number;
-  /** Whose calls the loads count. */
-  readonly scope: "instance" | "region";
+  /**
+   * Whose calls the loads count: the sender's, those of its region, told to another
+   * one, or those of the region that both belong to.
+   */
+  readonly scope: "instance" | "region" | "summary";
   readonly known: KnownState;
   readonly loads: readonly ReportedLoad[];
   readonly prefixes: readonly ReportedPrefix[];
   readonly news: readonly MemberNews[];
   /** Whether the sender asks for the members that the receiver knows. */
   readonly wantsNews: boolean;
+  /** Whether the sender gets no summaries of its region, which is a large one. Default: no. */
+  readonly wantsSummary?: boolean;
+  /**
+   * The receiver's own report that a summary counts, by its number. Default: 0,
+   * none.
+   */
+  readonly echo?: number;
 }
+
+/** How reports are sent. */
+export interface SendReportOptions {
+  /** Echo for each address, in the same order. Default: none. */
+  readonly echoes?: readonly number[];
+  /**
+   * Whether the report is compressed: one that goes to many members of a region.
+   * Default: no, which instances of earlier versions understand.
+   */
+  readonly isCompressed?: boolean;
+}
+
+/** Sends a report to other instances, by their addresses; what is lost is made up for by the next. */
+export type SendReport = (
+  report: FleetReport,
+  addresses: readonly string[],
+  options?: SendReportOptions,
+) => void;
--- a/fleet/fleet_view.ts
+++ b/fleet/fleet_view.ts
@@ -5,9 +5,9 @@
   MemberNews,
   MemberRecord,
   MemberState,
-  ReportedPrefix,
 } from "./fleet_report.ts";
 import type { LoadBoard } from "./load_board.ts";
+import { type NearMember, SUMMARY_LATE_MS } from "./plan_reports.ts";
 import {
   pickRelays,
   pickSpeakers,
@@ -25,21 +25,21 @@
  * and two reports of a region between which its news wait.
  */
 export const FAR_SILENCE_MS = 2_500;
+/**
+ * Silence after which a member is taken as gone though nobody is there to tell of
+ * it, in milliseconds. Without summaries, members of a large region hear nothing of
+ * each other: before the next aggregator has begun, which takes up to 1.7 s, they
+ * must not take each other as gone, or the region falls apart.
+ */
+const UNTOLD_SILENCE_MS = 4_000;
+/** Pause between summaries from which on members are judged anew, in milliseconds: four of them. */
+const SUMMARY_PAUSE_MS = 600;
 /**
  * How much longer than the last one heard of its region a member may have been
  * silent to be sent calls, in milliseconds: four reports. News of a whole region
  * come late together; a member that stands still falls behind the others.
  */
 export const BEHIND_MS = 600;
-/** Most members that one report names: it stays within one packet. */
-const NEWS_PER_REPORT = 12;
-/**
- * Most members that an answer to one who asks names, in three packets: whoever
- * has just started needs the whole of its region at once.
- */
-const NEWS_PER_ANSWER = 36;
-/** One report in so many names members: who runs changes seldom, loads often. */
-const NEWS_EVERY_REPORTS = 4;
 /**
  * How long the directory may name an instance that leaves, where no other of its
  * region takes calls, in milliseconds. It takes calls for 2.5 s, and is heard to
@@ -54,6 +54,14 @@
  */
 const SETTLE_MS = 1_000;
 
+const NEVER = Number.NEGATIVE_INFINITY;
+
+/** A member that is taken as running. */
+export interface SeenMember extends NearMember {
+  /** Number of the last report that it sent here itself; 0: none. */
+  readonly sequence: number;
+}
+
 interface Seen {
   member: MemberRecord;
   /** When it was last known to run, on the own clock. */
@@ -61,6 +69,12 @@
   /** Sequence of its last own report, which lets older ones be dropped. */
   sequence: number;
   known: KnownState | undefined;
+  /** When its last summary came, on the own clock. */
+  summaryMs: number;
+  /** Whether it said in its last report that it gets no summaries. */
+  wantsSummary: boolean;
+  /** Whether the last word of it came in a summary. */
+  isTold: boolean;
   /** When it was first heard to leave; `undefined`: it does not. */
   leavingSinceMs: number | undefined;
 }
@@ -83,13 +97,12 @@
   readonly #loads: LoadBoard;
   readonly #seen = new Map<InstanceId, Seen>();
   readonly #startMs: number;
+  /** Since when summaries have come without a gap, and the last of them. */
+  #summaries = { sinceMs: NEVER, lastMs: NEVER };
   #membershipVersion = 0;
   #namedCount = 0;
   #state: MemberState = "starting";
   #leavingSinceMs: number | undefined;
-  #sequence = 0;
-  #newsAt = 0;
-  #nearNewsAt = 0;
 
   /** @param parts Own record and the board that reports feed. */
   constructor(parts: FleetViewParts) {
@@ -120,6 +133,29 @@
       .map(({ member }) => member);
   }
 
+  /** Returns the other members of the own region that are taken as running, with what is known of them. */
+  listNearSeen(nowMs: number): readonly SeenMember[] {
+    return this.listSeen(nowMs)
+      .filter(({ member }) => member.region === this.#self.region);
+  }
+
+  /** Whether summaries of the own region come as often as they should. */
+  hasSummaries(nowMs: number): boolean {
+    return nowMs - this.#summaries.lastMs < SUMMARY_LATE_MS;
+  }
+
+  /** Returns the members that are taken as running, with what is known of them. */
+  listSeen(nowMs: number): readonly SeenMember[] {
+    return [...this.#seen.values()].filter((seen) => this.#isLive(seen, nowMs))
+      .map(({ heardMs, member, sequence, summaryMs, wantsSummary }) => ({
+        member,
+        sequence,
+        wantsSummary,
+        silentMs: nowMs - heardMs,
+        isAggregating: nowMs - summaryMs < NEAR_SILENCE_MS,
+      }));
+  }
+
   /** Returns the members of a region that take calls, this one included. */
   listReady(region: RegionId, nowMs: number): readonly MemberRecord[] {
     const others = this.listLive(nowMs).filter((member) =>
@@ -252,9 +288,13 @@
       heardMs: nowMs,
       sequence,
       known: report.known,
+      summaryMs: report.scope === "summary" ? nowMs : seen?.summaryMs ?? NEVER,
+      wantsSummary: report.wantsSummary ?? false,
+      isTold: false,
       leavingSinceMs: readLeavingSinceMs(seen, from, nowMs),
     });
     report.news.forEach((news) => this.applyNews(news, nowMs));
+    if (report.scope === "summary") this.#noteSummary(report, nowMs);
     this.#applyLoads(report);
     return true;
   }
@@ -277,6 +317,9 @@
         heardMs,
         sequence: 0,
         known: undefined,
+        summaryMs: NEVER,
+        wantsSummary: false,
+        isTold: false,
         leavingSinceMs: readLeavingSinceMs(undefined, member, heardMs),
       });
       return;
@@ -294,6 +337,9 @@
 
   /** Drops the loads of members that fell silent, and forgets them after a while. */
   sweep(nowMs: number): void {
+    if (nowMs - this.#summaries.lastMs >= NEAR_SILENCE_MS) {
+      this.#loads.dropSummary();
+    }
     this.#seen.forEach((seen, id) => {
       if (this.#isLive(seen, nowMs)) return;
       this.#loads.removeReport(id);
@@ -306,59 +352,6 @@
     });
   }
 
-  /**
-   * Returns what to tell the own region.
-   *
-   * @param known What of the store is known here.
-   * @param prefixes Prompt parts sent since the last report.
-   * @param nowMs Time now.
-   */
-  createReport(
-    known: KnownState,
-    prefixes: readonly ReportedPrefix[],
-    nowMs: number,
-  ): FleetReport {
-    return {
-      from: this.self,
-      sequence: ++this.#sequence,
-      scope: "instance",
-      known,
-      loads: this.#loads.listOwn(),
-      prefixes,
-      news: this.#sequence % NEWS_EVERY_REPORTS === 0
-        ? this.#pickNews(nowMs, NEWS_PER_REPORT)
-        : [],
-      wantsNews: false,
-    };
-  }
-
-  /** Returns what to tell an instance that asks who is there. */
-  createAnswer(known: KnownState, nowMs: number): FleetReport {
-    return {
-      ...this.createReport(known, [], nowMs),
-      news: this.#pickNews(nowMs, NEWS_PER_ANSWER),
-    };
-  }
-
-  /** Returns what to tell other regions of the own one. */
-  createRegionReport(
-    known: KnownState,
-    prefixes: readonly ReportedPrefix[],
-    nowMs: number,
-  ): FleetReport {
-    const near = [...this.#seen.values()].filter((seen) =>
-      seen.member.region === this.#self.region && this.#isLive(seen, nowMs)
-    );
-    const news = pickInTurn(near, this.#nearNewsAt, NEWS_PER_REPORT);
-    this.#nearNewsAt += NEWS_PER_REPORT;
-    return {
-      ...this.createReport(known, prefixes, nowMs),
-      scope: "region",
-      loads: this.#loads.listNear(),
-      news: news.map((seen) => toNews(seen, nowMs)),
-    };
-  }
-
   /**
    * Returns this instance's place among those that speak for its region, from 0,
    * or `undefined` where it is none of them.
@@ -392,9 +385,23 @@
       .filter(({ region }) => region === this.#self.region);
   }
 
+  /** Notes who is known to run by way of an aggregator, and for how long without a gap. */
+  #noteSummary({ news }: FleetReport, nowMs: number): void {
+    const isSeries = nowMs - this.#summaries.lastMs < SUMMARY_PAUSE_MS;
+    const sinceMs = isSeries ? this.#summaries.sinceMs : nowMs;
+    this.#summaries = { sinceMs, lastMs: nowMs };
+    news.forEach(({ member: { id } }) => {
+      const seen = this.#seen.get(id);
+      if (seen !== undefined) seen.isTold = true;
+    });
+  }
+
   #applyLoads(report: FleetReport): void {
     const { from, loads, scope } = report;
     const isNear = from.region === this.#self.region;
+    if (scope === "summary" && isNear) {
+      this.#loads.replaceSummary(loads, report.echo ?? 0);
+    }
     if (scope === "instance" && isNear) {
       this.#loads.replaceReport(from.id, { scope, loads });
     }
@@ -412,10 +419,12 @@
   }
 
   #isLive(seen: Seen, nowMs: number): boolean {
-    const limitMs = seen.member.region === this.#self.region
-      ? NEAR_SILENCE_MS
-      : FAR_SILENCE_MS;
-    return nowMs - seen.heardMs < limitMs;
+    const isNear = seen.member.region === this.#self.region;
+    const silentMs = nowMs - seen.heardMs;
+    if (silentMs < (isNear ? NEAR_SILENCE_MS : FAR_SILENCE_MS)) return true;
+    if (!isNear || !seen.isTold || silentMs > UNTOLD_SILENCE_MS) return false;
+    const { lastMs, sinceMs } = this.#summaries;
+    return lastMs - Math.max(sinceMs, seen.heardMs) < NEAR_SILENCE_MS;
   }
 
   /** 0: the same failure domain; 1: the same region; 2: another one. */
@@ -423,16 +432,6 @@
     if (region !== this.#self.region) return 2;
     return failureDomain === this.#self.failureDomain ? 0 : 1;
   }
-
-  /** Names live members in turn, so that all get around in a few reports. */
-  #pickNews(nowMs: number, count: number): readonly MemberNews[] {
-    const live = [...this.#seen.values()].filter((seen) =>
-      this.#isLive(seen, nowMs)
-    );
-    const picked = pickInTurn(live, this.#newsAt, count);
-    this.#newsAt += count;
-    return picked.map((seen) => toNews(seen, nowMs));
-  }
 }
 
 /** Returns since when a member leaves, after one more word of it. */
@@ -446,25 +445,12 @@
   return (isSame ? before?.leavingSinceMs : undefined) ?? heardMs;
 }
 
-function isAhead(known: KnownState, own: KnownState): boolean {
+/** Whether an instance knows more of the store than another one. */
+export function isAhead(known: KnownState, own: KnownState): boolean {
   return known.configurationVersion > own.configurationVersion ||
     known.storeRevision > own.storeRevision;
 }
 
-function toNews({ member, heardMs }: Seen, nowMs: number): MemberNews {
-  return { member, ageMs: nowMs - heardMs };
-}
-
-/** Returns so many entries of a list from a place on, past its end from the start. */
-function pickInTurn<Entry>(
-  list: readonly Entry[],
-  place: number,
-  count: number,
-): readonly Entry[] {
-  const start = list.length === 0 ? 0 : place % list.length;
-  return [...list.slice(start), ...list.slice(0, start)].slice(0, count);
-}
-
 function toRegionReporter(region: RegionId): string {
   return `region ${region}`;
 }
--- a/fleet/fleet_view_test.ts
+++ b/fleet/fleet_view_test.ts
@@ -1,7 +1,12 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { toRegionId } from "../ids/mod.ts";
-import { decodeReport, encodeReport } from "./encode_report.ts";
+import {
+  compressReport,
+  decodeReport,
+  encodeCompressedHead,
+  encodeReport,
+} from "./encode_report.ts";
 import type { MemberRecord, MemberState } from "./fleet_report.ts";
 import { BEHIND_MS, FleetView, NEAR_SILENCE_MS } from "./fleet_view.ts";
 import { LoadBoard } from "./load_board.ts";
@@ -132,8 +137,26 @@
       scope: "region",
       news: [{ member: createMember("b", "leaving"), ageMs: 12 }],
       wantsNews: true,
+      wantsSummary: false,
     });
     assert.deepEqual(decodeReport(encodeReport(report)), report);
+    const asking = { ...report, wantsNews: false, wantsSummary: true };
+    assert.deepEqual(decodeReport(encodeReport(asking)), asking);
+  });
+
+  it("returns what was compressed, with the echo of its receiver", () => {
+    const report = createReport(createMember("a"), 7, {
+      scope: "summary",
+      wantsSummary: false,
+    });
+    const datagram = Buffer.concat([
+      encodeCompressedHead(1_234),
+      compressReport(report),
+    ]);
+    assert.deepEqual(decodeReport(datagram), { ...report, echo: 1_234 });
+    // Whatever is cut off or is no compressed report at all is none.
+    [datagram.subarray(0, 20), datagram.subarray(0, 3), Buffer.from([1])]
+      .forEach((bytes) => assert.equal(decodeReport(bytes), undefined));
   });
 
   it("returns nothing for bytes that are no report", () => {
--- a/fleet/load_board.ts
+++ b/fleet/load_board.ts
@@ -1,10 +1,9 @@
 import type { BackendId } from "../ids/mod.ts";
 import type { FleetReport, ReportedLoad, ServerLoad } from "./fleet_report.ts";
-
-const NO_LOAD: ServerLoad = { calls: 0, pendingTokens: 0, memoryTokens: 0 };
+import { ToldLoads } from "./told_loads.ts";
 
 interface Report {
-  readonly scope: FleetReport["scope"];
+  readonly scope: Exclude<FleetReport["scope"], "summary">;
   readonly loads: readonly ReportedLoad[];
 }
 
@@ -20,14 +19,27 @@
  */
 export class LoadBoard {
   readonly #own = new Map<BackendId, Sums>();
+  readonly #told = new ToldLoads();
   readonly #reports = new Map<string, Report>();
-  readonly #reported = new Map<BackendId, Sums>();
+  /** Sums of the reports, by whose calls they count. */
+  readonly #reported: Readonly<
+    Record<Report["scope"], Map<BackendId, Sums>>
+  > = { instance: new Map(), region: new Map() };
+  /** What an aggregator says of the own region, without own calls; it stands for its instances. */
+  #summary: ReadonlyMap<BackendId, ServerLoad> | undefined;
 
   /** Own calls in flight, by server. */
   listOwn(): readonly ReportedLoad[] {
     return [...this.#own].map(([server, sums]) => ({ server, ...sums }));
   }
 
+  /** Returns own calls in flight for a report, and remembers what it says. */
+  takeOwn(sequence: number): readonly ReportedLoad[] {
+    const loads = this.listOwn();
+    this.#told.remember(sequence, loads);
+    return loads;
+  }
+
   /**
    * What the instances of the own region have in flight, summed by server. What
    * other regions report is left out: told back to them, it would add up.
@@ -47,14 +59,16 @@
 
   /** Returns what all known calls hold at a server. */
   readTotal(server: BackendId): ServerLoad {
-    const own = this.#own.get(server) ?? NO_LOAD;
-    const reported = this.#reported.get(server);
-    if (reported === undefined) return own;
-    return {
-      calls: own.calls + reported.calls,
-      pendingTokens: own.pendingTokens + reported.pendingTokens,
-      memoryTokens: own.memoryTokens + reported.memoryTokens,
-    };
+    const near = this.#summary ?? this.#reported.instance;
+    const parts = [
+      this.#own.get(server),
+      near.get(server),
+      this.#reported.region.get(server),
+    ].filter((part) => part !== undefined);
+    if (parts.length === 1) return parts[0]!;
+    const total = createSums();
+    parts.forEach((part) => addTo(total, part, 1));
+    return total;
   }
 
   /**
@@ -78,22 +92,43 @@
    */
   replaceReport(reporter: string, report: Report): void {
     this.removeReport(reporter);
-    report.loads.forEach((load) => this.#addReported(load, 1));
+    this.#addReported(report, 1);
     this.#reports.set(reporter, report);
   }
 
+  /**
+   * Takes what an aggregator says of the own region in place of what its instances
+   * say themselves.
+   *
+   * @param loads Of all instances of the region, this one included.
+   * @param sequence The own report that they count; 0: none.
+   */
+  replaceSummary(loads: readonly ReportedLoad[], sequence: number): void {
+    const others = this.#told.takeOut(loads, sequence);
+    this.#summary = new Map(others.map((load) => [load.server, load]));
+  }
+
+  /** Goes back to what the instances of the own region say themselves. */
+  dropSummary(): void {
+    this.#summary = undefined;
+  }
+
   /** Drops what a reporter has said. */
   removeReport(reporter: string): void {
-    const before = this.#reports.get(reporter)?.loads ?? [];
-    before.forEach((load) => this.#addReported(load, -1));
+    const before = this.#reports.get(reporter);
+    if (before === undefined) return;
+    this.#addReported(before, -1);
     this.#reports.delete(reporter);
   }
 
-  #addReported(load: ReportedLoad, sign: 1 | -1): void {
-    const sums = this.#reported.get(load.server) ?? createSums();
-    addTo(sums, load, sign);
-    if (sums.calls <= 0) this.#reported.delete(load.server);
-    else this.#reported.set(load.server, sums);
+  #addReported({ loads, scope }: Report, sign: 1 | -1): void {
+    const byServer = this.#reported[scope];
+    loads.forEach((load) => {
+      const sums = byServer.get(load.server) ?? createSums();
+      addTo(sums, load, sign);
+      if (sums.calls <= 0) byServer.delete(load.server);
+      else byServer.set(load.server, sums);
+    });
   }
 }
 
--- a/fleet/mod.ts
+++ b/fleet/mod.ts
@@ -13,7 +13,10 @@
  */
 export * from "./fleet_report.ts";
 export * from "./encode_report.ts";
+export * from "./told_loads.ts";
 export * from "./load_board.ts";
 export * from "./pick_relays.ts";
 export * from "./prefix_queue.ts";
+export * from "./plan_reports.ts";
 export * from "./fleet_view.ts";
+export * from "./report_writer.ts";
