--- a/bench/crowd_bench.ts
+++ b/bench/crowd_bench.ts
@@ -2,14 +2,17 @@
 import type { HttpGateway } from "../daemon/http_gateway.ts";
 import { INITIAL_LIMITS, RouteTable } from "../http_routes/mod.ts";
 import { toFailureDomainId } from "../ids/mod.ts";
-import { PLATFORM_GRAMMAR } from "../platform/mod.ts";
 import { createServerEntry } from "../tests/member_fixture.ts";
 import {
   createVirtualGateway,
   LOADED_STATE,
 } from "../tests/virtual_gateway.ts";
 import { type BenchResult, readQuantile, toCell } from "./bench_case.ts";
-import { VirtualEngine } from "./virtual_engine.ts";
+import {
+  encodePrompt,
+  PROMPT_GRAMMAR,
+  VirtualEngine,
+} from "./virtual_engine.ts";
 
 /** Instances and engines of one region, and the factor on its calls. */
 const SIZES = [
@@ -224,7 +227,7 @@
     const gateway = createVirtualGateway(address, {
       clock,
       random: createRandom(index + 1),
-      grammar: PLATFORM_GRAMMAR,
+      grammar: PROMPT_GRAMMAR,
       seedAddresses: ["north-0"],
       self: {
         ...createVirtualGateway(address).fleet.self,
@@ -268,12 +271,14 @@
   const headers = [
     "Host",
     HOST,
-    "X-Havenspur-Attempt-Id",
-    own,
-    "X-Havenspur-Token-Counts",
-    `${sharedTokens + ownTokens},${events * EVENT_TOKENS}`,
-    "X-Havenspur-Prompt-Prefix",
-    `${kind}${shared.toString(16)}:${sharedTokens},${own}:${ownTokens}`,
+    ...encodePrompt({
+      promptTokens: sharedTokens + ownTokens,
+      maxOutputTokens: events * EVENT_TOKENS,
+      parts: [
+        { id: `${kind}${shared.toString(16)}`, tokens: sharedTokens },
+        { id: own, tokens: ownTokens },
+      ],
+    }),
   ];
   return {
     method: "POST",
--- a/bench/virtual_engine.ts
+++ b/bench/virtual_engine.ts
@@ -1,6 +1,28 @@
 import type { Clock } from "../clock/mod.ts";
-import type { SendEvents, ServerClient } from "../forwarding/mod.ts";
-import { PLATFORM_GRAMMAR } from "../platform/mod.ts";
+import {
+  type CallGrammar,
+  OWN_GRAMMAR,
+  type PromptFacts,
+  type SendEvents,
+  type ServerClient,
+} from "../forwarding/mod.ts";
+
+/** Header that carries a prompt in these benchmarks, as JSON. */
+const PROMPT = "x-prompt";
+
+/** Reads calls whose prompts stand in a header. */
+export const PROMPT_GRAMMAR: CallGrammar = {
+  ...OWN_GRAMMAR,
+  readCall: (headers) => ({
+    ...OWN_GRAMMAR.readCall(headers),
+    prompt: readPrompt(headers),
+  }),
+};
+
+/** Returns the header of a prompt. */
+export function encodePrompt(prompt: PromptFacts): readonly string[] {
+  return [PROMPT, JSON.stringify(prompt)];
+}
 
 /** How fast an engine is and how much it takes. */
 export interface VirtualEngineParts {
@@ -34,13 +56,13 @@
 const TAKEN = {
   status: 200,
   statusText: "OK",
-  headers: ["X-Havenspur-Response-Signature", "sig"],
+  headers: [],
 };
 /** Head of an answer of one that has no room. */
 const SHED = {
   status: 503,
   statusText: "Service Unavailable",
-  headers: ["X-Havenspur-Not-Executed", "true"],
+  headers: ["x-not-run", "1"],
 };
 
 /** A model engine in continuous batches, on a virtual clock. */
@@ -66,12 +88,12 @@
 
   /** Takes a call, or sheds it. */
   send: ServerClient["send"] = ({ headers }, events) => {
-    const { prompt } = PLATFORM_GRAMMAR.readCall(headers);
+    const prompt = readPrompt(headers);
     const sequence: Sequence = {
       events,
-      parts: prompt?.parts ?? [],
+      parts: prompt.parts,
       unreadTokens: 0,
-      tokensLeft: prompt?.maxOutputTokens ?? 1,
+      tokensLeft: prompt.maxOutputTokens,
       made: 0,
       isAborted: false,
     };
@@ -162,3 +184,7 @@
     }
   }
 }
+
+function readPrompt(headers: readonly string[]): PromptFacts {
+  return JSON.parse(headers[headers.indexOf(PROMPT) + 1]!);
+}
