A crowd of instances takes turns by chance; four of a region tell each other directly

Change: costs are blurred at random by what the others send meanwhile: their number, times the calls that this instance sends in 200 ms, one at the most, times the time that its prompts take. With few instances that is nothing to speak of. Reports go by way of aggregators above 4 instances a region in place of 8.

A send that had been offered elsewhere looked for silence in several series at once; it has one again.

--- a/fleet/plan_reports.ts
+++ b/fleet/plan_reports.ts
@@ -6,7 +6,7 @@
  * to all grow with the square of the region: 121.5 KB/s each at 65 instances, with
  * no call in flight. Above this number two instances sum them up.
  */
-export const MOST_DIRECT = 8;
+export const MOST_DIRECT = 4;
 /**
  * Silence after which an aggregator is stood in for, in milliseconds: three
  * reports, less than the silence by which it is taken as gone.
--- a/forwarding/call_forwarder.ts
+++ b/forwarding/call_forwarder.ts
@@ -108,6 +108,8 @@
       registry,
       loads,
       learned: this.#learned,
+      random,
+      countOthers: () => fleet.countSharing(fleet.self.region) - 1,
     });
     this.#places = new PlaceChooser({
       fleet,
--- a/forwarding/choose_server.ts
+++ b/forwarding/choose_server.ts
@@ -1,3 +1,4 @@
+import type { Random } from "../clock/mod.ts";
 import type { HttpService } from "../http_routes/mod.ts";
 import type { BackendId, RegionId } from "../ids/mod.ts";
 import { computeWeight } from "../membership/mod.ts";
@@ -97,6 +98,9 @@
   readonly registry: ServerRegistry;
   readonly loads: LoadBoard;
   readonly learned: LearnedServers;
+  readonly random: Random;
+  /** Returns how many other instances choose among the servers of the own region. */
+  readonly countOthers: () => number;
 }
 
 /** Finds the backend server that begins to answer a call first. */
@@ -145,11 +149,27 @@
         bonusMs + FAILURE_PENALTY_MS * Math.max(0, failures);
       return [{ ...judged, costMs }];
     });
-    return candidates.reduce<Candidate | undefined>(
-      (best, each) =>
-        best === undefined || each.costMs < best.costMs ? each : best,
-      undefined,
-    );
+    return this.#pickBest(candidates, service, nowMs);
+  }
+
+  /** Picks the cheapest, or by chance one that is dearer by less than what others do meanwhile. */
+  #pickBest(
+    candidates: readonly Candidate[],
+    service: string,
+    nowMs: number,
+  ): Candidate | undefined {
+    const { countOthers, learned, random } = this.#parts;
+    const spreadMs = learned.crowd.readMs(service, countOthers(), nowMs);
+    return candidates
+      .map((candidate) => ({
+        candidate,
+        blurredMs: candidate.costMs + spreadMs * random.nextFloat(),
+      }))
+      .reduce<{ candidate: Candidate; blurredMs: number } | undefined>(
+        (best, each) =>
+          best === undefined || each.blurredMs < best.blurredMs ? each : best,
+        undefined,
+      )?.candidate;
   }
 
   /** Whether a service has a server in a region that may get calls. */
--- a/forwarding/choose_server_test.ts
+++ b/forwarding/choose_server_test.ts
@@ -2,6 +2,7 @@
 import { describe, it } from "node:test";
 import { FleetView, LoadBoard } from "../fleet/mod.ts";
 import type { HttpService } from "../http_routes/mod.ts";
+import { createRandom } from "../clock/mod.ts";
 import { toBackendId, toRegionId } from "../ids/mod.ts";
 import { ServerRegistry } from "../servers/mod.ts";
 import { type CallNeeds, ServerChooser } from "./choose_server.ts";
@@ -46,7 +47,11 @@
       )
     )
   );
-  const chooser = new ServerChooser(parts);
+  const chooser = new ServerChooser({
+    ...parts,
+    random: createRandom(1),
+    countOthers: () => 0,
+  });
   const choose = (needs: CallNeeds, nowMs = 10) =>
     chooser.choose(needs, NORTH, nowMs)?.server.entry.id;
   return { ...parts, ...parts.learned, choose };
--- a/forwarding/learned_servers.ts
+++ b/forwarding/learned_servers.ts
@@ -1,5 +1,6 @@
 import { PrefixQueue, type ReportedPrefix } from "../fleet/mod.ts";
 import type { BackendId } from "../ids/mod.ts";
+import { CrowdSpread } from "./crowd_spread.ts";
 import type { PlacedPart } from "./prefix_memory.ts";
 import { PrefixMemory } from "./prefix_memory.ts";
 import { ServerHealth } from "./server_health.ts";
@@ -29,6 +30,7 @@
   readonly health = new ServerHealth();
   readonly pulses = new ServerPulses();
   readonly prefixes = new PrefixMemory();
+  readonly crowd = new CrowdSpread();
   readonly warmUp: WarmUpGate;
   readonly #readMemoryTokens: (server: BackendId) => number;
   #unsharedCount = 0;
--- a/forwarding/run_attempt.ts
+++ b/forwarding/run_attempt.ts
@@ -133,6 +133,7 @@
   #send: ActiveSend | undefined;
   #offer: Offer | undefined;
   #isPatienceOver = false;
+  #isCheckDue = false;
   #head: AnswerHead | undefined;
   #held: Buffer[] | undefined;
   #heldBytes = 0;
@@ -272,12 +273,12 @@
   }
 
   #checkSilenceLater(): void {
-    scheduleAfterReading(
-      this.#parts.clock,
-      SILENCE_CHECK_MS,
-      () => this.#checkSilence(),
-      this.#ended.signal,
-    );
+    if (this.#isCheckDue) return;
+    this.#isCheckDue = true;
+    scheduleAfterReading(this.#parts.clock, SILENCE_CHECK_MS, () => {
+      this.#isCheckDue = false;
+      this.#checkSilence();
+    }, this.#ended.signal);
   }
 
   /**
--- a/forwarding/server_sender.ts
+++ b/forwarding/server_sender.ts
@@ -74,6 +74,11 @@
     const load = this.#beginLoad(candidate);
     const pulse = learned.pulses.begin(entry.id, startMs);
     this.#recordSend(exchange, candidate, startMs);
+    learned.crowd.record(
+      service.name,
+      this.#estimateReadingMs(candidate),
+      startMs,
+    );
     const mayGoOn = isRepeatable(exchange) && exchange.attemptsLeft > 1;
     const outcome = await runAttempt({
       client: this.#parts.client,
@@ -175,6 +180,15 @@
     exchange.sentTo.push(entry.id);
   }
 
+  /** Returns how long a call holds up those behind it at its server, in milliseconds. */
+  #estimateReadingMs(
+    { server: { entry: { id, service } }, unreadTokens }: Candidate,
+  ): number {
+    const { speeds } = this.#parts.learned;
+    return speeds.estimateMs(id, service, unreadTokens) -
+      speeds.estimateMs(id, service, 0);
+  }
+
   #readConnectionShare(
     { server: { entry } }: Candidate,
     { service }: Exchange,
