--- a/forwarding/call_forwarder.ts
+++ b/forwarding/call_forwarder.ts
@@ -11,31 +11,19 @@
 import type { RegisteredServer, ServerRegistry } from "../servers/mod.ts";
 import type { CallGrammar } from "./call_grammar.ts";
 import { CallReplies } from "./call_replies.ts";
+import { CallSender } from "./call_sender.ts";
 import { PlaceChooser } from "./choose_place.ts";
 import { ServerChooser } from "./choose_server.ts";
-import {
-  beginOffer,
-  endOffer,
-  type Exchange,
-  mayBeOffered,
-} from "./exchange.ts";
+import type { Exchange } from "./exchange.ts";
 import { InstanceSender } from "./instance_sender.ts";
 import { LearnedServers } from "./learned_servers.ts";
-import { Offer, type OfferEvents } from "./offer.ts";
 import type { CallSink, OpaqueCall } from "./opaque_call.ts";
 import { placeParts } from "./prefix_memory.ts";
 import type { Refusal } from "./refusal.ts";
-import { type RepeatBounds, RepeatBudget } from "./repeat_budget.ts";
-import type { AttemptOutcome, EndedOutcome } from "./run_attempt.ts";
+import { type RepeatBounds, RepeatBudgets } from "./repeat_budget.ts";
 import type { ServerClient } from "./server_client.ts";
-import { type SendOptions, ServerSender } from "./server_sender.ts";
-import {
-  avoidInstance,
-  NO_ROOM_RETRY_MS,
-  type SentPlace,
-  settleAttempt,
-  settleOffer,
-} from "./settle_attempt.ts";
+import { ServerSender } from "./server_sender.ts";
+import { NO_ROOM_RETRY_MS } from "./settle_attempt.ts";
 import { WaitingLine } from "./waiting_line.ts";
 import type { WarmUpBounds } from "./warm_up_gate.ts";
 
@@ -81,11 +69,9 @@
   readonly #replies: CallReplies;
   readonly #learned: LearnedServers;
   readonly #places: PlaceChooser;
-  readonly #toServers: ServerSender;
-  readonly #toInstances: InstanceSender;
   readonly #line: WaitingLine;
-  readonly #repeats = new Map<string, RepeatBudget>();
-  #repeatBounds: RepeatBounds;
+  readonly #repeats: RepeatBudgets;
+  readonly #sender: CallSender;
   #table: RouteTable | undefined;
   #inFlight = 0;
 
@@ -93,7 +79,7 @@
   constructor(parts: CallForwarderParts) {
     const { fleet, loads, random, registry } = parts;
     this.#parts = parts;
-    this.#repeatBounds = parts.repeatBounds;
+    this.#repeats = new RepeatBudgets(parts.repeatBounds);
     this.#line = new WaitingLine(parts.clock);
     this.#replies = new CallReplies({
       ...parts,
@@ -117,15 +103,22 @@
       random,
       listRegions: () => fleet.listRegions(),
     });
-    this.#toServers = new ServerSender({
-      ...parts,
-      learned: this.#learned,
-      createMarks: (exchange) => this.#replies.markAnswered(exchange),
-    });
-    this.#toInstances = new InstanceSender({
+    this.#sender = new CallSender({
       ...parts,
-      client: parts.peerClient,
+      replies: this.#replies,
       places: this.#places,
+      repeats: this.#repeats,
+      toServers: new ServerSender({
+        ...parts,
+        learned: this.#learned,
+        createMarks: (exchange) => this.#replies.markAnswered(exchange),
+      }),
+      toInstances: new InstanceSender({
+        ...parts,
+        client: parts.peerClient,
+        places: this.#places,
+      }),
+      onServerFree: () => this.wake(),
     });
   }
 
@@ -157,8 +150,7 @@
 
   /** Takes other bounds on repeated sends; what was sent so far is forgotten. */
   setRepeatBounds(bounds: RepeatBounds): void {
-    this.#repeatBounds = bounds;
-    this.#repeats.clear();
+    this.#repeats.setBounds(bounds);
   }
 
   /** Lets waiting calls look for room again. */
@@ -246,7 +238,7 @@
       return;
     }
     if (call.origin.kind === "caller") {
-      this.#readBudget(service.name).recordCall(call.receivedMs);
+      this.#repeats.recordCall(service.name, call.receivedMs);
     }
     const leastGapMs = this.#table.findLeastGapMs(service.name);
     await this.#forwardInTime(
@@ -328,7 +320,7 @@
       const nowMs = this.#parts.clock.nowMs();
       const place = this.#places.choose(exchange, nowMs);
       if (place.kind === "here" || place.kind === "away") {
-        if (await this.#sendOnce(exchange, place)) return;
+        if (await this.#sender.send(exchange, place)) return;
         continue;
       }
       const { targetMs, priority } = exchange.route;
@@ -357,141 +349,6 @@
     });
   }
 
-  /** @returns Whether the call is done. */
-  async #sendOnce(exchange: Exchange, first: SentPlace): Promise<boolean> {
-    let place = first;
-    let outcome = await this.#attempt(exchange, place);
-    while (outcome.kind === "handed-over") {
-      const { left, offer } = outcome;
-      endOffer(exchange);
-      this.#logOutcome(exchange, place, left);
-      settleAttempt(exchange, place, left);
-      place = offer.place;
-      outcome = await offer.outcome;
-    }
-    return this.#settle(exchange, place, outcome);
-  }
-
-  async #attempt(
-    exchange: Exchange,
-    place: SentPlace,
-    offered: Pick<SendOptions, "signal" | "onTaken"> = {},
-  ): Promise<AttemptOutcome> {
-    const options: SendOptions = {
-      ...offered,
-      offerElsewhere: (events) => this.#offerElsewhere(exchange, place, events),
-    };
-    if (place.kind === "away") {
-      return await this.#toInstances.send(exchange, place, options);
-    }
-    const outcome = await this.#toServers.send(
-      exchange,
-      place.candidate,
-      options,
-    );
-    this.wake();
-    return outcome;
-  }
-
-  /** Offers a call to a second place, while the attempt of the first one is held back. */
-  #offerElsewhere(
-    exchange: Exchange,
-    from: SentPlace,
-    events: OfferEvents,
-  ): Offer | undefined {
-    const { clock } = this.#parts;
-    if (!mayBeOffered(exchange)) return undefined;
-    avoidInstance(exchange, from);
-    const place = this.#places.choose(exchange, clock.nowMs());
-    if (place.kind !== "here" && place.kind !== "away") return undefined;
-    if (!this.#takeRepeat(exchange)) return undefined;
-    beginOffer(exchange);
-    return new Offer({
-      clock,
-      place,
-      send: ({ signal, onTaken }) =>
-        this.#attempt(exchange, place, {
-          signal: AbortSignal.any([exchange.signal, signal]),
-          onTaken,
-        }),
-      settle: (outcome) => {
-        endOffer(exchange);
-        this.#logOutcome(exchange, place, outcome);
-        settleOffer(exchange, place, outcome);
-      },
-    }, events);
-  }
-
-  /** @returns Whether the call is done. */
-  #settle(
-    exchange: Exchange,
-    place: SentPlace,
-    outcome: EndedOutcome,
-  ): boolean {
-    this.#logOutcome(exchange, place, outcome);
-    const step = settleAttempt(exchange, place, outcome);
-    switch (step.kind) {
-      case "done":
-        this.#replies.count(exchange, "answered");
-        return true;
-      case "choose-again":
-        return false;
-      case "repeat":
-        if (this.#takeRepeat(exchange)) return false;
-        this.#replies.finishWithout(exchange, step.refusal);
-        return true;
-      case "end":
-        this.#replies.finishWithout(exchange, step.refusal);
-        return true;
-    }
-  }
-
-  /** Takes one repeat from the call's attempts and the budget that all instances share. */
-  #takeRepeat(exchange: Exchange): boolean {
-    const { clock, fleet, metrics } = this.#parts;
-    if (exchange.attemptsLeft <= 0 || exchange.signal.aborted) return false;
-    const service = exchange.service.name;
-    const budget = this.#readBudget(service);
-    if (!budget.take(clock.nowMs(), fleet.countSharing())) return false;
-    metrics.count("call.repeats", 1, { service });
-    return true;
-  }
-
-  #logOutcome(
-    exchange: Exchange,
-    place: SentPlace,
-    outcome: EndedOutcome,
-  ): void {
-    const at = place.kind === "away"
-      ? place.member.id
-      : place.candidate.server.entry.id;
-    switch (outcome.kind) {
-      case "answered":
-      case "given-up":
-      case "failed":
-        return;
-      case "rejected":
-        this.#replies.log(exchange, "rejected", {
-          at,
-          isOtherServer: outcome.isOtherServer,
-        });
-        return;
-      case "not-sent":
-        this.#replies.log(exchange, "not sent", {
-          at,
-          reason: outcome.message,
-        });
-        return;
-      case "no-answer":
-      case "broken":
-        this.#replies.log(exchange, outcome.kind, {
-          at,
-          reason: outcome.message,
-        });
-        return;
-    }
-  }
-
   /** Says of each server of the own region why it has no room, for the log. */
   #describeServers(exchange: Exchange, nowMs: number): string {
     const { fleet, loads, registry } = this.#parts;
@@ -512,14 +369,6 @@
     if (service === undefined) return 0;
     return this.#table?.findService(service)?.engine?.cacheTokens ?? 0;
   }
-
-  #readBudget(service: string): RepeatBudget {
-    const known = this.#repeats.get(service);
-    if (known !== undefined) return known;
-    const budget = new RepeatBudget(this.#repeatBounds);
-    this.#repeats.set(service, budget);
-    return budget;
-  }
 }
 
 /** A call whose route and service are known. */
--- a/forwarding/mod.ts
+++ b/forwarding/mod.ts
@@ -39,4 +39,5 @@
 export * from "./call_replies.ts";
 export * from "./server_sender.ts";
 export * from "./instance_sender.ts";
+export * from "./call_sender.ts";
 export * from "./call_forwarder.ts";
--- a/forwarding/repeat_budget.ts
+++ b/forwarding/repeat_budget.ts
@@ -51,3 +51,43 @@
     return true;
   }
 }
+
+/** The shares of one instance in the bounds on repeated sends, by service. */
+export class RepeatBudgets {
+  readonly #byService = new Map<string, RepeatBudget>();
+  #bounds: RepeatBounds;
+
+  /** @param bounds What all instances together may send to each service. */
+  constructor(bounds: RepeatBounds) {
+    this.#bounds = bounds;
+  }
+
+  /** Takes other bounds; what was sent so far is forgotten. */
+  setBounds(bounds: RepeatBounds): void {
+    this.#bounds = bounds;
+    this.#byService.clear();
+  }
+
+  /** Records a caller's call to a service. */
+  recordCall(service: string, nowMs: number): void {
+    this.#find(service).recordCall(nowMs);
+  }
+
+  /**
+   * Takes one repeat to a service, if the share holds one.
+   *
+   * @param service Which.
+   * @param nowMs Time now.
+   * @param instances Instances that share the bound.
+   */
+  take(service: string, nowMs: number, instances: number): boolean {
+    return this.#find(service).take(nowMs, instances);
+  }
+
+  #find(service: string): RepeatBudget {
+    const known = this.#byService.get(service) ??
+      new RepeatBudget(this.#bounds);
+    this.#byService.set(service, known);
+    return known;
+  }
+}
--- a/state/mod.ts
+++ b/state/mod.ts
@@ -13,5 +13,7 @@
 export * from "./removal_log.ts";
 export * from "./state_source.ts";
 export * from "./merge_state.ts";
+export * from "./held_documents.ts";
+export * from "./judge_server_entry.ts";
 export * from "./state_follower.ts";
 export * from "./instance_entry.ts";
--- a/state/state_follower.ts
+++ b/state/state_follower.ts
@@ -10,10 +10,11 @@
   StoreEvent,
   StoreSnapshot,
 } from "../store/mod.ts";
+import { HeldDocuments } from "./held_documents.ts";
 import { judgeServerEntry, withdrawServer } from "./judge_server_entry.ts";
 import { mayReplace, pickFresh } from "./merge_state.ts";
-import type { StateDecoder, StateDocument } from "./state_change.ts";
-import { RemovalLog, type RemovedKey } from "./removal_log.ts";
+import type { StateDecoder } from "./state_change.ts";
+import type { RemovedKey } from "./removal_log.ts";
 import type { StateCopy, StateSource } from "./state_source.ts";
 
 /**
@@ -78,14 +79,6 @@
   readonly isRelay?: () => boolean;
 }
 
-interface Held {
-  /** Last revision of the key that was judged. */
-  readonly revision: number;
-  /** What copies for peers carry. */
-  readonly entry: StoreEntry;
-  readonly document: StateDocument;
-}
-
 /**
  * Follows the documents in the store and puts them in force: configuration,
  * servers, evacuations. Where the store does not answer, the last known state
@@ -97,8 +90,7 @@
  */
 export class StateFollower implements StateSource {
   readonly #parts: StateFollowerParts;
-  readonly #held = new Map<string, Held>();
-  readonly #removals = new RemovalLog();
+  readonly #held = new HeldDocuments();
   #revision = 0;
   /** Time up to which the pace of answers is used up. */
   #pacedUntilMs = 0;
@@ -133,14 +125,14 @@
 
   /** Addresses of instances that have an entry in the store. */
   get instanceAddresses(): readonly string[] {
-    return this.#documents().flatMap((document) =>
+    return this.#held.documents.flatMap((document) =>
       document.kind === "instance" ? [document.address] : []
     );
   }
 
   /** Returns the entry of a key as last seen. */
   readEntry(key: string): StoreEntry | undefined {
-    return this.#held.get(key)?.entry;
+    return this.#held.readEntry(key);
   }
 
   /**
@@ -149,27 +141,10 @@
    * @param afterRevision Up to which the peer knows all; 0: nothing.
    */
   createCopy(afterRevision: number): StateCopy {
-    const entries = [...this.#held.values()].map(({ entry }) => entry);
-    const removed = this.#removals.listAfter(afterRevision);
-    const isAfterOutage = this.#isAfterOutage();
-    const revision = this.#revision;
-    if (removed === undefined) {
-      return {
-        revision,
-        afterRevision: 0,
-        entries,
-        removed: [],
-        isAfterOutage,
-      };
-    }
-    const changed = entries.filter((entry) => entry.revision > afterRevision);
-    return {
-      revision,
-      afterRevision,
-      entries: changed,
-      removed,
-      isAfterOutage,
-    };
+    return this.#held.createCopy(afterRevision, {
+      revision: this.#revision,
+      isAfterOutage: this.#isAfterOutage(),
+    });
   }
 
   /**
@@ -301,24 +276,18 @@
   #applySnapshot(snapshot: StoreSnapshot, graceMs: number): void {
     const { clock, registry } = this.#parts;
     const nowMs = clock.nowMs();
-    const listed = new Set(snapshot.entries.map(({ key }) => key));
-    [...this.#held.keys()].filter((key) => !listed.has(key))
-      .forEach((key) => this.#held.delete(key));
+    this.#held.keepOnly(new Set(snapshot.entries.map(({ key }) => key)));
     snapshot.entries.forEach((entry) => this.#applyEntry(entry));
-    const servers = this.#documents().flatMap((document) =>
-      document.kind === "server" ? [document.server] : []
-    );
-    registry.replaceAll(servers, nowMs, graceMs);
+    registry.replaceAll(this.#listServers(), nowMs, graceMs);
     this.#revision = Math.max(this.#revision, snapshot.revision);
-    this.#removals.restart(this.#revision);
+    this.#held.restartRemovals(this.#revision);
     this.#applyEvacuations();
     this.#parts.onServers();
   }
 
   #applyEntry(entry: StoreEntry): void {
-    const { key, revision, value } = entry;
-    const before = this.#held.get(key);
-    if (before !== undefined && before.revision >= revision) return;
+    const { key, value } = entry;
+    if (this.#held.isJudged(entry)) return;
     const decoded = this.#parts.decoder.decode(key, value);
     if (decoded.isErr()) {
       this.#refuseEntry(entry, decoded.error);
@@ -329,7 +298,7 @@
       this.#applyServer(entry, document.server);
       return;
     }
-    this.#held.set(key, { revision, entry, document });
+    this.#held.put(entry, document);
     if (document.kind === "configuration") {
       this.#applyConfiguration(document.configuration);
     }
@@ -344,30 +313,26 @@
     const { clock, logger, registry } = this.#parts;
     const { key, revision } = entry;
     logger.error("document refused", { key, revision, reason });
-    const before = this.#held.get(key);
-    switch (before?.document.kind) {
+    const before = this.#held.readDocument(key);
+    switch (before?.kind) {
       case "configuration":
-        this.#held.set(key, { ...before, revision });
+        this.#held.passOver(entry);
         return;
       case "server": {
-        const server = withdrawServer(before.document.server);
-        this.#held.set(key, {
-          revision,
-          entry,
-          document: { kind: "server", server },
-        });
+        const server = withdrawServer(before.server);
+        this.#held.put(entry, { kind: "server", server });
         registry.put(server, clock.nowMs());
         return;
       }
       default:
-        this.#held.set(key, { revision, entry, document: { kind: "other" } });
+        this.#held.put(entry, { kind: "other" });
     }
   }
 
   #applyServer(entry: StoreEntry, told: RegisteredServer): void {
     const { clock, logger, registry } = this.#parts;
     const { key, revision } = entry;
-    const before = this.#held.get(key)?.document;
+    const before = this.#held.readDocument(key);
     const verdict = judgeServerEntry(
       before?.kind === "server" ? before.server : undefined,
       told,
@@ -402,27 +367,19 @@
         });
         break;
     }
-    this.#held.set(key, {
-      revision,
-      entry,
-      document: { kind: "server", server },
-    });
+    this.#held.put(entry, { kind: "server", server });
     registry.put(server, clock.nowMs());
   }
 
-  #removeKey({ key, revision }: RemovedKey, isAfterOutage: boolean): void {
+  #removeKey(removed: RemovedKey, isAfterOutage: boolean): void {
     const { clock, logger, registry } = this.#parts;
-    const held = this.#held.get(key);
-    this.#held.delete(key);
-    this.#removals.record({ key, revision });
-    if (held?.document.kind !== "server") return;
-    const { id } = held.document.server;
+    const document = this.#held.remove(removed);
+    if (document?.kind !== "server") return;
+    const { id } = document.server;
     logger.info("server entry removed", { server: id });
     // After an outage the store may have dropped entries of servers that live.
     if (isAfterOutage) {
-      const rest = this.#documents().flatMap((document) =>
-        document.kind === "server" ? [document.server] : []
-      );
+      const rest = this.#listServers();
       registry.replaceAll(rest, clock.nowMs(), LAPSED_GRACE_MS);
     } else registry.remove(id);
   }
@@ -448,7 +405,7 @@
 
   #applyEvacuations(): void {
     const { clock, logger, registry } = this.#parts;
-    const domains = this.#documents().flatMap((document) =>
+    const domains = this.#held.documents.flatMap((document) =>
       document.kind === "evacuation" ? [document.failureDomain] : []
     );
     if (domains.join() === this.#evacuated.join()) return;
@@ -475,8 +432,10 @@
     });
   }
 
-  #documents(): readonly StateDocument[] {
-    return [...this.#held.values()].map(({ document }) => document);
+  #listServers(): readonly RegisteredServer[] {
+    return this.#held.documents.flatMap((document) =>
+      document.kind === "server" ? [document.server] : []
+    );
   }
 
   #isAfterOutage(): boolean {
