--- a/daemon/fleet_reporter.ts
+++ b/daemon/fleet_reporter.ts
@@ -84,6 +84,7 @@
   #regionReports = 0;
   #speakerSinceMs: number | undefined;
   #isAggregating = false;
+  #summarizedCount = 0;
 
   /** @param parts State and ports. */
   constructor(parts: FleetReporterParts) {
@@ -105,6 +106,11 @@
     );
   }
 
+  /** Members that get summaries from this instance. */
+  get summarizedCount(): number {
+    return this.#summarizedCount;
+  }
+
   /** Takes other addresses to begin at. */
   setSeedAddresses(addresses: readonly string[]): void {
     this.#seedAddresses = addresses;
@@ -177,7 +183,8 @@
       }),
       toAddresses(plan.reportTo),
     );
-    if (plan.summarizeFor.length > 0) this.#summarize(plan, near, nowMs);
+    this.#summarizedCount = plan.summarizeFor.length;
+    if (this.#summarizedCount > 0) this.#summarize(plan, near, nowMs);
   }
 
   /** Plans who is told, and notes whether this instance sums up for others. */
--- a/daemon/http_gateway.ts
+++ b/daemon/http_gateway.ts
@@ -346,6 +346,7 @@
     metrics.gauge("state.store_revision", storeRevision);
     metrics.gauge("state.store_reachable", this.state.isReachable ? 1 : 0);
     metrics.gauge("fleet.live", this.fleet.countAll(nowMs));
+    metrics.gauge("fleet.summarized", this.#reporter.summarizedCount);
     metrics.gauge("loop.delay_ms", this.loopDelay.readMs());
   }
 }
--- a/forwarding/call_sender.ts
+++ b/forwarding/call_sender.ts
@@ -96,13 +96,14 @@
     from: SentPlace,
     events: OfferEvents,
   ): Offer | undefined {
-    const { clock, places } = this.#parts;
+    const { clock, metrics, places } = this.#parts;
     if (!mayBeOffered(exchange)) return undefined;
     avoidInstance(exchange, from);
     const place = places.choose(exchange, clock.nowMs());
     if (place.kind !== "here" && place.kind !== "away") return undefined;
     if (!this.#takeRepeat(exchange)) return undefined;
     beginOffer(exchange);
+    metrics.count("call.offers", 1, { service: exchange.service.name });
     return new Offer({
       clock,
       place,
--- a/metrics/metrics.ts
+++ b/metrics/metrics.ts
@@ -22,11 +22,13 @@
   "call.in_flight": "gauge",
   "call.waiting": "gauge",
   "call.repeats": "counter; tags: service",
+  "call.offers": "counter; tags: service",
   "call.away": "counter; tags: service, region",
   "state.configuration_version": "gauge",
   "state.store_revision": "gauge",
   "state.store_reachable": "gauge; 1 answers, 0 does not",
   "fleet.live": "gauge",
+  "fleet.summarized": "gauge; members that get summaries from this instance",
   "call.overloaded": "counter",
   "loop.delay_ms": "gauge; longest that bytes read now have waited",
 } as const;
