Answers of the directory are counted, and logged when they change

Cause: callers were led away from their homes, and no log or metric said what the directory had answered, or from which picture, so that four hypotheses could not be told apart. Change: a metric by choice, and one line whenever the answer changes for the callers of a region and a host, with configuration, members, states and silence. Which instances are named is unchanged. Tests: directory/answer_recorder_test.ts.

--- a/daemon/http_gateway.ts
+++ b/daemon/http_gateway.ts
@@ -5,7 +5,7 @@
   scheduleEvery,
   waitFor,
 } from "../clock/mod.ts";
-import { pickEntries } from "../directory/mod.ts";
+import { AnswerRecorder, pickEntries } from "../directory/mod.ts";
 import {
   type FleetReport,
   FleetView,
@@ -109,6 +109,7 @@
   readonly #catchUp: PeerCatchUp | undefined;
   readonly #turns: TurnGate;
   readonly #reporter: FleetReporter;
+  readonly #answers: AnswerRecorder;
   #leavingSinceMs: number | undefined;
   #hasAskedEngines = false;
   #ended: AbortSignal | undefined;
@@ -119,6 +120,7 @@
     this.#parts = parts;
     this.loopDelay = new LoopDelay(clock);
     this.#turns = new TurnGate(clock);
+    this.#answers = new AnswerRecorder(parts);
     const loads = new LoadBoard();
     this.fleet = new FleetView({
       self: parts.self,
@@ -192,7 +194,15 @@
   pickEntries(region: RegionId, host: string): readonly MemberRecord[] {
     const readHomes = () => this.forwarder.readHomes(host);
     const nowMs = this.#parts.clock.nowMs();
-    return pickEntries(this.fleet, { region, readHomes }, nowMs);
+    const answer = pickEntries(this.fleet, { region, readHomes }, nowMs);
+    this.#answers.record({
+      ...answer,
+      region,
+      host,
+      configurationVersion: this.state.known.configurationVersion,
+      describeMembers: () => this.fleet.describe(nowMs),
+    });
+    return answer.entries;
   }
 
   /** Starts following the store and talking to other instances. */
--- /dev/null
+++ b/directory/answer_recorder_test.ts
@@ -0,0 +1,68 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { toRegionId } from "../ids/mod.ts";
+import { createSilentLogger, type Logger } from "../logs/mod.ts";
+import { NO_METRICS } from "../metrics/mod.ts";
+import { AnswerRecorder } from "./answer_recorder.ts";
+import type { EntryChoice } from "./pick_entries.ts";
+
+/** A recorder, and what it counted and logged. */
+function start() {
+  const counted: string[] = [];
+  const logged: string[] = [];
+  const logger: Logger = {
+    ...createSilentLogger(),
+    info: (message, fields) =>
+      logged.push(`${message} ${fields?.before} ${fields?.choice}`),
+  };
+  const recorder = new AnswerRecorder({
+    logger,
+    metrics: {
+      ...NO_METRICS,
+      count: (_name, _by, tags) => counted.push(tags?.choice ?? ""),
+    },
+  });
+  const record = (choice: EntryChoice, host = "app.example") =>
+    recorder.record({
+      choice,
+      entries: [],
+      host,
+      region: toRegionId("north"),
+      configurationVersion: 1,
+      describeMembers: () => "",
+    });
+  return { counted, logged, record };
+}
+
+describe("AnswerRecorder", () => {
+  it("counts each answer and logs changes only", () => {
+    const { counted, logged, record } = start();
+    (["near", "near", "home", "home", "near"] as const)
+      .forEach((choice) => record(choice));
+    assert.deepEqual(counted, ["near", "near", "home", "home", "near"]);
+    assert.deepEqual(logged, [
+      "callers led near home",
+      "callers led home near",
+    ]);
+  });
+
+  it("keeps hosts apart", () => {
+    const { logged, record } = start();
+    record("home", "a.example");
+    record("home", "b.example");
+    record("home", "a.example");
+    assert.equal(logged.length, 2);
+  });
+
+  it("remembers a bounded number of hosts", () => {
+    const { logged, record } = start();
+    Array.from({ length: 3_000 }, (_, at) => record("none", `${at}.example`));
+    assert.equal(logged.length, 3_000);
+    record("near", "0.example");
+    assert.equal(
+      logged.length,
+      3_000,
+      "forgotten, so that near is the default",
+    );
+  });
+});
--- a/directory/mod.ts
+++ b/directory/mod.ts
@@ -1,5 +1,5 @@
 /**
- * Which instances callers are told to connect to.
+ * Which instances callers are told to connect to, and the record of it.
  *
  * @example
  * ```ts
@@ -8,4 +8,5 @@
  * ```
  * @module
  */
+export * from "./answer_recorder.ts";
 export * from "./pick_entries.ts";
--- a/directory/pick_entries.ts
+++ b/directory/pick_entries.ts
@@ -13,6 +13,19 @@
   readonly readHomes: () => HostHomes;
 }
 
+/**
+ * Where the instances that an answer names are: in the caller's region, where its
+ * data may be, at either but about to leave, in any region, or nowhere.
+ */
+export type EntryChoice = "near" | "home" | "leaving" | "elsewhere" | "none";
+
+/** What a caller is told. */
+export interface EntryAnswer {
+  readonly choice: EntryChoice;
+  /** Instances that it may connect to. */
+  readonly entries: readonly MemberRecord[];
+}
+
 /**
  * Returns the instances that a caller may connect to: those of its region. If none
  * there takes calls, as when all of a region are restarted in turn, those of the
@@ -28,20 +41,27 @@
   fleet: FleetView,
   request: EntryRequest,
   nowMs: number,
-): readonly MemberRecord[] {
+): EntryAnswer {
   const listIn = (regions: readonly RegionId[]) =>
     regions.flatMap((region) => fleet.listReady(region, nowMs));
   const near = listIn([request.region]);
-  if (near.length > 0) return near.slice(0, MAX_ENTRIES);
+  if (near.length > 0) return createAnswer("near", near);
   const { isBound, regions } = request.readHomes();
   const home = listIn(regions);
-  if (home.length > 0) return home.slice(0, MAX_ENTRIES);
+  if (home.length > 0) return createAnswer("home", home);
   const leaving = [request.region, ...regions].flatMap((region) =>
     fleet.listLeaving(region, nowMs)
   );
   if (regions.length > 0 && leaving.length > 0) {
-    return [...new Set(leaving)].slice(0, MAX_ENTRIES);
+    return createAnswer("leaving", [...new Set(leaving)]);
   }
-  const entries = isBound ? [] : listIn(fleet.listRegions());
-  return entries.slice(0, MAX_ENTRIES);
+  const all = isBound ? [] : listIn(fleet.listRegions());
+  return createAnswer(all.length > 0 ? "elsewhere" : "none", all);
+}
+
+function createAnswer(
+  choice: EntryChoice,
+  entries: readonly MemberRecord[],
+): EntryAnswer {
+  return { choice, entries: entries.slice(0, MAX_ENTRIES) };
 }
--- a/directory/pick_entries_test.ts
+++ b/directory/pick_entries_test.ts
@@ -45,7 +45,7 @@
       fleet,
       { region, readHomes: () => ({ regions, isBound }) },
       nowMs,
-    ).map(({ id }) => id);
+    ).entries.map(({ id }) => id);
 }
 
 describe("pickEntries()", () => {
--- a/fleet/fleet_view.ts
+++ b/fleet/fleet_view.ts
@@ -134,6 +134,15 @@
       .map(({ member }) => member);
   }
 
+  /** Returns who is taken as running, what each does and for how long it has been silent, for logs. */
+  describe(nowMs: number): string {
+    const own = `${this.#self.id} ${this.#state}`;
+    const others = this.listSeen(nowMs).map(({ member, silentMs }) =>
+      `${member.id} ${member.state} ${Math.round(silentMs)}`
+    );
+    return [own, ...others].join(", ");
+  }
+
   /** Returns the other members of the own region that are taken as running, with what is known of them. */
   listNearSeen(nowMs: number): readonly SeenMember[] {
     return this.listSeen(nowMs)
--- a/metrics/metrics.ts
+++ b/metrics/metrics.ts
@@ -29,6 +29,8 @@
   "state.store_reachable": "gauge; 1 answers, 0 does not",
   "fleet.live": "gauge",
   "fleet.summarized": "gauge; members that get summaries from this instance",
+  "directory.answers":
+    "counter; tags: choice (near, home, leaving, elsewhere, none)",
   "call.overloaded": "counter",
   "loop.delay_ms": "gauge; longest that bytes read now have waited",
 } as const;
