A host with bound calls is never answered with other regions

Cause: one answer of the directory serves all calls of a host. A host whose calls differ in their homes was taken for one whose calls may go anywhere: where some routes are bound to no region (isBound false), and where the bound ones have no region in common (an empty intersection read as no bound at all). An instance without a configuration did the same. Class: nothing allowed and everything allowed had one representation. Ruled out by the log of answers: answers without a configuration, stale members. Change: where a host may be served is a union of unknown, anywhere and bound; a bound host gets its homes, then those there that leave, then the regions where 19 in 20 of the calls with homes that came in the last minute may be served, else nobody. SlidingCount moves to clock/, where both folders may use it. Routes of tests have one fixture. Test replaced: the directory was asserted to name all others where some calls of a host are bound to no region; that is what the users report as broken. Its replacement asserts that none is named.

--- a/clock/mod.ts
+++ b/clock/mod.ts
@@ -14,4 +14,5 @@
 export * from "./clock.ts";
 export * from "./loop_delay.ts";
 export * from "./random.ts";
+export * from "./sliding_count.ts";
 export * from "./virtual_clock.ts";
--- a/daemon/http_gateway.ts
+++ b/daemon/http_gateway.ts
@@ -192,9 +192,9 @@
    * @param host Which it wants to call.
    */
   pickEntries(region: RegionId, host: string): readonly MemberRecord[] {
-    const readHomes = () => this.forwarder.readHomes(host);
+    const findHomes = () => this.forwarder.findHomes(host);
     const nowMs = this.#parts.clock.nowMs();
-    const answer = pickEntries(this.fleet, { region, readHomes }, nowMs);
+    const answer = pickEntries(this.fleet, { region, findHomes }, nowMs);
     this.#answers.record({
       ...answer,
       region,
--- a/directory/mod.ts
+++ b/directory/mod.ts
@@ -4,7 +4,7 @@
  * @example
  * ```ts
  * import { pickEntries } from "./directory/mod.ts";
- * pickEntries(fleet, { region, readHomes: () => table.readHomes(host) }, nowMs);
+ * pickEntries(fleet, { region, findHomes: () => forwarder.findHomes(host) }, nowMs);
  * ```
  * @module
  */
--- a/directory/pick_entries.ts
+++ b/directory/pick_entries.ts
@@ -9,15 +9,22 @@
 export interface EntryRequest {
   /** Region of the caller. */
   readonly region: RegionId;
-  /** Returns where the calls of the wanted host may be served. */
-  readonly readHomes: () => HostHomes;
+  /** Returns where callers of the wanted host may be led. */
+  readonly findHomes: () => HostHomes;
 }
 
 /**
- * Where the instances that an answer names are: in the caller's region, where its
- * data may be, at either but about to leave, in any region, or nowhere.
+ * Where the instances that an answer names are: in the caller's region, where all of
+ * its calls may be served, at either but about to leave, where nearly all may be
+ * served, in any region, or nowhere.
  */
-export type EntryChoice = "near" | "home" | "leaving" | "elsewhere" | "none";
+export type EntryChoice =
+  | "near"
+  | "home"
+  | "leaving"
+  | "usual"
+  | "elsewhere"
+  | "none";
 
 /** What a caller is told. */
 export interface EntryAnswer {
@@ -28,10 +35,14 @@
 
 /**
  * Returns the instances that a caller may connect to: those of its region. If none
- * there takes calls, as when all of a region are restarted in turn, those of the
- * regions where its data may be, and if none does there either, those that have just
- * begun to leave: for a while they still take calls, and others may not serve them.
- * Those of other regions are named only if they can serve some of its calls.
+ * there takes calls, as when all of a region are restarted in turn, calls that are
+ * bound to no region may go to any other.
+ *
+ * Bound calls must not even be sent elsewhere: where all of their homes were restarted
+ * within seconds, up to 254 of 1,350 went to a region that is none of them. One answer
+ * serves all calls of a host, so that a host with bound calls gets their homes, then
+ * instances that have just begun to leave and still take calls, then nobody, though
+ * others could serve some of its calls.
  *
  * @param fleet Who runs where.
  * @param request Who asks.
@@ -44,24 +55,33 @@
 ): EntryAnswer {
   const listIn = (regions: readonly RegionId[]) =>
     regions.flatMap((region) => fleet.listReady(region, nowMs));
-  const near = listIn([request.region]);
-  if (near.length > 0) return createAnswer("near", near);
-  const { isBound, regions } = request.readHomes();
-  const home = listIn(regions);
-  if (home.length > 0) return createAnswer("home", home);
-  const leaving = [request.region, ...regions].flatMap((region) =>
-    fleet.listLeaving(region, nowMs)
-  );
-  if (regions.length > 0 && leaving.length > 0) {
-    return createAnswer("leaving", [...new Set(leaving)]);
+  const listLeaving = (regions: readonly RegionId[]) =>
+    [...new Set([request.region, ...regions])]
+      .flatMap((region) => fleet.listLeaving(region, nowMs));
+  const near = { choice: "near", entries: listIn([request.region]) } as const;
+  if (near.entries.length > 0) return pickFirst([near]);
+  const homes = request.findHomes();
+  switch (homes.kind) {
+    case "unknown":
+      return pickFirst([{ choice: "leaving", entries: listLeaving([]) }]);
+    case "anywhere":
+      return pickFirst([
+        { choice: "elsewhere", entries: listIn(fleet.listRegions()) },
+        { choice: "leaving", entries: listLeaving(fleet.listRegions()) },
+      ]);
+    case "bound":
+      return pickFirst([
+        { choice: "home", entries: listIn(homes.regions) },
+        { choice: "leaving", entries: listLeaving(homes.regions) },
+        { choice: "usual", entries: listIn(homes.usual) },
+      ]);
   }
-  const all = isBound ? [] : listIn(fleet.listRegions());
-  return createAnswer(all.length > 0 ? "elsewhere" : "none", all);
 }
 
-function createAnswer(
-  choice: EntryChoice,
-  entries: readonly MemberRecord[],
-): EntryAnswer {
-  return { choice, entries: entries.slice(0, MAX_ENTRIES) };
+/** Returns the first answer that names an instance. */
+function pickFirst(answers: readonly EntryAnswer[]): EntryAnswer {
+  const found = answers.find(({ entries }) => entries.length > 0);
+  return found === undefined
+    ? { choice: "none", entries: [] }
+    : { ...found, entries: found.entries.slice(0, MAX_ENTRIES) };
 }
--- a/directory/pick_entries_test.ts
+++ b/directory/pick_entries_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { FleetView, LoadBoard, type MemberState } from "../fleet/mod.ts";
+import type { HostHomes } from "../http_routes/mod.ts";
 import { toRegionId } from "../ids/mod.ts";
 import { createReport } from "../tests/report_fixture.ts";
 import { pickEntries } from "./pick_entries.ts";
@@ -37,52 +38,73 @@
   );
   return (
     region: typeof NORTH,
-    regions: readonly (typeof NORTH)[],
-    isBound = regions.length > 0,
+    homes: HostHomes,
     nowMs = LATER_MS,
   ) =>
-    pickEntries(
-      fleet,
-      { region, readHomes: () => ({ regions, isBound }) },
-      nowMs,
-    ).entries.map(({ id }) => id);
+    pickEntries(fleet, { region, findHomes: () => homes }, nowMs)
+      .entries.map(({ id }) => id);
 }
 
+const ANYWHERE: HostHomes = { kind: "anywhere" };
+const IN_NORTH_OR_SOUTH: HostHomes = {
+  kind: "bound",
+  regions: [NORTH, SOUTH],
+  usual: [],
+};
+
 describe("pickEntries()", () => {
   it("names the instances of the caller's region, wherever its data may be", () => {
     const pick = start({});
-    assert.deepEqual(pick(NORTH, []), ["north-1"]);
-    assert.deepEqual(pick(WEST, [NORTH, SOUTH]), ["west-1"]);
+    assert.deepEqual(pick(NORTH, ANYWHERE), ["north-1"]);
+    assert.deepEqual(pick(WEST, IN_NORTH_OR_SOUTH), ["west-1"]);
   });
 
   describe("when no instance of the caller's region takes calls", () => {
     it("names those where its data may be, and no others", () => {
       const pick = start({ north: "leaving" });
-      assert.deepEqual(pick(NORTH, [NORTH, SOUTH]), ["south-1"]);
+      assert.deepEqual(pick(NORTH, IN_NORTH_OR_SOUTH), ["south-1"]);
     });
 
     it("names all others where its data is bound to no region", () => {
       const pick = start({ north: "leaving" });
-      assert.deepEqual([...pick(NORTH, [])].sort(), ["south-1", "west-1"]);
+      assert.deepEqual([...pick(NORTH, ANYWHERE)].sort(), [
+        "south-1",
+        "west-1",
+      ]);
     });
 
     it("names those at home that have just begun to leave, before any other", () => {
       const pick = start({ north: "leaving", south: "leaving" });
-      const homes = [NORTH, SOUTH];
       const both = ["north-1", "south-1"];
-      assert.deepEqual(pick(NORTH, homes, true, 1_000), both);
-      assert.deepEqual(pick(NORTH, homes, false, 1_000), both);
-      assert.deepEqual(pick(NORTH, [], false, 1_000), ["west-1"]);
+      assert.deepEqual(pick(NORTH, IN_NORTH_OR_SOUTH, 1_000), both);
+      assert.deepEqual(pick(NORTH, ANYWHERE, 1_000), ["west-1"]);
     });
 
-    it("names none where none takes calls at home either, and no other can serve", () => {
+    it("names none where none takes calls at home either", () => {
       const pick = start({ north: "leaving", south: "leaving" });
-      assert.deepEqual(pick(NORTH, [NORTH, SOUTH]), []);
+      assert.deepEqual(pick(NORTH, IN_NORTH_OR_SOUTH), []);
     });
 
-    it("names all others then where some of its calls are bound to no region", () => {
-      const pick = start({ north: "leaving", south: "leaving" });
-      assert.deepEqual(pick(NORTH, [NORTH, SOUTH], false), ["west-1"]);
+    it("names those where nearly all of its calls may be served, after those that leave", () => {
+      const pick = start({ north: "leaving" });
+      const homes: HostHomes = { kind: "bound", regions: [], usual: [SOUTH] };
+      assert.deepEqual(pick(NORTH, homes, 1_000), ["north-1"]);
+      assert.deepEqual(pick(NORTH, homes), ["south-1"]);
+    });
+
+    it("names only its own that leave where it is not known what its calls are bound to", () => {
+      const pick = start({ north: "leaving" });
+      assert.deepEqual(pick(NORTH, { kind: "unknown" }, 1_000), ["north-1"]);
+      assert.deepEqual(pick(NORTH, { kind: "unknown" }), []);
+    });
+
+    it("names any that leave where none takes calls and nothing is bound", () => {
+      const pick = start({
+        north: "leaving",
+        south: "leaving",
+        west: "starting",
+      });
+      assert.deepEqual(pick(NORTH, ANYWHERE, 1_000), ["north-1", "south-1"]);
     });
   });
 });
--- a/forwarding/call_forwarder.ts
+++ b/forwarding/call_forwarder.ts
@@ -1,9 +1,11 @@
 import { type Clock, type Random, scheduleAfterReading } from "../clock/mod.ts";
 import type { FleetView, LoadBoard, ReportedPrefix } from "../fleet/mod.ts";
 import {
+  findHostHomes,
   type HostHomes,
   pickService,
   type RouteTable,
+  RouteUse,
 } from "../http_routes/mod.ts";
 import type { BackendId, RegionId } from "../ids/mod.ts";
 import type { Logger } from "../logs/mod.ts";
@@ -71,6 +73,7 @@
   readonly #places: PlaceChooser;
   readonly #line: WaitingLine;
   readonly #repeats: RepeatBudgets;
+  readonly #use = new RouteUse();
   readonly #sender: CallSender;
   #table: RouteTable | undefined;
   #inFlight = 0;
@@ -135,6 +138,7 @@
   /** Puts a configuration in force. */
   setTable(table: RouteTable): void {
     this.#table = table;
+    this.#use.keepOnly(table.configuration.routes);
     this.#line.wakeFirst(this.#line.length);
   }
 
@@ -143,9 +147,13 @@
     return this.#table?.findService(service)?.warmUpMs ?? 0;
   }
 
-  /** Returns where the calls of a host may be served. */
-  readHomes(host: string): HostHomes {
-    return this.#table?.readHomes(host) ?? { regions: [], isBound: false };
+  /** Returns where callers of a host may be led. */
+  findHomes(host: string): HostHomes {
+    const nowMs = this.#parts.clock.nowMs();
+    return findHostHomes(
+      this.#table?.listRoutes(host) ?? [],
+      (route) => this.#use.read(route, nowMs),
+    );
   }
 
   /** Takes other bounds on repeated sends; what was sent so far is forgotten. */
@@ -239,6 +247,7 @@
     }
     if (call.origin.kind === "caller") {
       this.#repeats.recordCall(service.name, call.receivedMs);
+      this.#use.record(route, call.receivedMs);
     }
     const leastGapMs = this.#table.findLeastGapMs(service.name);
     await this.#forwardInTime(
--- a/forwarding/repeat_budget.ts
+++ b/forwarding/repeat_budget.ts
@@ -1,4 +1,4 @@
-import { SlidingCount } from "./sliding_count.ts";
+import { SlidingCount } from "../clock/mod.ts";
 
 /** What all instances together may send beyond the first send of each call. */
 export interface RepeatBounds {
--- a/http_routes/mod.ts
+++ b/http_routes/mod.ts
@@ -9,5 +9,7 @@
  * ```
  * @module
  */
+export * from "./host_homes.ts";
 export * from "./http_route.ts";
 export * from "./route_table.ts";
+export * from "./route_use.ts";
--- a/http_routes/route_table.ts
+++ b/http_routes/route_table.ts
@@ -1,18 +1,9 @@
-import type { RegionId } from "../ids/mod.ts";
 import type {
   HttpRoute,
   HttpService,
   RouteConfiguration,
 } from "./http_route.ts";
 
-/** Where the calls of a host may be served. */
-export interface HostHomes {
-  /** Homes of every route of the host that has homes; none: they have none in common. */
-  readonly regions: readonly RegionId[];
-  /** Whether no route of the host can be served in another region. */
-  readonly isBound: boolean;
-}
-
 /** Finds the route of a call in one configuration. */
 export class RouteTable {
   readonly configuration: RouteConfiguration;
@@ -58,25 +49,9 @@
     return undefined;
   }
 
-  /**
-   * Returns where the calls of a host may be served.
-   *
-   * @param host Value of the header, with or without a port.
-   */
-  readHomes(host: string): HostHomes {
-    const routes = [
-      ...this.#routesByHost.get(toHostName(host))?.values() ?? [],
-    ];
-    const bound = routes.map(({ homeRegions }) => homeRegions)
-      .filter((homes) => homes.length > 0);
-    const [first = [], ...others] = bound;
-    const regions = first.filter((region) =>
-      others.every((homes) => homes.includes(region))
-    );
-    return {
-      regions,
-      isBound: regions.length > 0 && bound.length === routes.length,
-    };
+  /** Returns the routes of a host, named with or without a port; none: it is not known. */
+  listRoutes(host: string): readonly HttpRoute[] {
+    return [...this.#routesByHost.get(toHostName(host))?.values() ?? []];
   }
 
   /** Returns the shortest pause that streams of a service must keep, in milliseconds. */
--- /dev/null
+++ b/http_routes/route_use_test.ts
@@ -0,0 +1,33 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { createRoute } from "../tests/route_fixture.ts";
+import { RouteUse } from "./route_use.ts";
+
+describe("RouteUse", () => {
+  const bound = createRoute("/a/", ["north"]);
+
+  it("counts the calls of a minute", () => {
+    const use = new RouteUse();
+    [0, 30_000, 59_000].forEach((atMs) => use.record(bound, atMs));
+    assert.equal(use.read(bound, 59_000), 3);
+    assert.equal(use.read(bound, 80_000), 2);
+    assert.equal(use.read(bound, 200_000), 0);
+  });
+
+  it("counts a route on when its homes change, and forgets it with its host and path", () => {
+    const use = new RouteUse();
+    use.record(bound, 0);
+    const moved = createRoute("/a/", ["south"]);
+    use.keepOnly([moved]);
+    assert.equal(use.read(moved, 1), 1);
+    use.keepOnly([createRoute("/b/", ["north"])]);
+    assert.equal(use.read(moved, 1), 0);
+  });
+
+  it("counts none of routes that are bound to no region", () => {
+    const use = new RouteUse();
+    const free = createRoute("/f/");
+    use.record(free, 0);
+    assert.equal(use.read(free, 0), 0);
+  });
+});
--- a/metrics/metrics.ts
+++ b/metrics/metrics.ts
@@ -30,7 +30,7 @@
   "fleet.live": "gauge",
   "fleet.summarized": "gauge; members that get summaries from this instance",
   "directory.answers":
-    "counter; tags: choice (near, home, leaving, elsewhere, none)",
+    "counter; tags: choice (near, home, leaving, usual, elsewhere, none)",
   "call.overloaded": "counter",
   "loop.delay_ms": "gauge; longest that bytes read now have waited",
 } as const;
--- a/tests/callers_led_home_test.ts
+++ b/tests/callers_led_home_test.ts
@@ -18,55 +18,18 @@
 import { describe, it } from "node:test";
 import { VirtualClock } from "../clock/mod.ts";
 import type { MemberState } from "../fleet/mod.ts";
-import {
-  type HttpRoute,
-  INITIAL_LIMITS,
-  RouteTable,
-} from "../http_routes/mod.ts";
+import type { HttpRoute } from "../http_routes/mod.ts";
 import { toRegionId } from "../ids/mod.ts";
 import { createMember } from "./member_fixture.ts";
 import { createReport } from "./report_fixture.ts";
+import { createRoute, createRouteTable, ROUTE_HOST } from "./route_fixture.ts";
 import { createHeadSink, createOpaqueCall } from "./opaque_call_fixture.ts";
 import { createVirtualGateway, LOADED_STATE } from "./virtual_gateway.ts";
 
-const HOST = "app.example";
 const [NORTH, WEST] = [toRegionId("north"), toRegionId("west")] as const;
 
-function createRoute(pathPrefix: string, ...homes: string[]): HttpRoute {
-  return {
-    name: pathPrefix,
-    host: HOST,
-    pathPrefix,
-    routeClass: "idempotent",
-    timeoutMs: 1_000,
-    targetMs: 500,
-    longestGapMs: undefined,
-    priority: 0,
-    services: [{ service: "app", weight: 1 }],
-    maxAttempts: 1,
-    isResumable: false,
-    homeRegions: homes.map(toRegionId),
-  };
-}
-
-function createTable(routes: readonly HttpRoute[]): RouteTable {
-  const services = [{
-    name: "app",
-    maxConnections: 10,
-    warmUpMs: 0,
-    warmUpCallsPerSecond: 0,
-    engine: undefined,
-  }];
-  return new RouteTable({
-    version: 1,
-    routes,
-    services,
-    limits: INITIAL_LIMITS,
-  });
-}
-
 const UNBOUND = createRoute("/anywhere/");
-const BOUND = createRoute("/a/", "north", "south");
+const BOUND = createRoute("/a/", ["north", "south"]);
 
 /** When instances that left at the start no longer take calls, in milliseconds. */
 const LATER_MS = 2_600;
@@ -82,7 +45,7 @@
     clock,
     createState: () => ({ ...LOADED_STATE, isLoaded }),
   });
-  if (isLoaded) gateway.forwarder.setTable(createTable(routes));
+  if (isLoaded) gateway.forwarder.setTable(createRouteTable(routes));
   gateway.fleet.setState(states.north, clock.nowMs());
   const hearOthers = (sequence: number) =>
     (["south", "west"] as const).forEach((region) => {
@@ -107,7 +70,7 @@
       await clock.advance(0);
     },
     pick: (region = NORTH) =>
-      gateway.pickEntries(region, HOST).map(({ id }): string => id),
+      gateway.pickEntries(region, ROUTE_HOST).map(({ id }): string => id),
   };
 }
 
@@ -135,8 +98,8 @@
     const ROUTES = [
       BOUND,
       UNBOUND,
-      createRoute("/n/", "north"),
-      createRoute("/s/", "south"),
+      createRoute("/n/", ["north"]),
+      createRoute("/s/", ["south"]),
     ];
 
     it("are never led where none of its homes is", async () => {
--- a/tests/opaque_call_fixture.ts
+++ b/tests/opaque_call_fixture.ts
@@ -4,7 +4,7 @@
   OpaqueCall,
   ServerClient,
 } from "../forwarding/mod.ts";
-import { INITIAL_LIMITS, RouteTable } from "../http_routes/mod.ts";
+import { createRoute, createRouteTable } from "./route_fixture.ts";
 
 /** Answers each send at once with 200. */
 export const ANSWERING_CLIENT: ServerClient = {
@@ -18,31 +18,7 @@
 };
 
 /** One idempotent route of one plain service, `app`, to which the calls below go. */
-export const ONE_ROUTE = new RouteTable({
-  version: 1,
-  routes: [{
-    name: "r",
-    host: "app.example",
-    pathPrefix: "/a/",
-    routeClass: "idempotent",
-    timeoutMs: 2_000,
-    targetMs: 1_000,
-    longestGapMs: undefined,
-    priority: 0,
-    services: [{ service: "app", weight: 1 }],
-    maxAttempts: 2,
-    isResumable: false,
-    homeRegions: [],
-  }],
-  services: [{
-    name: "app",
-    maxConnections: 10,
-    warmUpMs: 0,
-    warmUpCallsPerSecond: 0,
-    engine: undefined,
-  }],
-  limits: INITIAL_LIMITS,
-});
+export const ONE_ROUTE = createRouteTable([createRoute("/a/")]);
 
 /**
  * Returns a call of a caller.
