An instance that leaves takes short calls while its region has no other

Cause: an instance that leaves waits up to 7.7 s for its long answers and refused every call after 2.5 s, also while all others of its region had left: a process that runs, with servers that have room, beside callers with nobody. Since bound hosts are not led to other regions any more, those callers had no way left. Change: it goes on taking calls whose time is over 0.2 s before its end, as long as it waits for answers anyway and no other of its region is ready; it says so in a state of its own (lingering), which earlier versions read as neither ready nor leaving, and the directory names it. What it refuses is told when the next process may be there. Ruled out: waiting longer than for the answers it has (the next process would come later).

--- a/daemon/http_gateway.ts
+++ b/daemon/http_gateway.ts
@@ -34,14 +34,19 @@
 import type { StateSource } from "../state/mod.ts";
 import type { Result } from "neverthrow";
 import { FleetReporter } from "./fleet_reporter.ts";
+import {
+  type Departure,
+  type DepartureStage,
+  estimateReturnMs,
+  findEndMs,
+  isOverInTime,
+  judgeDeparture,
+} from "./judge_departure.ts";
 import { PeerCatchUp, type ReadPeerState } from "./peer_catch_up.ts";
 
 /** Pause between sweeps of what is gone, in milliseconds. */
 const SWEEP_INTERVAL_MS = 250;
-/** How long calls are still taken after leaving began, in milliseconds: callers hear of it within a few answers. */
-const LEAVING_TAKES_CALLS_MS = 2_500;
-/** Left of the grace when everything is closed, in milliseconds. */
-const GRACE_MARGIN_MS = 300;
+/** Pause between looks at what is in flight while this instance leaves, in milliseconds. */
 const DRAIN_CHECK_MS = 50;
 
 /** What a source of routes and servers changes. */
@@ -110,7 +115,10 @@
   readonly #turns: TurnGate;
   readonly #reporter: FleetReporter;
   readonly #answers: AnswerRecorder;
-  #leavingSinceMs: number | undefined;
+  #departure: Departure | undefined;
+  #stage: DepartureStage = "taking";
+  /** Calls in flight that were taken after the first seconds of leaving. */
+  #lateCalls = 0;
   #hasAskedEngines = false;
   #ended: AbortSignal | undefined;
 
@@ -149,7 +157,7 @@
       applyTable: (table) => {
         parts.applyLimits(table.configuration.limits);
         this.forwarder.setTable(table);
-        if (this.#leavingSinceMs === undefined) this.fleet.setState("ready");
+        if (this.#departure === undefined) this.fleet.setState("ready");
       },
       onServers: () => this.#applyServers(),
       isRelay: () => this.#isRelay(),
@@ -182,7 +190,7 @@
 
   /** Whether callers may be sent here. */
   get isReady(): boolean {
-    return this.state.isLoaded && this.#leavingSinceMs === undefined;
+    return this.state.isLoaded && this.#departure === undefined;
   }
 
   /**
@@ -226,24 +234,16 @@
 
   /** Serves one call. */
   async handle(call: OpaqueCall, sink: CallSink): Promise<void> {
-    const { clock } = this.#parts;
     if (!await this.#turns.enter()) {
       this.#refuseOverloaded(call, sink);
       return;
     }
     if (sink.signal.aborted) return;
-    const leftMs = this.#leavingSinceMs;
-    if (
-      leftMs !== undefined && clock.nowMs() - leftMs > LEAVING_TAKES_CALLS_MS
-    ) {
-      this.forwarder.refuse(call, sink, {
-        reason: "leaving",
-        message: "This instance is leaving",
-        retryAfterMs: 0,
-      });
+    if (this.#departure === undefined || this.#stage === "taking") {
+      await this.forwarder.handle(call, sink);
       return;
     }
-    await this.forwarder.handle(call, sink);
+    await this.#handleLate(this.#departure, call, sink);
   }
 
   /** Takes a report of another instance. */
@@ -261,14 +261,15 @@
   async leave(graceMs: number, countOpen: () => number): Promise<void> {
     const { clock, logger } = this.#parts;
     const startMs = clock.nowMs();
-    this.#leavingSinceMs = startMs;
+    const departure = { sinceMs: startMs, graceMs };
+    this.#departure = departure;
     this.fleet.setState("leaving", startMs);
     this.#reporter.tellAll();
     logger.info("leaving", { inFlight: countOpen() });
-    const endMs = startMs + graceMs - GRACE_MARGIN_MS;
-    const earliestMs = startMs + LEAVING_TAKES_CALLS_MS;
-    while (clock.nowMs() < endMs) {
-      if (countOpen() === 0 && clock.nowMs() > earliestMs) break;
+    while (clock.nowMs() < findEndMs(departure)) {
+      const openCount = countOpen();
+      this.#setStage(departure, openCount - this.#lateCalls);
+      if (openCount === 0 && this.#stage === "closing") break;
       await waitFor(clock, DRAIN_CHECK_MS);
     }
     logger.info("left", {
@@ -277,6 +278,55 @@
     });
   }
 
+  /** Judges which calls are taken from now on, and tells the others. */
+  #setStage(departure: Departure, awaited: number): void {
+    const { clock, logger } = this.#parts;
+    const nowMs = clock.nowMs();
+    const hasStandIn = this.#hasStandIn(nowMs);
+    const stage = judgeDeparture(departure, { awaited, hasStandIn, nowMs });
+    if (stage === this.#stage) return;
+    logger.info("takes other calls", {
+      stage,
+      before: this.#stage,
+      awaited,
+      hasStandIn,
+    });
+    this.#stage = stage;
+    const isLingering = stage === "lingering";
+    this.fleet.setState(
+      isLingering ? "lingering" : "leaving",
+      departure.sinceMs,
+    );
+    this.#reporter.tellAll();
+  }
+
+  /** Whether another instance of the region takes calls. */
+  #hasStandIn(nowMs: number): boolean {
+    return this.fleet.listReady(this.fleet.self.region, nowMs).length > 0;
+  }
+
+  /** Serves a call that came after the first seconds of leaving, or refuses it. */
+  async #handleLate(
+    departure: Departure,
+    call: OpaqueCall,
+    sink: CallSink,
+  ): Promise<void> {
+    const dueMs = this.forwarder.findDueMs(call);
+    if (this.#stage === "lingering" && isOverInTime(departure, dueMs)) {
+      this.#lateCalls++;
+      await this.forwarder.handle(call, sink);
+      this.#lateCalls--;
+      return;
+    }
+    const nowMs = this.#parts.clock.nowMs();
+    const hasStandIn = this.#hasStandIn(nowMs);
+    this.forwarder.refuse(call, sink, {
+      reason: "leaving",
+      message: "This instance is leaving",
+      retryAfterMs: estimateReturnMs(departure, { hasStandIn, nowMs }),
+    });
+  }
+
   #refuseOverloaded(call: OpaqueCall, sink: CallSink): void {
     const { grammar, logger, metrics } = this.#parts;
     metrics.count("call.overloaded");
--- a/fleet/encode_report.ts
+++ b/fleet/encode_report.ts
@@ -32,7 +32,14 @@
 /** What a sender asks for, one bit each. */
 const WANTS_NEWS = 1;
 const WANTS_SUMMARY = 2;
-const STATES: readonly MemberState[] = ["starting", "ready", "leaving"];
+// Instances of earlier versions know the first three; to them a lingering one is neither
+// ready nor leaving, so that they name it to nobody.
+const STATES: readonly MemberState[] = [
+  "starting",
+  "ready",
+  "leaving",
+  "lingering",
+];
 
 // Rows in place of objects: reports go out many times a second, and bytes
 // between failure domains and regions are paid for.
--- a/fleet/fleet_report.ts
+++ b/fleet/fleet_report.ts
@@ -5,8 +5,16 @@
   RegionId,
 } from "../ids/mod.ts";
 
-/** Whether an instance takes calls. */
-export type MemberState = "starting" | "ready" | "leaving";
+/**
+ * Whether an instance takes calls: not yet, all, none after a few seconds, or, while it
+ * leaves and its region has no other, those that end before it does.
+ */
+export type MemberState = "starting" | "ready" | "leaving" | "lingering";
+
+/** Whether an instance ends soon. */
+export function isLeaving(state: MemberState): boolean {
+  return state === "leaving" || state === "lingering";
+}
 
 /** What an instance says of itself. */
 export interface MemberRecord {
--- a/fleet/fleet_view.ts
+++ b/fleet/fleet_view.ts
@@ -1,10 +1,11 @@
 import type { InstanceId, RegionId } from "../ids/mod.ts";
-import type {
-  FleetReport,
-  KnownState,
-  MemberNews,
-  MemberRecord,
-  MemberState,
+import {
+  type FleetReport,
+  isLeaving,
+  type KnownState,
+  type MemberNews,
+  type MemberRecord,
+  type MemberState,
 } from "./fleet_report.ts";
 import type { LoadBoard } from "./load_board.ts";
 import { type NearMember, SUMMARY_LATE_MS } from "./plan_reports.ts";
@@ -125,7 +126,7 @@
    */
   setState(state: MemberState, nowMs?: number): void {
     this.#state = state;
-    this.#leavingSinceMs = state === "leaving" ? nowMs : undefined;
+    this.#leavingSinceMs = isLeaving(state) ? nowMs : undefined;
   }
 
   /** Returns the members that are taken as running, without this one. */
@@ -175,7 +176,7 @@
     return isSelf ? [this.self, ...others] : others;
   }
 
-  /** Returns the members of a region, this one included, that have just begun to leave. */
+  /** Returns the members of a region, this one included, that leave and still take calls. */
   listLeaving(region: RegionId, nowMs: number): readonly MemberRecord[] {
     const own = { member: this.self, leavingSinceMs: this.#leavingSinceMs };
     const others = [...this.#seen.values()].filter((seen) =>
@@ -183,7 +184,8 @@
     );
     return [own, ...others].filter(({ leavingSinceMs, member }) =>
       member.region === region && leavingSinceMs !== undefined &&
-      nowMs - leavingSinceMs < LEAVING_NAMED_MS
+      (member.state === "lingering" ||
+        nowMs - leavingSinceMs < LEAVING_NAMED_MS)
     ).map(({ member }) => member);
   }
 
@@ -336,11 +338,11 @@
     }
     if (heardMs <= seen.heardMs) return;
     const isRestarted = seen.member.incarnation !== member.incarnation;
-    const isLeaving = seen.member.state === "leaving" && !isRestarted;
+    const hasLeft = isLeaving(seen.member.state) && !isRestarted;
     seen.heardMs = heardMs;
     if (isRestarted) seen.sequence = 0;
     // Who says itself that it leaves does not come back in the same incarnation.
-    if (isLeaving) return;
+    if (hasLeft && !isLeaving(member.state)) return;
     seen.leavingSinceMs = readLeavingSinceMs(seen, member, heardMs);
     seen.member = member;
   }
@@ -450,7 +452,7 @@
   { incarnation, state }: MemberRecord,
   heardMs: number,
 ): number | undefined {
-  if (state !== "leaving") return undefined;
+  if (!isLeaving(state)) return undefined;
   const isSame = before?.member.incarnation === incarnation;
   return (isSame ? before?.leavingSinceMs : undefined) ?? heardMs;
 }
--- a/fleet/pick_relays.ts
+++ b/fleet/pick_relays.ts
@@ -1,4 +1,4 @@
-import type { MemberRecord } from "./fleet_report.ts";
+import { isLeaving, type MemberRecord } from "./fleet_report.ts";
 
 /**
  * Instances of a region that speak for it and follow the store for it: one more
@@ -48,7 +48,7 @@
   candidates: readonly RelayCandidate[],
 ): readonly MemberRecord[] {
   const able = candidates.filter(({ isStoreLost, member }) =>
-    !isStoreLost && member.state !== "leaving"
+    !isStoreLost && !isLeaving(member.state)
   );
   const speakers = pickSpeakers(candidates.map(({ member }) => member));
   const standIns = pickSpeakers(able.map(({ member }) => member));
--- a/forwarding/call_forwarder.ts
+++ b/forwarding/call_forwarder.ts
@@ -3,6 +3,7 @@
 import {
   findHostHomes,
   type HostHomes,
+  type HttpRoute,
   pickService,
   type RouteTable,
   RouteUse,
@@ -206,6 +207,13 @@
     }
   }
 
+  /** Returns when the time of a call is over, on the own clock. */
+  findDueMs(call: OpaqueCall): number {
+    const facts = this.#parts.grammar.readCall(call.headers);
+    const route = this.#table?.findRoute(facts.host, call.target);
+    return call.receivedMs + readRemainingMs({ call, facts, route });
+  }
+
   /**
    * Answers a call with a refusal, in the form that its sender understands.
    *
@@ -388,8 +396,11 @@
 
 /** Returns the time that a call has: the least of its caller's and its route's. */
 function readRemainingMs(
-  { call: { origin }, facts, route }: RoutedCall,
+  { call: { origin }, facts, route }:
+    & Pick<RoutedCall, "call" | "facts">
+    & { readonly route: HttpRoute | undefined },
 ): number {
   if (origin.kind === "instance") return origin.hop.remainingMs;
-  return Math.min(facts.remainingMs ?? NO_BOUND_MS, route.timeoutMs);
+  const routeMs = route?.timeoutMs ?? NO_BOUND_MS;
+  return Math.min(facts.remainingMs ?? NO_BOUND_MS, routeMs);
 }
