--- a/directory/pick_entries.ts
+++ b/directory/pick_entries.ts
@@ -15,14 +15,14 @@
 
 /**
  * Where the instances that an answer names are: in the caller's region, where all of
- * its calls may be served, at either but about to leave, where nearly all may be
- * served, in any region, or nowhere.
+ * its calls may be served, where nearly all may be served, at the first two but about
+ * to leave, in any region, or nowhere.
  */
 export type EntryChoice =
   | "near"
   | "home"
-  | "leaving"
   | "usual"
+  | "leaving"
   | "elsewhere"
   | "none";
 
@@ -41,8 +41,8 @@
  * Bound calls must not even be sent elsewhere: where all of their homes were restarted
  * within seconds, up to 254 of 1,350 went to a region that is none of them. One answer
  * serves all calls of a host, so that a host with bound calls gets their homes, then
- * instances that have just begun to leave and still take calls, then nobody, though
- * others could serve some of its calls.
+ * those of nearly all, then instances that leave and still take calls, then nobody,
+ * though others could serve some of its calls.
  *
  * @param fleet Who runs where.
  * @param request Who asks.
@@ -72,8 +72,8 @@
     case "bound":
       return pickFirst([
         { choice: "home", entries: listIn(homes.regions) },
-        { choice: "leaving", entries: listLeaving(homes.regions) },
         { choice: "usual", entries: listIn(homes.usual) },
+        { choice: "leaving", entries: listLeaving(homes.regions) },
       ]);
   }
 }
