No region allowed and any region allowed are different values in a route

Cause: a route's homes were a list whose emptiness meant all regions. Nothing changes for routes whose rules are there.

--- a/bench/crowd_bench.ts
+++ b/bench/crowd_bench.ts
@@ -77,7 +77,7 @@
     services: [{ service: "app", weight: 1 }],
     maxAttempts: 2,
     isResumable: true,
-    homeRegions: [],
+    homeRegions: undefined,
   })),
   services: [{
     name: "app",
--- a/daemon/catalog_state.ts
+++ b/daemon/catalog_state.ts
@@ -121,7 +121,7 @@
     services: spec.services,
     maxAttempts: spec.maxAttempts,
     isResumable: spec.resumable,
-    homeRegions: [...homes ?? []],
+    homeRegions: homes && [...homes],
   };
 }
 
--- a/forwarding/choose_place.ts
+++ b/forwarding/choose_place.ts
@@ -146,8 +146,9 @@
   { route }: Exchange,
   regions: readonly RegionId[],
 ): readonly RegionId[] {
-  if (route.homeRegions.length === 0) return regions;
-  return regions.filter((region) => route.homeRegions.includes(region));
+  const { homeRegions } = route;
+  if (homeRegions === undefined) return regions;
+  return regions.filter((region) => homeRegions.includes(region));
 }
 
 function toNeeds(exchange: Exchange): CallNeeds {
--- a/http_routes/host_homes.ts
+++ b/http_routes/host_homes.ts
@@ -38,14 +38,16 @@
   countCalls: (route: HttpRoute) => number,
 ): HostHomes {
   if (routes.length === 0) return { kind: "unknown" };
-  const bound = routes.filter(({ homeRegions }) => homeRegions.length > 0);
+  const bound = routes.filter(({ homeRegions }) => homeRegions !== undefined);
   if (bound.length === 0) return { kind: "anywhere" };
-  const homes = [...new Set(bound.flatMap(({ homeRegions }) => homeRegions))];
+  const homes = [
+    ...new Set(bound.flatMap(({ homeRegions }) => homeRegions ?? [])),
+  ];
   const counts = new Map(bound.map((route) => [route, countCalls(route)]));
   const sumCalls = (some: readonly HttpRoute[]) =>
     some.reduce((sum, route) => sum + counts.get(route)!, 0);
   const listStraying = (region: RegionId) =>
-    bound.filter(({ homeRegions }) => !homeRegions.includes(region));
+    bound.filter(({ homeRegions }) => !homeRegions?.includes(region));
   const total = sumCalls(bound);
   const isUsual = (straying: readonly HttpRoute[]) =>
     straying.length > 0 && total >= FEWEST_CALLS &&
--- a/http_routes/host_homes_test.ts
+++ b/http_routes/host_homes_test.ts
@@ -6,7 +6,8 @@
 
 /** Finds the homes of a host whose routes have these homes and got so many calls. */
 function find(
-  routes: readonly (readonly [homes: readonly string[], calls: number])[],
+  routes:
+    readonly (readonly [homes: readonly string[] | undefined, calls: number])[],
 ) {
   const counts = new Map(
     routes.map(([homes, calls], at): [HttpRoute, number] => [
@@ -19,15 +20,26 @@
 
 describe("findHostHomes()", () => {
   it("returns what all bound routes of a host have in common", () => {
-    assert.deepEqual(find([[["north", "south"], 0], [["south"], 0], [[], 0]]), {
-      kind: "bound",
-      regions: ["south"],
-      usual: [],
-    });
+    assert.deepEqual(
+      find([[["north", "south"], 0], [["south"], 0], [undefined, 0]]),
+      {
+        kind: "bound",
+        regions: ["south"],
+        usual: [],
+      },
+    );
+  });
+
+  it("takes a route that no region may serve for bound", () => {
+    const homes = { kind: "bound", regions: [], usual: [] };
+    assert.deepEqual(find([[[], 0], [undefined, 0]]), homes);
+    assert.deepEqual(find([[[], 0], [["north"], 0]]), homes);
   });
 
   it("tells no homes, no home in common and no such host apart", () => {
-    assert.deepEqual(find([[[], 5], [[], 0]]), { kind: "anywhere" });
+    assert.deepEqual(find([[undefined, 5], [undefined, 0]]), {
+      kind: "anywhere",
+    });
     assert.deepEqual(find([[["north"], 0], [["south"], 0]]), {
       kind: "bound",
       regions: [],
@@ -41,7 +53,7 @@
       const homes = find([
         [["north", "south"], usual],
         [["north"], rare],
-        [[], 1_000],
+        [undefined, 1_000],
       ]);
       return homes.kind === "bound" ? homes.usual : undefined;
     };
--- a/http_routes/http_route.ts
+++ b/http_routes/http_route.ts
@@ -37,8 +37,11 @@
   readonly maxAttempts: number;
   /** Whether a broken stream may go on at another backend server. */
   readonly isResumable: boolean;
-  /** Regions that may serve it; empty: all. */
-  readonly homeRegions: readonly RegionId[];
+  /**
+   * Regions that may serve it; `undefined`: all. An empty list allows none, so that a
+   * rule that cannot be found never sets calls free.
+   */
+  readonly homeRegions: readonly RegionId[] | undefined;
 }
 
 /** A service that routes send calls to. */
--- a/http_routes/route_use.ts
+++ b/http_routes/route_use.ts
@@ -13,7 +13,7 @@
 
   /** Counts a call of a caller. */
   record(route: HttpRoute, nowMs: number): void {
-    if (route.homeRegions.length === 0) return;
+    if (route.homeRegions === undefined) return;
     const key = toKey(route);
     const count = this.#counts.get(key) ?? new SlidingCount(USE_WINDOW_MS);
     this.#counts.set(key, count);
--- a/tests/route_fixture.ts
+++ b/tests/route_fixture.ts
@@ -16,7 +16,7 @@
  */
 export function createRoute(
   pathPrefix: string,
-  homes: readonly string[] = [],
+  homes?: readonly string[],
 ): HttpRoute {
   return {
     name: pathPrefix,
@@ -30,7 +30,7 @@
     services: [{ service: "app", weight: 1 }],
     maxAttempts: 2,
     isResumable: false,
-    homeRegions: homes.map(toRegionId),
+    homeRegions: homes?.map(toRegionId),
   };
 }
 
