Who is refused by an instance that leaves is told to come back at once

Hypothesis: with nobody else in the region, a caller told when the next process is there is served more often. All come back at once to a process that has just started and waits behind each other. Change: reverted to 0, as it was before; the estimate goes.

--- a/daemon/http_gateway.ts
+++ b/daemon/http_gateway.ts
@@ -37,7 +37,6 @@
 import {
   type Departure,
   type DepartureStage,
-  estimateReturnMs,
   findEndMs,
   isOverInTime,
   judgeDeparture,
@@ -318,12 +317,13 @@
       this.#lateCalls--;
       return;
     }
-    const nowMs = this.#parts.clock.nowMs();
-    const hasStandIn = this.#hasStandIn(nowMs);
     this.forwarder.refuse(call, sink, {
       reason: "leaving",
       message: "This instance is leaving",
-      retryAfterMs: estimateReturnMs(departure, { hasStandIn, nowMs }),
+      // Another may take it. Told when the next process is there, all would come back
+      // at once to one that has just started: of three played days of restarts 60 to
+      // 62% of the calls had their answer in time in place of 70 to 76%.
+      retryAfterMs: 0,
     });
   }
 
