Soak: homes are stopped at once, and the directory is asked for bound calls

Why: the soak had no homes, so that it could not find callers led away from them. All instances of the regions that are homes are stopped at the same moment, and the directory of each instance is asked for callers of each region and a host with bound and unbound calls; what it names outside of homes and caller's region breaks a promise.

--- a/soak/apply_fault.ts
+++ b/soak/apply_fault.ts
@@ -56,33 +56,37 @@
   /** Applies a fault now and resolves when it is undone. */
   async run(planned: PlannedFault): Promise<void> {
     const { clock, print } = this.#parts;
-    const part = this.#findPart(planned.fault);
+    const parts = this.#findParts(planned.fault);
     // What a fault has hold of is left alone until it is undone.
-    if (this.#busy.has(part)) return;
-    this.#busy.add(part);
+    if (parts.some((part) => this.#busy.has(part))) return;
+    parts.forEach((part) => this.#busy.add(part));
     print(formatFault(planned));
     const fromMs = clock.nowMs();
     await this.#apply(planned.fault, planned.forMs);
     this.#spans.push({ planned, fromMs, toMs: clock.nowMs() });
-    this.#busy.delete(part);
+    parts.forEach((part) => this.#busy.delete(part));
   }
 
-  #findPart(fault: Fault): unknown {
-    const { instances, slots, store } = this.#parts.fleet;
+  #findParts(fault: Fault): readonly unknown[] {
+    const { homeInstances, instances, slots, store } = this.#parts.fleet;
     switch (fault.kind) {
       case "instance":
       case "crowd":
-        return instances[fault.index];
+        return [instances[fault.index]];
+      case "homes":
+        return homeInstances;
       case "link":
-        return fault.to === "store"
-          ? instances[fault.index]!.storeLink
-          : slots[fault.index];
+        return [
+          fault.to === "store"
+            ? instances[fault.index]!.storeLink
+            : slots[fault.index],
+        ];
       case "server":
-        return slots[fault.index];
+        return [slots[fault.index]];
       case "store":
-        return store;
+        return [store];
       case "operator":
-        return `operator ${fault.what}`;
+        return [`operator ${fault.what}`];
     }
   }
 
@@ -97,6 +101,8 @@
         );
       case "crowd":
         return this.#sendCrowd(instances[fault.index]!, forMs);
+      case "homes":
+        return this.#stopHomes(forMs);
       case "link":
         return this.#disturbLink(fault, forMs);
       case "server":
@@ -140,6 +146,16 @@
     }
   }
 
+  async #stopHomes(forMs: number): Promise<void> {
+    await this.#disturb(async () => {
+      await Promise.all(
+        this.#parts.fleet.homeInstances.map((instance) =>
+          this.#disturbInstance(instance, "stop", forMs)
+        ),
+      );
+    });
+  }
+
   async #sendCrowd(instance: SoakInstance, forMs: number): Promise<void> {
     const { clock, fleet, random } = this.#parts;
     const { process } = instance;
--- a/soak/caller.ts
+++ b/soak/caller.ts
@@ -7,8 +7,10 @@
 } from "../standin/platform_headers.ts";
 import type { CallEnd, CallKind, SeenCall } from "./observation.ts";
 
-/** Host of all routes. */
+/** Host of all routes that callers use. */
 export const SOAK_HOST = "soak.example";
+/** Host of which some calls are bound to regions and others not. */
+export const BOUND_HOST = "bound.soak.example";
 /** Time that a caller waits for an answer, in milliseconds. */
 const PATIENCE_MS = 4_000;
 
--- a/soak/check_promises.ts
+++ b/soak/check_promises.ts
@@ -18,6 +18,7 @@
   | "nothing new at what left"
   | "configuration never back"
   | "directory names no dead instance"
+  | "directory leads no call astray"
   | "a stop cuts nothing"
   | "who has gone is not served"
   | "service after the faults"
@@ -49,6 +50,7 @@
     ...checkDepartures(seen),
     ...checkVersions(seen),
     ...checkDirectories(seen),
+    ...checkAstray(seen),
     ...checkStops(seen),
     ...checkLeft(seen),
     ...checkService(seen),
@@ -175,6 +177,15 @@
   );
 }
 
+/** Bound calls go to their homes or stay in their caller's region, whatever is wrong. */
+function checkAstray({ directories }: Observation): readonly Violation[] {
+  return directories.filter(({ astray }) => astray.length > 0)
+    .map(({ astray }): Violation => ({
+      promise: "directory leads no call astray",
+      detail: `to ${astray.join(" ")}`,
+    }));
+}
+
 function checkStops({ calls, stops }: Observation): readonly Violation[] {
   return stops.filter(({ isCalm }) => isCalm).flatMap(({ atMs, instance }) =>
     calls.filter((call) =>
--- a/soak/check_promises_test.ts
+++ b/soak/check_promises_test.ts
@@ -149,12 +149,22 @@
   it("finds a directory that names an instance long gone", () => {
     const instanceDepartures = [{ id: "h1", atMs: 0, untilMs: 60_000 }];
     const name = (atMs: number) =>
-      check({ instanceDepartures, directories: [{ atMs, hosts: ["h1"] }] });
+      check({
+        instanceDepartures,
+        directories: [{ atMs, hosts: ["h1"], astray: [] }],
+      });
     assert.deepEqual(name(5_000), []);
     assert.deepEqual(name(13_000), ["directory names no dead instance"]);
     assert.deepEqual(name(61_000), []);
   });
 
+  it("finds a directory that leads bound calls away from their homes", () => {
+    const lead = (...astray: string[]) =>
+      check({ directories: [{ atMs: 1, hosts: ["h1", "h2"], astray }] });
+    assert.deepEqual(lead(), []);
+    assert.deepEqual(lead("h2"), ["directory leads no call astray"]);
+  });
+
   it("finds an answer that a stop cut off, where nothing else was wrong", () => {
     const calls = [
       createCall({ end: { kind: "broken", body: "" }, endedMs: 20_100 }),
--- a/soak/observation.ts
+++ b/soak/observation.ts
@@ -49,6 +49,8 @@
 export interface SeenDirectory {
   readonly atMs: number;
   readonly hosts: readonly string[];
+  /** Those of them to which calls of the caller may not be led. */
+  readonly astray: readonly string[];
 }
 
 /** What a process held, as the system counts it. */
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -10,6 +10,8 @@
   }
   /** Many callers connect to an instance that stands still, and leave before it goes on. */
   | { readonly kind: "crowd"; readonly index: number }
+  /** All instances of the regions that are homes are stopped at once, and stay away for a while. */
+  | { readonly kind: "homes" }
   | {
     readonly kind: "link";
     /** Whose calls the link carries: of an instance to the store, or of all to a server. */
@@ -80,6 +82,10 @@
 const START_EVERY_MS = 10_000;
 /** How long an overwritten entry stays, in milliseconds: longer than servers that left may get calls. */
 const OVERWRITTEN_MS = 8_000;
+/** One stop of all homes in so much time, in milliseconds: two, since a part of them is often disturbed already. */
+const HOMES_EVERY_MS = 5_000;
+/** How long the homes stay away once their instances have ended, in milliseconds: callers ask their directories a few times. */
+const HOMES_MS = 2_000;
 const PAUSE_MS = { least: 300, most: 1_500 };
 const DURATION_MS = { least: 300, most: 4_000 };
 
@@ -98,6 +104,7 @@
     ...faults,
     ...planCrowds(parts, endMs),
     ...planServerStarts(parts, endMs),
+    ...planHomeStops(parts, endMs),
   ];
 }
 
@@ -123,6 +130,21 @@
     .filter(({ atMs, forMs }) => atMs + forMs <= endMs);
 }
 
+/** Plans stops of all homes, from numbers of their own as crowds are. */
+function planHomeStops(
+  { seed }: PlanParts,
+  endMs: number,
+): readonly PlannedFault[] {
+  const random = createRandom(~seed ^ 2);
+  const count = Math.floor((endMs - CALM_START_MS) / HOMES_EVERY_MS) + 1;
+  return Array.from({ length: count }, (_, turn) => ({
+    fault: { kind: "homes" as const },
+    atMs: CALM_START_MS + turn * HOMES_EVERY_MS +
+      Math.round(random.nextFloat() * (HOMES_EVERY_MS - HOMES_MS)),
+    forMs: HOMES_MS,
+  })).filter(({ atMs, forMs }) => atMs + forMs <= endMs);
+}
+
 /** Plans crowds from numbers of their own: the other faults of a seed stay as they were. */
 function planCrowds(
   { instances, seed }: PlanParts,
--- a/soak/run_soak.ts
+++ b/soak/run_soak.ts
@@ -1,9 +1,10 @@
 import { readdirSync, readFileSync } from "node:fs";
 import { systemClock } from "../adapters/system_clock.ts";
 import { createRandom, type Random, waitFor } from "../clock/mod.ts";
+import type { PlatformProcess } from "../standin/platform_process.ts";
 import type { RecordedRun } from "../standin/recording_server.ts";
 import { FaultRunner } from "./apply_fault.ts";
-import { SOAK_HOST, SoakCaller } from "./caller.ts";
+import { BOUND_HOST, SOAK_HOST, SoakCaller } from "./caller.ts";
 import { checkPromises, type Violation } from "./check_promises.ts";
 import type {
   CallKind,
@@ -47,7 +48,7 @@
 /** Pause of a caller between calls, in milliseconds, and after one that failed. */
 const CALL_PAUSE_MS = 40;
 const FAILED_PAUSE_MS = 150;
-const DIRECTORY_PAUSE_MS = 500;
+const DIRECTORY_PAUSE_MS = 200;
 /** Calm after which everything must work again, in milliseconds: the users' 5 s, and half as much again. */
 const RECOVERED_AFTER_MS = 7_500;
 
@@ -174,17 +175,34 @@
   signal: AbortSignal,
 ): Promise<void> {
   for (let turn = 0; !signal.aborted; turn++) {
-    const { process } = fleet.instances[turn % fleet.instances.length]!;
-    const atMs = systemClock.nowMs();
-    const addresses = await process.listEntries(SOAK_HOST);
-    if (addresses !== undefined) {
-      const hosts = addresses.map((address) => address.split(":")[0]!);
-      directories.push({ atMs, hosts });
-    }
+    const { length } = fleet.instances;
+    const { process, region } = fleet.instances[turn % length]!;
+    // Callers ask those of other regions once theirs do not answer.
+    const caller = REGIONS[Math.floor(turn / length) % REGIONS.length]!;
+    const [own, bound] = await Promise.all([
+      askDirectory(process, SOAK_HOST, region),
+      askDirectory(process, BOUND_HOST, caller),
+    ]);
+    const allowed = [...fleet.homeRegions, caller];
+    const astray = fleet.instances.filter((instance) =>
+      bound.hosts.includes(instance.process.host) &&
+      !allowed.includes(instance.region)
+    ).map((instance) => instance.process.host);
+    directories.push({ ...own, astray: [] }, { ...bound, astray });
     await waitFor(systemClock, DIRECTORY_PAUSE_MS);
   }
 }
 
+async function askDirectory(
+  process: PlatformProcess,
+  host: string,
+  region: string,
+): Promise<Omit<SeenDirectory, "astray">> {
+  const atMs = systemClock.nowMs();
+  const addresses = await process.listEntries(host, region) ?? [];
+  return { atMs, hosts: addresses.map((address) => address.split(":")[0]!) };
+}
+
 function measureProcess({ process }: SoakInstance): readonly SeenProcess[] {
   const { name, pid } = process;
   if (pid === undefined) return [];
--- a/soak/soak_fleet.ts
+++ b/soak/soak_fleet.ts
@@ -11,7 +11,7 @@
 } from "../standin/recording_server.ts";
 import { toOwnLoopback } from "../standin/loopback_net.ts";
 import { type Clock, waitFor } from "../clock/mod.ts";
-import { type CalledInstance, SOAK_HOST } from "./caller.ts";
+import { BOUND_HOST, type CalledInstance, SOAK_HOST } from "./caller.ts";
 import { LinkProxy } from "./link_proxy.ts";
 
 /** What a fleet is made of. */
@@ -120,6 +120,18 @@
     return ready.every((isReady) => isReady);
   }
 
+  /** Homes of the bound calls: all regions but the last. */
+  get homeRegions(): readonly string[] {
+    return this.#parts.regions.slice(0, -1);
+  }
+
+  /** Instances of the regions that are homes. */
+  get homeInstances(): readonly SoakInstance[] {
+    return this.instances.filter(({ region }) =>
+      this.homeRegions.includes(region)
+    );
+  }
+
   /** Returns an instance as callers know it. */
   toCalled({ process: { host, name, starts } }: SoakInstance): CalledInstance {
     return { name, host, port: PLATFORM_PORTS.callers, starts };
@@ -149,6 +161,12 @@
       route("unsafe", "non-idempotent"),
       route("streaming", "stream"),
       route("safe", "version", service),
+      { ...route("safe", "free"), host: BOUND_HOST },
+      {
+        ...route("safe", "bound"),
+        host: BOUND_HOST,
+        homeRegions: this.homeRegions,
+      },
     ]);
   }
 
--- a/standin/platform_operator.ts
+++ b/standin/platform_operator.ts
@@ -20,6 +20,8 @@
   readonly kind: "safe" | "unsafe" | "streaming";
   readonly service: string;
   readonly timeoutMs: number;
+  /** Regions that may serve it. Default: all. */
+  readonly homeRegions?: readonly string[];
 }
 
 /** Pause after a write that the store did not take, in milliseconds. */
--- a/standin/platform_process.ts
+++ b/standin/platform_process.ts
@@ -81,13 +81,16 @@
   }
 
   /**
-   * Returns the addresses of instances that its directory names for a caller of
-   * its own region, or `undefined` where it does not answer.
+   * Returns the addresses of instances that its directory names, or `undefined`
+   * where it does not answer or names none.
    *
    * @param callHost Host that the caller wants to call.
+   * @param region Where the caller is. Default: where the instance is.
    */
-  async listEntries(callHost: string): Promise<readonly string[] | undefined> {
-    const { region } = this.#parts;
+  async listEntries(
+    callHost: string,
+    region = this.#parts.region,
+  ): Promise<readonly string[] | undefined> {
     const answer = await this.#get(
       "directory",
       `/havenspur/resolve?name=${callHost}&region=${region}&zone=${region}-a`,
