--- a/daemon/departure.ts
+++ b/daemon/departure.ts
@@ -12,7 +12,6 @@
 
 /** Pause between looks at what is in flight, in milliseconds. */
 const CHECK_INTERVAL_MS = 50;
-
 /** A departure goes on to its end. */
 const NEVER_CANCELLED = new AbortController().signal;
 
@@ -77,9 +76,9 @@
       if (hasDone({ stage: this.#stage, stageMs, openCount })) break;
     }
     stopListening();
-    do await this.#awaitReading(0); while (
-      countOpen() > 0 && clock.nowMs() < findEndMs(this.#times)
-    );
+    do {
+      await this.#awaitReading(0);
+    } while (countOpen() > 0 && clock.nowMs() < findEndMs(this.#times));
     logger.info("left", {
       cutOff: countOpen(),
       afterMs: Math.round(clock.nowMs() - sinceMs),
--- a/daemon/judge_departure.ts
+++ b/daemon/judge_departure.ts
@@ -16,6 +16,7 @@
  * milliseconds: four looks at what is in flight, and the answer on its way.
  */
 const LATE_CALL_MARGIN_MS = 200;
+
 /** When an instance leaves. */
 export interface DepartureTimes {
   /** When it began. */
@@ -34,8 +35,8 @@
 }
 
 /**
- * Which calls an instance that leaves takes: all, those that end before it does, or
- * none.
+ * Which calls an instance that leaves takes: all (`taking`), those that end before it
+ * does (`lingering`), or none (`closing`).
  */
 export type DepartureStage = "taking" | "lingering" | "closing";
 
