--- a/spec/mod.ts
+++ b/spec/mod.ts
@@ -13,5 +13,6 @@
 export * from "./explore.ts";
 export * from "./journal_spec.ts";
 export * from "./lease_spec.ts";
+export * from "./server_spec.ts";
 export * from "./specification.ts";
 export * from "./state_spec.ts";
--- a/spec/run_model.ts
+++ b/spec/run_model.ts
@@ -5,6 +5,7 @@
 import { explore, type Violation } from "./explore.ts";
 import { JOURNAL_MUTANTS, JOURNAL_SPEC } from "./journal_spec.ts";
 import { FENCED_SPEC, LEASE_MUTANTS, UNFENCED_SPEC } from "./lease_spec.ts";
+import { SERVER_MUTANTS, SERVER_SPEC } from "./server_spec.ts";
 import type { Mutant, Specification } from "./specification.ts";
 import { STATE_MUTANTS, STATE_SPECS } from "./state_spec.ts";
 
@@ -15,12 +16,14 @@
   FENCED_SPEC,
   UNFENCED_SPEC,
   ...STATE_SPECS,
+  SERVER_SPEC,
 ];
 const MUTANTS: readonly Mutant[] = [
   ...JOURNAL_MUTANTS,
   ...CONFIGURATION_MUTANTS,
   ...LEASE_MUTANTS,
   ...STATE_MUTANTS,
+  ...SERVER_MUTANTS,
 ];
 
 const failed = process.argv.includes("--mutants")
