Tests: members that linger, and one fixture of an instance that has heard of no other

Lingering members: named while they take calls, by their own word or that of others, no older word heeded, back after the next start.

--- a/daemon/peer_catch_up_test.ts
+++ b/daemon/peer_catch_up_test.ts
@@ -2,9 +2,11 @@
 import { describe, it } from "node:test";
 import { err, ok } from "neverthrow";
 import { VirtualClock, waitFor } from "../clock/mod.ts";
-import { FleetView, LoadBoard } from "../fleet/mod.ts";
-import { toFailureDomainId, toInstanceId, toRegionId } from "../ids/mod.ts";
 import { createSilentLogger } from "../logs/mod.ts";
+import {
+  createFleet,
+  createMember as createNamedMember,
+} from "../tests/member_fixture.ts";
 import { createReport } from "../tests/report_fixture.ts";
 import { createFullCopy } from "../tests/state_fixture.ts";
 import { LOADED_STATE } from "../tests/virtual_gateway.ts";
@@ -12,25 +14,15 @@
 
 const AHEAD = { configurationVersion: 2, storeRevision: 9, isStoreLost: false };
 
+/** A member whose address is its id. */
 function createMember(id: string) {
-  const [region] = id.split("-");
-  return {
-    id: toInstanceId(id),
-    incarnation: "1",
-    address: id,
-    region: toRegionId(region!),
-    failureDomain: toFailureDomainId(`${region}-a`),
-    state: "ready" as const,
-  };
+  return { ...createNamedMember(id, id.split("-")[0]), address: id };
 }
 
 /** An instance that is no relay: the first two of its region are others. */
 function start(readPeerState: ReadPeerState) {
   const clock = new VirtualClock();
-  const fleet = new FleetView({
-    self: createMember("north-9"),
-    loads: new LoadBoard(),
-  });
+  const fleet = createFleet(createMember("north-9"));
   let known = LOADED_STATE.known;
   const asked: string[] = [];
   const catchUp = new PeerCatchUp({
--- a/directory/pick_entries_property_test.ts
+++ b/directory/pick_entries_property_test.ts
@@ -1,10 +1,10 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import fc from "fast-check";
-import { FleetView, LoadBoard, type MemberState } from "../fleet/mod.ts";
+import type { MemberState } from "../fleet/mod.ts";
 import { findHostHomes, type HttpRoute } from "../http_routes/mod.ts";
 import { toRegionId } from "../ids/mod.ts";
-import { createMember } from "../tests/member_fixture.ts";
+import { createFleet, createMember } from "../tests/member_fixture.ts";
 import { createReport } from "../tests/report_fixture.ts";
 import { createRoute } from "../tests/route_fixture.ts";
 import { type EntryAnswer, pickEntries } from "./pick_entries.ts";
@@ -53,10 +53,7 @@
 function answer({ caller, members, routes }: Situation): EntryAnswer {
   const [own, ...others] = members;
   const [ownRegion, ownState] = own!;
-  const fleet = new FleetView({
-    self: createMember("self", ownRegion),
-    loads: new LoadBoard(),
-  });
+  const fleet = createFleet(createMember("self", ownRegion));
   fleet.setState(ownState, 0);
   others.forEach(([region, state], at) => {
     const member = { ...createMember(`member-${at}`, region), state };
--- a/directory/pick_entries_test.ts
+++ b/directory/pick_entries_test.ts
@@ -1,11 +1,11 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { FleetView, LoadBoard, type MemberState } from "../fleet/mod.ts";
+import type { MemberState } from "../fleet/mod.ts";
 import type { HostHomes } from "../http_routes/mod.ts";
 import { toRegionId } from "../ids/mod.ts";
 import { createReport } from "../tests/report_fixture.ts";
 import { pickEntries } from "./pick_entries.ts";
-import { createMember } from "../tests/member_fixture.ts";
+import { createFleet, createMember } from "../tests/member_fixture.ts";
 
 const [NORTH, SOUTH, WEST] = ["north", "south", "west"].map(toRegionId) as [
   ReturnType<typeof toRegionId>,
@@ -19,10 +19,7 @@
 /** One instance in each of three regions; that of the west answers. */
 function startAnswering(states: Partial<Record<string, MemberState>>) {
   const createOne = (region: string) => createMember(`${region}-1`, region);
-  const fleet = new FleetView({
-    self: createOne("west"),
-    loads: new LoadBoard(),
-  });
+  const fleet = createFleet(createOne("west"));
   fleet.setState(states.west ?? "ready");
   // They are heard at the start, and once more when those that leave have for a while.
   [0, LATER_MS].forEach((atMs, sequence) =>
--- a/fleet/fleet_view_property_test.ts
+++ b/fleet/fleet_view_property_test.ts
@@ -4,9 +4,9 @@
 import { createReport } from "../tests/report_fixture.ts";
 import { toFailureDomainId, toInstanceId, toRegionId } from "../ids/mod.ts";
 import type { FleetReport, MemberRecord } from "./fleet_report.ts";
-import { FAR_SILENCE_MS, FleetView, NEAR_SILENCE_MS } from "./fleet_view.ts";
+import { FAR_SILENCE_MS, NEAR_SILENCE_MS } from "./fleet_view.ts";
 import { LoadBoard } from "./load_board.ts";
-import { createMember } from "../tests/member_fixture.ts";
+import { createFleet, createMember } from "../tests/member_fixture.ts";
 
 const NORTH = toRegionId("north");
 const SOUTH = toRegionId("south");
@@ -48,10 +48,7 @@
 /** A view with what a reader of the same events knows of each member. */
 class Run {
   readonly loads = new LoadBoard();
-  readonly view = new FleetView({
-    self: createMember("self"),
-    loads: this.loads,
-  });
+  readonly view = createFleet(createMember("self"), this.loads);
   readonly incarnations = MEMBERS.map(() => 1);
   /** Incarnation in which a member's own report said that it leaves. */
   readonly left = new Map<number, number>();
--- a/fleet/fleet_view_test.ts
+++ b/fleet/fleet_view_test.ts
@@ -9,9 +9,11 @@
 } from "./encode_report.ts";
 import type { MemberRecord, MemberState } from "./fleet_report.ts";
 import { BEHIND_MS, FleetView, NEAR_SILENCE_MS } from "./fleet_view.ts";
-import { LoadBoard } from "./load_board.ts";
 import { createReport } from "../tests/report_fixture.ts";
-import { createMember as createNamedMember } from "../tests/member_fixture.ts";
+import {
+  createFleet,
+  createMember as createNamedMember,
+} from "../tests/member_fixture.ts";
 
 const NORTH = toRegionId("north");
 const SOUTH = toRegionId("south");
@@ -25,10 +27,7 @@
 }
 
 function createView(): FleetView {
-  const view = new FleetView({
-    self: createMember("self"),
-    loads: new LoadBoard(),
-  });
+  const view = createFleet();
   view.setState("ready");
   return view;
 }
@@ -66,6 +65,47 @@
     assert.deepEqual(listNames(view.listReady(NORTH, 100)), ["a", "self"]);
   });
 
+  it("names a member that leaves while it takes calls, and heeds no older word of it", () => {
+    const view = createView();
+    const hear = (state: MemberState, sequence: number, atMs: number) =>
+      view.applyReport(createReport(createMember("a", state), sequence), atMs);
+    const listLeaving = (nowMs: number) =>
+      listNames(view.listLeaving(NORTH, nowMs));
+    hear("ready", 1, 0);
+    hear("leaving", 2, 100);
+    assert.deepEqual(listLeaving(200), ["a"]);
+    hear("lingering", 3, 2_700);
+    assert.deepEqual(listLeaving(2_800), ["a"]);
+    const news = [{ member: createMember("a"), ageMs: 0 }];
+    view.applyReport(createReport(createMember("b"), 1, { news }), 2_900);
+    assert.deepEqual(listNames(view.listReady(NORTH, 2_900)), ["b", "self"]);
+    assert.deepEqual(listLeaving(2_900), ["a"]);
+    hear("leaving", 4, 3_000);
+    assert.deepEqual(listLeaving(3_000), []);
+  });
+
+  it("hears from others that a member that leaves takes calls, or no longer", () => {
+    const view = createView();
+    view.applyReport(createReport(createMember("a", "leaving"), 1), 0);
+    const tell = (state: MemberState, sequence: number, atMs: number) => {
+      const news = [{ member: createMember("a", state), ageMs: 0 }];
+      const report = createReport(createMember("b"), sequence, { news });
+      view.applyReport(report, atMs);
+      return listNames(view.listLeaving(NORTH, atMs));
+    };
+    assert.deepEqual(tell("lingering", 1, 3_000), ["a"]);
+    assert.deepEqual(tell("leaving", 2, 3_100), []);
+  });
+
+  it("takes a member back that has started again after it lingered", () => {
+    const view = createView();
+    view.applyReport(createReport(createMember("a", "lingering"), 9), 0);
+    const again = createMember("a", "ready", { incarnation: "2" });
+    view.applyReport(createReport(again, 1), 100);
+    assert.deepEqual(listNames(view.listReady(NORTH, 100)), ["a", "self"]);
+    assert.deepEqual(view.listLeaving(NORTH, 100), []);
+  });
+
   it("drops reports that come late", () => {
     const view = createView();
     view.applyReport(createReport(createMember("a", "leaving"), 2), 0);
--- a/forwarding/call_forwarder_test.ts
+++ b/forwarding/call_forwarder_test.ts
@@ -1,12 +1,16 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { createRandom, VirtualClock } from "../clock/mod.ts";
-import { FleetView, LoadBoard } from "../fleet/mod.ts";
+import { LoadBoard } from "../fleet/mod.ts";
 import { toRegionId } from "../ids/mod.ts";
 import { createSilentLogger } from "../logs/mod.ts";
 import { NO_METRICS } from "../metrics/mod.ts";
 import { ServerRegistry } from "../servers/mod.ts";
-import { createMember, createServerEntry } from "../tests/member_fixture.ts";
+import {
+  createFleet,
+  createMember,
+  createServerEntry,
+} from "../tests/member_fixture.ts";
 import {
   ANSWERING_CLIENT,
   createHeadSink,
@@ -41,10 +45,7 @@
   const { serverRegion = "north", peerClient = ANSWERING_CLIENT } = options;
   const clock = new VirtualClock();
   const loads = new LoadBoard();
-  const fleet = new FleetView({
-    self: createMember("a"),
-    loads,
-  });
+  const fleet = createFleet(createMember("a"), loads);
   const registry = new ServerRegistry();
   const region = toRegionId(serverRegion);
   registry.put(createServerEntry("s1", { region }), clock.nowMs());
--- a/forwarding/choose_server_test.ts
+++ b/forwarding/choose_server_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { FleetView, LoadBoard } from "../fleet/mod.ts";
+import { LoadBoard } from "../fleet/mod.ts";
 import type { HttpService } from "../http_routes/mod.ts";
 import { createRandom } from "../clock/mod.ts";
 import { toBackendId, toRegionId } from "../ids/mod.ts";
@@ -8,7 +8,11 @@
 import { type CallNeeds, ServerChooser } from "./choose_server.ts";
 import { LearnedServers } from "./learned_servers.ts";
 import { placeParts } from "./prefix_memory.ts";
-import { createMember, createServerEntry } from "../tests/member_fixture.ts";
+import {
+  createFleet,
+  createMember,
+  createServerEntry,
+} from "../tests/member_fixture.ts";
 
 const NORTH = toRegionId("north");
 const ENGINES: HttpService = {
@@ -22,10 +26,7 @@
 
 function start(servers: readonly string[], coldForMs = 0) {
   const loads = new LoadBoard();
-  const fleet = new FleetView({
-    self: createMember("self"),
-    loads,
-  });
+  const fleet = createFleet(createMember("self"), loads);
   const parts = {
     ownRegion: NORTH,
     registry: new ServerRegistry(),
--- a/tests/member_fixture.ts
+++ b/tests/member_fixture.ts
@@ -1,4 +1,4 @@
-import type { MemberRecord } from "../fleet/mod.ts";
+import { FleetView, LoadBoard, type MemberRecord } from "../fleet/mod.ts";
 import {
   toBackendId,
   toFailureDomainId,
@@ -25,6 +25,19 @@
   };
 }
 
+/**
+ * Returns the view of an instance that has heard of no other.
+ *
+ * @param self Who it is. Default: `self`, in region `north`.
+ * @param loads What its reports feed. Default: a board of its own.
+ */
+export function createFleet(
+  self: MemberRecord = createMember("self"),
+  loads = new LoadBoard(),
+): FleetView {
+  return new FleetView({ self, loads });
+}
+
 /**
  * Returns the entry of a warm server of service `app`, in the first failure domain
  * of region `north`.
