Nothing is said on a connection whose call is being served but that call's answer

Cause: refusals of the listener's timers and parser were written to the connection at once. Behind a whole call they came in the place of its answer: 408 promises that it has not run, though a server ran it; 400 was taken for its failure. What bytes stood behind the call there is not known. Change: while a call of the connection is being served nothing is written; the connection closes after its answer.

--- a/adapters/call_listener.ts
+++ b/adapters/call_listener.ts
@@ -49,6 +49,10 @@
   /** Open connections, and for how long each may have waited to be accepted; 0 from its first call on. */
   readonly #sockets = new Map<Socket, number>();
   readonly #newConnections = new NewConnections();
+  /** Calls of each connection that are being served. */
+  readonly #served = new Map<Duplex, number>();
+  /** Connections that close once their calls are served. */
+  readonly #ending = new Set<Duplex>();
   #limits: CallerLimits = INITIAL_LIMITS;
   #isLeaving = false;
   #openCount = 0;
@@ -70,7 +74,11 @@
     this.#server.on("request", (message, response) => {
       void this.#take(message, response);
     });
-    this.#server.on("clientError", refuseMalformed);
+    this.#server.on(
+      "clientError",
+      (error: NodeJS.ErrnoException, socket) =>
+        this.#refuseUnread(error, socket),
+    );
     this.setLimits(INITIAL_LIMITS);
   }
 
@@ -128,7 +136,12 @@
     const receivedMs = this.#parts.nowMs() - unreadMs;
     response.sendDate = false;
     this.#openCount++;
-    response.on("close", () => this.#openCount--);
+    const { socket } = message;
+    this.#served.set(socket, this.#countServed(socket) + 1);
+    response.on("close", () => {
+      this.#openCount--;
+      this.#noteServed(socket);
+    });
     if (this.#isLeaving) response.shouldKeepAlive = false;
     const sink = new ResponseSink(response);
     const refuse = (refusal: Refusal) => {
@@ -171,6 +184,32 @@
     await this.#parts.handle(call, sink);
   }
 
+  #countServed(socket: Duplex): number {
+    return this.#served.get(socket) ?? 0;
+  }
+
+  #noteServed(socket: Duplex): void {
+    const left = this.#countServed(socket) - 1;
+    if (left > 0) {
+      this.#served.set(socket, left);
+      return;
+    }
+    this.#served.delete(socket);
+    if (this.#ending.delete(socket)) socket.end();
+  }
+
+  /**
+   * Refuses bytes that are no call, or are late. While a call of the connection is
+   * being served nothing is written, since it would be taken for that call's answer:
+   * one that ran was told that it had not. The connection closes after the answer.
+   */
+  #refuseUnread(error: NodeJS.ErrnoException, socket: Duplex): void {
+    const isGone = !socket.writable || error.code === "ECONNRESET";
+    if (isGone) socket.destroy();
+    else if (this.#countServed(socket) > 0) this.#ending.add(socket);
+    else refuseMalformed(error, socket);
+  }
+
   /** How long a call may have waited until now; the first of a connection also to be accepted. */
   #readUnreadMs(socket: Socket): number {
     const acceptMs = this.#sockets.get(socket) ?? 0;
@@ -245,10 +284,6 @@
 
 /** Answers bytes that are no request; nothing of them was passed on. */
 function refuseMalformed(error: NodeJS.ErrnoException, socket: Duplex): void {
-  if (!socket.writable || error.code === "ECONNRESET") {
-    socket.destroy();
-    return;
-  }
   const { head, body } = toRefusalAnswer(toParserRefusal(error));
   const lines = head.headers.flatMap((name, at) =>
     at % 2 === 0 ? [`${name}: ${head.headers[at + 1]}`] : []
