Lines of lost calls name their content

So that two calls with different ids can be told to be the same one: a hash of method, host, path and body, worked out only where a line is written.

--- a/forwarding/call_forwarder.ts
+++ b/forwarding/call_forwarder.ts
@@ -11,6 +11,7 @@
 import type { BackendId, RegionId } from "../ids/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
+import { CallContent } from "../quarantine/mod.ts";
 import type { RegisteredServer, ServerRegistry } from "../servers/mod.ts";
 import type { CallGrammar } from "./call_grammar.ts";
 import { CallReplies } from "./call_replies.ts";
@@ -308,10 +309,12 @@
     dueMs: number,
     signal: AbortSignal,
   ): Exchange {
-    const { call: { origin }, facts, route } = routed;
+    const { call, facts, route } = routed;
+    const { origin } = call;
     const hop = origin.kind === "instance" ? origin.hop : undefined;
     return {
       ...routed,
+      content: new CallContent({ ...call, host: facts.host }),
       parts: placeParts(facts.prompt?.parts ?? []),
       dueMs,
       signal,
--- a/forwarding/call_sender.ts
+++ b/forwarding/call_sender.ts
@@ -186,6 +186,8 @@
       case "broken":
         replies.log(exchange, outcome.kind, {
           at,
+          // Tells whether the same call is lost again and again.
+          content: exchange.content.fingerprint,
           reason: outcome.message,
         });
         return;
--- a/forwarding/exchange.ts
+++ b/forwarding/exchange.ts
@@ -1,5 +1,6 @@
 import type { HttpRoute, HttpService } from "../http_routes/mod.ts";
 import type { BackendId, InstanceId, RegionId } from "../ids/mod.ts";
+import type { CallContent } from "../quarantine/mod.ts";
 import type { CallFacts } from "./call_grammar.ts";
 import type { CallSink, OpaqueCall } from "./opaque_call.ts";
 import type { PlacedPart } from "./prefix_memory.ts";
@@ -8,6 +9,8 @@
 /** One call on its way, with what has become of it so far. */
 export interface Exchange {
   readonly call: OpaqueCall;
+  /** What is the same where the call comes again. */
+  readonly content: CallContent;
   readonly facts: CallFacts;
   readonly route: HttpRoute;
   readonly service: HttpService;
--- a/ids/mod.ts
+++ b/ids/mod.ts
@@ -32,6 +32,8 @@
 export type AttemptId = Branded<"AttemptId">;
 /** An idempotency key with its team. */
 export type RunKey = Branded<"RunKey">;
+/** Method, host, path and body of a call: a call that comes again has the same. */
+export type CallFingerprint = Branded<"CallFingerprint">;
 /** One write to the store, unique for ever. */
 export type ChangeId = Branded<"ChangeId">;
 
@@ -55,6 +57,9 @@
 export const toRequestId = (text: string): RequestId => text as RequestId;
 /** Returns the text as an attempt id. */
 export const toAttemptId = (text: string): AttemptId => text as AttemptId;
+/** Returns the text as a call fingerprint. */
+export const toCallFingerprint = (text: string): CallFingerprint =>
+  text as CallFingerprint;
 /** Returns the text as a change id. */
 export const toChangeId = (text: string): ChangeId => text as ChangeId;
 
