--- a/forwarding/server_client.ts
+++ b/forwarding/server_client.ts
@@ -22,8 +22,11 @@
 
 /** Why a send gave no whole answer. */
 export interface SendFailure {
-  /** `not-sent`: no byte of the call has left; `unknown`: it may have run. */
-  readonly kind: "not-sent" | "unknown";
+  /**
+   * `not-sent`: no byte of the call has left; otherwise it may have run. `closed`: the
+   * other side ended the connection within it, as a server does that ends itself.
+   */
+  readonly kind: "not-sent" | "closed" | "unknown";
   readonly message: string;
 }
 
