An answer a little before speaks for a call, so that popular calls are not refused

What callers would have seen: many of them send the same call (a list of models, a shared picture), several servers end at once for a reason of their own, a rack that loses power say, each with one of these calls, and the call is refused everywhere for ten minutes.

Change: answered calls are remembered, 2,048 for a minute, and no end counts against them; an instance that answered a call contradicts others that tell of ends under it. The quick look at the path alone goes: each answered call is hashed now, 5 to 20 us for short bodies by the sizes of the hash's work (not measured here). What is refused for long is dropped where nobody asks for it any more.

--- a/quarantine/call_quarantine.ts
+++ b/quarantine/call_quarantine.ts
@@ -1,5 +1,5 @@
 import type { BackendId, CallFingerprint } from "../ids/mod.ts";
-import { type CallContent, readPathKey } from "./call_content.ts";
+import type { CallContent } from "./call_content.ts";
 import type { ReportedEnds } from "./reported_ends.ts";
 
 /**
@@ -20,8 +20,14 @@
 const MAX_HELD = 256;
 /** Servers that are remembered of one call. */
 const MAX_SERVERS = 16;
-/** Calls that were answered after a server had ended under them. */
-const MAX_ANSWERED = 1_024;
+/**
+ * How long an answer speaks for a call, in milliseconds. Many callers may send the
+ * same call, and several servers may end at once for a reason of their own; beyond
+ * that time the call may meet servers of another version.
+ */
+const ANSWER_COUNTS_MS = 60_000;
+/** Answered calls that are remembered: those of a few seconds at the most. */
+const MAX_ANSWERED = 2_048;
 
 interface Suspect {
   readonly servers: Set<BackendId>;
@@ -42,10 +48,10 @@
  * others tell. A call that ends each server that runs it would otherwise end them one
  * after the other as its caller repeats it, each with all calls that it had.
  *
- * All calls of a server that ends are suspects, and only what comes after tells them
- * apart: a whole answer clears a call for good, since the one that ends servers gets
- * none; and servers that ended under a call with more ends speak against that one
- * only. A call is told by its content: its id is new each time.
+ * All calls of a server that ends are suspects. What tells them apart is a whole
+ * answer, here or elsewhere, a little before or at any time after: the call that ends
+ * servers gets none. And servers that ended under a call with more ends speak against
+ * that one only. A call is told by its content: its id is new each time.
  */
 export class CallQuarantine {
   readonly #onHeld: NonNullable<CallQuarantineParts["onHeld"]>;
@@ -53,8 +59,6 @@
   readonly #suspects = new Map<CallFingerprint, Suspect>();
   readonly #held = new Set<CallFingerprint>();
   readonly #answeredMs = new Map<CallFingerprint, number>();
-  /** Suspects by path, to pass over other calls quickly. */
-  readonly #countByPath = new Map<string, number>();
   #untold: ReportedEnds[] = [];
   #heldTurn = 0;
 
@@ -91,10 +95,10 @@
    * @param content The call.
    * @param nowMs Time now.
    */
-  recordAnswer(content: CallContent, nowMs: number): void {
-    if (!this.#isSuspect(content)) return;
-    const ends = { call: content.fingerprint, servers: [], ageMs: 0 };
-    if (this.#learnOne(ends, nowMs)) this.#untold.push(ends);
+  recordAnswer({ fingerprint }: CallContent, nowMs: number): void {
+    if (this.#learnAnswer(fingerprint, nowMs)) {
+      this.#untold.push({ call: fingerprint, servers: [], ageMs: 0 });
+    }
   }
 
   /**
@@ -105,6 +109,9 @@
    * @returns Those that say something new.
    */
   learn(told: readonly ReportedEnds[], nowMs: number): readonly ReportedEnds[] {
+    told.forEach(({ call, servers }) => {
+      if (servers.length > 0) this.#contradict(call, nowMs);
+    });
     return told.filter((ends) => this.#learnOne(ends, nowMs));
   }
 
@@ -115,15 +122,14 @@
    * @param nowMs Time now.
    */
   readHeldMs(content: CallContent, nowMs: number): number {
-    if (this.#held.size === 0 || !this.#isSuspect(content)) return 0;
+    if (this.#held.size === 0) return 0;
     const { fingerprint } = content;
-    const suspect = this.#suspects.get(fingerprint)!;
+    const suspect = this.#suspects.get(fingerprint);
+    if (suspect === undefined) return 0;
     const leftMs = suspect.lastEndMs + HOLD_MS - nowMs;
-    if (leftMs <= 0) {
-      this.#forget(fingerprint);
-      return 0;
-    }
-    return this.#countUnexplained(suspect) >= ENDS_TO_HOLD ? leftMs : 0;
+    const isHeld = leftMs > 0 &&
+      this.#countUnexplained(suspect) >= ENDS_TO_HOLD;
+    return isHeld ? leftMs : 0;
   }
 
   /** Returns what this instance saw since the last call. */
@@ -141,6 +147,7 @@
    * @param nowMs Time now.
    */
   listHeldInTurn(count: number, nowMs: number): readonly ReportedEnds[] {
+    this.#expire(nowMs);
     const held = [...this.#held];
     const picked = Array.from(
       { length: Math.min(count, held.length) },
@@ -154,20 +161,18 @@
     });
   }
 
-  #isSuspect(content: CallContent): boolean {
-    return this.#suspects.size > 0 &&
-      this.#countByPath.has(content.pathKey) &&
-      this.#suspects.has(content.fingerprint);
+  /** Tells others that a call was answered here of which they say that servers ended under it. */
+  #contradict(call: CallFingerprint, nowMs: number): void {
+    if (!this.#wasAnswered(call, nowMs)) return;
+    const ageMs = nowMs - this.#answeredMs.get(call)!;
+    this.#untold.push({ call, servers: [], ageMs });
   }
 
   /** @returns Whether the row says something new. */
   #learnOne({ ageMs, call, servers }: ReportedEnds, nowMs: number): boolean {
     const atMs = nowMs - ageMs;
+    if (servers.length === 0) return this.#learnAnswer(call, atMs);
     if (ageMs >= HOLD_MS || this.#wasAnswered(call, nowMs)) return false;
-    if (servers.length === 0) {
-      this.#learnAnswer(call, atMs);
-      return true;
-    }
     const suspect = this.#suspects.get(call) ??
       { servers: new Set(), lastEndMs: atMs };
     const added = servers.filter((server) => !suspect.servers.has(server))
@@ -176,28 +181,29 @@
     added.forEach((server) => suspect.servers.add(server));
     // What is told again and again must not last for ever: only news renews it.
     suspect.lastEndMs = Math.max(suspect.lastEndMs, atMs);
-    this.#put(call, suspect);
+    this.#remember(call, suspect);
     this.#hold(call, suspect);
     return true;
   }
 
-  #learnAnswer(call: CallFingerprint, atMs: number): void {
-    this.#forget(call);
-    this.#answeredMs.set(call, atMs);
+  /** @returns Whether the call was a suspect. */
+  #learnAnswer(call: CallFingerprint, atMs: number): boolean {
+    const knownMs = this.#answeredMs.get(call) ?? atMs;
+    this.#answeredMs.delete(call);
+    this.#answeredMs.set(call, Math.max(knownMs, atMs));
     const [oldest] = this.#answeredMs.keys();
     if (this.#answeredMs.size > MAX_ANSWERED) this.#answeredMs.delete(oldest!);
+    return this.#forget(call);
   }
 
   #wasAnswered(call: CallFingerprint, nowMs: number): boolean {
     const atMs = this.#answeredMs.get(call);
-    return atMs !== undefined && nowMs - atMs < HOLD_MS;
+    return atMs !== undefined && nowMs - atMs < ANSWER_COUNTS_MS;
   }
 
-  #put(call: CallFingerprint, suspect: Suspect): void {
-    this.#forgetSuspect(call);
+  #remember(call: CallFingerprint, suspect: Suspect): void {
+    this.#suspects.delete(call);
     this.#suspects.set(call, suspect);
-    const path = readPathKey(call);
-    this.#countByPath.set(path, (this.#countByPath.get(path) ?? 0) + 1);
     if (this.#suspects.size <= MAX_SUSPECTS) return;
     const oldest = [...this.#suspects.keys()].find((each) =>
       !this.#held.has(each)
@@ -226,16 +232,15 @@
       .filter((server) => !stronger.some((other) => other.has(server))).length;
   }
 
-  #forget(call: CallFingerprint): void {
-    this.#forgetSuspect(call);
-    this.#held.delete(call);
+  #expire(nowMs: number): void {
+    [...this.#held].filter((call) =>
+      nowMs - this.#suspects.get(call)!.lastEndMs >= HOLD_MS
+    ).forEach((call) => this.#forget(call));
   }
 
-  #forgetSuspect(call: CallFingerprint): void {
-    if (!this.#suspects.delete(call)) return;
-    const path = readPathKey(call);
-    const left = this.#countByPath.get(path)! - 1;
-    if (left > 0) this.#countByPath.set(path, left);
-    else this.#countByPath.delete(path);
+  /** @returns Whether it was remembered. */
+  #forget(call: CallFingerprint): boolean {
+    this.#held.delete(call);
+    return this.#suspects.delete(call);
   }
 }
