A call that is refused from now on is taken back from servers where it waits

Test: without the change the server that the call waits at ends, and is another one after; with it, it goes on.

--- a/forwarding/call_forwarder.ts
+++ b/forwarding/call_forwarder.ts
@@ -8,7 +8,7 @@
   type RouteTable,
   RouteUse,
 } from "../http_routes/mod.ts";
-import type { BackendId, RegionId } from "../ids/mod.ts";
+import type { BackendId, CallFingerprint, RegionId } from "../ids/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
 import { CallContent, CallQuarantine } from "../quarantine/mod.ts";
@@ -79,6 +79,7 @@
   readonly #repeats: RepeatBudgets;
   readonly #use = new RouteUse();
   readonly #sender: CallSender;
+  readonly #underWay = new Set<UnderWay>();
   #table: RouteTable | undefined;
   #inFlight = 0;
 
@@ -88,11 +89,13 @@
     this.#parts = parts;
     this.#repeats = new RepeatBudgets(parts.repeatBounds);
     this.quarantine = new CallQuarantine({
-      onHeld: (call, servers) =>
+      onHeld: (call, servers) => {
         parts.logger.warn("call quarantined", {
           content: call,
           servers: servers.join(" "),
-        }),
+        });
+        this.#takeBack(call);
+      },
     });
     this.#line = new WaitingLine(parts.clock);
     this.#replies = new CallReplies({
@@ -310,7 +313,11 @@
     // arrived in time goes to the caller, though this instance reads it late.
     if (leftMs > 0) scheduleAfterReading(clock, leftMs, giveUp, timer.signal);
     else giveUp();
-    await this.#forward(this.#createExchange(routed, dueMs, given.signal));
+    const exchange = this.#createExchange(routed, dueMs, given.signal);
+    const underWay = { content: exchange.content, giveUp };
+    this.#underWay.add(underWay);
+    await this.#forward(exchange);
+    this.#underWay.delete(underWay);
     timer.abort("done");
     sink.signal.removeEventListener("abort", giveUp);
   }
@@ -374,6 +381,7 @@
         exchange.signal,
       );
     }
+    if (this.#refuseQuarantined(exchange, this.#parts.clock.nowMs())) return;
     this.#replies.finishWithout(exchange, {
       reason: exchange.mayHaveRun ? "timed-out" : "no-time",
       message: "The time of the call is over",
@@ -381,6 +389,12 @@
     });
   }
 
+  /** A copy of the call that waits at a server ends it when it begins to run there. */
+  #takeBack(call: CallFingerprint): void {
+    [...this.#underWay].filter(({ content }) => content.fingerprint === call)
+      .forEach(({ giveUp }) => giveUp());
+  }
+
   /** Before each send: other instances may have told of the call since the last one. */
   #refuseQuarantined(exchange: Exchange, nowMs: number): boolean {
     const heldMs = this.quarantine.readHeldMs(exchange.content, nowMs);
@@ -415,6 +429,12 @@
   }
 }
 
+/** A call that is being served, and how to end that. */
+interface UnderWay {
+  readonly content: CallContent;
+  readonly giveUp: () => void;
+}
+
 /** A call whose route and service are known. */
 type RoutedCall = Pick<
   Exchange,
--- a/tests/server_ending_call_test.ts
+++ b/tests/server_ending_call_test.ts
@@ -38,9 +38,9 @@
       west: { instances: 3, servers: 1 },
     },
     table: createRouteTable([createRoute("/a/")]),
-    decide: ({ body }) =>
+    decide: ({ body, server }) =>
       body === ENDING
-        ? { kind: "end", afterMs: 70 }
+        ? { kind: "end", afterMs: server.startsWith("west") ? 1_500 : 70 }
         : { kind: "answer", afterMs: 120 },
     replacedAfterMs: 6_000,
     lostShare,
@@ -132,6 +132,23 @@
     assert.ok(answer.headers.includes("Retry-After"));
   });
 
+  it("is taken back where it waits at a server, which goes on", async () => {
+    const fleet = await start();
+    void fleet.call(ENDING, "west-0");
+    await fleet.clock.advance(100);
+    void fleet.call(ENDING, "north-0");
+    void fleet.call(ENDING, "north-1");
+    await fleet.clock.advance(4_000);
+    const waiting = listSends(fleet).find(({ server }) =>
+      server.startsWith("west")
+    )!;
+    assert.ok(new Set(listSends(fleet).map(({ server }) => server)).size > 3);
+    void fleet.call("other", "west-0");
+    await fleet.clock.advance(1_000);
+    const { server } = fleet.arrivals.at(-1)!;
+    assert.equal(server, waiting.server);
+  });
+
   it("takes no other call's service once it is known: each of them is answered", async () => {
     const fleet = await start();
     await play(fleet, { forMs: 8_000, pauseMs: 150 });
