Soak: a call under which servers end comes again and again, at any instance

A new fault, drawn from numbers of its own: every 120 ms for 2.5 s, at any instance, callers send a call that ends each stand-in that runs it; those that ended are replaced after their entries lapse. New promise: after it has ended three and five seconds more, no more than three runs, but where an instance was stopped in those five seconds.

--- a/soak/apply_fault.ts
+++ b/soak/apply_fault.ts
@@ -1,7 +1,13 @@
-import { type Clock, type Random, waitFor } from "../clock/mod.ts";
+import { type Clock, pickRandom, type Random, waitFor } from "../clock/mod.ts";
 import { gatherCrowd } from "./crowd.ts";
+import { SoakCaller } from "./caller.ts";
 import { type Fault, formatFault, type PlannedFault } from "./plan.ts";
-import type { SeenDeparture, SeenLeft, SeenStop } from "./observation.ts";
+import type {
+  SeenCall,
+  SeenDeparture,
+  SeenLeft,
+  SeenStop,
+} from "./observation.ts";
 import type { ServerSlot, SoakFleet, SoakInstance } from "./soak_fleet.ts";
 
 /** What faults are applied to, and who hears of their effects. */
@@ -15,6 +21,8 @@
 
 /** Heartbeats of a server after which the platform drops its entry, in milliseconds. */
 const LAPSE_MS = 3_000;
+/** Pause between calls under which servers end, in milliseconds. */
+const ENDING_CALL_PAUSE_MS = 120;
 /** Answer time of a slow store, in milliseconds. */
 const SLOW_STORE_MS = 300;
 
@@ -28,8 +36,12 @@
   readonly serverDepartures: SeenDeparture[] = [];
   readonly instanceDepartures: SeenDeparture[] = [];
   readonly left: SeenLeft[] = [];
+  /** Calls under which servers ended. */
+  readonly endingCalls: SeenCall[] = [];
   /** Spans in which some instance could not know or do what the bounds ask. */
   readonly disturbedMs: Span[] = [];
+  /** Those of them in which an instance stood still or was away. */
+  readonly stoppedMs: Span[] = [];
   readonly #stops: (Span & { readonly instance: string })[] = [];
   readonly #spans: (Span & { readonly planned: PlannedFault })[] = [];
   readonly #parts: FaultParts;
@@ -75,6 +87,8 @@
         return [instances[fault.index]];
       case "homes":
         return homeInstances;
+      case "ending-call":
+        return ["a call under which servers end"];
       case "link":
         return [
           fault.to === "store"
@@ -103,6 +117,8 @@
         return this.#sendCrowd(instances[fault.index]!, forMs);
       case "homes":
         return this.#stopHomes(forMs);
+      case "ending-call":
+        return this.#sendEndingCalls(forMs);
       case "link":
         return this.#disturbLink(fault, forMs);
       case "server":
@@ -124,13 +140,13 @@
         process.signal("SIGHUP");
         return;
       case "pause":
-        return await this.#disturb(async () => {
+        return await this.#stopInstances(async () => {
           process.signal("SIGSTOP");
           await this.#wait(forMs);
           process.signal("SIGCONT");
         });
       case "kill":
-        return await this.#disturb(async () => {
+        return await this.#stopInstances(async () => {
           process.signal("SIGKILL");
           await process.awaitEnd();
           await this.#restart(process, forMs);
@@ -147,7 +163,7 @@
   }
 
   async #stopHomes(forMs: number): Promise<void> {
-    await this.#disturb(async () => {
+    await this.#stopInstances(async () => {
       await Promise.all(
         this.#parts.fleet.homeInstances.map((instance) =>
           this.#disturbInstance(instance, "stop", forMs)
@@ -159,7 +175,7 @@
   async #sendCrowd(instance: SoakInstance, forMs: number): Promise<void> {
     const { clock, fleet, random } = this.#parts;
     const { process } = instance;
-    await this.#disturb(async () => {
+    await this.#stopInstances(async () => {
       process.signal("SIGSTOP");
       const left = await gatherCrowd(fleet.toCalled(instance), {
         clock,
@@ -172,6 +188,37 @@
     });
   }
 
+  /** Callers repeat a call at any instance, each time on a new connection. */
+  async #sendEndingCalls(forMs: number): Promise<void> {
+    const { clock, fleet, random } = this.#parts;
+    const untilMs = clock.nowMs() + forMs;
+    const sent: Promise<void>[] = [];
+    while (clock.nowMs() < untilMs) {
+      sent.push(this.#sendEndingCall(pickRandom(fleet.instances, random)!));
+      await this.#wait(ENDING_CALL_PAUSE_MS);
+    }
+    await Promise.all(sent);
+    await this.#wait(LAPSE_MS);
+    await Promise.all(
+      fleet.slots.filter(({ server }) => server.hasEnded)
+        .map(async (slot) => {
+          await fleet.operator.unregister(slot.server.id);
+          await fleet.replaceServer(slot);
+        }),
+    );
+  }
+
+  async #sendEndingCall(instance: SoakInstance): Promise<void> {
+    const { clock, fleet, random } = this.#parts;
+    const caller = new SoakCaller({
+      random,
+      nowMs: () => clock.nowMs(),
+      record: (call) => this.endingCalls.push(call),
+    });
+    await caller.call(fleet.toCalled(instance), "ending");
+    caller.close();
+  }
+
   async #restart(
     process: SoakInstance["process"],
     afterMs: number,
@@ -196,7 +243,8 @@
       await this.#wait(forMs);
       link.setMode("pass");
     };
-    await (to === "store" ? this.#disturb(disturb) : disturb());
+    if (to === "store") await this.#disturb(disturb);
+    else await disturb();
   }
 
   async #disturbServer(
@@ -251,13 +299,14 @@
         store.compact();
         return;
       case "down":
-        return await this.#disturb(async () => {
+        await this.#disturb(async () => {
           store.setDown(true);
           await this.#wait(forMs);
           store.setDown(false);
         });
+        return;
       case "slow":
-        return await this.#disturb(async () => {
+        await this.#disturb(async () => {
           store.faults.latencyMs = SLOW_STORE_MS;
           await this.#wait(forMs);
           store.faults.latencyMs = 0;
@@ -277,10 +326,16 @@
     await fleet.operator.setEvacuated(region, false);
   }
 
-  async #disturb(apply: () => Promise<void>): Promise<void> {
+  async #disturb(apply: () => Promise<void>): Promise<Span> {
     const fromMs = this.#parts.clock.nowMs();
     await apply();
-    this.disturbedMs.push({ fromMs, toMs: this.#parts.clock.nowMs() });
+    const span = { fromMs, toMs: this.#parts.clock.nowMs() };
+    this.disturbedMs.push(span);
+    return span;
+  }
+
+  async #stopInstances(apply: () => Promise<void>): Promise<void> {
+    this.stoppedMs.push(await this.#disturb(apply));
   }
 
   #wait(ms: number): Promise<void> {
--- a/soak/caller.ts
+++ b/soak/caller.ts
@@ -1,5 +1,6 @@
 import { Agent, type IncomingMessage, request } from "node:http";
 import { createToken, type Random } from "../clock/mod.ts";
+import { ENDING_BODY } from "../standin/recording_server.ts";
 import {
   CALL_ID_HEADER,
   REMAINING_HEADER,
@@ -77,7 +78,7 @@
         host,
         port,
         method: kind === "idempotent" || kind === "version" ? "GET" : "POST",
-        path: `/${kind}/x`,
+        path: toPath(kind),
         headers: {
           host: SOAK_HOST,
           [CALL_ID_HEADER]: callId,
@@ -103,11 +104,29 @@
             : { kind: "not-connected" },
         ));
       sent.on("response", (answer) => void readAnswer(answer).then(resolve));
-      sent.end(kind === "non-idempotent" || kind === "stream" ? "work" : "");
+      sent.end(toBody(kind));
     });
   }
 }
 
+/** A call that is to end servers is repeated like any other that may be. */
+function toPath(kind: CallKind): string {
+  return kind === "ending" ? "/idempotent/y" : `/${kind}/x`;
+}
+
+function toBody(kind: CallKind): string {
+  switch (kind) {
+    case "ending":
+      return ENDING_BODY;
+    case "non-idempotent":
+    case "stream":
+      return "work";
+    case "idempotent":
+    case "version":
+      return "";
+  }
+}
+
 async function readAnswer(answer: IncomingMessage): Promise<CallEnd> {
   let body = "";
   try {
--- a/soak/check_promises.ts
+++ b/soak/check_promises.ts
@@ -21,6 +21,7 @@
   | "directory leads no call astray"
   | "a stop cuts nothing"
   | "who has gone is not served"
+  | "a call that ends servers is kept from them"
   | "service after the faults"
   | "no growth";
 
@@ -35,6 +36,11 @@
 const FORGOTTEN_AFTER_MS = 12_000;
 /** Time after which a call of a caller that has gone is not begun, in milliseconds: the users' half a second. */
 const GONE_AFTER_MS = 500;
+/** Servers that may end under one call before each instance has to know. */
+const ENDED_SERVERS = 3;
+/** Time after which each instance knows, in milliseconds, and runs that may follow: the users'. */
+const ENDING_KNOWN_MS = 5_000;
+const LATE_RUNS = 3;
 /** Part of the calls after the faults that must be served. */
 const SERVED_PART = 0.95;
 /** What one process may hold: half as much again as was seen in runs with 6 instances. */
@@ -53,6 +59,7 @@
     ...checkAstray(seen),
     ...checkStops(seen),
     ...checkLeft(seen),
+    ...checkEndingCalls(seen),
     ...checkService(seen),
     ...checkProcesses(seen),
   ];
@@ -210,6 +217,27 @@
   }));
 }
 
+/** All calls under which servers end have one content. */
+function checkEndingCalls(
+  { runs, stoppedMs }: Observation,
+): readonly Violation[] {
+  const ending = runs.filter(({ isEnding }) => isEnding);
+  const ended = [...new Set(ending.map(({ server }) => server))];
+  const last = ending.find(({ server }) => server === ended[ENDED_SERVERS - 1]);
+  if (last === undefined) return [];
+  // An instance that has just started has the same time to hear of it.
+  const late = ending.filter(({ atMs }) =>
+    atMs > last.atMs + ENDING_KNOWN_MS &&
+    !stoppedMs.some(({ fromMs, toMs }) =>
+      fromMs < atMs && toMs > atMs - ENDING_KNOWN_MS
+    )
+  );
+  return late.length <= LATE_RUNS ? [] : [{
+    promise: "a call that ends servers is kept from them",
+    detail: `${late.length} runs after ${ENDED_SERVERS} servers had ended`,
+  }];
+}
+
 function checkService(
   { calls, calmFromMs, lastVersion }: Observation,
 ): readonly Violation[] {
--- a/soak/check_promises_test.ts
+++ b/soak/check_promises_test.ts
@@ -47,6 +47,7 @@
     service: "work",
     atMs: 20_000,
     resumedAfter: undefined,
+    isEnding: false,
     ...more,
   };
 }
@@ -63,6 +64,7 @@
     processes: [],
     stops: [],
     disturbedMs: [],
+    stoppedMs: [],
     lastVersion: 1,
     calmFromMs: 10_000,
     ...more,
@@ -184,6 +186,25 @@
     assert.deepEqual(leave(19_000), ["who has gone is not served"]);
   });
 
+  it("finds runs of a call that has ended three servers, once each instance has to know", () => {
+    const ended = ["s1", "s2", "s3"].map((server) =>
+      createRun({ isEnding: true, server })
+    );
+    const later = (afterMs: number, count: number) =>
+      Array.from(
+        { length: count },
+        () =>
+          createRun({ isEnding: true, server: "s4", atMs: 20_000 + afterMs }),
+      );
+    const late: PromiseName = "a call that ends servers is kept from them";
+    assert.deepEqual(check({ runs: [...ended, ...later(4_900, 9)] }), []);
+    assert.deepEqual(check({ runs: [...ended, ...later(5_100, 3)] }), []);
+    assert.deepEqual(check({ runs: [...ended, ...later(5_100, 4)] }), [late]);
+    const stoppedMs = [{ fromMs: 22_000, toMs: 24_000 }];
+    const runs = [...ended, ...later(5_100, 4)];
+    assert.deepEqual(check({ runs, stoppedMs }), []);
+  });
+
   it("finds missing service and old versions after the faults", () => {
     const failed = createCall({ end: { kind: "not-connected" } });
     assert.deepEqual(check({ calls: [createCall(), failed] }), [
--- a/soak/observation.ts
+++ b/soak/observation.ts
@@ -1,7 +1,13 @@
 import type { RecordedRun } from "../standin/recording_server.ts";
 
 /** What a call asks for. */
-export type CallKind = "idempotent" | "non-idempotent" | "stream" | "version";
+export type CallKind =
+  | "idempotent"
+  | "non-idempotent"
+  | "stream"
+  | "version"
+  /** To end the server that runs it. */
+  | "ending";
 
 /** How a call ended, as its caller saw it. */
 export type CallEnd =
@@ -83,6 +89,8 @@
     readonly fromMs: number;
     readonly toMs: number;
   }[];
+  /** Those of them in which an instance stood still or was away. */
+  readonly stoppedMs: Observation["disturbedMs"];
   /** Version of the last configuration. */
   readonly lastVersion: number;
   /** From when on everything must work again. */
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -12,6 +12,8 @@
   | { readonly kind: "crowd"; readonly index: number }
   /** All instances of the regions that are homes are stopped at once, and stay away for a while. */
   | { readonly kind: "homes" }
+  /** A call under which servers end comes again and again, at any instance. */
+  | { readonly kind: "ending-call" }
   | {
     readonly kind: "link";
     /** Whose calls the link carries: of an instance to the store, or of all to a server. */
@@ -86,6 +88,10 @@
 const HOMES_EVERY_MS = 5_000;
 /** How long the homes stay away once their instances have ended, in milliseconds: callers ask their directories a few times. */
 const HOMES_MS = 2_000;
+/** One series of calls under which servers end in so much time, in milliseconds. */
+const ENDING_CALLS_EVERY_MS = 8_000;
+/** How long such a call comes again and again, in milliseconds. */
+const ENDING_CALLS_MS = 2_500;
 const PAUSE_MS = { least: 300, most: 1_500 };
 const DURATION_MS = { least: 300, most: 4_000 };
 
@@ -105,6 +111,7 @@
     ...planCrowds(parts, endMs),
     ...planServerStarts(parts, endMs),
     ...planHomeStops(parts, endMs),
+    ...planEndingCalls(parts, endMs),
   ];
 }
 
@@ -145,6 +152,23 @@
   })).filter(({ atMs, forMs }) => atMs + forMs <= endMs);
 }
 
+/** Plans calls under which servers end, from numbers of their own as crowds are. */
+function planEndingCalls(
+  { seed }: PlanParts,
+  endMs: number,
+): readonly PlannedFault[] {
+  const random = createRandom(~seed ^ 3);
+  const count = Math.floor((endMs - CALM_START_MS) / ENDING_CALLS_EVERY_MS) + 1;
+  return Array.from({ length: count }, (_, turn) => ({
+    fault: { kind: "ending-call" as const },
+    atMs: CALM_START_MS + turn * ENDING_CALLS_EVERY_MS +
+      Math.round(
+        random.nextFloat() * (ENDING_CALLS_EVERY_MS - ENDING_CALLS_MS),
+      ),
+    forMs: ENDING_CALLS_MS,
+  })).filter(({ atMs, forMs }) => atMs + forMs <= endMs);
+}
+
 /** Plans crowds from numbers of their own: the other faults of a seed stay as they were. */
 function planCrowds(
   { instances, seed }: PlanParts,
--- a/soak/run_soak.ts
+++ b/soak/run_soak.ts
@@ -107,7 +107,7 @@
   await Promise.all([...callers, asking]);
   const processes = fleet.instances.flatMap(measureProcess);
   const violations = checkPromises({
-    calls,
+    calls: [...calls, ...faults.endingCalls],
     runs,
     left: faults.left,
     directories,
@@ -116,6 +116,7 @@
     instanceDepartures: faults.instanceDepartures,
     stops: faults.listStops(),
     disturbedMs: faults.disturbedMs,
+    stoppedMs: faults.stoppedMs,
     lastVersion: fleet.version,
     calmFromMs: calmMs + RECOVERED_AFTER_MS,
   });
--- a/standin/recording_server.ts
+++ b/standin/recording_server.ts
@@ -26,6 +26,9 @@
   /** Breaks off in the middle of its answers. */
   | "break-off";
 
+/** Body of a call under which a server ends that runs it. */
+export const ENDING_BODY = "ends the server";
+
 /** A call that a server began to work on. */
 export interface RecordedRun {
   readonly callId: string;
@@ -34,6 +37,8 @@
   readonly atMs: number;
   /** The event that it went on after; `undefined`: from the start. */
   readonly resumedAfter: number | undefined;
+  /** Whether the server ends of it. */
+  readonly isEnding: boolean;
 }
 
 /** What a recording server is started with. */
@@ -58,6 +63,8 @@
 /** A backend server that records each call that it runs. */
 export class RecordingServer {
   trouble: ServerTrouble = "none";
+  /** Whether it has ended of a call. */
+  hasEnded = false;
   readonly #parts: RecordingServerParts;
   readonly #sockets = new Set<Socket>();
   #server: Server | undefined;
@@ -109,7 +116,7 @@
     const { id, nowMs, record, service } = this.#parts;
     const callId = String(request.headers[CALL_ID_HEADER] ?? "");
     const expected = request.headers[EXPECTED_SERVER_HEADER];
-    await readBody(request);
+    const isEnding = (await readBody(request)).toString() === ENDING_BODY;
     if (expected !== undefined && expected !== id) {
       response.writeHead(421, {
         [CALL_ID_HEADER]: callId,
@@ -120,8 +127,14 @@
     }
     const lastId = request.headers["last-event-id"];
     const resumedAfter = lastId === undefined ? undefined : Number(lastId);
-    record({ callId, server: id, service, atMs: nowMs(), resumedAfter });
+    const atMs = nowMs();
+    record({ callId, server: id, service, atMs, resumedAfter, isEnding });
     await waitFor(systemClock, WORK_MS);
+    if (isEnding) {
+      this.hasEnded = true;
+      this.crash();
+      return;
+    }
     if (this.trouble === "hang") return;
     const head = { [CALL_ID_HEADER]: callId, [SIGNATURE_HEADER]: "signed" };
     if (this.trouble === "fail") {
