--- a/forwarding/call_grammar.ts
+++ b/forwarding/call_grammar.ts
@@ -54,6 +54,13 @@
   readonly isOtherServer: boolean;
   /** Whether the body is coded, so that its bytes are not those of the server. */
   readonly isCoded: boolean;
+  /** Whether the server says that it leaves: it is to get nothing new. */
+  readonly isLeaving: boolean;
+  /**
+   * How long the server wants nothing from this instance, in milliseconds, said with a
+   * refusal. Default: it does not say.
+   */
+  readonly restMs: number | undefined;
   /** How long the server stays cold, in milliseconds. Default: it does not say. */
   readonly coldForMs: number | undefined;
 }
--- a/forwarding/call_sender.ts
+++ b/forwarding/call_sender.ts
@@ -178,6 +178,9 @@
         replies.log(exchange, "rejected", {
           at,
           isOtherServer: outcome.isOtherServer,
+          ...(outcome.restMs === undefined
+            ? {}
+            : { restMs: Math.round(outcome.restMs) }),
         });
         return;
       case "not-sent":
--- a/forwarding/http_headers.ts
+++ b/forwarding/http_headers.ts
@@ -28,6 +28,24 @@
   return undefined;
 }
 
+/** Longest time that is waited for, in milliseconds, whatever a server asks for. */
+const MAX_RETRY_AFTER_MS = 600_000;
+
+/**
+ * Returns the time that `Retry-After` names, in milliseconds. Dates are not read: the
+ * clocks of two processes differ by more than most such times.
+ *
+ * @param text Seconds, maybe with a fraction; `undefined`: the header is not there.
+ */
+export function parseRetryAfterMs(
+  text: string | undefined,
+): number | undefined {
+  if (text === undefined || text.trim() === "") return undefined;
+  const ms = 1_000 * Number(text);
+  if (!Number.isFinite(ms) || ms < 0) return undefined;
+  return Math.min(ms, MAX_RETRY_AFTER_MS);
+}
+
 /** Bytes of a header line beside name and value: colon, space and line end. */
 const LINE_EXTRA_BYTES = 4;
 
--- a/forwarding/own_grammar.ts
+++ b/forwarding/own_grammar.ts
@@ -6,7 +6,11 @@
   SendFacts,
 } from "./call_grammar.ts";
 import { isHopHeader } from "./hop_headers.ts";
-import { pickForwarded, readHeader } from "./http_headers.ts";
+import {
+  parseRetryAfterMs,
+  pickForwarded,
+  readHeader,
+} from "./http_headers.ts";
 
 /** The caller's id of one call, which a server may echo. */
 const CALL_ID = "x-call-id";
@@ -16,8 +20,12 @@
 const SERVER_ID = "x-server-id";
 /** Set by a server that did not run the call. */
 const NOT_RUN = "x-not-run";
+/** Set on all answers of a server that leaves. */
+const LEAVING = "x-leaving";
+const RETRY_AFTER = "retry-after";
 const LAST_EVENT_ID = "last-event-id";
 const MISDIRECTED = 421;
+const UNAVAILABLE = 503;
 
 /** The product's own headers, for deployments without another convention. */
 export const OWN_GRAMMAR: CallGrammar = {
@@ -57,6 +65,10 @@
       isNotExecuted: readHeader(headers, NOT_RUN) !== undefined,
       isOtherServer: status === MISDIRECTED,
       isCoded: false,
+      isLeaving: readHeader(headers, LEAVING) !== undefined,
+      restMs: status === UNAVAILABLE
+        ? parseRetryAfterMs(readHeader(headers, RETRY_AFTER))
+        : undefined,
       coldForMs: undefined,
     };
   },
--- a/forwarding/run_attempt.ts
+++ b/forwarding/run_attempt.ts
@@ -1,5 +1,5 @@
 import { type Clock, scheduleAfterReading } from "../clock/mod.ts";
-import type { CallGrammar, RawHeaders } from "./call_grammar.ts";
+import type { AnswerFacts, CallGrammar, RawHeaders } from "./call_grammar.ts";
 import { EventFramer } from "./event_framer.ts";
 import { isHopHeader, readHopAnswer } from "./hop_headers.ts";
 import { pickForwarded } from "./http_headers.ts";
@@ -27,6 +27,8 @@
     readonly kind: "rejected";
     readonly isOtherServer: boolean;
     readonly coldForMs: number | undefined;
+    /** How long the server wants nothing from this instance, in milliseconds. Default: it does not say. */
+    readonly restMs?: number | undefined;
     /** Servers that refused it. */
     readonly sends: number;
   }
@@ -87,6 +89,8 @@
   readonly createMarks?: () => readonly string[];
   /** Called with the headers of the answer. */
   readonly onHeaders?: (headers: RawHeaders) => void;
+  /** Called with what a server's head says, whatever comes of the call. Default: nothing. */
+  readonly onFacts?: (facts: AnswerFacts) => void;
   /** Called at each part of the answer. Default: nothing. */
   readonly onHeard?: () => void;
   /** Called at the first byte of the answer's body, or at its end. */
@@ -181,6 +185,7 @@
     const { callId, grammar, holdsFailures, isHop } = this.#parts;
     this.#parts.onHeaders?.(head.headers);
     const facts = grammar.readAnswer(head.status, head.headers);
+    this.#parts.onFacts?.(facts);
     const hopAnswer = isHop ? readHopAnswer(head.headers) : undefined;
     if (hopAnswer?.kind === "not-run") {
       this.#finish({
@@ -208,6 +213,7 @@
         kind: "rejected",
         isOtherServer: facts.isOtherServer,
         coldForMs: facts.coldForMs,
+        restMs: facts.restMs,
         sends: 1,
       });
       return;
--- a/forwarding/server_sender.ts
+++ b/forwarding/server_sender.ts
@@ -3,8 +3,8 @@
 import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
 import type { CallQuarantine } from "../quarantine/mod.ts";
-import type { ServerRegistry } from "../servers/mod.ts";
-import type { CallGrammar } from "./call_grammar.ts";
+import type { RegisteredServer, ServerRegistry } from "../servers/mod.ts";
+import type { AnswerFacts, CallGrammar } from "./call_grammar.ts";
 import type { Candidate } from "./choose_server.ts";
 import { type Exchange, isRepeatable } from "./exchange.ts";
 import type { LearnedServers } from "./learned_servers.ts";
@@ -114,6 +114,7 @@
       progress: exchange.progress,
       createMarks: () => this.#parts.createMarks(exchange),
       onHeard: () => pulse.hear(clock.nowMs()),
+      onFacts: (facts) => this.#learnFacts(entry, facts),
       onFirstByte: () => {
         load.endReading();
         firstByteMs = clock.nowMs();
@@ -227,6 +228,19 @@
     }
   }
 
+  /** Learns what a server says of itself in the head of an answer. */
+  #learnFacts(
+    { id, service }: RegisteredServer,
+    { isLeaving, isOtherServer }: AnswerFacts,
+  ): void {
+    // Another server has the address: it speaks of itself.
+    if (isOtherServer || !isLeaving) return;
+    const { logger, registry } = this.#parts;
+    if (registry.markLeaving(id)) {
+      logger.info("server says that it leaves", { server: id, service });
+    }
+  }
+
   /** Learns whether the call is one under which servers end. */
   #learnOfCall(
     { content }: Exchange,
--- a/servers/server_registry.ts
+++ b/servers/server_registry.ts
@@ -27,6 +27,8 @@
   readonly entry: RegisteredServer;
   /** Until when it is taken as cold, on the own clock. */
   readonly coldUntilMs: number;
+  /** Whether it has said in an answer that it leaves. */
+  readonly saysItLeaves: boolean;
 }
 
 /** Optional parts of a registry. */
@@ -148,11 +150,12 @@
     );
     this.#evacuated.clear();
     domains.forEach((domain) => this.#evacuated.add(domain));
-    this.#servers.forEach(({ entry, coldUntilMs }, id) => {
+    this.#servers.forEach((known, id) => {
+      const { coldUntilMs, entry } = known;
       if (!returned.includes(entry.failureDomain)) return;
       const warmUpMs = this.#readWarmUpMs(entry.service);
       this.#servers.set(id, {
-        entry,
+        ...known,
         coldUntilMs: Math.max(coldUntilMs, nowMs + warmUpMs),
       });
     });
@@ -163,8 +166,21 @@
   markCold(id: BackendId, untilMs: number): void {
     const known = this.#servers.get(id);
     if (known === undefined || known.coldUntilMs >= untilMs) return;
-    this.#servers.set(id, { entry: known.entry, coldUntilMs: untilMs });
+    this.#servers.set(id, { ...known, coldUntilMs: untilMs });
+    this.#refresh();
+  }
+
+  /**
+   * Records that a server says in an answer that it leaves.
+   *
+   * @returns Whether that is news.
+   */
+  markLeaving(id: BackendId): boolean {
+    const known = this.#servers.get(id);
+    if (known === undefined || known.saysItLeaves) return false;
+    this.#servers.set(id, { ...known, saysItLeaves: true });
     this.#refresh();
+    return true;
   }
 
   #putOne(entry: RegisteredServer, nowMs: number): void {
@@ -177,6 +193,7 @@
     this.#servers.set(entry.id, {
       entry,
       coldUntilMs: Math.max(before, coldUntilMs),
+      saysItLeaves: known?.saysItLeaves ?? false,
     });
   }
 
