A server that says in an answer that it leaves gets nothing new

What callers saw: calls cut off at servers that had said for seconds that they leave. Cause: that a server leaves was taken from its entry alone; the store was away for ten seconds, and what the server said in each answer was not among what the gateway reads. Class: one source is asked where the thing itself says it. Ruled out: known and not heeded (no process had a line of it before the store had accepted it).

--- a/servers/server_registry.ts
+++ b/servers/server_registry.ts
@@ -39,7 +39,7 @@
 
 /**
  * The backend servers that may get calls: those registered, without those that
- * drain or whose failure domain is evacuated.
+ * drain, by their entry or their own word, or whose failure domain is evacuated.
  */
 export class ServerRegistry {
   readonly #servers = new Map<BackendId, KnownServer>();
@@ -78,6 +78,7 @@
   isUsable(id: BackendId): boolean {
     const known = this.#servers.get(id);
     return known !== undefined && !known.entry.isDraining &&
+      !known.saysItLeaves &&
       !this.#evacuated.has(known.entry.failureDomain);
   }
 
@@ -171,7 +172,9 @@
   }
 
   /**
-   * Records that a server says in an answer that it leaves.
+   * Records that a server says in an answer that it leaves: its entry says so only
+   * once the store has taken that in, which may be down. The word holds until the
+   * entry says that it leaves no more.
    *
    * @returns Whether that is news.
    */
@@ -188,12 +191,13 @@
     this.#missingUntilMs.delete(entry.id);
     // The time that an entry says is left counts from when it was first read.
     if (known?.entry === entry) return;
+    const isBack = known?.entry.isDraining === true && !entry.isDraining;
     const before = known?.coldUntilMs ?? 0;
     const coldUntilMs = entry.coldForMs > 0 ? nowMs + entry.coldForMs : 0;
     this.#servers.set(entry.id, {
       entry,
       coldUntilMs: Math.max(before, coldUntilMs),
-      saysItLeaves: known?.saysItLeaves ?? false,
+      saysItLeaves: (known?.saysItLeaves ?? false) && !isBack,
     });
   }
 
