Soak: servers that ask for rest, or say in their answers alone that they leave

Two faults more, drawn from numbers of their own, and a promise: half a second after its first such answer a server gets 24 calls at the most while its word holds.

--- a/soak/apply_fault.ts
+++ b/soak/apply_fault.ts
@@ -6,7 +6,9 @@
   SeenCall,
   SeenDeparture,
   SeenLeft,
+  SeenPause,
   SeenStop,
+  SeenWord,
 } from "./observation.ts";
 import type { ServerSlot, SoakFleet, SoakInstance } from "./soak_fleet.ts";
 
@@ -40,8 +42,10 @@
   readonly endingCalls: SeenCall[] = [];
   /** Spans in which some instance could not know or do what the bounds ask. */
   readonly disturbedMs: Span[] = [];
-  /** Those of them in which an instance stood still or was away. */
-  readonly stoppedMs: Span[] = [];
+  /** What servers said of themselves. */
+  readonly words: SeenWord[] = [];
+  /** When each instance stood still or was away. */
+  readonly pauses: SeenPause[] = [];
   readonly #stops: (Span & { readonly instance: string })[] = [];
   readonly #spans: (Span & { readonly planned: PlannedFault })[] = [];
   readonly #parts: FaultParts;
@@ -140,13 +144,13 @@
         process.signal("SIGHUP");
         return;
       case "pause":
-        return await this.#stopInstances(async () => {
+        return await this.#pause(process, async () => {
           process.signal("SIGSTOP");
           await this.#wait(forMs);
           process.signal("SIGCONT");
         });
       case "kill":
-        return await this.#stopInstances(async () => {
+        return await this.#pause(process, async () => {
           process.signal("SIGKILL");
           await process.awaitEnd();
           await this.#restart(process, forMs);
@@ -157,13 +161,14 @@
         await process.awaitEnd();
         const toMs = this.#parts.clock.nowMs();
         this.#stops.push({ instance: process.name, fromMs, toMs });
-        return await this.#restart(process, forMs);
+        await this.#restart(process, forMs);
+        this.#notePause(process, fromMs);
       }
     }
   }
 
   async #stopHomes(forMs: number): Promise<void> {
-    await this.#stopInstances(async () => {
+    await this.#disturb(async () => {
       await Promise.all(
         this.#parts.fleet.homeInstances.map((instance) =>
           this.#disturbInstance(instance, "stop", forMs)
@@ -175,7 +180,7 @@
   async #sendCrowd(instance: SoakInstance, forMs: number): Promise<void> {
     const { clock, fleet, random } = this.#parts;
     const { process } = instance;
-    await this.#stopInstances(async () => {
+    await this.#pause(process, async () => {
       process.signal("SIGSTOP");
       const left = await gatherCrowd(fleet.toCalled(instance), {
         clock,
@@ -256,6 +261,7 @@
     const { server } = slot;
     switch (what) {
       case "drain": {
+        server.saysItLeaves = true;
         await fleet.register(slot, true);
         const atMs = clock.nowMs();
         this.serverDepartures.push({ id: server.id, atMs, untilMs: Infinity });
@@ -280,6 +286,27 @@
         if (slot.server === server) await fleet.register(slot);
         return;
       }
+      case "say-leaving": {
+        server.saysItLeaves = true;
+        const fromMs = clock.nowMs();
+        await this.#wait(forMs);
+        this.words.push({
+          server: server.id,
+          kind: "leaving",
+          fromMs,
+          toMs: clock.nowMs(),
+        });
+        return await fleet.replaceServer(slot);
+      }
+      case "rest": {
+        const fromMs = clock.nowMs();
+        server.trouble = what;
+        await this.#wait(forMs);
+        server.trouble = "none";
+        const toMs = clock.nowMs();
+        this.words.push({ server: server.id, kind: "rest", fromMs, toMs });
+        return;
+      }
       case "hang":
       case "fail":
       case "break-off":
@@ -326,16 +353,24 @@
     await fleet.operator.setEvacuated(region, false);
   }
 
-  async #disturb(apply: () => Promise<void>): Promise<Span> {
+  async #disturb(apply: () => Promise<void>): Promise<void> {
     const fromMs = this.#parts.clock.nowMs();
     await apply();
-    const span = { fromMs, toMs: this.#parts.clock.nowMs() };
-    this.disturbedMs.push(span);
-    return span;
+    this.disturbedMs.push({ fromMs, toMs: this.#parts.clock.nowMs() });
+  }
+
+  async #pause(
+    process: SoakInstance["process"],
+    apply: () => Promise<void>,
+  ): Promise<void> {
+    const fromMs = this.#parts.clock.nowMs();
+    await this.#disturb(apply);
+    this.#notePause(process, fromMs);
   }
 
-  async #stopInstances(apply: () => Promise<void>): Promise<void> {
-    this.stoppedMs.push(await this.#disturb(apply));
+  #notePause({ name }: SoakInstance["process"], fromMs: number): void {
+    const toMs = this.#parts.clock.nowMs();
+    this.pauses.push({ instance: name, fromMs, toMs });
   }
 
   #wait(ms: number): Promise<void> {
--- a/soak/check_promises.ts
+++ b/soak/check_promises.ts
@@ -22,6 +22,7 @@
   | "a stop cuts nothing"
   | "who has gone is not served"
   | "a call that ends servers is kept from them"
+  | "what servers say of themselves is heeded"
   | "service after the faults"
   | "no growth";
 
@@ -41,6 +42,13 @@
 /** Time after which each instance knows, in milliseconds, and runs that may follow: the users'. */
 const ENDING_KNOWN_MS = 5_000;
 const LATE_RUNS = 3;
+/** Time after which an instance heeds what a server says, in milliseconds: the users'. */
+const WORD_HEARD_MS = 500;
+/**
+ * Calls that a server may get after that from all instances together: some hear its word
+ * late, each with at most so many callers at a time.
+ */
+const LATE_CALLS = 24;
 /** Part of the calls after the faults that must be served. */
 const SERVED_PART = 0.95;
 /** What one process may hold: half as much again as was seen in runs with 6 instances. */
@@ -60,6 +68,7 @@
     ...checkStops(seen),
     ...checkLeft(seen),
     ...checkEndingCalls(seen),
+    ...checkWords(seen),
     ...checkService(seen),
     ...checkProcesses(seen),
   ];
@@ -219,17 +228,21 @@
 
 /** All calls under which servers end have one content. */
 function checkEndingCalls(
-  { runs, stoppedMs }: Observation,
+  { calls, pauses, runs }: Observation,
 ): readonly Violation[] {
   const ending = runs.filter(({ isEnding }) => isEnding);
   const ended = [...new Set(ending.map(({ server }) => server))];
   const last = ending.find(({ server }) => server === ended[ENDED_SERVERS - 1]);
   if (last === undefined) return [];
+  const takenBy = new Map(
+    calls.map(({ callId, instance }) => [callId, instance]),
+  );
   // An instance that has just started has the same time to hear of it.
-  const late = ending.filter(({ atMs }) =>
+  const late = ending.filter(({ atMs, callId }) =>
     atMs > last.atMs + ENDING_KNOWN_MS &&
-    !stoppedMs.some(({ fromMs, toMs }) =>
-      fromMs < atMs && toMs > atMs - ENDING_KNOWN_MS
+    !pauses.some(({ fromMs, instance, toMs }) =>
+      instance === takenBy.get(callId) && fromMs < atMs &&
+      toMs > atMs - ENDING_KNOWN_MS
     )
   );
   return late.length <= LATE_RUNS ? [] : [{
@@ -238,6 +251,23 @@
   }];
 }
 
+function checkWords(
+  { refusals, runs, words }: Observation,
+): readonly Violation[] {
+  return words.flatMap(({ fromMs, kind, server, toMs }) => {
+    const calls = (kind === "rest" ? refusals : runs)
+      .filter((call) => call.server === server && call.atMs >= fromMs);
+    const heardMs = (calls[0]?.atMs ?? toMs) + WORD_HEARD_MS;
+    const late = calls.filter(({ atMs }) => atMs > heardMs && atMs < toMs);
+    return late.length <= LATE_CALLS ? [] : [
+      {
+        promise: "what servers say of themselves is heeded",
+        detail: `${server} got ${late.length} calls after its word (${kind})`,
+      } as const,
+    ];
+  });
+}
+
 function checkService(
   { calls, calmFromMs, lastVersion }: Observation,
 ): readonly Violation[] {
--- a/soak/check_promises_test.ts
+++ b/soak/check_promises_test.ts
@@ -64,7 +64,9 @@
     processes: [],
     stops: [],
     disturbedMs: [],
-    stoppedMs: [],
+    pauses: [],
+    words: [],
+    refusals: [],
     lastVersion: 1,
     calmFromMs: 10_000,
     ...more,
@@ -200,9 +202,34 @@
     assert.deepEqual(check({ runs: [...ended, ...later(4_900, 9)] }), []);
     assert.deepEqual(check({ runs: [...ended, ...later(5_100, 3)] }), []);
     assert.deepEqual(check({ runs: [...ended, ...later(5_100, 4)] }), [late]);
-    const stoppedMs = [{ fromMs: 22_000, toMs: 24_000 }];
+    const pause = { fromMs: 22_000, toMs: 24_000 };
     const runs = [...ended, ...later(5_100, 4)];
-    assert.deepEqual(check({ runs, stoppedMs }), []);
+    const pauses = (instance: string) => [{ ...pause, instance }];
+    assert.deepEqual(check({ runs, pauses: pauses("i1") }), []);
+    assert.deepEqual(check({ runs, pauses: pauses("i2") }), [late]);
+  });
+
+  it("finds calls of servers that said that they leave, or that they want rest", () => {
+    const heeded: PromiseName = "what servers say of themselves is heeded";
+    const times = (from: number, count: number) =>
+      Array.from({ length: count }, (_, at) => from + at);
+    const word = { server: "s1", fromMs: 20_000, toMs: 24_000 };
+    const rest = (late: number) =>
+      check({
+        words: [{ ...word, kind: "rest" }],
+        refusals: [...times(20_100, 60), ...times(21_000, late)]
+          .map((atMs) => ({ server: "s1", atMs })),
+      });
+    assert.deepEqual(rest(24), []);
+    assert.deepEqual(rest(25), [heeded]);
+    const leave = (late: number) =>
+      check({
+        words: [{ ...word, kind: "leaving" }],
+        runs: [...times(20_100, 60), ...times(21_000, late)]
+          .map((atMs) => createRun({ atMs })),
+      });
+    assert.deepEqual(leave(24), []);
+    assert.deepEqual(leave(25), [heeded]);
   });
 
   it("finds missing service and old versions after the faults", () => {
--- a/soak/observation.ts
+++ b/soak/observation.ts
@@ -1,4 +1,7 @@
-import type { RecordedRun } from "../standin/recording_server.ts";
+import type {
+  RecordedRefusal,
+  RecordedRun,
+} from "../standin/recording_server.ts";
 
 /** What a call asks for. */
 export type CallKind =
@@ -73,6 +76,22 @@
   readonly isCalm: boolean;
 }
 
+/** A time in which an instance stood still or was away. */
+export interface SeenPause {
+  readonly instance: string;
+  readonly fromMs: number;
+  readonly toMs: number;
+}
+
+/** What a server said of itself in its answers, and nobody else of it. */
+export interface SeenWord {
+  readonly server: string;
+  /** That it leaves, or that it wants rest. */
+  readonly kind: "leaving" | "rest";
+  readonly fromMs: number;
+  readonly toMs: number;
+}
+
 /** All that was seen from outside in one run. */
 export interface Observation {
   readonly calls: readonly SeenCall[];
@@ -89,8 +108,10 @@
     readonly fromMs: number;
     readonly toMs: number;
   }[];
-  /** Those of them in which an instance stood still or was away. */
-  readonly stoppedMs: Observation["disturbedMs"];
+  readonly pauses: readonly SeenPause[];
+  readonly words: readonly SeenWord[];
+  /** Calls that servers turned away as they asked for rest. */
+  readonly refusals: readonly RecordedRefusal[];
   /** Version of the last configuration. */
   readonly lastVersion: number;
   /** From when on everything must work again. */
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -32,7 +32,11 @@
       /** It starts again under its name. */
       | "restart"
       /** Another writer overwrites its entry. */
-      | "overwrite";
+      | "overwrite"
+      /** It turns calls away and asks for rest. */
+      | "rest"
+      /** Its answers say that it leaves, and nothing else does. */
+      | "say-leaving";
     readonly index: number;
   }
   | { readonly kind: "store"; readonly what: "down" | "slow" | "forget" }
@@ -88,6 +92,10 @@
 const HOMES_EVERY_MS = 5_000;
 /** How long the homes stay away once their instances have ended, in milliseconds: callers ask their directories a few times. */
 const HOMES_MS = 2_000;
+/** One server that asks for rest, and one that says that it leaves, in so much time, in milliseconds. */
+const WORD_EVERY_MS = 7_000;
+/** How long these last, in milliseconds: longer than the rest that is asked for. */
+const WORD_MS = 4_000;
 /** One series of calls under which servers end in so much time, in milliseconds. */
 const ENDING_CALLS_EVERY_MS = 8_000;
 /** How long such a call comes again and again, in milliseconds. */
@@ -112,6 +120,7 @@
     ...planServerStarts(parts, endMs),
     ...planHomeStops(parts, endMs),
     ...planEndingCalls(parts, endMs),
+    ...planWords(parts, endMs),
   ];
 }
 
@@ -169,6 +178,28 @@
   })).filter(({ atMs, forMs }) => atMs + forMs <= endMs);
 }
 
+/** Plans what servers say of themselves, from numbers of their own as crowds are. */
+function planWords(
+  { seed, servers }: PlanParts,
+  endMs: number,
+): readonly PlannedFault[] {
+  const random = createRandom(~seed ^ 4);
+  const count = Math.floor((endMs - CALM_START_MS) / WORD_EVERY_MS) + 1;
+  const plan = (what: "rest" | "say-leaving") =>
+    Array.from({ length: count }, (_, turn) => ({
+      fault: {
+        kind: "server" as const,
+        what,
+        index: Math.floor(random.nextFloat() * servers),
+      },
+      atMs: CALM_START_MS + turn * WORD_EVERY_MS +
+        Math.round(random.nextFloat() * (WORD_EVERY_MS - WORD_MS)),
+      forMs: WORD_MS,
+    }));
+  return [...plan("rest"), ...plan("say-leaving")]
+    .filter(({ atMs, forMs }) => atMs + forMs <= endMs);
+}
+
 /** Plans crowds from numbers of their own: the other faults of a seed stay as they were. */
 function planCrowds(
   { instances, seed }: PlanParts,
--- a/soak/run_soak.ts
+++ b/soak/run_soak.ts
@@ -2,12 +2,16 @@
 import { systemClock } from "../adapters/system_clock.ts";
 import { createRandom, type Random, waitFor } from "../clock/mod.ts";
 import type { PlatformProcess } from "../standin/platform_process.ts";
-import type { RecordedRun } from "../standin/recording_server.ts";
+import type {
+  RecordedRefusal,
+  RecordedRun,
+} from "../standin/recording_server.ts";
 import { FaultRunner } from "./apply_fault.ts";
 import { BOUND_HOST, SOAK_HOST, SoakCaller } from "./caller.ts";
 import { checkPromises, type Violation } from "./check_promises.ts";
 import type {
   CallKind,
+  Observation,
   SeenCall,
   SeenDirectory,
   SeenProcess,
@@ -56,6 +60,7 @@
 export async function runSoak(parts: SoakParts): Promise<SoakReport> {
   const clock = systemClock;
   const runs: RecordedRun[] = [];
+  const refusals: RecordedRefusal[] = [];
   const fleet = new SoakFleet({
     program: parts.program,
     regions: REGIONS,
@@ -63,10 +68,11 @@
     serversPerRegion: SERVERS_PER_REGION,
     clock,
     recordRun: (run) => runs.push(run),
+    recordRefusal: (refusal) => refusals.push(refusal),
   });
   try {
     await fleet.start();
-    return await observe(parts, fleet, runs);
+    return await observe(parts, fleet, { runs, refusals });
   } finally {
     fleet.close();
   }
@@ -75,7 +81,7 @@
 async function observe(
   parts: SoakParts,
   fleet: SoakFleet,
-  runs: readonly RecordedRun[],
+  recorded: Pick<Observation, "refusals" | "runs">,
 ): Promise<SoakReport> {
   const clock = systemClock;
   const startMs = clock.nowMs();
@@ -108,7 +114,8 @@
   const processes = fleet.instances.flatMap(measureProcess);
   const violations = checkPromises({
     calls: [...calls, ...faults.endingCalls],
-    runs,
+    ...recorded,
+    words: faults.words,
     left: faults.left,
     directories,
     processes,
@@ -116,7 +123,7 @@
     instanceDepartures: faults.instanceDepartures,
     stops: faults.listStops(),
     disturbedMs: faults.disturbedMs,
-    stoppedMs: faults.stoppedMs,
+    pauses: faults.pauses,
     lastVersion: fleet.version,
     calmFromMs: calmMs + RECOVERED_AFTER_MS,
   });
--- a/soak/soak_fleet.ts
+++ b/soak/soak_fleet.ts
@@ -6,6 +6,7 @@
 import { startStoreStandin } from "../standin/platform_store_server.ts";
 import { MemoryStore } from "../standin/memory_store.ts";
 import {
+  type RecordedRefusal,
   type RecordedRun,
   RecordingServer,
 } from "../standin/recording_server.ts";
@@ -23,6 +24,7 @@
   readonly serversPerRegion: number;
   readonly clock: Clock;
   readonly recordRun: (run: RecordedRun) => void;
+  readonly recordRefusal: (refusal: RecordedRefusal) => void;
 }
 
 /** An instance with its own link to the store. */
@@ -205,12 +207,13 @@
     service: string,
     id = `s-${++this.#serverCount}`,
   ): Promise<ServerSlot> {
-    const { clock, recordRun } = this.#parts;
+    const { clock, recordRefusal, recordRun } = this.#parts;
     const server = new RecordingServer({
       id,
       service,
       nowMs: () => clock.nowMs(),
       record: recordRun,
+      recordRefusal,
     });
     const link = new LinkProxy(await server.open());
     const address = await link.open();
--- a/standin/platform_headers.ts
+++ b/standin/platform_headers.ts
@@ -8,3 +8,5 @@
 export const EXPECTED_SERVER_HEADER = "x-havenspur-expected-instance";
 /** Says that a server did not run the call. */
 export const NOT_EXECUTED_HEADER = "x-havenspur-not-executed";
+/** Says in any answer that its server leaves. */
+export const LEAVING_HEADER = "server-leaving";
--- a/standin/recording_server.ts
+++ b/standin/recording_server.ts
@@ -11,6 +11,7 @@
 import {
   CALL_ID_HEADER,
   EXPECTED_SERVER_HEADER,
+  LEAVING_HEADER,
   NOT_EXECUTED_HEADER,
   SIGNATURE_HEADER,
 } from "./platform_headers.ts";
@@ -24,7 +25,9 @@
   /** Answers with an error of its own, after the work. */
   | "fail"
   /** Breaks off in the middle of its answers. */
-  | "break-off";
+  | "break-off"
+  /** Turns all calls away, and asks for rest. */
+  | "rest";
 
 /** Body of a call under which a server ends that runs it. */
 export const ENDING_BODY = "ends the server";
@@ -41,14 +44,23 @@
   readonly isEnding: boolean;
 }
 
+/** A call that a server turned away as it asked for rest. */
+export interface RecordedRefusal {
+  readonly server: string;
+  readonly atMs: number;
+}
+
 /** What a recording server is started with. */
 export interface RecordingServerParts {
   readonly id: string;
   readonly service: string;
   readonly nowMs: () => number;
   readonly record: (run: RecordedRun) => void;
+  readonly recordRefusal: (refusal: RecordedRefusal) => void;
 }
 
+/** Rest that a server asks for, in seconds. */
+export const REST_S = 3;
 /** Work of a call without a stream, in milliseconds. */
 const WORK_MS = 25;
 /** Events of a stream, and the pause between them in milliseconds. */
@@ -63,6 +75,8 @@
 /** A backend server that records each call that it runs. */
 export class RecordingServer {
   trouble: ServerTrouble = "none";
+  /** Whether its answers say that it leaves. */
+  saysItLeaves = false;
   /** Whether it has ended of a call. */
   hasEnded = false;
   readonly #parts: RecordingServerParts;
@@ -125,6 +139,10 @@
       response.end();
       return;
     }
+    if (this.trouble === "rest") {
+      this.#refuse(response, callId);
+      return;
+    }
     const lastId = request.headers["last-event-id"];
     const resumedAfter = lastId === undefined ? undefined : Number(lastId);
     const atMs = nowMs();
@@ -136,7 +154,11 @@
       return;
     }
     if (this.trouble === "hang") return;
-    const head = { [CALL_ID_HEADER]: callId, [SIGNATURE_HEADER]: "signed" };
+    const head = {
+      [CALL_ID_HEADER]: callId,
+      [SIGNATURE_HEADER]: "signed",
+      ...(this.saysItLeaves ? { [LEAVING_HEADER]: "1" } : {}),
+    };
     if (this.trouble === "fail") {
       response.writeHead(500, head);
       response.end("failed");
@@ -145,6 +167,17 @@
     } else this.#sendBody(response, head, callId);
   }
 
+  #refuse(response: ServerResponse, callId: string): void {
+    const { id, nowMs, recordRefusal } = this.#parts;
+    recordRefusal({ server: id, atMs: nowMs() });
+    response.writeHead(503, {
+      [CALL_ID_HEADER]: callId,
+      [NOT_EXECUTED_HEADER]: "1",
+      "retry-after": String(REST_S),
+    });
+    response.end();
+  }
+
   #sendBody(
     response: ServerResponse,
     head: Record<string, string>,
