A holder of a lease counts the time in which its machine was suspended

Found by reading what counts time: leases were judged by the steady clock, which stands still during a suspension; the store's goes on. Change: Clock.elapsedMs, the system's uptime, for both leases; docs say what else counts on which clock. Test first: it fails on the code as it was.

--- a/clock/clock.ts
+++ b/clock/clock.ts
@@ -2,6 +2,12 @@
 export interface Clock {
   /** Returns milliseconds since the epoch. */
   nowMs(): number;
+  /**
+   * Returns milliseconds since any start, on a clock that goes on while the machine is
+   * suspended, as `nowMs` does not. Costlier, and coarser by some ten milliseconds: for
+   * what another process counts as well, a lease say.
+   */
+  elapsedMs(): number;
   /**
    * Calls back once after a delay, unless the signal aborts first.
    *
--- a/clock/virtual_clock.ts
+++ b/clock/virtual_clock.ts
@@ -25,6 +25,10 @@
     return this.#nowMs;
   }
 
+  elapsedMs(): number {
+    return this.#nowMs;
+  }
+
   schedule(delayMs: number, callback: () => void, signal?: AbortSignal): void {
     if (signal?.aborted) return;
     const timer: Timer = {
--- a/controllers/work_batches.ts
+++ b/controllers/work_batches.ts
@@ -68,7 +68,7 @@
   let lease: { readonly id: string; readonly renewedMs: number } | undefined;
 
   const keepLease = async (): Promise<boolean> => {
-    const askedMs = clock.nowMs();
+    const askedMs = clock.elapsedMs();
     const options = { callClass: "lease" } as const;
     if (lease !== undefined) {
       const renewed = await gateway.store.renewLease(lease.id, options);
--- a/leases/lease_holder.ts
+++ b/leases/lease_holder.ts
@@ -39,9 +39,13 @@
     return this.#held;
   }
 
-  /** Whether an act that takes so long may still rely on the lease. */
+  /**
+   * Whether an act that takes so long may still rely on the lease. The store counts
+   * its time also while this machine is suspended: a holder that does not would wake
+   * and give orders beside the next one.
+   */
   isSafe(actMs: number): boolean {
-    const nowMs = this.#parts.clock.nowMs();
+    const nowMs = this.#parts.clock.elapsedMs();
     return isLeaseSafe(this.#held, this.#parts.terms, { nowMs, actMs });
   }
 
@@ -49,7 +53,7 @@
   async renew(): Promise<void> {
     if (this.#held === undefined) return await this.#acquire();
     const { clock, store } = this.#parts;
-    const askedMs = clock.nowMs();
+    const askedMs = clock.elapsedMs();
     const renewed = await store.renewLease(this.#held.leaseId, {
       callClass: "lease",
     });
@@ -73,7 +77,7 @@
     const options = { callClass: "lease" } as const;
     const present = await store.read(key, options);
     if (present.isErr() || present.value !== undefined) return;
-    const askedMs = clock.nowMs();
+    const askedMs = clock.elapsedMs();
     const granted = await store.grantLease(terms.ttlMs, options);
     if (granted.isErr()) return;
     const leaseId = granted.value;
@@ -105,7 +109,7 @@
     const { clock, terms } = this.#parts;
     if (
       this.#held !== undefined &&
-      clock.nowMs() > this.#held.renewedMs + terms.ttlMs
+      clock.elapsedMs() > this.#held.renewedMs + terms.ttlMs
     ) {
       this.#held = undefined;
     }
--- a/leases/lease_state.ts
+++ b/leases/lease_state.ts
@@ -3,7 +3,7 @@
   /** Fencing token: the store's revision at the creation of the lease's key. */
   readonly token: number;
   readonly leaseId: string;
-  /** When the last renewal that succeeded was asked for, on the holder's clock. */
+  /** When the last renewal that succeeded was asked for, on the holder's clock of elapsed time. */
   readonly renewedMs: number;
 }
 
--- a/logs/logger.ts
+++ b/logs/logger.ts
@@ -66,7 +66,7 @@
 /** Returns a logger that writes nothing. */
 export function createSilentLogger(): Logger {
   return createLogger({
-    clock: { nowMs: () => 0, schedule: () => {} },
+    clock: { nowMs: () => 0, elapsedMs: () => 0, schedule: () => {} },
     fields: {},
     level: "silent",
     write: () => {},
--- a/tests/slow_loop.ts
+++ b/tests/slow_loop.ts
@@ -13,6 +13,10 @@
     return this.#nowMs;
   }
 
+  elapsedMs(): number {
+    return this.#nowMs;
+  }
+
   schedule(delayMs: number, callback: () => void, signal?: AbortSignal): void {
     this.#timers.push({ dueMs: this.#nowMs + delayMs, callback, signal });
   }
--- a/tests/state_test.ts
+++ b/tests/state_test.ts
@@ -2,7 +2,12 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { BatchStore } from "../batches/mod.ts";
-import { createRandom, createToken, VirtualClock } from "../clock/mod.ts";
+import {
+  type Clock,
+  createRandom,
+  createToken,
+  VirtualClock,
+} from "../clock/mod.ts";
 import {
   decidePlacement,
   type PlacedEngine,
@@ -61,6 +66,31 @@
     assert.equal(first.held, undefined);
   });
 
+  it("is not relied on after a suspension, in which its holder's clock stood still", async () => {
+    const { clock, store } = createHolders(0);
+    let suspendedMs = 0;
+    const parts = {
+      store,
+      random: createRandom(1),
+      key: "/lease",
+      terms: LEASE_TERMS,
+    };
+    const suspended: Clock = {
+      nowMs: () => clock.nowMs() - suspendedMs,
+      elapsedMs: () => clock.nowMs(),
+      schedule: (...timer) => clock.schedule(...timer),
+    };
+    const first = new LeaseHolder({ ...parts, clock: suspended, owner: "o1" });
+    const second = new LeaseHolder({ ...parts, clock, owner: "o2" });
+    await first.renew();
+    assert.ok(first.isSafe(0));
+    suspendedMs = LEASE_TERMS.ttlMs + 1;
+    await clock.advance(suspendedMs);
+    await second.renew();
+    assert.ok(second.isSafe(0));
+    assert.ok(!first.isSafe(0));
+  });
+
   it("is not relied on in its last part, before the store lets anyone else in", async () => {
     const { clock, holders } = createHolders(1);
     const [first] = holders as [LeaseHolder];
