Refused calls are told at a rate of their own on each way of reports

A region that is cut off from the one that saw the servers end hears of a refused call by way of a third one, which told it there only as often as the order of its reports left it a turn. Now each way counts its own reports: about one a second.

--- a/daemon/ends_news.ts
+++ b/daemon/ends_news.ts
@@ -4,16 +4,23 @@
   type ReportedEnds,
 } from "../quarantine/mod.ts";
 
+/** To whom a report goes. */
+export type EndsScope = "near" | "region" | "summary";
+
 /** Rows that one report names at the most: it stays within one packet. */
 const MAX_ROWS = 16;
-/** One report in so many names a refused call beside those, in turn: about one a second. */
-const HELD_EVERY_REPORTS = 8;
+/**
+ * One report in so many names a refused call beside those, in turn: about one a second,
+ * whichever way the reports go.
+ */
+const HELD_EVERY_REPORTS: Readonly<Record<EndsScope, number>> = {
+  near: 8,
+  region: 4,
+  summary: 8,
+};
 /** Refused calls that an answer to one who asks names at the most. */
 const HELD_PER_ANSWER = 16;
 
-/** To whom a report goes. */
-export type EndsScope = "near" | "region" | "summary";
-
 /**
  * What reports tell of calls under which servers ended. Each scope tells what is new
  * on its own way; and since whoever starts, or was cut off, must not send such calls
@@ -26,7 +33,11 @@
     region: new EndsQueue(),
     summary: new EndsQueue(),
   };
-  #reports = 0;
+  readonly #reports: Record<EndsScope, number> = {
+    near: 0,
+    region: 0,
+    summary: 0,
+  };
 
   /** @param quarantine What is told, and what is learned. */
   constructor(quarantine: CallQuarantine) {
@@ -57,7 +68,7 @@
 
   /** Takes the rows of a report. */
   take(scope: EndsScope, nowMs: number): readonly ReportedEnds[] {
-    const isTurn = this.#reports++ % HELD_EVERY_REPORTS === 0;
+    const isTurn = this.#reports[scope]++ % HELD_EVERY_REPORTS[scope] === 0;
     return [
       ...this.#queues[scope].take(MAX_ROWS, nowMs),
       ...this.#quarantine.listHeldInTurn(isTurn ? 1 : 0, nowMs),
--- a/tests/ends_news_test.ts
+++ b/tests/ends_news_test.ts
@@ -79,6 +79,23 @@
     assert.ok(quarantine.readHeldMs(BAD, clock.nowMs()) > 0);
   });
 
+  it("reach a region by way of a third one, where it is cut off from that which saw them", async () => {
+    const { clock, listRunning, network } = await startRegions(3);
+    const isBetween = (from: string, to: string) =>
+      from.startsWith("north") && to.startsWith("west");
+    network.passes = (from, to) => !isBetween(from, to) && !isBetween(to, from);
+    const running = listRunning();
+    endServers(
+      running.filter(({ address }) => address.startsWith("north")),
+      clock.nowMs(),
+    );
+    await clock.advance(3_000);
+    const knowing = running.filter(({ quarantine }) =>
+      quarantine.readHeldMs(BAD, clock.nowMs()) > 0
+    );
+    assert.equal(knowing.length, running.length);
+  });
+
   it("cost little while calls are refused", async () => {
     const { clock, counted, listRunning } = await startRegions(LARGE_REGION);
     const measure = async () => {
