Soak: the call that ends servers comes all the time, and servers that end are replaced at once

Now they come from the first to the last fault, half of them at instances that were not disturbed lately, and a server that ended is replaced after 2 s. What is calm around a stop is judged by the ends of servers, not by the calls, so that the check on stops holds as before.

--- a/soak/apply_fault.ts
+++ b/soak/apply_fault.ts
@@ -24,7 +24,9 @@
 /** Heartbeats of a server after which the platform drops its entry, in milliseconds. */
 const LAPSE_MS = 3_000;
 /** Pause between calls under which servers end, in milliseconds. */
-const ENDING_CALL_PAUSE_MS = 120;
+const ENDING_CALL_PAUSE_MS = 150;
+/** Time after which an instance that was away or stood still is held to all promises, in milliseconds. */
+const STEADY_AFTER_MS = 5_000;
 /** Answer time of a slow store, in milliseconds. */
 const SLOW_STORE_MS = 300;
 
@@ -62,13 +64,25 @@
     return this.#stops.map(({ fromMs, instance, toMs }) => ({
       instance,
       atMs: fromMs,
-      isCalm: this.#spans.every((span) =>
+      isCalm: this.#listSpans().every((span) =>
         span.fromMs === fromMs || span.toMs < fromMs - LAPSE_MS ||
         span.fromMs > toMs
       ),
     }));
   }
 
+  /** Faults, and the ends of servers in place of the calls that they ended of. */
+  #listSpans(): readonly Span[] {
+    const faults = this.#spans.filter(({ planned }) =>
+      planned.fault.kind !== "ending-call"
+    );
+    const ends = this.#parts.fleet.serverEndsMs.map((atMs) => ({
+      fromMs: atMs,
+      toMs: atMs,
+    }));
+    return [...faults, ...ends];
+  }
+
   /** Applies a fault now and resolves when it is undone. */
   async run(planned: PlannedFault): Promise<void> {
     const { clock, print } = this.#parts;
@@ -200,16 +214,24 @@
     const sent: Promise<void>[] = [];
     while (clock.nowMs() < untilMs) {
       sent.push(this.#sendEndingCall(pickRandom(fleet.instances, random)!));
+      // Those that were not disturbed lately are held to the promise: they are asked, too.
+      const steady = this.#listSteady();
+      if (steady.length > 0) {
+        sent.push(this.#sendEndingCall(pickRandom(steady, random)!));
+      }
       await this.#wait(ENDING_CALL_PAUSE_MS);
     }
     await Promise.all(sent);
-    await this.#wait(LAPSE_MS);
-    await Promise.all(
-      fleet.slots.filter(({ server }) => server.hasEnded)
-        .map(async (slot) => {
-          await fleet.operator.unregister(slot.server.id);
-          await fleet.replaceServer(slot);
-        }),
+  }
+
+  #listSteady(): readonly SoakInstance[] {
+    const { clock, fleet: { instances } } = this.#parts;
+    const sinceMs = clock.nowMs() - STEADY_AFTER_MS;
+    return instances.filter((instance) =>
+      !this.#busy.has(instance) &&
+      !this.pauses.some(({ instance: name, toMs }) =>
+        name === instance.process.name && toMs > sinceMs
+      )
     );
   }
 
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -96,10 +96,6 @@
 const WORD_EVERY_MS = 7_000;
 /** How long these last, in milliseconds: longer than the rest that is asked for. */
 const WORD_MS = 4_000;
-/** One series of calls under which servers end in so much time, in milliseconds. */
-const ENDING_CALLS_EVERY_MS = 8_000;
-/** How long such a call comes again and again, in milliseconds. */
-const ENDING_CALLS_MS = 2_500;
 const PAUSE_MS = { least: 300, most: 1_500 };
 const DURATION_MS = { least: 300, most: 4_000 };
 
@@ -119,7 +115,7 @@
     ...planCrowds(parts, endMs),
     ...planServerStarts(parts, endMs),
     ...planHomeStops(parts, endMs),
-    ...planEndingCalls(parts, endMs),
+    ...planEndingCalls(endMs),
     ...planWords(parts, endMs),
   ];
 }
@@ -161,21 +157,10 @@
   })).filter(({ atMs, forMs }) => atMs + forMs <= endMs);
 }
 
-/** Plans calls under which servers end, from numbers of their own as crowds are. */
-function planEndingCalls(
-  { seed }: PlanParts,
-  endMs: number,
-): readonly PlannedFault[] {
-  const random = createRandom(~seed ^ 3);
-  const count = Math.floor((endMs - CALM_START_MS) / ENDING_CALLS_EVERY_MS) + 1;
-  return Array.from({ length: count }, (_, turn) => ({
-    fault: { kind: "ending-call" as const },
-    atMs: CALM_START_MS + turn * ENDING_CALLS_EVERY_MS +
-      Math.round(
-        random.nextFloat() * (ENDING_CALLS_EVERY_MS - ENDING_CALLS_MS),
-      ),
-    forMs: ENDING_CALLS_MS,
-  })).filter(({ atMs, forMs }) => atMs + forMs <= endMs);
+/** A late run of a call under which servers end can be seen only while it still comes. */
+function planEndingCalls(endMs: number): readonly PlannedFault[] {
+  const fault = { kind: "ending-call" } as const;
+  return [{ fault, atMs: CALM_START_MS, forMs: endMs - CALM_START_MS }];
 }
 
 /** Plans what servers say of themselves, from numbers of their own as crowds are. */
--- a/soak/soak_fleet.ts
+++ b/soak/soak_fleet.ts
@@ -51,6 +51,8 @@
 /** Time from SIGTERM to SIGKILL, in seconds, as the users have it. */
 const GRACE_S = 8;
 const TIMEOUT_MS = 4_000;
+/** After how long a server that ended of a call is replaced, in milliseconds. */
+const REPLACED_AFTER_MS = 2_000;
 /** Pause between looks whether all instances take calls, in milliseconds. */
 const READY_LOOK_MS = 100;
 
@@ -60,8 +62,11 @@
   readonly operator: PlatformOperator;
   readonly instances: SoakInstance[] = [];
   readonly slots: ServerSlot[] = [];
+  /** When servers ended of a call. */
+  readonly serverEndsMs: number[] = [];
   readonly #parts: SoakFleetParts;
   readonly #closers: (() => void)[] = [];
+  readonly #ended = new AbortController();
   #serverCount = 0;
   #version = 0;
 
@@ -192,8 +197,21 @@
     return this.operator.register(entry);
   }
 
+  /** Starts another server in the place of one that ended of a call. */
+  async #replaceEnded(id: string): Promise<void> {
+    const { signal } = this.#ended;
+    this.serverEndsMs.push(this.#parts.clock.nowMs());
+    await waitFor(this.#parts.clock, REPLACED_AFTER_MS, signal);
+    const slot = this.slots.find(({ server }) => server.id === id);
+    // Another fault may have replaced it meanwhile.
+    if (signal.aborted || slot === undefined) return;
+    await this.operator.unregister(id);
+    await this.replaceServer(slot);
+  }
+
   /** Ends all processes and sockets. */
   close(): void {
+    this.#ended.abort("closed");
     this.instances.forEach(({ process, storeLink }) => {
       process.signal("SIGCONT");
       process.destroy();
@@ -214,6 +232,7 @@
       nowMs: () => clock.nowMs(),
       record: recordRun,
       recordRefusal,
+      onEnded: () => void this.#replaceEnded(id),
     });
     const link = new LinkProxy(await server.open());
     const address = await link.open();
--- a/standin/recording_server.ts
+++ b/standin/recording_server.ts
@@ -57,6 +57,8 @@
   readonly nowMs: () => number;
   readonly record: (run: RecordedRun) => void;
   readonly recordRefusal: (refusal: RecordedRefusal) => void;
+  /** Called when it has ended of a call. */
+  readonly onEnded: () => void;
 }
 
 /** Rest that a server asks for, in seconds. */
@@ -77,8 +79,6 @@
   trouble: ServerTrouble = "none";
   /** Whether its answers say that it leaves. */
   saysItLeaves = false;
-  /** Whether it has ended of a call. */
-  hasEnded = false;
   readonly #parts: RecordingServerParts;
   readonly #sockets = new Set<Socket>();
   #server: Server | undefined;
@@ -149,8 +149,8 @@
     record({ callId, server: id, service, atMs, resumedAfter, isEnding });
     await waitFor(systemClock, WORK_MS);
     if (isEnding) {
-      this.hasEnded = true;
       this.crash();
+      this.#parts.onEnded();
       return;
     }
     if (this.trouble === "hang") return;
