A refused call is kept in the store, for instances that start when no other is left

Cause: refused calls lived in the memory of instances alone. Instances read it with all else that they follow, also from each other's copies.

--- a/daemon/catalog_state_test.ts
+++ b/daemon/catalog_state_test.ts
@@ -19,6 +19,7 @@
       table = applied;
     },
     onServers: () => {},
+    onRefusedCall: () => {},
     isRelay: () => true,
   }, () => 0);
   const spec = {
--- a/daemon/http_gateway.ts
+++ b/daemon/http_gateway.ts
@@ -33,6 +33,7 @@
 import type { RegionId } from "../ids/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
+import type { ReportedEnds } from "../quarantine/mod.ts";
 import { type RegisteredServer, ServerRegistry } from "../servers/mod.ts";
 import type { StateSource } from "../state/mod.ts";
 import type { Result } from "neverthrow";
@@ -50,6 +51,8 @@
   readonly applyTable: (table: RouteTable) => void;
   /** Called after each change of the registry. */
   readonly onServers: () => void;
+  /** Takes a refused call that is kept in the store. */
+  readonly onRefusedCall: (ends: ReportedEnds) => void;
   /** Whether this instance follows the store for its region. */
   readonly isRelay: () => boolean;
 }
@@ -73,6 +76,8 @@
   readonly repeatBounds: RepeatBounds;
   /** What cold servers bear. */
   readonly warmUpBounds: WarmUpBounds;
+  /** Keeps a refused call where instances that start later find it. Default: it is kept nowhere. */
+  readonly keepRefusedCall?: (ends: ReportedEnds) => void;
   readonly sendReport: SendReport;
   /**
    * Reads what the instance at an address knows beyond a revision. Default: none,
@@ -142,6 +147,7 @@
       metrics: parts.metrics,
       repeatBounds: parts.repeatBounds,
       warmUpBounds: parts.warmUpBounds,
+      keepRefusedCall: parts.keepRefusedCall,
     });
     this.state = parts.createState({
       registry: this.registry,
@@ -151,6 +157,8 @@
         if (this.#departure === undefined) this.fleet.setState("ready");
       },
       onServers: () => this.#applyServers(),
+      onRefusedCall: (ends) =>
+        void this.forwarder.quarantine.learn([ends], clock.nowMs()),
       isRelay: () => this.#isRelay(),
     });
     const { readPeerState } = parts;
--- a/forwarding/call_forwarder.ts
+++ b/forwarding/call_forwarder.ts
@@ -11,7 +11,11 @@
 import type { BackendId, CallFingerprint, RegionId } from "../ids/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
-import { CallContent, CallQuarantine } from "../quarantine/mod.ts";
+import {
+  CallContent,
+  CallQuarantine,
+  type ReportedEnds,
+} from "../quarantine/mod.ts";
 import type { RegisteredServer, ServerRegistry } from "../servers/mod.ts";
 import type { CallGrammar } from "./call_grammar.ts";
 import { CallReplies } from "./call_replies.ts";
@@ -65,6 +69,8 @@
   readonly metrics: Metrics;
   readonly repeatBounds: RepeatBounds;
   readonly warmUpBounds: WarmUpBounds;
+  /** Keeps a refused call where instances that start later find it. Default: it is kept nowhere. */
+  readonly keepRefusedCall?: ((ends: ReportedEnds) => void) | undefined;
 }
 
 /** Takes calls, finds a server for each, and passes answers on. */
@@ -89,12 +95,15 @@
     this.#parts = parts;
     this.#repeats = new RepeatBudgets(parts.repeatBounds);
     this.quarantine = new CallQuarantine({
-      onHeld: (call, servers) => {
+      onHeld: (held) => {
+        const { call, isSeenHere, servers } = held;
         parts.logger.warn("call quarantined", {
           content: call,
           servers: servers.join(" "),
+          isSeenHere,
         });
         this.#takeBack(call);
+        if (isSeenHere) parts.keepRefusedCall?.(held);
       },
     });
     this.#line = new WaitingLine(parts.clock);
--- a/quarantine/call_quarantine.ts
+++ b/quarantine/call_quarantine.ts
@@ -13,7 +13,7 @@
  * beyond the time in which callers try again, below that in which a server's fault is
  * mended.
  */
-const HOLD_MS = 600_000;
+export const HOLD_MS = 600_000;
 /** Calls that are remembered at the most: what a hundred servers have in flight, 1 MB. */
 const MAX_SUSPECTS = 4_096;
 /** Of these, calls that are refused; the oldest is let go. */
@@ -34,13 +34,16 @@
   lastEndMs: number;
 }
 
+/** A call that is refused from now on. */
+export interface HeldCall extends ReportedEnds {
+  /** Whether this instance saw the last of the servers end; else it was told. */
+  readonly isSeenHere: boolean;
+}
+
 /** What a quarantine tells. */
 export interface CallQuarantineParts {
   /** Called when a call is refused from now on. Default: nothing. */
-  readonly onHeld?: (
-    call: CallFingerprint,
-    servers: readonly BackendId[],
-  ) => void;
+  readonly onHeld?: (held: HeldCall) => void;
 }
 
 /**
@@ -86,7 +89,7 @@
    */
   recordEnd(content: CallContent, server: BackendId, nowMs: number): void {
     const ends = { call: content.fingerprint, servers: [server], ageMs: 0 };
-    if (this.#learnOne(ends, nowMs)) this.#untold.push(ends);
+    if (this.#learnOne(ends, nowMs, true)) this.#untold.push(ends);
   }
 
   /**
@@ -112,7 +115,7 @@
     told.forEach(({ call, servers }) => {
       if (servers.length > 0) this.#contradict(call, nowMs);
     });
-    return told.filter((ends) => this.#learnOne(ends, nowMs));
+    return told.filter((ends) => this.#learnOne(ends, nowMs, false));
   }
 
   /**
@@ -169,7 +172,11 @@
   }
 
   /** @returns Whether the row says something new. */
-  #learnOne({ ageMs, call, servers }: ReportedEnds, nowMs: number): boolean {
+  #learnOne(
+    { ageMs, call, servers }: ReportedEnds,
+    nowMs: number,
+    isSeenHere: boolean,
+  ): boolean {
     const atMs = nowMs - ageMs;
     if (servers.length === 0) return this.#learnAnswer(call, atMs);
     if (ageMs >= HOLD_MS || this.#wasAnswered(call, nowMs)) return false;
@@ -182,7 +189,10 @@
     // What is told again and again must not last for ever: only news renews it.
     suspect.lastEndMs = Math.max(suspect.lastEndMs, atMs);
     this.#remember(call, suspect);
-    this.#hold(call, suspect);
+    if (this.#hold(call, suspect)) {
+      const ends = { call, servers: [...suspect.servers], ageMs };
+      this.#onHeld({ ...ends, isSeenHere });
+    }
     return true;
   }
 
@@ -211,12 +221,13 @@
     if (oldest !== undefined) this.#forget(oldest);
   }
 
-  #hold(call: CallFingerprint, { servers }: Suspect): void {
-    if (servers.size < ENDS_TO_HOLD || this.#held.has(call)) return;
+  /** @returns Whether the call is refused from now on. */
+  #hold(call: CallFingerprint, { servers }: Suspect): boolean {
+    if (servers.size < ENDS_TO_HOLD || this.#held.has(call)) return false;
     this.#held.add(call);
     const [oldest] = this.#held;
     if (this.#held.size > MAX_HELD) this.#forget(oldest!);
-    this.#onHeld(call, [...servers]);
+    return true;
   }
 
   /**
--- a/quarantine/call_quarantine_test.ts
+++ b/quarantine/call_quarantine_test.ts
@@ -19,7 +19,9 @@
 /** A quarantine that saw these servers end under these calls, one a second. */
 function see(ends: Readonly<Record<string, readonly number[]>>) {
   const held: CallFingerprint[] = [];
-  const quarantine = new CallQuarantine({ onHeld: (call) => held.push(call) });
+  const quarantine = new CallQuarantine({
+    onHeld: ({ call }) => held.push(call),
+  });
   Object.entries(ends).forEach(([body, servers]) =>
     servers.forEach((server, at) =>
       quarantine.recordEnd(createContent(body), SERVERS[server]!, at * 1_000)
--- a/state/mod.ts
+++ b/state/mod.ts
@@ -17,3 +17,4 @@
 export * from "./judge_server_entry.ts";
 export * from "./state_follower.ts";
 export * from "./instance_entry.ts";
+export * from "./refused_call_entries.ts";
--- a/state/state_follower.ts
+++ b/state/state_follower.ts
@@ -3,6 +3,7 @@
 import type { BackendId, FailureDomainId } from "../ids/mod.ts";
 import type { KnownState } from "../fleet/mod.ts";
 import type { Logger } from "../logs/mod.ts";
+import type { ReportedEnds } from "../quarantine/mod.ts";
 import type { RegisteredServer, ServerRegistry } from "../servers/mod.ts";
 import type {
   RevisionedStore,
@@ -75,6 +76,8 @@
   readonly applyTable: (table: RouteTable) => void;
   /** Called after each change of the registry. */
   readonly onServers: () => void;
+  /** Takes a refused call that is kept in the store. Default: it is passed over. */
+  readonly onRefusedCall?: (ends: ReportedEnds) => void;
   /** Whether this instance follows the store, and does not leave it to peers. Default: always. */
   readonly isRelay?: () => boolean;
 }
@@ -302,6 +305,11 @@
     if (document.kind === "configuration") {
       this.#applyConfiguration(document.configuration);
     }
+    if (document.kind === "refused-call") {
+      const { call, endedMs, servers } = document;
+      const ageMs = Math.max(0, this.#parts.clock.nowMs() - endedMs);
+      this.#parts.onRefusedCall?.({ call, servers, ageMs });
+    }
   }
 
   /**
