--- a/forwarding/call_forwarder.ts
+++ b/forwarding/call_forwarder.ts
@@ -8,12 +8,12 @@
   type RouteTable,
   RouteUse,
 } from "../http_routes/mod.ts";
-import type { BackendId, CallFingerprint, RegionId } from "../ids/mod.ts";
+import type { BackendId, RegionId } from "../ids/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
 import {
   CallContent,
-  CallQuarantine,
+  type CallQuarantine,
   type ReportedEnds,
 } from "../quarantine/mod.ts";
 import type { RegisteredServer, ServerRegistry } from "../servers/mod.ts";
@@ -26,7 +26,9 @@
 import { InstanceSender } from "./instance_sender.ts";
 import { LearnedServers } from "./learned_servers.ts";
 import type { CallSink, OpaqueCall } from "./opaque_call.ts";
+import { describeServers, isHopeless, toNoRoomRefusal } from "./no_room.ts";
 import { placeParts } from "./prefix_memory.ts";
+import { QuarantineGuard } from "./quarantine_guard.ts";
 import type { Refusal } from "./refusal.ts";
 import { type RepeatBounds, RepeatBudgets } from "./repeat_budget.ts";
 import type { ServerClient } from "./server_client.ts";
@@ -78,14 +80,12 @@
   readonly #parts: CallForwarderParts;
   readonly #replies: CallReplies;
   readonly #learned: LearnedServers;
-  /** Calls under which servers ended. */
-  readonly quarantine: CallQuarantine;
+  readonly #guard: QuarantineGuard;
   readonly #places: PlaceChooser;
   readonly #line: WaitingLine;
   readonly #repeats: RepeatBudgets;
   readonly #use = new RouteUse();
   readonly #sender: CallSender;
-  readonly #underWay = new Set<UnderWay>();
   #table: RouteTable | undefined;
   #inFlight = 0;
 
@@ -94,18 +94,7 @@
     const { fleet, loads, random, registry } = parts;
     this.#parts = parts;
     this.#repeats = new RepeatBudgets(parts.repeatBounds);
-    this.quarantine = new CallQuarantine({
-      onHeld: (held) => {
-        const { call, isSeenHere, servers } = held;
-        parts.logger.warn("call quarantined", {
-          content: call,
-          servers: servers.join(" "),
-          isSeenHere,
-        });
-        this.#takeBack(call);
-        if (isSeenHere) parts.keepRefusedCall?.(held);
-      },
-    });
+    this.#guard = new QuarantineGuard(parts);
     this.#line = new WaitingLine(parts.clock);
     this.#replies = new CallReplies({
       ...parts,
@@ -150,6 +139,11 @@
     });
   }
 
+  /** Calls under which servers ended. */
+  get quarantine(): CallQuarantine {
+    return this.#guard.quarantine;
+  }
+
   /** Calls that are being served. */
   get inFlight(): number {
     return this.#inFlight;
@@ -323,10 +317,9 @@
     if (leftMs > 0) scheduleAfterReading(clock, leftMs, giveUp, timer.signal);
     else giveUp();
     const exchange = this.#createExchange(routed, dueMs, given.signal);
-    const underWay = { content: exchange.content, giveUp };
-    this.#underWay.add(underWay);
+    const endServing = this.#guard.begin(exchange.content, giveUp);
     await this.#forward(exchange);
-    this.#underWay.delete(underWay);
+    endServing();
     timer.abort("done");
     sink.signal.removeEventListener("abort", giveUp);
   }
@@ -374,15 +367,8 @@
       const { targetMs, priority } = exchange.route;
       const patienceMs = exchange.call.receivedMs +
         WAIT_PART_OF_TARGET * targetMs - nowMs;
-      // A server that rests for longer than the call may wait, or that had it, is not waited for.
-      const isHopeless = place.kind === "tried" ||
-        place.kind === "rest" && place.untilMs - nowMs > patienceMs;
-      if (patienceMs <= 0 || isHopeless) {
-        this.#replies.finishWithout(
-          exchange,
-          toNoRoom(exchange.service.name, place, nowMs),
-          { servers: this.#describeServers(exchange, nowMs) },
-        );
+      if (isHopeless(place, nowMs, patienceMs)) {
+        this.#refuseForRoom(exchange, place, nowMs);
         return;
       }
       await this.#line.wait(
@@ -399,43 +385,24 @@
     });
   }
 
-  /** A copy of the call that waits at a server ends it when it begins to run there. */
-  #takeBack(call: CallFingerprint): void {
-    [...this.#underWay].filter(({ content }) => content.fingerprint === call)
-      .forEach(({ giveUp }) => giveUp());
+  #refuseForRoom(exchange: Exchange, place: NoPlace, nowMs: number): void {
+    const service = exchange.service.name;
+    const known = { ...this.#parts, learned: this.#learned };
+    this.#replies.finishWithout(
+      exchange,
+      toNoRoomRefusal(service, place, nowMs),
+      { servers: describeServers(service, nowMs, known) },
+    );
   }
 
-  /** Before each send: other instances may have told of the call since the last one. */
   #refuseQuarantined(exchange: Exchange, nowMs: number): boolean {
-    const heldMs = this.quarantine.readHeldMs(exchange.content, nowMs);
-    if (heldMs <= 0) return false;
-    this.#replies.finishWithout(exchange, {
-      reason: "quarantined",
-      message: "Servers ended under this call",
-      retryAfterMs: heldMs,
-    }, { content: exchange.content.fingerprint });
+    const refusal = this.#guard.findRefusal(exchange.content, nowMs);
+    if (refusal === undefined) return false;
+    const content = exchange.content.fingerprint;
+    this.#replies.finishWithout(exchange, refusal, { content });
     return true;
   }
 
-  /** Says of each server of the own region why it has no room, for the log. */
-  #describeServers(exchange: Exchange, nowMs: number): string {
-    const { fleet, loads, registry } = this.#parts;
-    const { region } = fleet.self;
-    return registry.listUsable(exchange.service.name, region)
-      .map(({ entry, coldUntilMs }) => {
-        const { calls, memoryTokens, pendingTokens } = loads.readTotal(
-          entry.id,
-        );
-        const coldMs = Math.max(0, Math.round(coldUntilMs - nowMs));
-        const restMs = Math.max(
-          0,
-          this.#learned.health.readRestsUntilMs(entry.id) - nowMs,
-        );
-        return `${entry.id} calls=${calls} pending=${pendingTokens}` +
-          ` memory=${memoryTokens} cold=${coldMs} rest=${Math.round(restMs)}`;
-      }).join("; ");
-  }
-
   #readMemoryTokens(server: BackendId): number {
     const service = this.#parts.registry.find(server)?.entry.service;
     if (service === undefined) return 0;
@@ -443,48 +410,6 @@
   }
 }
 
-/** Returns the refusal of a call that no server may get now. */
-function toNoRoom(
-  service: string,
-  place: NoPlace,
-  nowMs: number,
-): Refusal {
-  const reason = "no-room";
-  const retryAfterMs = NO_ROOM_RETRY_MS;
-  switch (place.kind) {
-    case "wait":
-      return {
-        reason,
-        message: `Every server of "${service}" is full`,
-        retryAfterMs,
-      };
-    case "rest":
-      return {
-        reason,
-        message: `Every server of "${service}" has asked for rest`,
-        retryAfterMs: Math.max(retryAfterMs, place.untilMs - nowMs),
-      };
-    case "tried":
-      return {
-        reason,
-        message: `Every server of "${service}" had the call`,
-        retryAfterMs: Math.max(retryAfterMs, place.untilMs - nowMs),
-      };
-    case "nowhere":
-      return {
-        reason,
-        message: `No server of "${service}" may take the call`,
-        retryAfterMs,
-      };
-  }
-}
-
-/** A call that is being served, and how to end that. */
-interface UnderWay {
-  readonly content: CallContent;
-  readonly giveUp: () => void;
-}
-
 /** A call whose route and service are known. */
 type RoutedCall = Pick<
   Exchange,
--- a/forwarding/mod.ts
+++ b/forwarding/mod.ts
@@ -35,6 +35,8 @@
 export * from "./read_patience.ts";
 export * from "./settle_attempt.ts";
 export * from "./turn_gate.ts";
+export * from "./quarantine_guard.ts";
+export * from "./no_room.ts";
 export * from "./call_replies.ts";
 export * from "./server_sender.ts";
 export * from "./instance_sender.ts";
--- /dev/null
+++ b/forwarding/no_room.ts
@@ -0,0 +1,102 @@
+import type { FleetView, LoadBoard } from "../fleet/mod.ts";
+import type { ServerRegistry } from "../servers/mod.ts";
+import type { NoPlace } from "./choose_place.ts";
+import type { LearnedServers } from "./learned_servers.ts";
+import type { Refusal } from "./refusal.ts";
+import { NO_ROOM_RETRY_MS } from "./settle_attempt.ts";
+
+/**
+ * Whether a call that goes nowhere now need not wait: a server that rests for longer
+ * than it may, or that had it, does not take it.
+ *
+ * @param place Why it goes nowhere.
+ * @param nowMs Time now.
+ * @param patienceMs How long it may wait, in milliseconds.
+ */
+export function isHopeless(
+  place: NoPlace,
+  nowMs: number,
+  patienceMs: number,
+): boolean {
+  switch (place.kind) {
+    case "wait":
+    case "nowhere":
+      return patienceMs <= 0;
+    case "rest":
+      return place.untilMs - nowMs > patienceMs;
+    case "tried":
+      return true;
+  }
+}
+
+/**
+ * Returns the refusal of a call that no server may get now.
+ *
+ * @param service Which it is for.
+ * @param place Why it goes nowhere.
+ * @param nowMs Time now.
+ */
+export function toNoRoomRefusal(
+  service: string,
+  place: NoPlace,
+  nowMs: number,
+): Refusal {
+  const reason = "no-room";
+  const retryAfterMs = NO_ROOM_RETRY_MS;
+  switch (place.kind) {
+    case "wait":
+      return {
+        reason,
+        message: `Every server of "${service}" is full`,
+        retryAfterMs,
+      };
+    case "nowhere":
+      return {
+        reason,
+        message: `No server of "${service}" may take the call`,
+        retryAfterMs,
+      };
+    case "rest":
+      return {
+        reason,
+        message: `Every server of "${service}" has asked for rest`,
+        retryAfterMs: Math.max(retryAfterMs, place.untilMs - nowMs),
+      };
+    case "tried":
+      return {
+        reason,
+        message: `Every server of "${service}" had the call`,
+        retryAfterMs: Math.max(retryAfterMs, place.untilMs - nowMs),
+      };
+  }
+}
+
+/** What is known of servers. */
+export interface KnownOfServers {
+  readonly fleet: Pick<FleetView, "self">;
+  readonly loads: LoadBoard;
+  readonly registry: ServerRegistry;
+  readonly learned: Pick<LearnedServers, "health">;
+}
+
+/**
+ * Says of each server of the own region why it has no room, for the log.
+ *
+ * @param service Whose servers.
+ * @param nowMs Time now.
+ * @param known What is known of them.
+ */
+export function describeServers(
+  service: string,
+  nowMs: number,
+  { fleet, learned: { health }, loads, registry }: KnownOfServers,
+): string {
+  const leftMs = (untilMs: number) => Math.max(0, Math.round(untilMs - nowMs));
+  return registry.listUsable(service, fleet.self.region)
+    .map(({ entry: { id }, coldUntilMs }) => {
+      const { calls, memoryTokens, pendingTokens } = loads.readTotal(id);
+      const restMs = leftMs(health.readRestsUntilMs(id));
+      return `${id} calls=${calls} pending=${pendingTokens}` +
+        ` memory=${memoryTokens} cold=${leftMs(coldUntilMs)} rest=${restMs}`;
+    }).join("; ");
+}
