A server that turns calls away is preferred less for a second or two

What callers saw: servers that turn calls away without asking for rest get most calls, since each of them ends at once and leaves no load: of three servers, two that reject all got 128 of 210 sends, and 43 of 125 calls were refused. Change: rejections count in the share of failures that choices compare, and fade in a second, also without a call: room comes back soon, and errors are kept as before. No server is left out for them. In the test's fleet 82 and 123 of 125 calls served.

--- a/forwarding/choose_server.ts
+++ b/forwarding/choose_server.ts
@@ -148,12 +148,13 @@
     const first = this.#findFirstRank(needs, considered);
     const extraTokens = (options.extraTokens ?? 0) /
       Math.max(1, considered.length);
-    const meanFailures = this.#computeMeanFailures(considered);
+    const meanFailures = this.#computeMeanFailures(considered, nowMs);
     const candidates = considered.flatMap((server) => {
       const judged = this.#judge(needs, server, nowMs, extraTokens);
       if (judged === undefined) return [];
       const bonusMs = server.entry.id === first ? FIRST_RANK_BONUS_MS : 0;
-      const failures = health.readFailureShare(server.entry.id) - meanFailures;
+      const failures = health.readFailureShare(server.entry.id, nowMs) -
+        meanFailures;
       const costMs = computeCost(judged, needs, options.wayMs ?? 0) -
         bonusMs + FAILURE_PENALTY_MS * Math.max(0, failures);
       return [{ ...judged, costMs }];
@@ -278,10 +279,13 @@
     );
   }
 
-  #computeMeanFailures(servers: readonly KnownServer[]): number {
+  #computeMeanFailures(
+    servers: readonly KnownServer[],
+    nowMs: number,
+  ): number {
     if (servers.length === 0) return 0;
     const shares = servers.map(({ entry }) =>
-      this.#parts.learned.health.readFailureShare(entry.id)
+      this.#parts.learned.health.readFailureShare(entry.id, nowMs)
     );
     return shares.reduce((sum, share) => sum + share, 0) / servers.length;
   }
--- a/forwarding/server_health.ts
+++ b/forwarding/server_health.ts
@@ -5,6 +5,12 @@
 /** First pause, in milliseconds; it doubles up to the longest. */
 const FIRST_PAUSE_MS = 500;
 const LONGEST_PAUSE_MS = 4_000;
+/**
+ * Time in which the share of calls that a server turned away falls to a third, in
+ * milliseconds. Room comes back within a second or two, and only a call that is sent
+ * there shows it.
+ */
+const REJECTIONS_FADE_MS = 1_000;
 /** Part that a new outcome has in the running share of failures. */
 const OUTCOME_WEIGHT = 0.08;
 
@@ -15,6 +21,9 @@
   /** Until when it wants nothing. */
   restsUntilMs: number;
   failureShare: number;
+  /** Running share of calls that it turned away, as of then. */
+  rejectedShare: number;
+  rejectedMs: number;
 }
 
 /** How a call ended at a server, as far as it tells of the server. */
@@ -22,6 +31,8 @@
   | "answered"
   /** The server answered with an error of its own. */
   | "error"
+  /** The server turned the call away, without running it. */
+  | "rejected"
   /** No connection, a broken one, or bytes that are no answer. */
   | "no-answer";
 
@@ -67,9 +78,15 @@
     return this.#byServer.get(server)?.restsUntilMs ?? 0;
   }
 
-  /** Returns the running share of calls that failed at a server, from 0 to 1. */
-  readFailureShare(server: BackendId): number {
-    return this.#byServer.get(server)?.failureShare ?? 0;
+  /**
+   * Returns the running share of calls that failed at a server or were turned away
+   * there, from 0 to 1. Who turns calls away at once has no load: without this, it
+   * would be chosen before those that work.
+   */
+  readFailureShare(server: BackendId, nowMs: number): number {
+    const health = this.#byServer.get(server);
+    if (health === undefined) return 0;
+    return Math.min(1, health.failureShare + fadeRejections(health, nowMs));
   }
 
   /**
@@ -83,6 +100,12 @@
   record(server: BackendId, outcome: ServerOutcome, nowMs: number): boolean {
     const health = this.#byServer.get(server) ?? createHealth();
     this.#byServer.set(server, health);
+    const rejected = outcome === "rejected" ? 1 : 0;
+    const rejectedShare = fadeRejections(health, nowMs);
+    health.rejectedShare = rejectedShare +
+      OUTCOME_WEIGHT * (rejected - rejectedShare);
+    health.rejectedMs = nowMs;
+    if (outcome === "rejected") return false;
     const failed = outcome === "answered" ? 0 : 1;
     health.failureShare += OUTCOME_WEIGHT * (failed - health.failureShare);
     if (outcome !== "no-answer") {
@@ -106,6 +129,13 @@
   }
 }
 
+function fadeRejections(
+  { rejectedMs, rejectedShare }: Health,
+  nowMs: number,
+): number {
+  return rejectedShare * Math.exp((rejectedMs - nowMs) / REJECTIONS_FADE_MS);
+}
+
 function createHealth(): Health {
   return {
     failuresInRow: 0,
@@ -113,5 +143,7 @@
     suspendedUntilMs: 0,
     restsUntilMs: 0,
     failureShare: 0,
+    rejectedShare: 0,
+    rejectedMs: 0,
   };
 }
--- a/forwarding/server_sender.ts
+++ b/forwarding/server_sender.ts
@@ -290,6 +290,7 @@
     case "broken":
       return "no-answer";
     case "rejected":
+      return outcome.isOtherServer ? undefined : "rejected";
     case "given-up":
       return undefined;
   }
--- a/tests/server_word_test.ts
+++ b/tests/server_word_test.ts
@@ -68,6 +68,20 @@
 }
 
 describe("the word of a server", () => {
+  describe("that it does not run a call", () => {
+    it("makes others preferred, though it has no load", async () => {
+      const fleet = await start({
+        decide: ({ server }) =>
+          server === "north-server-2"
+            ? ANSWER
+            : { kind: "reject", headers: [] },
+      });
+      const ended = await play(fleet, 2_500);
+      const served = ended.filter(({ status }) => status === 200);
+      assert.ok(served.length >= 0.95 * ended.length);
+    });
+  });
+
   describe("that it leaves", () => {
     it("keeps new calls from it, though the store does not say it", async () => {
       let leavesFromMs = Number.POSITIVE_INFINITY;
