Failing test: with havenspurd, a call under which engines end is sent to engines without end

The same cause elsewhere: daemons of the embedded default keep what a call did to engines with the one request.

--- a/engine/backend_client.ts
+++ b/engine/backend_client.ts
@@ -26,7 +26,12 @@
     readonly retryAfterMs: number;
   }
   /** Something went out and no answer came: the work may have run. */
-  | { readonly kind: "broken"; readonly message: string };
+  | {
+    readonly kind: "broken";
+    readonly message: string;
+    /** Whether the server ended the connection. Default: no. */
+    readonly isClosed?: boolean;
+  };
 
 /** What an engine says of its load. It lags. */
 export interface EngineLoad {
--- a/standin/fake_backend.ts
+++ b/standin/fake_backend.ts
@@ -25,7 +25,11 @@
   /** Share of requests that it takes and then breaks. */
   failShare: number;
   /** Attempts that it has begun, with the question of each. */
-  readonly runs: { readonly attempt: string; readonly body: string }[];
+  readonly runs: {
+    readonly attempt: string;
+    readonly body: string;
+    readonly atMs: number;
+  }[];
 }
 
 interface Stream {
@@ -41,6 +45,8 @@
   readonly prompt_tokens?: number;
   readonly prefix?: string;
   readonly prefix_tokens?: number;
+  /** The engine that runs it ends. */
+  readonly ends_server?: boolean;
 }
 
 const RANKS: Readonly<Record<string, number>> = {
@@ -48,6 +54,8 @@
   normal: 1,
   batch: 2,
 };
+/** After how long an engine that ended of a call is there again, in milliseconds. */
+const BACK_AFTER_MS = 6_000;
 const NEAR_MS = 1;
 const FAR_MS = 25;
 
@@ -128,7 +136,22 @@
     const body = JSON.parse(
       Buffer.from(call.body ?? "{}").toString(),
     ) as FakeBody;
-    engine.runs.push({ attempt: call.attempt, body: JSON.stringify(body) });
+    engine.runs.push({
+      attempt: call.attempt,
+      body: JSON.stringify(body),
+      atMs: this.#clock.nowMs(),
+    });
+    if (body.ends_server === true) {
+      engine.isDown = true;
+      this.#clock.schedule(BACK_AFTER_MS, () => {
+        engine.isDown = false;
+      });
+      return err({
+        kind: "broken",
+        message: "The engine has ended",
+        isClosed: true,
+      });
+    }
     if (this.#nextFloat() < engine.failShare) {
       return err({ kind: "broken", message: "The connection broke" });
     }
