--- a/adapters/http_backend_client.ts
+++ b/adapters/http_backend_client.ts
@@ -1,4 +1,4 @@
-import { isNotSent } from "./connection_errors.ts";
+import { isClosed, isNotSent } from "./connection_errors.ts";
 import { createParser } from "eventsource-parser";
 import { err, ok, type Result } from "neverthrow";
 import { Agent, type Dispatcher, request } from "undici";
@@ -279,9 +279,8 @@
 }
 
 function toFailure(error: unknown): DispatchFailure {
-  const { message } = error as Error;
-  return {
-    kind: isNotSent(error) ? "not-sent" : "broken",
-    message: message || String(error),
-  };
+  const message = (error as Error).message || String(error);
+  return isNotSent(error)
+    ? { kind: "not-sent", message }
+    : { kind: "broken", message, isClosed: isClosed(error) };
 }
--- a/controllers/send_heartbeats.ts
+++ b/controllers/send_heartbeats.ts
@@ -1,6 +1,7 @@
 import type { ConfigurationState } from "../configuration/mod.ts";
 import type { Membership, ServiceDigest } from "../membership/mod.ts";
 import type { GatewayParts } from "../ports/mod.ts";
+import type { ReportedEnds } from "../quarantine/mod.ts";
 import type { ServicePool } from "../routing/mod.ts";
 
 /** What sending heartbeats needs of a daemon. */
@@ -8,6 +9,12 @@
   readonly parts: Pick<GatewayParts, "clock" | "metrics" | "peers">;
   readonly configuration: ConfigurationState;
   readonly membership: Membership;
+  /**
+   * Returns what is told of calls under which servers ended.
+   *
+   * @param isFar Whether the heartbeat goes to another region, which is told seldom.
+   */
+  takeEnds(): (isFar: boolean) => readonly ReportedEnds[];
   readPool(service: string): ServicePool;
 }
 
@@ -28,8 +35,12 @@
       configuration: gateway.configuration.sequence,
       services: gateway.membership.isObserver ? readServices(gateway) : [],
     };
-    gateway.membership.decideTick(local, clock.nowMs())
-      .forEach(({ to, heartbeat }) => peers.send(to, heartbeat));
+    const outgoing = gateway.membership.decideTick(local, clock.nowMs());
+    const listEnds = gateway.takeEnds();
+    outgoing.forEach(({ to, heartbeat }) => {
+      const ends = listEnds(to.region !== heartbeat.region);
+      peers.send(to, ends.length === 0 ? heartbeat : { ...heartbeat, ends });
+    });
     metrics.gauge("membership.live", gateway.membership.liveIds.length);
   };
 }
--- a/daemon/gateway.ts
+++ b/daemon/gateway.ts
@@ -34,8 +34,10 @@
   Reply,
 } from "../filters/mod.ts";
 import { holdUntilEnd, toRefusal } from "../filters/mod.ts";
+import { CallQuarantine, type ReportedEnds } from "../quarantine/mod.ts";
 import type { PeerHandlers, PeerMethod, PeerMethods } from "../peers/mod.ts";
 import type { GatewayParts } from "../ports/mod.ts";
+import { EndsNews } from "./ends_news.ts";
 import { createPeerHandlers } from "./peer_handlers.ts";
 import { createRoutes, type Routes } from "./routes.ts";
 import { startControllers } from "./start_controllers.ts";
@@ -61,6 +63,8 @@
   readonly borrower = new LimitBorrower(this);
   readonly ledger = new CreditLedger();
   readonly retries = new RetryBudget();
+  readonly quarantine: CallQuarantine;
+  readonly #ends: EndsNews;
   readonly usage = new UsageMeter();
   /** How far the placements of the region are, where this daemon holds its lease. */
   readPlacements: () => readonly PlacementStatus[] = () => [];
@@ -111,6 +115,15 @@
       readNewestHeard: () => this.membership.newestHeard,
       report: (message) => parts.logger.warn(message),
     });
+    this.quarantine = new CallQuarantine({
+      onHeld: ({ call, isSeenHere, servers }) =>
+        parts.logger.warn("call quarantined", {
+          content: call,
+          servers: servers.join(" "),
+          isSeenHere,
+        }),
+    });
+    this.#ends = new EndsNews(this.quarantine);
     this.configuration.subscribe(() => this.#applyCatalog());
     this.#handlers = createPeerHandlers(this);
     this.#routes = createRoutes(this);
@@ -194,8 +207,18 @@
     return await this.#handlers[method](params);
   }
 
+  /** Returns what the heartbeats of one tick tell of calls under which servers ended. */
+  takeEnds(): (isFar: boolean) => readonly ReportedEnds[] {
+    const nowMs = this.parts.clock.nowMs();
+    this.#ends.gather(nowMs);
+    const near = this.#ends.take("near", nowMs);
+    return (isFar) => isFar ? this.#ends.listForAnswer(nowMs) : near;
+  }
+
   /** Takes a heartbeat. */
   receiveHeartbeat(heartbeat: Heartbeat): void {
+    const { ends = [] } = heartbeat;
+    this.#ends.learn(ends, this.parts.clock.nowMs(), ["near"]);
     const answers = this.membership.applyHeartbeat(
       heartbeat,
       this.parts.clock.nowMs(),
--- a/daemon/routes.ts
+++ b/daemon/routes.ts
@@ -293,6 +293,7 @@
     membership: gateway.membership,
     peerToken: options.peerToken,
     retries: gateway.retries,
+    quarantine: gateway.quarantine,
     ledger: gateway.ledger,
     readPool: (service) => gateway.readPool(service),
     readPurse: (service) => gateway.readPurse(service),
--- a/filters/exchange.ts
+++ b/filters/exchange.ts
@@ -1,6 +1,7 @@
 import type { Result } from "neverthrow";
 import type { Priority } from "../admission/mod.ts";
 import type { InstanceId, RegionId, RequestId, RunKey } from "../ids/mod.ts";
+import type { CallContent } from "../quarantine/mod.ts";
 import type { Team } from "../resources/mod.ts";
 import type { Failure } from "../results/mod.ts";
 import type { CallSize } from "../routing/mod.ts";
@@ -97,6 +98,8 @@
   readonly params: Readonly<Record<string, string | undefined>>;
   team?: Team;
   call?: Call;
+  /** What is the same where the team sends the call again; made when first needed. */
+  content?: CallContent;
   /** Regions that may serve it; `undefined` for all. */
   allowed?: ReadonlySet<RegionId> | undefined;
 }
--- a/filters/route_call.ts
+++ b/filters/route_call.ts
@@ -17,7 +17,7 @@
   type Reply,
 } from "./exchange.ts";
 import { forwardCall, type ForwardParts } from "./forward_call.ts";
-import { serveHere } from "./serve_here.ts";
+import { refuseQuarantined, serveHere } from "./serve_here.ts";
 
 /** What routing needs. */
 export interface RouteParts extends ForwardParts {
@@ -40,6 +40,8 @@
   const away = new Set<string>();
   return async (exchange) => {
     const call = readCall(exchange);
+    const refused = refuseQuarantined(parts, exchange);
+    if (refused !== undefined) return err(refused);
     if (exchange.origin.kind === "peer") {
       return await serveForwarded(parts, exchange, exchange.origin.from);
     }
--- a/filters/serve_here.ts
+++ b/filters/serve_here.ts
@@ -7,7 +7,14 @@
   BackendClient,
   DispatchFailure,
 } from "../engine/mod.ts";
-import { type AttemptId, type RegionId, toAttemptId } from "../ids/mod.ts";
+import {
+  type AttemptId,
+  type RegionId,
+  toAttemptId,
+  toBackendId,
+} from "../ids/mod.ts";
+import { BEGINNING_MS } from "../forwarding/mod.ts";
+import { CallContent, type CallQuarantine } from "../quarantine/mod.ts";
 import type { BackendServer } from "../resources/mod.ts";
 import { createFailure, type Failure } from "../results/mod.ts";
 import { decideRetry, type RetryBudget } from "../retry/mod.ts";
@@ -40,10 +47,18 @@
   readonly configuration: ConfigurationState;
   readonly backend: BackendClient;
   readonly retries: RetryBudget;
+  /** Calls under which servers ended. */
+  readonly quarantine: CallQuarantine;
   readonly readPool: (service: string) => ServicePool;
   readonly recordUsage: (exchange: Exchange, tokens: number) => void;
 }
 
+/**
+ * Time in which one end of a server is seen, in milliseconds: servers keep their
+ * names when they start again, and a call that ends one twice has ended two.
+ */
+const SAME_END_MS = 10_000;
+
 /** One attempt and what it brought. */
 interface Attempt {
   readonly engine: EngineModel;
@@ -99,6 +114,11 @@
     isStarting = false;
   };
   while (true) {
+    const refused = mayHaveRun ? undefined : refuseQuarantined(parts, exchange);
+    if (refused !== undefined) {
+      endStart();
+      return err(refused);
+    }
     const leftMs = call.dueMs - clock.nowMs();
     if (leftMs <= 0) {
       endStart();
@@ -124,7 +144,10 @@
     }
     const failure = attempt.result.error;
     const isGone = exchange.request.signal.aborted;
-    if (failure.kind === "broken") mayHaveRun = true;
+    if (failure.kind === "broken") {
+      mayHaveRun = true;
+      if (failure.isClosed) recordServerEnd(parts, exchange, engine);
+    }
     const teachesNothing = isGone || parts.policies.neverEjects === true;
     const event = teachesNothing ? undefined : toHealthEvent(failure);
     engine.recordEnd(attempt.id, { event }, clock.nowMs());
@@ -142,6 +165,41 @@
   }
 }
 
+/** Returns why a call is sent to no server, or `undefined` where it may be. */
+export function refuseQuarantined(
+  { clock, quarantine }: Pick<ServeParts, "clock" | "quarantine">,
+  exchange: Exchange,
+): Failure | undefined {
+  const heldMs = quarantine.readHeldMs(readContent(exchange), clock.nowMs());
+  if (heldMs <= 0) return undefined;
+  return createFailure("CALL_QUARANTINED", "Servers ended under this call", {
+    retryAfterMs: heldMs,
+  });
+}
+
+function recordServerEnd(
+  { clock, quarantine }: ServeParts,
+  exchange: Exchange,
+  { server }: EngineModel,
+): void {
+  const nowMs = clock.nowMs();
+  const start = Math.floor(nowMs / SAME_END_MS);
+  const ended = toBackendId(`${server.id}@${start}`);
+  quarantine.recordEnd(readContent(exchange), ended, nowMs);
+}
+
+/** Returns what is the same where a team sends a call again. */
+function readContent(exchange: Exchange): CallContent {
+  const { body, method, path } = readCall(exchange);
+  exchange.content ??= new CallContent({
+    method,
+    host: readTeam(exchange).id,
+    target: path,
+    body: Buffer.from(body),
+  });
+  return exchange.content;
+}
+
 function toHealthEvent(failure: DispatchFailure): HealthEvent | undefined {
   switch (failure.kind) {
     case "not-sent":
@@ -237,7 +295,10 @@
         { event: { kind: isFault ? "failed" : "succeeded" } },
         parts.clock.nowMs(),
       );
-      if (!isFault) parts.retries.recordSuccess();
+      if (!isFault) {
+        parts.retries.recordSuccess();
+        parts.quarantine.recordAnswer(readContent(exchange), startMs);
+      }
       pool.queue.wake();
       parts.recordUsage(exchange, readCompletionTokens(answer.body));
       return {
@@ -295,6 +356,11 @@
     }, nowMs);
     pool.queue.wake();
   };
+  const recordBreak = () => {
+    const isBeginning = firstTokenMs === 0 ||
+      clock.nowMs() - firstTokenMs < BEGINNING_MS;
+    if (isBeginning) recordServerEnd(parts, exchange, current);
+  };
   return {
     attempt: first.id,
     recordFirstToken: () => {
@@ -308,6 +374,8 @@
       backend.resume(current.server, id, { afterIndex, signal }),
     continueElsewhere: async (body, signal) => {
       endAttempt({ kind: "failed" });
+      recordBreak();
+      if (refuseQuarantined(parts, exchange) !== undefined) return undefined;
       const next = pool.pick(call.size, tried);
       if (next === undefined || !parts.retries.admit()) return undefined;
       tried.add(next.server.id);
@@ -326,6 +394,7 @@
         case "whole":
           endAttempt({ kind: "succeeded" }, tokens);
           parts.retries.recordSuccess();
+          parts.quarantine.recordAnswer(readContent(exchange), clock.nowMs());
           break;
         case "cancelled":
           endAttempt(undefined);
@@ -333,6 +402,7 @@
           break;
         case "broken":
           endAttempt({ kind: "failed" });
+          recordBreak();
           break;
       }
       parts.recordUsage(exchange, tokens);
--- a/forwarding/server_sender.ts
+++ b/forwarding/server_sender.ts
@@ -24,7 +24,7 @@
  * Time from the first byte of an answer, in milliseconds, after which a server that
  * ends does not end for that call: one that ends servers does so as it begins to run.
  */
-const BEGINNING_MS = 500;
+export const BEGINNING_MS = 500;
 
 /** How one send goes on beside others of the same call. */
 export interface SendOptions {
--- a/membership/encode_heartbeat.ts
+++ b/membership/encode_heartbeat.ts
@@ -1,7 +1,12 @@
 import { createHmac, timingSafeEqual } from "node:crypto";
 import * as z from "zod";
 import type { Heartbeat } from "./member.ts";
-import type { InstanceId, RegionId } from "../ids/mod.ts";
+import {
+  type InstanceId,
+  type RegionId,
+  toBackendId,
+  toCallFingerprint,
+} from "../ids/mod.ts";
 
 const TAG_BYTES = 12;
 const STATUSES = ["suspect", "leaving", "dead"] as const;
@@ -23,6 +28,9 @@
   z.array(z.string()),
   z.array(service),
 ]);
+const endsRow = z.tuple([z.string(), z.number().nonnegative()]).rest(
+  z.string(),
+);
 const notification = z.object({
   jsonrpc: z.literal("2.0"),
   method: z.literal("hb"),
@@ -36,6 +44,8 @@
     z.array(rumour),
     z.array(digest),
   ]),
+  // Beside the parameters: daemons of earlier versions take just those above.
+  ends: z.array(endsRow).optional(),
 });
 
 /**
@@ -74,9 +84,17 @@
       ]),
     ]),
   ];
-  const body = Buffer.from(
-    JSON.stringify({ jsonrpc: "2.0", method: "hb", params }),
-  );
+  const rows = heartbeat.ends?.map(({ ageMs, call, servers }) => [
+    call,
+    Math.round(ageMs),
+    ...servers,
+  ]);
+  const body = Buffer.from(JSON.stringify({
+    jsonrpc: "2.0",
+    method: "hb",
+    params,
+    ...(rows?.length ? { ends: rows } : {}),
+  }));
   return Buffer.concat([computeTag(body, key), body]);
 }
 
@@ -135,6 +153,13 @@
         firstTokenMs,
       })),
     })),
+    ...(parsed.data.ends === undefined ? {} : {
+      ends: parsed.data.ends.map(([call, ageMs, ...servers]) => ({
+        call: toCallFingerprint(call),
+        ageMs,
+        servers: servers.map(toBackendId),
+      })),
+    }),
   };
 }
 
--- a/membership/member.ts
+++ b/membership/member.ts
@@ -1,3 +1,4 @@
+import type { ReportedEnds } from "../quarantine/mod.ts";
 import type { InstanceId, RegionId } from "../ids/mod.ts";
 
 /** Where an instance is and how to reach it, as the platform lists it. */
@@ -77,4 +78,6 @@
   readonly configuration: number;
   readonly rumours: readonly Rumour[];
   readonly digests: readonly RegionDigest[];
+  /** Calls under which servers ended. Default: none. */
+  readonly ends?: readonly ReportedEnds[];
 }
--- a/results/result_code.ts
+++ b/results/result_code.ts
@@ -226,6 +226,13 @@
     "The deadline passed during the work",
   ),
   CANCELLED: createRow(1405, 499, "unknown", "never", "The caller went away"),
+  CALL_QUARANTINED: createRow(
+    1406,
+    503,
+    "not-run",
+    "later",
+    "Servers ended under this call",
+  ),
   CONFLICT: createRow(
     1501,
     409,
--- a/tests/cluster_test.ts
+++ b/tests/cluster_test.ts
@@ -8,7 +8,12 @@
   writeEntry,
 } from "../configuration/mod.ts";
 import { createRandom, VirtualClock } from "../clock/mod.ts";
-import { toInstanceId, toRegionId } from "../ids/mod.ts";
+import {
+  toBackendId,
+  toCallFingerprint,
+  toInstanceId,
+  toRegionId,
+} from "../ids/mod.ts";
 import {
   decodeHeartbeat,
   encodeHeartbeat,
@@ -118,6 +123,11 @@
         gateways: [toInstanceId("y")],
         services: [{ service: "s", spare: 5, firstTokenMs: 60 }],
       }],
+      ends: [{
+        call: toCallFingerprint("call"),
+        servers: [toBackendId("s1")],
+        ageMs: 20,
+      }],
     });
     const bytes = encodeHeartbeat(heartbeat, KEY);
     assert.deepEqual(decodeHeartbeat(bytes, KEY), heartbeat);
