--- a/soak/apply_fault.ts
+++ b/soak/apply_fault.ts
@@ -1,6 +1,6 @@
-import { type Clock, pickRandom, type Random, waitFor } from "../clock/mod.ts";
+import { type Clock, type Random, waitFor } from "../clock/mod.ts";
 import { gatherCrowd } from "./crowd.ts";
-import { SoakCaller } from "./caller.ts";
+import { sendEndingCalls } from "./ending_calls.ts";
 import { type Fault, formatFault, type PlannedFault } from "./plan.ts";
 import type {
   SeenCall,
@@ -23,8 +23,6 @@
 
 /** Heartbeats of a server after which the platform drops its entry, in milliseconds. */
 const LAPSE_MS = 3_000;
-/** Pause between calls under which servers end, in milliseconds. */
-const ENDING_CALL_PAUSE_MS = 150;
 /** Time after which an instance that was away or stood still is held to all promises, in milliseconds. */
 const STEADY_AFTER_MS = 5_000;
 /** Answer time of a slow store, in milliseconds. */
@@ -207,21 +205,12 @@
     });
   }
 
-  /** Callers repeat a call at any instance, each time on a new connection. */
-  async #sendEndingCalls(forMs: number): Promise<void> {
-    const { clock, fleet, random } = this.#parts;
-    const untilMs = clock.nowMs() + forMs;
-    const sent: Promise<void>[] = [];
-    while (clock.nowMs() < untilMs) {
-      sent.push(this.#sendEndingCall(pickRandom(fleet.instances, random)!));
-      // Those that were not disturbed lately are held to the promise: they are asked, too.
-      const steady = this.#listSteady();
-      if (steady.length > 0) {
-        sent.push(this.#sendEndingCall(pickRandom(steady, random)!));
-      }
-      await this.#wait(ENDING_CALL_PAUSE_MS);
-    }
-    await Promise.all(sent);
+  #sendEndingCalls(forMs: number): Promise<void> {
+    return sendEndingCalls({
+      ...this.#parts,
+      listSteady: () => this.#listSteady(),
+      record: (call) => this.endingCalls.push(call),
+    }, forMs);
   }
 
   #listSteady(): readonly SoakInstance[] {
@@ -235,17 +224,6 @@
     );
   }
 
-  async #sendEndingCall(instance: SoakInstance): Promise<void> {
-    const { clock, fleet, random } = this.#parts;
-    const caller = new SoakCaller({
-      random,
-      nowMs: () => clock.nowMs(),
-      record: (call) => this.endingCalls.push(call),
-    });
-    await caller.call(fleet.toCalled(instance), "ending");
-    caller.close();
-  }
-
   async #restart(
     process: SoakInstance["process"],
     afterMs: number,
