A refused call that may run again is refused after one more end, not after three

Found by reading. Change: when a call may run again, what is known of it stays, and one end is enough; a record that is full takes the time of what ended since, if it is later by more than two instances tell the same end differently. Tests first: both fail on the code as it was.

--- a/quarantine/call_quarantine.ts
+++ b/quarantine/call_quarantine.ts
@@ -20,6 +20,8 @@
 const MAX_HELD = 256;
 /** Servers that are remembered of one call. */
 const MAX_SERVERS = 16;
+/** By how much the same end is told differently by two instances, in milliseconds. */
+const SAME_TIME_MS = 1_000;
 /**
  * How long an answer speaks for a call, in milliseconds. Many callers may send the
  * same call, and several servers may end at once for a reason of their own; beyond
@@ -182,10 +184,12 @@
     if (ageMs >= HOLD_MS || this.#wasAnswered(call, nowMs)) return false;
     const suspect = this.#suspects.get(call) ??
       { servers: new Set(), lastEndMs: atMs };
-    const added = servers.filter((server) => !suspect.servers.has(server))
-      .slice(0, MAX_SERVERS - suspect.servers.size);
-    if (added.length === 0) return false;
-    added.forEach((server) => suspect.servers.add(server));
+    const unknown = servers.filter((server) => !suspect.servers.has(server));
+    const room = MAX_SERVERS - suspect.servers.size;
+    // A full record takes no more names, only the time of what ended since.
+    const isLater = atMs > suspect.lastEndMs + SAME_TIME_MS;
+    if (unknown.length === 0 || room === 0 && !isLater) return false;
+    unknown.slice(0, room).forEach((server) => suspect.servers.add(server));
     // What is told again and again must not last for ever: only news renews it.
     suspect.lastEndMs = Math.max(suspect.lastEndMs, atMs);
     this.#remember(call, suspect);
@@ -243,10 +247,11 @@
       .filter((server) => !stronger.some((other) => other.has(server))).length;
   }
 
+  /** Lets calls run again; what is known of them stays, so that one end is enough then. */
   #expire(nowMs: number): void {
     [...this.#held].filter((call) =>
       nowMs - this.#suspects.get(call)!.lastEndMs >= HOLD_MS
-    ).forEach((call) => this.#forget(call));
+    ).forEach((call) => this.#held.delete(call));
   }
 
   /** @returns Whether it was remembered. */
--- a/quarantine/call_quarantine_test.ts
+++ b/quarantine/call_quarantine_test.ts
@@ -69,6 +69,28 @@
     });
   });
 
+  describe("when a call was refused for as long as it is", () => {
+    it("refuses it again after one more end", () => {
+      const { isHeld, quarantine } = see({ bad: [0, 1, 2] });
+      assert.deepEqual(quarantine.listHeldInTurn(1, HOUR_MS), []);
+      assert.ok(!isHeld("bad", HOUR_MS));
+      quarantine.recordEnd(createContent("bad"), SERVERS[3]!, HOUR_MS);
+      assert.ok(isHeld("bad", HOUR_MS + 1_000));
+    });
+
+    it("does so however many servers have ended under it", () => {
+      const { isHeld, quarantine } = see({});
+      const end = (server: number) => {
+        const atMs = server * HOUR_MS;
+        const id = toBackendId(`server ${server}`);
+        quarantine.recordEnd(createContent("bad"), id, atMs);
+        return isHeld("bad", atMs + 1_000);
+      };
+      const held = Array.from({ length: 40 }, (_, server) => end(server));
+      assert.ok(held.slice(2).every((isRefused) => isRefused));
+    });
+  });
+
   describe("when a call ran beside another one", () => {
     it("lets it run once the other has ended more servers", () => {
       const { isHeld } = see({ bad: [0, 1, 2, 3], beside: [0, 1, 2] });
