Any answer of a server that is no failure of its own speaks for a call

What callers would have seen: many of them send a call that servers answer with 404, say, several servers end at once for a reason of their own, and the call is refused in the place of its 404. Found by reading: only successes counted as answers, and a call that ends servers gets none of any kind. No test of its own: the case differs from the one of popular calls by the status alone.

--- a/forwarding/server_sender.ts
+++ b/forwarding/server_sender.ts
@@ -255,7 +255,7 @@
   ): void {
     const { clock, quarantine } = this.#parts;
     const nowMs = clock.nowMs();
-    if (isWhole(outcome)) quarantine.recordAnswer(content, nowMs);
+    if (isServed(outcome)) quarantine.recordAnswer(content, nowMs);
     if (hasEndedServer(outcome, firstByteMs, nowMs)) {
       quarantine.recordEnd(content, id, nowMs);
     }
@@ -274,9 +274,9 @@
   return isLost && isBeginning && outcome.isClosed === true;
 }
 
-function isWhole(outcome: EndedOutcome): boolean {
-  return outcome.kind === "answered" && outcome.status >= 200 &&
-    outcome.status < 300;
+/** Whether a server answered, and not with a failure of its own. */
+function isServed(outcome: EndedOutcome): boolean {
+  return outcome.kind === "answered" && outcome.status < 500;
 }
 
 function toServerOutcome(outcome: EndedOutcome): ServerOutcome | undefined {
