--- a/tests/server_ending_call_test.ts
+++ b/tests/server_ending_call_test.ts
@@ -83,6 +83,38 @@
   return sends.filter(({ atMs }) => atMs > third.atMs + KNOWN_AFTER_MS).length;
 }
 
+describe("a call that many callers send", () => {
+  it("is answered though servers end beside it, also where its answer is a 404", async () => {
+    const fleet = new VirtualFleet({
+      regions: { north: { instances: 1, servers: 7 } },
+      table: createRouteTable([createRoute("/a/")]),
+      decide: ({ body }) =>
+        body === "popular"
+          ? { kind: "answer", afterMs: 100, status: 404 }
+          : { kind: "end", afterMs: 50 },
+    });
+    FLEETS.push(fleet);
+    await fleet.clock.advance(2_000);
+    const ask = async () => {
+      const [{ status }] = await Promise.all([
+        fleet.call("popular"),
+        fleet.clock.advance(1_000),
+      ]);
+      return status;
+    };
+    assert.equal(await ask(), 404);
+    for (const body of ["one", "two"]) {
+      Array.from({ length: 20 }, () => void fleet.call("popular"));
+      void fleet.call(body);
+      await fleet.clock.advance(60);
+    }
+    await fleet.clock.advance(2_000);
+    const ended = fleet.arrivals.filter(({ body }) => body !== "popular");
+    assert.ok(new Set(ended.map(({ server }) => server)).size >= 3);
+    assert.equal(await ask(), 404);
+  });
+});
+
 describe("a call under which servers end", () => {
   it("is sent to servers no more once it has ended three, whichever instance it reaches", async () => {
     const fleet = await start();
--- a/tests/virtual_fleet.ts
+++ b/tests/virtual_fleet.ts
@@ -34,7 +34,12 @@
 
 /** What a server does with a call. */
 export type Deed =
-  | { readonly kind: "answer"; readonly afterMs: number }
+  | {
+    readonly kind: "answer";
+    readonly afterMs: number;
+    /** Default: 200. */
+    readonly status?: number;
+  }
   /** The call runs, and the server with all its calls ends. */
   | { readonly kind: "end"; readonly afterMs: number }
   /** The server says at once that it does not run the call. */
@@ -267,7 +272,10 @@
         const deed = this.#parts.decide(arrival);
         switch (deed.kind) {
           case "answer":
-            this.clock.schedule(deed.afterMs, finish(() => answer(200, [])));
+            this.clock.schedule(
+              deed.afterMs,
+              finish(() => answer(deed.status ?? 200, [])),
+            );
             break;
           case "end":
             this.clock.schedule(
