Tests: one fixture of a call's content, and of sinks

Three tests created the same content, and the virtual fleet had a sink of its own beside the fixture of opaque calls. Two comments of bounds say what was measured elsewhere no more.

--- a/quarantine/call_quarantine.ts
+++ b/quarantine/call_quarantine.ts
@@ -14,7 +14,7 @@
  * mended.
  */
 export const HOLD_MS = 600_000;
-/** Calls that are remembered at the most: what a hundred servers have in flight, 1 MB. */
+/** Calls that are remembered at the most: what a hundred servers have in flight. */
 const MAX_SUSPECTS = 4_096;
 /** Of these, calls that are refused; the oldest is let go. */
 const MAX_HELD = 256;
@@ -28,7 +28,7 @@
  * that time the call may meet servers of another version.
  */
 const ANSWER_COUNTS_MS = 60_000;
-/** Answered calls that are remembered: those of a few seconds at the most. */
+/** Answered calls that are remembered: those of that time, at thirty a second. */
 const MAX_ANSWERED = 2_048;
 
 interface Suspect {
--- a/quarantine/call_quarantine_test.ts
+++ b/quarantine/call_quarantine_test.ts
@@ -1,21 +1,12 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { type CallFingerprint, toBackendId } from "../ids/mod.ts";
-import { CallContent } from "./call_content.ts";
+import { createContent } from "../tests/content_fixture.ts";
 import { CallQuarantine } from "./call_quarantine.ts";
 
 const SERVERS = Array.from({ length: 8 }, (_, at) => toBackendId(`s${at}`));
 const HOUR_MS = 3_600_000;
 
-function createContent(body: string): CallContent {
-  return new CallContent({
-    method: "POST",
-    host: "app.example",
-    target: `/a/${body.length}`,
-    body: Buffer.from(body),
-  });
-}
-
 /** A quarantine that saw these servers end under these calls, one a second. */
 function see(ends: Readonly<Record<string, readonly number[]>>) {
   const held: CallFingerprint[] = [];
--- a/tests/ends_news_test.ts
+++ b/tests/ends_news_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { toBackendId } from "../ids/mod.ts";
-import { CallContent } from "../quarantine/mod.ts";
+import { createContent } from "./content_fixture.ts";
 import { startReporters, type VirtualReporter } from "./reporter_fixture.ts";
 
 /** Instances of a region in the largest deployment of these. */
@@ -13,15 +13,6 @@
 
 const BAD = createContent("bad");
 
-function createContent(body: string): CallContent {
-  return new CallContent({
-    method: "POST",
-    host: "app.example",
-    target: "/a/x",
-    body: Buffer.from(body),
-  });
-}
-
 async function startRegions(perRegion: number) {
   const fleet = startReporters({
     perRegion,
--- a/tests/refused_call_kept_test.ts
+++ b/tests/refused_call_kept_test.ts
@@ -7,18 +7,13 @@
 import { toBackendId, toFailureDomainId, toRegionId } from "../ids/mod.ts";
 import { createSilentLogger } from "../logs/mod.ts";
 import { createDocumentDecoder, toRefusedCallKey } from "../platform/mod.ts";
-import { CallContent } from "../quarantine/mod.ts";
 import { MemoryStore } from "../standin/memory_store.ts";
 import { RefusedCallEntries, StateFollower } from "../state/mod.ts";
+import { createContent } from "./content_fixture.ts";
 import { createVirtualGateway } from "./virtual_gateway.ts";
 
 const REGIONS = new Map([[toFailureDomainId("north-a"), toRegionId("north")]]);
-const BAD = new CallContent({
-  method: "POST",
-  host: "app.example",
-  target: "/a/x",
-  body: Buffer.from("bad"),
-});
+const BAD = createContent("bad");
 
 /** Starts an instance that follows the store alone: it hears of no other. */
 function startInstance(clock: VirtualClock, store: MemoryStore, name: string) {
@@ -62,15 +57,20 @@
   );
 }
 
+/** Runs an instance until a call is refused there, and a second more. */
+async function runFirst(clock: VirtualClock, store: MemoryStore) {
+  const first = startInstance(clock, store, "north-1");
+  await clock.advance(500);
+  endServers(first, clock.nowMs());
+  await clock.advance(1_000);
+  first.ended.abort();
+}
+
 describe("a call that is refused", () => {
   it("is refused by instances that start when no other is left", async () => {
     const clock = new VirtualClock();
     const store = new MemoryStore(clock);
-    const first = startInstance(clock, store, "north-1");
-    await clock.advance(500);
-    endServers(first, clock.nowMs());
-    await clock.advance(1_000);
-    first.ended.abort();
+    await runFirst(clock, store);
     const second = startInstance(clock, store, "north-2");
     await clock.advance(500);
     const heldMs = second.quarantine.readHeldMs(BAD, clock.nowMs());
@@ -98,11 +98,7 @@
   it("is in the store no longer than it is refused", async () => {
     const clock = new VirtualClock();
     const store = new MemoryStore(clock);
-    const first = startInstance(clock, store, "north-1");
-    await clock.advance(500);
-    endServers(first, clock.nowMs());
-    await clock.advance(1_000);
-    first.ended.abort();
+    await runFirst(clock, store);
     await clock.advance(600_000);
     const kept = await store.read(toRefusedCallKey(BAD.fingerprint));
     assert.equal(kept._unsafeUnwrap(), undefined);
--- a/tests/virtual_fleet.ts
+++ b/tests/virtual_fleet.ts
@@ -14,6 +14,7 @@
 import type { RouteTable } from "../http_routes/mod.ts";
 import { toFailureDomainId, toRegionId } from "../ids/mod.ts";
 import { createServerEntry } from "./member_fixture.ts";
+import { createHeadSink } from "./opaque_call_fixture.ts";
 import { createVirtualGateway } from "./virtual_gateway.ts";
 
 /** Time of a datagram or of a call's way, in milliseconds. */
@@ -346,13 +347,10 @@
   }
 }
 
+/** A head sink whose broken answers have status 0. */
 function createSink(begin: (head: AnswerHead) => void): CallSink {
   return {
-    signal: new AbortController().signal,
-    begin,
-    write: () => true,
-    onDrain: () => {},
-    end: () => {},
+    ...createHeadSink(begin),
     breakOff: () => begin({ status: 0, statusText: "", headers: [] }),
   };
 }
