--- a/filters/serve_here.ts
+++ b/filters/serve_here.ts
@@ -114,10 +114,12 @@
     isStarting = false;
   };
   while (true) {
-    const refused = mayHaveRun ? undefined : refuseQuarantined(parts, exchange);
+    const refused = refuseQuarantined(parts, exchange);
     if (refused !== undefined) {
       endStart();
-      return err(refused);
+      return err(
+        mayHaveRun ? createFailure("BACKEND_FAILED", refused.message) : refused,
+      );
     }
     const leftMs = call.dueMs - clock.nowMs();
     if (leftMs <= 0) {
--- a/tests/ending_call_fleet_test.ts
+++ b/tests/ending_call_fleet_test.ts
@@ -93,6 +93,17 @@
     assert.ok(late.length <= ALLOWED_SENDS, `${late.length} of ${runs.length}`);
   });
 
+  it("is tried at no further engine once its own attempts have ended three", async () => {
+    const fleet = await start();
+    const [daemon] = fleet.daemons;
+    // Two engines of the region end, and the one that is back first a second time.
+    await ask(fleet, daemon!, ENDING, 800);
+    await fleet.clock.advance(12_000);
+    const code = await ask(fleet, daemon!, ENDING, 2_500);
+    assert.equal(code, 1401);
+    assert.equal(listEndingRuns(fleet).length, 3);
+  });
+
   it("is refused with a code of its own, and other calls are served", async () => {
     const fleet = await start();
     for (let turn = 0; turn < 18; turn++) {
