A daemon of the embedded default tells of refused calls by the guard that instances use

The line that says that a call is quarantined stood twice, in the guard of plain HTTP calls and in the daemon. Checked: the tests of refused calls and of fleets of daemons, import rules, formatter, linter.

--- a/daemon/gateway.ts
+++ b/daemon/gateway.ts
@@ -34,7 +34,8 @@
   Reply,
 } from "../filters/mod.ts";
 import { holdUntilEnd, toRefusal } from "../filters/mod.ts";
-import { CallQuarantine, type ReportedEnds } from "../quarantine/mod.ts";
+import { QuarantineGuard } from "../forwarding/mod.ts";
+import type { CallQuarantine, ReportedEnds } from "../quarantine/mod.ts";
 import type { PeerHandlers, PeerMethod, PeerMethods } from "../peers/mod.ts";
 import type { GatewayParts } from "../ports/mod.ts";
 import { EndsNews } from "./ends_news.ts";
@@ -115,14 +116,7 @@
       readNewestHeard: () => this.membership.newestHeard,
       report: (message) => parts.logger.warn(message),
     });
-    this.quarantine = new CallQuarantine({
-      onHeld: ({ call, isSeenHere, servers }) =>
-        parts.logger.warn("call quarantined", {
-          content: call,
-          servers: servers.join(" "),
-          isSeenHere,
-        }),
-    });
+    this.quarantine = new QuarantineGuard({ logger: parts.logger }).quarantine;
     this.#ends = new EndsNews(this.quarantine);
     this.configuration.subscribe(() => this.#applyCatalog());
     this.#handlers = createPeerHandlers(this);
