Limits that servers name are read and told in the log; nothing heeds them yet

No line of any process told whether the limit was read and not heeded, or never read, so that three hypotheses could not be told apart.

An answer to a call that was sent before the limit was named does not end it, nor does a rejection without it. No decision reads it.

--- a/forwarding/call_grammar.ts
+++ b/forwarding/call_grammar.ts
@@ -72,6 +72,8 @@
    * refusal. Default: it does not say.
    */
   readonly restMs: number | undefined;
+  /** Calls a second that the server takes from all instances together. Default: it names no limit. */
+  readonly limitPerSecond: number | undefined;
   /** How long the server stays cold, in milliseconds. Default: it does not say. */
   readonly coldForMs: number | undefined;
 }
--- a/forwarding/http_headers.ts
+++ b/forwarding/http_headers.ts
@@ -61,6 +61,20 @@
   return Math.min(ms, MAX_RETRY_AFTER_MS);
 }
 
+/**
+ * Returns the number of calls a second that a header names, or `undefined` where it
+ * names none.
+ *
+ * @param text A decimal number; `undefined`: the header is not there.
+ */
+export function parseCallsPerSecond(
+  text: string | undefined,
+): number | undefined {
+  if (text === undefined || text.trim() === "") return undefined;
+  const perSecond = Number(text);
+  return Number.isFinite(perSecond) && perSecond >= 0 ? perSecond : undefined;
+}
+
 /** Bytes of a header line beside name and value: colon, space and line end. */
 const LINE_EXTRA_BYTES = 4;
 
--- a/forwarding/learned_servers.ts
+++ b/forwarding/learned_servers.ts
@@ -4,6 +4,7 @@
 import type { PlacedPart } from "./prefix_memory.ts";
 import { PrefixMemory } from "./prefix_memory.ts";
 import { ServerHealth } from "./server_health.ts";
+import { ServerLimits } from "./server_limits.ts";
 import { ServerPulses } from "./server_pulses.ts";
 import { ServerSpeeds } from "./server_speed.ts";
 import { WarmUpGate, type WarmUpGateParts } from "./warm_up_gate.ts";
@@ -29,6 +30,7 @@
   readonly speeds = new ServerSpeeds();
   readonly health = new ServerHealth();
   readonly pulses = new ServerPulses();
+  readonly limits = new ServerLimits();
   readonly prefixes = new PrefixMemory();
   readonly crowd = new CrowdSpread();
   readonly warmUp: WarmUpGate;
@@ -84,7 +86,8 @@
 
   /** Forgets servers that are gone. */
   keepOnly(servers: ReadonlySet<BackendId>): void {
-    [this.speeds, this.health, this.pulses, this.prefixes, this.warmUp]
+    const { health, limits, prefixes, pulses, speeds, warmUp } = this;
+    [speeds, health, pulses, limits, prefixes, warmUp]
       .forEach((each) => each.keepOnly(servers));
   }
 }
--- a/forwarding/mod.ts
+++ b/forwarding/mod.ts
@@ -25,6 +25,7 @@
 export * from "./server_speed.ts";
 export * from "./server_health.ts";
 export * from "./server_pulses.ts";
+export * from "./server_limits.ts";
 export * from "./repeat_budget.ts";
 export * from "./warm_up_gate.ts";
 export * from "./waiting_line.ts";
--- a/forwarding/own_grammar.ts
+++ b/forwarding/own_grammar.ts
@@ -8,6 +8,7 @@
 import { isHopHeader } from "./hop_headers.ts";
 import {
   listHeaders,
+  parseCallsPerSecond,
   parseRetryAfterMs,
   pickForwarded,
   readHeader,
@@ -23,6 +24,8 @@
 const NOT_RUN = "x-not-run";
 /** Set on all answers of a server that leaves. */
 const LEAVING = "x-leaving";
+/** Calls a second that a server takes from all instances together, as long as it says so. */
+const CALL_LIMIT = "x-call-limit";
 const RETRY_AFTER = "retry-after";
 const LAST_EVENT_ID = "last-event-id";
 /** The caller's key. */
@@ -77,6 +80,7 @@
       restMs: status === UNAVAILABLE
         ? parseRetryAfterMs(readHeader(headers, RETRY_AFTER))
         : undefined,
+      limitPerSecond: parseCallsPerSecond(readHeader(headers, CALL_LIMIT)),
       coldForMs: undefined,
     };
   },
--- a/forwarding/server_sender.ts
+++ b/forwarding/server_sender.ts
@@ -116,7 +116,7 @@
       progress: exchange.progress,
       createMarks: () => this.#parts.createMarks(exchange),
       onHeard: () => pulse.hear(clock.nowMs()),
-      onFacts: (facts) => this.#learnFacts(entry, facts),
+      onFacts: (facts) => this.#learnFacts(entry, facts, startMs),
       onFirstByte: () => {
         load.endReading();
         firstByteMs = clock.nowMs();
@@ -233,11 +233,15 @@
 
   /** Learns what a server says of itself in the head of an answer. */
   #learnFacts(
-    { id, service }: RegisteredServer,
-    { isLeaving, isOtherServer, restMs }: AnswerFacts,
+    server: RegisteredServer,
+    facts: AnswerFacts,
+    sentMs: number,
   ): void {
+    const { isLeaving, isOtherServer, restMs } = facts;
+    const { id, service } = server;
     // Another server has the address: it speaks of itself.
     if (isOtherServer) return;
+    this.#learnLimit(server, facts, sentMs);
     const { clock, learned: { health }, logger, registry } = this.#parts;
     const nowMs = clock.nowMs();
     if (isLeaving && registry.markLeaving(id)) {
@@ -249,6 +253,22 @@
     }
   }
 
+  #learnLimit(
+    { id, service }: RegisteredServer,
+    { isNotExecuted, limitPerSecond: perSecond }: AnswerFacts,
+    sentMs: number,
+  ): void {
+    // Who turns calls away has need, whether its answer names a limit or not.
+    if (isNotExecuted && perSecond === undefined) return;
+    const { clock, learned: { limits }, logger } = this.#parts;
+    if (!limits.hear(id, { perSecond, sentMs }, clock.nowMs())) return;
+    if (perSecond === undefined) {
+      logger.info("server names no limit", { server: id, service });
+    } else {
+      logger.info("server names a limit", { server: id, service, perSecond });
+    }
+  }
+
   /** Learns whether the call is one under which servers end. */
   #learnOfCall(
     { content }: Exchange,
