Test, failing: a server that names a limit of calls a second

What users saw: servers that had named 2.2 and 4.4 calls a second got 144 and 128 in 4 s. Reproduced without their platform: of 3 instances and 2 servers, the one that names a limit gets it all, as it is the faster one. Seven of eight cases fail on this code: the sum of all instances, a limit under their number, one that falls, instances that start again and that do not hear each other, what is over it served elsewhere, and refused at once where nobody else is. The eighth, a limit that ends, holds since nothing heeds one.

Units that hold: reading the limit, and that an answer to a call from before the limit does not end it.

--- a/tests/virtual_fleet.ts
+++ b/tests/virtual_fleet.ts
@@ -68,6 +68,8 @@
   readonly answerHeaders?: (server: string) => readonly string[];
   /** Share of the datagrams that get lost. Default: none. */
   readonly lostShare?: number;
+  /** Whether no datagram comes through at present. Default: never. */
+  readonly isCut?: () => boolean;
 }
 
 interface VirtualServer {
@@ -340,6 +342,7 @@
       addresses.filter((to) => to !== from).forEach((to) => {
         this.reportBytes += datagram.length;
         if (this.#random.nextFloat() < (this.#parts.lostShare ?? 0)) return;
+        if (this.#parts.isCut?.()) return;
         this.clock.schedule(
           this.#readWayMs(from, to),
           () =>
