The store's era is read and told in the log; nothing heeds it yet

Users saw configurations and a server's leaving passed over for seconds. The log told only that the store had dropped its history: whether a full read came after that, how old it was and that it was passed over could not be seen, so that three hypotheses stood beside each other.

The log says `older state of the store passed over` with both, and `state.store_era` is a metric. No decision reads the era: positions between instances are written with none.

The stand-in of the store can come back from an older copy, in a new era: revisions and ids of leases are given out again, a watch from beyond is answered as one whose history is gone. The contract that both stores are held to has a case for it.

--- a/daemon/catalog_state.ts
+++ b/daemon/catalog_state.ts
@@ -51,7 +51,7 @@
     const { sequence } = this.#configuration;
     return {
       configurationVersion: sequence,
-      storeRevision: sequence,
+      store: { era: 0, revision: sequence },
       isStoreLost: false,
     };
   }
@@ -68,6 +68,7 @@
   createCopy(): StateCopy {
     return {
       revision: 0,
+      era: 0,
       afterRevision: 0,
       entries: [],
       removed: [],
--- a/daemon/http_gateway.ts
+++ b/daemon/http_gateway.ts
@@ -379,11 +379,12 @@
     // Who is dropped must count as unheard from the same moment on.
     this.forwarder.countFleet();
     this.state.sweep();
-    const { configurationVersion, storeRevision } = this.state.known;
+    const { configurationVersion, store } = this.state.known;
     metrics.gauge("call.in_flight", this.forwarder.inFlight);
     metrics.gauge("call.waiting", this.forwarder.waiting);
     metrics.gauge("state.configuration_version", configurationVersion);
-    metrics.gauge("state.store_revision", storeRevision);
+    metrics.gauge("state.store_revision", store.revision);
+    metrics.gauge("state.store_era", store.era);
     metrics.gauge("state.store_reachable", this.state.isReachable ? 1 : 0);
     metrics.gauge("fleet.live", this.fleet.countAll(nowMs));
     metrics.gauge("fleet.summarized", this.#reporter.summarizedCount);
--- a/daemon/peer_catch_up.ts
+++ b/daemon/peer_catch_up.ts
@@ -90,7 +90,7 @@
   async #read({ address, id }: MemberRecord): Promise<void> {
     const { clock, logger, readPeerState, state } = this.#parts;
     this.#askedMs.set(id, clock.nowMs());
-    const copy = await readPeerState(address, state.known.storeRevision);
+    const copy = await readPeerState(address, state.known.store.revision);
     this.#askedMs.delete(id);
     if (copy.isErr()) {
       this.#failedMs.set(id, clock.nowMs());
--- a/daemon/peer_catch_up_test.ts
+++ b/daemon/peer_catch_up_test.ts
@@ -12,7 +12,11 @@
 import { LOADED_STATE } from "../tests/virtual_gateway.ts";
 import { PeerCatchUp, type ReadPeerState } from "./peer_catch_up.ts";
 
-const AHEAD = { configurationVersion: 2, storeRevision: 9, isStoreLost: false };
+const AHEAD = {
+  configurationVersion: 2,
+  store: { era: 0, revision: 9 },
+  isStoreLost: false,
+};
 
 /** A member whose address is its id. */
 function createMember(id: string) {
@@ -34,7 +38,11 @@
         return known;
       },
       applyCopy: ({ revision }) => {
-        known = { ...known, storeRevision: revision, configurationVersion: 2 };
+        known = {
+          ...known,
+          store: { era: 0, revision: revision },
+          configurationVersion: 2,
+        };
         return true;
       },
     },
@@ -76,7 +84,7 @@
     hear("north-2", false);
     await run(100, ["north-1", "north-2"]);
     assert.equal(asked.length, 1);
-    assert.equal(readKnown().storeRevision, 9);
+    assert.equal(readKnown().store.revision, 9);
     await run(1_000, ["north-1", "north-2"]);
     assert.equal(asked.length, 1);
   });
@@ -99,7 +107,7 @@
     assert.deepEqual(asked, ["north-1"]);
     await run(300, ["north-1", "north-2"]);
     assert.deepEqual(asked, ["north-1", "north-2"]);
-    assert.equal(readKnown().storeRevision, 9);
+    assert.equal(readKnown().store.revision, 9);
   });
 
   it("asks others before one that has failed", async () => {
--- a/fleet/encode_report.ts
+++ b/fleet/encode_report.ts
@@ -68,7 +68,7 @@
     report.sequence,
     SCOPES.indexOf(report.scope),
     report.known.configurationVersion,
-    report.known.storeRevision,
+    report.known.store.revision,
     report.known.isStoreLost ? 1 : 0,
     report.loads.map((load) => [
       load.server,
@@ -174,7 +174,10 @@
     scope: SCOPES[scope] ?? "instance",
     known: {
       configurationVersion: toNumber(configurationVersion),
-      storeRevision: toNumber(storeRevision),
+      store: {
+        era: 0,
+        revision: toNumber(storeRevision),
+      },
       isStoreLost: isStoreLost === 1,
     },
     loads: loads.map(fromLoadRow),
--- a/fleet/fleet_report.ts
+++ b/fleet/fleet_report.ts
@@ -6,6 +6,7 @@
   RegionId,
 } from "../ids/mod.ts";
 import type { ReportedEnds } from "../quarantine/mod.ts";
+import type { StorePosition } from "../store/mod.ts";
 
 /**
  * Whether an instance takes calls: not yet, all, none after a few seconds, or, while it
@@ -73,8 +74,8 @@
 export interface KnownState {
   /** Version of the configuration in force; 0: none. */
   readonly configurationVersion: number;
-  /** Revision of the store up to which changes were taken in. */
-  readonly storeRevision: number;
+  /** Up to where changes of the store were taken in. */
+  readonly store: StorePosition;
   /** Whether the store has not answered this instance lately. */
   readonly isStoreLost: boolean;
 }
--- a/fleet/fleet_view.ts
+++ b/fleet/fleet_view.ts
@@ -496,7 +496,7 @@
 /** Whether an instance knows more of the store than another one. */
 export function isAhead(known: KnownState, own: KnownState): boolean {
   return known.configurationVersion > own.configurationVersion ||
-    known.storeRevision > own.storeRevision;
+    known.store.revision > own.store.revision;
 }
 
 function toRegionReporter(region: RegionId): string {
--- a/fleet/fleet_view_test.ts
+++ b/fleet/fleet_view_test.ts
@@ -159,13 +159,13 @@
     const view = createView();
     const known = {
       configurationVersion: 2,
-      storeRevision: 9,
+      store: { era: 0, revision: 9 },
       isStoreLost: false,
     };
     const far = createMember("far", "ready", { region: SOUTH });
     view.applyReport(createReport(far, 1, { known }), 0);
     view.applyReport(createReport(createMember("a"), 1, { known }), 0);
-    const own = { ...known, storeRevision: 8 };
+    const own = { ...known, store: { era: 0, revision: 8 } };
     assert.deepEqual(view.listAhead(own, 0).map(({ id }) => id), ["a", "far"]);
     assert.deepEqual(view.listAhead(known, 0), []);
   });
--- a/metrics/metrics.ts
+++ b/metrics/metrics.ts
@@ -26,6 +26,8 @@
   "call.away": "counter; tags: service, region",
   "state.configuration_version": "gauge",
   "state.store_revision": "gauge",
+  "state.store_era":
+    "gauge; how often the store came back from an older copy of itself",
   "state.store_reachable": "gauge; 1 answers, 0 does not",
   "fleet.live": "gauge",
   "fleet.summarized": "gauge; members that get summaries from this instance",
--- a/standin/memory_store.ts
+++ b/standin/memory_store.ts
@@ -42,6 +42,17 @@
   readonly ttlMs: number;
 }
 
+type LeasedEntry = StoreEntry & { readonly leaseId: string | undefined };
+
+/** An older copy of a store, which it may come back from. */
+export interface StoreBackup {
+  readonly revision: number;
+  readonly entries: ReadonlyMap<string, LeasedEntry>;
+  /** Time to live of each lease, in milliseconds. */
+  readonly leaseTtlsMs: ReadonlyMap<string, number>;
+  readonly leaseSequence: number;
+}
+
 interface Watcher {
   readonly prefix: string;
   readonly queue: StoreEvent[];
@@ -66,12 +77,10 @@
     failed: 0,
     bytesWritten: 0,
   };
-  #entries = new Map<
-    string,
-    StoreEntry & { readonly leaseId: string | undefined }
-  >();
+  #entries = new Map<string, LeasedEntry>();
   #leases = new Map<string, Lease>();
   #watchers = new Set<Watcher>();
+  #era = 0;
   #revision = 0;
   #leaseSequence = 0;
   #history: StoreEvent[] = [];
@@ -106,6 +115,44 @@
     this.#closeWatchers();
   }
 
+  /** How often it came back from a backup. */
+  get era(): number {
+    return this.#era;
+  }
+
+  /** Returns a copy that it may come back from later. */
+  createBackup(): StoreBackup {
+    return {
+      revision: this.#revision,
+      entries: new Map(this.#entries),
+      leaseTtlsMs: new Map(
+        [...this.#leases].map(([leaseId, { ttlMs }]) => [leaseId, ttlMs]),
+      ),
+      leaseSequence: this.#leaseSequence,
+    };
+  }
+
+  /**
+   * Comes back from a copy, in a new era: what was written since is lost, and revisions
+   * and ids of leases are given out again.
+   */
+  restoreBackup(backup: StoreBackup): void {
+    const nowMs = this.#clock.nowMs();
+    this.#era++;
+    this.#revision = backup.revision;
+    this.#leaseSequence = backup.leaseSequence;
+    this.#entries = new Map(backup.entries);
+    this.#leases = new Map(
+      [...backup.leaseTtlsMs].map(([leaseId, ttlMs]) => [
+        leaseId,
+        { ttlMs, expiresMs: nowMs + ttlMs },
+      ]),
+    );
+    this.#history = this.#history
+      .filter(({ revision }) => revision <= backup.revision);
+    this.#closeWatchers();
+  }
+
   async read(key: string): StoreResult<StoreEntry | undefined> {
     this.counts.reads++;
     const failure = await this.#enter();
@@ -127,6 +174,7 @@
     const entries = await this.readPrefix(prefix);
     return entries.map((found) => ({
       entries: found,
+      era: this.#era,
       revision: this.#revision,
     }));
   }
@@ -143,15 +191,16 @@
       this.#history.filter(({ key, revision }) =>
         revision > afterRevision && key.startsWith(prefix)
       );
-    if (afterRevision < this.#compactedRevision) {
-      return ok({ kind: "compacted" });
-    }
+    const isUnknown = afterRevision < this.#compactedRevision ||
+      afterRevision > this.#revision;
+    if (isUnknown) return ok({ kind: "compacted", era: this.#era });
     if (listEvents().length === 0) await this.#awaitWrite(waitMs, options);
     const closed = await this.#enter();
     if (closed) return err(closed);
     return ok({
       kind: "changes",
       events: listEvents(),
+      era: this.#era,
       revision: this.#revision,
     });
   }
--- a/standin/platform_store_server.ts
+++ b/standin/platform_store_server.ts
@@ -16,6 +16,15 @@
   close(): void;
 }
 
+/** Counts how often the store came back from an older copy. */
+const ERA_HEADER = "store-era";
+
+/** What a stand-in answers from. */
+export type ServedStore = RevisionedStore & {
+  /** 0: its answers do not say. */
+  readonly era: number;
+};
+
 interface Answer {
   readonly status: number;
   readonly body: unknown;
@@ -43,7 +52,7 @@
  * @param port Port on loopback; 0 takes a free one.
  */
 export async function startStoreStandin(
-  store: RevisionedStore,
+  store: ServedStore,
   port = 0,
 ): Promise<StoreStandin> {
   const server: Server = createServer((request, response) => {
@@ -62,7 +71,7 @@
 }
 
 async function answer(
-  store: RevisionedStore,
+  store: ServedStore,
   request: IncomingMessage,
   response: ServerResponse,
 ): Promise<void> {
@@ -70,12 +79,15 @@
   for await (const chunk of request) chunks.push(chunk);
   const text = Buffer.concat(chunks).toString("utf8");
   const { status, body } = await handle(store, request, text);
-  response.writeHead(status, { "content-type": "application/json" });
+  response.writeHead(status, {
+    "content-type": "application/json",
+    ...(store.era === 0 ? {} : { [ERA_HEADER]: String(store.era) }),
+  });
   response.end(JSON.stringify(body));
 }
 
 async function handle(
-  store: RevisionedStore,
+  store: ServedStore,
   request: IncomingMessage,
   text: string,
 ): Promise<Answer> {
@@ -144,7 +156,7 @@
 }
 
 async function runTransaction(
-  store: RevisionedStore,
+  store: ServedStore,
   { precondition, puts, remove }: TransactionBody,
 ): Promise<Answer> {
   const [put] = puts;
--- a/state/held_documents.ts
+++ b/state/held_documents.ts
@@ -12,7 +12,10 @@
 }
 
 /** What a copy says beside the documents. */
-export type CopyState = Pick<StateCopy, "revision" | "isAfterOutage">;
+export type CopyState = Pick<
+  StateCopy,
+  "era" | "revision" | "isAfterOutage"
+>;
 
 /** The documents of the store as last seen, and those that were removed lately. */
 export class HeldDocuments {
--- a/state/state_follower.ts
+++ b/state/state_follower.ts
@@ -111,7 +111,7 @@
   get known(): KnownState {
     return {
       configurationVersion: this.#configuration?.version ?? 0,
-      storeRevision: this.#revision,
+      store: { era: 0, revision: this.#revision },
       isStoreLost: this.#isStoreLost(),
     };
   }
@@ -145,6 +145,7 @@
    */
   createCopy(afterRevision: number): StateCopy {
     return this.#held.createCopy(afterRevision, {
+      era: 0,
       revision: this.#revision,
       isAfterOutage: this.#isAfterOutage(),
     });
@@ -205,8 +206,15 @@
     if (snapshot.isErr()) return this.#noteFailure(snapshot.error.message);
     const wasInTrouble = this.#isAfterOutage();
     this.#noteSuccess();
-    if (mayReplace(this.#revision, snapshot.value.revision)) {
+    const { era, revision } = snapshot.value;
+    if (mayReplace(this.#revision, revision)) {
       this.#applySnapshot(snapshot.value, wasInTrouble ? LAPSED_GRACE_MS : 0);
+    } else {
+      this.#parts.logger.warn("older state of the store passed over", {
+        era,
+        revision,
+        inForce: this.#revision,
+      });
     }
     return snapshot.value.revision;
   }
@@ -224,7 +232,8 @@
     if (changes.isErr()) return this.#noteFailure(changes.error.message);
     this.#noteSuccess();
     if (changes.value.kind === "compacted") {
-      logger.info("store dropped its history", { afterRevision });
+      const { era } = changes.value;
+      logger.info("store dropped its history", { afterRevision, era });
       this.#lastTroubleMs = this.#parts.clock.nowMs();
       return undefined;
     }
--- a/state/state_follower_test.ts
+++ b/state/state_follower_test.ts
@@ -158,7 +158,7 @@
       store.setDown(false);
       await run(6_000);
       assert.deepEqual(listUsable(), []);
-      assert.equal(follower.known.storeRevision, 10);
+      assert.equal(follower.known.store.revision, 10);
       ended.abort();
     });
 
@@ -182,7 +182,7 @@
       await relay.run(10);
       const pull = () =>
         other.follower.applyCopy(
-          relay.follower.createCopy(other.follower.known.storeRevision),
+          relay.follower.createCopy(other.follower.known.store.revision),
         );
       const end = () => [relay, other].forEach(({ ended }) => ended.abort());
       return { relay, other, pull, end };
@@ -208,7 +208,7 @@
       await relay.put("config", "2");
       await relay.run(300);
       const copy = relay.follower.createCopy(
-        other.follower.known.storeRevision,
+        other.follower.known.store.revision,
       );
       assert.deepEqual(copy.entries.map(({ key }) => key), ["config"]);
       assert.deepEqual(copy.removed.map(({ key }) => key), ["server/s1"]);
@@ -228,8 +228,8 @@
       await relay.put("server/s1", undefined);
       relay.store.compact();
       await relay.run(3_000);
-      const { storeRevision } = other.follower.known;
-      assert.equal(relay.follower.createCopy(storeRevision).afterRevision, 0);
+      const { revision } = other.follower.known.store;
+      assert.equal(relay.follower.createCopy(revision).afterRevision, 0);
       pull();
       await other.run(2_000);
       assert.deepEqual(other.listUsable(), ["s2"]);
@@ -257,7 +257,7 @@
     it("refuses changes that go on from more than is known here", async () => {
       const { relay, other, end } = await startBoth();
       const copy = relay.follower.createCopy(
-        relay.follower.known.storeRevision - 1,
+        relay.follower.known.store.revision - 1,
       );
       assert.equal(other.follower.applyCopy(copy), false);
       end();
--- a/state/state_source.ts
+++ b/state/state_source.ts
@@ -1,10 +1,9 @@
 import type { KnownState } from "../fleet/mod.ts";
-import type { StoreEntry } from "../store/mod.ts";
+import type { StoreEntry, StorePosition } from "../store/mod.ts";
 import type { RemovedKey } from "./removal_log.ts";
 
 /** What an instance knows of the store, to hand to another one. */
-export interface StateCopy {
-  readonly revision: number;
+export interface StateCopy extends StorePosition {
   /** Revision that it goes on from; 0: it holds everything. */
   readonly afterRevision: number;
   readonly entries: readonly StoreEntry[];
--- a/store/mod.ts
+++ b/store/mod.ts
@@ -10,6 +10,7 @@
  * @module
  */
 export * from "./store.ts";
+export * from "./store_position.ts";
 export * from "./revisioned_store.ts";
 export * from "./write_change.ts";
 export * from "./guarded_store.ts";
--- a/store/revisioned_store.ts
+++ b/store/revisioned_store.ts
@@ -5,23 +5,22 @@
   StoreEvent,
   StoreResult,
 } from "./store.ts";
+import type { StorePosition } from "./store_position.ts";
 
-/** All keys with a prefix, and the revision from which a watch goes on. */
-export interface StoreSnapshot {
+/** All keys with a prefix, and the position from which a watch goes on. */
+export interface StoreSnapshot extends StorePosition {
   readonly entries: readonly StoreEntry[];
-  readonly revision: number;
 }
 
 /** What happened after a revision. */
 export type StoreChanges =
-  | {
+  /** All changes up to a position. */
+  | (StorePosition & {
     readonly kind: "changes";
     readonly events: readonly StoreEvent[];
-    /** Up to which revision all changes were seen. */
-    readonly revision: number;
-  }
-  /** The store has dropped that part of its history: read anew. */
-  | { readonly kind: "compacted" };
+  })
+  /** The store does not have that part of its history: read anew. */
+  | { readonly kind: "compacted"; readonly era: number };
 
 /** What a wait for changes starts from. */
 export interface AwaitChangesRequest {
--- a/tests/report_fixture.ts
+++ b/tests/report_fixture.ts
@@ -16,7 +16,11 @@
     from,
     sequence,
     scope: "instance",
-    known: { configurationVersion: 1, storeRevision: 5, isStoreLost: false },
+    known: {
+      configurationVersion: 1,
+      store: { era: 0, revision: 5 },
+      isStoreLost: false,
+    },
     loads: [],
     prefixes: [],
     news: [],
--- a/tests/reporter_fixture.ts
+++ b/tests/reporter_fixture.ts
@@ -104,7 +104,7 @@
       state: {
         known: {
           configurationVersion: 1,
-          storeRevision: 1,
+          store: { era: 0, revision: 1 },
           isStoreLost: false,
         },
         instanceAddresses: [],
--- a/tests/restarted_server_test.ts
+++ b/tests/restarted_server_test.ts
@@ -61,8 +61,9 @@
 
   it("twice within one watch is the last of its starts", async () => {
     const { clock, follower, readOnly, end } = await start();
-    const revision = follower.known.storeRevision;
+    const revision = follower.known.store.revision;
     follower.applyCopy({
+      era: 0,
       revision: revision + 3,
       afterRevision: revision,
       entries: [{
--- a/tests/state_fixture.ts
+++ b/tests/state_fixture.ts
@@ -62,6 +62,7 @@
   entries: readonly StoreEntry[],
 ): StateCopy {
   return {
+    era: 0,
     revision,
     afterRevision: 0,
     entries,
--- a/tests/store_contract_test.ts
+++ b/tests/store_contract_test.ts
@@ -80,6 +80,7 @@
           { key: "a", value: "2", revision: 2 },
           { key: "a", value: undefined, revision: 3 },
         ],
+        era: 0,
         revision: 3,
       });
     });
@@ -102,6 +103,7 @@
       assert.deepEqual(none._unsafeUnwrap(), {
         kind: "changes",
         events: [],
+        era: 0,
         revision: 1,
       });
     });
@@ -115,7 +117,39 @@
         afterRevision: 0,
         waitMs: 10,
       });
-      assert.deepEqual(changes._unsafeUnwrap(), { kind: "compacted" });
+      assert.deepEqual(changes._unsafeUnwrap(), {
+        kind: "compacted",
+        era: 0,
+      });
+    });
+
+    it("says that it came back from an older copy, and gives revisions out again", async () => {
+      const { store, memory } = await create();
+      await store.swap({ key: "a", value: "1", expectedRevision: 0 });
+      const backup = memory.createBackup();
+      await store.swap({ key: "a", value: "2", expectedRevision: 1 });
+      await store.swap({ key: "b", value: "3", expectedRevision: 0 });
+      memory.restoreBackup(backup);
+      const snapshot = (await store.readSnapshot(""))._unsafeUnwrap();
+      assert.deepEqual(
+        { ...snapshot, entries: snapshot.entries.map(({ value }) => value) },
+        { entries: ["1"], era: 1, revision: 1 },
+      );
+      const beyond = await store.awaitChanges({
+        prefix: "",
+        afterRevision: 3,
+        waitMs: 10,
+      });
+      assert.deepEqual(beyond._unsafeUnwrap(), { kind: "compacted", era: 1 });
+      const written = await store.swap({
+        key: "c",
+        value: "4",
+        expectedRevision: 0,
+      });
+      assert.deepEqual(written._unsafeUnwrap(), {
+        kind: "written",
+        revision: 2,
+      });
     });
 
     it("deletes the keys of a lease that ends", async () => {
--- a/tests/virtual_gateway.ts
+++ b/tests/virtual_gateway.ts
@@ -13,11 +13,16 @@
 
 /** A source that knows a configuration and never changes by itself. */
 export const LOADED_STATE: StateSource = {
-  known: { configurationVersion: 1, storeRevision: 1, isStoreLost: false },
+  known: {
+    configurationVersion: 1,
+    store: { era: 0, revision: 1 },
+    isStoreLost: false,
+  },
   isLoaded: true,
   isReachable: true,
   instanceAddresses: [],
   createCopy: () => ({
+    era: 0,
     revision: 1,
     afterRevision: 0,
     entries: [],
