--- a/adapters/state_transfer.ts
+++ b/adapters/state_transfer.ts
@@ -2,16 +2,18 @@
 import { err, ok, type Result } from "neverthrow";
 import { request } from "undici";
 import type { StateCopy } from "../state/mod.ts";
+import type { StorePosition } from "../store/mod.ts";
 import type { PlainRoute } from "./plain_server.ts";
 
 /** Path of JSON-RPC between instances, on the control address. */
 const RPC_PATH = "/rpc";
 /** Method that returns a copy of the known state. */
 const READ_METHOD = "state.read";
-/** What `state.read` is called with. */
+/** What `state.read` is called with: up to where the caller knows all. */
 interface ReadParams {
-  /** Revision up to which the caller knows all; 0: nothing. */
   readonly afterRevision: number;
+  /** Instances of earlier versions do not say it. */
+  readonly era?: number;
 }
 
 /** Time for a copy of several hundred routes between regions, in milliseconds. */
@@ -20,15 +22,16 @@
 /**
  * Returns the route by which peers read the state that this instance knows.
  *
- * @param createCopy Makes the copy of what comes after a revision.
+ * @param createCopy Makes the copy of what comes after a position.
  */
 export function createStateRoute(
-  createCopy: (afterRevision: number) => StateCopy,
+  createCopy: (after: StorePosition) => StateCopy,
 ): PlainRoute {
   const server = new JSONRPCServer();
   server.addMethod(
     READ_METHOD,
-    ({ afterRevision }: ReadParams) => createCopy(afterRevision),
+    ({ afterRevision, era = 0 }: ReadParams) =>
+      createCopy({ era, revision: afterRevision }),
   );
   return {
     method: "POST",
@@ -48,11 +51,11 @@
  * Reads the state that a peer knows.
  *
  * @param address IP address and port of its control address.
- * @param afterRevision Revision up to which all is known here; 0: nothing.
+ * @param after Up to where all is known here.
  */
 export async function readPeerState(
   address: string,
-  afterRevision: number,
+  { era, revision }: StorePosition,
 ): Promise<Result<StateCopy, string>> {
   let callId = 0;
   const client: JSONRPCClient = new JSONRPCClient(async (payload) => {
@@ -65,8 +68,10 @@
     client.receive(JSON.parse(await response.body.text()));
   }, () => ++callId);
   try {
-    const params: ReadParams = { afterRevision };
-    return ok(await client.request(READ_METHOD, params) as StateCopy);
+    const params: ReadParams = { afterRevision: revision, era };
+    const copy = await client.request(READ_METHOD, params) as StateCopy;
+    // Instances of earlier versions know of no eras.
+    return ok({ ...copy, era: copy.era ?? 0 });
   } catch (error) {
     return err((error as Error).message);
   }
--- a/daemon/catalog_state.ts
+++ b/daemon/catalog_state.ts
@@ -151,5 +151,6 @@
     slots: server.slots,
     isDraining: server.isLeaving,
     coldForMs: 0,
+    sequence: 0,
   };
 }
--- a/daemon/http_gateway.ts
+++ b/daemon/http_gateway.ts
@@ -90,7 +90,7 @@
   readonly keepRefusedCall?: (ends: ReportedEnds) => void;
   readonly sendReport: SendReport;
   /**
-   * Reads what the instance at an address knows beyond a revision. Default: none,
+   * Reads what the instance at an address knows beyond a position. Default: none,
    * the source spreads its changes itself.
    */
   readonly readPeerState?: ReadPeerState;
--- a/daemon/peer_catch_up.ts
+++ b/daemon/peer_catch_up.ts
@@ -4,6 +4,7 @@
 import type { InstanceId } from "../ids/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import type { StateCopy, StateSource } from "../state/mod.ts";
+import type { StorePosition } from "../store/mod.ts";
 
 /**
  * How long a peer must be ahead before its state is read, in milliseconds, by an
@@ -19,13 +20,13 @@
 const MOST_ASKED = 2;
 
 /**
- * Reads what the instance at an address knows beyond a revision.
+ * Reads what the instance at an address knows beyond a position.
  *
  * @returns The copy, or why there is none.
  */
 export type ReadPeerState = (
   address: string,
-  afterRevision: number,
+  after: StorePosition,
 ) => Promise<Result<StateCopy, string>>;
 
 /** What catching up needs. */
@@ -90,7 +91,7 @@
   async #read({ address, id }: MemberRecord): Promise<void> {
     const { clock, logger, readPeerState, state } = this.#parts;
     this.#askedMs.set(id, clock.nowMs());
-    const copy = await readPeerState(address, state.known.store.revision);
+    const copy = await readPeerState(address, state.known.store);
     this.#askedMs.delete(id);
     if (copy.isErr()) {
       this.#failedMs.set(id, clock.nowMs());
--- a/servers/server_registry.ts
+++ b/servers/server_registry.ts
@@ -20,6 +20,8 @@
   readonly isDraining: boolean;
   /** How long it stays cold, counted from when the entry was read, in milliseconds. */
   readonly coldForMs: number;
+  /** Counts the writes of this start; what it wrote first may be read last. */
+  readonly sequence: number;
 }
 
 /** A registered server with what this instance has learned of its entry. */
--- a/spec/server_spec.ts
+++ b/spec/server_spec.ts
@@ -201,5 +201,6 @@
     slots: 1,
     isDraining,
     coldForMs: 0,
+    sequence: 0,
   };
 }
--- a/state/state_follower.ts
+++ b/state/state_follower.ts
@@ -9,6 +9,7 @@
   RevisionedStore,
   StoreEntry,
   StoreEvent,
+  StorePosition,
   StoreSnapshot,
 } from "../store/mod.ts";
 import { HeldDocuments } from "./held_documents.ts";
@@ -141,10 +142,10 @@
   /**
    * Returns a copy for a peer.
    *
-   * @param afterRevision Up to which the peer knows all; 0: nothing.
+   * @param after Up to where the peer knows all.
    */
-  createCopy(afterRevision: number): StateCopy {
-    return this.#held.createCopy(afterRevision, {
+  createCopy(after: StorePosition): StateCopy {
+    return this.#held.createCopy(after.revision, {
       era: 0,
       revision: this.#revision,
       isAfterOutage: this.#isAfterOutage(),
--- a/state/state_follower_test.ts
+++ b/state/state_follower_test.ts
@@ -8,6 +8,7 @@
 import { MemoryStore } from "../standin/memory_store.ts";
 import { createFullCopy, TEST_DECODER } from "../tests/state_fixture.ts";
 import { StateFollower } from "./state_follower.ts";
+import { STORE_START } from "../store/mod.ts";
 
 function start(isRelay = () => true) {
   const clock = new VirtualClock();
@@ -166,7 +167,7 @@
       const { put, run, follower, ended } = start();
       await put("config", "1");
       await run(10);
-      assert.equal(follower.applyCopy(follower.createCopy(0)), false);
+      assert.equal(follower.applyCopy(follower.createCopy(STORE_START)), false);
       ended.abort();
     });
   });
@@ -182,7 +183,7 @@
       await relay.run(10);
       const pull = () =>
         other.follower.applyCopy(
-          relay.follower.createCopy(other.follower.known.store.revision),
+          relay.follower.createCopy(other.follower.known.store),
         );
       const end = () => [relay, other].forEach(({ ended }) => ended.abort());
       return { relay, other, pull, end };
@@ -208,7 +209,7 @@
       await relay.put("config", "2");
       await relay.run(300);
       const copy = relay.follower.createCopy(
-        other.follower.known.store.revision,
+        other.follower.known.store,
       );
       assert.deepEqual(copy.entries.map(({ key }) => key), ["config"]);
       assert.deepEqual(copy.removed.map(({ key }) => key), ["server/s1"]);
@@ -228,8 +229,8 @@
       await relay.put("server/s1", undefined);
       relay.store.compact();
       await relay.run(3_000);
-      const { revision } = other.follower.known.store;
-      assert.equal(relay.follower.createCopy(revision).afterRevision, 0);
+      const { store } = other.follower.known;
+      assert.equal(relay.follower.createCopy(store).afterRevision, 0);
       pull();
       await other.run(2_000);
       assert.deepEqual(other.listUsable(), ["s2"]);
@@ -256,9 +257,8 @@
 
     it("refuses changes that go on from more than is known here", async () => {
       const { relay, other, end } = await startBoth();
-      const copy = relay.follower.createCopy(
-        relay.follower.known.store.revision - 1,
-      );
+      const { era, revision } = relay.follower.known.store;
+      const copy = relay.follower.createCopy({ era, revision: revision - 1 });
       assert.equal(other.follower.applyCopy(copy), false);
       end();
     });
--- a/state/state_source.ts
+++ b/state/state_source.ts
@@ -26,9 +26,9 @@
   /**
    * Returns a copy for a peer.
    *
-   * @param afterRevision Up to which the peer knows all; 0: nothing.
+   * @param after Up to where the peer knows all.
    */
-  createCopy(afterRevision: number): StateCopy;
+  createCopy(after: StorePosition): StateCopy;
   /**
    * Takes the copy of a peer that knows more.
    *
--- a/tests/engine_memory_test.ts
+++ b/tests/engine_memory_test.ts
@@ -70,6 +70,7 @@
       slots: 4,
       isDraining: false,
       coldForMs: 0,
+      sequence: 0,
     }, clock.nowMs());
   register("lm-1", "lm", "north");
   register("lm-2", "lm", "south");
--- a/tests/foreign_entry_test.ts
+++ b/tests/foreign_entry_test.ts
@@ -9,6 +9,7 @@
   createServerDocument,
   startDocuments,
 } from "./document_fixture.ts";
+import { STORE_START } from "../store/mod.ts";
 
 const KEY = "servers/e1";
 const REQUIRED = [
@@ -108,7 +109,7 @@
     await put("op/config", createConfigurationDocument(3));
     await put("op/config", "{");
     const peer = startDocuments(() => false);
-    peer.follower.applyCopy(follower.createCopy(0));
+    peer.follower.applyCopy(follower.createCopy(STORE_START));
     assert.deepEqual([versions, peer.versions], [[3], [3]]);
     await put("op/config", createConfigurationDocument(4));
     assert.deepEqual(versions, [3, 4]);
@@ -169,7 +170,7 @@
           await clock.advance(5_000);
           follower.sweep();
           const peer = startDocuments(() => false);
-          peer.follower.applyCopy(follower.createCopy(0));
+          peer.follower.applyCopy(follower.createCopy(STORE_START));
           const wanted = [...good].sort();
           [listUsable(), peer.listUsable()].forEach((usable) =>
             assert.deepEqual(
--- a/tests/member_fixture.ts
+++ b/tests/member_fixture.ts
@@ -60,6 +60,7 @@
     slots: 4,
     isDraining: false,
     coldForMs: 0,
+    sequence: 0,
     ...more,
   };
 }
--- a/tests/restarted_server_test.ts
+++ b/tests/restarted_server_test.ts
@@ -10,6 +10,7 @@
   SERVER_REGION,
   startDocuments,
 } from "./document_fixture.ts";
+import { STORE_START } from "../store/mod.ts";
 
 const KEY = "servers/e1";
 
@@ -138,7 +139,7 @@
     it("is the same server as told by the store", async () => {
       const told = startDocuments(() => false);
       const first = await start(2_000);
-      told.follower.applyCopy(first.follower.createCopy(0));
+      told.follower.applyCopy(first.follower.createCopy(STORE_START));
       assert.deepEqual(
         told.listUsable().map(({ entry }) => entry.id),
         first.listUsable().map(({ entry }) => entry.id),
--- a/tests/state_fixture.ts
+++ b/tests/state_fixture.ts
@@ -6,11 +6,13 @@
 
 /**
  * Documents of a test: `config` holds a version, `server/ID` is `ready` or
- * `draining`, `evacuated/DOMAIN` is there or not. The value `malformed` is none.
+ * `draining`, and maybe the number of the write, `evacuated/DOMAIN` is there or not. The
+ * value `malformed` is none.
  */
 export const TEST_DECODER: StateDecoder = {
   decode: (key, value) => {
     const [kind, name] = key.split("/");
+    const [state, sequence] = value.split(" ");
     if (value === "malformed") return err("malformed");
     switch (kind) {
       case "config":
@@ -36,8 +38,9 @@
             failureDomain: toFailureDomainId("a"),
             region: toRegionId("north"),
             slots: 4,
-            isDraining: value === "draining",
+            isDraining: state === "draining",
             coldForMs: 0,
+            sequence: Number(sequence ?? 0),
           },
         });
       case "evacuated":
