--- a/daemon/catalog_state_test.ts
+++ b/daemon/catalog_state_test.ts
@@ -21,6 +21,7 @@
     },
     onServers: () => {},
     onRefusedCall: () => {},
+    onRestored: () => {},
     isRelay: () => true,
   }, () => 0);
   configuration.apply({
--- a/daemon/http_gateway.ts
+++ b/daemon/http_gateway.ts
@@ -61,6 +61,8 @@
   readonly onServers: () => void;
   /** Takes a refused call that is kept in the store. */
   readonly onRefusedCall: (ends: ReportedEnds) => void;
+  /** Called when the store has come back from an older copy. */
+  readonly onRestored: () => void;
   /** Whether this instance follows the store for its region. */
   readonly isRelay: () => boolean;
 }
@@ -170,6 +172,10 @@
       onServers: () => this.#applyServers(),
       onRefusedCall: (ends) =>
         void this.forwarder.quarantine.learn([ends], clock.nowMs()),
+      onRestored: () => {
+        // All know the same calls: those that follow the store write them.
+        if (this.#isRelay()) this.forwarder.keepRefusedCalls();
+      },
       isRelay: () => this.#isRelay(),
     });
     const { readPeerState } = parts;
--- a/forwarding/call_forwarder.ts
+++ b/forwarding/call_forwarder.ts
@@ -165,6 +165,11 @@
     return this.#guard.quarantine;
   }
 
+  /** Keeps all refused calls once more: where they were kept has lost some. */
+  keepRefusedCalls(): void {
+    this.#guard.keepAgain(this.#parts.clock.nowMs());
+  }
+
   /** Limits that servers name. */
   get limits(): ServerLimits {
     return this.#learned.limits;
--- a/forwarding/quarantine_guard.ts
+++ b/forwarding/quarantine_guard.ts
@@ -65,6 +65,13 @@
     };
   }
 
+  /** Keeps all refused calls once more: where they were kept has lost some. */
+  keepAgain(nowMs: number): void {
+    const { heldCount } = this.quarantine;
+    this.quarantine.listHeldInTurn(heldCount, nowMs)
+      .forEach((ends) => this.#parts.keepRefusedCall?.(ends));
+  }
+
   #hold(held: HeldCall): void {
     const { keepRefusedCall, logger } = this.#parts;
     const { call, isSeenHere, servers } = held;
--- a/state/instance_entry.ts
+++ b/state/instance_entry.ts
@@ -1,4 +1,9 @@
-import { type Clock, scheduleEvery } from "../clock/mod.ts";
+import {
+  type Clock,
+  type Random,
+  scheduleEvery,
+  waitFor,
+} from "../clock/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import type { RevisionedStore } from "../store/mod.ts";
 
@@ -10,10 +15,17 @@
 /** Pause between renewals, in milliseconds: a third of the lease. */
 const RENEW_INTERVAL_MS = 10_000;
 
+/**
+ * Longest wait before an entry that the store has lost is written again, in milliseconds:
+ * all instances hear of it at once, and the store takes 400 writes a second.
+ */
+const LONGEST_WAIT_MS = 500;
+
 /** What an entry is kept from. */
 export interface InstanceEntryParts {
   readonly store: RevisionedStore;
   readonly clock: Clock;
+  readonly random: Random;
   readonly logger: Logger;
   readonly key: string;
   readonly value: string;
@@ -28,6 +40,7 @@
 export class InstanceEntry {
   readonly #parts: InstanceEntryParts;
   #leaseId: string | undefined;
+  #ended: AbortSignal | undefined;
 
   /** @param parts Store and what to write. */
   constructor(parts: InstanceEntryParts) {
@@ -36,6 +49,7 @@
 
   /** Writes and renews the entry until the signal aborts. */
   start(signal: AbortSignal): void {
+    this.#ended = signal;
     void this.#keep(signal);
     scheduleEvery(
       this.#parts.clock,
@@ -45,6 +59,15 @@
     );
   }
 
+  /** Writes the entry once more if the store has lost it, without waiting for the next renewal. */
+  writeAgain(): void {
+    const signal = this.#ended;
+    if (signal === undefined || signal.aborted) return;
+    const { clock, random } = this.#parts;
+    void waitFor(clock, LONGEST_WAIT_MS * random.nextFloat(), signal)
+      .then(() => this.#keep(signal));
+  }
+
   /** Deletes the entry. */
   async remove(): Promise<void> {
     if (this.#leaseId === undefined) return;
@@ -57,6 +80,7 @@
   }
 
   async #keep(signal: AbortSignal): Promise<void> {
+    if (signal.aborted) return;
     const options = { callClass: "lease", signal } as const;
     const { logger, store } = this.#parts;
     if (this.#leaseId !== undefined) {
