Soak: the store comes back from an older copy, once in seven seconds

The store is away for 0.8 s and comes back from a copy 3 s old: a configuration is lost, the next one comes before what was lost is written again, and ids of leases and revisions are given out again.

--- a/soak/apply_fault.ts
+++ b/soak/apply_fault.ts
@@ -27,6 +27,8 @@
 const STEADY_AFTER_MS = 5_000;
 /** Answer time of a slow store, in milliseconds. */
 const SLOW_STORE_MS = 300;
+/** How long the store is away before it comes back from a copy, in milliseconds. */
+const RESTORE_AWAY_MS = 800;
 /** Calls a second that a server with need takes: fewer than its callers ask for. */
 const LIMIT_PER_SECOND = 2;
 
@@ -116,7 +118,9 @@
       case "server":
         return [slots[fault.index]];
       case "store":
-        return [store];
+        return fault.what === "restore"
+          ? [store, "operator configure"]
+          : [store];
       case "operator":
         return [`operator ${fault.what}`];
     }
@@ -338,6 +342,8 @@
   ): Promise<void> {
     const { store } = this.#parts.fleet;
     switch (what) {
+      case "restore":
+        return await this.#restoreStore(forMs);
       case "forget":
         store.compact();
         return;
@@ -357,6 +363,23 @@
     }
   }
 
+  /** A configuration is lost, and the next one comes before what was lost is written again. */
+  async #restoreStore(forMs: number): Promise<void> {
+    const { fleet } = this.#parts;
+    const { operator, store } = fleet;
+    const backup = store.createBackup();
+    await fleet.configure();
+    await this.#wait(forMs - RESTORE_AWAY_MS);
+    await this.#disturb(async () => {
+      store.setDown(true);
+      await this.#wait(RESTORE_AWAY_MS);
+      store.restoreBackup(backup);
+      store.setDown(false);
+    });
+    await fleet.configure();
+    await operator.writeAgain();
+  }
+
   async #operate(
     what: Extract<Fault, { kind: "operator" }>["what"],
     forMs: number,
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -41,7 +41,15 @@
       | "limit";
     readonly index: number;
   }
-  | { readonly kind: "store"; readonly what: "down" | "slow" | "forget" }
+  | {
+    readonly kind: "store";
+    readonly what:
+      | "down"
+      | "slow"
+      | "forget"
+      /** It is away and comes back from a copy of the beginning of the fault. */
+      | "restore";
+  }
   | { readonly kind: "operator"; readonly what: "configure" | "evacuate" };
 
 /** A fault with its time. */
@@ -102,6 +110,10 @@
 const LIMIT_EVERY_MS = 7_000;
 /** How long it does, in milliseconds: longer than the span in which its calls are counted. */
 const LIMIT_MS = 5_500;
+/** One return of the store from a copy in so much time, in milliseconds. */
+const RESTORE_EVERY_MS = 7_000;
+/** How long what the store takes in is lost by it, in milliseconds. */
+const RESTORE_MS = 3_000;
 const PAUSE_MS = { least: 300, most: 1_500 };
 const DURATION_MS = { least: 300, most: 4_000 };
 
@@ -127,6 +139,7 @@
     ...planEndingCalls(endMs),
     ...planWords(parts, endMs),
     ...planLimits(parts, endMs),
+    ...planRestores(parts, endMs),
   ];
 }
 
@@ -214,6 +227,21 @@
   })).filter(({ atMs, forMs }) => atMs + forMs <= endMs);
 }
 
+/** Plans returns of the store from older copies, from numbers of their own as crowds are. */
+function planRestores(
+  { seed }: PlanParts,
+  endMs: number,
+): readonly PlannedFault[] {
+  const random = createRandom(Math.imul(seed, SEED_SPREAD) ^ 1);
+  const count = Math.floor((endMs - CALM_START_MS) / RESTORE_EVERY_MS) + 1;
+  return Array.from({ length: count }, (_, turn) => ({
+    fault: { kind: "store" as const, what: "restore" as const },
+    atMs: CALM_START_MS + turn * RESTORE_EVERY_MS +
+      Math.round(random.nextFloat() * (RESTORE_EVERY_MS - RESTORE_MS)),
+    forMs: RESTORE_MS,
+  })).filter(({ atMs, forMs }) => atMs + forMs <= endMs);
+}
+
 /** Plans crowds from numbers of their own: the other faults of a seed stay as they were. */
 function planCrowds(
   { instances, seed }: PlanParts,
--- a/standin/platform_operator.ts
+++ b/standin/platform_operator.ts
@@ -44,6 +44,8 @@
   readonly #store: MemoryStore;
   readonly #clock: Clock;
   #sequence = 0;
+  /** What was written last under each key; `undefined`: it was removed. */
+  readonly #written = new Map<string, string | undefined>();
 
   /**
    * @param store Stands in for the platform's.
@@ -112,9 +114,20 @@
     await this.#put(`servers/${id}`, undefined);
   }
 
+  /** Writes all once more that a store has lost as it came back from a copy. */
+  async writeAgain(): Promise<void> {
+    for (const key of [...this.#written.keys()]) {
+      // Another write of the key may have come meanwhile.
+      while (!await this.#tryPut(key, this.#written.get(key))) {
+        await waitFor(this.#clock, RETRY_PAUSE_MS);
+      }
+    }
+  }
+
   /** Writes until the store says that it took the write: it may be away. */
   async #put(key: string, value: unknown): Promise<void> {
     const text = value === undefined ? undefined : JSON.stringify(value);
+    this.#written.set(key, text);
     while (!await this.#tryPut(key, text)) {
       await waitFor(this.#clock, RETRY_PAUSE_MS);
     }
@@ -123,6 +136,7 @@
   async #tryPut(key: string, value: string | undefined): Promise<boolean> {
     const known = await this.#store.read(key);
     if (known.isErr()) return false;
+    if (known.value?.value === value) return true;
     const expectedRevision = known.value?.revision ?? 0;
     const swapped = await this.#store.swap({ key, value, expectedRevision });
     return swapped.isOk() && swapped.value.kind === "written";
