Specification of a store that comes back from older copies, with two mutants

Configurations and a server's leaving are written, lost with a return of the store to any of its earlier states, and written again in order, while two instances read all, watch, and copy from each other.

--- a/spec/run_model.ts
+++ b/spec/run_model.ts
@@ -6,6 +6,10 @@
 import { JOURNAL_MUTANTS, JOURNAL_SPEC } from "./journal_spec.ts";
 import { KEY_MUTANTS, KEY_SPEC } from "./key_spec.ts";
 import { FENCED_SPEC, LEASE_MUTANTS, UNFENCED_SPEC } from "./lease_spec.ts";
+import {
+  RESTORED_STORE_MUTANTS,
+  RESTORED_STORE_SPEC,
+} from "./restored_store_spec.ts";
 import { SERVER_MUTANTS, SERVER_SPEC } from "./server_spec.ts";
 import type { Mutant, Specification } from "./specification.ts";
 import { STATE_MUTANTS, STATE_SPECS } from "./state_spec.ts";
@@ -17,6 +21,7 @@
   FENCED_SPEC,
   UNFENCED_SPEC,
   ...STATE_SPECS,
+  RESTORED_STORE_SPEC,
   SERVER_SPEC,
   KEY_SPEC,
 ];
@@ -25,6 +30,7 @@
   ...CONFIGURATION_MUTANTS,
   ...LEASE_MUTANTS,
   ...STATE_MUTANTS,
+  ...RESTORED_STORE_MUTANTS,
   ...SERVER_MUTANTS,
   ...KEY_MUTANTS,
 ];
