Servers of another region are not looked at where the way alone takes longer

Profile of 74 instances and 220 servers in three regions under calls: a quarter of the processor time went to the choice of servers, which looked at each server of each region for each call, and asked twice for the failures of each.

Change: a region is left out whose way there and back, less the most that a server can be preferred by, is dearer than the own region's best server: its best could not have been chosen. Shares of failures are read once. The choice is the same; random numbers are drawn in another order.

The gain grows with the number of regions; where answers take longer than the way, nothing changes.

--- a/forwarding/choose_place.ts
+++ b/forwarding/choose_place.ts
@@ -3,11 +3,12 @@
 import type { FleetView, MemberRecord } from "../fleet/mod.ts";
 import { mayServe } from "../http_routes/mod.ts";
 import type { RegionId } from "../ids/mod.ts";
-import type {
-  CallNeeds,
-  Candidate,
-  OpenServer,
-  ServerChooser,
+import {
+  type CallNeeds,
+  type Candidate,
+  FIRST_RANK_BONUS_MS,
+  type OpenServer,
+  type ServerChooser,
 } from "./choose_server.ts";
 import type { Exchange } from "./exchange.ts";
 
@@ -50,7 +51,7 @@
 /** What places are chosen from. */
 export interface PlaceChooserParts {
   readonly fleet: FleetView;
-  readonly servers: ServerChooser;
+  readonly servers: Pick<ServerChooser, "choose" | "listOpen">;
   readonly random: Random;
   readonly listRegions: () => readonly RegionId[];
 }
@@ -81,10 +82,17 @@
     const here = allowed.includes(own)
       ? this.#parts.servers.choose(needs, own, nowMs)
       : undefined;
+    const marginMs = AWAY_MARGIN * exchange.route.targetMs;
+    // Nobody there can be cheaper than the way: looking at each server would be for nothing.
+    const isTooFar = (region: RegionId) =>
+      here !== undefined &&
+      here.costMs <=
+        this.readRoundTripMs(region) - FIRST_RANK_BONUS_MS + marginMs;
     const others = isForwarded
       ? []
       : allowed.filter((region) =>
-        region !== own && !exchange.avoidedRegions.has(region)
+        region !== own && !exchange.avoidedRegions.has(region) &&
+        !isTooFar(region)
       );
     const away = this.#chooseAway(exchange, needs, others, nowMs);
     if (here === undefined && away === undefined) {
@@ -93,7 +101,6 @@
         : allowed;
       return this.#explain(exchange, reachable, nowMs);
     }
-    const marginMs = AWAY_MARGIN * exchange.route.targetMs;
     const staysHere = here !== undefined &&
       (away === undefined ||
         here.costMs <= away.candidate.costMs + marginMs);
--- a/forwarding/choose_server.ts
+++ b/forwarding/choose_server.ts
@@ -28,7 +28,7 @@
  * Advantage of the first engine by rendezvous hash for a part that none is
  * known to hold, in milliseconds: it gathers calls that begin alike.
  */
-const FIRST_RANK_BONUS_MS = 40;
+export const FIRST_RANK_BONUS_MS = 40;
 /**
  * Cost of reading a shared part again, in milliseconds a token, beside the time
  * that it takes: it holds up the prompts behind it, and evicts what others share.
@@ -160,14 +160,15 @@
     const first = this.#findFirstRank(needs, considered);
     const extraTokens = (options.extraTokens ?? 0) /
       Math.max(1, considered.length);
-    const readFailures = ({ entry }: KnownServer) =>
-      health.readFailureShare(entry.id, needs.route, nowMs);
-    const meanFailures = computeMean(considered.map(readFailures));
-    const candidates = considered.flatMap((server) => {
+    const failureShares = considered.map(({ entry }) =>
+      health.readFailureShare(entry.id, needs.route, nowMs)
+    );
+    const meanFailures = computeMean(failureShares);
+    const candidates = considered.flatMap((server, at) => {
       const judged = this.#judge(needs, server, nowMs, extraTokens);
       if (judged === undefined) return [];
       const bonusMs = server.entry.id === first ? FIRST_RANK_BONUS_MS : 0;
-      const failures = readFailures(server) - meanFailures;
+      const failures = failureShares[at]! - meanFailures;
       const costMs = computeCost(judged, needs, options.wayMs ?? 0) -
         bonusMs + FAILURE_PENALTY_MS * Math.max(0, failures);
       return [{ ...judged, costMs }];
