What is in force of the store has a file of its own, apart from following the store

The follower had grown to 530 lines with two jobs: asking the store (watches, full reads, pauses, what counts as an outage), and judging and applying what comes, whichever way it came. `StateInForce` does the second.

--- a/state/state_follower.ts
+++ b/state/state_follower.ts
@@ -1,25 +1,13 @@
-import { type Clock, type Random, waitFor } from "../clock/mod.ts";
-import { type RouteConfiguration, RouteTable } from "../http_routes/mod.ts";
-import type { FailureDomainId } from "../ids/mod.ts";
+import { type Random, waitFor } from "../clock/mod.ts";
 import type { KnownState } from "../fleet/mod.ts";
-import type { Logger } from "../logs/mod.ts";
-import type { ReportedEnds } from "../quarantine/mod.ts";
-import type { ServerRegistry } from "../servers/mod.ts";
-import {
-  comparePositions,
-  type RevisionedStore,
-  STORE_START,
-  type StoreEntry,
-  type StoreEvent,
-  type StorePosition,
-  type StoreSnapshot,
+import type {
+  RevisionedStore,
+  StoreEntry,
+  StorePosition,
 } from "../store/mod.ts";
-import { CarriedOver } from "./carried_over.ts";
-import { HeldDocuments } from "./held_documents.ts";
-import { mayReplace, pickFresh } from "./merge_state.ts";
-import type { StateDecoder } from "./state_change.ts";
-import type { RemovedKey } from "./removal_log.ts";
-import { LAPSED_GRACE_MS, ServerEntries } from "./server_entries.ts";
+import { mayReplace } from "./merge_state.ts";
+import { LAPSED_GRACE_MS } from "./server_entries.ts";
+import { StateInForce, type StateInForceParts } from "./state_in_force.ts";
 import type { StateCopy, StateSource } from "./state_source.ts";
 
 /**
@@ -37,18 +25,6 @@
 /** Pause after a failed call, in milliseconds; it doubles, is jittered, and has an upper bound. */
 const FIRST_PAUSE_MS = 150;
 const LONGEST_PAUSE_MS = 1_000;
-/**
- * How long servers and evacuations that are missing from a copy that the store came back
- * from are kept, in milliseconds: those who wrote them write them again, within about two
- * seconds.
- */
-const RESTORED_GRACE_MS = 3_000;
-/**
- * How long servers that are missing from a peer's copy are kept, in milliseconds:
- * shorter, since the copy is some hundred ms old, and whoever left must get
- * nothing new within seconds.
- */
-const COPY_GRACE_MS = 1_500;
 /** An outage counts for the grace until so long after its end, in milliseconds. */
 const AFTER_OUTAGE_MS = 3_000;
 /**
@@ -68,23 +44,11 @@
 const STORE_LOST_MS = 10_000;
 
 /** What a follower is created from. */
-export interface StateFollowerParts {
+export interface StateFollowerParts extends StateInForceParts {
   readonly store: Pick<RevisionedStore, "readSnapshot" | "awaitChanges">;
-  readonly decoder: StateDecoder;
-  readonly registry: ServerRegistry;
-  readonly clock: Clock;
   readonly random: Random;
-  readonly logger: Logger;
   /** Prefix of all keys that matter. */
   readonly prefix: string;
-  /** Takes each configuration that comes into force. */
-  readonly applyTable: (table: RouteTable) => void;
-  /** Called after each change of the registry. */
-  readonly onServers: () => void;
-  /** Takes a refused call that is kept in the store. Default: it is passed over. */
-  readonly onRefusedCall?: (ends: ReportedEnds) => void;
-  /** Called when the store has come back from an older copy: what instances wrote since is lost. */
-  readonly onRestored?: () => void;
   /** Whether this instance follows the store, and does not leave it to peers. Default: always. */
   readonly isRelay?: () => boolean;
 }
@@ -93,47 +57,33 @@
  * Follows the documents in the store and puts them in force: configuration,
  * servers, evacuations. Where the store does not answer, the last known state
  * stays in force, and copies of peers that know more are taken.
- *
- * One rule keeps old state from coming back, whatever the way it came: each
- * change has the store's era and revision, and nothing at or below the position that
- * is in force is applied again. A configuration needs a higher version as well.
- *
- * A store that came back from an older copy of itself begins a new era, in which
- * revisions start below those of before. What it has lost stays in force until it is
- * written again: a configuration for good, the last writes of a server until its next
- * one, servers and evacuations for a few seconds.
  */
 export class StateFollower implements StateSource {
   readonly #parts: StateFollowerParts;
-  readonly #held = new HeldDocuments();
-  readonly #carried = new CarriedOver();
-  readonly #servers: ServerEntries;
-  #position = STORE_START;
+  readonly #inForce: StateInForce;
   /** Time up to which the pace of answers is used up. */
   #pacedUntilMs = 0;
-  #configuration: RouteConfiguration | undefined;
-  #evacuated: readonly FailureDomainId[] = [];
   #isReachable = false;
   #lastTroubleMs = Number.NEGATIVE_INFINITY;
 
   /** @param parts Store, decoder and what changes go to. */
   constructor(parts: StateFollowerParts) {
     this.#parts = parts;
-    this.#servers = new ServerEntries({ ...parts, held: this.#held });
+    this.#inForce = new StateInForce(parts);
   }
 
   /** How much of the store is known. */
   get known(): KnownState {
     return {
-      configurationVersion: this.#configuration?.version ?? 0,
-      store: this.#position,
+      configurationVersion: this.#inForce.configurationVersion,
+      store: this.#inForce.position,
       isStoreLost: this.#isStoreLost(),
     };
   }
 
   /** Whether a configuration is in force. */
   get isLoaded(): boolean {
-    return this.#configuration !== undefined;
+    return this.#inForce.configurationVersion > 0;
   }
 
   /** Whether the store answered the last call. */
@@ -143,14 +93,12 @@
 
   /** Addresses of instances that have an entry in the store. */
   get instanceAddresses(): readonly string[] {
-    return this.#held.documents.flatMap((document) =>
-      document.kind === "instance" ? [document.address] : []
-    );
+    return this.#inForce.instanceAddresses;
   }
 
   /** Returns the entry of a key as last seen. */
   readEntry(key: string): StoreEntry | undefined {
-    return this.#held.readEntry(key);
+    return this.#inForce.readEntry(key);
   }
 
   /**
@@ -159,11 +107,7 @@
    * @param after Up to where the peer knows all.
    */
   createCopy(after: StorePosition): StateCopy {
-    return this.#held.createCopy(after, {
-      ...this.#position,
-      configurationVersion: this.known.configurationVersion,
-      isAfterOutage: this.#isAfterOutage(),
-    });
+    return this.#inForce.createCopy(after, this.#isAfterOutage());
   }
 
   /**
@@ -172,9 +116,8 @@
    * @returns Whether anything of it was newer.
    */
   applyCopy(copy: StateCopy): boolean {
-    const isLater = this.#applyLaterCopy(copy);
-    // The store may have lost a configuration: the position of a copy does not tell.
-    return this.#takeNewerConfiguration(copy) || isLater;
+    this.#noteEra(copy);
+    return this.#inForce.applyCopy(copy);
   }
 
   /** Follows the store until the signal aborts. */
@@ -184,7 +127,7 @@
     while (!signal.aborted) {
       if (!this.#mustFollow()) {
         await waitFor(this.#parts.clock, ROLE_CHECK_MS, signal);
-        afterRevision = this.#position.revision;
+        afterRevision = this.#inForce.position.revision;
         failures = 0;
         continue;
       }
@@ -204,15 +147,7 @@
 
   /** Drops what did not come back after an outage, or was not written again. */
   sweep(): void {
-    const { clock, logger, onServers, registry } = this.#parts;
-    const nowMs = clock.nowMs();
-    if (this.#carried.sweep(nowMs)) this.#applyEvacuations();
-    const hasBack = this.#servers.sweep(nowMs);
-    const gone = registry.dropMissing(nowMs);
-    if (gone.length > 0) {
-      logger.info("servers gone", { servers: gone.join(" ") });
-    }
-    if (hasBack || gone.length > 0) onServers();
+    this.#inForce.sweep();
   }
 
   async #readAll(signal: AbortSignal): Promise<number | "failed"> {
@@ -221,9 +156,10 @@
     if (snapshot.isErr()) return this.#noteFailure(snapshot.error.message);
     const wasInTrouble = this.#isAfterOutage();
     this.#noteSuccess();
-    if (this.#isNewEra(snapshot.value)) this.#applyRestored(snapshot.value);
-    else if (mayReplace(this.#position, snapshot.value)) {
-      this.#applySnapshot(snapshot.value, wasInTrouble ? LAPSED_GRACE_MS : 0);
+    this.#noteEra(snapshot.value);
+    if (mayReplace(this.#inForce.position, snapshot.value)) {
+      const graceMs = wasInTrouble ? LAPSED_GRACE_MS : 0;
+      this.#inForce.applySnapshot(snapshot.value, graceMs);
     } else this.#logOlder(snapshot.value);
     return snapshot.value.revision;
   }
@@ -242,7 +178,7 @@
     this.#noteSuccess();
     const { era } = changes.value;
     // Whatever it says of its revisions, they are not those that it was asked for.
-    if (era > this.#position.era) return undefined;
+    if (era > this.#inForce.position.era) return undefined;
     if (changes.value.kind === "compacted") {
       logger.info("store dropped its history", { afterRevision, era });
       this.#lastTroubleMs = this.#parts.clock.nowMs();
@@ -250,10 +186,10 @@
     }
     const { events, revision } = changes.value;
     // An answer that was on its way when a peer told of the next era.
-    if (era < this.#position.era) return revision;
-    this.#applyEvents(events, revision, this.#isAfterOutage());
+    if (era < this.#inForce.position.era) return revision;
+    this.#inForce.applyEvents(events, revision, this.#isAfterOutage());
     if (events.length > 0) await this.#gatherMore(signal);
-    return this.#position.revision;
+    return this.#inForce.position.revision;
   }
 
   /** Before the first configuration each instance reads the store, whoever else does. */
@@ -276,227 +212,21 @@
     return Math.round(WATCH_WAIT_MS * (1 - jitter));
   }
 
-  #applyLaterCopy(copy: StateCopy): boolean {
-    const isWhole = copy.afterRevision === 0;
-    if (this.#isNewEra(copy)) {
-      if (isWhole) this.#applyRestored(copy);
-      return isWhole;
-    }
-    const isLater = comparePositions(copy, this.#position) > 0;
-    const hasGap = copy.afterRevision > this.#position.revision;
-    if (!isLater || hasGap) return false;
-    if (isWhole) this.#applySnapshot(copy, COPY_GRACE_MS);
-    else this.#applyChangedCopy(copy);
-    return true;
-  }
-
-  #applyChangedCopy(copy: StateCopy): void {
-    const changes = [...copy.entries, ...copy.removed]
-      .map((change): StoreEvent => ({ value: undefined, ...change }))
-      .sort((a, b) => a.revision - b.revision);
-    this.#applyEvents(changes, copy.revision, copy.isAfterOutage);
-  }
-
-  #applyEvents(
-    events: readonly StoreEvent[],
-    revision: number,
-    isAfterOutage: boolean,
-  ): void {
-    const fresh = pickFresh(this.#position.revision, events);
-    fresh.forEach((event) => {
-      if (event.value === undefined) this.#removeKey(event, isAfterOutage);
-      else this.#applyEntry({ ...event, value: event.value });
-    });
-    this.#advance({ era: this.#position.era, revision });
-    this.#applyEvacuations();
-    if (fresh.length > 0) this.#parts.onServers();
-  }
-
-  #applySnapshot(snapshot: StoreSnapshot, graceMs: number): void {
-    this.#held.keepOnly(listKeys(snapshot));
-    this.#applyAll(snapshot, graceMs);
-  }
-
-  /** Takes the state of a store that came back from an older copy of itself. */
-  #applyRestored(snapshot: StoreSnapshot): void {
-    const { clock, logger, onRestored } = this.#parts;
-    const nowMs = clock.nowMs();
-    const { era, revision } = snapshot;
-    logger.warn("store came back from an older copy", {
-      era,
-      revision,
-      eraBefore: this.#position.era,
-      revisionBefore: this.#position.revision,
-    });
-    this.#lastTroubleMs = nowMs;
-    this.#position = { era, revision };
-    this.#held.beginEra(listKeys(snapshot)).forEach((document, key) => {
-      if (document.kind !== "evacuation") return;
-      this.#carried.add(key, document, nowMs + RESTORED_GRACE_MS);
-    });
-    this.#applyAll(snapshot, RESTORED_GRACE_MS);
-    onRestored?.();
-  }
-
-  #applyAll(
-    { entries, era, revision }: StoreSnapshot,
-    graceMs: number,
-  ): void {
-    const { clock, registry } = this.#parts;
-    entries.forEach((entry) => this.#applyEntry(entry));
-    registry.replaceAll(this.#servers.list(), clock.nowMs(), graceMs);
-    this.#advance({ era, revision });
-    this.#held.restartRemovals(this.#position.revision);
-    this.#applyEvacuations();
-    this.#parts.onServers();
-  }
-
-  #advance({ era, revision }: StorePosition): void {
-    const before = this.#position.revision;
-    this.#position = { era, revision: Math.max(before, revision) };
-  }
-
-  /** Whether the store has come back from an older copy since the state that is in force. */
-  #isNewEra({ era }: StorePosition): boolean {
-    return this.#position !== STORE_START && era > this.#position.era;
-  }
-
-  #applyEntry(entry: StoreEntry): void {
-    const { key, value } = entry;
-    if (this.#held.isJudged(entry)) return;
-    this.#carried.drop(key);
-    const decoded = this.#parts.decoder.decode(key, value);
-    if (decoded.isErr()) {
-      this.#refuseEntry(entry, decoded.error);
-      return;
-    }
-    const document = decoded.value;
-    switch (document.kind) {
-      case "server":
-        this.#servers.apply(entry, document.server, this.#position.era);
-        return;
-      case "configuration":
-        this.#applyConfiguration(entry, document.configuration);
-        return;
-      case "refused-call": {
-        const { call, endedMs, servers } = document;
-        const ageMs = Math.max(0, this.#parts.clock.nowMs() - endedMs);
-        this.#held.put(entry, document);
-        this.#parts.onRefusedCall?.({ call, servers, ageMs });
-        return;
-      }
-      case "evacuation":
-      case "instance":
-      case "other":
-        this.#held.put(entry, document);
-    }
-  }
-
-  /**
-   * Passes over an entry that can't be read. A configuration stays in force; a
-   * server gets nothing new until its next good entry: whoever wrote there, it is
-   * not known to be the server that was.
-   */
-  #refuseEntry(entry: StoreEntry, reason: string): void {
-    const { key, revision } = entry;
-    this.#parts.logger.error("document refused", { key, revision, reason });
-    const before = this.#held.readDocument(key);
-    switch (before?.kind) {
-      case "configuration":
-        this.#held.passOver(entry);
-        return;
-      case "server":
-        this.#servers.withdraw(entry, before.server);
-        return;
-      default:
-        this.#held.put(entry, { kind: "other" });
-    }
-  }
-
-  #removeKey(removed: RemovedKey, isAfterOutage: boolean): void {
-    const { key } = removed;
-    this.#carried.drop(key);
-    const document = this.#held.remove(removed);
-    if (document?.kind !== "server") return;
-    const { era } = this.#position;
-    this.#servers.remove(key, document.server, { era, isAfterOutage });
-  }
-
-  #applyConfiguration(
-    entry: StoreEntry,
-    configuration: RouteConfiguration,
-  ): void {
-    const { logger } = this.#parts;
-    const { version } = configuration;
-    const inForce = this.#configuration?.version ?? 0;
-    if (version < inForce) {
-      logger.warn("older configuration dropped", { version, inForce });
-      this.#held.passOver(entry);
-      return;
-    }
-    this.#held.put(entry, { kind: "configuration", configuration });
-    if (version > inForce) this.#enforce(configuration);
-  }
-
-  /** Takes the configuration of a copy that is newer, wherever the copy stands. */
-  #takeNewerConfiguration(
-    { configurationVersion, entries }: StateCopy,
-  ): boolean {
-    if (configurationVersion <= this.known.configurationVersion) return false;
-    const [newer] = entries.flatMap((entry) => {
-      const document = this.#parts.decoder.decode(entry.key, entry.value);
-      const isNewer = document.isOk() &&
-        document.value.kind === "configuration" &&
-        document.value.configuration.version >
-          this.known.configurationVersion;
-      return isNewer ? [{ entry, document: document.value }] : [];
-    });
-    if (newer?.document.kind !== "configuration") return false;
-    this.#held.carryOver(newer.entry, newer.document);
-    this.#enforce(newer.document.configuration);
-    return true;
-  }
-
-  #enforce(configuration: RouteConfiguration): void {
-    const { applyTable, logger } = this.#parts;
-    const before = this.#configuration?.version ?? 0;
-    this.#configuration = configuration;
-    logger.info("configuration in force", {
-      version: configuration.version,
-      before,
-      routes: configuration.routes.length,
-    });
-    applyTable(new RouteTable(configuration));
-  }
-
-  #applyEvacuations(): void {
-    const { clock, logger, registry } = this.#parts;
-    const documents = [
-      ...this.#held.documents,
-      ...this.#carried.documents,
-    ];
-    const domains = documents.flatMap((document) =>
-      document.kind === "evacuation" ? [document.failureDomain] : []
-    );
-    if (domains.join() === this.#evacuated.join()) return;
-    logger.info("evacuations changed", {
-      before: this.#evacuated.join(" "),
-      now: domains.join(" "),
-      revision: this.#position.revision,
-    });
-    this.#evacuated = domains;
-    registry.setEvacuated(domains, clock.nowMs());
-  }
-
   #logOlder({ era, revision }: StorePosition): void {
     this.#parts.logger.warn("older state of the store passed over", {
       era,
       revision,
-      inForceEra: this.#position.era,
-      inForce: this.#position.revision,
+      inForceEra: this.#inForce.position.era,
+      inForce: this.#inForce.position.revision,
     });
   }
 
+  /** A store that came back from an older copy was away, and servers may lack their entries. */
+  #noteEra(position: StorePosition): void {
+    if (!this.#inForce.isNewEra(position)) return;
+    this.#lastTroubleMs = this.#parts.clock.nowMs();
+  }
+
   #isAfterOutage(): boolean {
     return this.#parts.clock.nowMs() - this.#lastTroubleMs < AFTER_OUTAGE_MS;
   }
@@ -516,7 +246,7 @@
 
   #noteSuccess(): void {
     if (!this.#isReachable) {
-      this.#parts.logger.info("store reached", { ...this.#position });
+      this.#parts.logger.info("store reached", { ...this.#inForce.position });
     }
     this.#isReachable = true;
   }
@@ -530,7 +260,3 @@
     await waitFor(clock, longestMs * (0.5 + random.nextFloat() / 2), signal);
   }
 }
-
-function listKeys({ entries }: StoreSnapshot): ReadonlySet<string> {
-  return new Set(entries.map(({ key }) => key));
-}
