--- a/forwarding/limit_gate_test.ts
+++ b/forwarding/limit_gate_test.ts
@@ -2,32 +2,26 @@
 import { describe, it } from "node:test";
 import fc from "fast-check";
 import { createRandom } from "../clock/mod.ts";
-import { type InstanceId, toBackendId, toInstanceId } from "../ids/mod.ts";
-import { createMember } from "../tests/member_fixture.ts";
+import { type InstanceId, toBackendId } from "../ids/mod.ts";
+import {
+  countMostSends,
+  createSharing,
+  listKnownMembers,
+  toMemberName,
+} from "../tests/sharing_fixture.ts";
 import { LimitGate } from "./limit_gate.ts";
 import { ServerLimits } from "./server_limits.ts";
 
 const SERVER = toBackendId("s1");
 const WINDOW_MS = 4_000;
 
-function toName(index: number): InstanceId {
-  return toInstanceId(`north-${index}`);
-}
-
 /** A gate whose members and limit can be changed. */
 function createGate(
   self: InstanceId,
   known: readonly InstanceId[],
   perSecond: number,
 ) {
-  const fleet = {
-    self: createMember(self),
-    membershipVersion: 1,
-    known,
-    isSettledNow: true,
-    isSettled: () => fleet.isSettledNow,
-    listSharing: () => fleet.known,
-  };
+  const fleet = createSharing(self, known);
   const limits = new ServerLimits();
   const name = (limit: number | undefined, atMs: number) =>
     limits.hear(SERVER, { perSecond: limit, sentMs: atMs }, atMs);
@@ -48,15 +42,6 @@
   });
 }
 
-function countMost(sentMs: readonly number[]): number {
-  return sentMs.reduce((most, endMs) => {
-    const inWindow = sentMs.filter((atMs) =>
-      atMs <= endMs && atMs > endMs - WINDOW_MS
-    );
-    return Math.max(most, inWindow.length);
-  }, 0);
-}
-
 function countBorne(perSecond: number): number {
   return 1.5 * perSecond * WINDOW_MS / 1_000 + 5;
 }
@@ -86,17 +71,16 @@
       });
       fc.assert(
         fc.property(inputs, ({ instances, perSecond, seed, unknown }) => {
-          const all = Array.from({ length: instances }, (_, at) => toName(at));
-          // Half of them do not know one of the others yet.
+          const all = Array.from(
+            { length: instances },
+            (_, at) => toMemberName(at),
+          );
           const gates = all.map((self, index) => {
-            const isBehind = index % 2 === 0;
-            const known = all.filter((id) =>
-              id === self || !isBehind || id !== all[unknown % instances]
-            );
+            const known = listKnownMembers(all, index, unknown);
             return createGate(self, known, perSecond).gate;
           });
           const sentMs = play(gates, createArrivals(instances, seed));
-          assert.ok(countMost(sentMs) <= countBorne(perSecond));
+          assert.ok(countMostSends(sentMs, WINDOW_MS) <= countBorne(perSecond));
         }),
         { numRuns: 200, seed: 20_261_203 },
       );
@@ -105,7 +89,10 @@
     it("uses three quarters of the limit and more, where calls are many", () => {
       [[1, 0.5], [1, 20], [2, 20], [3, 2.6], [3, 30], [12, 0.8], [40, 5]]
         .forEach(([instances, perSecond]) => {
-          const all = Array.from({ length: instances! }, (_, at) => toName(at));
+          const all = Array.from(
+            { length: instances! },
+            (_, at) => toMemberName(at),
+          );
           const gates = all.map((self) =>
             createGate(self, all, perSecond!).gate
           );
@@ -121,7 +108,7 @@
   });
 
   it("lets a call through now and then though the server takes none, to hear of its end", () => {
-    const { gate } = createGate(toName(0), [toName(0)], 0);
+    const { gate } = createGate(toMemberName(0), [toMemberName(0)], 0);
     const arrivals = Array.from({ length: 600 }, (_, at) => ({
       atMs: 1_000 + 100 * at,
       instance: 0,
@@ -131,7 +118,7 @@
   });
 
   it("is closed until the members are known", () => {
-    const { fleet, gate } = createGate(toName(0), [toName(0)], 10);
+    const { fleet, gate } = createGate(toMemberName(0), [toMemberName(0)], 10);
     fleet.isSettledNow = false;
     assert.equal(gate.isOpen(SERVER, 1_000), false);
     fleet.isSettledNow = true;
@@ -139,15 +126,15 @@
   });
 
   it("shares anew when the members change", () => {
-    const { fleet, gate } = createGate(toName(0), [toName(0)], 0.2);
+    const { fleet, gate } = createGate(toMemberName(0), [toMemberName(0)], 0.2);
     assert.equal(gate.isOpen(SERVER, 1_000), true);
-    fleet.known = Array.from({ length: 200 }, (_, at) => toName(at));
+    fleet.known = Array.from({ length: 200 }, (_, at) => toMemberName(at));
     fleet.membershipVersion++;
     assert.equal(gate.isOpen(SERVER, 1_000), false);
   });
 
   it("does not save up calls for a limit that falls", () => {
-    const { gate, name } = createGate(toName(0), [toName(0)], 40);
+    const { gate, name } = createGate(toMemberName(0), [toMemberName(0)], 40);
     gate.isOpen(SERVER, 0);
     name(1, 10_000);
     const rush = Array.from({ length: 100 }, () => ({
@@ -158,7 +145,7 @@
   });
 
   it("is open to a server that names no limit any more", () => {
-    const { gate, name } = createGate(toName(0), [toName(0)], 0.2);
+    const { gate, name } = createGate(toMemberName(0), [toMemberName(0)], 0.2);
     gate.record(SERVER, 1_000);
     assert.equal(gate.isOpen(SERVER, 1_000), false);
     name(undefined, 1_001);
--- a/forwarding/warm_up_gate_test.ts
+++ b/forwarding/warm_up_gate_test.ts
@@ -2,27 +2,21 @@
 import { describe, it } from "node:test";
 import fc from "fast-check";
 import { createRandom } from "../clock/mod.ts";
-import { type InstanceId, toBackendId, toInstanceId } from "../ids/mod.ts";
+import { type InstanceId, toBackendId } from "../ids/mod.ts";
 import { WarmUpGate } from "./warm_up_gate.ts";
-import { createMember } from "../tests/member_fixture.ts";
+import {
+  countMostSends,
+  createSharing,
+  listKnownMembers,
+  toMemberName,
+} from "../tests/sharing_fixture.ts";
 
 const SERVER = toBackendId("s1");
 const BOUNDS = { overshoot: 1.5, slack: 3 };
 
-function toName(index: number): InstanceId {
-  return toInstanceId(`north-${index}`);
-}
-
 /** A gate whose members can be changed. */
 function createGate(self: InstanceId, known: readonly InstanceId[]) {
-  const fleet = {
-    self: createMember(self),
-    membershipVersion: 1,
-    known,
-    isSettledNow: true,
-    isSettled: () => fleet.isSettledNow,
-    listSharing: () => fleet.known,
-  };
+  const fleet = createSharing(self, known);
   return { gate: new WarmUpGate({ fleet, bounds: BOUNDS }), fleet };
 }
 
@@ -40,15 +34,6 @@
   });
 }
 
-function countMost(sentMs: readonly number[]): number {
-  return sentMs.reduce((most, endMs) => {
-    const inSecond = sentMs.filter((atMs) =>
-      atMs <= endMs && atMs > endMs - 1_000
-    );
-    return Math.max(most, inSecond.length);
-  }, 0);
-}
-
 const INPUTS = fc.record({
   callsPerSecond: fc.double({ min: 0.3, max: 40, noNaN: true }),
   instances: fc.integer({ min: 1, max: 200 }),
@@ -75,13 +60,12 @@
     it("keeps their sum inside the bound, though some miss one member", () => {
       fc.assert(
         fc.property(INPUTS, ({ callsPerSecond, instances, unknown, seed }) => {
-          const all = Array.from({ length: instances }, (_, at) => toName(at));
-          // Half of them do not know one of the others yet.
+          const all = Array.from(
+            { length: instances },
+            (_, at) => toMemberName(at),
+          );
           const gates = all.map((self, index) => {
-            const isBehind = index % 2 === 0;
-            const known = all.filter((id) =>
-              id === self || !isBehind || id !== all[unknown % instances]
-            );
+            const known = listKnownMembers(all, index, unknown);
             return createGate(self, known).gate;
           });
           const sentMs = play(
@@ -90,7 +74,7 @@
             callsPerSecond,
           );
           const bound = BOUNDS.overshoot * callsPerSecond + BOUNDS.slack;
-          assert.ok(countMost(sentMs) <= bound);
+          assert.ok(countMostSends(sentMs, 1_000) <= bound);
         }),
         { numRuns: 300, seed: 20_261_202 },
       );
@@ -99,7 +83,10 @@
     it("lets two thirds of the declared rate through, where calls are many", () => {
       [[1, 2.4], [3, 9.7], [20, 2.4], [20, 5.4], [60, 8]].forEach(
         ([instances, callsPerSecond]) => {
-          const all = Array.from({ length: instances! }, (_, at) => toName(at));
+          const all = Array.from(
+            { length: instances! },
+            (_, at) => toMemberName(at),
+          );
           const gates = all.map((self) => createGate(self, all).gate);
           const arrivals = Array.from({ length: 40_000 }, (_, index) => ({
             atMs: 1_000 + index / 4,
@@ -113,7 +100,7 @@
   });
 
   it("is closed until the members are known", () => {
-    const { gate, fleet } = createGate(toName(0), [toName(0)]);
+    const { gate, fleet } = createGate(toMemberName(0), [toMemberName(0)]);
     fleet.isSettledNow = false;
     assert.equal(gate.isOpen(SERVER, 10, 1_000), false);
     fleet.isSettledNow = true;
@@ -121,9 +108,9 @@
   });
 
   it("shares anew when the members change", () => {
-    const { gate, fleet } = createGate(toName(0), [toName(0)]);
+    const { gate, fleet } = createGate(toMemberName(0), [toMemberName(0)]);
     assert.equal(gate.isOpen(SERVER, 2.4, 1_000), true);
-    fleet.known = Array.from({ length: 200 }, (_, at) => toName(at));
+    fleet.known = Array.from({ length: 200 }, (_, at) => toMemberName(at));
     fleet.membershipVersion++;
     assert.equal(gate.isOpen(SERVER, 2.4, 1_000), false);
   });
--- a/state/state_follower_test.ts
+++ b/state/state_follower_test.ts
@@ -1,49 +1,22 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { createRandom, VirtualClock } from "../clock/mod.ts";
-import type { RouteTable } from "../http_routes/mod.ts";
-import { toRegionId } from "../ids/mod.ts";
-import { createSilentLogger } from "../logs/mod.ts";
-import { ServerRegistry } from "../servers/mod.ts";
+import { VirtualClock } from "../clock/mod.ts";
 import { MemoryStore } from "../standin/memory_store.ts";
-import { createFullCopy, TEST_DECODER } from "../tests/state_fixture.ts";
-import { StateFollower } from "./state_follower.ts";
 import { STORE_START } from "../store/mod.ts";
+import { putKey, startFollower } from "../tests/follower_fixture.ts";
+import { createFullCopy } from "../tests/state_fixture.ts";
 
 function start(isRelay = () => true) {
   const clock = new VirtualClock();
   const store = new MemoryStore(clock);
-  const registry = new ServerRegistry();
-  const versions: number[] = [];
-  const ended = new AbortController();
-  const follower = new StateFollower({
-    store,
-    decoder: TEST_DECODER,
-    registry,
-    clock,
-    random: createRandom(1),
-    logger: createSilentLogger(),
-    prefix: "",
-    applyTable: (table: RouteTable) =>
-      versions.push(table.configuration.version),
-    onServers: () => {},
-    isRelay,
-  });
-  const put = async (key: string, value: string | undefined) => {
-    const known = await store.read(key);
-    const expectedRevision = known._unsafeUnwrap()?.revision ?? 0;
-    await store.swap({ key, value, expectedRevision });
-  };
+  const started = startFollower({ clock, store, isRelay });
+  const put = (key: string, value: string | undefined) =>
+    putKey(store, key, value);
   const run = async (ms: number) => {
     await clock.advance(ms);
-    follower.sweep();
+    started.follower.sweep();
   };
-  void follower.run(ended.signal);
-  const listUsable = () =>
-    registry.listUsable("app", toRegionId("north")).map(({ entry }) =>
-      entry.id
-    );
-  return { clock, store, follower, versions, put, run, listUsable, ended };
+  return { ...started, clock, store, put, run };
 }
 
 describe("StateFollower", () => {
--- a/tests/store_restored_test.ts
+++ b/tests/store_restored_test.ts
@@ -1,53 +1,30 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { createRandom, VirtualClock } from "../clock/mod.ts";
-import type { RouteTable } from "../http_routes/mod.ts";
-import { toRegionId } from "../ids/mod.ts";
-import { createSilentLogger } from "../logs/mod.ts";
-import { ServerRegistry } from "../servers/mod.ts";
+import { VirtualClock } from "../clock/mod.ts";
 import { MemoryStore } from "../standin/memory_store.ts";
-import { StateFollower } from "../state/mod.ts";
-import { TEST_DECODER } from "./state_fixture.ts";
+import { putKey, startFollower } from "./follower_fixture.ts";
 
 /** Time in which a change must be in force that the store accepted after its return, in milliseconds. */
 const IN_FORCE_MS = 500;
 /** Time in which servers and operators have written again what was lost, in milliseconds. */
 const WRITTEN_AGAIN_MS = 2_000;
 
-/** A follower, and a store that may come back from a copy. */
 function start(store: MemoryStore, clock: VirtualClock, isRelay = true) {
-  const registry = new ServerRegistry();
-  const versions: number[] = [];
-  const ended = new AbortController();
-  const follower = new StateFollower({
-    store,
-    decoder: TEST_DECODER,
-    registry,
+  const { ended, ...started } = startFollower({
     clock,
-    random: createRandom(1),
-    logger: createSilentLogger(),
-    prefix: "",
-    applyTable: (table: RouteTable) =>
-      versions.push(table.configuration.version),
-    onServers: () => {},
+    store,
     isRelay: () => isRelay,
   });
-  void follower.run(ended.signal);
-  const listUsable = () =>
-    registry.listUsable("app", toRegionId("north"))
-      .map(({ entry }) => entry.id).sort();
-  return { follower, versions, listUsable, end: () => ended.abort() };
+  return { ...started, end: () => ended.abort() };
 }
 
+/** A follower, and a store that may come back from a copy. */
 function create() {
   const clock = new VirtualClock();
   const store = new MemoryStore(clock);
   const first = start(store, clock);
-  const put = async (key: string, value: string | undefined) => {
-    const known = await store.read(key);
-    const expectedRevision = known._unsafeUnwrap()?.revision ?? 0;
-    await store.swap({ key, value, expectedRevision });
-  };
+  const put = (key: string, value: string | undefined) =>
+    putKey(store, key, value);
   const run = async (ms: number) => {
     for (let ranMs = 0; ranMs < ms; ranMs += 100) {
       await clock.advance(100);
