A server that says it is not cold changes nothing in the registry

Since cold time is read from any answer, one that names none left, 0, would have set the server's cold time to now and computed all pools of servers anew, for each answer. Only times that are left are taken. Found by reading; no server on the users' platform is known to say 0.

--- a/forwarding/server_sender.ts
+++ b/forwarding/server_sender.ts
@@ -242,7 +242,9 @@
     this.#learnLimit(server, facts, sentMs);
     const { clock, learned: { health }, logger, registry } = this.#parts;
     const nowMs = clock.nowMs();
-    if (coldForMs !== undefined) registry.markCold(id, nowMs + coldForMs);
+    if (coldForMs !== undefined && coldForMs > 0) {
+      registry.markCold(id, nowMs + coldForMs);
+    }
     if (isLeaving && registry.markLeaving(id)) {
       logger.info("server says that it leaves", { server: id, service });
     }
