--- a/daemon/peer_catch_up_test.ts
+++ b/daemon/peer_catch_up_test.ts
@@ -40,7 +40,7 @@
       applyCopy: ({ revision }) => {
         known = {
           ...known,
-          store: { era: 0, revision: revision },
+          store: { era: 0, revision },
           configurationVersion: 2,
         };
         return true;
