Numbers in headers are read by one function; behaviour unchanged

Calls a second and milliseconds were read by two functions of the same body under two names, and the time to come back by a third; all three are one number that is 0 or more.

--- a/forwarding/http_headers.ts
+++ b/forwarding/http_headers.ts
@@ -55,31 +55,20 @@
 export function parseRetryAfterMs(
   text: string | undefined,
 ): number | undefined {
-  if (text === undefined || text.trim() === "") return undefined;
-  const ms = 1_000 * Number(text);
-  if (!Number.isFinite(ms) || ms < 0) return undefined;
-  return Math.min(ms, MAX_RETRY_AFTER_MS);
+  const ms = 1_000 * (parseAmount(text) ?? Number.NaN);
+  return Number.isFinite(ms) ? Math.min(ms, MAX_RETRY_AFTER_MS) : undefined;
 }
 
 /**
- * Returns the number of calls a second that a header names, or `undefined` where it
- * names none.
+ * Returns the number that a header holds, or `undefined` where it holds none that is 0 or
+ * more.
  *
  * @param text A decimal number; `undefined`: the header is not there.
  */
-export function parseCallsPerSecond(
-  text: string | undefined,
-): number | undefined {
-  if (text === undefined || text.trim() === "") return undefined;
-  const perSecond = Number(text);
-  return Number.isFinite(perSecond) && perSecond >= 0 ? perSecond : undefined;
-}
-
-/** Returns the time in milliseconds that a header names, or `undefined` where it names none. */
-export function parseMs(text: string | undefined): number | undefined {
+export function parseAmount(text: string | undefined): number | undefined {
   if (text === undefined || text.trim() === "") return undefined;
-  const ms = Number(text);
-  return Number.isFinite(ms) && ms >= 0 ? ms : undefined;
+  const amount = Number(text);
+  return Number.isFinite(amount) && amount >= 0 ? amount : undefined;
 }
 
 /** Bytes of a header line beside name and value: colon, space and line end. */
--- a/forwarding/own_grammar.ts
+++ b/forwarding/own_grammar.ts
@@ -8,8 +8,7 @@
 import { isHopHeader } from "./hop_headers.ts";
 import {
   listHeaders,
-  parseCallsPerSecond,
-  parseMs,
+  parseAmount,
   parseRetryAfterMs,
   pickForwarded,
   readHeader,
@@ -83,8 +82,8 @@
       restMs: status === UNAVAILABLE
         ? parseRetryAfterMs(readHeader(headers, RETRY_AFTER))
         : undefined,
-      limitPerSecond: parseCallsPerSecond(readHeader(headers, CALL_LIMIT)),
-      coldForMs: parseMs(readHeader(headers, COLD_MS)),
+      limitPerSecond: parseAmount(readHeader(headers, CALL_LIMIT)),
+      coldForMs: parseAmount(readHeader(headers, COLD_MS)),
     };
   },
 };
