A refusal for room is put together once; behaviour unchanged

Five arms of a switch differed in a sentence, and three of them repeated how the time to come back is computed. The sentence is chosen apart; the time follows from whether the place names one.

--- a/forwarding/no_room.ts
+++ b/forwarding/no_room.ts
@@ -42,39 +42,26 @@
   place: NoPlace,
   nowMs: number,
 ): Refusal {
-  const reason = "no-room";
-  const retryAfterMs = NO_ROOM_RETRY_MS;
-  switch (place.kind) {
+  const comeBackMs = "untilMs" in place ? place.untilMs - nowMs : 0;
+  return {
+    reason: "no-room",
+    message: describeNoRoom(service, place.kind),
+    retryAfterMs: Math.max(NO_ROOM_RETRY_MS, comeBackMs),
+  };
+}
+
+function describeNoRoom(service: string, kind: NoPlace["kind"]): string {
+  switch (kind) {
     case "wait":
-      return {
-        reason,
-        message: `Every server of "${service}" is full`,
-        retryAfterMs,
-      };
+      return `Every server of "${service}" is full`;
     case "nowhere":
-      return {
-        reason,
-        message: `No server of "${service}" may take the call`,
-        retryAfterMs,
-      };
+      return `No server of "${service}" may take the call`;
     case "rest":
-      return {
-        reason,
-        message: `Every server of "${service}" has asked for rest`,
-        retryAfterMs: Math.max(retryAfterMs, place.untilMs - nowMs),
-      };
+      return `Every server of "${service}" has asked for rest`;
     case "limited":
-      return {
-        reason,
-        message: `The limits of the servers of "${service}" are used up`,
-        retryAfterMs: Math.max(retryAfterMs, place.untilMs - nowMs),
-      };
+      return `The limits of the servers of "${service}" are used up`;
     case "tried":
-      return {
-        reason,
-        message: `Every server of "${service}" had the call`,
-        retryAfterMs: Math.max(retryAfterMs, place.untilMs - nowMs),
-      };
+      return `Every server of "${service}" had the call`;
   }
 }
 
