What is learned of servers is forgotten in one place; behaviour unchanged

The choice of servers asked twice whether a server names a limit, and what instances tell of limits was taken in from within a filter; both are plain now.

--- a/forwarding/choose_server.ts
+++ b/forwarding/choose_server.ts
@@ -221,10 +221,9 @@
   ): boolean {
     const { learned: { limitGate, limits, warmUp }, ownRegion } = this.#parts;
     const isCold = nowMs < coldUntilMs && warmUpCallsPerSecond > 0;
-    const isLimited = limits.read(id) !== undefined;
-    if (region !== ownRegion) return !isCold && !isLimited;
+    if (region !== ownRegion) return !isCold && limits.read(id) === undefined;
     return (!isCold || warmUp.isOpen(id, warmUpCallsPerSecond, nowMs)) &&
-      (!isLimited || limitGate.isOpen(id, nowMs));
+      limitGate.isOpen(id, nowMs);
   }
 
   #isSilent(service: string, server: BackendId, nowMs: number): boolean {
--- a/forwarding/limit_gate.ts
+++ b/forwarding/limit_gate.ts
@@ -2,6 +2,7 @@
 import type { BackendId, InstanceId } from "../ids/mod.ts";
 import { rankNames } from "../membership/mod.ts";
 import type { ServerLimits } from "./server_limits.ts";
+import { forgetOthers } from "./forget_others.ts";
 
 /** Span in which a server that names a limit counts its calls, in milliseconds. */
 const WINDOW_MS = 4_000;
@@ -94,8 +95,7 @@
 
   /** Forgets servers that are gone. */
   keepOnly(servers: ReadonlySet<BackendId>): void {
-    [...this.#buckets.keys()].filter((id) => !servers.has(id))
-      .forEach((id) => this.#buckets.delete(id));
+    forgetOthers(this.#buckets, servers);
   }
 
   /** Brings what may be sent to a server up to date; `undefined`: it names no limit. */
--- a/forwarding/prefix_memory.ts
+++ b/forwarding/prefix_memory.ts
@@ -1,6 +1,7 @@
 import type { ReportedPrefix } from "../fleet/mod.ts";
 import type { BackendId } from "../ids/mod.ts";
 import type { PromptPart } from "./call_grammar.ts";
+import { forgetOthers } from "./forget_others.ts";
 
 /**
  * Parts below this size are not followed, in tokens: reading them again takes a
@@ -105,10 +106,7 @@
 
   /** Forgets servers that are gone. */
   keepOnly(servers: ReadonlySet<BackendId>): void {
-    [...this.#byServer.keys()].filter((id) => !servers.has(id))
-      .forEach((id) => {
-        this.#byServer.delete(id);
-        this.#tokens.delete(id);
-      });
+    forgetOthers(this.#byServer, servers);
+    forgetOthers(this.#tokens, servers);
   }
 }
--- a/forwarding/server_health.ts
+++ b/forwarding/server_health.ts
@@ -1,4 +1,5 @@
 import type { BackendId } from "../ids/mod.ts";
+import { forgetOthers } from "./forget_others.ts";
 
 /** Failures in a row after which a server is left out for a while. */
 const FAILURES_TO_SUSPEND = 2;
@@ -170,8 +171,7 @@
 
   /** Forgets servers that are gone. */
   keepOnly(servers: ReadonlySet<BackendId>): void {
-    [...this.#byServer.keys()].filter((id) => !servers.has(id))
-      .forEach((id) => this.#byServer.delete(id));
+    forgetOthers(this.#byServer, servers);
   }
 }
 
--- a/forwarding/server_limits.ts
+++ b/forwarding/server_limits.ts
@@ -1,5 +1,6 @@
 import type { ReportedLimit } from "../fleet/mod.ts";
 import type { BackendId } from "../ids/mod.ts";
+import { forgetOthers } from "./forget_others.ts";
 
 /**
  * How long the end of a limit is told and held against older words, in milliseconds:
@@ -93,13 +94,16 @@
     source: Exclude<LimitSource, "own">,
     nowMs: number,
   ): readonly ReportedLimit[] {
-    return limits.filter(({ ageMs, perSecond, server }) => {
-      const saidMs = nowMs - ageMs;
-      const before = this.#heard.get(server);
-      if (before !== undefined && saidMs <= before.saidMs) return false;
-      this.#heard.set(server, { perSecond, saidMs, source });
-      return before?.perSecond !== perSecond;
-    });
+    const later = limits.filter(({ ageMs, server }) =>
+      nowMs - ageMs > (this.#heard.get(server)?.saidMs ?? -Infinity)
+    );
+    const news = later.filter(({ perSecond, server }) =>
+      perSecond !== this.read(server)
+    );
+    later.forEach(({ ageMs, perSecond, server }) =>
+      this.#heard.set(server, { perSecond, saidMs: nowMs - ageMs, source })
+    );
+    return news;
   }
 
   /**
@@ -132,8 +136,7 @@
 
   /** Forgets servers that are gone. */
   keepOnly(servers: ReadonlySet<BackendId>): void {
-    [...this.#heard.keys()].filter((id) => !servers.has(id))
-      .forEach((id) => this.#heard.delete(id));
+    forgetOthers(this.#heard, servers);
   }
 
   #forgetEnded(nowMs: number): void {
--- a/forwarding/server_pulses.ts
+++ b/forwarding/server_pulses.ts
@@ -1,4 +1,5 @@
 import type { BackendId } from "../ids/mod.ts";
+import { forgetOthers } from "./forget_others.ts";
 
 /**
  * Silence of a server that streams answers, in milliseconds, after which new
@@ -105,7 +106,6 @@
 
   /** Forgets servers that are gone. */
   keepOnly(servers: ReadonlySet<BackendId>): void {
-    [...this.#byServer.keys()].filter((id) => !servers.has(id))
-      .forEach((id) => this.#byServer.delete(id));
+    forgetOthers(this.#byServer, servers);
   }
 }
--- a/forwarding/server_speed.ts
+++ b/forwarding/server_speed.ts
@@ -1,4 +1,5 @@
 import type { BackendId } from "../ids/mod.ts";
+import { forgetOthers } from "./forget_others.ts";
 
 /** Part that a new sample has in the running mean: about the last ten count. */
 const SAMPLE_WEIGHT = 0.1;
@@ -56,8 +57,7 @@
 
   /** Forgets servers that are gone. */
   keepOnly(servers: ReadonlySet<BackendId>): void {
-    [...this.#byServer.keys()].filter((id) => !servers.has(id))
-      .forEach((id) => this.#byServer.delete(id));
+    forgetOthers(this.#byServer, servers);
   }
 
   #readService(service: string): Speed {
--- a/forwarding/warm_up_gate.ts
+++ b/forwarding/warm_up_gate.ts
@@ -1,6 +1,7 @@
 import type { FleetView } from "../fleet/mod.ts";
 import type { BackendId, InstanceId } from "../ids/mod.ts";
 import { rankNames } from "../membership/mod.ts";
+import { forgetOthers } from "./forget_others.ts";
 
 /** What a cold server bears in any second, from all instances together. */
 export interface WarmUpBounds {
@@ -85,10 +86,8 @@
 
   /** Forgets servers that are gone. */
   keepOnly(servers: ReadonlySet<BackendId>): void {
-    [this.#shares, this.#nextMs].forEach((byServer) =>
-      [...byServer.keys()].filter((id) => !servers.has(id))
-        .forEach((id) => byServer.delete(id))
-    );
+    forgetOthers(this.#shares, servers);
+    forgetOthers(this.#nextMs, servers);
   }
 
   #readShare(server: BackendId, callsPerSecond: number): Share {
