Copies of a later era take the same way as other whole copies; behaviour unchanged

Taking a whole state already tells whether it begins a new era; the copies of instances asked that once more beside it.

--- a/state/state_in_force.ts
+++ b/state/state_in_force.ts
@@ -144,17 +144,15 @@
   }
 
   #applyLaterCopy(copy: StateCopy): boolean {
-    const isWhole = copy.afterRevision === 0;
-    if (this.isNewEra(copy)) {
-      if (isWhole) this.#applyRestored(copy);
-      return isWhole;
+    if (comparePositions(copy, this.#position) <= 0) return false;
+    if (copy.afterRevision === 0) {
+      this.applySnapshot(copy, COPY_GRACE_MS);
+      return true;
     }
-    const isLater = comparePositions(copy, this.#position) > 0;
-    const hasGap = copy.afterRevision > this.#position.revision;
-    if (!isLater || hasGap) return false;
-    if (isWhole) this.applySnapshot(copy, COPY_GRACE_MS);
-    else this.#applyChangedCopy(copy);
-    return true;
+    const goesOn = copy.era === this.#position.era &&
+      copy.afterRevision <= this.#position.revision;
+    if (goesOn) this.#applyChangedCopy(copy);
+    return goesOn;
   }
 
   #applyChangedCopy(copy: StateCopy): void {
