Both specifications of followed stores share their writes, instances and invariants

The one of stores that come back repeated what that of the store has: writes, what they say, what an instance ever had in force, two invariants. It is listed in the folder's mod.ts now, which it was missing from.

--- a/spec/mod.ts
+++ b/spec/mod.ts
@@ -11,9 +11,11 @@
  */
 export * from "./configuration_spec.ts";
 export * from "./explore.ts";
+export * from "./followed_writes.ts";
 export * from "./journal_spec.ts";
 export * from "./key_spec.ts";
 export * from "./lease_spec.ts";
+export * from "./restored_store_spec.ts";
 export * from "./server_spec.ts";
 export * from "./specification.ts";
 export * from "./state_spec.ts";
--- a/spec/restored_store_spec.ts
+++ b/spec/restored_store_spec.ts
@@ -1,4 +1,13 @@
 import { mayReplace, pickFresh } from "../state/mod.ts";
+import type { StorePosition } from "../store/mod.ts";
+import {
+  enforceView,
+  FOLLOWING_INVARIANTS,
+  type FollowingInstance,
+  readWrites,
+  type SpecWrite,
+  type WrittenState,
+} from "./followed_writes.ts";
 import {
   type Mutant,
   parseEvent,
@@ -7,23 +16,8 @@
   type Specification,
 } from "./specification.ts";
 
-/** One write: a configuration with the next version, or a server that leaves. */
-type SpecWrite = "configuration" | "leaving";
-
 /** What an instance has in force, and up to where it knows the store. */
-interface SpecView {
-  readonly era: number;
-  readonly revision: number;
-  readonly version: number;
-  readonly isServerLeaving: boolean;
-}
-
-interface SpecInstance {
-  readonly view: SpecView;
-  /** Highest version that was in force since its start. */
-  readonly highestVersion: number;
-  readonly hasSeenLeaving: boolean;
-}
+interface SpecView extends WrittenState, StorePosition {}
 
 interface RestoredStoreState {
   readonly era: number;
@@ -31,7 +25,7 @@
   readonly writes: readonly SpecWrite[];
   /** Writes that the store lost, in order, and that are to be written again. */
   readonly lost: readonly SpecWrite[];
-  readonly instances: readonly SpecInstance[];
+  readonly instances: readonly FollowingInstance<SpecView>[];
   /** Full reads and peers' copies on their way; each may arrive at any time, or again. */
   readonly copies: readonly SpecView[];
   /** Whether an instance passed over something that the store told it. */
@@ -92,20 +86,7 @@
     listEvents,
     apply: (state, event) => applyEvent(state, event, faults),
     invariants: [
-      {
-        text: "a configuration in force never reverts to an older one",
-        holds: ({ instances }) =>
-          instances.every(({ highestVersion, view }) =>
-            view.version >= highestVersion
-          ),
-      },
-      {
-        text: "a server that is known to leave gets nothing again",
-        holds: ({ instances }) =>
-          instances.every(({ hasSeenLeaving, view }) =>
-            !hasSeenLeaving || view.isServerLeaving
-          ),
-      },
+      ...FOLLOWING_INVARIANTS,
       {
         text: "what the store tells of in its present era is in force",
         holds: ({ hasPassedOver }) => !hasPassedOver,
@@ -145,7 +126,11 @@
   const { copies, era, instances, lost, writes } = state;
   const withView = (view: SpecView): RestoredStoreState => ({
     ...state,
-    instances: replaceAt(instances, index, record(instances[index]!, view)),
+    instances: replaceAt(
+      instances,
+      index,
+      enforceView(instances[index]!, view),
+    ),
   });
   switch (name) {
     case "configure":
@@ -165,7 +150,7 @@
       const all = { era, revision: writes.length };
       return {
         ...state,
-        copies: [...copies, { ...all, ...readWrites(writes, all) }],
+        copies: [...copies, { ...all, ...readWrites(writes, all.revision) }],
       };
     }
     case "drop":
@@ -180,7 +165,7 @@
       // Its answer says that it is of another era: all is read first.
       if (isAnother && !faults.comparesRevisionsOnly) return state;
       const view = watch(state, instance.view);
-      const told = readWrites(writes, { revision: writes.length });
+      const told = readWrites(writes, writes.length);
       return { ...withView(view), hasPassedOver: !includes(view, told) };
     }
     default:
@@ -207,7 +192,7 @@
   const fresh = pickFresh(known.revision, revisions);
   const changes = fresh.map(({ at }) => writes[at]!);
   const versions = fresh.filter(({ at }) => writes[at] === "configuration")
-    .map(({ revision }) => readWrites(writes, { revision }).version);
+    .map(({ revision }) => readWrites(writes, revision).version);
   return {
     ...known,
     revision: Math.max(known.revision, writes.length),
@@ -217,7 +202,7 @@
 }
 
 function keepNewest(
-  position: Pick<SpecView, "era" | "revision">,
+  position: StorePosition,
   first: SpecView,
   second: SpecView,
 ): SpecView {
@@ -229,30 +214,10 @@
   };
 }
 
-/** What the writes up to a revision say. */
-function readWrites(
-  writes: readonly SpecWrite[],
-  { revision }: Pick<SpecView, "revision">,
-): Pick<SpecView, "isServerLeaving" | "version"> {
-  const included = writes.slice(0, revision);
-  return {
-    version: included.filter((write) => write === "configuration").length,
-    isServerLeaving: included.includes("leaving"),
-  };
-}
-
 function includes(
   view: SpecView,
-  written: Pick<SpecView, "isServerLeaving" | "version">,
+  written: WrittenState,
 ): boolean {
   return view.version >= written.version &&
     (view.isServerLeaving || !written.isServerLeaving);
 }
-
-function record(instance: SpecInstance, view: SpecView): SpecInstance {
-  return {
-    view,
-    highestVersion: Math.max(instance.highestVersion, view.version),
-    hasSeenLeaving: instance.hasSeenLeaving || view.isServerLeaving,
-  };
-}
--- a/spec/state_spec.ts
+++ b/spec/state_spec.ts
@@ -1,4 +1,12 @@
 import { mayReplace, pickFresh } from "../state/mod.ts";
+import {
+  enforceView,
+  FOLLOWING_INVARIANTS,
+  type FollowingInstance,
+  readWrites,
+  type SpecWrite,
+  type WrittenState,
+} from "./followed_writes.ts";
 import {
   type Mutant,
   parseEvent,
@@ -7,15 +15,10 @@
   type Specification,
 } from "./specification.ts";
 
-/** One write: a configuration with the next version, or a server that leaves. */
-type SpecWrite = "configuration" | "leaving";
-
 /** What the documents of the store say together. */
-interface SpecView {
+interface SpecView extends WrittenState {
   /** Revision up to which writes are in it. */
   readonly revision: number;
-  readonly version: number;
-  readonly isServerLeaving: boolean;
 }
 
 /** A full read, or a peer's copy, on its way. */
@@ -25,13 +28,9 @@
   readonly afterRevision: number;
 }
 
-interface SpecInstance {
-  readonly view: SpecView;
+interface SpecInstance extends FollowingInstance<SpecView> {
   /** Where its watch goes on; `undefined`: it must read all first. */
   readonly watchAfter: number | undefined;
-  /** Highest version that was in force since its start. */
-  readonly highestVersion: number;
-  readonly hasSeenLeaving: boolean;
 }
 
 interface StateSpecState {
@@ -135,20 +134,7 @@
     listEvents: (state) => listEvents(state, scope),
     apply: (state, event) => applyEvent(state, event, faults),
     invariants: [
-      {
-        text: "a configuration in force never reverts to an older one",
-        holds: ({ instances }) =>
-          instances.every(({ highestVersion, view }) =>
-            view.version >= highestVersion
-          ),
-      },
-      {
-        text: "a server that is known to leave gets nothing again",
-        holds: ({ instances }) =>
-          instances.every(({ hasSeenLeaving, view }) =>
-            !hasSeenLeaving || view.isServerLeaving
-          ),
-      },
+      ...FOLLOWING_INVARIANTS,
       {
         text: "what is in force at a revision is what was written up to it",
         holds: ({ instances, writes }) =>
@@ -284,7 +270,7 @@
   const taken = afterRevision === 0
     ? view
     : applyPart(writes, instance.view, afterRevision, view.revision);
-  return record({ ...instance, watchAfter }, taken);
+  return enforceView({ ...instance, watchAfter }, taken);
 }
 
 /** Applies the writes after one revision up to another one. */
@@ -320,7 +306,7 @@
   const after = instance.watchAfter ?? 0;
   if (after < compacted) {
     return faults.skipsLostHistory
-      ? record({ ...instance, watchAfter: writes.length }, {
+      ? enforceView({ ...instance, watchAfter: writes.length }, {
         ...instance.view,
         revision: writes.length,
       })
@@ -334,7 +320,7 @@
     (known, { revision, write }) => applyWrite(known, write, revision, writes),
     instance.view,
   );
-  return record({ ...instance, watchAfter: upTo }, view);
+  return enforceView({ ...instance, watchAfter: upTo }, view);
 }
 
 function applyWrite(
@@ -355,21 +341,7 @@
   }
 }
 
-function record(instance: SpecInstance, view: SpecView): SpecInstance {
-  return {
-    ...instance,
-    view,
-    highestVersion: Math.max(instance.highestVersion, view.version),
-    hasSeenLeaving: instance.hasSeenLeaving || view.isServerLeaving,
-  };
-}
-
 /** What the writes up to a revision say. */
 function createView(writes: readonly SpecWrite[], revision: number): SpecView {
-  const included = writes.slice(0, revision);
-  return {
-    revision,
-    version: included.filter((write) => write === "configuration").length,
-    isServerLeaving: included.includes("leaving"),
-  };
+  return { revision, ...readWrites(writes, revision) };
 }
