--- a/bench/run_bench.ts
+++ b/bench/run_bench.ts
@@ -2,6 +2,7 @@
 import { type BenchCase, type BenchResult, printResult } from "./bench_case.ts";
 import { runBatchBench } from "./batch_bench.ts";
 import { runCrowdBench } from "./crowd_bench.ts";
+import { runChoiceBench } from "./choice_bench.ts";
 import { runConfigBench } from "./config_bench.ts";
 import { runControlBench } from "./control_bench.ts";
 import { runIdleBench } from "./idle_bench.ts";
@@ -21,6 +22,7 @@
 
 const CASES: readonly BenchCase[] = [
   { name: "routing", run: runRoutingBench },
+  { name: "choice", run: runChoiceBench },
   { name: "crowd", run: runCrowdBench },
   { name: "spill", run: runSpillBench },
   { name: "batch", run: runBatchBench },
