--- a/tests/document_fixture.ts
+++ b/tests/document_fixture.ts
@@ -6,6 +6,7 @@
 import { ServerRegistry } from "../servers/mod.ts";
 import { MemoryStore } from "../standin/memory_store.ts";
 import { StateFollower } from "../state/mod.ts";
+import { putKey } from "./follower_fixture.ts";
 
 /** Region of the servers that the functions below write. */
 export const SERVER_REGION = toRegionId("north");
@@ -73,15 +74,10 @@
   void follower.run(ended.signal);
   /** Writes a text as it is, or anything else as JSON; `undefined` removes the key. */
   const put = async (key: string, value: unknown) => {
-    const known = (await store.read(key))._unsafeUnwrap();
     const text = typeof value === "string" || value === undefined
       ? value
       : JSON.stringify(value);
-    await store.swap({
-      key,
-      value: text,
-      expectedRevision: known?.revision ?? 0,
-    });
+    await putKey(store, key, text);
     await clock.advance(10);
   };
   const listUsable = () => registry.listUsable("app", SERVER_REGION);
