A caller that breaks off its body at an endpoint no longer ends the instance

What callers saw: one connection to the readiness, directory, control or metrics port that closed within the body of its request ended the process with exit code 1, and with it every call that the instance had in flight.

Cause, from the stack on standard error: `readText()` reads the message with `for await`, which rejects with `Error: aborted`; the router's handler is an async function whose promise nobody takes, and Node ends a process on an unhandled rejection. Ruled out: the listener itself (broken heads, bytes that are no HTTP, resets before the head, upgrades and tunnels end nothing).

Change: the body of a broken connection is no body, and the call gets no answer; an error of a handler is logged with its path and stack and answered with 500. The query is read without parsing a whole URL, which can throw.

--- a/adapters/endpoint_server.ts
+++ b/adapters/endpoint_server.ts
@@ -1,6 +1,12 @@
-import { createServer, type IncomingMessage, type Server } from "node:http";
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
 import type { AddressInfo } from "node:net";
 import findMyWay, { type HTTPMethod } from "find-my-way";
+import type { Logger } from "../logs/mod.ts";
 
 /** Answer of a {@linkcode EndpointRoute}. */
 export interface EndpointAnswer {
@@ -29,6 +35,8 @@
   readonly host: string;
   readonly port: number;
   readonly routes: readonly EndpointRoute[];
+  /** Receives the errors of handlers. */
+  readonly logger: Logger;
 }
 
 /** HTTP server that is running. */
@@ -57,15 +65,9 @@
 ): Promise<EndpointServer> {
   const router = findMyWay();
   parts.routes.forEach((route) => {
-    router.on(route.method, route.path, async (request, response) => {
-      const url = new URL(request.url ?? "/", "http://localhost");
-      const body = await readText(request as IncomingMessage);
-      const answer = await route.handle({ query: url.searchParams, body });
-      response.writeHead(answer.status, {
-        "Content-Type": answer.contentType,
-        "Content-Length": Buffer.byteLength(answer.body),
-      });
-      response.end(answer.body);
+    router.on(route.method, route.path, (request, response) => {
+      const message = request as IncomingMessage;
+      void answerCall(route, message, response as ServerResponse, parts.logger);
     });
   });
   const server = createServer((request, response) =>
@@ -88,6 +90,51 @@
   return { status, contentType, body: JSON.stringify(value) };
 }
 
+/** Answers a call; a call whose caller disconnects before its body ends gets no answer. */
+async function answerCall(
+  route: EndpointRoute,
+  message: IncomingMessage,
+  response: ServerResponse,
+  logger: Logger,
+): Promise<void> {
+  const body = await readText(message);
+  if (body === undefined) return;
+  const { status, contentType, body: text } = await handleCall(
+    route,
+    { query: readQuery(message), body },
+    logger,
+  );
+  response.writeHead(status, {
+    "Content-Type": contentType,
+    "Content-Length": Buffer.byteLength(text),
+  });
+  response.end(text);
+}
+
+async function handleCall(
+  route: EndpointRoute,
+  input: Parameters<EndpointRoute["handle"]>[0],
+  logger: Logger,
+): Promise<EndpointAnswer> {
+  try {
+    return await route.handle(input);
+  } catch (error) {
+    const { path } = route;
+    const { message, stack } = error as Error;
+    logger.error("call to an endpoint failed", {
+      path,
+      reason: message,
+      stack,
+    });
+    return toJsonAnswer(500, { error: "the call failed" });
+  }
+}
+
+function readQuery({ url = "/" }: IncomingMessage): URLSearchParams {
+  const at = url.indexOf("?");
+  return new URLSearchParams(at < 0 ? "" : url.slice(at));
+}
+
 async function listen(
   server: Server,
   parts: EndpointServerParts,
@@ -99,13 +146,19 @@
   });
 }
 
-async function readText(message: IncomingMessage): Promise<string> {
+/** Returns the body of a call, or `undefined` if the connection breaks before its end. */
+async function readText(message: IncomingMessage): Promise<string | undefined> {
   const chunks: Buffer[] = [];
   let size = 0;
-  for await (const chunk of message) {
-    size += chunk.length;
-    if (size > MAX_BODY_BYTES) return "";
-    chunks.push(chunk);
+  try {
+    for await (const chunk of message) {
+      size += chunk.length;
+      if (size > MAX_BODY_BYTES) return "";
+      chunks.push(chunk);
+    }
+  } catch {
+    // The only error of a message is that its caller disconnected.
+    return undefined;
   }
   return Buffer.concat(chunks).toString("utf8");
 }
