A JSON-RPC batch whose elements are no objects is answered, by instances and by daemons

Beside it: the library wrote the errors of methods to standard error as text on instances, and a function without a body threw them away in daemons.

Change: one function creates both servers (adapters/json_rpc_server.ts). It never rejects: what the library cannot read is answered with "Invalid Request", and errors of methods are log lines.

--- a/adapters/socket_peer_transport.ts
+++ b/adapters/socket_peer_transport.ts
@@ -1,7 +1,7 @@
 import { isNotSentError } from "./connection_errors.ts";
 import { createSocket, type Socket } from "node:dgram";
 import { once } from "node:events";
-import { JSONRPCClient, JSONRPCServer } from "json-rpc-2.0";
+import { JSONRPCClient } from "json-rpc-2.0";
 import { err, ok, type Result } from "neverthrow";
 import { Agent, request } from "undici";
 import {
@@ -10,7 +10,9 @@
   type Heartbeat,
   type InstanceRecord,
 } from "../membership/mod.ts";
+import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
+import { createRpcResponder, type RpcResponder } from "./json_rpc_server.ts";
 import type {
   PeerFailure,
   PeerMethod,
@@ -159,17 +161,20 @@
 ];
 
 /**
- * Returns a function that takes the text of a peer's JSON-RPC request and returns the
- * text of the answer.
+ * Returns a function that answers the JSON-RPC requests of peers.
  *
  * @param handle Serves the methods.
+ * @param logger Receives the errors of methods.
  */
 export function createPeerServer(
   handle: PeerCallHandler,
-): (text: string) => Promise<string> {
-  const server = new JSONRPCServer({ errorListener: () => {} });
-  PEER_METHODS.forEach((method) =>
-    server.addMethod(method, (params) => handle(method, params as never))
+  logger: Logger,
+): RpcResponder {
+  const methods = PEER_METHODS.map((method) =>
+    [
+      method,
+      (params: PeerMethods[typeof method]["params"]) => handle(method, params),
+    ] as const
   );
-  return async (text) => JSON.stringify(await server.receiveJSON(text));
+  return createRpcResponder(Object.fromEntries(methods), logger);
 }
--- a/adapters/state_transfer.ts
+++ b/adapters/state_transfer.ts
@@ -1,9 +1,11 @@
-import { JSONRPCClient, JSONRPCServer } from "json-rpc-2.0";
+import { JSONRPCClient } from "json-rpc-2.0";
 import { err, ok, type Result } from "neverthrow";
 import { request } from "undici";
 import type { StateCopy } from "../state/mod.ts";
 import type { StorePosition } from "../store/mod.ts";
+import type { Logger } from "../logs/mod.ts";
 import type { EndpointRoute } from "./endpoint_server.ts";
+import { createRpcResponder } from "./json_rpc_server.ts";
 
 /** Path of JSON-RPC calls between instances, on the control address. */
 const RPC_PATH = "/rpc";
@@ -31,27 +33,24 @@
  * Returns the route over which peers read the state that this instance has.
  *
  * @param createCopy Returns a copy of the state after a position.
+ * @param logger Receives the errors of calls.
  */
 export function createStateRoute(
   createCopy: (after: StorePosition) => StateCopy,
+  logger: Logger,
 ): EndpointRoute {
-  const server = new JSONRPCServer();
-  server.addMethod(
-    READ_STATE_METHOD,
-    ({ afterRevision, era = 0 }: ReadStateParams) =>
+  const respond = createRpcResponder({
+    [READ_STATE_METHOD]: ({ afterRevision, era = 0 }: ReadStateParams) =>
       createCopy({ era, revision: afterRevision }),
-  );
+  }, logger);
   return {
     method: "POST",
     path: RPC_PATH,
-    handle: async ({ body }) => {
-      const answer = await server.receiveJSON(body);
-      return {
-        status: 200,
-        contentType: "application/json",
-        body: JSON.stringify(answer),
-      };
-    },
+    handle: async ({ body }) => ({
+      status: 200,
+      contentType: "application/json",
+      body: await respond(body),
+    }),
   };
 }
 
--- a/bin/start_daemon.ts
+++ b/bin/start_daemon.ts
@@ -120,7 +120,7 @@
     { logger, metrics },
   );
   await transport.open((heartbeat) => gateway.receiveHeartbeat(heartbeat));
-  requestHandler.handle = createHandler(gateway);
+  requestHandler.handle = createHandler(gateway, logger);
   gateway.start(signal);
   logger.info("listening", { address: record.callerUrl });
   const close = async (closeListener: () => Promise<void>) => {
@@ -196,9 +196,11 @@
 /** Returns a handler that answers peers by JSON-RPC and passes all other requests to the filters. */
 function createHandler(
   gateway: Gateway,
+  logger: Logger,
 ): (request: GatewayRequest) => Promise<Reply> {
-  const answerPeer = createPeerServer((method, params) =>
-    gateway.handlePeerCall(method, params)
+  const answerPeer = createPeerServer(
+    (method, params) => gateway.handlePeerCall(method, params),
+    logger,
   );
   return async (request) => {
     if (request.path !== PEER_PATH) return await gateway.handle(request);
