A report with an address that cannot be sent to no longer ends the instance that reads it

What callers saw: one datagram to the peers port, a well-formed report whose member has an address such as "", "b:0" or "b:99999", ended the process with all its calls, at the next round of reports. Anybody who reaches the port could send it; so did a report that told of such a member, and an entry of an instance in the store with such an address (`{"address":"x"}`), which every instance of the deployment reads.

Cause, from the stack: `Socket.send()` of a datagram throws on a port that is none, in a timer, and nothing takes the error. Addresses in reports and in entries of instances were any text. Ruled out: bytes that are no report, or a part of one; they were ignored before as now.

The virtual fleet of the tests sent names as addresses and sends addresses now; no assertion changed.

--- a/adapters/report_socket.ts
+++ b/adapters/report_socket.ts
@@ -8,6 +8,7 @@
   type FleetReport,
   type SendReportOptions,
 } from "../fleet/mod.ts";
+import { type NetworkAddress, parseAddress } from "../ids/mod.ts";
 
 /** Sends and receives reports as UDP datagrams. */
 export class ReportSocket {
@@ -31,7 +32,7 @@
       const report = decodeReport(datagram);
       if (report !== undefined) receive(report, `${address}:${port}`);
     });
-    const { host, port } = splitAddress(this.#address);
+    const { host, port } = toSocketAddress(this.#address);
     this.#socket.bind(port, host);
     await once(this.#socket, "listening");
   }
@@ -48,7 +49,7 @@
     if (addresses.length === 0) return;
     const body = isCompressed ? compressReport(report) : encodeReport(report);
     addresses.forEach((address, index) => {
-      const { host, port } = splitAddress(address);
+      const { host, port } = toSocketAddress(address);
       const datagram = isCompressed
         ? [encodeCompressedHeader(echoes[index] ?? 0), body]
         : body;
@@ -62,9 +63,11 @@
   }
 }
 
-function splitAddress(address: string) {
-  const at = address.lastIndexOf(":");
-  return { host: address.slice(0, at), port: Number(address.slice(at + 1)) };
+function toSocketAddress(address: string): NetworkAddress {
+  const parsed = parseAddress(address);
+  if (parsed !== undefined) return parsed;
+  // Settings, reports and entries of the store are checked where they are read.
+  throw new TypeError(`Wanted an address with a port, got "${address}"`);
 }
 
 /** Ignores a failed send: an unreachable instance is detected by its missing reports. */
--- a/fleet/encode_report.ts
+++ b/fleet/encode_report.ts
@@ -1,5 +1,6 @@
 import { deflateRawSync, inflateRawSync } from "node:zlib";
 import {
+  parseAddress,
   toBackendId,
   toCallFingerprint,
   toFailureDomainId,
@@ -217,7 +218,7 @@
   return {
     id: toInstanceId(toText(id)),
     incarnation: toText(incarnation),
-    address: toText(address),
+    address: toAddress(address),
     region: toRegionId(toText(region)),
     failureDomain: toFailureDomainId(toText(failureDomain)),
     state: known,
@@ -335,6 +336,12 @@
   );
 }
 
+function toAddress(value: unknown): string {
+  const text = toText(value);
+  if (parseAddress(text) !== undefined) return text;
+  throw new TypeError(`Wanted an address in a report, got "${text}"`);
+}
+
 function toText(value: unknown): string {
   if (typeof value === "string") return value;
   throw new TypeError(`Wanted a string in a report, got ${typeof value}`);
--- a/ids/mod.ts
+++ b/ids/mod.ts
@@ -9,6 +9,8 @@
  * @module
  */
 
+export * from "./network_address.ts";
+
 declare const brand: unique symbol;
 
 /** A string whose type carries the name of what it identifies. */
--- a/tests/virtual_fleet.ts
+++ b/tests/virtual_fleet.ts
@@ -118,12 +118,16 @@
         Array.from({ length: instances }, (_, at) => `${region}-${at}`)
       );
     const gateway = createVirtualGateway(address, {
+      self: {
+        ...createVirtualGateway(address).fleet.self,
+        address: toVirtualAddress(address),
+      },
       clock: this.clock,
       random: createRandom(this.gateways.size + 1),
       client: this.#createServerClient(address),
       peerClient: this.#createPeerClient(address),
       sendReport: this.#createSendReport(address),
-      seedAddresses: names.slice(0, 3),
+      seedAddresses: names.slice(0, 3).map(toVirtualAddress),
       retryBounds: { ratio: 1, slack: 1_000, windowMs: 10_000 },
     });
     gateway.forwarder.setTable(this.#parts.table);
@@ -315,7 +319,8 @@
       send: (request, events) => {
         const hop = readHop(request.headers)!;
         const abandoned = new AbortController();
-        const delayMs = this.#readDelayMs(from, request.address);
+        const to = toVirtualName(request.address);
+        const delayMs = this.#readDelayMs(from, to);
         const sink: CallSink = {
           ...createSink(() => {}),
           signal: abandoned.signal,
@@ -327,7 +332,7 @@
         this.clock.schedule(
           delayMs,
           () =>
-            this.#deliver(request.address, { kind: "instance", hop }, {
+            this.#deliver(to, { kind: "instance", hop }, {
               request,
               sink,
             }),
@@ -341,14 +346,18 @@
   #createSendReport(from: string): SendReport {
     return (report, addresses) => {
       const datagram = encodeReport(report);
-      addresses.filter((to) => to !== from).forEach((to) => {
+      const names = addresses.map(toVirtualName);
+      names.filter((to) => to !== from).forEach((to) => {
         this.reportBytes += datagram.length;
         if (this.#random.nextFloat() < (this.#parts.lostShare ?? 0)) return;
         if (this.#parts.isCut?.()) return;
         this.clock.schedule(
           this.#readDelayMs(from, to),
           () =>
-            this.gateways.get(to)?.receiveReport(decodeReport(datagram)!, from),
+            this.gateways.get(to)?.receiveReport(
+              decodeReport(datagram)!,
+              toVirtualAddress(from),
+            ),
         );
       });
     };
@@ -361,6 +370,15 @@
   }
 }
 
+/** Returns the address that instances report of the one with a name. */
+function toVirtualAddress(name: string): string {
+  return `${name}:1`;
+}
+
+function toVirtualName(address: string): string {
+  return address.split(":")[0]!;
+}
+
 /** Returns a sink that passes on the head of an answer, with status 0 if the answer is broken off. */
 function createSink(begin: (head: AnswerHead) => void): CallSink {
   return {
