Errors that a listener reports after its start are logged and end nothing

What callers would see: an accept or a receive that fails (no free file descriptor, no buffer) ends the process with all its calls, as an event "error" without a listener does.

Cause, by reading and a play on bare servers: the ports for callers, peers, readiness, directory and control took one error, by the listener that was meant for the start; the second was thrown. Those of `havenspurd`, and both sockets for datagrams, took none after the start.

Change: `startListening()` and `bindSocket()` open all ports, in place of five ways to do it. They reject on errors of the start, and log all later ones.

--- a/adapters/call_listener.ts
+++ b/adapters/call_listener.ts
@@ -4,7 +4,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { AddressInfo, Socket } from "node:net";
+import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import {
   type AnswerHead,
@@ -18,6 +18,8 @@
   toRefusalAnswer,
 } from "../forwarding/mod.ts";
 import { type CallerLimits, INITIAL_LIMITS } from "../http_routes/mod.ts";
+import type { Logger } from "../logs/mod.ts";
+import { startListening } from "./start_listening.ts";
 import { ACCEPT_BACKLOG, DisconnectDetector } from "./disconnect_detector.ts";
 
 /**
@@ -36,6 +38,8 @@
 export interface CallListenerParts {
   readonly host: string;
   readonly port: number;
+  /** Receives the errors of the server. */
+  readonly logger: Logger;
   /** Returns the current time in milliseconds, for {@linkcode OpaqueCall.receivedMs}. */
   readonly nowMs: () => number;
   /**
@@ -98,12 +102,9 @@
 
   /** Starts to listen, and returns the port number. */
   async open(): Promise<number> {
-    const { host, port } = this.#parts;
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen({ host, port, backlog: ACCEPT_BACKLOG }, resolve);
-    });
-    return (this.#server.address() as AddressInfo).port;
+    const { host, logger, port } = this.#parts;
+    const options = { host, port, backlog: ACCEPT_BACKLOG };
+    return await startListening(this.#server, options, logger);
   }
 
   /** Sets the bounds on callers; they also apply to open connections. */
--- a/adapters/endpoint_server.ts
+++ b/adapters/endpoint_server.ts
@@ -1,12 +1,11 @@
 import {
   createServer,
   type IncomingMessage,
-  type Server,
   type ServerResponse,
 } from "node:http";
-import type { AddressInfo } from "node:net";
 import findMyWay, { type HTTPMethod } from "find-my-way";
 import type { Logger } from "../logs/mod.ts";
+import { startListening } from "./start_listening.ts";
 
 /** Answer of a {@linkcode EndpointRoute}. */
 export interface EndpointAnswer {
@@ -35,7 +34,7 @@
   readonly host: string;
   readonly port: number;
   readonly routes: readonly EndpointRoute[];
-  /** Receives the errors of handlers. */
+  /** Receives the errors of handlers and of the server. */
   readonly logger: Logger;
 }
 
@@ -74,9 +73,9 @@
     router.lookup(request, response)
   );
   server.keepAliveTimeout = IDLE_MS;
-  await listen(server, parts);
+  const { host, logger, port } = parts;
   return {
-    port: (server.address() as AddressInfo).port,
+    port: await startListening(server, { host, port }, logger),
     close: () => {
       server.close();
       server.closeAllConnections();
@@ -135,17 +134,6 @@
   return new URLSearchParams(at < 0 ? "" : url.slice(at));
 }
 
-async function listen(
-  server: Server,
-  parts: EndpointServerParts,
-): Promise<void> {
-  const { host, port } = parts;
-  await new Promise<void>((resolve, reject) => {
-    server.once("error", reject);
-    server.listen({ host, port }, resolve);
-  });
-}
-
 /** Returns the body of a call, or `undefined` if the connection breaks before its end. */
 async function readText(message: IncomingMessage): Promise<string | undefined> {
   const chunks: Buffer[] = [];
--- a/adapters/http_listener.ts
+++ b/adapters/http_listener.ts
@@ -7,11 +7,12 @@
   createServer as createTlsServer,
   type Server as TlsServer,
 } from "node:https";
-import type { AddressInfo } from "node:net";
 import type { Server } from "node:http";
-import { once, setMaxListeners } from "node:events";
+import { setMaxListeners } from "node:events";
 import { err, ok, type Result } from "neverthrow";
 import { scheduleEvery } from "../clock/mod.ts";
+import type { Logger } from "../logs/mod.ts";
+import { startListening } from "./start_listening.ts";
 import { ACCEPT_BACKLOG, DisconnectDetector } from "./disconnect_detector.ts";
 import { systemClock } from "./system_clock.ts";
 import type { GatewayRequest, Reply } from "../filters/mod.ts";
@@ -44,6 +45,8 @@
   /** IP address and port; port 0 selects a free one. */
   readonly address: string;
   readonly limits: ListenerLimits;
+  /** Receives the errors of the server. */
+  readonly logger: Logger;
   /** Serves one request. */
   readonly handle: (request: GatewayRequest) => Promise<Reply>;
   /** Certificates for HTTPS. Default: the listener serves plain HTTP. */
@@ -104,14 +107,13 @@
   server.on("clientError", refuseInvalidRequest);
   const at = parts.address.lastIndexOf(":");
   const host = parts.address.slice(0, at).replace(/^\[|\]$/g, "");
-  server.listen({
+  const port = await startListening(server, {
     host,
     port: Number(parts.address.slice(at + 1)),
     backlog: ACCEPT_BACKLOG,
-  });
-  await once(server, "listening");
+  }, parts.logger);
   return {
-    port: (server.address() as AddressInfo).port,
+    port,
     setTls: (files) => {
       if ("setSecureContext" in server) server.setSecureContext(files);
     },
--- a/adapters/http_listener_test.ts
+++ b/adapters/http_listener_test.ts
@@ -5,6 +5,7 @@
 import { ok } from "neverthrow";
 import { generate } from "selfsigned";
 import type { GatewayRequest, Reply } from "../filters/mod.ts";
+import { createSilentLogger } from "../logs/mod.ts";
 import { disconnectBeforeAccept } from "../tests/block_event_loop.ts";
 import {
   DEFAULT_LISTENER_LIMITS,
@@ -57,6 +58,7 @@
       const listener = await startListener({
         address: "127.0.0.1:0",
         limits: DEFAULT_LISTENER_LIMITS,
+        logger: createSilentLogger(),
         handle: () => {
           calls++;
           return Promise.resolve(createReply("done"));
@@ -80,6 +82,7 @@
       const listener = await startListener({
         address: "127.0.0.1:0",
         limits: DEFAULT_LISTENER_LIMITS,
+        logger: createSilentLogger(),
         tls: await createCertificate("first"),
         handle: async () => {
           calls++;
@@ -107,6 +110,7 @@
       const listener = await startListener({
         address: "127.0.0.1:0",
         limits: { ...DEFAULT_LISTENER_LIMITS, bodyTimeoutMs: 50 },
+        logger: createSilentLogger(),
         handle: async (request: GatewayRequest) => {
           const body = await request.readBody();
           return createReply(body.isOk() ? "read" : body.error.name);
@@ -143,6 +147,7 @@
       const listener = await startListener({
         address: "127.0.0.1:0",
         limits: DEFAULT_LISTENER_LIMITS,
+        logger: createSilentLogger(),
         handle: async ({ signal }) => {
           arrive();
           await new Promise((resolve) =>
@@ -173,6 +178,7 @@
       const listener = await startListener({
         address: "127.0.0.1:0",
         limits: DEFAULT_LISTENER_LIMITS,
+        logger: createSilentLogger(),
         handle: async () => {
           const body = ok<Reply, never>({
             kind: "events",
--- a/adapters/report_socket.ts
+++ b/adapters/report_socket.ts
@@ -1,5 +1,4 @@
 import { createSocket, type Socket } from "node:dgram";
-import { once } from "node:events";
 import {
   compressReport,
   decodeReport,
@@ -9,15 +8,22 @@
   type SendReportOptions,
 } from "../fleet/mod.ts";
 import { type NetworkAddress, parseAddress } from "../ids/mod.ts";
+import type { Logger } from "../logs/mod.ts";
+import { bindSocket } from "./start_listening.ts";
 
 /** Sends and receives reports as UDP datagrams. */
 export class ReportSocket {
   readonly #address: string;
+  readonly #logger: Logger;
   readonly #socket: Socket = createSocket("udp4");
 
-  /** @param address IP address and port of this instance. */
-  constructor(address: string) {
+  /**
+   * @param address IP address and port of this instance.
+   * @param logger Receives the errors of the socket.
+   */
+  constructor(address: string, logger: Logger) {
     this.#address = address;
+    this.#logger = logger;
   }
 
   /**
@@ -32,9 +38,8 @@
       const report = decodeReport(datagram);
       if (report !== undefined) receive(report, `${address}:${port}`);
     });
-    const { host, port } = toSocketAddress(this.#address);
-    this.#socket.bind(port, host);
-    await once(this.#socket, "listening");
+    const address = toSocketAddress(this.#address);
+    await bindSocket(this.#socket, address, this.#logger);
   }
 
   /**
--- a/adapters/socket_peer_transport.ts
+++ b/adapters/socket_peer_transport.ts
@@ -1,6 +1,5 @@
 import { isNotSentError } from "./connection_errors.ts";
 import { createSocket, type Socket } from "node:dgram";
-import { once } from "node:events";
 import { JSONRPCClient } from "json-rpc-2.0";
 import { err, ok, type Result } from "neverthrow";
 import { Agent, request } from "undici";
@@ -12,6 +11,7 @@
 } from "../membership/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
+import { bindSocket } from "./start_listening.ts";
 import { createRpcResponder, type RpcResponder } from "./json_rpc_server.ts";
 import type {
   PeerFailure,
@@ -27,6 +27,8 @@
   readonly port: number;
   /** Secret that authenticates heartbeats and calls between instances. */
   readonly token: string;
+  /** Receives the errors of the socket for heartbeats. */
+  readonly logger: Logger;
   readonly metrics: Metrics;
   /** Certificates of trusted authorities, as PEM text. Default: those of the platform. */
   readonly authorities?: string | undefined;
@@ -75,8 +77,7 @@
       const heartbeat = decodeHeartbeat(datagram, this.#parts.token);
       if (heartbeat !== undefined) receive(heartbeat);
     });
-    this.#socket.bind(this.#parts.port, this.#parts.host);
-    await once(this.#socket, "listening");
+    await bindSocket(this.#socket, this.#parts, this.#parts.logger);
     this.#socket.unref();
   }
 
--- a/bin/start_daemon.ts
+++ b/bin/start_daemon.ts
@@ -87,6 +87,7 @@
       bodyTimeoutMs: settings.limits.body_timeout_ms,
       idleTimeoutMs: settings.limits.idle_timeout_ms,
     },
+    logger,
     handle: (request) => requestHandler.handle(request),
     tls,
   });
@@ -98,6 +99,7 @@
     host: host.replace(/^\[|\]$/g, ""),
     port: listener.port,
     token: settings.tokens.peer,
+    logger,
     metrics,
     authorities,
   });
--- a/bin/start_http_gateway.ts
+++ b/bin/start_http_gateway.ts
@@ -62,6 +62,7 @@
     new CallListener({
       host,
       port,
+      logger,
       nowMs,
       readLoopDelayMs: () => gateway.loopDelay.readMs(),
       readOrigin,
@@ -78,7 +79,7 @@
   );
   // Opened first: if the port in the settings is 0, the operating system chooses one.
   const peerAddress = `${peerHost}:${await peerListener.open()}`;
-  const reportSocket = new ReportSocket(peerAddress);
+  const reportSocket = new ReportSocket(peerAddress, logger);
   const gateway: HttpGateway = new HttpGateway({
     clock: systemClock,
     random,
--- a/tests/http_gateway_fixture.ts
+++ b/tests/http_gateway_fixture.ts
@@ -89,10 +89,12 @@
   const region = parts.region ?? "north";
   const pool = new ConnectionPool();
   const closing = new AbortController();
+  const logger = createSilentLogger();
   const createListener = (isPeer: boolean) =>
     new CallListener({
       host,
       port: 0,
+      logger,
       nowMs: () => systemClock.nowMs(),
       readLoopDelayMs: () => gateway.loopDelay.readMs(),
       readOrigin: (headers) => {
@@ -112,7 +114,7 @@
   const gateway: HttpGateway = new HttpGateway({
     clock: systemClock,
     random: createRandom(7),
-    logger: createSilentLogger(),
+    logger,
     metrics: NO_METRICS,
     headerCodec: PLATFORM_HEADER_CODEC,
     client: pool,
@@ -132,7 +134,7 @@
         decoder: createDocumentDecoder(REGIONS),
         clock: systemClock,
         random: createRandom(7),
-        logger: createSilentLogger(),
+        logger,
         prefix: "",
       }),
     retryBounds: { ratio: 0.2, slack: 58, windowMs: 10_000 },
