An answer whose status text may not be written reaches its caller

What callers saw: an answer with a status text that Node does not write (a control character, or a byte over 0x7f that is no UTF-8) was lost. With a body, the caller's connection was closed without an answer; without one, the call hung until its timeout, and then its connection was closed.

Cause: `writeHead()` throws on such a text, inside undici's callback. undici takes the error and reports the send as failed; when it comes at the end of the answer, the send counts as done already, nobody settles the call, and its deadline ends it. Ruled out by the same test: status codes from 099 to 999, header lines and trailers with such bytes, all of which get an answer.

Change: a status text that may not be written is replaced by an empty one, where the answer is read. It has no meaning; status, headers and body stay as they are.

--- a/adapters/connection_pool.ts
+++ b/adapters/connection_pool.ts
@@ -34,6 +34,10 @@
  */
 const SILENCE_MS = 400;
 
+/** Characters that HTTP does not allow in a status text. */
+// deno-lint-ignore no-control-regex
+const UNWRITABLE_PATTERN = /[^\t\x20-\x7e\x80-\xff]/;
+
 interface Connection {
   readonly client: Client;
   socket: Socket | undefined;
@@ -279,7 +283,11 @@
     this.#endsWithConnection =
       readHeader(headers, "content-length") === undefined &&
       readHeader(headers, "transfer-encoding") === undefined;
-    this.#events.onHead({ status, statusText, headers });
+    this.#events.onHead({
+      status,
+      statusText: toWritableText(statusText),
+      headers,
+    });
     return true;
   }
 
@@ -329,6 +337,14 @@
   }
 }
 
+/**
+ * Returns a status text, or an empty one if Node does not write its characters. A status
+ * text has no meaning, while an answer that cannot be written is lost.
+ */
+function toWritableText(statusText: string): string {
+  return UNWRITABLE_PATTERN.test(statusText) ? "" : statusText;
+}
+
 /**
  * Returns whether the other side has reset a connection that is reported as ended.
  *
