A call whose handler fails gets an answer, and the instance goes on with the others

What callers would see: an error in the handling of one call, of callers or of peers, or of one request at `havenspurd`, is a rejected promise that nobody takes, and ends the process with all its other calls. In `havenspurd` that includes an answer with a header that may not be written, and a stream whose events end with an error.

Cause: both listeners drop the promise of the handler.

Change: the error is logged with its stack (without the query, which may hold keys); the call gets 500, which promises nothing about its run ("failed", x-ran unknown), or its answer that has begun is broken off. The open count that a shutdown waits for comes back to 0.

--- a/adapters/call_listener.ts
+++ b/adapters/call_listener.ts
@@ -38,7 +38,7 @@
 export interface CallListenerParts {
   readonly host: string;
   readonly port: number;
-  /** Receives the errors of the server. */
+  /** Receives the errors of the server and of handlers. */
   readonly logger: Logger;
   /** Returns the current time in milliseconds, for {@linkcode OpaqueCall.receivedMs}. */
   readonly nowMs: () => number;
@@ -90,7 +90,10 @@
       socket.on("close", () => this.#sockets.delete(socket));
     });
     this.#server.on("request", (message, response) => {
-      void this.#handleRequest(message, response);
+      const sink = new ResponseSink(response);
+      this.#handleRequest(message, response, sink).catch((error: Error) =>
+        this.#endFailed(message, sink, error)
+      );
     });
     this.#server.on(
       "clientError",
@@ -144,6 +147,7 @@
   async #handleRequest(
     message: IncomingMessage,
     response: ServerResponse,
+    sink: ResponseSink,
   ): Promise<void> {
     const unreadMs = this.#takeUnreadMs(message.socket);
     // The caller's deadline runs from when it sent the call. A delay of the event
@@ -154,14 +158,10 @@
     this.#openCalls.set(socket, this.#countOpenCalls(socket) + 1);
     response.on("close", () => this.#removeOpenCall(socket));
     if (this.#isLeaving) response.shouldKeepAlive = false;
-    const sink = new ResponseSink(response);
     const refuse = (refusal: Refusal) => {
       // The rest of an unread body can't be distinguished from the next call.
       if (!message.complete) response.shouldKeepAlive = false;
-      const { head, body } = toRefusalAnswer(refusal);
-      sink.begin(head);
-      sink.write(body);
-      sink.end([]);
+      writeRefusal(sink, refusal);
     };
     const { maxBodyBytes, maxHeaderBytes } = this.#limits;
     if (measureHeaders(message.rawHeaders) > maxHeaderBytes) {
@@ -205,6 +205,22 @@
     await this.#parts.handle(call, sink);
   }
 
+  /** Ends a call whose handler failed; an answer that has begun is broken off. */
+  #endFailed(
+    { method, url }: IncomingMessage,
+    sink: ResponseSink,
+    { message, stack }: Error,
+  ): void {
+    this.#parts.logger.error("call failed", {
+      method,
+      path: url?.split("?")[0],
+      reason: message,
+      stack,
+    });
+    if (sink.hasBegun) sink.abort();
+    else writeRefusal(sink, { reason: "failed", message: "The call failed" });
+  }
+
   #countOpenCalls(socket: Duplex): number {
     return this.#openCalls.get(socket) ?? 0;
   }
@@ -257,6 +273,11 @@
     });
   }
 
+  /** Whether the head of the answer has been written. */
+  get hasBegun(): boolean {
+    return this.#response.headersSent;
+  }
+
   begin(head: AnswerHead): void {
     const { headers, status, statusText } = head;
     // A flat list preserves the order, the case and the repetition of header names.
@@ -284,6 +305,13 @@
   }
 }
 
+function writeRefusal(sink: CallSink, refusal: Refusal): void {
+  const { head, body } = toRefusalAnswer(refusal);
+  sink.begin(head);
+  sink.write(body);
+  sink.end([]);
+}
+
 /** Returns whether the body of a call may exceed {@linkcode SHORT_BODY_BYTES}. */
 function mayHaveLongBody({ headers }: IncomingMessage): boolean {
   const length = headers["content-length"];
--- a/adapters/http_listener.ts
+++ b/adapters/http_listener.ts
@@ -15,7 +15,7 @@
 import { startListening } from "./start_listening.ts";
 import { ACCEPT_BACKLOG, DisconnectDetector } from "./disconnect_detector.ts";
 import { systemClock } from "./system_clock.ts";
-import type { GatewayRequest, Reply } from "../filters/mod.ts";
+import { type GatewayRequest, type Reply, toRefusal } from "../filters/mod.ts";
 import {
   createFailure,
   type Failure,
@@ -45,7 +45,7 @@
   /** IP address and port; port 0 selects a free one. */
   readonly address: string;
   readonly limits: ListenerLimits;
-  /** Receives the errors of the server. */
+  /** Receives the errors of the server and of handlers. */
   readonly logger: Logger;
   /** Serves one request. */
   readonly handle: (request: GatewayRequest) => Promise<Reply>;
@@ -91,8 +91,12 @@
     message: IncomingMessage,
     response: ServerResponse,
   ) => {
-    if (await disconnectDetector.isConnected(message.socket)) {
-      await serveMessage(parts, message, response);
+    try {
+      if (await disconnectDetector.isConnected(message.socket)) {
+        await serveMessage(parts, message, response);
+      }
+    } catch (error) {
+      endFailed(parts, { message, response }, error as Error);
     }
   };
   const options = {
@@ -167,22 +171,53 @@
     return;
   }
   if (reply.kind === "whole") {
-    const body = typeof reply.body === "string"
-      ? Buffer.from(reply.body)
-      : reply.body;
-    // After an unread body, the start of the next request on the connection is unknown.
-    const isUnread = !message.complete;
-    response.writeHead(reply.status, {
-      ...reply.headers,
-      "content-length": String(body.length),
-      ...(isUnread ? { connection: "close" } : {}),
-    });
-    response.end(body);
+    writeWhole(message, response, reply);
     return;
   }
   await writeEvents(response, reply);
 }
 
+/** Ends a request whose handler failed; an answer that has begun is broken off. */
+function endFailed(
+  { logger }: ListenerParts,
+  { message, response }: {
+    readonly message: IncomingMessage;
+    readonly response: ServerResponse;
+  },
+  error: Error,
+): void {
+  logger.error("request failed", {
+    method: message.method,
+    path: message.url?.split("?")[0],
+    reason: error.message,
+    stack: error.stack,
+  });
+  if (response.headersSent) {
+    response.destroy();
+    return;
+  }
+  const failure = createFailure("INTERNAL", "An internal error occurred");
+  writeWhole(message, response, toRefusal(failure));
+}
+
+function writeWhole(
+  message: IncomingMessage,
+  response: ServerResponse,
+  reply: Extract<Reply, { kind: "whole" }>,
+): void {
+  const body = typeof reply.body === "string"
+    ? Buffer.from(reply.body)
+    : reply.body;
+  // After an unread body, the start of the next request on the connection is unknown.
+  const isUnread = !message.complete;
+  response.writeHead(reply.status, {
+    ...reply.headers,
+    "content-length": String(body.length),
+    ...(isUnread ? { connection: "close" } : {}),
+  });
+  response.end(body);
+}
+
 /**
  * Closes a stream whose caller disconnected before the first event. The stream is
  * started first: a generator that never started would not run its `finally` blocks.
--- a/adapters/http_listener_test.ts
+++ b/adapters/http_listener_test.ts
@@ -7,6 +7,7 @@
 import type { GatewayRequest, Reply } from "../filters/mod.ts";
 import { createSilentLogger } from "../logs/mod.ts";
 import { disconnectBeforeAccept } from "../tests/block_event_loop.ts";
+import { openRawCaller } from "../tests/raw_http.ts";
 import {
   DEFAULT_LISTENER_LIMITS,
   startListener,
@@ -202,4 +203,58 @@
       await listener.destroy();
     });
   });
+
+  // A rejection that nobody takes ends the process with all other requests.
+  describe("when the handler of a request fails", () => {
+    const headers = { "x-name": "\u20ac" };
+    const handlers: readonly (readonly [string, () => Promise<Reply>])[] = [
+      ["rejects", () => Promise.reject(new Error("a bug"))],
+      [
+        "returns a header that may not be written",
+        () => Promise.resolve({ ...createReply(""), headers }),
+      ],
+    ];
+    for (const [name, handle] of handlers) {
+      it(`answers with 500 if it ${name}, and serves the next request`, async () => {
+        const listener = await startListener({
+          address: "127.0.0.1:0",
+          limits: DEFAULT_LISTENER_LIMITS,
+          logger: createSilentLogger(),
+          handle,
+        });
+        const caller = await openRawCaller(listener.port, "127.0.0.1");
+        const request = "GET / HTTP/1.1\r\nhost: a\r\n\r\n";
+        caller.socket.write(request + request);
+        const received = await caller.awaitText(/ 500 [^]* 500 /);
+        caller.socket.destroy();
+        await listener.close();
+        assert.match(received, /x-ran: unknown/);
+      });
+    }
+
+    it("breaks off a stream whose events fail", async () => {
+      async function* createEvents() {
+        yield { id: "1", data: "part" };
+        await new Promise((resolve) => setTimeout(resolve, 50));
+        throw new Error("a bug");
+      }
+      const listener = await startListener({
+        address: "127.0.0.1:0",
+        limits: DEFAULT_LISTENER_LIMITS,
+        logger: createSilentLogger(),
+        handle: () =>
+          Promise.resolve({
+            kind: "events",
+            headers: {},
+            events: createEvents(),
+          }),
+      });
+      const caller = await openRawCaller(listener.port, "127.0.0.1");
+      caller.socket.write("GET / HTTP/1.1\r\nhost: a\r\n\r\n");
+      const received = await caller.awaitEnd();
+      await listener.close();
+      assert.match(received, /data: part/);
+      assert.doesNotMatch(received, /\r\n0\r\n\r\n$/);
+    });
+  });
 });
--- a/forwarding/refusal.ts
+++ b/forwarding/refusal.ts
@@ -29,7 +29,9 @@
   /** A server had the call and gave no whole answer. */
   | "no-answer"
   /** The deadline passed while a server had the call. */
-  | "timed-out";
+  | "timed-out"
+  /** This instance failed while it handled the call, which may have run. */
+  | "failed";
 
 /** A refusal as sent to the caller. */
 export interface Refusal {
@@ -41,7 +43,7 @@
 
 /**
  * HTTP status of each refusal. 429, 503, 408 and 421 guarantee that the call has not run
- * and never will; 502 and 504 guarantee nothing.
+ * and never will; 500, 502 and 504 guarantee nothing.
  */
 const STATUSES: Readonly<Record<RefusalReason, readonly [number, string]>> = {
   "no-configuration": [503, "Service Unavailable"],
@@ -63,11 +65,18 @@
   "rejected": [503, "Service Unavailable"],
   "no-answer": [502, "Bad Gateway"],
   "timed-out": [504, "Gateway Timeout"],
+  "failed": [500, "Internal Server Error"],
 };
 
+const MAY_HAVE_RUN: ReadonlySet<RefusalReason> = new Set([
+  "no-answer",
+  "timed-out",
+  "failed",
+]);
+
 /** Returns whether a refusal guarantees that the call has not run. */
 export function isNotRun(reason: RefusalReason): boolean {
-  return reason !== "no-answer" && reason !== "timed-out";
+  return !MAY_HAVE_RUN.has(reason);
 }
 
 /** Returns the answer that a refusal is sent as. */
