Broken requests to a stand-in end neither it nor the process that it runs in

What was seen: a caller that breaks off its body at the stand-in for the store, the platform, an engine or a plain service rejects a promise that nobody takes, and ends the process: a soak, or `npm start` with its whole deployment. Bodies that are no JSON did the same.

Cause: as in the servers of instances, `for await` over a message whose caller is gone, and `JSON.parse()`, in a function whose promise is dropped.

Change: `awaitAnswer()` takes the errors of all stand-ins. Callers that are gone need no answer; any other error is printed and answered with 500. The recording server hid such errors before.

--- a/standin/http_basics.ts
+++ b/standin/http_basics.ts
@@ -20,3 +20,24 @@
   });
   response.end(text);
 }
+
+/**
+ * Awaits the answer of a stand-in. If the caller has disconnected, nobody waits for the
+ * answer; any other error is printed and answered with 500.
+ *
+ * @param response Response that the answer is written to.
+ * @param answer Ends when the answer is written.
+ */
+export async function awaitAnswer(
+  response: ServerResponse,
+  answer: Promise<void>,
+): Promise<void> {
+  try {
+    await answer;
+  } catch (error) {
+    if (response.destroyed) return;
+    console.error("A stand-in cannot answer a request:", error);
+    if (response.headersSent) response.destroy();
+    else sendJson(response, 500, { error: { message: String(error) } });
+  }
+}
--- a/standin/loopback_server.ts
+++ b/standin/loopback_server.ts
@@ -5,11 +5,12 @@
   type ServerResponse,
 } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
+import { awaitAnswer } from "./http_basics.ts";
 
 /** An HTTP server on loopback that can be stopped abruptly, as if its process had crashed. */
 export abstract class LoopbackServer {
   readonly #server = createServer((message, response) =>
-    void this.serve(message, response)
+    void awaitAnswer(response, this.serve(message, response))
   );
   readonly #sockets = new Set<Socket>();
 
--- a/standin/platform_store_server.ts
+++ b/standin/platform_store_server.ts
@@ -8,6 +8,7 @@
 import type { AddressInfo } from "node:net";
 import type { Result } from "neverthrow";
 import type { RevisionedStore, StoreFailure } from "../store/mod.ts";
+import { awaitAnswer, readBody } from "./http_basics.ts";
 
 /** A running stand-in for the platform's store. */
 export interface StoreStandin {
@@ -57,7 +58,7 @@
   port = 0,
 ): Promise<StoreStandin> {
   const server: Server = createServer((request, response) => {
-    void answerRequest(store, request, response);
+    void awaitAnswer(response, answerRequest(store, request, response));
   });
   server.listen(port, "127.0.0.1");
   await once(server, "listening");
@@ -76,9 +77,7 @@
   request: IncomingMessage,
   response: ServerResponse,
 ): Promise<void> {
-  const chunks: Buffer[] = [];
-  for await (const chunk of request) chunks.push(chunk);
-  const text = Buffer.concat(chunks).toString("utf8");
+  const text = (await readBody(request)).toString("utf8");
   const { status, body } = await handleCall(store, request, text);
   response.writeHead(status, {
     "content-type": "application/json",
--- a/standin/recording_server.ts
+++ b/standin/recording_server.ts
@@ -17,7 +17,7 @@
   SIGNATURE_HEADER,
   TEAM_HEADER,
 } from "./platform_headers.ts";
-import { readBody } from "./http_basics.ts";
+import { awaitAnswer, readBody } from "./http_basics.ts";
 
 /** How a server fails. */
 export type ServerFault =
@@ -116,8 +116,7 @@
    */
   async open(port = 0): Promise<number> {
     const server = createServer((request, response) => {
-      // The caller disconnected; the run is already recorded.
-      this.#answer(request, response).catch(() => response.destroy());
+      void awaitAnswer(response, this.#answer(request, response));
     });
     server.on("connection", (socket) => {
       this.#sockets.add(socket);
