--- a/clock/clock.ts
+++ b/clock/clock.ts
@@ -71,7 +71,8 @@
 
 /**
  * Calls a function repeatedly until the signal aborts, with a pause after each call.
- * A call that takes long delays the next one, so that calls never overlap.
+ * A call that takes long delays the next one, so that calls never overlap. A call that
+ * fails is left to the process as an unhandled rejection, and the series continues.
  *
  * @param clock Source of time.
  * @param intervalMs Pause between calls in milliseconds.
@@ -85,9 +86,12 @@
   signal: AbortSignal,
 ): void {
   const runOnce = async () => {
-    await callback();
-    if (!signal.aborted) {
-      clock.schedule(intervalMs, () => void runOnce(), signal);
+    try {
+      await callback();
+    } finally {
+      if (!signal.aborted) {
+        clock.schedule(intervalMs, () => void runOnce(), signal);
+      }
     }
   };
   clock.schedule(intervalMs, () => void runOnce(), signal);
--- a/metrics/metrics.ts
+++ b/metrics/metrics.ts
@@ -41,6 +41,8 @@
   "loop.delay_ms": "gauge; longest time that the bytes read now have waited",
   "servers.limited":
     "gauge; servers that advertise a limit of calls per second",
+  "process.errors":
+    "counter; errors that no code has taken; tags: kind (rejection, exception)",
   "quarantine.held": "gauge; calls refused because they crashed servers",
   "quarantine.suspects":
     "gauge; calls recorded because a server crashed while it had them",
