Signals in the first moments of a start are taken, and a changed settings file is not missed

What callers and operators saw: SIGHUP in the first 100 to 150 ms of an instance ended it (exit by signal), SIGTERM and SIGINT ended it or `havenspurd` by signal in place of 0, and SIGINT ended an instance at any time, with all its calls. A settings file that changed between its first read and the end of the start was never applied, with or without SIGHUP.

Cause: the handlers were set at the end of the start, after all modules were loaded and all ports open; until then the default of each signal holds. The watcher of the settings read the file again to compare with, so that what had changed by then counted as known. Ruled out: the start of the stand-ins and the tools, which nobody reloads.

Change: the first statement of both programs takes SIGHUP, SIGINT and SIGTERM over and keeps them (`SignalInbox`). A stop that is pending once the settings are read ends the program with 0 and without a start; later ones wait until the start is done, and shut down as always. SIGINT shuts down as SIGTERM does. The watcher compares with the text that the settings in force came from. `havenspurd` writes its log as instances do, so that a log nobody reads ends no process; a start that fails is a log line, and exit code 7.

What is left: Node needs some time before it runs the first statement of any program, and a signal ends it there.

--- a/bin/exit_codes.ts
+++ b/bin/exit_codes.ts
@@ -13,4 +13,6 @@
   NOT_IN_FORCE: 5,
   /** Two states differ. */
   DIFFERS: 6,
+  /** The program failed; its log has the error. */
+  FAILED: 7,
 } as const;
--- a/bin/havenspur_platform.ts
+++ b/bin/havenspur_platform.ts
@@ -1,4 +1,5 @@
 #!/usr/bin/env node
+import { EARLY_SIGNALS } from "./early_signals.ts";
 import { checkSettings, runInstance } from "../platform/run_instance.ts";
 import { EXIT_CODES } from "./exit_codes.ts";
 
@@ -9,4 +10,4 @@
 } else if (option !== undefined) {
   console.error("Usage: havenspur_platform [--check-settings [FILE]]");
   process.exitCode = EXIT_CODES.USAGE;
-} else void runInstance();
+} else void runInstance(EARLY_SIGNALS);
--- a/bin/start_daemon.ts
+++ b/bin/start_daemon.ts
@@ -20,9 +20,9 @@
 import { Gateway } from "../daemon/mod.ts";
 import { type GatewayRequest, type Reply, toRefusal } from "../filters/mod.ts";
 import { toFailureDomainId, toInstanceId, toRegionId } from "../ids/mod.ts";
-import { createLogger, type Logger } from "../logs/mod.ts";
+import { createLogger, type Logger, type LogLevel } from "../logs/mod.ts";
 import type { InstanceRecord } from "../membership/mod.ts";
-import { NO_METRICS } from "../metrics/mod.ts";
+import { type Metrics, NO_METRICS } from "../metrics/mod.ts";
 import type { PeerTransport } from "../peers/mod.ts";
 import { createFailure } from "../results/mod.ts";
 import type { Settings } from "../settings/mod.ts";
@@ -34,7 +34,7 @@
 /** Options of `startDaemon`. */
 export interface StartDaemonOptions {
   /** Receives each log line. Default: writes to standard output. */
-  readonly writeLog?: (line: string) => void;
+  readonly writeLog?: (line: string, level: LogLevel) => void;
   /** Stops the daemon immediately. Default: never. */
   readonly signal?: AbortSignal;
 }
@@ -42,6 +42,8 @@
 /** A running daemon. */
 export interface RunningDaemon {
   readonly gateway: Gateway;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
   readonly record: InstanceRecord;
   /** Gateway for plain HTTP calls; `undefined` if the settings have no `http` section. */
   readonly http: RunningHttpGateway | undefined;
@@ -136,6 +138,8 @@
   };
   return {
     gateway,
+    logger,
+    metrics,
     record,
     http: httpGateway,
     heartbeatBytes: transport.heartbeatBytes,
--- a/standin/platform_process.ts
+++ b/standin/platform_process.ts
@@ -160,7 +160,8 @@
   }
 }
 
-function formatSettings(parts: PlatformProcessParts): string {
+/** Returns the settings file of an instance. */
+export function formatSettings(parts: PlatformProcessParts): string {
   const { callers, control, directory, peers, readiness } = PLATFORM_PORTS;
   const { host, region } = parts;
   return [
