A soak whose instance is gone ends, and says which instance and why

Cause, traced before: the plan reloads an instance that another fault has just started again; SIGHUP ends the program before its handler is there, nobody starts it again, and the run waits for ever until all instances are ready. The same wait stood at the start of a run: an instance that could not open its ports was waited for without end, and without a word.

Change: `PlatformProcess` tells of each end that no signal of the run explains. The run ends with it, and reports "instances run until they are stopped" with name, exit code or signal, and time since the start; instances that are not ready within 90 s end it too, by name. After SIGTERM only an exit with 0 counts as stopped. Faults in progress end with the run and start nothing any more. SIGHUP before the program has taken its signals over (the mask that Linux shows says when) ends any program; the run does then what the platform's page says, and starts it again.

--- a/soak/check_promises.ts
+++ b/soak/check_promises.ts
@@ -17,6 +17,8 @@
 
 /** Names of the promises, as docs/SOAK.md lists them. */
 export type PromiseName =
+  | "instances run until they are stopped"
+  | "instances become ready"
   | "whole answers"
   | "at most once"
   | "calls refused as not run did not run"
--- a/soak/fault_runner.ts
+++ b/soak/fault_runner.ts
@@ -32,6 +32,8 @@
  * milliseconds.
  */
 const UNDISTURBED_AFTER_MS = 5_000;
+/** Time after which the platform starts a process that has ended, in milliseconds. */
+const RESTART_DELAY_MS = 300;
 /** Latency of a slow store, in milliseconds. */
 const SLOW_STORE_MS = 300;
 /** How long the store is down before it is restored from a backup, in milliseconds. */
@@ -172,8 +174,7 @@
   ): Promise<void> {
     switch (what) {
       case "reload":
-        process.signal("SIGHUP");
-        return;
+        return await this.#reload(process);
       case "pause":
         return await this.#pause(process, async () => {
           process.signal("SIGSTOP");
@@ -198,6 +199,17 @@
     }
   }
 
+  /**
+   * Tells a process to reload its settings. One whose program does not run yet ends by that,
+   * and is started again, as the platform does.
+   */
+  async #reload(process: SoakInstance["process"]): Promise<void> {
+    const fromMs = this.#parts.clock.nowMs();
+    if (await process.reload() || process.pid !== undefined) return;
+    await this.#disturb(() => this.#restart(process, RESTART_DELAY_MS));
+    this.#recordPause(process, fromMs);
+  }
+
   async #stopHomes(durationMs: number): Promise<void> {
     await this.#disturb(async () => {
       await Promise.all(
@@ -254,7 +266,7 @@
     await this.#wait(afterMs);
     const untilMs = this.#parts.clock.nowMs();
     this.instanceDepartures.push({ id: process.host, atMs, untilMs });
-    process.start();
+    if (!this.#parts.fleet.closed.aborted) process.start();
   }
 
   async #disturbLink(
@@ -437,6 +449,6 @@
   }
 
   #wait(ms: number): Promise<void> {
-    return waitFor(this.#parts.clock, ms);
+    return waitFor(this.#parts.clock, ms, this.#parts.fleet.closed);
   }
 }
--- a/soak/run_soak.ts
+++ b/soak/run_soak.ts
@@ -18,7 +18,11 @@
   type ProcessResources,
 } from "./observation.ts";
 import { createPlan, FAULT_FREE_END_MS } from "./plan.ts";
-import { SoakFleet, type SoakInstance } from "./soak_fleet.ts";
+import {
+  type LostInstance,
+  SoakFleet,
+  type SoakInstance,
+} from "./soak_fleet.ts";
 
 /** Arguments of {@linkcode runSoak}. */
 export interface SoakParts {
@@ -83,12 +87,27 @@
   });
   try {
     await fleet.start();
+    const lost = await Promise.race([fleet.awaitReady(), fleet.lostInstance]);
+    if (lost !== undefined) return createLostReport(parts, lost);
     return await observe(parts, fleet, { runs, refusals });
   } finally {
     fleet.close();
   }
 }
 
+/** Returns the report of a run that cannot go on; what else it observed is not checked. */
+function createLostReport(
+  { seed }: SoakParts,
+  lost: LostInstance,
+  observed: Pick<SoakReport, "calls" | "served" | "faults"> = {
+    calls: 0,
+    served: 0,
+    faults: 0,
+  },
+): SoakReport {
+  return { seed, ...observed, violations: [lost], maxMemoryMb: 0 };
+}
+
 async function observe(
   parts: SoakParts,
   fleet: SoakFleet,
@@ -113,15 +132,25 @@
     instances: fleet.instances.length,
     servers: fleet.slots.length,
   });
-  await Promise.all(plan.map(async (planned) => {
-    await waitFor(clock, startMs + planned.atMs - clock.nowMs());
-    await faults.run(planned);
-  }));
-  while (!await fleet.areAllReady()) await waitFor(clock, 100);
-  const faultsEndedMs = clock.nowMs();
-  await waitFor(clock, FAULT_FREE_END_MS);
+  const runPlan = async () => {
+    await Promise.all(plan.map(async (planned) => {
+      await waitFor(clock, startMs + planned.atMs - clock.nowMs());
+      if (!fleet.closed.aborted) await faults.run(planned);
+    }));
+    const unready = await fleet.awaitReady();
+    if (unready !== undefined) return unready;
+    faultsEndedMs = clock.nowMs();
+    await waitFor(clock, FAULT_FREE_END_MS);
+    return undefined;
+  };
+  let faultsEndedMs = startMs;
+  const lost = await Promise.race([runPlan(), fleet.lostInstance]);
   trafficEnded.abort("over");
   await Promise.all([...callers, polling]);
+  const counts = { calls: calls.length, served: countServed(calls) };
+  if (lost !== undefined) {
+    return createLostReport(parts, lost, { ...counts, faults: plan.length });
+  }
   const processes = fleet.instances.flatMap(measureProcess);
   const violations = checkPromises({
     calls: [...calls, ...faults.crashingCalls],
@@ -141,16 +170,19 @@
   });
   return {
     seed: parts.seed,
-    calls: calls.length,
-    served:
-      calls.filter(({ end }) => end.kind === "answered" && end.status === 200)
-        .length,
+    ...counts,
     faults: plan.length,
     violations,
     maxMemoryMb: Math.max(...processes.map(({ memoryMb }) => memoryMb)),
   };
 }
 
+function countServed(calls: readonly ObservedCall[]): number {
+  return calls.filter(({ end }) =>
+    end.kind === "answered" && end.status === 200
+  ).length;
+}
+
 function startCallers(
   fleet: SoakFleet,
   calls: ObservedCall[],
--- a/soak/soak_fleet.ts
+++ b/soak/soak_fleet.ts
@@ -2,6 +2,7 @@
 import {
   PLATFORM_PORTS,
   PlatformProcess,
+  type ProgramEnd,
 } from "../standin/platform_process.ts";
 import { startStoreStandin } from "../standin/platform_store_server.ts";
 import { MemoryStore } from "../standin/memory_store.ts";
@@ -20,6 +21,7 @@
   STEADY_TEAM,
   toRotatingKey,
 } from "./caller.ts";
+import type { PromiseName } from "./check_promises.ts";
 import type { RevokedKey } from "./observation.ts";
 import { LinkProxy } from "./link_proxy.ts";
 
@@ -42,6 +44,12 @@
   readonly storeLink: LinkProxy;
 }
 
+/** An instance that a run cannot go on without, and why it is gone. */
+export interface LostInstance {
+  readonly promise: PromiseName;
+  readonly detail: string;
+}
+
 /** Slot for one backend server, whose server is replaced or restarted after faults. */
 export interface ServerSlot {
   readonly region: string;
@@ -64,6 +72,8 @@
 const REPLACEMENT_DELAY_MS = 2_000;
 /** Interval at which the readiness of the instances is polled, in milliseconds. */
 const READY_POLL_MS = 100;
+/** Time within which all instances have to be ready, in milliseconds; a loaded machine is slow. */
+const READY_TIMEOUT_MS = 90_000;
 
 /** Instances as real processes, with stand-ins for the store and the backend servers. */
 export class SoakFleet {
@@ -78,12 +88,18 @@
   readonly #parts: SoakFleetParts;
   readonly #closers: (() => void)[] = [];
   readonly #closed = new AbortController();
+  /** Resolves with the first instance that has ended and was not stopped; never, if none does. */
+  readonly lostInstance: Promise<LostInstance>;
+  #reportLost: (lost: LostInstance) => void = () => {};
   #serverCount = 0;
   #version = 0;
 
   /** @param parts Program, regions, sizes, clock and recorders. */
   constructor(parts: SoakFleetParts) {
     this.#parts = parts;
+    this.lostInstance = new Promise((resolve) => {
+      this.#reportLost = resolve;
+    });
     this.store = new MemoryStore(parts.clock);
     this.operator = new PlatformOperator(this.store, parts.clock);
   }
@@ -93,7 +109,7 @@
     return this.#version;
   }
 
-  /** Starts servers, store and instances, and resolves when all instances are ready. */
+  /** Starts servers, store and instances. */
   async start(): Promise<void> {
     const { instancesPerRegion, regions, serversPerRegion } = this.#parts;
     const serverRegions = regions.flatMap((region) =>
@@ -123,21 +139,46 @@
         seedHosts: hosts.slice(0, 3),
         storeAddress: await storeLink.open(),
         graceS: GRACE_S,
+        onUnexpectedEnd: (end) =>
+          this.#reportLost({
+            promise: "instances run until they are stopped",
+            detail: formatEnd(`front-${region}-a-${at}`, end),
+          }),
       });
       this.instances.push({ process, region, storeLink });
       process.start();
     }
-    while (!await this.areAllReady()) {
-      await waitFor(this.#parts.clock, READY_POLL_MS);
+  }
+
+  /**
+   * Waits until every instance reports that it is ready for calls.
+   *
+   * @returns An instance that is not ready in time, or `undefined` if all are ready.
+   */
+  async awaitReady(): Promise<LostInstance | undefined> {
+    const { clock } = this.#parts;
+    const untilMs = clock.nowMs() + READY_TIMEOUT_MS;
+    let waiting = await this.#listUnready();
+    while (waiting.length > 0 && !this.#closed.signal.aborted) {
+      if (clock.nowMs() > untilMs) {
+        return {
+          promise: "instances become ready",
+          detail: `${waiting.join()} not ready after ${READY_TIMEOUT_MS} ms`,
+        };
+      }
+      await waitFor(clock, READY_POLL_MS, this.#closed.signal);
+      waiting = await this.#listUnready();
     }
+    return undefined;
   }
 
-  /** Returns whether every instance reports that it is ready for calls. */
-  async areAllReady(): Promise<boolean> {
-    const ready = await Promise.all(
-      this.instances.map(({ process }) => process.isReady()),
+  async #listUnready(): Promise<readonly string[]> {
+    const unready = await Promise.all(
+      this.instances.map(async ({ process }) =>
+        await process.isReady() ? [] : [process.name]
+      ),
     );
-    return ready.every((isReady) => isReady);
+    return unready.flat();
   }
 
   /** Home regions of the bound calls: all regions but the last. */
@@ -249,6 +290,11 @@
     this.#closers.forEach((close) => close());
   }
 
+  /** Aborts when the fleet is closed. */
+  get closed(): AbortSignal {
+    return this.#closed.signal;
+  }
+
   async #createSlot(
     region: string,
     service: string,
@@ -272,3 +318,11 @@
     return slot;
   }
 }
+
+function formatEnd(
+  instance: string,
+  { code, ranMs, signal }: ProgramEnd,
+): string {
+  const cause = signal === null ? `exit code ${code}` : `signal ${signal}`;
+  return `${instance} ended with ${cause}, ${ranMs} ms after its start`;
+}
--- a/standin/platform_process.ts
+++ b/standin/platform_process.ts
@@ -1,7 +1,7 @@
 import { type ChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
-import { tmpdir } from "node:os";
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { constants, tmpdir } from "node:os";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { request } from "undici";
@@ -15,6 +15,9 @@
   peers: 7_660,
 } as const;
 
+/** Interval at which the signals that a starting process handles are read, in milliseconds. */
+const SIGNAL_POLL_MS = 2;
+
 /** Timeout of a request to an instance, in milliseconds. */
 const REQUEST_TIMEOUT_MS = 1_000;
 
@@ -34,6 +37,18 @@
   readonly storeAddress: string;
   /** Time from SIGTERM to SIGKILL, in seconds. */
   readonly graceS: number;
+  /** Called when the program ends and was not stopped, with how it ended. Default: ignored. */
+  readonly onUnexpectedEnd?: (end: ProgramEnd) => void;
+}
+
+/** How a run of the program ended. */
+export interface ProgramEnd {
+  /** Exit code; `null` if a signal ended the program. */
+  readonly code: number | null;
+  /** Signal that ended the program; `null` if it exited. */
+  readonly signal: NodeJS.Signals | null;
+  /** Time from its start to its end, in milliseconds. */
+  readonly ranMs: number;
 }
 
 /** An instance that runs the platform's program in a separate process, with its own settings file. */
@@ -42,6 +57,8 @@
   readonly #folder = mkdtempSync(join(tmpdir(), "instance-"));
   #child: ChildProcess | undefined;
   #starts = 0;
+  /** Signals sent to the running program, without SIGSTOP and SIGCONT. */
+  #sentSignals: NodeJS.Signals[] = [];
 
   /** @param parts Program, address and settings. */
   constructor(parts: PlatformProcessParts) {
@@ -111,15 +128,44 @@
     });
     this.#child = child;
     this.#starts++;
+    this.#sentSignals = [];
+    const sentSignals = this.#sentSignals;
+    const startMs = performance.now();
     const { pid } = child;
     if (pid === undefined) return;
     recordStart(pid);
-    child.once("exit", () => recordEnd(pid));
+    child.once("exit", (code, signal) => {
+      recordEnd(pid);
+      if (isExpectedEnd(code, signal, sentSignals)) return;
+      const ranMs = Math.round(performance.now() - startMs);
+      this.#parts.onUnexpectedEnd?.({ code, signal, ranMs });
+    });
   }
 
   /** Sends a signal to the process if it is running. */
   signal(name: NodeJS.Signals): void {
-    if (this.pid !== undefined) this.#child?.kill(name);
+    if (this.pid === undefined) return;
+    this.#sentSignals.push(name);
+    this.#child?.kill(name);
+  }
+
+  /**
+   * Sends SIGHUP to the process if it is running. Until the program has taken over its
+   * signals, that ends the process, as on the platform, whatever the program is; the end is
+   * an expected one then.
+   *
+   * @returns Whether the process goes on.
+   */
+  async reload(): Promise<boolean> {
+    const { pid } = this;
+    if (pid === undefined) return false;
+    const isEarly = !hasTakenOver(pid, "SIGHUP");
+    if (isEarly) this.#sentSignals.push("SIGHUP");
+    this.#child?.kill("SIGHUP");
+    while (isEarly && this.pid === pid && !hasTakenOver(pid, "SIGHUP")) {
+      await new Promise((resolve) => setTimeout(resolve, SIGNAL_POLL_MS));
+    }
+    return this.pid === pid;
   }
 
   /**
@@ -181,6 +227,28 @@
   ].join("\n");
 }
 
+/** Returns whether the signals that were sent to the program explain its end. */
+function isExpectedEnd(
+  code: number | null,
+  signal: NodeJS.Signals | null,
+  sentSignals: readonly NodeJS.Signals[],
+): boolean {
+  if (signal !== null) return sentSignals.includes(signal);
+  return code === 0 && sentSignals.includes("SIGTERM");
+}
+
+/** Returns whether a process handles a signal itself, by the mask that Linux shows. */
+function hasTakenOver(pid: number, signal: NodeJS.Signals): boolean {
+  try {
+    const status = readFileSync(`/proc/${pid}/status`, "utf8");
+    const mask = BigInt(`0x${/SigCgt:\s+(\S+)/.exec(status)?.[1] ?? "0"}`);
+    return (mask >> BigInt(constants.signals[signal] - 1) & 1n) === 1n;
+  } catch {
+    // The process has ended.
+    return false;
+  }
+}
+
 const running = new Set<number>();
 let guardProcess: ChildProcess | undefined;
 
