--- a/fleet/fleet_view.ts
+++ b/fleet/fleet_view.ts
@@ -161,8 +161,8 @@
 
   /** Returns the other live members of the local region, with what is known of them. */
   listLocalObservations(nowMs: number): readonly MemberObservation[] {
-    return this.listObservations(nowMs)
-      .filter(({ member }) => member.region === this.#self.region);
+    const { region } = this.#self;
+    return this.listObservations(nowMs, region);
   }
 
   /** Whether summaries of the local region arrive in time. */
@@ -170,9 +170,18 @@
     return nowMs - this.#summaries.lastMs < SUMMARY_TIMEOUT_MS;
   }
 
-  /** Returns the live members, without this instance, with what is known of them. */
-  listObservations(nowMs: number): readonly MemberObservation[] {
+  /**
+   * Returns the live members, without this instance, with what is known of them.
+   *
+   * @param nowMs Current time, in milliseconds.
+   * @param region Region of the members. Default: all regions.
+   */
+  listObservations(
+    nowMs: number,
+    region?: RegionId,
+  ): readonly MemberObservation[] {
     return [...this.#members.values()].filter((entry) =>
+      (region === undefined || entry.member.region === region) &&
       this.#isLive(entry, nowMs)
     )
       .map((
@@ -282,17 +291,17 @@
    * them are live.
    */
   countInstancesByRegion(nowMs: number): readonly RegionInstanceCount[] {
-    const entries = [...this.#members.values()];
-    return this.listRegions().map((region) => {
-      const own = region === this.#self.region ? 1 : 0;
-      const members = entries.filter(({ member }) => member.region === region);
-      const live = members.filter((member) => this.#isLive(member, nowMs));
-      return {
-        region,
-        known: own + members.length,
-        reporting: own + live.length,
-      };
+    const counts = new Map([
+      [this.#self.region, { known: 1, reporting: 1 }],
+    ]);
+    this.#members.forEach((entry) => {
+      const { region } = entry.member;
+      const count = counts.get(region) ?? { known: 0, reporting: 0 };
+      count.known++;
+      if (this.#isLive(entry, nowMs)) count.reporting++;
+      counts.set(region, count);
     });
+    return [...counts].map(([region, count]) => ({ region, ...count }));
   }
 
   /** Number of instances with an entry in the store, as last set. */
@@ -418,11 +427,14 @@
     if (nowMs - this.#summaries.lastMs >= LOCAL_MEMBER_TIMEOUT_MS) {
       this.dropSummary();
     }
+    const liveRegions = new Set(
+      this.listLive(nowMs).map(({ region }) => region),
+    );
     this.#members.forEach((entry, id) => {
       if (this.#isLive(entry, nowMs)) return;
       this.#loads.removeReport(id);
       this.teamUsage.removeInstance(id);
-      if (!this.#hasLiveMember(entry.member.region, nowMs)) {
+      if (!liveRegions.has(entry.member.region)) {
         this.#loads.removeReport(toRegionReporter(entry.member.region));
         this.teamUsage.removeRegion(entry.member.region);
       }
@@ -470,8 +482,9 @@
 
   /** Returns the other live members of the local region. */
   listLocal(nowMs: number): readonly MemberRecord[] {
-    return this.listLive(nowMs)
-      .filter(({ region }) => region === this.#self.region);
+    return [...this.#members.values()].filter((entry) =>
+      entry.member.region === this.#self.region && this.#isLive(entry, nowMs)
+    ).map(({ member }) => member);
   }
 
   /** Records which members a summary names, and since when summaries have arrived without a gap. */
@@ -506,10 +519,6 @@
     }
   }
 
-  #hasLiveMember(region: RegionId, nowMs: number): boolean {
-    return this.listLive(nowMs).some((member) => member.region === region);
-  }
-
   #isLive(entry: MemberEntry, nowMs: number): boolean {
     const isLocal = entry.member.region === this.#self.region;
     const silentMs = nowMs - entry.lastSeenMs;
--- a/fleet/pick_relays.ts
+++ b/fleet/pick_relays.ts
@@ -23,17 +23,22 @@
 export function pickRepresentatives(
   members: readonly MemberRecord[],
 ): readonly MemberRecord[] {
-  const sorted = [...members].sort((a, b) => a.id < b.id ? -1 : 1);
-  const [first, ...rest] = sorted;
+  const first = findFirst(members);
   if (first === undefined) return [];
-  const otherDomains = rest.filter(({ failureDomain }) =>
-    failureDomain !== first.failureDomain
+  const others = members.filter(({ id }) => id !== first.id);
+  const second = findFirst(
+    others.filter(({ failureDomain }) => failureDomain !== first.failureDomain),
+  ) ?? findFirst(others);
+  return second === undefined ? [first] : [first, second];
+}
+
+/** Returns the member whose id comes first. */
+function findFirst(members: readonly MemberRecord[]): MemberRecord | undefined {
+  return members.reduce<MemberRecord | undefined>(
+    (first, member) =>
+      first === undefined || member.id < first.id ? member : first,
+    undefined,
   );
-  const ranked = [
-    ...otherDomains,
-    ...rest.filter((one) => !otherDomains.includes(one)),
-  ];
-  return [first, ...ranked.slice(0, RELAYS_PER_REGION - 1)];
 }
 
 /**
