Members ask once a round, not at each report, whether they represent their region

An instance that becomes a representative forwards from its next round on; the second representative is there for that time.

--- a/daemon/fleet_reporter.ts
+++ b/daemon/fleet_reporter.ts
@@ -306,10 +306,11 @@
   #forwardRegionReport(report: FleetReport, nowMs: number): void {
     const { fleet, sendReport } = this.#parts;
     if (report.scope !== "region") return;
-    const rank = fleet.readRepresentativeRank(nowMs);
-    // Most members forward nothing, and planning costs them more than the report itself.
-    if (rank === undefined && !this.#isAggregating) return;
-    const isFirst = rank === 0;
+    // Most members forward nothing, and to rank or to plan costs them more than the report
+    // itself; who represents the region is decided again in each round.
+    const isRepresentative = this.#representativeSinceMs !== undefined;
+    if (!isRepresentative && !this.#isAggregating) return;
+    const isFirst = fleet.readRepresentativeRank(nowMs) === 0;
     const seen = fleet.listLocalObservations(nowMs);
     if (!isLargeRegion(seen)) {
       if (isFirst) sendReport(report, seen.map(({ member }) => member.address));
