--- a/tests/signals_during_start_test.ts
+++ b/tests/signals_during_start_test.ts
@@ -18,8 +18,10 @@
 import { systemClock } from "../adapters/system_clock.ts";
 import { waitFor } from "../clock/mod.ts";
 import { buildProgram } from "../standin/build_program.ts";
-import { toLoopbackAddress } from "../standin/loopback_address.ts";
-import { formatSettings } from "../standin/platform_process.ts";
+import {
+  createDaemonSettings,
+  createPlatformSettings,
+} from "./program_settings_fixture.ts";
 
 const PLATFORM_PROGRAM = buildProgram();
 const DAEMON_PROGRAM = fileURLToPath(
@@ -65,38 +67,6 @@
   },
 ];
 
-function createPlatformSettings(graceS: number): string {
-  return formatSettings({
-    program: PLATFORM_PROGRAM,
-    name: "a",
-    host: toLoopbackAddress(1),
-    region: "north",
-    regions: ["north"],
-    seedHosts: [toLoopbackAddress(1)],
-    storeAddress: `${toLoopbackAddress(2)}:1`,
-    graceS,
-  });
-}
-
-function createDaemonSettings(): string {
-  const unreachable = `http://${toLoopbackAddress(2)}:1`;
-  return [
-    "[instance]",
-    'id = "a"',
-    'region = "north"',
-    'failure_domain = "north-a"',
-    "[listen]",
-    'address = "127.0.0.1:0"',
-    "[platform]",
-    `store_url = "${unreachable}"`,
-    `instances_url = "${unreachable}"`,
-    `directory_url = "${unreachable}"`,
-    "[tokens]",
-    `operator_hash = "${"0".repeat(64)}"`,
-    'peer = "peer-token-of-the-test"',
-  ].join("\n");
-}
-
 const children: ChildProcess[] = [];
 afterEach(() => children.splice(0).forEach((child) => child.kill("SIGKILL")));
 
