A soak's process ends once its run has ended: connections that are ending are not reset

What was seen: beside load, the runner ended `soak/run_soak_test.ts` as timed out, its test having passed after its usual 22 s; without a line of what kept it.

Cause, from a play that hung: its main thread uses a whole core and makes no system call; the stack (gdb) is `Environment::CleanupHandles()` around `uv_run()`, the end of Node after the event loop, and one socket is still open. Node waits there for each handle to close. `resetAndDestroy()` of a socket whose end is being sent fails (EINVAL, no reset beside a shutdown), the handle is marked as closing and never closes. A script of ten lines shows it: end, reset, EINVAL, a handle that stays, and a process that never ends. The links of the soak do just that when both sides of a connection fail at once, more often beside load. Ruled out: an instance that is gone (no instance was left, the run had ended), the runner (it ended the file after its limit, as it should).

Change: `resetConnection()` closes such a socket, and is used by links, recording servers and tests. The product resets no connection.

--- a/soak/link_proxy.ts
+++ b/soak/link_proxy.ts
@@ -8,6 +8,7 @@
 } from "node:net";
 import { systemClock } from "../adapters/system_clock.ts";
 import { waitFor } from "../clock/mod.ts";
+import { resetConnection } from "../standin/reset_connection.ts";
 
 /** What a link does with the data that it forwards. */
 export type LinkMode =
@@ -69,7 +70,7 @@
 
   #forward(caller: Socket): void {
     if (this.#mode === "reset") {
-      caller.resetAndDestroy();
+      resetConnection(caller);
       return;
     }
     const target = connect(this.#targetPort, "127.0.0.1");
@@ -79,7 +80,7 @@
       this.#sockets.add(socket);
       socket.setNoDelay(true);
       // A failure of one socket is passed on to the other one, as on a direct connection.
-      socket.on("error", () => other.resetAndDestroy());
+      socket.on("error", () => resetConnection(other));
       socket.on("close", () => {
         this.#sockets.delete(socket);
         if (!isBlocked(this.#mode)) other.destroySoon();
@@ -122,7 +123,7 @@
   }
 
   #resetAll(): void {
-    this.#sockets.forEach((socket) => socket.resetAndDestroy());
+    this.#sockets.forEach((socket) => resetConnection(socket));
   }
 }
 
--- a/standin/recording_server.ts
+++ b/standin/recording_server.ts
@@ -18,6 +18,7 @@
   TEAM_HEADER,
 } from "./platform_headers.ts";
 import { awaitAnswer, readBody } from "./http_basics.ts";
+import { resetConnection } from "./reset_connection.ts";
 
 /** How a server fails. */
 export type ServerFault =
@@ -131,7 +132,7 @@
   /** Stops listening and resets all connections, as a crash does. */
   crash(): void {
     this.#server?.close();
-    this.#sockets.forEach((socket) => socket.resetAndDestroy());
+    this.#sockets.forEach((socket) => resetConnection(socket));
   }
 
   async #answer(
--- a/tests/broken_connection_fixture.ts
+++ b/tests/broken_connection_fixture.ts
@@ -1,6 +1,7 @@
 import { createSocket } from "node:dgram";
 import { once } from "node:events";
 import { connect, type Socket } from "node:net";
+import { resetConnection } from "../standin/reset_connection.ts";
 
 /** A connection that breaks in one way, with the bytes that are sent before. */
 export interface BrokenConnection {
@@ -110,7 +111,7 @@
   if (bytes !== "") await writeBytes(socket, bytes);
   await pause();
   if (end === "end") socket.end();
-  else socket.resetAndDestroy();
+  else resetConnection(socket);
   await pause();
   socket.destroy();
 }
