--- a/tests/foreign_entry_test.ts
+++ b/tests/foreign_entry_test.ts
@@ -134,6 +134,16 @@
     assert.deepEqual(follower.instanceAddresses, []);
     end();
   });
+
+  // Sending a report to such an address throws, which ends the instance.
+  it("of an instance adds no address to which nothing can be sent", async () => {
+    const { put, follower, end } = startDocumentFollower();
+    for (const address of ["", "x", "x:1", "10.0.0.7", "10.0.0.7:0"]) {
+      await put("havenspur/instances/b", { address });
+      assert.deepEqual(follower.instanceAddresses, [], address);
+    }
+    end();
+  });
 });
 
 /** One write: the number of a server and its entry; a number as entry is an index into `UNUSABLE_ENTRIES`. */
