--- a/adapters/connection_pool.ts
+++ b/adapters/connection_pool.ts
@@ -35,7 +35,6 @@
 const SILENCE_MS = 400;
 
 /** Characters that HTTP does not allow in a status text. */
-// deno-lint-ignore no-control-regex
 const UNWRITABLE_PATTERN = /[^\t\x20-\x7e\x80-\xff]/;
 
 interface Connection {
