Stand-ins: the settings file is formatted without a program; comments that said too much

A fixture passed an empty program only to format settings, and a comment claimed that signals were left out that are not. Read in the diff; behaviour and the built program are the same. 5 tests of the soak's lost instances and of log readers pass.

--- a/soak/run_soak.ts
+++ b/soak/run_soak.ts
@@ -132,6 +132,7 @@
     instances: fleet.instances.length,
     servers: fleet.slots.length,
   });
+  let faultsEndedMs = startMs;
   const runPlan = async () => {
     await Promise.all(plan.map(async (planned) => {
       await waitFor(clock, startMs + planned.atMs - clock.nowMs());
@@ -143,7 +144,6 @@
     await waitFor(clock, FAULT_FREE_END_MS);
     return undefined;
   };
-  let faultsEndedMs = startMs;
   const lost = await Promise.race([runPlan(), fleet.lostInstance]);
   trafficEnded.abort("over");
   await Promise.all([...callers, polling]);
--- a/standin/platform_process.ts
+++ b/standin/platform_process.ts
@@ -57,7 +57,7 @@
   readonly #folder = mkdtempSync(join(tmpdir(), "instance-"));
   #child: ChildProcess | undefined;
   #starts = 0;
-  /** Signals sent to the running program, without SIGSTOP and SIGCONT. */
+  /** Signals sent to the running program that may end it. */
   #sentSignals: NodeJS.Signals[] = [];
 
   /** @param parts Program, address and settings. */
@@ -207,7 +207,9 @@
 }
 
 /** Returns the settings file of an instance. */
-export function formatSettings(parts: PlatformProcessParts): string {
+export function formatSettings(
+  parts: Omit<PlatformProcessParts, "program" | "onUnexpectedEnd">,
+): string {
   const { callers, control, directory, peers, readiness } = PLATFORM_PORTS;
   const { host, region } = parts;
   return [
--- a/tests/program_settings_fixture.ts
+++ b/tests/program_settings_fixture.ts
@@ -4,7 +4,6 @@
 /** Returns settings of the platform's program, whose store does not answer. */
 export function createPlatformSettings(graceS: number): string {
   return formatSettings({
-    program: "",
     name: "a",
     host: toLoopbackAddress(1),
     region: "north",
