--- a/soak/check_promises.ts
+++ b/soak/check_promises.ts
@@ -419,7 +419,8 @@
   const missing: readonly Violation[] =
     late.length > 0 && served.length >= MIN_SERVED_SHARE * late.length ? [] : [{
       promise: "service after the faults",
-      detail: `${served.length} of ${late.length} calls served`,
+      detail: `${served.length} of ${late.length} calls served; others: ` +
+        describeEnds(late.filter((call) => !served.includes(call))),
     }];
   return [
     ...missing,
@@ -430,6 +431,22 @@
   ];
 }
 
+/** Returns how many calls of each instance ended in which way, and how long they took. */
+function describeEnds(calls: readonly ObservedCall[]): string {
+  const groups = new Map<string, ObservedCall[]>();
+  calls.forEach((call) => {
+    const { end, instance, kind } = call;
+    const outcome = end.kind === "answered" ? end.status : end.kind;
+    const name = `${instance} ${kind} ${outcome}`;
+    groups.set(name, [...groups.get(name) ?? [], call]);
+  });
+  return [...groups].map(([name, group]) => {
+    const durations = group.map(({ endedMs, sentMs }) => endedMs - sentMs);
+    const longestMs = Math.round(Math.max(...durations));
+    return `${group.length} ${name} (up to ${longestMs} ms)`;
+  }).join(", ");
+}
+
 function checkProcesses({ processes }: Observation): readonly Violation[] {
   return processes.filter(({ descriptors, memoryMb }) =>
     memoryMb > MAX_MEMORY_MB || descriptors > MAX_DESCRIPTORS
