--- a/soak/soak_fleet.ts
+++ b/soak/soak_fleet.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from "node:events";
 import { PlatformOperator } from "../standin/platform_operator.ts";
 import {
   PLATFORM_PORTS,
@@ -97,6 +98,8 @@
   /** @param parts Program, regions, sizes, clock and recorders. */
   constructor(parts: SoakFleetParts) {
     this.#parts = parts;
+    // Each wait of a fault listens to it.
+    setMaxListeners(0, this.#closed.signal);
     this.lostInstance = new Promise((resolve) => {
       this.#reportLost = resolve;
     });
