Soak: a run waits until its instances have ended, so that the next one finds free ports

Suspected, not shown: the ports were still taken (the log of instances is discarded; 7 is a start that failed).

Change: closing the instances of a run resolves when their processes have ended.

--- a/soak/lost_instance_test.ts
+++ b/soak/lost_instance_test.ts
@@ -48,6 +48,15 @@
     assert.match(violations[0]!.detail, /ended with signal SIGUSR2/);
   });
 
+  it("leaves no process that holds the ports of the next run", async () => {
+    // A port that is taken ends the program with 1.
+    const statement = `${READY} setTimeout(() => process.exit(7), 800);`;
+    for (let run = 0; run < 3; run++) {
+      const { violations } = await play(statement);
+      assert.match(violations[0]!.detail, /ended with exit code 7/);
+    }
+  });
+
   it("counts an exit without a failure too", async () => {
     const { violations } = await play("process.exit(0)");
     assert.match(violations[0]!.detail, /ended with exit code 0/);
--- a/soak/run_soak.ts
+++ b/soak/run_soak.ts
@@ -91,7 +91,7 @@
     if (lost !== undefined) return createLostReport(parts, lost);
     return await observe(parts, fleet, { runs, refusals });
   } finally {
-    fleet.close();
+    await fleet.close();
   }
 }
 
--- a/soak/soak_fleet.ts
+++ b/soak/soak_fleet.ts
@@ -282,8 +282,11 @@
     await this.replaceServer(slot);
   }
 
-  /** Ends all processes and closes all sockets. */
-  close(): void {
+  /**
+   * Ends all processes and closes all sockets. Resolves when the processes have ended: until
+   * then they hold the ports that the instances of the next run open.
+   */
+  async close(): Promise<void> {
     this.#closed.abort("closed");
     this.instances.forEach(({ process, storeLink }) => {
       process.signal("SIGCONT");
@@ -291,6 +294,9 @@
       storeLink.close();
     });
     this.#closers.forEach((close) => close());
+    await Promise.all(
+      this.instances.map(({ process }) => process.awaitExit()),
+    );
   }
 
   /** Aborts when the fleet is closed. */
