Refusals over a hop say why, and sends that never left are counted

To tell the hypotheses on cut-off instances apart, the logs lack why an instance refused a call that another one forwarded to it (its line has no reason at the sender), and how many servers had the call there; no metric counts sends of which no byte left, or refusals by who refused. The answer to a forwarded call names the refusal's reason now (an older instance sends none and ignores it), the line `rejected` says reason and sends, and call.not_sent and call.rejected count. Nothing is decided by it. Ruled out: lines on both sides, matched by the call's id, since the refusing instance may be the one whose log is lost.

--- a/forwarding/call_replies.ts
+++ b/forwarding/call_replies.ts
@@ -42,7 +42,11 @@
   ): void {
     const { head, body } = toRefusalAnswer(refusal);
     const kind = isNotRun(refusal.reason) ? "not-run" : "unknown";
-    const hopHeaders = this.#createHopHeaders(call, kind, sentTo);
+    const hopHeaders = this.#createHopHeaders(call, {
+      kind,
+      tried: sentTo,
+      reason: refusal.reason,
+    });
     sink.begin({ ...head, headers: [...head.headers, ...hopHeaders] });
     sink.write(body);
     sink.end([]);
@@ -50,7 +54,11 @@
 
   /** Returns the headers added to a server's answer for a forwarding instance; none for a caller. */
   createAnsweredHeaders({ call, sentTo }: Exchange): readonly string[] {
-    return this.#createHopHeaders(call, "answered", sentTo);
+    return this.#createHopHeaders(call, {
+      kind: "answered",
+      tried: sentTo,
+      reason: undefined,
+    });
   }
 
   /**
@@ -139,11 +147,10 @@
 
   #createHopHeaders(
     call: OpaqueCall,
-    kind: HopAnswer["kind"],
-    sentTo: readonly BackendId[],
+    answer: Omit<HopAnswer, "servedMs">,
   ): readonly string[] {
     if (call.origin.kind === "caller") return [];
     const servedMs = this.#parts.clock.nowMs() - call.receivedMs;
-    return writeHopAnswer({ kind, servedMs, tried: sentTo });
+    return writeHopAnswer({ ...answer, servedMs });
   }
 }
--- a/forwarding/call_sender.ts
+++ b/forwarding/call_sender.ts
@@ -171,7 +171,8 @@
     destination: SendDestination,
     outcome: EndedOutcome,
   ): void {
-    const { replies } = this.#parts;
+    const { metrics, replies } = this.#parts;
+    const service = exchange.service.name;
     const at = destination.kind === "remote"
       ? destination.member.id
       : destination.candidate.server.entry.id;
@@ -189,15 +190,22 @@
       case "given-up":
         return;
       case "rejected":
+        metrics.count("call.rejected", 1, {
+          service,
+          by: destination.kind === "remote" ? "instance" : "server",
+        });
         replies.log(exchange, "rejected", {
           at,
           isMisdirected: outcome.isMisdirected,
+          sends: outcome.sends,
+          ...(outcome.reason === undefined ? {} : { reason: outcome.reason }),
           ...(outcome.cooldownMs === undefined
             ? {}
             : { cooldownMs: Math.round(outcome.cooldownMs) }),
         });
         return;
       case "not-sent":
+        metrics.count("call.not_sent", 1, { service });
         replies.log(exchange, "not sent", {
           at,
           reason: outcome.message,
--- a/forwarding/hop_headers.ts
+++ b/forwarding/hop_headers.ts
@@ -9,6 +9,7 @@
 import type { IdentifiedTeam } from "../teams/mod.ts";
 import type { RawHeaders } from "./call_header_codec.ts";
 import { readHeader } from "./http_headers.ts";
+import { parseRefusalReason, type RefusalReason } from "./refusal.ts";
 
 /** Header that the first instance adds to a call that it forwards. */
 const HOP_HEADER = "havenspur-hop";
@@ -48,6 +49,8 @@
   readonly servedMs: number;
   /** Servers that the second instance sent the call to. */
   readonly tried: readonly BackendId[];
+  /** Why the second instance refused the call; `undefined` for an answer, or if it was not sent. */
+  readonly reason: RefusalReason | undefined;
 }
 
 const HOP_ANSWER_KINDS: ReadonlySet<string> = new Set([
@@ -138,6 +141,7 @@
     servedMs: String(Math.round(answer.servedMs)),
     tried: answer.tried.join(" "),
   });
+  if (answer.reason !== undefined) fields.set("reason", answer.reason);
   return [HOP_ANSWER_HEADER, fields.toString()];
 }
 
@@ -152,6 +156,7 @@
     kind: kind as HopAnswer["kind"],
     servedMs: Number(fields.get("servedMs") ?? 0),
     tried: parseServerIds(fields.get("tried")),
+    reason: parseRefusalReason(fields.get("reason")),
   };
 }
 
--- a/forwarding/refusal.ts
+++ b/forwarding/refusal.ts
@@ -68,6 +68,14 @@
   "failed": [500, "Internal Server Error"],
 };
 
+/** Returns the reason with a name, or `undefined` for a name that this version does not know. */
+export function parseRefusalReason(
+  name: string | null,
+): RefusalReason | undefined {
+  const isKnown = name !== null && Object.hasOwn(STATUSES, name);
+  return isKnown ? name as RefusalReason : undefined;
+}
+
 const MAY_HAVE_RUN: ReadonlySet<RefusalReason> = new Set([
   "no-answer",
   "timed-out",
--- a/forwarding/run_attempt.ts
+++ b/forwarding/run_attempt.ts
@@ -9,6 +9,7 @@
 import { pickForwarded } from "./http_headers.ts";
 import type { Handover, HandoverEvents } from "./handover.ts";
 import type { CallSink } from "./opaque_call.ts";
+import type { RefusalReason } from "./refusal.ts";
 import type {
   ActiveSend,
   AnswerHead,
@@ -34,6 +35,8 @@
     readonly cooldownMs?: number | undefined;
     /** Number of servers that refused the call. */
     readonly sends: number;
+    /** Why another instance refused the call. Default: a server refused it, or the instance did not tell. */
+    readonly reason?: RefusalReason | undefined;
   }
   /** The call may have run; this send passed on no part of an answer. */
   | (IncompleteAnswer & { readonly kind: "no-answer" })
@@ -198,6 +201,7 @@
         kind: "rejected",
         isMisdirected: false,
         sends: hopAnswer.tried.length,
+        reason: hopAnswer.reason,
       });
       return;
     }
--- a/metrics/metrics.ts
+++ b/metrics/metrics.ts
@@ -24,6 +24,10 @@
   "call.repeats": "counter; tags: service",
   "call.offers": "counter; tags: service",
   "call.away": "counter; tags: service, region",
+  "call.not_sent":
+    "counter; sends of which no byte left, as no connection opened; tags: service",
+  "call.rejected":
+    "counter; sends refused as not run; tags: service, by (server, instance)",
   "state.configuration_version": "gauge",
   "state.store_revision": "gauge",
   "state.store_era":
