Reproduce: callers of instances without links to any server, a failing test

The test cuts two instances of three in each region off from all servers, or all of a region, while calls go on, in three ways (links hang, are reset, or only new connections are refused), and counts first tries from 5 s on; bounds are those of the rule.

The simulated fleet has links now, with idle connections that servers close now and then; without that, calls went on over kept connections for ever and nothing was refused where only new ones are.

--- /dev/null
+++ b/tests/cut_off_instance_test.ts
@@ -0,0 +1,141 @@
+import assert from "node:assert/strict";
+import { afterEach, describe, it } from "node:test";
+import { createRoute, createRouteTable } from "./route_fixture.ts";
+import { VirtualFleet, type VirtualFleetParts } from "./virtual_fleet.ts";
+import type { LinkState } from "./virtual_links.ts";
+
+/** Time after which the callers of cut-off instances have to be served, in milliseconds. */
+const CONTACT_MS = 5_000;
+/** How long calls are counted after that time, in milliseconds. */
+const COUNTED_MS = 6_000;
+/** Time between two calls, in milliseconds. */
+const CALL_INTERVAL_MS = 10;
+/** First tries at cut-off instances that may fail: this many and this share of all. */
+const ALLOWED_FAILURES = { calls: 10, share: 1 / 50 } as const;
+/** Minimum share of first tries served at cut-off instances, against that at the others. */
+const MIN_SERVED_RATIO = 2 / 3;
+
+const REGIONS = {
+  north: { instances: 3, servers: 2 },
+  south: { instances: 3, servers: 2 },
+  west: { instances: 3, servers: 1 },
+} as const;
+/** Two of the three instances of each region. */
+const MOST = ["north-0", "north-1", "south-0", "south-1", "west-0", "west-1"];
+const ALL_OF_NORTH = ["north-0", "north-1", "north-2"];
+
+const FLEETS: VirtualFleet[] = [];
+afterEach(() => FLEETS.splice(0).forEach((fleet) => fleet.stop()));
+
+interface Tries {
+  sent: number;
+  served: number;
+}
+
+/** First tries of callers, by whether their instance was cut off. */
+interface CountedTries {
+  readonly cutOff: Tries;
+  readonly others: Tries;
+}
+
+async function startFleet(
+  parts: Partial<VirtualFleetParts> = {},
+): Promise<VirtualFleet> {
+  const fleet = new VirtualFleet({
+    regions: REGIONS,
+    table: createRouteTable([
+      createRoute("/a/"),
+      createRoute("/b/", undefined, { routeClass: "non-idempotent" }),
+      createRoute("/north/", ["north"]),
+    ], { maxConnections: 1_000 }),
+    decide: () => ({ kind: "answer", afterMs: 20 }),
+    ...parts,
+  });
+  FLEETS.push(fleet);
+  await fleet.clock.advance(2_000);
+  return fleet;
+}
+
+/** Sends calls to all instances in turn, and counts those that are served. */
+async function sendCalls(
+  fleet: VirtualFleet,
+  durationMs: number,
+  target = "/a/x",
+): Promise<CountedTries> {
+  const tries = {
+    cutOff: { sent: 0, served: 0 },
+    others: { sent: 0, served: 0 },
+  };
+  const addresses = [...fleet.gateways.keys()];
+  for (let at = 0; at * CALL_INTERVAL_MS < durationMs; at++) {
+    const address = addresses[at % addresses.length]!;
+    const counted = fleet.links.read(address) === "open"
+      ? tries.others
+      : tries.cutOff;
+    counted.sent++;
+    void fleet.call(`call ${fleet.clock.nowMs()}`, address, target)
+      .then(({ status }) => {
+        if (status === 200) counted.served++;
+      });
+    await fleet.clock.advance(CALL_INTERVAL_MS);
+  }
+  await fleet.clock.advance(2_500);
+  return tries;
+}
+
+/** Cuts instances off while calls go on, and counts the first tries after `CONTACT_MS`. */
+async function countTriesInCut(
+  fleet: VirtualFleet,
+  instances: readonly string[],
+  state: LinkState,
+  target?: string,
+): Promise<CountedTries> {
+  await sendCalls(fleet, 2_000, target);
+  instances.forEach((instance) => fleet.links.set(instance, state));
+  await sendCalls(fleet, CONTACT_MS - 2_500, target);
+  return await sendCalls(fleet, COUNTED_MS, target);
+}
+
+function assertServed({ cutOff, others }: CountedTries): void {
+  const failed = cutOff.sent - cutOff.served;
+  const all = cutOff.sent + others.sent;
+  const seen = JSON.stringify({ cutOff, others });
+  assert.ok(cutOff.sent > 0, "no call was counted");
+  assert.ok(
+    failed <= ALLOWED_FAILURES.calls + ALLOWED_FAILURES.share * all,
+    `${failed} first tries failed: ${seen}`,
+  );
+  const othersShare = others.sent === 0 ? 1 : others.served / others.sent;
+  const isServedAlike = cutOff.served / cutOff.sent >=
+    MIN_SERVED_RATIO * othersShare;
+  assert.ok(isServedAlike, `callers were served unequally: ${seen}`);
+}
+
+const CUTS: readonly LinkState[] = ["hanging", "reset", "refusing"];
+
+describe("instances that are cut off from all servers", () => {
+  CUTS.forEach((state) => {
+    describe(`when their links are ${state}`, () => {
+      it("do not refuse calls that their neighbours can serve", async () => {
+        const fleet = await startFleet();
+        assertServed(await countTriesInCut(fleet, MOST, state));
+      });
+
+      it("do not lose calls that must not be repeated", async () => {
+        const fleet = await startFleet();
+        assertServed(await countTriesInCut(fleet, MOST, state, "/b/x"));
+      });
+
+      it("do not refuse calls that other regions can serve, where a whole region is cut off", async () => {
+        const fleet = await startFleet();
+        assertServed(await countTriesInCut(fleet, ALL_OF_NORTH, state));
+      });
+
+      it("do not refuse calls that only their own region may serve", async () => {
+        const fleet = await startFleet();
+        const cut = ALL_OF_NORTH.slice(0, 2);
+        assertServed(await countTriesInCut(fleet, cut, state, "/north/x"));
+      });
+    });
+  });
+});
--- a/tests/route_fixture.ts
+++ b/tests/route_fixture.ts
@@ -14,10 +14,12 @@
  *
  * @param pathPrefix Path prefix that begins and ends with a slash, and the name of the route.
  * @param homes Names of the regions that may serve the route. Default: all.
+ * @param changed Members of the route that differ from the default.
  */
 export function createRoute(
   pathPrefix: string,
   homes?: readonly string[],
+  changed: Partial<HttpRoute> = {},
 ): HttpRoute {
   return {
     name: pathPrefix,
@@ -33,6 +35,7 @@
     maxAttempts: 2,
     isResumable: false,
     homeRegions: homes?.map(toRegionId),
+    ...changed,
   };
 }
 
--- a/tests/virtual_fleet.ts
+++ b/tests/virtual_fleet.ts
@@ -16,6 +16,7 @@
 import { createServerEntry } from "./member_fixture.ts";
 import { createHeadSink } from "./opaque_call_fixture.ts";
 import { createVirtualGateway } from "./virtual_gateway.ts";
+import { VirtualLinks } from "./virtual_links.ts";
 
 /** One-way network delay within a region (`near`) and between regions (`far`), in milliseconds. */
 const DELAY_MS = { near: 1, far: 55 } as const;
@@ -85,6 +86,8 @@
  */
 export class VirtualFleet {
   readonly clock = new VirtualClock();
+  /** Links of the instances to all servers. */
+  readonly links = new VirtualLinks(this.clock);
   readonly gateways = new Map<string, HttpGateway>();
   /** All requests that reached a server, in order. */
   readonly arrivals: Arrival[] = [];
@@ -260,6 +263,8 @@
           );
           return { resume: () => {}, abort: () => {} };
         }
+        const failed = this.links.take(from, server.id, events);
+        if (failed !== undefined) return failed;
         const arrival: Arrival = {
           atMs: this.clock.nowMs(),
           server: server.id,
@@ -270,11 +275,13 @@
         };
         this.arrivals.push(arrival);
         server.runningCalls.add(events);
+        this.links.begin(from, events);
         const ignoreIfEnded = (callback: () => void) => () => {
           if (server.runningCalls.has(events)) callback();
         };
         const sendAnswer = (status: number, headers: readonly string[]) => {
           server.runningCalls.delete(events);
+          if (!this.links.end(from, server.id, events)) return;
           const ownHeaders = this.#parts.answerHeaders?.(server.id) ?? [];
           events.onHead({
             status,
@@ -308,7 +315,10 @@
         }
         return {
           resume: () => {},
-          abort: () => void server.runningCalls.delete(events),
+          abort: () => {
+            server.runningCalls.delete(events);
+            this.links.abort(from, events);
+          },
         };
       },
     };
