A call reaches its servers by way of an instance that has links to them

Cause, a class of faults: what one instance fails to reach was taken for the server's fault.

- Servers that can't be connected to are remembered apart from their health (server_links) and probed, so that no caller's call finds out; what else fails (silence, resets) is suspected and probed too.
- An instance that reaches no server of a service says so in its reports; calls aren't forwarded to it for that service, from no region.
- Where all servers of its region fail for it, an instance sends the call to another one of its region.
The receiver sends to its own servers only, as before: still one hop.
- A send of which no byte left is none: it uses no attempt, and the other instance may use that server.
- A call that was forwarded to an instance without links comes back at once (reason unreachable); that instance is avoided, not its region, and no retry is used.
- Where nobody reaches a server, the call is refused at once.

Ruled out: too few processors, full servers, quarantined calls (timeline). Preferred over a list of servers in each report: names of services are few, and who sends needs no more.

--- a/adapters/connection_pool.ts
+++ b/adapters/connection_pool.ts
@@ -129,6 +129,7 @@
       events.onFailure({
         kind: "not-sent",
         message: `All ${maxConnections} connections are in use`,
+        isOwnLimit: true,
       });
       return { resume: () => {}, abort: () => {} };
     }
--- a/bin/start_http_gateway.ts
+++ b/bin/start_http_gateway.ts
@@ -3,6 +3,7 @@
   type CallListenerParts,
 } from "../adapters/call_listener.ts";
 import { ConnectionPool } from "../adapters/connection_pool.ts";
+import { probeConnection } from "../adapters/probe_connection.ts";
 import { ReportSocket } from "../adapters/report_socket.ts";
 import { createSystemRandom, systemClock } from "../adapters/system_clock.ts";
 import { createToken } from "../clock/mod.ts";
@@ -88,6 +89,7 @@
     headerCodec: GATEWAY_HEADER_CODEC,
     client: new ConnectionPool(),
     peerClient: new ConnectionPool(),
+    probeServer: probeConnection,
     self: {
       id: toInstanceId(instance.id),
       incarnation: createToken(random),
--- a/daemon/http_gateway.ts
+++ b/daemon/http_gateway.ts
@@ -24,6 +24,7 @@
   EventLoopGate,
   NO_CAPACITY_RETRY_MS,
   type OpaqueCall,
+  type ProbeServer,
   type RetryBounds,
   type ServerClient,
   toCachedPrefixes,
@@ -80,6 +81,8 @@
   readonly client: ServerClient;
   /** Sends calls to other instances. */
   readonly peerClient: ServerClient;
+  /** Opens a connection to a server, to learn whether it can be reached. Default: always successful. */
+  readonly probeServer?: ProbeServer;
   /** Record of this instance. */
   readonly self: Omit<MemberRecord, "state">;
   /** Addresses of a few instances, some of which may be dead. */
@@ -161,6 +164,7 @@
       headerCodec: parts.headerCodec,
       client: parts.client,
       peerClient: parts.peerClient,
+      probeServer: parts.probeServer ?? (() => Promise.resolve(true)),
       registry: this.registry,
       fleet: this.fleet,
       loads,
@@ -395,6 +399,18 @@
     this.#reporter.addPrefixes(prefixes);
   }
 
+  /** Probes servers that may not be reached, and tells others whose servers all fail here. */
+  #updateReachability(): void {
+    this.forwarder.probeLinks();
+    const lost = this.forwarder.listLostServices();
+    const before = this.fleet.self.unreachableServices ?? [];
+    if (lost.join() === before.join()) return;
+    this.fleet.setUnreachableServices(lost);
+    this.#parts.logger.warn("reach of servers changed", {
+      lostServices: lost.join(" "),
+    });
+  }
+
   #isRelay(): boolean {
     return this.fleet.isRelay(this.state.known, this.#parts.clock.nowMs());
   }
@@ -406,6 +422,7 @@
     // An instance that the sweep drops has to count as silent at once.
     this.forwarder.updateInstanceCounts();
     this.state.sweep();
+    this.#updateReachability();
     const { configurationVersion, store } = this.state.known;
     metrics.gauge("call.in_flight", this.forwarder.inFlight);
     metrics.gauge("call.waiting", this.forwarder.waiting);
@@ -420,5 +437,9 @@
     metrics.gauge("quarantine.held", quarantine.quarantinedCount);
     metrics.gauge("quarantine.suspects", quarantine.suspectCount);
     metrics.gauge("servers.limited", this.forwarder.serverLimits.count);
+    metrics.gauge(
+      "servers.unreachable",
+      this.forwarder.unreachableServerCount,
+    );
   }
 }
--- a/fleet/encode_report.ts
+++ b/fleet/encode_report.ts
@@ -57,6 +57,18 @@
   region: string,
   failureDomain: string,
   state: number,
+  ...unreachableServices: readonly string[],
+];
+
+type GossipRow = readonly [
+  id: string,
+  incarnation: string,
+  address: string,
+  region: string,
+  failureDomain: string,
+  state: number,
+  ageMs: number,
+  ...unreachableServices: readonly string[],
 ];
 
 /**
@@ -83,10 +95,7 @@
       part ?? "",
       tokens,
     ]),
-    report.gossip.map(({ member, ageMs }) => [
-      ...encodeMemberRow(member),
-      Math.round(ageMs),
-    ]),
+    report.gossip.map(encodeGossipRow),
     (report.wantsGossip ? WANTS_GOSSIP : 0) |
     (report.wantsSummary ? WANTS_SUMMARY : 0),
     // Most reports have none of these parameters, so that they are omitted where possible.
@@ -208,11 +217,29 @@
     region,
     failureDomain,
     STATES.indexOf(state),
+    ...member.unreachableServices ?? [],
+  ];
+}
+
+/** Instances of earlier versions read the age at its place, and ignore what follows. */
+function encodeGossipRow({ ageMs, member }: MemberGossip): readonly unknown[] {
+  const [id, incarnation, address, region, failureDomain, state, ...services] =
+    encodeMemberRow(member);
+  return [
+    id,
+    incarnation,
+    address,
+    region,
+    failureDomain,
+    state,
+    Math.round(ageMs),
+    ...services,
   ];
 }
 
 function decodeMemberRow(row: MemberRow): MemberRecord {
-  const [id, incarnation, address, region, failureDomain, state] = row;
+  const [id, incarnation, address, region, failureDomain, state, ...services] =
+    row;
   const known = STATES[state];
   if (known === undefined) throw new TypeError(`Wanted a state, got ${state}`);
   return {
@@ -222,6 +249,9 @@
     region: toRegionId(toText(region)),
     failureDomain: toFailureDomainId(toText(failureDomain)),
     state: known,
+    ...(services.length > 0
+      ? { unreachableServices: services.map(toText) }
+      : {}),
   };
 }
 
@@ -248,8 +278,17 @@
   };
 }
 
-function decodeGossipRow(row: readonly [...MemberRow, number]): MemberGossip {
-  const [id, incarnation, address, region, failureDomain, state, ageMs] = row;
+function decodeGossipRow(row: GossipRow): MemberGossip {
+  const [
+    id,
+    incarnation,
+    address,
+    region,
+    failureDomain,
+    state,
+    ageMs,
+    ...services
+  ] = row;
   return {
     member: decodeMemberRow([
       id,
@@ -258,6 +297,7 @@
       region,
       failureDomain,
       state,
+      ...services,
     ]),
     ageMs: toNumber(ageMs),
   };
--- a/fleet/fleet_report.ts
+++ b/fleet/fleet_report.ts
@@ -30,6 +30,11 @@
   readonly region: RegionId;
   readonly failureDomain: FailureDomainId;
   readonly state: MemberState;
+  /**
+   * Services whose servers in the member's region all fail for it, so that it can serve no
+   * calls of them itself. Default: none.
+   */
+  readonly unreachableServices?: readonly string[];
 }
 
 /** A member as known to another instance, which passes it on. */
--- a/fleet/fleet_view.ts
+++ b/fleet/fleet_view.ts
@@ -116,6 +116,7 @@
   #membershipVersion = 0;
   #registeredCount = 0;
   #state: MemberState = "starting";
+  #unreachableServices: readonly string[] = [];
   #leavingSinceMs: number | undefined;
 
   /** @param parts Record of this instance and the load tracker that reports update. */
@@ -128,7 +129,17 @@
 
   /** Record of this instance. */
   get self(): MemberRecord {
-    return { ...this.#self, state: this.#state };
+    const unreachableServices = this.#unreachableServices;
+    return {
+      ...this.#self,
+      state: this.#state,
+      ...(unreachableServices.length > 0 ? { unreachableServices } : {}),
+    };
+  }
+
+  /** Sets the services whose servers all fail for this instance, which its reports name. */
+  setUnreachableServices(services: readonly string[]): void {
+    this.#unreachableServices = services;
   }
 
   /**
--- a/fleet/fleet_view_test.ts
+++ b/fleet/fleet_view_test.ts
@@ -210,6 +210,16 @@
     assert.deepEqual(decodeReport(encodeReport(later)), later);
     const asking = { ...report, wantsGossip: false, wantsSummary: true };
     assert.deepEqual(decodeReport(encodeReport(asking)), asking);
+    const cutOff = {
+      ...createMember("b"),
+      unreachableServices: ["lm", "app"],
+    };
+    const reporting = {
+      ...report,
+      from: cutOff,
+      gossip: [{ member: cutOff, ageMs: 7 }],
+    };
+    assert.deepEqual(decodeReport(encodeReport(reporting)), reporting);
   });
 
   it("returns what was compressed, with the echo for its receiver", () => {
--- a/forwarding/call_forwarder.ts
+++ b/forwarding/call_forwarder.ts
@@ -34,6 +34,7 @@
 import type { Exchange } from "./exchange.ts";
 import { InstanceSender } from "./instance_sender.ts";
 import { LearnedServers } from "./learned_servers.ts";
+import { LinkProber, type ProbeServer } from "./link_prober.ts";
 import type { CallHead, CallSink, OpaqueCall } from "./opaque_call.ts";
 import {
   describeServers,
@@ -46,6 +47,7 @@
 import { FleetRetryBudgets, type RetryBounds } from "./fleet_retry_budget.ts";
 import type { ServerClient } from "./server_client.ts";
 import type { ServerLimits } from "./server_limits.ts";
+import { ServerReachability } from "./server_reachability.ts";
 import { ServerSender } from "./server_sender.ts";
 import { NO_CAPACITY_RETRY_MS } from "./settle_attempt.ts";
 import { CapacityQueue } from "./capacity_queue.ts";
@@ -88,6 +90,8 @@
   readonly warmUpBounds: WarmUpBounds;
   /** How far usage may exceed the limits of teams. */
   readonly limitBounds: LimitBounds;
+  /** Opens a connection to a server, to learn whether it can be reached. */
+  readonly probeServer: ProbeServer;
   /** Stores a quarantined call where instances that start later find it. Default: it is not stored. */
   readonly storeQuarantinedCall?: ((report: CrashReport) => void) | undefined;
 }
@@ -105,6 +109,8 @@
   readonly #sender: CallSender;
   readonly #teamLimits: FleetLimits;
   readonly #gate: CallGate;
+  readonly #reachability: ServerReachability;
+  readonly #linkProber: LinkProber;
   #table: RouteTable | undefined;
   #inFlight = 0;
 
@@ -132,11 +138,18 @@
       warmUpBounds: parts.warmUpBounds,
       readMemoryTokens: (server) => this.#readMemoryTokens(server),
     });
-    const servers = new ServerChooser({
+    const known = {
       ownRegion: fleet.self.region,
       registry,
       loads,
       learned: this.#learned,
+    };
+    const reachability = new ServerReachability(known);
+    this.#reachability = reachability;
+    this.#linkProber = new LinkProber({ ...parts, ...known, reachability });
+    const servers = new ServerChooser({
+      ...known,
+      reachability,
       random,
       countOthers: () =>
         fleet.countInstancesSharingLimits(fleet.self.region) - 1,
@@ -144,6 +157,7 @@
     this.#destinations = new DestinationChooser({
       fleet,
       servers,
+      reachability,
       random,
       listRegions: () => fleet.listRegions(),
     });
@@ -239,6 +253,21 @@
     );
   }
 
+  /** Probes servers that this instance may not reach. Called periodically. */
+  probeLinks(): void {
+    this.#linkProber.run();
+  }
+
+  /** Returns the services whose servers in the local region all fail for this instance. */
+  listLostServices(): readonly string[] {
+    return this.#reachability.listLostServices(this.#parts.clock.nowMs());
+  }
+
+  /** Number of servers that this instance cannot reach. */
+  get unreachableServerCount(): number {
+    return this.#learned.links.unreachableCount;
+  }
+
   /** Wakes the first waiting calls, which then look for capacity again. */
   wakeWaitingCalls(): void {
     this.#waitingCalls.wakeFirst(CALLS_WOKEN_AT_ONCE);
@@ -436,6 +465,7 @@
         lastEventId: hop?.resumeAfter ?? facts.lastEventId,
       },
       tried: new Set(hop?.tried),
+      unreached: new Set(),
       waitOrder: this.#waitingCalls.takeOrder(),
       // Only the instance that the caller reached retries calls.
       attemptsLeft: hop === undefined ? route.maxAttempts : 1,
--- a/forwarding/call_forwarder_test.ts
+++ b/forwarding/call_forwarder_test.ts
@@ -57,6 +57,7 @@
     headerCodec: GATEWAY_HEADER_CODEC,
     client: ANSWERING_CLIENT,
     peerClient,
+    probeServer: () => Promise.resolve(true),
     registry,
     fleet,
     loads,
--- a/forwarding/choose_destination.ts
+++ b/forwarding/choose_destination.ts
@@ -2,7 +2,7 @@
 import { pickRandom } from "../clock/mod.ts";
 import type { FleetView, MemberRecord } from "../fleet/mod.ts";
 import { mayServe } from "../http_routes/mod.ts";
-import type { RegionId } from "../ids/mod.ts";
+import type { BackendId, RegionId } from "../ids/mod.ts";
 import {
   type CallNeeds,
   type Candidate,
@@ -11,6 +11,7 @@
   type ServerChooser,
 } from "./choose_server.ts";
 import type { Exchange } from "./exchange.ts";
+import type { ServerReachability } from "./server_reachability.ts";
 
 /** Where a call is sent next, or why it is sent nowhere now. */
 export type Destination =
@@ -39,7 +40,15 @@
    */
   | { readonly kind: "tried"; readonly untilMs: number }
   /** No server is known that may run the call. */
-  | { readonly kind: "no-server" };
+  | { readonly kind: "no-server" }
+  /** This instance reaches none of the servers, and knows no other instance that does. */
+  | { readonly kind: "unreachable" };
+
+/** An instance that a call is forwarded to, and the server that it will probably choose. */
+export type RemoteDestination = Extract<
+  Destination,
+  { readonly kind: "remote" }
+>;
 
 /** Why a call has no destination now. */
 export type NoDestination = Exclude<
@@ -52,6 +61,8 @@
  * requirements assume tens of milliseconds each way.
  */
 const INITIAL_ROUND_TRIP_MS = 110;
+/** Round trip to an instance of the local region before it is measured, in milliseconds. */
+const INITIAL_LOCAL_ROUND_TRIP_MS = 2;
 /** Weight of a new measurement in the moving average. */
 const ROUND_TRIP_WEIGHT = 0.1;
 /**
@@ -61,15 +72,26 @@
  */
 const REMOTE_MARGIN_FRACTION = 0.05;
 
+/**
+ * Maximum number of instances of the local region that a call is sent to while only its
+ * service fails here: the servers are the more likely cause then.
+ */
+const MAX_NEIGHBORS_OF_LOST_SERVICE = 2;
+
 /** What destinations are chosen from. */
 export interface DestinationChooserParts {
   readonly fleet: FleetView;
   readonly servers: Pick<ServerChooser, "choose" | "listEligible">;
+  readonly reachability: ServerReachability;
   readonly random: Random;
   readonly listRegions: () => readonly RegionId[];
 }
 
-/** Chooses between the servers of the local region and those of remote regions. */
+/**
+ * Chooses between the servers of the local region and those of remote regions. Where all
+ * servers of the local region fail for this instance, one of its other instances may still
+ * reach them.
+ */
 export class DestinationChooser {
   readonly #parts: DestinationChooserParts;
   readonly #roundTripMs = new Map<RegionId, number>();
@@ -88,12 +110,13 @@
    * @param nowMs Time now.
    */
   choose(exchange: Exchange, nowMs: number): Destination {
-    const own = this.#parts.fleet.self.region;
-    const needs = toNeeds(exchange);
+    const { fleet: { self: { region: own } }, servers } = this.#parts;
+    const localNeeds = toNeeds(exchange, exchange.unreached);
     const isForwarded = exchange.call.origin.kind === "instance";
     const allowed = listAllowedRegions(exchange, this.#parts.listRegions());
-    const local = allowed.includes(own)
-      ? this.#parts.servers.choose(needs, own, nowMs)
+    const isHome = allowed.includes(own);
+    const local = isHome
+      ? servers.choose(localNeeds, own, nowMs, { among: "working" })
       : undefined;
     const marginMs = REMOTE_MARGIN_FRACTION * exchange.route.targetMs;
     // The round trip alone costs more than the local server: no server there can be cheaper.
@@ -107,22 +130,33 @@
         region !== own && !exchange.avoidedRegions.has(region) &&
         !isTooFar(region)
       );
-    const remote = this.#chooseRemote(exchange, needs, others, nowMs);
-    if (local === undefined && remote === undefined) {
-      const reachable = isForwarded
-        ? allowed.filter((region) => region === own)
-        : allowed;
-      return this.#explain(exchange, reachable, nowMs);
+    const remote = this.#chooseRemote(exchange, others, nowMs);
+    const asksNeighbors = isHome && !isForwarded && local === undefined;
+    const elsewhere = asksNeighbors
+      ? this.#addNeighbor(exchange, remote, nowMs)
+      : remote;
+    const isCheaper = elsewhere !== undefined &&
+      (local === undefined ||
+        local.costMs > elsewhere.candidate.costMs + marginMs);
+    if (isCheaper) return elsewhere;
+    if (local !== undefined) return { kind: "local", candidate: local };
+    const lastResort = isHome
+      ? this.#chooseLastResort(exchange, localNeeds, nowMs)
+      : undefined;
+    if (lastResort !== undefined) {
+      return { kind: "local", candidate: lastResort };
     }
-    const staysLocal = local !== undefined &&
-      (remote === undefined ||
-        local.costMs <= remote.candidate.costMs + marginMs);
-    return staysLocal ? { kind: "local", candidate: local! } : remote!;
+    const reachable = isForwarded
+      ? allowed.filter((region) => region === own)
+      : allowed;
+    return this.#explain(exchange, reachable, nowMs);
   }
 
   /** Returns the mean round trip to another region, in milliseconds. */
   readRoundTripMs(region: RegionId): number {
-    return this.#roundTripMs.get(region) ?? INITIAL_ROUND_TRIP_MS;
+    const isOwn = region === this.#parts.fleet.self.region;
+    return this.#roundTripMs.get(region) ??
+      (isOwn ? INITIAL_LOCAL_ROUND_TRIP_MS : INITIAL_ROUND_TRIP_MS);
   }
 
   /** Records a measured round trip to another region, in milliseconds. */
@@ -145,19 +179,20 @@
 
   #chooseRemote(
     exchange: Exchange,
-    needs: CallNeeds,
     regions: readonly RegionId[],
     nowMs: number,
-  ): Extract<Destination, { kind: "remote" }> | undefined {
+  ): RemoteDestination | undefined {
     const { fleet, random, servers } = this.#parts;
+    const needs = toNeeds(exchange);
     const options = regions.flatMap((region) => {
       const candidate = servers.choose(needs, region, nowMs, {
+        among: "all",
         extraTokens: this.#tokensInTransit.get(region) ?? 0,
         roundTripMs: this.readRoundTripMs(region),
       });
       if (candidate === undefined) return [];
       const members = fleet.listResponsive(region, nowMs)
-        .filter(({ id }) => !exchange.avoidedInstances.has(id));
+        .filter((member) => mayReachServers(exchange, member));
       const member = pickRandom(members, random);
       if (member === undefined) return [];
       return [{ kind: "remote", member, region, candidate } as const];
@@ -165,15 +200,76 @@
     return options.sort((a, b) => a.candidate.costMs - b.candidate.costMs)[0];
   }
 
+  /**
+   * Returns the cheaper one of a destination in a remote region and another instance of the
+   * local region, if all servers of the service fail for this instance. Where it reaches
+   * other servers of the region, its links work, and a remote region is preferred.
+   */
+  #addNeighbor(
+    exchange: Exchange,
+    remote: RemoteDestination | undefined,
+    nowMs: number,
+  ): RemoteDestination | undefined {
+    const { fleet: { self }, reachability } = this.#parts;
+    const isLost = reachability.isServiceLost(exchange.service.name, nowMs);
+    if (!isLost || exchange.avoidedRegions.has(self.region)) return remote;
+    const isCutOff = reachability.isCutOff(nowMs);
+    const mayAsk = isCutOff || remote === undefined &&
+        exchange.avoidedInstances.size < MAX_NEIGHBORS_OF_LOST_SERVICE;
+    if (!mayAsk) return remote;
+    const neighbor = this.#chooseRemote(exchange, [self.region], nowMs);
+    if (neighbor === undefined || remote === undefined) {
+      return neighbor ?? remote;
+    }
+    return neighbor.candidate.costMs <= remote.candidate.costMs
+      ? neighbor
+      : remote;
+  }
+
+  /**
+   * Returns a server that fails for this instance. A call that was forwarded here goes back
+   * instead where none of the region's servers is reached: other instances may reach them.
+   */
+  #chooseLastResort(
+    exchange: Exchange,
+    needs: CallNeeds,
+    nowMs: number,
+  ): Candidate | undefined {
+    const { fleet: { self }, reachability, servers } = this.#parts;
+    const isForwarded = exchange.call.origin.kind === "instance";
+    if (isForwarded && reachability.isCutOff(nowMs)) return undefined;
+    return servers.choose(needs, self.region, nowMs);
+  }
+
+  /** Returns whether a call may reach a server of a region, from here or by another instance. */
+  #isWithinReach(
+    exchange: Exchange,
+    region: RegionId,
+    nowMs: number,
+  ): boolean {
+    const { fleet, reachability } = this.#parts;
+    const isOwn = region === fleet.self.region;
+    if (isOwn && !reachability.isServiceLost(exchange.service.name, nowMs)) {
+      return true;
+    }
+    return exchange.call.origin.kind === "caller" &&
+      fleet.listResponsive(region, nowMs)
+        .some((member) => mayReachServers(exchange, member));
+  }
+
   /** Returns why no server can take a call now. */
   #explain(
-    { service, tried }: Exchange,
+    exchange: Exchange,
     regions: readonly RegionId[],
     nowMs: number,
   ): NoDestination {
+    const { service, tried } = exchange;
     const eligible = regions.flatMap((region) =>
       this.#parts.servers.listEligible(service.name, region, nowMs)
     );
+    const isOutOfReach = eligible.length > 0 &&
+      !regions.some((region) => this.#isWithinReach(exchange, region, nowMs));
+    if (isOutOfReach) return { kind: "unreachable" };
     const untried = eligible.filter(({ id }) => !tried.has(id));
     if (eligible.length === 0) return { kind: "no-server" };
     if (untried.length === 0) {
@@ -211,7 +307,25 @@
   );
 }
 
-function toNeeds(exchange: Exchange): CallNeeds {
+/** Returns whether an instance did not refuse a call before, and reports that it reaches servers for it. */
+function mayReachServers(
+  { avoidedInstances, service }: Exchange,
+  { id, unreachableServices }: MemberRecord,
+): boolean {
+  return !avoidedInstances.has(id) &&
+    !(unreachableServices?.includes(service.name) ?? false);
+}
+
+/**
+ * Returns what the choice of a call's server depends on.
+ *
+ * @param exchange The call.
+ * @param excluded Servers to exclude beside those that had the call. Default: none.
+ */
+function toNeeds(
+  exchange: Exchange,
+  excluded: ReadonlySet<BackendId> = new Set(),
+): CallNeeds {
   const {
     facts,
     maxTokenGapMs: maxTokenGapMs,
@@ -228,6 +342,6 @@
     maxOutputTokens: facts.prompt?.maxOutputTokens ?? 0,
     targetMs: route.targetMs,
     maxTokenGapMs,
-    tried,
+    tried: excluded.size === 0 ? tried : new Set([...tried, ...excluded]),
   };
 }
--- a/forwarding/choose_server.ts
+++ b/forwarding/choose_server.ts
@@ -6,6 +6,7 @@
 import type { KnownServer, ServerRegistry } from "../servers/mod.ts";
 import type { LearnedServers } from "./learned_servers.ts";
 import type { KeyedPart } from "./prefix_cache_model.ts";
+import type { ServerReachability } from "./server_reachability.ts";
 
 /**
  * Calls that a plain server gets for each of its slots: one runs and one waits
@@ -107,8 +108,19 @@
 
 type Evaluation = Omit<Candidate, "costMs">;
 
+/**
+ * Which servers may be chosen:
+ *
+ * - `working`: those that do not fail for this instance.
+ * - `any`: the same, and where all of them fail, those that let a call know that at once.
+ * - `all`: also those that fail for this instance, since another one sends the call.
+ */
+export type ServerSelection = "working" | "any" | "all";
+
 /** Options for the choice of a server. */
 export interface ChooseServerOptions {
+  /** Which servers may be chosen. Default: `any`. */
+  readonly among?: ServerSelection;
   /** Prompt tokens in transit to the region, which no load report includes yet. Default: none. */
   readonly extraTokens?: number;
   /** Round trip to the region, in milliseconds. Default: 0. */
@@ -121,6 +133,7 @@
   readonly registry: ServerRegistry;
   readonly loads: LoadTracker;
   readonly learned: LearnedServers;
+  readonly reachability: ServerReachability;
   readonly random: Random;
   /** Returns how many other instances choose among the servers of the local region. */
   readonly countOthers: () => number;
@@ -149,19 +162,9 @@
     nowMs: number,
     options: ChooseServerOptions = {},
   ): Candidate | undefined {
-    const { registry, learned: { health } } = this.#parts;
+    const { learned: { health } } = this.#parts;
     const service = needs.service.name;
-    const servers = registry.listUsable(service, region);
-    const available = servers.filter(({ entry }) =>
-      !needs.tried.has(entry.id) &&
-      health.readCooldownUntilMs(entry.id) <= nowMs
-    );
-    const healthy = available.filter(({ entry }) =>
-      !health.isSuspended(entry.id, nowMs) &&
-      !this.#isSilent(service, entry.id, nowMs)
-    );
-    // Where every server looks failed, the network is the more likely cause.
-    const considered = healthy.length > 0 ? healthy : available;
+    const considered = this.#listConsidered(needs, region, nowMs, options);
     const first = this.#findFirstRank(needs, considered);
     const extraTokens = (options.extraTokens ?? 0) /
       Math.max(1, considered.length);
@@ -181,6 +184,28 @@
     return this.#pickBest(candidates, service, nowMs);
   }
 
+  #listConsidered(
+    needs: CallNeeds,
+    region: RegionId,
+    nowMs: number,
+    { among = "any" }: ChooseServerOptions,
+  ): readonly KnownServer[] {
+    const { learned: { health, links }, reachability, registry } = this.#parts;
+    const service = needs.service.name;
+    const available = registry.listUsable(service, region)
+      .filter(({ entry }) =>
+        !needs.tried.has(entry.id) &&
+        health.readCooldownUntilMs(entry.id) <= nowMs
+      );
+    if (among === "all") return available;
+    const working = available.filter(({ entry }) =>
+      !reachability.isFailing(service, entry.id, nowMs)
+    );
+    if (among === "working" || working.length > 0) return working;
+    // Where every server looks failed, the network is the more likely cause.
+    return available.filter(({ entry }) => !links.isHanging(entry.id));
+  }
+
   /**
    * Picks the cheapest candidate, or at random one whose cost is higher by less than
    * the work that other instances may have sent in the meantime.
@@ -239,13 +264,6 @@
       limitGate.isOpen(id, nowMs);
   }
 
-  #isSilent(service: string, server: BackendId, nowMs: number): boolean {
-    const { loads, learned: { liveness, speeds } } = this.#parts;
-    const { pendingTokens } = loads.readTotal(server);
-    const estimateMs = speeds.estimateMs(server, service, pendingTokens);
-    return liveness.isSilent(server, estimateMs, nowMs);
-  }
-
   /** Returns the estimates for a call at a server, or `undefined` where it has no capacity. */
   #evaluate(
     needs: CallNeeds,
--- a/forwarding/choose_server_test.ts
+++ b/forwarding/choose_server_test.ts
@@ -7,6 +7,7 @@
 import { ServerRegistry } from "../servers/mod.ts";
 import { type CallNeeds, ServerChooser } from "./choose_server.ts";
 import { LearnedServers } from "./learned_servers.ts";
+import { ServerReachability } from "./server_reachability.ts";
 import { type PrefixCacheModel, toKeyedParts } from "./prefix_cache_model.ts";
 import {
   createFleetView,
@@ -51,6 +52,7 @@
   );
   const chooser = new ServerChooser({
     ...parts,
+    reachability: new ServerReachability(parts),
     random: createRandom(1),
     countOthers: () => 0,
   });
--- a/forwarding/exchange.ts
+++ b/forwarding/exchange.ts
@@ -27,12 +27,14 @@
   readonly progress: StreamProgress;
   /** Servers that had the call before, also those that other instances sent it to. */
   readonly tried: Set<BackendId>;
+  /** Servers that this instance could not send the call to; another instance may reach them. */
+  readonly unreached: Set<BackendId>;
   /** Order in the queue of waiting calls, kept over several waits. */
   readonly waitOrder: number;
   /** How often the call may still be sent. */
   attemptsLeft: number;
   /** Servers that this instance sent the call to, in order. */
-  readonly sentTo: BackendId[];
+  sentTo: readonly BackendId[];
   /** Whether the call is being handed over to a second destination while the first one has it. */
   isHandingOver: boolean;
   /** Whether a server may have run the call. */
--- a/forwarding/learned_servers.ts
+++ b/forwarding/learned_servers.ts
@@ -5,6 +5,7 @@
 import { PrefixCacheModel } from "./prefix_cache_model.ts";
 import { ServerHealth } from "./server_health.ts";
 import { ServerLimits } from "./server_limits.ts";
+import { ServerLinks } from "./server_links.ts";
 import { ServerLiveness } from "./server_liveness.ts";
 import { ServerSpeeds } from "./server_speeds.ts";
 import { LimitGate, type LimitGateParts } from "./limit_gate.ts";
@@ -35,6 +36,7 @@
   readonly health = new ServerHealth();
   readonly liveness = new ServerLiveness();
   readonly limits = new ServerLimits();
+  readonly links = new ServerLinks();
   readonly prefixes = new PrefixCacheModel();
   readonly costJitter = new CostJitter();
   readonly warmUp: WarmUpGate;
@@ -98,12 +100,13 @@
       health,
       limitGate,
       limits,
+      links,
       prefixes,
       liveness,
       speeds,
       warmUp,
     } = this;
-    [speeds, health, liveness, limits, limitGate, prefixes, warmUp]
+    [speeds, health, liveness, limits, limitGate, links, prefixes, warmUp]
       .forEach((each) => each.keepOnly(servers));
   }
 }
--- a/forwarding/no_capacity.ts
+++ b/forwarding/no_capacity.ts
@@ -27,6 +27,7 @@
       return place.untilMs - nowMs > maxWaitMs;
     case "rate-limited":
     case "tried":
+    case "unreachable":
       return true;
   }
 }
@@ -45,7 +46,7 @@
 ): Refusal {
   const comeBackMs = "untilMs" in place ? place.untilMs - nowMs : 0;
   return {
-    reason: "no-room",
+    reason: place.kind === "unreachable" ? "unreachable" : "no-room",
     message: describeNoCapacity(service, place.kind),
     retryAfterMs: Math.max(NO_CAPACITY_RETRY_MS, comeBackMs),
   };
@@ -66,6 +67,8 @@
       return `The limits of the servers of "${service}" are used up`;
     case "tried":
       return `Every server of "${service}" had the call`;
+    case "unreachable":
+      return `No server of "${service}" can be reached`;
   }
 }
 
--- a/forwarding/refusal.ts
+++ b/forwarding/refusal.ts
@@ -20,6 +20,8 @@
   | "overloaded"
   /** Every server that may run the call is full, or there is none. */
   | "no-room"
+  /** This instance reaches no server that may run the call, and knows no instance that does. */
+  | "unreachable"
   /** The deadline passed before the call was sent to a server. */
   | "no-time"
   /** Servers crashed while they had the call, whoever sent it; it is sent to no other server. */
@@ -59,6 +61,7 @@
   "leaving": [503, "Service Unavailable"],
   "overloaded": [503, "Service Unavailable"],
   "no-room": [503, "Service Unavailable"],
+  "unreachable": [503, "Service Unavailable"],
   "no-time": [503, "Service Unavailable"],
   // Not a 4xx status: it is not proven that the call is what crashes the servers.
   "quarantined": [503, "Service Unavailable"],
--- a/forwarding/run_attempt.ts
+++ b/forwarding/run_attempt.ts
@@ -26,7 +26,12 @@
   /** The server answered with a failure, which is held back because the call may be retried. */
   | { readonly kind: "failed"; readonly answer: HeldAnswer }
   /** No byte of the call was sent. */
-  | { readonly kind: "not-sent"; readonly message: string }
+  | {
+    readonly kind: "not-sent";
+    readonly message: string;
+    /** Whether a limit of this instance is the reason. Default: no. */
+    readonly isOwnLimit?: boolean | undefined;
+  }
   /** The server or the remote instance reported that the call did not run. */
   | {
     readonly kind: "rejected";
@@ -291,9 +296,9 @@
 
   onFailure(failure: SendFailure): void {
     if (this.#isFinished) return;
-    const { message } = failure;
+    const { isOwnLimit, message } = failure;
     if (failure.kind === "not-sent") {
-      this.#finish({ kind: "not-sent", message });
+      this.#finish({ kind: "not-sent", message, isOwnLimit });
       return;
     }
     const kind = this.#hasPassedBytes ? "broken" : "no-answer";
--- a/forwarding/server_client.ts
+++ b/forwarding/server_client.ts
@@ -29,6 +29,11 @@
    */
   readonly kind: "not-sent" | "closed" | "unknown";
   readonly message: string;
+  /**
+   * Whether a call was not sent because of a limit of this instance, such as that of its
+   * connections, which shows nothing about the server. Default: no.
+   */
+  readonly isOwnLimit?: boolean;
 }
 
 /** Receives the events of a send. The last one is either `onEnd` or `onFailure`. */
--- a/forwarding/server_sender.ts
+++ b/forwarding/server_sender.ts
@@ -150,7 +150,7 @@
     const ended = outcome.kind === "handed-over"
       ? outcome.firstOutcome
       : outcome;
-    this.#recordOutcome(exchange, candidate, ended);
+    this.#recordOutcome(exchange, candidate, ended, startMs);
     this.#recordForQuarantine(exchange, candidate, ended, firstByteMs);
     return outcome;
   }
@@ -202,7 +202,7 @@
       learned.recordSent(entry.id, exchange.promptParts);
     }
     exchange.tried.add(entry.id);
-    exchange.sentTo.push(entry.id);
+    exchange.sentTo = [...exchange.sentTo, entry.id];
   }
 
   /** Returns how long the prompt of a call delays the calls behind it at its server, in milliseconds. */
@@ -228,10 +228,21 @@
     exchange: Exchange,
     candidate: Candidate,
     outcome: EndedOutcome,
+    startMs: number,
   ): void {
-    const { clock, learned: { health }, logger } = this.#parts;
+    const { clock, learned: { health, links }, logger } = this.#parts;
     const { id } = candidate.server.entry;
     const nowMs = clock.nowMs();
+    if (outcome.kind === "not-sent" && outcome.isOwnLimit !== true) {
+      const service = exchange.service.name;
+      const { message: reason } = outcome;
+      if (links.recordFailure(id, { nowMs, tookMs: nowMs - startMs })) {
+        logger.warn("server unreachable", { server: id, service, reason });
+      }
+      return;
+    }
+    // A reset connection may be that of a server that is well, or one of many that broke.
+    if (outcome.kind === "no-answer") links.suspect(id, nowMs);
     if (outcome.kind === "rejected" && outcome.isMisdirected) {
       health.suspend(id, nowMs + MISDIRECTED_SUSPENSION_MS);
     }
--- a/forwarding/settle_attempt.ts
+++ b/forwarding/settle_attempt.ts
@@ -1,4 +1,5 @@
 import type { Destination } from "./choose_destination.ts";
+import type { BackendId } from "../ids/mod.ts";
 import { type Exchange, isResumableNow, isRetryable } from "./exchange.ts";
 import type { Refusal } from "./refusal.ts";
 import type { EndedOutcome } from "./run_attempt.ts";
@@ -49,8 +50,17 @@
       return { kind: "choose-again" };
     case "not-sent":
       avoidInstance(exchange, destination);
+      if (destination.kind === "local") {
+        recordUnreached(exchange, destination.candidate.server.entry.id);
+      }
       return { kind: "choose-again" };
     case "rejected":
+      if (outcome.reason === "unreachable" && outcome.sends === 0) {
+        // Neither a server nor a retry was used, and other instances of that region may
+        // reach its servers.
+        avoidInstance(exchange, destination);
+        return { kind: "choose-again" };
+      }
       if (destination.kind === "remote") {
         exchange.avoidedRegions.add(destination.region);
         exchange.attemptsLeft -= outcome.sends;
@@ -105,6 +115,13 @@
   settleAttempt(exchange, destination, outcome);
 }
 
+/** Records that no byte of a call reached a server, which counts as no send to it. */
+function recordUnreached(exchange: Exchange, server: BackendId): void {
+  exchange.tried.delete(server);
+  exchange.sentTo = exchange.sentTo.filter((id) => id !== server);
+  exchange.unreached.add(server);
+}
+
 /** Excludes the remote instance that a call was forwarded to from its next choices. */
 export function avoidInstance(
   exchange: Exchange,
--- a/forwarding/settle_attempt_test.ts
+++ b/forwarding/settle_attempt_test.ts
@@ -6,7 +6,11 @@
 import type { AttemptOutcome } from "./run_attempt.ts";
 import { type SendDestination, settleAttempt } from "./settle_attempt.ts";
 
-const LOCAL = { kind: "local", candidate: {} } as SendDestination;
+const SERVER = toBackendId("s1");
+const LOCAL = {
+  kind: "local",
+  candidate: { server: { entry: { id: SERVER } } },
+} as SendDestination;
 const REMOTE = {
   kind: "remote",
   member: { id: toInstanceId("south-1") },
@@ -28,9 +32,10 @@
   return {
     route: { routeClass: "non-idempotent", isResumable: false, ...route },
     progress: { hasBegun: false, lastEventId: undefined, ...progress },
-    tried: new Set([toBackendId("s1")]),
+    tried: new Set([SERVER]),
+    unreached: new Set(),
     attemptsLeft: 2,
-    sentTo: [],
+    sentTo: [SERVER],
     isHandingOver: false,
     mayHaveRun: false,
     heldAnswer: undefined,
@@ -118,5 +123,42 @@
       assert.equal(exchange.attemptsLeft, 2);
       assert.equal(exchange.mayHaveRun, false);
     });
+
+    it("lets another instance send the call to the server", () => {
+      const exchange = createExchange({});
+      settleAttempt(exchange, LOCAL, { kind: "not-sent", message: "refused" });
+      assert.deepEqual([...exchange.tried], []);
+      assert.deepEqual(exchange.sentTo, []);
+      assert.deepEqual([...exchange.unreached], [SERVER]);
+    });
+  });
+
+  describe("when another instance reaches no server", () => {
+    const UNREACHABLE: AttemptOutcome = {
+      ...REJECTED,
+      sends: 0,
+      reason: "unreachable",
+    };
+
+    it("avoids that instance, not its region, and uses no attempt", () => {
+      const exchange = createExchange({});
+      const step = settleAttempt(exchange, REMOTE, UNREACHABLE);
+      assert.equal(step.kind, "choose-again");
+      assert.equal(exchange.attemptsLeft, 2);
+      assert.deepEqual([...exchange.avoidedRegions], []);
+      assert.deepEqual([...exchange.avoidedInstances], [
+        toInstanceId("south-1"),
+      ]);
+    });
+
+    it("avoids its region if servers there have refused the call before", () => {
+      const exchange = createExchange({});
+      const step = settleAttempt(exchange, REMOTE, {
+        ...UNREACHABLE,
+        sends: 1,
+      });
+      assert.equal(step.kind, "retry");
+      assert.deepEqual([...exchange.avoidedRegions], [toRegionId("south")]);
+    });
   });
 });
--- a/metrics/metrics.ts
+++ b/metrics/metrics.ts
@@ -45,6 +45,8 @@
   "loop.delay_ms": "gauge; longest time that the bytes read now have waited",
   "servers.limited":
     "gauge; servers that advertise a limit of calls per second",
+  "servers.unreachable":
+    "gauge; servers to which this instance can open no connection",
   "process.errors":
     "counter; errors that no code has taken; tags: kind (rejection, exception)",
   "quarantine.held": "gauge; calls refused because they crashed servers",
--- a/servers/server_registry.ts
+++ b/servers/server_registry.ts
@@ -49,6 +49,7 @@
   readonly #missingUntilMs = new Map<BackendId, number>();
   readonly #readWarmUpMs: (service: string) => number;
   #usablePools: ReadonlyMap<string, readonly KnownServer[]> = new Map();
+  #usableServices: ReadonlyMap<RegionId, readonly string[]> = new Map();
 
   /** @param options Warm-up times of the services. */
   constructor(options: ServerRegistryOptions = {}) {
@@ -75,6 +76,11 @@
     return this.#usablePools.get(toPoolKey(service, region)) ?? [];
   }
 
+  /** Returns the services that have servers which may get calls in a region. */
+  listUsableServices(region: RegionId): readonly string[] {
+    return this.#usableServices.get(region) ?? [];
+  }
+
   /** Returns whether a server may get new calls. */
   isUsable(id: BackendId): boolean {
     const known = this.#servers.get(id);
@@ -213,9 +219,22 @@
       else pool.push(known);
     });
     this.#usablePools = pools;
+    this.#usableServices = groupServices([...pools.values()].flat());
   }
 }
 
+/** Returns the names of the servers' services, by region. */
+function groupServices(
+  servers: readonly KnownServer[],
+): ReadonlyMap<RegionId, readonly string[]> {
+  const services = new Map<RegionId, Set<string>>();
+  servers.forEach(({ entry: { region, service } }) => {
+    const names = services.get(region) ?? new Set();
+    services.set(region, names.add(service));
+  });
+  return new Map([...services].map(([region, names]) => [region, [...names]]));
+}
+
 function toPoolKey(service: string, region: RegionId): string {
   return `${service}\u0000${region}`;
 }
--- a/tests/http_gateway_fixture.ts
+++ b/tests/http_gateway_fixture.ts
@@ -1,5 +1,6 @@
 import { CallListener } from "../adapters/call_listener.ts";
 import { ConnectionPool } from "../adapters/connection_pool.ts";
+import { probeConnection } from "../adapters/probe_connection.ts";
 import { systemClock } from "../adapters/system_clock.ts";
 import { createRandom } from "../clock/mod.ts";
 import { HttpGateway } from "../daemon/http_gateway.ts";
@@ -119,6 +120,7 @@
     headerCodec: PLATFORM_HEADER_CODEC,
     client: pool,
     peerClient: pool,
+    probeServer: probeConnection,
     self: {
       id: toInstanceId(`instance-${host}`),
       incarnation: "1",
--- a/tests/virtual_fleet.ts
+++ b/tests/virtual_fleet.ts
@@ -129,6 +129,7 @@
       random: createRandom(this.gateways.size + 1),
       client: this.#createServerClient(address),
       peerClient: this.#createPeerClient(address),
+      probeServer: (server) => this.#probe(address, server),
       sendReport: this.#createSendReport(address),
       seedAddresses: names.slice(0, 3).map(toVirtualAddress),
       retryBounds: { ratio: 1, slack: 1_000, windowMs: 10_000 },
@@ -324,6 +325,12 @@
     };
   }
 
+  async #probe(from: string, address: string): Promise<boolean> {
+    if (!await this.links.probe(from)) return false;
+    const server = this.#servers.get(address);
+    return server !== undefined && !server.hasCrashed;
+  }
+
   #createPeerClient(from: string): ServerClient {
     return {
       send: (request, events) => {
--- a/tests/virtual_links.ts
+++ b/tests/virtual_links.ts
@@ -1,8 +1,10 @@
-import type { VirtualClock } from "../clock/mod.ts";
+import { type VirtualClock, waitFor } from "../clock/mod.ts";
 import type { ActiveSend, SendEvents } from "../forwarding/mod.ts";
 
 /** How long an instance waits for a connection that nobody accepts, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 1_000;
+/** How long an instance waits for the connection of a probe, in milliseconds. */
+const PROBE_TIMEOUT_MS = 500;
 /** Answers of which one is the last on its connection, as servers close some of them. */
 const ANSWERS_PER_CLOSE = 5;
 
@@ -48,8 +50,10 @@
     );
   }
 
-  /** Returns whether an instance can open a connection now. */
-  canConnect(instance: string): boolean {
+  /** Returns whether an instance can open a connection, as soon as it would know. */
+  async probe(instance: string): Promise<boolean> {
+    const isHanging = this.read(instance) === "hanging";
+    if (isHanging) await waitFor(this.#clock, PROBE_TIMEOUT_MS);
     return this.read(instance) === "open";
   }
 
