The directory names no instance without links to servers while others of its region have them

Of a region's ready instances those that report that they reach no server of any service there are left out; if none is left, all are named, since then the servers are the more likely cause, or no better entry is known. Test: tests/cut_off_instance_test.ts, which failed before (all three instances of the region named); it also shows that they are named again within a second. Readiness stays as it is: such an instance serves its callers.

--- a/daemon/http_gateway.ts
+++ b/daemon/http_gateway.ts
@@ -240,7 +240,12 @@
   pickEntries(region: RegionId, host: string): EntryAnswer {
     const findHomes = () => this.forwarder.findHomes(host);
     const nowMs = this.#parts.clock.nowMs();
-    const answer = pickEntries(this.fleet, { region, findHomes }, nowMs);
+    const isCutOff = (member: MemberRecord) => this.#isCutOff(member);
+    const answer = pickEntries(
+      this.fleet,
+      { region, findHomes, isCutOff },
+      nowMs,
+    );
     this.#answerRecorder.record({
       ...answer,
       region,
@@ -399,6 +404,13 @@
     this.#reporter.addPrefixes(prefixes);
   }
 
+  /** Returns whether a member reports that it reaches no server of any service in its region. */
+  #isCutOff({ region, unreachableServices = [] }: MemberRecord): boolean {
+    const services = this.registry.listUsableServices(region);
+    return unreachableServices.length > 0 &&
+      services.every((service) => unreachableServices.includes(service));
+  }
+
   /** Probes servers that may not be reached, and tells others whose servers all fail here. */
   #updateReachability(): void {
     this.forwarder.probeLinks();
--- a/directory/pick_entries.ts
+++ b/directory/pick_entries.ts
@@ -11,6 +11,8 @@
   readonly region: RegionId;
   /** Returns the regions to which callers of the requested host may be directed. */
   readonly findHomes: () => HostHomes;
+  /** Returns whether an instance reaches no server of its region. Default: all reach some. */
+  readonly isCutOff?: (member: MemberRecord) => boolean;
 }
 
 /**
@@ -68,6 +70,9 @@
  * graceful shutdown that still accept calls, and otherwise an empty answer, although
  * other regions could serve some of its calls.
  *
+ * Of a region's instances, those that reach none of its servers are left out while others
+ * do: they could only forward their calls to these.
+ *
  * @param fleet Known instances and their states.
  * @param request Region of the caller, and the home regions of the host.
  * @param nowMs Current time, in milliseconds.
@@ -77,8 +82,13 @@
   request: EntryRequest,
   nowMs: number,
 ): EntryAnswer {
+  const { isCutOff = () => false } = request;
   const listReadyIn = (regions: readonly RegionId[]) =>
-    regions.flatMap((region) => fleet.listReady(region, nowMs));
+    regions.flatMap((region) => {
+      const ready = fleet.listReady(region, nowMs);
+      const connected = ready.filter((member) => !isCutOff(member));
+      return connected.length > 0 ? connected : ready;
+    });
   const listLeaving = (regions: readonly RegionId[]) =>
     [...new Set([request.region, ...regions])]
       .flatMap((region) => fleet.listLeaving(region, nowMs));
--- a/tests/cut_off_instance_test.ts
+++ b/tests/cut_off_instance_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { afterEach, describe, it } from "node:test";
-import { createRoute, createRouteTable } from "./route_fixture.ts";
+import { toRegionId } from "../ids/mod.ts";
+import { createRoute, createRouteTable, ROUTE_HOST } from "./route_fixture.ts";
 import { VirtualFleet, type VirtualFleetParts } from "./virtual_fleet.ts";
 import type { LinkState } from "./virtual_links.ts";
 
@@ -138,4 +139,31 @@
       });
     });
   });
+
+  it("are not named by the directory while others of their region reach servers", async () => {
+    const fleet = await startFleet();
+    await countTriesInCut(fleet, MOST, "reset");
+    assert.deepEqual(listNamed(fleet, "north"), ["north-2"]);
+    MOST.forEach((instance) => fleet.links.set(instance, "open"));
+    await sendCalls(fleet, 1_000);
+    assert.deepEqual(listNamed(fleet, "north"), ALL_OF_NORTH);
+  });
+
+  it("are all named by the directory if no instance of their region reaches servers", async () => {
+    const fleet = await startFleet();
+    await countTriesInCut(fleet, ALL_OF_NORTH, "reset");
+    assert.deepEqual(listNamed(fleet, "north"), ALL_OF_NORTH);
+  });
 });
+
+/** Returns the ids that all instances name to callers of a region. */
+function listNamed(
+  { gateways }: VirtualFleet,
+  region: string,
+): readonly string[] {
+  const named = [...gateways.values()]
+    .flatMap((gateway) =>
+      gateway.pickEntries(toRegionId(region), ROUTE_HOST).entries
+    ).map(({ id }) => id);
+  return [...new Set(named)].sort();
+}
