A reset connection is a server's crash only if the server is gone and others are there

Where the links of instances were reset, a call that several instances had in flight, and that had no answer yet, was quarantined by all instances for ten minutes: the new case in tests/cut_off_instance_test.ts failed before (503 at every instance after the links were back), and passes now.

A server that closed a connection is probed: if it accepts a connection it has not crashed; if it does not, and no other server that could be reached until now does, the instance's own links are the more likely cause. Without another server to tell, it counts as a crash, as before. Calls that the server had share one probe.

--- a/forwarding/call_forwarder.ts
+++ b/forwarding/call_forwarder.ts
@@ -31,6 +31,7 @@
   type NoDestination,
 } from "./choose_destination.ts";
 import { ServerChooser } from "./choose_server.ts";
+import { CrashConfirmer } from "./crash_confirmer.ts";
 import type { Exchange } from "./exchange.ts";
 import { InstanceSender } from "./instance_sender.ts";
 import { LearnedServers } from "./learned_servers.ts";
@@ -170,6 +171,11 @@
       serverSender: new ServerSender({
         ...parts,
         quarantine: this.quarantine,
+        crashConfirmer: new CrashConfirmer({
+          ...parts,
+          ...known,
+          links: this.#learned.links,
+        }),
         learned: this.#learned,
         createHopHeaders: (exchange) =>
           this.#replies.createAnsweredHeaders(exchange),
--- a/forwarding/server_sender.ts
+++ b/forwarding/server_sender.ts
@@ -6,6 +6,7 @@
 import type { RegisteredServer, ServerRegistry } from "../servers/mod.ts";
 import type { AnswerFacts, CallHeaderCodec } from "./call_header_codec.ts";
 import type { Candidate } from "./choose_server.ts";
+import type { CrashConfirmer } from "./crash_confirmer.ts";
 import { type Exchange, isRetryable } from "./exchange.ts";
 import type { LearnedServers } from "./learned_servers.ts";
 import { computeFirstByteTimeoutMs } from "./compute_first_byte_timeout.ts";
@@ -50,6 +51,8 @@
   readonly learned: LearnedServers;
   /** Records crashes of servers and the calls that they had. */
   readonly quarantine: CallQuarantine;
+  /** Tells crashes of servers from lost connections. */
+  readonly crashConfirmer: CrashConfirmer;
   readonly logger: Logger;
   readonly metrics: Metrics;
   /** Returns headers to add to those of the server's answer. */
@@ -151,7 +154,7 @@
       ? outcome.firstOutcome
       : outcome;
     this.#recordOutcome(exchange, candidate, ended, startMs);
-    this.#recordForQuarantine(exchange, candidate, ended, firstByteMs);
+    void this.#recordForQuarantine(exchange, candidate, ended, firstByteMs);
     return outcome;
   }
 
@@ -317,23 +320,24 @@
   }
 
   /** Records for the quarantine whether the call was answered or its server crashed. */
-  #recordForQuarantine(
+  async #recordForQuarantine(
     { content }: Exchange,
-    { server: { entry: { id } } }: Candidate,
+    { server: { entry } }: Candidate,
     outcome: EndedOutcome,
     firstByteMs: number | undefined,
-  ): void {
-    const { clock, quarantine } = this.#parts;
+  ): Promise<void> {
+    const { clock, crashConfirmer, quarantine } = this.#parts;
     const nowMs = clock.nowMs();
     if (isServed(outcome)) quarantine.recordAnswer(content, nowMs);
-    if (hasCrashedServer(outcome, firstByteMs, nowMs)) {
-      quarantine.recordCrash(content, id, nowMs);
+    if (!mayHaveCrashedServer(outcome, firstByteMs, nowMs)) return;
+    if (await crashConfirmer.confirm(entry)) {
+      quarantine.recordCrash(content, entry.id, nowMs);
     }
   }
 }
 
-/** Returns whether the server crashed before the call had run for long. */
-function hasCrashedServer(
+/** Returns whether the server may have crashed before the call had run for long. */
+function mayHaveCrashedServer(
   outcome: EndedOutcome,
   firstByteMs: number | undefined,
   nowMs: number,
--- a/tests/cut_off_instance_test.ts
+++ b/tests/cut_off_instance_test.ts
@@ -140,6 +140,27 @@
     });
   });
 
+  it("do not have calls quarantined whose connections were reset", async () => {
+    const fleet = await startFleet({
+      decide: ({ body }) => ({
+        kind: "answer",
+        afterMs: body === "the same" ? 400 : 20,
+      }),
+    });
+    await sendCalls(fleet, 1_000);
+    const instances = [...fleet.gateways.keys()];
+    instances.forEach((instance) => void fleet.call("the same", instance));
+    await fleet.clock.advance(200);
+    instances.forEach((instance) => fleet.links.set(instance, "reset"));
+    await sendCalls(fleet, 1_000);
+    instances.forEach((instance) => fleet.links.set(instance, "open"));
+    await sendCalls(fleet, 1_000);
+    const calls = instances.map((instance) => fleet.call("the same", instance));
+    await fleet.clock.advance(2_000);
+    const statuses = (await Promise.all(calls)).map(({ status }) => status);
+    assert.deepEqual([...new Set(statuses)], [200]);
+  });
+
   it("are not named by the directory while others of their region reach servers", async () => {
     const fleet = await startFleet();
     await countTriesInCut(fleet, MOST, "reset");
