Servers that fail when they reject too many calls a second are kept from rejecting them

The bound holds for all instances together, so it is divided: each has an equal share of the slots, which it may fill whatever it hears of others, as reports are older than a burst; beyond that it may have as many calls pending or rejected within a second as its share of the tolerated rejections. Where a share is under one, the first instances by rendezvous rank have one. Nothing waits at such a server. No gossip: who sends hears it in the answer.

--- a/fleet/load_tracker.ts
+++ b/fleet/load_tracker.ts
@@ -65,6 +65,11 @@
     return [...sums].map(([server, sum]) => ({ server, ...sum }));
   }
 
+  /** Returns the number of this instance's calls in flight at a server. */
+  readOwnCalls(server: BackendId): number {
+    return this.#own.get(server)?.calls ?? 0;
+  }
+
   /** Returns the load of a server by all known calls. */
   readTotal(server: BackendId): ServerLoad {
     const local = this.#summary ?? this.#reported.instance;
--- a/forwarding/call_header_codec.ts
+++ b/forwarding/call_header_codec.ts
@@ -78,6 +78,11 @@
    * it advertises no limit.
    */
   readonly limitPerSecond: number | undefined;
+  /**
+   * Rejections per second, of calls from all instances together, after which the server
+   * fails; `undefined` if it names none.
+   */
+  readonly rejectionsPerSecond: number | undefined;
   /** How long the server stays cold, in milliseconds; `undefined` if the answer does not tell. */
   readonly coldForMs: number | undefined;
 }
--- a/forwarding/choose_server.ts
+++ b/forwarding/choose_server.ts
@@ -6,6 +6,7 @@
 import type { KnownServer, ServerRegistry } from "../servers/mod.ts";
 import type { LearnedServers } from "./learned_servers.ts";
 import type { KeyedPart } from "./prefix_cache_model.ts";
+import type { SlotUsage } from "./rejection_gate.ts";
 import type { ServerReachability } from "./server_reachability.ts";
 
 /**
@@ -86,6 +87,8 @@
   readonly sharedPrefillTokens: number;
   /** Tokens of memory that the call will occupy, in addition to what is cached. */
   readonly memoryTokens: number;
+  /** Calls that the server has without it, and its slots. */
+  readonly usage: SlotUsage;
 }
 
 /**
@@ -273,15 +276,25 @@
   ): Evaluation | undefined {
     const { entry } = server;
     const { service } = needs;
-    const { loads, learned: { prefixes, speeds } } = this.#parts;
+    const { loads, learned: { prefixes, rejectionGate, speeds } } = this.#parts;
     if (!this.#isWithinBounds(server, service, nowMs)) return undefined;
     const load = loads.readTotal(entry.id);
+    const slots = service.engine?.maxSequences ?? entry.slots;
+    const usage = {
+      ownCalls: loads.readOwnCalls(entry.id),
+      calls: load.calls,
+      slots,
+    };
+    if (!rejectionGate.isOpen(entry.id, usage, nowMs)) return undefined;
+    // A server that must not reject calls has no room for calls that wait there.
+    const mayQueue = !rejectionGate.isBrittle(entry.id);
     const cached = prefixes.countCachedTokens(entry.id, needs.parts);
     const prefillTokens = Math.max(1, needs.promptTokens - cached);
     const memoryTokens = prefillTokens + needs.maxOutputTokens;
     const uncachedSharedTokens = countShared(needs.parts) - cached;
     if (service.engine === undefined) {
-      if (load.calls >= entry.slots * CALLS_PER_PLAIN_SLOT) return undefined;
+      const maxCalls = mayQueue ? slots * CALLS_PER_PLAIN_SLOT : slots;
+      if (load.calls >= maxCalls) return undefined;
       const waiting = Math.max(0, load.calls + 1 - entry.slots);
       const oneMs = speeds.estimateMs(entry.id, service.name, 0);
       const estimateMs = oneMs * (1 + waiting / entry.slots);
@@ -292,6 +305,7 @@
         sharedPrefillTokens: 0,
         stalledStreams: 0,
         memoryTokens,
+        usage,
       };
     }
     const { cacheTokens, maxSequences } = service.engine;
@@ -308,7 +322,7 @@
       ? 0
       : estimatePrefillMs(cached) - estimatePrefillMs(0) +
         SHARED_PREFILL_COST_MS_PER_TOKEN * cached;
-    const maxCalls = waitMs < savedMs
+    const maxCalls = mayQueue && waitMs < savedMs
       ? maxSequences * (1 + WAITING_FRACTION_WITH_CACHE)
       : maxSequences;
     const isFull = load.calls >= maxCalls ||
@@ -327,6 +341,7 @@
         ? load.calls
         : 0,
       memoryTokens,
+      usage,
     };
   }
 
--- a/forwarding/gateway_header_codec.ts
+++ b/forwarding/gateway_header_codec.ts
@@ -26,6 +26,8 @@
 const LEAVING = "x-leaving";
 /** Calls per second that a server accepts from all instances together, while it sends the header. */
 const CALL_LIMIT = "x-call-limit";
+/** Rejections per second after which a server fails, while it sends the header. */
+const REJECTION_LIMIT = "x-rejection-limit";
 /** Time for which a server stays cold, in milliseconds. */
 const COLD_MS = "x-cold-ms";
 const RETRY_AFTER = "retry-after";
@@ -83,6 +85,7 @@
         ? parseRetryAfterMs(readHeader(headers, RETRY_AFTER))
         : undefined,
       limitPerSecond: parseAmount(readHeader(headers, CALL_LIMIT)),
+      rejectionsPerSecond: parseAmount(readHeader(headers, REJECTION_LIMIT)),
       coldForMs: parseAmount(readHeader(headers, COLD_MS)),
     };
   },
--- a/forwarding/learned_servers.ts
+++ b/forwarding/learned_servers.ts
@@ -9,6 +9,7 @@
 import { ServerLiveness } from "./server_liveness.ts";
 import { ServerSpeeds } from "./server_speeds.ts";
 import { LimitGate, type LimitGateParts } from "./limit_gate.ts";
+import { RejectionGate } from "./rejection_gate.ts";
 import { type WarmUpBounds, WarmUpGate } from "./warm_up_gate.ts";
 
 /** Fraction of an engine's memory that cached prompt parts are assumed to fill, beside running calls. */
@@ -28,7 +29,7 @@
 
 /**
  * What this instance has learned of backend servers: their speed, health, liveness and
- * rate limits, the prompt parts that they have cached, and the calls sent to servers
+ * rate limits, how many rejections they tolerate, the prompt parts that they have cached, and the calls sent to servers
  * that are cold or limited.
  */
 export class LearnedServers {
@@ -41,6 +42,7 @@
   readonly costJitter = new CostJitter();
   readonly warmUp: WarmUpGate;
   readonly limitGate: LimitGate;
+  readonly rejectionGate: RejectionGate;
   readonly #readMemoryTokens: (server: BackendId) => number;
   #unsharedCount = 0;
   readonly #unreported = new PrefixQueue(MAX_REPORTED_PREFIXES);
@@ -50,6 +52,7 @@
     const { fleet, readMemoryTokens, warmUpBounds: bounds } = parts;
     this.warmUp = new WarmUpGate({ fleet, bounds });
     this.limitGate = new LimitGate({ fleet, limits: this.limits });
+    this.rejectionGate = new RejectionGate({ fleet });
     this.#readMemoryTokens = readMemoryTokens ?? (() => 0);
   }
 
@@ -103,10 +106,21 @@
       links,
       prefixes,
       liveness,
+      rejectionGate,
       speeds,
       warmUp,
     } = this;
-    [speeds, health, liveness, limits, limitGate, links, prefixes, warmUp]
+    [
+      speeds,
+      health,
+      liveness,
+      limits,
+      limitGate,
+      links,
+      prefixes,
+      rejectionGate,
+      warmUp,
+    ]
       .forEach((each) => each.keepOnly(servers));
   }
 }
--- a/forwarding/mod.ts
+++ b/forwarding/mod.ts
@@ -32,6 +32,7 @@
 export * from "./fleet_retry_budget.ts";
 export * from "./warm_up_gate.ts";
 export * from "./limit_gate.ts";
+export * from "./rejection_gate.ts";
 export * from "./capacity_queue.ts";
 export * from "./learned_servers.ts";
 export * from "./choose_server.ts";
--- a/forwarding/server_sender.ts
+++ b/forwarding/server_sender.ts
@@ -88,6 +88,7 @@
     const { call, service } = exchange;
     const startMs = clock.nowMs();
     const queuedTokens = loads.readTotal(entry.id).pendingTokens;
+    const gated = learned.rejectionGate.begin(entry.id, candidate.usage);
     const load = this.#beginLoad(candidate);
     const liveness = learned.liveness.begin(entry.id, startMs);
     this.#recordSend(exchange, candidate, startMs);
@@ -137,7 +138,10 @@
         metrics.time("call.first_byte_ms", tookMs, { service: service.name });
       },
       signal: options.signal ?? exchange.signal,
-      onAccepted: options.onAccepted,
+      onAccepted: () => {
+        gated.release();
+        options.onAccepted?.();
+      },
       startHandover: options.startHandover,
       clock,
       firstByteTimeoutMs: computeFirstByteTimeoutMs(
@@ -150,9 +154,11 @@
     });
     load.end();
     liveness.end();
+    gated.release();
     const ended = outcome.kind === "handed-over"
       ? outcome.firstOutcome
       : outcome;
+    if (ended.kind === "rejected") gated.reject(clock.nowMs());
     this.#recordOutcome(exchange, candidate, ended, startMs);
     void this.#recordForQuarantine(exchange, candidate, ended, firstByteMs);
     return outcome;
@@ -276,6 +282,7 @@
     // Another server has the address, and the answer is about that server.
     if (isMisdirected) return;
     this.#recordLimit(server, facts, sentMs);
+    this.#recordTolerance(server, facts, sentMs);
     const { clock, learned: { health }, logger, registry } = this.#parts;
     const nowMs = clock.nowMs();
     if (coldForMs !== undefined && coldForMs > 0) {
@@ -319,6 +326,28 @@
     }
   }
 
+  #recordTolerance(
+    { id, service }: RegisteredServer,
+    { isNotExecuted, rejectionsPerSecond: perSecond }: AnswerFacts,
+    sentMs: number,
+  ): void {
+    // Like a limit, it isn't lifted by a rejection that does not name it.
+    if (isNotExecuted && perSecond === undefined) return;
+    const { clock, learned: { rejectionGate }, logger } = this.#parts;
+    const advertised = { perSecond, sentMs };
+    if (!rejectionGate.recordAdvertised(id, advertised, clock.nowMs())) return;
+    logger.info(
+      perSecond === undefined
+        ? "server no longer limits rejections"
+        : "server advertised a limit of rejections",
+      {
+        server: id,
+        service,
+        ...(perSecond === undefined ? {} : { perSecond }),
+      },
+    );
+  }
+
   /** Records for the quarantine whether the call was answered or its server crashed. */
   async #recordForQuarantine(
     { content }: Exchange,
--- a/tests/virtual_fleet.ts
+++ b/tests/virtual_fleet.ts
@@ -61,6 +61,8 @@
     Record<string, { readonly instances: number; readonly servers: number }>
   >;
   readonly table: RouteTable;
+  /** Slots of each server. Default: 64. */
+  readonly slots?: number;
   /** Decides how a server responds to a call. */
   readonly decide: (arrival: Arrival) => ServerAction;
   /** Time after which a crashed server is replaced, in milliseconds. Default: never. */
@@ -223,7 +225,7 @@
         address: id,
         region: toRegionId(region),
         failureDomain: toFailureDomainId(`${region}-a`),
-        slots: 64,
+        slots: this.#parts.slots ?? 64,
       }),
       this.clock.nowMs(),
     );
