Soak: instances without links to servers, servers that survive few rejections, silent sound ones

New faults, each from a sequence of its own so that the older ones of a seed stay (but for those whose instance is taken): instances lose their links to all servers for 10 s, one region's or all but one of each region, in three ways; a server survives six rejections a second, has two slots and lets nothing wait; a sound server holds its answers for a second and goes on. New checks: first tries at cut-off instances from 5 s on against those at the others (the rule's bounds), and how often a server would fail because of rejections (more than twice is too often).

Links are cut inside the process by a preloaded module, as a proxy on loopback can't refuse a connection or leave its opening unanswered; connections that are open already are silenced or reset in the proxies, by their local ports. Ruled out: telling instances apart by source address (all have 127.0.0.1), or by addresses of servers of their own (instances copy entries from each other).

--- a/soak/check_promises.ts
+++ b/soak/check_promises.ts
@@ -7,6 +7,7 @@
   KEY_KINDS,
   type Observation,
   type ObservedCall,
+  WORK_KINDS,
 } from "./observation.ts";
 
 /** A promise that was broken. */
@@ -31,6 +32,8 @@
   | "calls that crash servers are quarantined"
   | "advertised states of servers are respected"
   | "advertised limits of servers are respected"
+  | "servers do not fail because of rejections"
+  | "callers of cut-off instances are served"
   | "calls run for the team that holds their key"
   | "service after the faults"
   | "no growth";
@@ -86,6 +89,17 @@
  * requirement of 5 s, and as much again for a store that is unavailable during a fault.
  */
 const REVOCATION_DELAY_MS = 10_000;
+/**
+ * Time after which the callers of instances without links to servers must be served, in
+ * milliseconds: the users' requirement.
+ */
+const CUT_OFF_DELAY_MS = 5_000;
+/** First tries that may fail at such instances: this many and this share of all first tries. */
+const CUT_OFF_ALLOWANCE = { calls: 10, share: 1 / 50 } as const;
+/** Minimum share of first tries served there, against that at other instances. */
+const MIN_CUT_OFF_RATIO = 2 / 3;
+/** Failures of one server because of rejections that are allowed: the users' requirement. */
+const ALLOWED_FAILURES = 2;
 /** Share of the calls after the faults that must be served. */
 const MIN_SERVED_SHARE = 0.95;
 /** Memory that one process may use, in MB: 1.5 times the usage in runs with 6 instances. */
@@ -111,6 +125,8 @@
     ...checkQuarantine(observation),
     ...checkAdvertisements(observation),
     ...checkLimits(observation),
+    ...checkRejections(observation),
+    ...checkCutOffs(observation),
     ...checkKeys(observation),
     ...checkService(observation),
     ...checkProcesses(observation),
@@ -322,7 +338,7 @@
   { refusals, runs, advertisements }: Observation,
 ): readonly Violation[] {
   return advertisements.flatMap(({ fromMs, kind, server, toMs }) => {
-    if (kind === "limit") return [];
+    if (kind === "limit" || kind === "brittle") return [];
     const calls = (kind === "rest" ? refusals : runs)
       .filter((call) => call.server === server && call.atMs >= fromMs);
     const dueMs = (calls[0]?.atMs ?? toMs) + ADVERTISEMENT_DELAY_MS;
@@ -368,6 +384,86 @@
   });
 }
 
+function checkRejections(
+  { advertisements, rejections }: Observation,
+): readonly Violation[] {
+  return advertisements.flatMap((advertisement) => {
+    if (advertisement.kind !== "brittle") return [];
+    const { fromMs, perSecond, server, toMs } = advertisement;
+    const timesMs = rejections.filter((each) =>
+      each.server === server && each.atMs >= fromMs && each.atMs < toMs
+    ).map(({ atMs }) => atMs);
+    const failures = countFailures(timesMs, perSecond);
+    return failures <= ALLOWED_FAILURES ? [] : [
+      {
+        promise: "servers do not fail because of rejections",
+        detail:
+          `${server} rejected ${timesMs.length} calls, more than ${perSecond} a second ${failures} times`,
+      } as const,
+    ];
+  });
+}
+
+/** Counts how often a server would fail that starts again after each failure. */
+function countFailures(timesMs: readonly number[], perSecond: number): number {
+  let failures = 0;
+  let recent: readonly number[] = [];
+  timesMs.forEach((atMs) => {
+    recent = [...recent.filter((ms) => atMs - ms < 1_000), atMs];
+    if (recent.length <= perSecond) return;
+    failures++;
+    recent = [];
+  });
+  return failures;
+}
+
+/** Each call of the soak is a first try: its callers repeat none. */
+function checkCutOffs(observation: Observation): readonly Violation[] {
+  return observation.cutOffs.flatMap((cutOff) => {
+    const tries = listTriesInTouch(observation, cutOff);
+    const isCutOff = ({ instance }: ObservedCall) =>
+      cutOff.instances.includes(instance);
+    const atCutOff = tries.filter(isCutOff);
+    const atOthers = tries.filter((call) => !isCutOff(call));
+    const failed = atCutOff.filter((call) => !isServed(call)).length;
+    const allowed = CUT_OFF_ALLOWANCE.calls +
+      CUT_OFF_ALLOWANCE.share * tries.length;
+    const isServedAlike = computeServedShare(atCutOff) >=
+      MIN_CUT_OFF_RATIO * computeServedShare(atOthers);
+    return failed <= allowed || isServedAlike ? [] : [
+      {
+        promise: "callers of cut-off instances are served",
+        detail: `${atCutOff.length - failed} of ${atCutOff.length} at ${
+          cutOff.instances.join(" ")
+        }, ${atOthers.filter(isServed).length} of ${atOthers.length} at others`,
+      } as const,
+    ];
+  });
+}
+
+/** Returns the first tries in the time that counts, without those at stalled or stopped instances. */
+function listTriesInTouch(
+  { calls, pauses }: Observation,
+  { fromMs, toMs }: Observation["cutOffs"][number],
+): readonly ObservedCall[] {
+  return calls.filter(({ instance, kind, sentMs }) =>
+    WORK_KINDS.includes(kind) && sentMs > fromMs + CUT_OFF_DELAY_MS &&
+    sentMs < toMs &&
+    !pauses.some((pause) =>
+      pause.instance === instance && pause.fromMs < sentMs &&
+      pause.toMs > sentMs - CUT_OFF_DELAY_MS
+    )
+  );
+}
+
+function isServed({ end }: ObservedCall): boolean {
+  return end.kind === "answered" && end.status === 200;
+}
+
+function computeServedShare(calls: readonly ObservedCall[]): number {
+  return calls.length === 0 ? 1 : calls.filter(isServed).length / calls.length;
+}
+
 function checkKeys(observation: Observation): readonly Violation[] {
   const calls = new Map(observation.calls.map((call) => [call.callId, call]));
   return observation.runs.flatMap((run) => {
@@ -410,9 +506,7 @@
   const late = calls.filter(({ kind, sentMs }) =>
     sentMs > recoveredFromMs && !KEY_KINDS.includes(kind)
   );
-  const served = late.filter(({ end }) =>
-    end.kind === "answered" && end.status === 200
-  );
+  const served = late.filter(isServed);
   const stale = late.filter((call) =>
     call.kind === "version" && (readVersion(call) ?? lastVersion) < lastVersion
   );
--- a/soak/check_promises_test.ts
+++ b/soak/check_promises_test.ts
@@ -76,8 +76,10 @@
     stops: [],
     disturbedSpans: [],
     pauses: [],
+    cutOffs: [],
     advertisements: [],
     refusals: [],
+    rejections: [],
     revokedKeys: [],
     lastVersion: 1,
     recoveredFromMs: 10_000,
@@ -325,6 +327,54 @@
     assert.deepEqual(check2PerSecond(42), [promise]);
   });
 
+  it("finds a server that fails because it rejects too many calls a second", () => {
+    const promise = "servers do not fail because of rejections";
+    const checkRejections = (seconds: readonly number[], perSecond: number) =>
+      check({
+        rejections: seconds.flatMap((second) =>
+          Array.from(
+            { length: perSecond },
+            (_, at) => ({ server: "s1", atMs: 1_000 * second + at }),
+          )
+        ),
+        advertisements: [{
+          server: "s1",
+          kind: "brittle",
+          perSecond: 6,
+          fromMs: 20_000,
+          toMs: 30_000,
+        }],
+      });
+    assert.deepEqual(checkRejections([22, 24, 26, 28], 6), []);
+    assert.deepEqual(checkRejections([22, 24], 7), []);
+    assert.deepEqual(checkRejections([22, 24, 26], 7), [promise]);
+  });
+
+  it("finds callers of cut-off instances that are served far worse than others", () => {
+    const promise = "callers of cut-off instances are served";
+    const refused = createAnswer(503, "refused");
+    const createTries = (count: number, instance: string, served: number) =>
+      Array.from({ length: count }, (_, at) =>
+        createCall({
+          instance,
+          sentMs: 6_000,
+          ...(at < served ? {} : { end: refused }),
+        }));
+    const checkServed = (served: number, isPaused = false) =>
+      check({
+        calls: [
+          createCall(),
+          ...createTries(100, "i1", served),
+          ...createTries(200, "i2", 200),
+        ],
+        cutOffs: [{ instances: ["i1"], fromMs: 500, toMs: 9_000 }],
+        pauses: isPaused ? [{ instance: "i1", fromMs: 0, toMs: 5_000 }] : [],
+      });
+    assert.deepEqual(checkServed(67), []);
+    assert.deepEqual(checkServed(66), [promise]);
+    assert.deepEqual(checkServed(66, true), []);
+  });
+
   it("finds unserved calls and old configuration versions after the faults", () => {
     const failed = createCall({ end: { kind: "not-connected" } });
     assert.deepEqual(check({ calls: [createCall(), failed] }), [
--- a/soak/fault_runner.ts
+++ b/soak/fault_runner.ts
@@ -2,8 +2,10 @@
 import { runCrowd } from "./crowd.ts";
 import { sendCrashingCalls } from "./crashing_calls.ts";
 import { type Fault, formatFault, type PlannedFault } from "./plan.ts";
+import type { ServerLinksState } from "../standin/server_links.ts";
 import type {
   AbandonedCall,
+  CutOff,
   Departure,
   InstancePause,
   InstanceStop,
@@ -41,6 +43,13 @@
 /** Calls per second that a server with a limit advertises: fewer than its callers send. */
 const LIMIT_PER_SECOND = 2;
 
+/** Rejections per second that a brittle server survives. */
+const SURVIVED_REJECTIONS = 6;
+/** Slots of a brittle server: fewer than its region has calls at a time. */
+const BRITTLE_SLOTS = 2;
+/** Time that instances have to learn of a brittle server, in milliseconds. */
+const LEARNED_AFTER_MS = 1_500;
+
 interface Span {
   readonly fromMs: number;
   readonly toMs: number;
@@ -60,6 +69,8 @@
   readonly disturbedSpans: Span[] = [];
   /** States that servers advertised in their answers. */
   readonly advertisements: ServerAdvertisement[] = [];
+  /** When instances were cut off from all servers. */
+  readonly cutOffs: CutOff[] = [];
   /** When each instance was stalled or down. */
   readonly pauses: InstancePause[] = [];
   readonly #stops: (Span & { readonly instance: string })[] = [];
@@ -122,6 +133,8 @@
         return [instances[fault.index]];
       case "homes":
         return homeInstances;
+      case "cut-off":
+        return fault.indices.map((index) => instances[index]);
       case "ending-call":
         return ["a call under which servers end"];
       case "link":
@@ -154,6 +167,8 @@
         return this.#sendCrowd(instances[fault.index]!, durationMs);
       case "homes":
         return this.#stopHomes(durationMs);
+      case "cut-off":
+        return this.#cutOff(fault, durationMs);
       case "ending-call":
         return this.#sendCrashingCalls(durationMs);
       case "link":
@@ -220,6 +235,34 @@
     });
   }
 
+  /** Cuts instances off from all servers, those that start meanwhile included. */
+  async #cutOff(
+    { indices, state }: Extract<Fault, { kind: "cut-off" }>,
+    durationMs: number,
+  ): Promise<void> {
+    const { clock, fleet } = this.#parts;
+    const processes = indices.map((index) => fleet.instances[index]!.process);
+    const setState = async (next: ServerLinksState) =>
+      new Set(
+        (await Promise.all(
+          processes.map((process) => process.setServerLinks(next)),
+        )).flat(),
+      );
+    const fromMs = clock.nowMs();
+    const ports = await setState(state);
+    if (state === "hanging") fleet.links.forEach((link) => link.silence(ports));
+    if (state === "reset") fleet.links.forEach((link) => link.reset(ports));
+    await this.#wait(durationMs);
+    this.cutOffs.push({
+      instances: processes.map(({ name }) => name),
+      fromMs,
+      toMs: clock.nowMs(),
+    });
+    await setState("open");
+    // What was dropped meanwhile cannot be sent afterwards.
+    if (state === "hanging") fleet.links.forEach((link) => link.reset(ports));
+  }
+
   async #sendCrowd(instance: SoakInstance, durationMs: number): Promise<void> {
     const { clock, fleet, random } = this.#parts;
     const { process } = instance;
@@ -360,6 +403,8 @@
         });
         return;
       }
+      case "brittle":
+        return await this.#makeBrittle(slot, durationMs);
       case "hang":
       case "fail":
       case "break-off":
@@ -369,6 +414,32 @@
     }
   }
 
+  /** Has a server say that it survives few rejections, and reject calls beyond its few slots later. */
+  async #makeBrittle(slot: ServerSlot, durationMs: number): Promise<void> {
+    const { clock, fleet } = this.#parts;
+    const { server } = slot;
+    const { slots } = server;
+    server.survivedRejections = SURVIVED_REJECTIONS;
+    server.slots = BRITTLE_SLOTS;
+    await fleet.register(slot);
+    await this.#wait(LEARNED_AFTER_MS);
+    const fromMs = clock.nowMs();
+    server.rejectsBeyondSlots = true;
+    await this.#wait(durationMs - LEARNED_AFTER_MS);
+    server.rejectsBeyondSlots = false;
+    server.survivedRejections = undefined;
+    server.slots = slots;
+    this.advertisements.push({
+      server: server.id,
+      kind: "brittle",
+      perSecond: SURVIVED_REJECTIONS,
+      fromMs,
+      toMs: clock.nowMs(),
+    });
+    // A server that replaced this one in the meantime has registered itself.
+    if (slot.server === server) await fleet.register(slot);
+  }
+
   async #disturbStore(
     what: Extract<Fault, { kind: "store" }>["what"],
     durationMs: number,
--- a/soak/link_proxy.ts
+++ b/soak/link_proxy.ts
@@ -1,4 +1,4 @@
-import { once } from "node:events";
+import { once, setMaxListeners } from "node:events";
 import {
   type AddressInfo,
   connect,
@@ -22,13 +22,19 @@
   /** Open and new connections are reset. */
   | "reset"
   /** Data is forwarded a few bytes at a time. */
-  | "trickle";
+  | "trickle"
+  /** Answers are held back, and forwarded when the mode changes. */
+  | "hold";
 
 const DELAY_MS = 250;
+/** Longest time for which data is held back, in milliseconds. */
+const MAX_HOLD_MS = 10_000;
 const TRICKLE_BYTES = 200;
 const TRICKLE_PAUSE_MS = 10;
 
 interface DataFlow {
+  /** Connection of the caller, by which it may be disturbed alone. */
+  readonly caller: Socket;
   readonly from: Socket;
   readonly to: Socket;
   readonly direction: "request" | "answer";
@@ -38,8 +44,11 @@
 export class LinkProxy {
   readonly #targetPort: number;
   readonly #sockets = new Set<Socket>();
+  /** Callers' connections whose data is dropped, whatever the mode is. */
+  readonly #silenced = new Set<Socket>();
   #server: Server | undefined;
   #mode: LinkMode = "pass";
+  #modeChange = new AbortController();
 
   /** @param targetPort Port on 127.0.0.1 to which connections are forwarded. */
   constructor(targetPort: number) {
@@ -51,17 +60,30 @@
     this.#server = createServer((socket) => this.#forward(socket));
     this.#server.listen(0, "127.0.0.1");
     await once(this.#server, "listening");
-    return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+    return `127.0.0.1:${this.#port}`;
   }
 
   /** Sets the mode, also for open connections. */
   setMode(mode: LinkMode): void {
     const wasBlocked = isBlocked(this.#mode);
     this.#mode = mode;
+    this.#modeChange.abort("changed");
+    this.#modeChange = new AbortController();
+    setMaxListeners(0, this.#modeChange.signal);
     // Dropped data cannot be sent afterwards, so the connections are reset.
     if (mode === "reset" || wasBlocked && !isBlocked(mode)) this.#resetAll();
   }
 
+  /** Drops all data of the connections from some local ports of callers, without an error. */
+  silence(ports: ReadonlySet<number>): void {
+    this.#listCallers(ports).forEach((caller) => this.#silenced.add(caller));
+  }
+
+  /** Resets the connections from some local ports of callers. */
+  reset(ports: ReadonlySet<number>): void {
+    this.#listCallers(ports).forEach((caller) => resetConnection(caller));
+  }
+
   /** Ends all connections and stops listening. */
   close(): void {
     this.#server?.close();
@@ -83,11 +105,22 @@
       socket.on("error", () => resetConnection(other));
       socket.on("close", () => {
         this.#sockets.delete(socket);
+        this.#silenced.delete(socket);
         if (!isBlocked(this.#mode)) other.destroySoon();
       });
     });
-    this.#pump({ from: caller, to: target, direction: "request" });
-    this.#pump({ from: target, to: caller, direction: "answer" });
+    this.#pump({ caller, from: caller, to: target, direction: "request" });
+    this.#pump({ caller, from: target, to: caller, direction: "answer" });
+  }
+
+  #listCallers(ports: ReadonlySet<number>): readonly Socket[] {
+    return [...this.#sockets].filter(({ localPort, remotePort }) =>
+      localPort === this.#port && ports.has(remotePort ?? 0)
+    );
+  }
+
+  get #port(): number {
+    return (this.#server!.address() as AddressInfo).port;
   }
 
   #pump(flow: DataFlow): void {
@@ -98,7 +131,11 @@
     });
   }
 
-  async #deliver({ direction, to }: DataFlow, chunk: Buffer): Promise<void> {
+  async #deliver(
+    { caller, direction, to }: DataFlow,
+    chunk: Buffer,
+  ): Promise<void> {
+    if (this.#silenced.has(caller)) return;
     switch (this.#mode) {
       case "pass":
         to.write(chunk);
@@ -113,6 +150,12 @@
           await waitFor(systemClock, TRICKLE_PAUSE_MS);
         }
         return;
+      case "hold":
+        if (direction === "answer") {
+          await waitFor(systemClock, MAX_HOLD_MS, this.#modeChange.signal);
+        }
+        to.write(chunk);
+        return;
       case "one-way":
         if (direction === "request") to.write(chunk);
         return;
--- a/soak/observation.ts
+++ b/soak/observation.ts
@@ -16,6 +16,12 @@
   /** A call with a key that no team ever held; it must not run. */
   | "stranger";
 
+/** Kinds of calls that have to be served. */
+export const WORK_KINDS: readonly CallKind[] = [
+  "idempotent",
+  "non-idempotent",
+  "stream",
+];
 /** Kinds of calls whose key is revoked or unknown, so that they must not be served. */
 export const KEY_KINDS: readonly CallKind[] = ["rotating", "stranger"];
 
@@ -89,6 +95,13 @@
   readonly isUndisturbed: boolean;
 }
 
+/** Time during which instances were cut off from all servers. */
+export interface CutOff {
+  readonly instances: readonly string[];
+  readonly fromMs: number;
+  readonly toMs: number;
+}
+
 /** Time during which an instance was stalled or down. */
 export interface InstancePause {
   readonly instance: string;
@@ -108,6 +121,8 @@
     | { readonly kind: "leaving" | "rest" }
     /** The server accepts this many calls per second from all instances together. */
     | { readonly kind: "limit"; readonly perSecond: number }
+    /** The server fails if it rejects more calls per second. */
+    | { readonly kind: "brittle"; readonly perSecond: number }
   );
 
 /** A key that was revoked. */
@@ -137,9 +152,12 @@
     readonly toMs: number;
   }[];
   readonly pauses: readonly InstancePause[];
+  readonly cutOffs: readonly CutOff[];
   readonly advertisements: readonly ServerAdvertisement[];
   /** Calls that servers refused when they asked for a cool-down. */
   readonly refusals: readonly RecordedRefusal[];
+  /** Calls that servers rejected because all slots were taken. */
+  readonly rejections: readonly RecordedRefusal[];
   readonly revokedKeys: readonly RevokedKey[];
   /** Version of the last configuration. */
   readonly lastVersion: number;
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -1,4 +1,5 @@
 import { createRandom, pickRandom, type Random } from "../clock/mod.ts";
+import type { ServerLinksState } from "../standin/server_links.ts";
 import type { LinkMode } from "./link_proxy.ts";
 
 /** A fault that disturbs one or more components of the fleet. */
@@ -15,6 +16,12 @@
    * later.
    */
   | { readonly kind: "homes" }
+  /** Instances lose their links to all servers; callers, the store and instances reach them. */
+  | {
+    readonly kind: "cut-off";
+    readonly indices: readonly number[];
+    readonly state: Exclude<ServerLinksState, "open">;
+  }
   /** Callers repeatedly send a call that crashes the server that runs it, to any instance. */
   | { readonly kind: "ending-call" }
   | {
@@ -44,7 +51,12 @@
        */
       | "say-leaving"
       /** The server advertises a limit of calls per second in its answers. */
-      | "limit";
+      | "limit"
+      /**
+       * The server advertises in its answers how many rejections it survives. It has few
+       * slots, and soon lets no call wait.
+       */
+      | "brittle";
     readonly index: number;
   }
   | {
@@ -72,8 +84,9 @@
   readonly seed: number;
   /** Length of the traffic, in seconds. */
   readonly seconds: number;
-  /** Number of instances. */
+  /** Number of instances; those of a region follow each other. */
   readonly instances: number;
+  readonly instancesPerRegion: number;
   /** Number of backend servers. */
   readonly servers: number;
 }
@@ -151,6 +164,21 @@
 const RESTORE_INTERVAL_MS = 7_000;
 /** Time between backup and restore, in milliseconds: writes of this time are lost. */
 const RESTORE_MS = 3_000;
+/** How instances may lose their links to all servers. */
+const CUT_OFF_STATES = ["hanging", "reset", "refusing"] as const;
+/**
+ * How long instances are cut off from all servers, in milliseconds: the 5 s after which their
+ * callers have to be served, and as long again.
+ */
+const CUT_OFF_MS = 10_000;
+/** How long a server says that it survives few rejections, in milliseconds. */
+const BRITTLE_MS = 6_000;
+/** Length of the intervals that have one such server each, in milliseconds. */
+const BRITTLE_INTERVAL_MS = 7_000;
+/** How long a server is silent that goes on afterwards, in milliseconds. */
+const SILENT_MS = 1_000;
+/** Length of the intervals that have one silent server each, in milliseconds. */
+const SILENCE_INTERVAL_MS = 3_000;
 /** Time between the starts of two faults, in milliseconds. */
 const FAULT_GAP_MS = { min: 300, max: 1_500 };
 /** Duration of a fault, in milliseconds. */
@@ -182,9 +210,91 @@
     ...planAdvertisements(parts, endMs),
     ...planLimits(parts, endMs),
     ...planRestores(parts, endMs),
+    ...planCutOffs(parts, endMs),
+    ...planSilences(parts, endMs),
+    ...planBrittleServers(parts, endMs),
   ];
 }
 
+/** Plans servers that fail if they reject too many calls, from a separate random sequence as for crowds. */
+function planBrittleServers(
+  { seed, servers }: PlanParts,
+  endMs: number,
+): readonly PlannedFault[] {
+  const random = createRandom(Math.imul(seed, SEED_SPREAD) ^ 4);
+  const count =
+    Math.floor((endMs - FAULT_FREE_START_MS) / BRITTLE_INTERVAL_MS) + 1;
+  return Array.from({ length: count }, (_, interval) => ({
+    fault: {
+      kind: "server" as const,
+      what: "brittle" as const,
+      index: Math.floor(random.nextFloat() * servers),
+    },
+    atMs: FAULT_FREE_START_MS + interval * BRITTLE_INTERVAL_MS +
+      Math.round(random.nextFloat() * (BRITTLE_INTERVAL_MS - BRITTLE_MS)),
+    durationMs: BRITTLE_MS,
+  })).filter(({ atMs, durationMs }) => atMs + durationMs <= endMs);
+}
+
+/**
+ * Plans one loss of links to all servers, from a separate random sequence as for crowds. In
+ * half of the seeds it comes before all others: it is skipped if an instance is disturbed.
+ */
+function planCutOffs(
+  parts: PlanParts,
+  endMs: number,
+): readonly PlannedFault[] {
+  const random = createRandom(Math.imul(parts.seed, SEED_SPREAD) ^ 2);
+  const spareMs = endMs - FAULT_FREE_START_MS - CUT_OFF_MS;
+  if (spareMs < 0) return [];
+  const isFirst = random.nextFloat() < 0.5;
+  const afterMs = isFirst ? -1 : Math.round(random.nextFloat() * spareMs);
+  const state = pickRandom(CUT_OFF_STATES, random)!;
+  return [{
+    fault: { kind: "cut-off", indices: pickCutOff(parts, random), state },
+    atMs: FAULT_FREE_START_MS + afterMs,
+    durationMs: CUT_OFF_MS,
+  }];
+}
+
+/** Returns all instances of a region, or all but one of each region. */
+function pickCutOff(
+  { instances, instancesPerRegion }: PlanParts,
+  random: Random,
+): readonly number[] {
+  const isDomain = random.nextFloat() < 0.3;
+  const regions = instances / instancesPerRegion;
+  const region = Math.floor(random.nextFloat() * regions);
+  const spared = Math.floor(random.nextFloat() * instancesPerRegion);
+  return Array.from({ length: instances }, (_, index) => index)
+    .filter((index) => {
+      const isInRegion = Math.floor(index / instancesPerRegion) === region;
+      if (isDomain || instancesPerRegion === 1) return isInRegion;
+      return index % instancesPerRegion !== spared;
+    });
+}
+
+/** Plans sound servers that fall silent, from a separate random sequence as for crowds. */
+function planSilences(
+  { seed, servers }: PlanParts,
+  endMs: number,
+): readonly PlannedFault[] {
+  const random = createRandom(Math.imul(seed, SEED_SPREAD) ^ 3);
+  const count =
+    Math.floor((endMs - FAULT_FREE_START_MS) / SILENCE_INTERVAL_MS) + 1;
+  return Array.from({ length: count }, (_, interval) => ({
+    fault: {
+      kind: "link" as const,
+      to: "server" as const,
+      index: Math.floor(random.nextFloat() * servers),
+      mode: "hold" as const,
+    },
+    atMs: FAULT_FREE_START_MS + interval * SILENCE_INTERVAL_MS +
+      Math.round(random.nextFloat() * (SILENCE_INTERVAL_MS - SILENT_MS)),
+    durationMs: SILENT_MS,
+  })).filter(({ atMs, durationMs }) => atMs + durationMs <= endMs);
+}
+
 /**
  * Plans restarts of servers and overwritten entries, from a separate random sequence as for
  * crowds.
--- a/soak/plan_test.ts
+++ b/soak/plan_test.ts
@@ -3,7 +3,12 @@
 import fc from "fast-check";
 import { createPlan, FAULT_FREE_END_MS, formatFault } from "./plan.ts";
 
-const SIZES = { seconds: 40, instances: 6, servers: 6 };
+const SIZES = {
+  seconds: 40,
+  instances: 6,
+  instancesPerRegion: 2,
+  servers: 6,
+};
 
 describe("createPlan()", () => {
   it("returns the same plan for the same seed, and another one for another seed", () => {
@@ -22,6 +27,11 @@
               atMs + durationMs <= 1_000 * SIZES.seconds - FAULT_FREE_END_MS,
             );
             if ("index" in fault) assert.ok(fault.index < 6);
+            if ("indices" in fault) {
+              assert.ok(fault.indices.length > 0);
+              assert.ok(fault.indices.length < SIZES.instances);
+              assert.ok(fault.indices.every((index) => index < 6));
+            }
           },
         );
       }),
--- a/soak/run_soak.ts
+++ b/soak/run_soak.ts
@@ -16,6 +16,7 @@
   type Observation,
   type ObservedCall,
   type ProcessResources,
+  WORK_KINDS,
 } from "./observation.ts";
 import { createPlan, FAULT_FREE_END_MS } from "./plan.ts";
 import {
@@ -54,11 +55,6 @@
 const REGIONS = ["north", "south", "west"];
 const SERVERS_PER_REGION = 2;
 const CALLERS_PER_INSTANCE = 3;
-const WORK_KINDS: readonly CallKind[] = [
-  "idempotent",
-  "non-idempotent",
-  "stream",
-];
 /** Pause of a caller after an answered call, in milliseconds. */
 const CALL_PAUSE_MS = 40;
 /** Pause of a caller after a failed call, in milliseconds. */
@@ -76,6 +72,7 @@
   const clock = systemClock;
   const runs: RecordedRun[] = [];
   const refusals: RecordedRefusal[] = [];
+  const rejections: RecordedRefusal[] = [];
   const fleet = new SoakFleet({
     program: parts.program,
     regions: REGIONS,
@@ -84,12 +81,13 @@
     clock,
     recordRun: (run) => runs.push(run),
     recordRefusal: (refusal) => refusals.push(refusal),
+    recordRejection: (rejection) => rejections.push(rejection),
   });
   try {
     await fleet.start();
     const lost = await Promise.race([fleet.awaitReady(), fleet.lostInstance]);
     if (lost !== undefined) return createLostReport(parts, lost);
-    return await observe(parts, fleet, { runs, refusals });
+    return await observe(parts, fleet, { runs, refusals, rejections });
   } finally {
     await fleet.close();
   }
@@ -111,7 +109,7 @@
 async function observe(
   parts: SoakParts,
   fleet: SoakFleet,
-  recorded: Pick<Observation, "refusals" | "runs">,
+  recorded: Pick<Observation, "refusals" | "rejections" | "runs">,
 ): Promise<SoakReport> {
   const clock = systemClock;
   const startMs = clock.nowMs();
@@ -130,6 +128,7 @@
     seed: parts.seed,
     seconds: parts.seconds,
     instances: fleet.instances.length,
+    instancesPerRegion: parts.instancesPerRegion,
     servers: fleet.slots.length,
   });
   let faultsEndedMs = startMs;
@@ -164,6 +163,7 @@
     stops: faults.listStops(),
     disturbedSpans: faults.disturbedSpans,
     pauses: faults.pauses,
+    cutOffs: faults.cutOffs,
     revokedKeys: fleet.revokedKeys,
     lastVersion: fleet.version,
     recoveredFromMs: faultsEndedMs + RECOVERY_MS,
--- a/soak/soak_fleet.ts
+++ b/soak/soak_fleet.ts
@@ -36,6 +36,7 @@
   readonly clock: Clock;
   readonly recordRun: (run: RecordedRun) => void;
   readonly recordRefusal: (refusal: RecordedRefusal) => void;
+  readonly recordRejection: (rejection: RecordedRefusal) => void;
 }
 
 /** An instance, with its own link to the store. */
@@ -107,6 +108,9 @@
     this.operator = new PlatformOperator(this.store, parts.clock);
   }
 
+  /** Links to all servers that were started. */
+  readonly links: LinkProxy[] = [];
+
   /** Version of the last configuration. */
   get version(): number {
     return this.#version;
@@ -142,6 +146,7 @@
         seedHosts: hosts.slice(0, 3),
         storeAddress: await storeLink.open(),
         graceS: GRACE_S,
+        hasCuttableLinks: true,
         onUnexpectedEnd: (end) =>
           this.#reportLost({
             promise: "instances run until they are stopped",
@@ -265,8 +270,17 @@
 
   /** Registers a slot's server in the store, and whether it drains. */
   register(slot: ServerSlot, isDraining = false): Promise<void> {
-    const { address, region, startedMs, server: { id, service } } = slot;
-    const entry = { id, service, address, region, isDraining, startedMs };
+    const { address, region, startedMs, server } = slot;
+    const { id, service, slots } = server;
+    const entry = {
+      id,
+      service,
+      address,
+      region,
+      slots,
+      isDraining,
+      startedMs,
+    };
     return this.operator.register(entry);
   }
 
@@ -309,17 +323,19 @@
     service: string,
     id = `s-${++this.#serverCount}`,
   ): Promise<ServerSlot> {
-    const { clock, recordRefusal, recordRun } = this.#parts;
+    const { clock, recordRefusal, recordRejection, recordRun } = this.#parts;
     const server = new RecordingServer({
       id,
       service,
       nowMs: () => clock.nowMs(),
       record: recordRun,
       recordRefusal,
+      recordRejection,
       onCrashed: () => void this.#replaceCrashed(id),
     });
     const link = new LinkProxy(await server.open());
     const address = await link.open();
+    this.links.push(link);
     const startedMs = Math.floor(clock.nowMs());
     const slot = { region, service, server, link, address, startedMs };
     this.#closers.push(() => link.close(), () => server.crash());
--- a/standin/broken_requests_test.ts
+++ b/standin/broken_requests_test.ts
@@ -65,6 +65,7 @@
       nowMs: () => systemClock.nowMs(),
       record: () => {},
       recordRefusal: () => {},
+      recordRejection: () => {},
       onCrashed: () => {},
     });
     return { port: await server.open(), close: () => server.crash() };
--- a/standin/platform_headers.ts
+++ b/standin/platform_headers.ts
@@ -12,5 +12,7 @@
 export const TEAM_HEADER = "x-havenspur-tenant";
 /** In any answer: the server that answers is shutting down. */
 export const LEAVING_HEADER = "server-leaving";
+/** In any answer: rejections per second after which the server fails. */
+export const BRITTLE_HEADER = "server-brittle";
 /** In any answer: calls per second that the server accepts from all instances together. */
 export const LIMIT_HEADER = "server-limit";
--- a/standin/platform_operator.ts
+++ b/standin/platform_operator.ts
@@ -7,6 +7,8 @@
   readonly service: string;
   readonly address: string;
   readonly region: string;
+  /** Number of calls that it works on at a time. */
+  readonly slots: number;
   readonly isDraining: boolean;
   /** Start time, in milliseconds since the epoch. */
   readonly startedMs: number;
@@ -96,7 +98,7 @@
       address: server.address,
       zone: `${server.region}-a`,
       version: "v1",
-      slots: 16,
+      slots: server.slots,
       state: server.isDraining ? "draining" : "ready",
       warmupRemainingMs: 0,
       sequence: ++this.#sequence,
--- a/standin/platform_process.ts
+++ b/standin/platform_process.ts
@@ -5,6 +5,11 @@
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { request } from "undici";
+import type {
+  ServerLinksReply,
+  ServerLinksRequest,
+  ServerLinksState,
+} from "./server_links.ts";
 
 /** Ports of an instance. They are free on each loopback address that only this process uses. */
 export const PLATFORM_PORTS = {
@@ -18,6 +23,9 @@
 /** Interval at which the signals that a starting process handles are read, in milliseconds. */
 const SIGNAL_POLL_MS = 2;
 
+/** Module that cuts the links of a program to servers. */
+const LINK_CUTTER = new URL("cut_server_links.js", import.meta.url).href;
+
 /** Timeout of a request to an instance, in milliseconds. */
 const REQUEST_TIMEOUT_MS = 1_000;
 
@@ -37,6 +45,8 @@
   readonly storeAddress: string;
   /** Time from SIGTERM to SIGKILL, in seconds. */
   readonly graceS: number;
+  /** Whether the links of the program to servers can be cut. Default: no. */
+  readonly hasCuttableLinks?: boolean;
   /** Called when the program ends and was not stopped, with how it ended. Default: ignored. */
   readonly onUnexpectedEnd?: (end: ProgramEnd) => void;
 }
@@ -122,9 +132,16 @@
 
   /** Starts the program; its standard output is discarded, its standard error is shown. */
   start(): void {
-    const child = spawn(process.execPath, [this.#parts.program], {
+    const { hasCuttableLinks = false, program } = this.#parts;
+    const preload = hasCuttableLinks ? ["--import", LINK_CUTTER] : [];
+    const child = spawn(process.execPath, [...preload, program], {
       env: { PATH: process.env.PATH, HAVENSPUR_SETTINGS: this.#settingsPath },
-      stdio: ["ignore", "ignore", "inherit"],
+      stdio: [
+        "ignore",
+        "ignore",
+        "inherit",
+        hasCuttableLinks ? "ipc" : "ignore",
+      ],
     });
     this.#child = child;
     this.#starts++;
@@ -142,6 +159,34 @@
     });
   }
 
+  /**
+   * Sets the state of the links to servers, for connections that the program opens from now
+   * on.
+   *
+   * @returns Local ports of the open connections to servers; none if the program is not running.
+   */
+  async setServerLinks(state: ServerLinksState): Promise<readonly number[]> {
+    const child = this.#child;
+    if (this.pid === undefined || child === undefined) return [];
+    const request: ServerLinksRequest = {
+      state,
+      storePort: Number(this.#parts.storeAddress.split(":")[1]),
+    };
+    const ended = new AbortController();
+    const end = () => ended.abort("ended");
+    child.once("exit", end);
+    try {
+      child.send(request);
+      const [reply] = await once(child, "message", { signal: ended.signal });
+      return (reply as ServerLinksReply).ports;
+    } catch {
+      // The program has ended, and its connections with it.
+      return [];
+    } finally {
+      child.off("exit", end);
+    }
+  }
+
   /** Sends a signal to the process if it is running. */
   signal(name: NodeJS.Signals): void {
     if (this.pid === undefined) return;
@@ -208,7 +253,10 @@
 
 /** Returns the settings file of an instance. */
 export function formatSettings(
-  parts: Omit<PlatformProcessParts, "program" | "onUnexpectedEnd">,
+  parts: Omit<
+    PlatformProcessParts,
+    "program" | "onUnexpectedEnd" | "hasCuttableLinks"
+  >,
 ): string {
   const { callers, control, directory, peers, readiness } = PLATFORM_PORTS;
   const { host, region } = parts;
--- a/standin/recording_server.ts
+++ b/standin/recording_server.ts
@@ -9,6 +9,7 @@
 import { systemClock } from "../adapters/system_clock.ts";
 import { waitFor } from "../clock/mod.ts";
 import {
+  BRITTLE_HEADER,
   CALL_ID_HEADER,
   EXPECTED_SERVER_HEADER,
   LEAVING_HEADER,
@@ -64,6 +65,8 @@
   readonly nowMs: () => number;
   readonly record: (run: RecordedRun) => void;
   readonly recordRefusal: (refusal: RecordedRefusal) => void;
+  /** Receives calls that are rejected because all slots are taken. */
+  readonly recordRejection: (rejection: RecordedRefusal) => void;
   /** Called when a call has crashed the server. */
   readonly onCrashed: () => void;
 }
@@ -72,6 +75,8 @@
 export const COOLDOWN_S = 3;
 /** Time from the start of a run to its answer, in milliseconds. */
 const WORK_DURATION_MS = 25;
+/** Number of calls that a server works on at a time, unless it has fewer slots. */
+const DEFAULT_SLOTS = 16;
 /** Number of events in a stream. */
 export const STREAM_EVENTS = 12;
 /** Pause between the events of a stream, in milliseconds. */
@@ -90,6 +95,13 @@
   advertisesLeaving = false;
   /** Limit that answers advertise, in calls per second; `undefined`: none. */
   limitPerSecond: number | undefined;
+  /** Rejections per second that answers say it survives; `undefined`: they say nothing. */
+  survivedRejections: number | undefined;
+  /** Number of calls that it works on at a time, as its entry says. */
+  slots = DEFAULT_SLOTS;
+  /** Whether it rejects calls beyond its slots. */
+  rejectsBeyondSlots = false;
+  #running = 0;
   readonly #parts: RecordingServerParts;
   readonly #sockets = new Set<Socket>();
   #server: Server | undefined;
@@ -156,6 +168,12 @@
       this.#refuse(response, callId);
       return;
     }
+    if (this.rejectsBeyondSlots && this.#running >= this.slots) {
+      this.#reject(response, callId);
+      return;
+    }
+    this.#running++;
+    response.once("close", () => this.#running--);
     const lastId = request.headers["last-event-id"];
     const resumedAfter = lastId === undefined ? undefined : Number(lastId);
     const atMs = nowMs();
@@ -184,6 +202,7 @@
       ...(this.limitPerSecond === undefined
         ? {}
         : { [LIMIT_HEADER]: String(this.limitPerSecond) }),
+      ...this.#createBrittleHeaders(),
     };
     if (this.fault === "fail") {
       response.writeHead(500, headers);
@@ -204,6 +223,23 @@
     response.end();
   }
 
+  #reject(response: ServerResponse, callId: string): void {
+    const { id, nowMs, recordRejection } = this.#parts;
+    recordRejection({ server: id, atMs: nowMs() });
+    response.writeHead(503, {
+      [CALL_ID_HEADER]: callId,
+      [NOT_EXECUTED_HEADER]: "1",
+      ...this.#createBrittleHeaders(),
+    });
+    response.end();
+  }
+
+  #createBrittleHeaders(): Record<string, string> {
+    return this.survivedRejections === undefined
+      ? {}
+      : { [BRITTLE_HEADER]: String(this.survivedRejections) };
+  }
+
   #sendBody(
     response: ServerResponse,
     headers: Record<string, string>,
