A limit of this instance's own connections is no failure of the server

When all connections that an instance may have to a server were in use, the send counted as a missing answer; two of them suspended the server for 0.5 to 4 s at that instance. Such a send is no evidence now. Test in call_forwarder_test: failed before (`server suspended` logged), passes; the call is refused as not run, as before.

--- a/forwarding/call_forwarder_test.ts
+++ b/forwarding/call_forwarder_test.ts
@@ -3,7 +3,7 @@
 import { createRandom, VirtualClock } from "../clock/mod.ts";
 import { LoadTracker } from "../fleet/mod.ts";
 import { toRegionId } from "../ids/mod.ts";
-import { createSilentLogger } from "../logs/mod.ts";
+import { createSilentLogger, type Logger } from "../logs/mod.ts";
 import { NO_METRICS } from "../metrics/mod.ts";
 import { ServerRegistry } from "../servers/mod.ts";
 import {
@@ -37,14 +37,36 @@
   };
 }
 
+/** Has no free connection, so that it sends nothing. */
+const FULL_CLIENT: ServerClient = {
+  send: (_, events) => {
+    queueMicrotask(() =>
+      events.onFailure({
+        kind: "not-sent",
+        message: "All connections are in use",
+        isOwnLimit: true,
+      })
+    );
+    return { resume: () => {}, abort: () => {} };
+  },
+};
+
 interface StartOptions {
+  /** Sends to the server. Default: it answers. */
+  readonly client?: ServerClient;
+  readonly logger?: Logger;
   /** Region of the only server. Default: that of the instance. */
   readonly serverRegion?: string;
   readonly peerClient?: ServerClient;
 }
 
 function start(options: StartOptions = {}) {
-  const { serverRegion = "north", peerClient = ANSWERING_CLIENT } = options;
+  const {
+    client = ANSWERING_CLIENT,
+    logger = createSilentLogger(),
+    serverRegion = "north",
+    peerClient = ANSWERING_CLIENT,
+  } = options;
   const clock = new VirtualClock();
   const loads = new LoadTracker();
   const fleet = createFleetView(createMember("a"), loads);
@@ -55,13 +77,13 @@
     clock,
     random: createRandom(1),
     headerCodec: GATEWAY_HEADER_CODEC,
-    client: ANSWERING_CLIENT,
+    client,
     peerClient,
     probeServer: () => Promise.resolve(true),
     registry,
     fleet,
     loads,
-    logger: createSilentLogger(),
+    logger,
     metrics: NO_METRICS,
     retryBounds: { ratio: 0.2, slack: 50, windowMs: 10_000 },
     limitBounds: { windowMs: 8_000, overshoot: 0, slack: 0 },
@@ -83,6 +105,29 @@
 }
 
 describe("CallForwarder", () => {
+  describe("when its connections to a server are all in use", () => {
+    it("does not count that as a failure of the server", async () => {
+      const warnings: string[] = [];
+      const { forwarder, handle, clock } = start({
+        client: FULL_CLIENT,
+        logger: {
+          ...createSilentLogger(),
+          warn: (message) => warnings.push(message),
+        },
+      });
+      forwarder.setTable(SINGLE_ROUTE_TABLE);
+      const heads = Array.from({ length: 4 }, handle);
+      await clock.advance(1_000);
+      assert.deepEqual(heads.flat().map(({ status }) => status), [
+        503,
+        503,
+        503,
+        503,
+      ]);
+      assert.deepEqual(warnings, []);
+    });
+  });
+
   describe("when a remote instance is silent", () => {
     it("sends a retryable call to another instance of its region in time", async () => {
       const peerClient = createInitiallySilentClient();
--- a/forwarding/server_sender.ts
+++ b/forwarding/server_sender.ts
@@ -248,7 +248,6 @@
       if (links.recordFailure(id, { nowMs, tookMs: nowMs - startMs })) {
         logger.warn("server unreachable", { server: id, service, reason });
       }
-      return;
     }
     // A reset connection may be that of a server that is well, or one of many that broke.
     if (outcome.kind === "no-answer") links.suspect(id, nowMs);
@@ -388,12 +387,13 @@
       return outcome.status >= 500 ? "error" : "answered";
     case "failed":
       return "error";
-    case "not-sent":
     case "no-answer":
     case "broken":
       return "no-answer";
     case "rejected":
       return outcome.isMisdirected ? undefined : "rejected";
+    // Connections that do not open are recorded apart; a limit of this instance shows nothing.
+    case "not-sent":
     case "given-up":
       return undefined;
   }
