--- a/adapters/connection_pool_test.ts
+++ b/adapters/connection_pool_test.ts
@@ -1,4 +1,5 @@
 import assert from "node:assert/strict";
+import { readFileSync } from "node:fs";
 import type { Socket } from "node:net";
 import { describe, it } from "node:test";
 import { startRawServer } from "../tests/raw_http.ts";
@@ -36,6 +37,26 @@
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
 
+/** Number that Linux shows for the keep-alive timer of a connection. */
+const KEEP_ALIVE_TIMER = 2;
+/** Unit of a timer that Linux shows, in milliseconds. */
+const CLOCK_TICK_MS = 10;
+
+/** Returns the timer that Linux shows for this machine's end of the connection to a port. */
+function readTimer(
+  port: number,
+): { readonly kind: number; readonly dueMs: number } {
+  const remotePort = port.toString(16).toUpperCase().padStart(4, "0");
+  const row = readFileSync("/proc/self/net/tcp", "utf8").split("\n")
+    .map((line) => line.trim().split(/\s+/))
+    .find(([, , remote]) => remote?.endsWith(`:${remotePort}`));
+  const [kind, ticks] = (row?.[5] ?? "").split(":");
+  return {
+    kind: Number(kind),
+    dueMs: CLOCK_TICK_MS * Number.parseInt(ticks ?? "", 16),
+  };
+}
+
 /** Returns the kind of failure of a send to a server with a given behavior. */
 async function readFailure(
   behave: (socket: Socket) => void,
@@ -63,6 +84,17 @@
     });
   });
 
+  it("has the system probe a kept connection, so that its loss is noticed", async () => {
+    const server = await startRawServer((_, socket) => socket.write(ANSWER));
+    const pool = new ConnectionPool();
+    await send(pool, server.address).ended;
+    const timer = readTimer(Number(server.address.split(":")[1]));
+    pool.close();
+    server.close();
+    assert.equal(timer.kind, KEEP_ALIVE_TIMER);
+    assert.ok(timer.dueMs <= 1_000, `due in ${timer.dueMs} ms`);
+  });
+
   describe("when kept connections go silent without a reset", () => {
     it("opens a new one after a silent send was aborted", async () => {
       const silentSockets = new Set<unknown>();
