A daemon that reaches no engine forwards its calls to another daemon of its region

A call that was refused as no engine could be reached has not run; it is forwarded, once and without credit, to up to two other live daemons of the region. The receiver serves or refuses it, as every forwarded call: no second hop.

--- a/filters/forward_call.ts
+++ b/filters/forward_call.ts
@@ -31,7 +31,7 @@
 }
 
 /**
- * Forwards a call once, to an instance of another region. That instance serves or
+ * Forwards a call once, to another instance. That instance serves or
  * refuses the call; it never forwards the call again.
  *
  * @param parts Dependencies of forwarding.
--- a/filters/route_call.ts
+++ b/filters/route_call.ts
@@ -37,7 +37,7 @@
 
 /**
  * Returns the last filter of a chain, which serves a call in its home region or
- * forwards it to another region.
+ * forwards it to another region, or to another instance that may reach the region's servers.
  */
 export function createRouteCall(parts: RouteParts): Filter {
   const remoteServices = new Set<string>();
@@ -69,11 +69,39 @@
     if (!isOwnRegionAllowed(parts, exchange) || !hasServers(parts, call)) {
       return await serveWhereAllowed(parts, exchange);
     }
-    parts.recordRoute(exchange, "home");
-    return await serveLocally(parts, exchange);
+    return await serveAtHome(parts, exchange);
   };
 }
 
+/**
+ * Serves a caller's request in this region. If this instance reaches no server, another
+ * instance of the region may: the request did not run, so it is forwarded there.
+ */
+async function serveAtHome(
+  parts: RouteParts,
+  exchange: Exchange,
+): Promise<Result<Reply, Failure>> {
+  parts.recordRoute(exchange, "home");
+  const served = await serveLocally(parts, exchange);
+  if (served.isOk() || served.error.name !== "NO_ENGINE") return served;
+  const neighbors = listNeighbors(parts);
+  return neighbors.length === 0
+    ? served
+    : await forwardWithoutCredit(parts, exchange, neighbors);
+}
+
+/** Returns other live instances of this region, a few in random order. */
+function listNeighbors(
+  { membership, random, self }: RouteParts,
+): readonly InstanceRecord[] {
+  return membership.liveIds.filter((id) => id !== self)
+    .flatMap((id) => membership.readRecord(id) ?? [])
+    .map((record) => ({ record, order: random.nextFloat() }))
+    .sort((a, b) => a.order - b.order)
+    .slice(0, MAX_FORWARDS_WITHOUT_CREDIT)
+    .map(({ record }) => record);
+}
+
 /**
  * Serves a forwarded request in this region or refuses it. The request needs a
  * credit, unless its sender had no other region for it.
@@ -177,8 +205,7 @@
   ) {
     return err(failure);
   }
-  parts.recordRoute(exchange, "home");
-  return await serveLocally(parts, exchange);
+  return await serveAtHome(parts, exchange);
 }
 
 /**
@@ -191,8 +218,7 @@
 ): Promise<Result<Reply, Failure>> {
   const call = readCall(exchange);
   if (isOwnRegionAllowed(parts, exchange) && hasServers(parts, call)) {
-    parts.recordRoute(exchange, "home");
-    return await serveLocally(parts, exchange);
+    return await serveAtHome(parts, exchange);
   }
   return await forwardWithoutCredit(
     parts,
--- a/standin/fake_backend.ts
+++ b/standin/fake_backend.ts
@@ -94,10 +94,21 @@
     return engine;
   }
 
-  /** Returns the client that the daemons of a region use. */
-  createClient(region: string): BackendClient {
+  /**
+   * Returns the client that a daemon uses.
+   *
+   * @param region Region of the daemon.
+   * @param isCutOff Returns whether the daemon reaches no engine, but other daemons. Default: never.
+   */
+  createClient(
+    region: string,
+    isCutOff: () => boolean = () => false,
+  ): BackendClient {
     return {
-      dispatch: (call, signal) => this.#dispatch(region, call, signal),
+      dispatch: (call, signal) =>
+        isCutOff() && this.engines.has(call.server.url)
+          ? this.#refuseConnection()
+          : this.#dispatch(region, call, signal),
       resume: () =>
         Promise.resolve(
           err({
@@ -121,6 +132,11 @@
     };
   }
 
+  async #refuseConnection(): Promise<Result<never, DispatchFailure>> {
+    await waitFor(this.#clock, LOCAL_LATENCY_MS);
+    return err({ kind: "not-sent", message: "Cannot connect: refused" });
+  }
+
   async #dispatch(
     region: string,
     call: BackendCall,
@@ -131,10 +147,10 @@
       return await this.#forward(region, gateway, { call, signal });
     }
     const engine = this.engines.get(call.server.url);
-    await waitFor(this.#clock, LOCAL_LATENCY_MS);
     if (engine === undefined || engine.isDown) {
-      return err({ kind: "not-sent", message: "Cannot connect: refused" });
+      return await this.#refuseConnection();
     }
+    await waitFor(this.#clock, LOCAL_LATENCY_MS);
     const body = JSON.parse(
       Buffer.from(call.body ?? "{}").toString(),
     ) as FakeRequestBody;
--- a/standin/fake_fleet.ts
+++ b/standin/fake_fleet.ts
@@ -9,7 +9,7 @@
 } from "../clock/mod.ts";
 import { Gateway, type Policies } from "../daemon/mod.ts";
 import type { GatewayRequest, Reply } from "../filters/mod.ts";
-import { toInstanceId, toRegionId } from "../ids/mod.ts";
+import { type InstanceId, toInstanceId, toRegionId } from "../ids/mod.ts";
 import { createSilentLogger } from "../logs/mod.ts";
 import type { InstanceRecord } from "../membership/mod.ts";
 import { NO_METRICS } from "../metrics/mod.ts";
@@ -63,6 +63,8 @@
   readonly backend: FakeBackend;
   readonly store: MemoryStore;
   readonly daemons: FakeDaemon[] = [];
+  /** Daemons that reach no engine, while they reach everything else. */
+  readonly cutFromEngines = new Set<InstanceId>();
   /** Instances that the platform lists. */
   listedInstances: InstanceRecord[] = [];
   readonly #options: FakeFleetOptions;
@@ -98,7 +100,10 @@
       store: this.#createStoreView(record),
       instances: { read: () => Promise.resolve(ok(this.listedInstances)) },
       directory: { publish: () => Promise.resolve(ok(undefined)) },
-      backend: this.backend.createClient(record.region),
+      backend: this.backend.createClient(
+        record.region,
+        () => this.cutFromEngines.has(record.id),
+      ),
       peers: this.network.createTransport(record),
       logger: createSilentLogger(),
       metrics: NO_METRICS,
--- a/tests/fleet_test.ts
+++ b/tests/fleet_test.ts
@@ -109,6 +109,34 @@
     .reduce((sum, { runs }) => sum + runs.length, 0);
 }
 
+describe("a daemon that reaches no engine of its region", () => {
+  it("has its calls served by another daemon of the region, as one of them does reach the engines", async () => {
+    const fleet = await createFleet();
+    const daemon = findDaemon(fleet, "r1-i1");
+    fleet.cutFromEngines.add(daemon.record.id);
+    for (const token of [BOUND_TOKEN, FREE_TOKEN, BOUND_TOKEN, BOUND_TOKEN]) {
+      assert.equal((await sendCall(fleet, daemon, { token })).code, 0);
+    }
+    assert.equal(countRuns(fleet, "r1"), 4);
+    fleet.stop();
+  });
+
+  it("refuses a bound call as not run if no daemon of the region reaches them", async () => {
+    const fleet = await createFleet();
+    fleet.daemons.filter(({ record }) => record.region === "r1")
+      .forEach(({ record }) => fleet.cutFromEngines.add(record.id));
+    const answer = await sendCall(fleet, findDaemon(fleet, "r1-i1"), {
+      token: BOUND_TOKEN,
+    });
+    assert.equal(answer.ran, "not-run");
+    assert.equal(
+      ["r1", "r2", "r3"].reduce((sum, at) => sum + countRuns(fleet, at), 0),
+      0,
+    );
+    fleet.stop();
+  });
+});
+
 describe("residency", () => {
   it("forwards a bound request to its region, and never runs it elsewhere", async () => {
     const fleet = await createFleet();
