A call that another instance refused with no server having had it costs no retry

The bound on retries is one on arrivals at servers; such a refusal is none, so the next destination is chosen at once, without that region (or instance, if that one reaches no server). Unit test: failed before ("retry" in place of "choose-again").

Soak: a cut that is to come first begins 300 ms before all other faults.

--- a/forwarding/settle_attempt.ts
+++ b/forwarding/settle_attempt.ts
@@ -1,7 +1,7 @@
 import type { Destination } from "./choose_destination.ts";
 import type { BackendId } from "../ids/mod.ts";
 import { type Exchange, isResumableNow, isRetryable } from "./exchange.ts";
-import type { Refusal } from "./refusal.ts";
+import type { Refusal, RefusalReason } from "./refusal.ts";
 import type { EndedOutcome } from "./run_attempt.ts";
 
 /** When callers may retry after a refusal for lack of capacity, in milliseconds. */
@@ -55,13 +55,11 @@
       }
       return { kind: "choose-again" };
     case "rejected":
-      if (outcome.reason === "unreachable" && outcome.sends === 0) {
-        // Neither a server nor a retry was used, and other instances of that region may
-        // reach its servers.
-        avoidInstance(exchange, destination);
-        return { kind: "choose-again" };
-      }
       if (destination.kind === "remote") {
+        if (outcome.sends === 0) {
+          avoidRefuser(exchange, destination, outcome.reason);
+          return { kind: "choose-again" };
+        }
         exchange.avoidedRegions.add(destination.region);
         exchange.attemptsLeft -= outcome.sends;
       } else if (!outcome.isMisdirected) exchange.attemptsLeft--;
@@ -122,6 +120,19 @@
   exchange.unreached.add(server);
 }
 
+/**
+ * Excludes who refused a call that no server had. If an instance reaches no server, others of
+ * its region may; what else it refuses for holds for its region.
+ */
+function avoidRefuser(
+  exchange: Exchange,
+  destination: Extract<SendDestination, { readonly kind: "remote" }>,
+  reason: RefusalReason | undefined,
+): void {
+  if (reason === "unreachable") avoidInstance(exchange, destination);
+  else exchange.avoidedRegions.add(destination.region);
+}
+
 /** Excludes the remote instance that a call was forwarded to from its next choices. */
 export function avoidInstance(
   exchange: Exchange,
--- a/forwarding/settle_attempt_test.ts
+++ b/forwarding/settle_attempt_test.ts
@@ -151,6 +151,17 @@
       ]);
     });
 
+    it("uses no retry either if it refuses for another reason, and avoids its region", () => {
+      const exchange = createExchange({});
+      const step = settleAttempt(exchange, REMOTE, {
+        ...UNREACHABLE,
+        reason: "no-room",
+      });
+      assert.equal(step.kind, "choose-again");
+      assert.equal(exchange.attemptsLeft, 2);
+      assert.deepEqual([...exchange.avoidedRegions], [toRegionId("south")]);
+    });
+
     it("avoids its region if servers there have refused the call before", () => {
       const exchange = createExchange({});
       const step = settleAttempt(exchange, REMOTE, {
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -175,6 +175,8 @@
 const BRITTLE_MS = 6_000;
 /** Length of the intervals that have one such server each, in milliseconds. */
 const BRITTLE_INTERVAL_MS = 7_000;
+/** How much earlier than all other faults it begins where it comes first, in milliseconds. */
+const CUT_OFF_LEAD_MS = 300;
 /** How long a server is silent that goes on afterwards, in milliseconds. */
 const SILENT_MS = 1_000;
 /** Length of the intervals that have one silent server each, in milliseconds. */
@@ -231,7 +233,9 @@
   const spareMs = endMs - FAULT_FREE_START_MS - CUT_OFF_MS;
   if (spareMs < 0) return [];
   const isFirst = random.nextFloat() < 0.5;
-  const afterMs = isFirst ? -1 : Math.round(random.nextFloat() * spareMs);
+  const afterMs = isFirst
+    ? -CUT_OFF_LEAD_MS
+    : Math.round(random.nextFloat() * spareMs);
   const state = pickRandom(CUT_OFF_STATES, random)!;
   return [{
     fault: { kind: "cut-off", indices: pickCutOff(parts, random), state },
