--- a/forwarding/choose_destination.ts
+++ b/forwarding/choose_destination.ts
@@ -73,8 +73,9 @@
 const REMOTE_MARGIN_FRACTION = 0.05;
 
 /**
- * Maximum number of instances of the local region that a call is sent to while only its
- * service fails here: the servers are the more likely cause then.
+ * Number of instances that may have refused or lost a call before it is sent to no more
+ * instances of the local region, while only its service fails here: the servers are the more
+ * likely cause then.
  */
 const MAX_NEIGHBORS_OF_LOST_SERVICE = 2;
 
--- a/forwarding/choose_server.ts
+++ b/forwarding/choose_server.ts
@@ -115,8 +115,9 @@
  * Which servers may be chosen:
  *
  * - `working`: those that do not fail for this instance.
- * - `any`: the same, and where all of them fail, those that let a call know that at once.
- * - `all`: also those that fail for this instance, since another one sends the call.
+ * - `any`: the same; where all servers fail, those whose connections do not time out, since
+ *   a connection that is refused at once costs the call nothing.
+ * - `all`: also those that fail for this instance, since another instance sends the call.
  */
 export type ServerSelection = "working" | "any" | "all";
 
--- a/forwarding/server_reachability.ts
+++ b/forwarding/server_reachability.ts
@@ -32,7 +32,10 @@
     return liveness.isSilent(server, estimateMs, nowMs);
   }
 
-  /** Returns whether calls of this instance to a server would probably fail now. */
+  /**
+   * Returns whether calls of this instance to a server would probably fail now: it can open
+   * no connection to it, has suspended it, or gets nothing from it.
+   */
   isFailing(service: string, server: BackendId, nowMs: number): boolean {
     const { health, links } = this.#parts.learned;
     return links.isUnreachable(server) || health.isSuspended(server, nowMs) ||
--- a/soak/check_promises.ts
+++ b/soak/check_promises.ts
@@ -443,18 +443,25 @@
   });
 }
 
-/** Returns the first tries in the time that counts, without those at stalled or stopped instances. */
+/**
+ * Returns the first tries in the time that counts, without those at stalled or stopped
+ * instances, and those while all instances with links to servers were stalled or stopped.
+ */
 function listTriesInTouch(
   { calls, pauses }: Observation,
-  { fromMs, toMs }: Observation["cutOffs"][number],
+  { fromMs, instances, toMs }: Observation["cutOffs"][number],
 ): readonly ObservedCall[] {
+  const isInTouch = (instance: string, atMs: number) =>
+    !pauses.some((pause) =>
+      pause.instance === instance && pause.fromMs < atMs &&
+      pause.toMs > atMs - CUT_OFF_DELAY_MS
+    );
+  const others = [...new Set(calls.map(({ instance }) => instance))]
+    .filter((instance) => !instances.includes(instance));
   return calls.filter(({ instance, kind, sentMs }) =>
     WORK_KINDS.includes(kind) && sentMs > fromMs + CUT_OFF_DELAY_MS &&
-    sentMs < toMs &&
-    !pauses.some((pause) =>
-      pause.instance === instance && pause.fromMs < sentMs &&
-      pause.toMs > sentMs - CUT_OFF_DELAY_MS
-    )
+    sentMs < toMs && isInTouch(instance, sentMs) &&
+    others.some((other) => isInTouch(other, sentMs))
   );
 }
 
--- a/soak/check_promises_test.ts
+++ b/soak/check_promises_test.ts
@@ -360,7 +360,11 @@
           sentMs: 6_000,
           ...(at < served ? {} : { end: refused }),
         }));
-    const checkServed = (served: number, isPaused = false, others = 200) =>
+    const checkServed = (
+      served: number,
+      paused: string | undefined = undefined,
+      others = 200,
+    ) =>
       check({
         calls: [
           createCall(),
@@ -368,12 +372,16 @@
           ...createTries(others, "i2", others),
         ],
         cutOffs: [{ instances: ["i1"], fromMs: 500, toMs: 9_000 }],
-        pauses: isPaused ? [{ instance: "i1", fromMs: 0, toMs: 5_000 }] : [],
+        pauses: paused === undefined
+          ? []
+          : [{ instance: paused, fromMs: 0, toMs: 5_000 }],
       });
     assert.deepEqual(checkServed(67), []);
     assert.deepEqual(checkServed(66), [promise]);
-    assert.deepEqual(checkServed(66, true), []);
-    assert.deepEqual(checkServed(66, false, 0), []);
+    assert.deepEqual(checkServed(66, "i1"), []);
+    assert.deepEqual(checkServed(66, "i2"), []);
+    assert.deepEqual(checkServed(66, "i3"), [promise]);
+    assert.deepEqual(checkServed(66, undefined, 0), []);
   });
 
   it("finds unserved calls and old configuration versions after the faults", () => {
--- a/standin/cut_server_links.ts
+++ b/standin/cut_server_links.ts
@@ -15,7 +15,9 @@
   readonly port?: number | string;
 }
 
+/** Open sockets to servers, with the ports that they are connected to. */
 const open = new Map<Socket, number>();
+/** What the parent process asked for last. */
 let request: ServerLinksRequest = { state: "open", storePort: 0 };
 
 const connect = Socket.prototype.connect as (
@@ -55,7 +57,7 @@
 // Waiting for requests must not keep the program running.
 process.channel?.unref();
 
-/** Returns the target of a connection: Node passes it as options, alone or in an array. */
+/** Returns the target of a connection; Node passes its options alone or as the first of an array. */
 function readTarget(first: unknown): Target {
   return (Array.isArray(first) ? first[0] : first) as Target;
 }
