Tests and soak: one start of simulated fleets, one recording logger, one test of a served call

Three tests built the same recording logger; createRecordingLogger serves them. The soak asked in two places whether a call was served; isServed stands beside the observation now. Two comments in forwarding/: one line was too long and left out what is new, one blank line was missing.

--- a/adapters/call_listener_test.ts
+++ b/adapters/call_listener_test.ts
@@ -1,7 +1,6 @@
 import assert from "node:assert/strict";
 import { afterEach, describe, it } from "node:test";
-import { VirtualClock } from "../clock/mod.ts";
-import { createLogger } from "../logs/mod.ts";
+import { createRecordingLogger } from "../tests/recording_logger.ts";
 import { openRawCaller } from "../tests/raw_http.ts";
 import { CallListener, type CallListenerParts } from "./call_listener.ts";
 
@@ -11,16 +10,11 @@
 afterEach(() => CLEAN_UPS.splice(0).forEach((cleanUp) => cleanUp()));
 
 async function start(handle: CallListenerParts["handle"]) {
-  const lines: string[] = [];
+  const { lines, logger } = createRecordingLogger();
   const listener = new CallListener({
     host: HOST,
     port: 0,
-    logger: createLogger({
-      clock: new VirtualClock(),
-      fields: {},
-      level: "info",
-      write: (line) => lines.push(line),
-    }),
+    logger,
     nowMs: () => 0,
     readLoopDelayMs: () => 0,
     readOrigin: () => ({ kind: "caller" }),
--- a/adapters/json_rpc_server_test.ts
+++ b/adapters/json_rpc_server_test.ts
@@ -1,18 +1,11 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { JSONRPCErrorCode } from "json-rpc-2.0";
-import { createLogger } from "../logs/mod.ts";
-import { VirtualClock } from "../clock/mod.ts";
+import { createRecordingLogger } from "../tests/recording_logger.ts";
 import { createRpcResponder } from "./json_rpc_server.ts";
 
 function createResponder() {
-  const lines: string[] = [];
-  const logger = createLogger({
-    clock: new VirtualClock(),
-    fields: {},
-    level: "info",
-    write: (line) => lines.push(line),
-  });
+  const { lines, logger } = createRecordingLogger();
   const respond = createRpcResponder({
     double: ({ value }) => 2 * value,
   }, logger);
--- a/adapters/start_listening_test.ts
+++ b/adapters/start_listening_test.ts
@@ -2,23 +2,12 @@
 import { createSocket } from "node:dgram";
 import { createServer } from "node:net";
 import { describe, it } from "node:test";
-import { VirtualClock } from "../clock/mod.ts";
-import { createLogger, createSilentLogger } from "../logs/mod.ts";
+import { createSilentLogger } from "../logs/mod.ts";
+import { createRecordingLogger } from "../tests/recording_logger.ts";
 import { bindSocket, startListening } from "./start_listening.ts";
 
 const ADDRESS = { host: "127.0.0.1", port: 0 };
 
-function createRecordingLogger() {
-  const lines: string[] = [];
-  const logger = createLogger({
-    clock: new VirtualClock(),
-    fields: {},
-    level: "info",
-    write: (line) => lines.push(line),
-  });
-  return { lines, logger };
-}
-
 describe("startListening()", () => {
   it("rejects if the port is taken", async () => {
     const logger = createSilentLogger();
--- a/forwarding/learned_servers.ts
+++ b/forwarding/learned_servers.ts
@@ -29,8 +29,8 @@
 
 /**
  * What this instance has learned of backend servers: their speed, health, liveness and
- * rate limits, how many rejections they tolerate, the prompt parts that they have cached, and the calls sent to servers
- * that are cold or limited.
+ * rate limits, whether connections to them open, how many rejections they tolerate, the
+ * prompt parts that they have cached, and the calls sent to servers that are cold or limited.
  */
 export class LearnedServers {
   readonly speeds = new ServerSpeeds();
--- a/forwarding/rejection_gate.ts
+++ b/forwarding/rejection_gate.ts
@@ -10,6 +10,7 @@
  * windows of the server and of the instances are not aligned.
  */
 const USED_FRACTION = 0.7;
+
 /** What a {@linkcode RejectionGate} is created from. */
 export interface RejectionGateParts {
   /** The instances that share the tolerated rejections, as this instance sees them. */
--- a/soak/check_promises.ts
+++ b/soak/check_promises.ts
@@ -4,6 +4,7 @@
 } from "../standin/recording_server.ts";
 import { ROTATING_TEAM, STEADY_TEAM } from "./caller.ts";
 import {
+  isServed,
   KEY_KINDS,
   type Observation,
   type ObservedCall,
@@ -465,10 +466,6 @@
   );
 }
 
-function isServed({ end }: ObservedCall): boolean {
-  return end.kind === "answered" && end.status === 200;
-}
-
 function computeServedShare(calls: readonly ObservedCall[]): number {
   return calls.length === 0 ? 1 : calls.filter(isServed).length / calls.length;
 }
--- a/soak/observation.ts
+++ b/soak/observation.ts
@@ -54,6 +54,11 @@
   readonly end: CallOutcome;
 }
 
+/** Returns whether a caller got an answer with status 200. */
+export function isServed({ end }: ObservedCall): boolean {
+  return end.kind === "answered" && end.status === 200;
+}
+
 /** A call whose caller disconnected before it got an answer. */
 export interface AbandonedCall {
   readonly callId: string;
--- a/soak/run_soak.ts
+++ b/soak/run_soak.ts
@@ -12,6 +12,7 @@
 import {
   type CallKind,
   type DirectoryAnswer,
+  isServed,
   KEY_KINDS,
   type Observation,
   type ObservedCall,
@@ -146,7 +147,7 @@
   const lost = await Promise.race([runPlan(), fleet.lostInstance]);
   trafficEnded.abort("over");
   await Promise.all([...callers, polling]);
-  const counts = { calls: calls.length, served: countServed(calls) };
+  const counts = { calls: calls.length, served: calls.filter(isServed).length };
   if (lost !== undefined) {
     return createLostReport(parts, lost, { ...counts, faults: plan.length });
   }
@@ -177,12 +178,6 @@
   };
 }
 
-function countServed(calls: readonly ObservedCall[]): number {
-  return calls.filter(({ end }) =>
-    end.kind === "answered" && end.status === 200
-  ).length;
-}
-
 function startCallers(
   fleet: SoakFleet,
   calls: ObservedCall[],
--- a/tests/advertised_server_state_test.ts
+++ b/tests/advertised_server_state_test.ts
@@ -1,6 +1,6 @@
 // Guards against ignoring what servers advertise in answers: those that left, or rejected calls and so had no load, kept getting calls.
 import assert from "node:assert/strict";
-import { afterEach, describe, it } from "node:test";
+import { describe, it } from "node:test";
 import { createRoute, createRouteTable } from "./route_fixture.ts";
 import {
   type CallOutcome,
@@ -8,6 +8,7 @@
   VirtualFleet,
   type VirtualFleetParts,
 } from "./virtual_fleet.ts";
+import { startVirtualFleet } from "./virtual_fleet_fixture.ts";
 
 const COOLDOWN_MS = 3_000;
 /** Time after which what a server advertises must be applied, as users measure it, in milliseconds. */
@@ -21,21 +22,16 @@
   headers: ["Retry-After", String(COOLDOWN_MS / 1_000)],
 };
 
-const FLEETS: VirtualFleet[] = [];
-afterEach(() => FLEETS.splice(0).forEach((fleet) => fleet.stop()));
-
 async function startFleet(
   parts: Partial<VirtualFleetParts>,
   servers = 3,
 ): Promise<VirtualFleet> {
-  const fleet = new VirtualFleet({
+  const fleet = await startVirtualFleet({
     regions: { north: { instances: 2, servers } },
     table: createRouteTable([createRoute("/a/")]),
     decide: () => ANSWER,
     ...parts,
   });
-  FLEETS.push(fleet);
-  await fleet.clock.advance(2_000);
   return fleet;
 }
 
--- a/tests/brittle_server_test.ts
+++ b/tests/brittle_server_test.ts
@@ -1,11 +1,12 @@
 import assert from "node:assert/strict";
-import { afterEach, describe, it } from "node:test";
+import { describe, it } from "node:test";
 import { createRoute, createRouteTable } from "./route_fixture.ts";
 import {
   type Arrival,
   type ServerAction,
   VirtualFleet,
 } from "./virtual_fleet.ts";
+import { startVirtualFleet } from "./virtual_fleet_fixture.ts";
 
 /** Rejections a second after which a brittle server fails. */
 const TOLERATED_PER_SECOND = 6;
@@ -17,9 +18,6 @@
 /** Time between two bursts, in milliseconds. */
 const BURST_INTERVAL_MS = 400;
 
-const FLEETS: VirtualFleet[] = [];
-afterEach(() => FLEETS.splice(0).forEach((fleet) => fleet.stop()));
-
 /** Servers that let no call wait, and count the calls that they reject. */
 class BrittleServers {
   isBrittle = false;
@@ -61,7 +59,7 @@
 
 async function startFleet(instances: number): Promise<BrittleFleet> {
   const servers = new BrittleServers();
-  const fleet = new VirtualFleet({
+  const fleet = await startVirtualFleet({
     regions: { north: { instances, servers: 2 } },
     table: createRouteTable([createRoute("/a/")], { maxConnections: 1_000 }),
     slots: SLOTS,
@@ -71,8 +69,6 @@
         ? ["X-Rejection-Limit", String(TOLERATED_PER_SECOND)]
         : [],
   });
-  FLEETS.push(fleet);
-  await fleet.clock.advance(2_000);
   return { fleet, servers };
 }
 
--- a/tests/cut_off_instance_test.ts
+++ b/tests/cut_off_instance_test.ts
@@ -1,8 +1,9 @@
 import assert from "node:assert/strict";
-import { afterEach, describe, it } from "node:test";
+import { describe, it } from "node:test";
 import { toRegionId } from "../ids/mod.ts";
 import { createRoute, createRouteTable, ROUTE_HOST } from "./route_fixture.ts";
 import { VirtualFleet, type VirtualFleetParts } from "./virtual_fleet.ts";
+import { startVirtualFleet } from "./virtual_fleet_fixture.ts";
 import type { LinkState } from "./virtual_links.ts";
 
 /** Time after which the callers of cut-off instances have to be served, in milliseconds. */
@@ -25,9 +26,6 @@
 const MOST = ["north-0", "north-1", "south-0", "south-1", "west-0", "west-1"];
 const ALL_OF_NORTH = ["north-0", "north-1", "north-2"];
 
-const FLEETS: VirtualFleet[] = [];
-afterEach(() => FLEETS.splice(0).forEach((fleet) => fleet.stop()));
-
 interface Tries {
   sent: number;
   served: number;
@@ -42,7 +40,7 @@
 async function startFleet(
   parts: Partial<VirtualFleetParts> = {},
 ): Promise<VirtualFleet> {
-  const fleet = new VirtualFleet({
+  const fleet = await startVirtualFleet({
     regions: REGIONS,
     table: createRouteTable([
       createRoute("/a/"),
@@ -52,8 +50,6 @@
     decide: () => ({ kind: "answer", afterMs: 20 }),
     ...parts,
   });
-  FLEETS.push(fleet);
-  await fleet.clock.advance(2_000);
   return fleet;
 }
 
--- a/tests/failing_route_test.ts
+++ b/tests/failing_route_test.ts
@@ -1,8 +1,8 @@
 // Guards against health that is kept by server alone: two of six servers failed all calls of one route and still got a third of them.
 import assert from "node:assert/strict";
-import { afterEach, describe, it } from "node:test";
+import { describe, it } from "node:test";
 import { createRoute, createRouteTable } from "./route_fixture.ts";
-import { VirtualFleet } from "./virtual_fleet.ts";
+import { startVirtualFleet } from "./virtual_fleet_fixture.ts";
 
 /** Servers that fail all calls of `/b/`, and no other calls. */
 const FAILING = ["north-server-0", "north-server-1"];
@@ -15,12 +15,9 @@
  */
 const MAX_PROBE_SHARE = 24 * 2 / 15 * 5 / 100;
 
-const FLEETS: VirtualFleet[] = [];
-afterEach(() => FLEETS.splice(0).forEach((fleet) => fleet.stop()));
-
 /** Sends calls of both routes for ten seconds, and returns the outcome of the last five. */
 async function sendCalls(failsUntilMs = Infinity) {
-  const fleet = new VirtualFleet({
+  const fleet = await startVirtualFleet({
     regions: { north: { instances: 24, servers: 6 } },
     table: createRouteTable([createRoute("/a/"), createRoute("/b/")]),
     decide: ({ atMs, server, target }) => {
@@ -29,8 +26,6 @@
       return { kind: "answer", afterMs: 40, status: isFailing ? 500 : 200 };
     },
   });
-  FLEETS.push(fleet);
-  await fleet.clock.advance(2_000);
   const statuses: number[] = [];
   const startMs = fleet.clock.nowMs();
   for (let call = 0; call < 500; call++) {
--- a/tests/remote_regions_test.ts
+++ b/tests/remote_regions_test.ts
@@ -1,18 +1,15 @@
 import assert from "node:assert/strict";
-import { afterEach, describe, it } from "node:test";
+import { describe, it } from "node:test";
 import type { RegionId } from "../ids/mod.ts";
 import { createRoute, createRouteTable } from "./route_fixture.ts";
-import { VirtualFleet } from "./virtual_fleet.ts";
-
-const FLEETS: VirtualFleet[] = [];
-afterEach(() => FLEETS.splice(0).forEach((fleet) => fleet.stop()));
+import { startVirtualFleet } from "./virtual_fleet_fixture.ts";
 
 /** Sends calls to `north`, whose servers answer after a time; returns the regions that were considered and those that served. */
 async function measureCalls(northAnswersAfterMs: number): Promise<{
   readonly considered: ReadonlySet<RegionId>;
   readonly servedBy: ReadonlySet<string>;
 }> {
-  const fleet = new VirtualFleet({
+  const fleet = await startVirtualFleet({
     regions: {
       north: { instances: 1, servers: 2 },
       south: { instances: 1, servers: 2 },
@@ -23,8 +20,6 @@
       afterMs: server.startsWith("north") ? northAnswersAfterMs : 40,
     }),
   });
-  FLEETS.push(fleet);
-  await fleet.clock.advance(2_000);
   const call = async () => {
     void fleet.call(`call ${fleet.clock.nowMs()}`, "north-0");
     await fleet.clock.advance(100);
--- a/tests/server_crashing_call_test.ts
+++ b/tests/server_crashing_call_test.ts
@@ -1,8 +1,9 @@
 // Guards against a call that crashes server after server: its crashes were known to one exchange, not to other ids and instances.
 import assert from "node:assert/strict";
-import { afterEach, describe, it } from "node:test";
+import { describe, it } from "node:test";
 import { createRoute, createRouteTable } from "./route_fixture.ts";
 import { type Arrival, VirtualFleet } from "./virtual_fleet.ts";
+import { startVirtualFleet } from "./virtual_fleet_fixture.ts";
 
 const CRASHING_BODY = "the call that ends servers";
 /** Time after which all instances must quarantine the call, as users measure it, in milliseconds. */
@@ -10,12 +11,9 @@
 /** Sends that are allowed after that time. */
 const ALLOWED_SENDS = 3;
 
-const FLEETS: VirtualFleet[] = [];
-afterEach(() => FLEETS.splice(0).forEach((fleet) => fleet.stop()));
-
 /** Starts three regions as in a small deployment; `lostShare` of the datagrams get lost. */
 async function startFleet(lostShare = 0): Promise<VirtualFleet> {
-  const fleet = new VirtualFleet({
+  const fleet = await startVirtualFleet({
     regions: {
       north: { instances: 3, servers: 3 },
       south: { instances: 3, servers: 2 },
@@ -29,8 +27,6 @@
     replacedAfterMs: 6_000,
     lostShare,
   });
-  FLEETS.push(fleet);
-  await fleet.clock.advance(2_000);
   return fleet;
 }
 
@@ -74,7 +70,7 @@
 
 describe("a call that many callers send", () => {
   it("is answered though servers crash while they have it, also when its answer is a 404", async () => {
-    const fleet = new VirtualFleet({
+    const fleet = await startVirtualFleet({
       regions: { north: { instances: 1, servers: 7 } },
       table: createRouteTable([createRoute("/a/")]),
       decide: ({ body }) =>
@@ -82,8 +78,6 @@
           ? { kind: "answer", afterMs: 100, status: 404 }
           : { kind: "end", afterMs: 50 },
     });
-    FLEETS.push(fleet);
-    await fleet.clock.advance(2_000);
     const sendPopular = async () => {
       const [{ status }] = await Promise.all([
         fleet.call("popular"),
@@ -108,7 +102,7 @@
 
 describe("a call that nobody has answered yet", () => {
   it("is served soon though it was in flight wherever another call crashed a server", async () => {
-    const fleet = new VirtualFleet({
+    const fleet = await startVirtualFleet({
       regions: {
         north: { instances: 3, servers: 2 },
         south: { instances: 3, servers: 2 },
@@ -120,8 +114,6 @@
           : { kind: "answer", afterMs: 120 },
       replacedAfterMs: 3_000,
     });
-    FLEETS.push(fleet);
-    await fleet.clock.advance(2_000);
     const statuses: { readonly atMs: number; readonly status: number }[] = [];
     const sendPopular = () => {
       const atMs = fleet.clock.nowMs();
--- a/tests/server_limit_test.ts
+++ b/tests/server_limit_test.ts
@@ -1,5 +1,5 @@
 import assert from "node:assert/strict";
-import { afterEach, describe, it } from "node:test";
+import { describe, it } from "node:test";
 import { createRoute, createRouteTable } from "./route_fixture.ts";
 import {
   type Arrival,
@@ -8,6 +8,7 @@
   VirtualFleet,
   type VirtualFleetParts,
 } from "./virtual_fleet.ts";
+import { startVirtualFleet } from "./virtual_fleet_fixture.ts";
 
 /**
  * In any window of 4 s a server may get its advertised limit times the overshoot, plus the
@@ -25,9 +26,6 @@
   afterMs: server === LIMITED_SERVER ? 20 : 40,
 });
 
-const FLEETS: VirtualFleet[] = [];
-afterEach(() => FLEETS.splice(0).forEach((fleet) => fleet.stop()));
-
 interface LimitedFleet {
   readonly fleet: VirtualFleet;
   /** Limit that the server advertises, in calls per second; `undefined` if it advertises none. */
@@ -37,7 +35,7 @@
 async function startFleet(
   parts: Partial<VirtualFleetParts>,
 ): Promise<LimitedFleet> {
-  const fleet = new VirtualFleet({
+  const fleet = await startVirtualFleet({
     regions: { north: { instances: 3, servers: 2 } },
     table: createRouteTable([createRoute("/a/")]),
     decide,
@@ -48,8 +46,6 @@
     ...parts,
   });
   const limited: LimitedFleet = { fleet, perSecond: undefined };
-  FLEETS.push(fleet);
-  await fleet.clock.advance(2_000);
   return limited;
 }
 
--- a/tests/silent_server_test.ts
+++ b/tests/silent_server_test.ts
@@ -1,7 +1,8 @@
 import assert from "node:assert/strict";
-import { afterEach, describe, it } from "node:test";
+import { describe, it } from "node:test";
 import { createRoute, createRouteTable } from "./route_fixture.ts";
 import { type Arrival, VirtualFleet } from "./virtual_fleet.ts";
+import { startVirtualFleet } from "./virtual_fleet_fixture.ts";
 
 const RUN_MS = 20;
 /** How long a sound server is silent, in milliseconds. */
@@ -9,13 +10,10 @@
 const SILENT_SERVER = "north-server-0";
 const CALL_INTERVAL_MS = 10;
 
-const FLEETS: VirtualFleet[] = [];
-afterEach(() => FLEETS.splice(0).forEach((fleet) => fleet.stop()));
-
 /** Starts regions of one server each; that of the north is silent from `silentFromMs` on. */
 async function startFleet() {
   const silence = { fromMs: Infinity };
-  const fleet = new VirtualFleet({
+  const fleet = await startVirtualFleet({
     regions: {
       north: { instances: 3, servers: 1 },
       south: { instances: 3, servers: 1 },
@@ -33,8 +31,6 @@
       return { kind: "answer", afterMs: (isSilent ? endMs : dueMs) - atMs };
     },
   });
-  FLEETS.push(fleet);
-  await fleet.clock.advance(2_000);
   return { fleet, silence };
 }
 
