Logs and metrics tell how servers' answers are framed and how they end

A call that counted as answered left no line, and no metric told an answer that ends with its connection from one with a length, or a stream that stops within an event from one that stops between two: an end that is taken for completeness and a reset that is taken for an end looked the same. The metric call.answer_ends and the line "answer ended inside an event" tell them apart. What callers get is unchanged.

--- a/adapters/connection_pool.ts
+++ b/adapters/connection_pool.ts
@@ -2,7 +2,8 @@
 import { buildConnector, Client, type Dispatcher } from "undici";
 import {
   type ActiveSend,
-  readHeader,
+  type AnswerFraming,
+  readAnswerFraming,
   type SendEvents,
   type SendFailure,
   type SendRequest,
@@ -218,8 +219,8 @@
   #resume = () => {};
   #isDone = false;
   #isSent = false;
-  /** Whether the answer has neither a length nor chunks, so that the connection's end ends it. */
-  #endsWithConnection = false;
+  #method = "";
+  #framing: AnswerFraming = "length";
 
   constructor(
     connection: Connection,
@@ -233,6 +234,7 @@
 
   start(request: SendRequest): void {
     const { body, headers, method, target } = request;
+    this.#method = method;
     try {
       this.#connection.client.dispatch({
         method: method as Dispatcher.HttpMethod,
@@ -280,13 +282,12 @@
     if (status < 200 || this.#isDone) return true;
     this.#resume = resume;
     const headers = rawHeaders.map((text) => text.toString("latin1"));
-    this.#endsWithConnection =
-      readHeader(headers, "content-length") === undefined &&
-      readHeader(headers, "transfer-encoding") === undefined;
+    this.#framing = readAnswerFraming(this.#method, { status, headers });
     this.#events.onHead({
       status,
       statusText: toWritableText(statusText),
       headers,
+      framing: this.#framing,
     });
     return true;
   }
@@ -300,7 +301,7 @@
   onComplete(trailers: string[] | null): void {
     if (this.#isDone) return;
     const { socket } = this.#connection;
-    if (this.#endsWithConnection && hasBeenReset(socket)) {
+    if (this.#framing === "connection" && hasBeenReset(socket)) {
       this.#fail(
         Object.assign(
           new Error("The connection was reset within the answer"),
--- /dev/null
+++ b/forwarding/event_scanner.ts
@@ -0,0 +1,46 @@
+const LINE_FEED = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
+const COLON = 0x3a;
+
+/**
+ * Finds the ends of events in the bytes of a `text/event-stream`, in which a line ends with
+ * CR, LF or both (WHATWG HTML, section 9.2.6).
+ */
+export class EventScanner {
+  /** Whether the last byte was a CR, to which an LF may still belong. */
+  #isAfterCarriageReturn = false;
+  #isLineEmpty = true;
+  #hasField = false;
+
+  /**
+   * Whether the bytes so far end within an event: after a field, or within a line. Comments
+   * between events belong to none.
+   */
+  get isInsideEvent(): boolean {
+    return this.#hasField || !this.#isLineEmpty;
+  }
+
+  /** Takes the next bytes, and returns the indices in them after each blank line. */
+  scan(chunk: Buffer): readonly number[] {
+    const ends: number[] = [];
+    for (let at = 0; at < chunk.length; at++) {
+      const byte = chunk[at]!;
+      const belongsToLineEnd = byte === LINE_FEED &&
+        this.#isAfterCarriageReturn;
+      this.#isAfterCarriageReturn = byte === CARRIAGE_RETURN;
+      if (belongsToLineEnd) {
+        if (ends.at(-1) === at) ends[ends.length - 1] = at + 1;
+      } else if (byte === LINE_FEED || byte === CARRIAGE_RETURN) {
+        if (this.#isLineEmpty) {
+          ends.push(at + 1);
+          this.#hasField = false;
+        }
+        this.#isLineEmpty = true;
+      } else {
+        if (this.#isLineEmpty && byte !== COLON) this.#hasField = true;
+        this.#isLineEmpty = false;
+      }
+    }
+    return ends;
+  }
+}
--- a/forwarding/instance_sender.ts
+++ b/forwarding/instance_sender.ts
@@ -91,6 +91,7 @@
       callId: facts.callId,
       isHop: true,
       holdsFailures: false,
+      isStream: exchange.route.routeClass === "stream",
       framesEvents: isRetryable(exchange) &&
         exchange.route.routeClass === "stream",
       progress,
--- a/forwarding/mod.ts
+++ b/forwarding/mod.ts
@@ -20,6 +20,8 @@
 export * from "./opaque_call.ts";
 export * from "./refusal.ts";
 export * from "./hop_headers.ts";
+export * from "./answer_framing.ts";
+export * from "./event_scanner.ts";
 export * from "./event_framer.ts";
 export * from "./prefix_cache_model.ts";
 export * from "./server_speeds.ts";
--- a/forwarding/run_attempt.ts
+++ b/forwarding/run_attempt.ts
@@ -1,12 +1,14 @@
 import { type Clock, scheduleAfterReading } from "../clock/mod.ts";
+import type { AnswerFraming } from "./answer_framing.ts";
 import type {
   AnswerFacts,
   CallHeaderCodec,
   RawHeaders,
 } from "./call_header_codec.ts";
 import { EventFramer } from "./event_framer.ts";
+import { EventScanner } from "./event_scanner.ts";
 import { isHopHeader, readHopAnswer } from "./hop_headers.ts";
-import { pickForwarded } from "./http_headers.ts";
+import { pickForwarded, readHeader } from "./http_headers.ts";
 import type { Handover, HandoverEvents } from "./handover.ts";
 import type { CallSink } from "./opaque_call.ts";
 import type { RefusalReason } from "./refusal.ts";
@@ -76,6 +78,14 @@
   readonly trailers: RawHeaders;
 }
 
+/** How the body of an answer ended that was passed on or held back. */
+export interface AnswerEnd {
+  /** How the end of the body is told. */
+  readonly framing: AnswerFraming;
+  /** `inside-event`: an event stream that is framed as complete and stops within an event. */
+  readonly how: "whole" | "inside-event" | "broken";
+}
+
 /** How much of the answer has been passed on so far, over all sends of the call. */
 export interface StreamProgress {
   /** Whether the head of the answer was passed on. */
@@ -95,6 +105,8 @@
   readonly isHop: boolean;
   /** Whether failures of the server are held back instead of passed on. */
   readonly holdsFailures: boolean;
+  /** Whether the call's route streams events. */
+  readonly isStream: boolean;
   /** Whether only complete events are passed on, so that the stream can be resumed. */
   readonly framesEvents: boolean;
   readonly progress: StreamProgress;
@@ -104,6 +116,8 @@
   readonly onHeaders?: (headers: RawHeaders) => void;
   /** Called with the facts in the answer's head, even if the answer is not used. Default: nothing. */
   readonly onFacts?: (facts: AnswerFacts) => void;
+  /** Called when the body of the answer has ended. Default: nothing. */
+  readonly onAnswerEnd?: (end: AnswerEnd) => void;
   /** Called for each part of the answer that arrives. Default: nothing. */
   readonly onActivity?: () => void;
   /** Called once, at the first byte of the answer's body or at the end of an answer without one. */
@@ -130,6 +144,7 @@
 /** Interval of checks for a silent server, in milliseconds: a fraction of the detected silence. */
 const SILENCE_CHECK_INTERVAL_MS = 250;
 
+const EVENT_STREAM_TYPE = "text/event-stream";
 const MIN_FAILURE_STATUS = 500;
 /** Statuses with which the gateway guarantees callers that a call has not run. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -153,6 +168,7 @@
   readonly #parts: AttemptParts;
   readonly #resolve: (outcome: AttemptOutcome) => void;
   readonly #framer: EventFramer | undefined;
+  readonly #scanner = new EventScanner();
   readonly #ended = new AbortController();
   readonly #giveUp = () => this.#finish({ kind: "given-up" }, true);
   #send: ActiveSend | undefined;
@@ -259,6 +275,7 @@
     if (this.#isFinished) return true;
     this.#parts.onActivity?.();
     this.#recordFirstByte();
+    if (this.#isEventStream) this.#scanner.scan(chunk);
     this.#cancelHandover();
     if (this.#held !== undefined) {
       this.#heldBytes += chunk.length;
@@ -280,6 +297,8 @@
   onEnd(trailers: RawHeaders): void {
     if (this.#isFinished) return;
     this.#recordFirstByte();
+    const isInside = this.#isEventStream && this.#scanner.isInsideEvent;
+    this.#reportEnd(isInside ? "inside-event" : "whole");
     if (this.#held !== undefined) {
       const body = Buffer.concat(this.#held);
       const answer = { head: this.#head!, body, trailers };
@@ -297,6 +316,7 @@
   onFailure(failure: SendFailure): void {
     if (this.#isFinished) return;
     const { isOwnLimit, message } = failure;
+    if (this.#head !== undefined) this.#reportEnd("broken");
     if (failure.kind === "not-sent") {
       this.#finish({ kind: "not-sent", message, isOwnLimit });
       return;
@@ -310,6 +330,19 @@
     return this.#isTimeoutOver && !this.#hasFirstByte;
   }
 
+  /** Whether the body is an event stream: by its type, or by the route if it names none. */
+  get #isEventStream(): boolean {
+    if (this.#head === undefined) return false;
+    const type = readHeader(this.#head.headers, "content-type");
+    if (type === undefined) return this.#parts.isStream;
+    return type.trimStart().toLowerCase().startsWith(EVENT_STREAM_TYPE);
+  }
+
+  #reportEnd(how: AnswerEnd["how"]): void {
+    const framing = this.#head?.framing ?? "length";
+    this.#parts.onAnswerEnd?.({ framing, how });
+  }
+
   #scheduleSilenceCheck(): void {
     // Without a reason to check, a timer would only wake the process.
     const isWatched = this.#parts.isServerDead !== undefined ||
--- a/forwarding/server_client.ts
+++ b/forwarding/server_client.ts
@@ -1,3 +1,4 @@
+import type { AnswerFraming } from "./answer_framing.ts";
 import type { RawHeaders } from "./call_header_codec.ts";
 
 /** One send of a call over a connection. */
@@ -18,6 +19,8 @@
   readonly status: number;
   readonly statusText: string;
   readonly headers: RawHeaders;
+  /** How the end of the body is told. Default: `length`. */
+  readonly framing?: AnswerFraming;
 }
 
 /** Why a send got no complete answer. */
--- a/metrics/metrics.ts
+++ b/metrics/metrics.ts
@@ -28,6 +28,8 @@
     "counter; sends of which no byte left, as no connection opened; tags: service",
   "call.rejected":
     "counter; sends refused as not run; tags: service, by (server, instance)",
+  "call.answer_ends":
+    "counter; ends of servers' answers; tags: service, framing (empty, length, chunked, connection), how (whole, inside-event, broken)",
   "state.configuration_version": "gauge",
   "state.store_revision": "gauge",
   "state.store_era":
