--- a/tests/raw_http.ts
+++ b/tests/raw_http.ts
@@ -62,6 +62,8 @@
   readonly socket: Socket;
   /** All bytes received so far. */
   read(): string;
+  /** Whether the connection was reset. */
+  wasReset(): boolean;
   /** Resolves with all bytes once they contain the text, or the connection has ended. */
   awaitText(text: string | RegExp): Promise<string>;
   /** Resolves with all bytes once the connection has ended. */
@@ -101,6 +103,7 @@
   return {
     socket,
     read: () => received,
+    wasReset: () => socket.errored !== null,
     awaitText: (text) =>
       awaitCondition(() =>
         typeof text === "string" ? received.includes(text) : text.test(received)
--- a/tests/region_hop_test.ts
+++ b/tests/region_hop_test.ts
@@ -1,83 +1,16 @@
-import { createReport } from "./report_fixture.ts";
 import assert from "node:assert/strict";
 import { afterEach, describe, it } from "node:test";
-import { toLoopbackAddress } from "../standin/loopback_address.ts";
-import { type FleetReport } from "../fleet/mod.ts";
-import { toFailureDomainId, toInstanceId, toRegionId } from "../ids/mod.ts";
+import { CLEAN_UPS } from "./clean_ups.ts";
+import { createAnswer, createRequest } from "./http_gateway_fixture.ts";
+import { findHeader, openRawCaller } from "./raw_http.ts";
 import {
-  createAnswer,
-  createRequest,
-  type GatewayFixture,
-  startGateway,
-} from "./http_gateway_fixture.ts";
-import {
-  findHeader,
-  openRawCaller,
-  type RawServer,
-  startRawServer,
-} from "./raw_http.ts";
+  createFarReport,
+  FAR_HOST,
+  startTwoRegions,
+} from "./two_regions_fixture.ts";
 
-const CLEAN_UPS: (() => void)[] = [];
 afterEach(() => CLEAN_UPS.splice(0).forEach((cleanUp) => cleanUp()));
 
-const FAR_HOST = toLoopbackAddress(2);
-
-/** Returns a report of the instance in the far region. */
-function createFarReport(peerPort: number, name = FAR_HOST): FleetReport {
-  return createReport(
-    {
-      id: toInstanceId(`instance-${name}`),
-      incarnation: "1",
-      address: `${FAR_HOST}:${peerPort}`,
-      region: toRegionId("south"),
-      failureDomain: toFailureDomainId("south-a"),
-      state: "ready",
-    },
-    1,
-    { scope: "region" },
-  );
-}
-
-/** Starts a gateway in the north, whose only servers are in the south behind another gateway. */
-async function startTwoRegions(
-  answer: Parameters<typeof startRawServer>[0],
-  route: {
-    readonly kind?: "safe" | "unsafe" | "streaming";
-    readonly homeRegions?: readonly string[];
-    readonly timeoutMs?: number;
-    readonly resumable?: boolean;
-    readonly maxAttempts?: number;
-    /** Number of servers in the far region, all at one address. Default: 1. */
-    readonly serverCount?: number;
-  } = {},
-): Promise<
-  {
-    readonly near: GatewayFixture;
-    readonly far: GatewayFixture;
-    readonly server: RawServer;
-  }
-> {
-  const server = await startRawServer(answer);
-  CLEAN_UPS.push(() => server.close());
-  const { serverCount = 1, ...declared } = route;
-  const ids = Array.from({ length: serverCount }, (_, index) => `s${index}`);
-  const shared = {
-    routes: [{ prefix: "/a/", kind: "unsafe" as const, ...declared }],
-    servers: Object.fromEntries(ids.map((id) => [id, server.address])),
-    serverRegions: Object.fromEntries(ids.map((id) => [id, "south"])),
-  };
-  const far = await startGateway({
-    ...shared,
-    host: FAR_HOST,
-    region: "south",
-  });
-  CLEAN_UPS.push(() => far.close());
-  const near = await startGateway(shared);
-  CLEAN_UPS.push(() => near.close());
-  near.gateway.receiveReport(createFarReport(far.peerPort), FAR_HOST);
-  return { near, far, server };
-}
-
 async function sendCall(port: number): Promise<string> {
   const caller = await openRawCaller(port);
   CLEAN_UPS.push(() => caller.socket.destroy());
--- a/tests/stream_fixture.ts
+++ b/tests/stream_fixture.ts
@@ -1,8 +1,8 @@
 import { createRequest, startGateway } from "./http_gateway_fixture.ts";
+import { CLEAN_UPS } from "./clean_ups.ts";
 import { openRawCaller, startRawServer } from "./raw_http.ts";
 
-/** Functions that close what the functions below open; each test file calls them after each test. */
-export const CLEAN_UPS: (() => void)[] = [];
+export { CLEAN_UPS };
 
 /** Head of a signed event stream in chunked transfer encoding. */
 export const STREAM_HEAD = [
