A metric whose tags have lists of values is counted with all of its tags

Cause: the names of a metric's tags are read from its description, and everything from the first opening parenthesis to the last closing one was left out. call.answer_ends, the first metric with two lists of values, lost its last tag, and the client throws for a tag that it does not know, where the end of an answer is reported. The test counts that metric with its tags; it failed before.

What was ruled out: the framing and the scanner of events, which the tests had shown; they count nothing.

--- a/adapters/scraped_metrics.ts
+++ b/adapters/scraped_metrics.ts
@@ -80,6 +80,6 @@
 /** Returns the tag names that follow `tags:` in the description of a metric. */
 function readTagNames(description: string): string[] {
   const [, tags] = /tags: ([^;]*)/.exec(description) ?? [];
-  return (tags ?? "").replace(/\(.*\)/, "").split(",")
+  return (tags ?? "").replaceAll(/\([^)]*\)/g, "").split(",")
     .map((tag) => tag.trim()).filter((tag) => tag !== "");
 }
--- a/adapters/scraped_metrics_test.ts
+++ b/adapters/scraped_metrics_test.ts
@@ -19,4 +19,15 @@
       /havenspur_call_first_byte_ms_bucket\{le="50",service="app"\} 1/,
     );
   });
+
+  // Counting a metric with a tag that it does not have throws where the answer is passed on.
+  it("takes every tag of a metric whose tags have lists of values", async () => {
+    const metrics = createScrapedMetrics();
+    const tags = { service: "app", framing: "length", how: "whole" };
+    metrics.count("call.answer_ends", 1, tags);
+    assert.match(
+      await metrics.format(),
+      /havenspur_call_answer_ends\{service="app",framing="length",how="whole"\} 1/,
+    );
+  });
 });
