A stream that ends within an event is incomplete for its caller, or resumed

Cause: the end of a server's message was taken for the end of the stream. Where the stream may be resumed, the bytes after the last whole event were kept back and, at the end of the message, passed on with a last chunk; elsewhere nobody looked at events at all. So a stream that ends within an event was complete for its caller whatever its framing: without a length, where the end of the connection ends it, with a last chunk, or with a length.

Change: an answer is a stream by its content type, or by its route if it names none; EventScanner finds the ends of its events in any line ends and tells whether the bytes so far end within one. A stream that ends there counts as one that broke off: it is resumed where it may be and an attempt is left, and otherwise the caller's answer is broken off. With a length, only whole events are passed on, as the last byte would make the answer complete. An answer of another type (an error as JSON) is no longer split into events, and continues no stream that has begun.

--- a/forwarding/event_framer.ts
+++ b/forwarding/event_framer.ts
@@ -1,3 +1,5 @@
+import { EventScanner } from "./event_scanner.ts";
+
 /** One complete event of a stream. */
 export interface FramedEvent {
   /** The event, including the blank line that ends it. */
@@ -6,8 +8,6 @@
   readonly id: string | undefined;
 }
 
-const LINE_FEED = 0x0a;
-const CARRIAGE_RETURN = 0x0d;
 const ID_LINE = /^id:[ ]?(.*?)\r?$/m;
 
 /**
@@ -15,41 +15,30 @@
  * blank line are kept back, so that an event that the server never finished is not passed on.
  */
 export class EventFramer {
-  #pending: Buffer = Buffer.alloc(0);
+  readonly #scanner = new EventScanner();
+  #pending: Buffer[] = [];
+
+  /** Whether the bytes so far end within an event. */
+  get isInsideEvent(): boolean {
+    return this.#scanner.isInsideEvent;
+  }
 
-  /** Bytes of an event that is not complete yet. */
+  /** Bytes after the last blank line. */
   get pending(): Buffer {
-    return this.#pending;
+    return Buffer.concat(this.#pending);
   }
 
   /** Adds bytes and returns the events that they complete. */
   push(chunk: Buffer): readonly FramedEvent[] {
-    let data = this.#pending.length === 0
-      ? chunk
-      : Buffer.concat([this.#pending, chunk]);
-    const events: FramedEvent[] = [];
-    let end = findEventEnd(data);
-    while (end !== undefined) {
-      const bytes = data.subarray(0, end);
+    const ends = this.#scanner.scan(chunk);
+    const events = ends.map((end, at) => {
+      const part = chunk.subarray(ends[at - 1] ?? 0, end);
+      const bytes = Buffer.concat([...this.#pending.splice(0), part]);
       const id = ID_LINE.exec(bytes.toString("latin1"))?.[1];
-      events.push({ bytes, id });
-      data = data.subarray(end);
-      end = findEventEnd(data);
-    }
-    this.#pending = data;
+      return { bytes, id };
+    });
+    const rest = chunk.subarray(ends.at(-1) ?? 0);
+    if (rest.length > 0) this.#pending.push(rest);
     return events;
   }
 }
-
-/** Returns the index after the first blank line, or `undefined`. */
-function findEventEnd(data: Buffer): number | undefined {
-  let at = data.indexOf(LINE_FEED);
-  while (at >= 0) {
-    if (data[at + 1] === LINE_FEED) return at + 2;
-    if (data[at + 1] === CARRIAGE_RETURN && data[at + 2] === LINE_FEED) {
-      return at + 3;
-    }
-    at = data.indexOf(LINE_FEED, at + 1);
-  }
-  return undefined;
-}
--- a/forwarding/run_attempt.ts
+++ b/forwarding/run_attempt.ts
@@ -5,7 +5,7 @@
   CallHeaderCodec,
   RawHeaders,
 } from "./call_header_codec.ts";
-import { EventFramer } from "./event_framer.ts";
+import { EventFramer, type FramedEvent } from "./event_framer.ts";
 import { EventScanner } from "./event_scanner.ts";
 import { isHopHeader, readHopAnswer } from "./hop_headers.ts";
 import { pickForwarded, readHeader } from "./http_headers.ts";
@@ -105,9 +105,9 @@
   readonly isHop: boolean;
   /** Whether failures of the server are held back instead of passed on. */
   readonly holdsFailures: boolean;
-  /** Whether the call's route streams events. */
+  /** Whether the call's route streams events, so that an answer without a type is a stream. */
   readonly isStream: boolean;
-  /** Whether only complete events are passed on, so that the stream can be resumed. */
+  /** Whether only complete events of a stream are passed on, so that it can be resumed. */
   readonly framesEvents: boolean;
   readonly progress: StreamProgress;
   /** Returns headers to add to the answer that is passed on. Default: none. */
@@ -167,8 +167,8 @@
 class Attempt implements SendEvents {
   readonly #parts: AttemptParts;
   readonly #resolve: (outcome: AttemptOutcome) => void;
-  readonly #framer: EventFramer | undefined;
-  readonly #scanner = new EventScanner();
+  /** Finds the ends of a stream's events; `undefined` if the answer is no stream. */
+  #events: EventFramer | EventScanner | undefined;
   readonly #ended = new AbortController();
   readonly #giveUp = () => this.#finish({ kind: "given-up" }, true);
   #send: ActiveSend | undefined;
@@ -188,7 +188,6 @@
   ) {
     this.#parts = parts;
     this.#resolve = resolve;
-    this.#framer = parts.framesEvents ? new EventFramer() : undefined;
   }
 
   start(): void {
@@ -262,6 +261,15 @@
       return;
     }
     this.#head = head;
+    if (isEventStream(head, this.#parts.isStream && isSuccess)) {
+      // With the last byte of its length, an answer is complete for its caller.
+      const framesEvents = this.#parts.framesEvents ||
+        head.framing === "length";
+      this.#events = framesEvents ? new EventFramer() : new EventScanner();
+    } else if (this.#parts.progress.hasBegun && isSuccess) {
+      this.#abortAnswer("The answer that should continue a stream is none");
+      return;
+    }
     const isFailure = head.status >= MIN_FAILURE_STATUS;
     // An answer that has begun can only be continued by a success.
     const isHeld = this.#parts.progress.hasBegun
@@ -275,15 +283,21 @@
     if (this.#isFinished) return true;
     this.#parts.onActivity?.();
     this.#recordFirstByte();
-    if (this.#isEventStream) this.#scanner.scan(chunk);
     this.#cancelHandover();
     if (this.#held !== undefined) {
       this.#heldBytes += chunk.length;
       if (this.#heldBytes <= MAX_HELD_BYTES) this.#held.push(chunk);
       return true;
     }
-    if (this.#framer === undefined) return this.#passOn(chunk);
-    const events = this.#framer.push(chunk);
+    if (this.#events instanceof EventFramer) {
+      return this.#passOnEvents(this.#events.push(chunk));
+    }
+    this.#events?.scan(chunk);
+    return this.#passOn(chunk);
+  }
+
+  /** Passes on whole events, and remembers the last id, after which the stream can be resumed. */
+  #passOnEvents(events: readonly FramedEvent[]): boolean {
     if (events.length === 0) return true;
     const lastId = events.findLast(({ id }) => id !== undefined)?.id;
     const canContinue = this.#passOn(
@@ -297,17 +311,26 @@
   onEnd(trailers: RawHeaders): void {
     if (this.#isFinished) return;
     this.#recordFirstByte();
-    const isInside = this.#isEventStream && this.#scanner.isInsideEvent;
-    this.#reportEnd(isInside ? "inside-event" : "whole");
+    const isCut = this.#events?.isInsideEvent ?? false;
+    this.#reportEnd(isCut ? "inside-event" : "whole");
     if (this.#held !== undefined) {
       const body = Buffer.concat(this.#held);
       const answer = { head: this.#head!, body, trailers };
       this.#finish({ kind: "failed", answer });
       return;
     }
-    if (this.#framer !== undefined && this.#framer.pending.length > 0) {
-      this.#passOn(this.#framer.pending);
+    if (isCut) {
+      this.#finishIncomplete({
+        message: "The stream ended within an event",
+        isClosed: this.#framing === "connection",
+      });
+      return;
     }
+    // Only comments and blank lines are left.
+    const rest = this.#events instanceof EventFramer
+      ? this.#events.pending
+      : undefined;
+    if (rest !== undefined && rest.length > 0) this.#passOn(rest);
     this.#begin();
     this.#parts.sink.end(trailers);
     this.#finish({ kind: "answered", status: this.#head!.status });
@@ -321,8 +344,7 @@
       this.#finish({ kind: "not-sent", message, isOwnLimit });
       return;
     }
-    const kind = this.#hasPassedBytes ? "broken" : "no-answer";
-    this.#finish({ kind, message, isClosed: failure.kind === "closed" });
+    this.#finishIncomplete({ message, isClosed: failure.kind === "closed" });
   }
 
   /** Whether the first byte has not arrived within its timeout. */
@@ -330,17 +352,12 @@
     return this.#isTimeoutOver && !this.#hasFirstByte;
   }
 
-  /** Whether the body is an event stream: by its type, or by the route if it names none. */
-  get #isEventStream(): boolean {
-    if (this.#head === undefined) return false;
-    const type = readHeader(this.#head.headers, "content-type");
-    if (type === undefined) return this.#parts.isStream;
-    return type.trimStart().toLowerCase().startsWith(EVENT_STREAM_TYPE);
+  #reportEnd(how: AnswerEnd["how"]): void {
+    this.#parts.onAnswerEnd?.({ framing: this.#framing, how });
   }
 
-  #reportEnd(how: AnswerEnd["how"]): void {
-    const framing = this.#head?.framing ?? "length";
-    this.#parts.onAnswerEnd?.({ framing, how });
+  get #framing(): AnswerFraming {
+    return this.#head?.framing ?? "length";
   }
 
   #scheduleSilenceCheck(): void {
@@ -389,8 +406,12 @@
 
   /** Ends the attempt and closes the connection, whose further data cannot be trusted. */
   #abortAnswer(message: string): void {
+    this.#finishIncomplete({ message }, true);
+  }
+
+  #finishIncomplete(answer: IncompleteAnswer, isAborted = false): void {
     const kind = this.#hasPassedBytes ? "broken" : "no-answer";
-    this.#finish({ kind, message }, true);
+    this.#finish({ kind, ...answer }, isAborted);
   }
 
   #recordFirstByte(): void {
@@ -441,3 +462,15 @@
     return { kind: "handed-over", firstOutcome: outcome, handover };
   }
 }
+
+/**
+ * Returns whether the body of an answer is an event stream.
+ *
+ * @param head Head of the answer.
+ * @param isDefault What an answer without a content type is.
+ */
+function isEventStream({ headers }: AnswerHead, isDefault: boolean): boolean {
+  const type = readHeader(headers, "content-type");
+  if (type === undefined) return isDefault;
+  return type.trimStart().toLowerCase().startsWith(EVENT_STREAM_TYPE);
+}
--- a/forwarding/server_sender.ts
+++ b/forwarding/server_sender.ts
@@ -12,7 +12,6 @@
 import { computeFirstByteTimeoutMs } from "./compute_first_byte_timeout.ts";
 import type { Handover, HandoverEvents } from "./handover.ts";
 import {
-  type AnswerEnd,
   type AttemptOutcome,
   type EndedOutcome,
   runAttempt,
@@ -129,7 +128,11 @@
       createHopHeaders: () => this.#parts.createHopHeaders(exchange),
       onActivity: () => liveness.recordBytes(clock.nowMs()),
       onFacts: (facts) => this.#recordFacts(entry, facts, startMs),
-      onAnswerEnd: (end) => this.#recordAnswerEnd(exchange, entry, end),
+      onAnswerEnd: (end) =>
+        metrics.count("call.answer_ends", 1, {
+          service: service.name,
+          ...end,
+        }),
       onFirstByte: () => {
         load.endReading();
         firstByteMs = clock.nowMs();
@@ -302,28 +305,6 @@
     }
   }
 
-  /** Records how the answer was framed and ended, which shows whether a server cuts answers. */
-  #recordAnswerEnd(
-    { facts: { callId }, progress, service }: Exchange,
-    { id }: RegisteredServer,
-    { framing, how }: AnswerEnd,
-  ): void {
-    const { logger, metrics } = this.#parts;
-    metrics.count("call.answer_ends", 1, {
-      service: service.name,
-      framing,
-      how,
-    });
-    if (how !== "inside-event") return;
-    logger.info("answer ended inside an event", {
-      call: callId,
-      at: id,
-      service: service.name,
-      framing,
-      afterEvent: progress.lastEventId ?? "none",
-    });
-  }
-
   #recordLimit(
     { id, service }: RegisteredServer,
     { isNotExecuted, limitPerSecond: perSecond }: AnswerFacts,
--- a/tests/opaque_streams_test.ts
+++ b/tests/opaque_streams_test.ts
@@ -109,6 +109,29 @@
       assert.ok(!answer.endsWith(STREAM_END));
     });
 
+    it("passes no answer of another type on after the events", async () => {
+      const answerWithPage: RequestHandler = (request, socket) => {
+        if (findHeader(request, "last-event-id") === undefined) {
+          return answerInPart(request, socket);
+        }
+        socket.write(
+          STREAM_HEAD.replace("text/event-stream", "text/html") +
+            toChunk("<p>page</p>") + STREAM_END,
+        );
+      };
+      const { gateway } = await startStreamingGateway([
+        answerWithPage,
+        answerWithPage,
+      ], {
+        resumable: true,
+        maxAttempts: 2,
+      });
+      const answer = await requestStream(gateway.port);
+      assert.deepEqual(listIds(answer), ["1", "2"]);
+      assert.doesNotMatch(answer, /page/);
+      assert.ok(!answer.endsWith(STREAM_END));
+    });
+
     it("passes no error answer of the second server on after the events", async () => {
       const answerWithError: RequestHandler = (request, socket) => {
         if (findHeader(request, "last-event-id") === undefined) {
