An answer that ends with its connection is passed on as one that does

What callers saw: an answer with neither a length nor chunks was passed on in chunks, and the normal end of the server's connection became a last chunk. A server process that ends closes its connections normally, so that an answer which it had begun was complete for the caller, though nobody knew that; and a caller that reads no chunks (HTTP/1.0) took the closed connection of an answer that had broken off for its end.

Change: the head of an answer says how its end is told. An answer that ends with its connection ends with its caller's, without a last chunk; one that breaks off is reset, 50 ms after its last bytes, as callers on Node take a reset that arrives with bytes for a normal end (libuv). Instances break open answers off before they exit. Between instances such an answer keeps its chunks, so that the loss of an instance shows, and a field of the hop's header says how it ends. A stream whose first part was in chunks is not ended as complete by a rest that ends with its connection. While such an answer is sent, no further call of the connection runs; if calls were sent behind it before, it keeps chunks, as their answers would be lost.

Weighed: with chunks, the loss of the gateway's own process is seen by the caller, and with a closed connection it is not, if the system closes it between two events. Without them, the far more frequent end of a server is no longer vouched for.

--- a/adapters/call_listener.ts
+++ b/adapters/call_listener.ts
@@ -14,12 +14,15 @@
   measureHeaders,
   type OpaqueCall,
   type RawHeaders,
+  readHeader,
   type Refusal,
   toRefusalAnswer,
 } from "../forwarding/mod.ts";
 import { type CallerLimits, INITIAL_LIMITS } from "../http_routes/mod.ts";
 import type { Logger } from "../logs/mod.ts";
+import { resetConnection } from "./reset_connection.ts";
 import { startListening } from "./start_listening.ts";
+import { systemClock } from "./system_clock.ts";
 import { ACCEPT_BACKLOG, DisconnectDetector } from "./disconnect_detector.ts";
 
 /**
@@ -29,6 +32,11 @@
 const PARSER_HEADER_BYTES = 65_536;
 /** Interval between checks for slow headers and idle connections, in milliseconds. */
 const CHECK_INTERVAL_MS = 1_000;
+/**
+ * Time between the last bytes of an answer and the reset that breaks it off, in milliseconds.
+ * Callers on Node take a reset that arrives together with bytes for a normal end.
+ */
+const RESET_DELAY_MS = 50;
 /** Maximum size of a body that is read even if its call is refused, in bytes. */
 const SHORT_BODY_BYTES = 16_384;
 /** Body of calls that were sent without one. */
@@ -72,6 +80,10 @@
   readonly #openCalls = new Map<Duplex, number>();
   /** Connections that are closed once their open calls are answered. */
   readonly #closingSockets = new Set<Duplex>();
+  /** Connections whose answer in progress ends with them: no call behind it can be answered. */
+  readonly #lastAnswerSockets = new WeakSet<Duplex>();
+  /** Answers that are not fully sent yet. */
+  readonly #openSinks = new Set<ResponseSink>();
   #limits: CallerLimits = INITIAL_LIMITS;
   #isLeaving = false;
 
@@ -90,7 +102,7 @@
       socket.on("close", () => this.#sockets.delete(socket));
     });
     this.#server.on("request", (message, response) => {
-      const sink = new ResponseSink(response);
+      const sink = this.#createSink(response);
       this.#handleRequest(message, response, sink).catch((error: Error) =>
         this.#endFailed(message, sink, error)
       );
@@ -138,12 +150,25 @@
     this.#server.closeIdleConnections();
   }
 
-  /** Closes the port and all connections at once. */
+  /** Closes the port and all connections at once; open answers are broken off. */
   destroy(): void {
     this.#server.close();
+    this.#openSinks.forEach((sink) => sink.destroy());
     this.#sockets.forEach((_, socket) => socket.destroy());
   }
 
+  #createSink(response: ServerResponse): ResponseSink {
+    const { socket } = response.req;
+    const sink = new ResponseSink(response, {
+      // The answers to other calls of the connection would be lost with it.
+      mayEndConnection: () => this.#countOpenCalls(socket) <= 1,
+      onEndsConnection: () => this.#lastAnswerSockets.add(socket),
+    });
+    this.#openSinks.add(sink);
+    response.on("close", () => this.#openSinks.delete(sink));
+    return sink;
+  }
+
   async #handleRequest(
     message: IncomingMessage,
     response: ServerResponse,
@@ -155,6 +180,7 @@
     const receivedMs = this.#parts.nowMs() - unreadMs;
     response.sendDate = false;
     const { socket } = message;
+    if (this.#lastAnswerSockets.has(socket)) return;
     this.#openCalls.set(socket, this.#countOpenCalls(socket) + 1);
     response.on("close", () => this.#removeOpenCall(socket));
     if (this.#isLeaving) response.shouldKeepAlive = false;
@@ -260,12 +286,24 @@
   }
 }
 
+/** What a {@linkcode ResponseSink} needs to know of its connection. */
+interface SinkConnection {
+  /** Returns whether the connection may end with this answer. */
+  readonly mayEndConnection: () => boolean;
+  /** Called when an answer begins that ends with its connection. */
+  readonly onEndsConnection: () => void;
+}
+
 class ResponseSink implements CallSink {
   readonly signal: AbortSignal;
   readonly #response: ServerResponse;
+  readonly #connection: SinkConnection;
+  /** Whether the caller takes the normal end of the connection for the end of the answer. */
+  #endsWithConnection = false;
 
-  constructor(response: ServerResponse) {
+  constructor(response: ServerResponse, connection: SinkConnection) {
     this.#response = response;
+    this.#connection = connection;
     const disconnect = new AbortController();
     this.signal = disconnect.signal;
     response.on("close", () => {
@@ -279,9 +317,17 @@
   }
 
   begin(head: AnswerHead): void {
-    const { headers, status, statusText } = head;
+    const { framing, headers, status, statusText } = head;
+    const response = this.#response;
+    if (framing === "connection" && this.#connection.mayEndConnection()) {
+      // A last chunk would tell the caller that the answer is complete, which nobody knows.
+      response.useChunkedEncodingByDefault = false;
+      this.#connection.onEndsConnection();
+    }
     // A flat list preserves the order, the case and the repetition of header names.
-    this.#response.writeHead(status, statusText, headers as string[]);
+    response.writeHead(status, statusText, headers as string[]);
+    this.#endsWithConnection = !response.chunkedEncoding &&
+      readHeader(headers, "content-length") === undefined;
   }
 
   write(chunk: Buffer): boolean {
@@ -301,7 +347,20 @@
   }
 
   abort(): void {
-    this.#response.destroy();
+    if (!this.#endsWithConnection) {
+      this.#response.destroy();
+      return;
+    }
+    const reset = new AbortController();
+    this.#response.once("close", () => reset.abort("closed"));
+    systemClock.schedule(RESET_DELAY_MS, () => this.destroy(), reset.signal);
+  }
+
+  /** Closes the connection at once, so that no open answer looks complete. */
+  destroy(): void {
+    const { socket } = this.#response;
+    if (this.#endsWithConnection && socket !== null) resetConnection(socket);
+    else this.#response.destroy();
   }
 }
 
--- a/adapters/connection_errors.ts
+++ b/adapters/connection_errors.ts
@@ -1,3 +1,5 @@
+import type { Socket } from "node:net";
+
 /** Codes of errors that occur before any byte of a request is sent. */
 const NOT_SENT_CODES: readonly string[] = [
   "ECONNREFUSED",
@@ -32,3 +34,16 @@
   const { code } = error as NodeJS.ErrnoException;
   return code !== undefined && NOT_SENT_CODES.includes(code);
 }
+
+/**
+ * Returns whether the other side has reset a connection that is reported as ended.
+ *
+ * If data and a reset arrive within one event loop iteration, libuv reports an end and
+ * no error (its shortcut for a hang-up after a partial read). The operating system
+ * still reports the reset: a connection that was reset has no remote address. Node
+ * caches the remote address on its first read, so it is read only here.
+ */
+export function hasBeenReset(socket: Socket | undefined): boolean {
+  if (socket === undefined || socket.errored) return true;
+  return !socket.destroyed && socket.remoteAddress === undefined;
+}
--- a/adapters/connection_pool.ts
+++ b/adapters/connection_pool.ts
@@ -10,6 +10,7 @@
   type ServerClient,
 } from "../forwarding/mod.ts";
 import {
+  hasBeenReset,
   isConnectionClosedError,
   isNotSentError,
 } from "./connection_errors.ts";
@@ -345,16 +346,3 @@
 function toWritableText(statusText: string): string {
   return UNWRITABLE_PATTERN.test(statusText) ? "" : statusText;
 }
-
-/**
- * Returns whether the other side has reset a connection that is reported as ended.
- *
- * If data and a reset arrive within one event loop iteration, libuv reports an end and
- * no error (its shortcut for a hang-up after a partial read). The operating system
- * still reports the reset: a connection that was reset has no remote address. Node
- * caches the remote address on its first read, so it is read only here.
- */
-function hasBeenReset(socket: Socket | undefined): boolean {
-  if (socket === undefined || socket.errored) return true;
-  return !socket.destroyed && socket.remoteAddress === undefined;
-}
--- a/forwarding/call_forwarder.ts
+++ b/forwarding/call_forwarder.ts
@@ -177,12 +177,12 @@
           links: this.#learned.links,
         }),
         learned: this.#learned,
-        createHopHeaders: (exchange) =>
-          this.#replies.createAnsweredHeaders(exchange),
+        replies: this.#replies,
       }),
       instanceSender: new InstanceSender({
         ...parts,
         client: parts.peerClient,
+        replies: this.#replies,
         destinations: this.#destinations,
       }),
       onServerFree: () => this.wakeWaitingCalls(),
--- a/forwarding/call_replies.ts
+++ b/forwarding/call_replies.ts
@@ -3,9 +3,10 @@
 import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
 import type { Exchange } from "./exchange.ts";
-import { type HopAnswer, writeHopAnswer } from "./hop_headers.ts";
+import { type HopAnswer, isHopHeader, writeHopAnswer } from "./hop_headers.ts";
 import { pickForwarded } from "./http_headers.ts";
 import type { CallSink, OpaqueCall } from "./opaque_call.ts";
+import type { AnswerHead } from "./server_client.ts";
 import { isNotRun, type Refusal, toRefusalAnswer } from "./refusal.ts";
 
 /** Dependencies of {@linkcode CallReplies}. */
@@ -45,6 +46,7 @@
     const hopHeaders = this.#createHopHeaders(call, {
       kind,
       tried: sentTo,
+      endsWithConnection: false,
       reason: refusal.reason,
     });
     sink.begin({ ...head, headers: [...head.headers, ...hopHeaders] });
@@ -52,13 +54,32 @@
     sink.end([]);
   }
 
-  /** Returns the headers added to a server's answer for a forwarding instance; none for a caller. */
-  createAnsweredHeaders({ call, sentTo }: Exchange): readonly string[] {
-    return this.#createHopHeaders(call, {
+  /**
+   * Returns the head with which a server's answer is passed on. The instance that forwarded the
+   * call is told in a header how the answer ends: the last chunk between instances only shows
+   * that this instance has passed on all of it.
+   *
+   * @param exchange The call.
+   * @param head Head of the server's answer.
+   */
+  toPassedHead({ call, sentTo }: Exchange, head: AnswerHead): AnswerHead {
+    const headers = pickForwarded(
+      head.headers,
+      (name) => isHopHeader(name) ? "never" : "unless-named",
+    );
+    if (call.origin.kind === "caller") return { ...head, headers };
+    const endsWithConnection = head.framing === "connection";
+    const hopHeaders = this.#createHopHeaders(call, {
       kind: "answered",
       tried: sentTo,
+      endsWithConnection,
       reason: undefined,
     });
+    return {
+      ...head,
+      headers: [...headers, ...hopHeaders],
+      ...(endsWithConnection ? { framing: "chunked" } : {}),
+    };
   }
 
   /**
@@ -134,13 +155,7 @@
     { head, body, trailers }: NonNullable<Exchange["heldAnswer"]>,
   ): void {
     const { sink } = exchange;
-    sink.begin({
-      ...head,
-      headers: [
-        ...pickForwarded(head.headers),
-        ...this.createAnsweredHeaders(exchange),
-      ],
-    });
+    sink.begin(this.toPassedHead(exchange, head));
     sink.write(body);
     sink.end(trailers);
   }
--- a/forwarding/hop_headers.ts
+++ b/forwarding/hop_headers.ts
@@ -49,10 +49,17 @@
   readonly servedMs: number;
   /** Servers that the second instance sent the call to. */
   readonly tried: readonly BackendId[];
+  /**
+   * Whether only the end of its connection ended the server's answer, which between instances
+   * has a last chunk.
+   */
+  readonly endsWithConnection: boolean;
   /** Why the second instance refused the call; `undefined` for an answer, or if it was not sent. */
   readonly reason: RefusalReason | undefined;
 }
 
+/** Value of the field that says that the server's answer ends with its connection. */
+const CONNECTION_END = "connection";
 const HOP_ANSWER_KINDS: ReadonlySet<string> = new Set([
   "answered",
   "not-run",
@@ -141,6 +148,7 @@
     servedMs: String(Math.round(answer.servedMs)),
     tried: answer.tried.join(" "),
   });
+  if (answer.endsWithConnection) fields.set("end", CONNECTION_END);
   if (answer.reason !== undefined) fields.set("reason", answer.reason);
   return [HOP_ANSWER_HEADER, fields.toString()];
 }
@@ -156,6 +164,7 @@
     kind: kind as HopAnswer["kind"],
     servedMs: Number(fields.get("servedMs") ?? 0),
     tried: parseServerIds(fields.get("tried")),
+    endsWithConnection: fields.get("end") === CONNECTION_END,
     reason: parseRefusalReason(fields.get("reason")),
   };
 }
--- a/forwarding/instance_sender.ts
+++ b/forwarding/instance_sender.ts
@@ -2,6 +2,7 @@
 import type { FleetView } from "../fleet/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
 import type { CallHeaderCodec } from "./call_header_codec.ts";
+import type { CallReplies } from "./call_replies.ts";
 import type { Destination, DestinationChooser } from "./choose_destination.ts";
 import { type Exchange, isRetryable } from "./exchange.ts";
 import { isHopHeader, readHopAnswer, writeHop } from "./hop_headers.ts";
@@ -23,6 +24,7 @@
   readonly client: ServerClient;
   readonly fleet: FleetView;
   readonly metrics: Metrics;
+  readonly replies: CallReplies;
   /** Records the round trip to each region and the prompt tokens in transit to it. */
   readonly destinations: DestinationChooser;
 }
@@ -95,6 +97,7 @@
       framesEvents: isRetryable(exchange) &&
         exchange.route.routeClass === "stream",
       progress,
+      toPassedHead: (head) => this.#parts.replies.toPassedHead(exchange, head),
       onHeaders: (headers) => {
         const answer = readHopAnswer(headers);
         if (answer === undefined) return;
--- a/forwarding/run_attempt.ts
+++ b/forwarding/run_attempt.ts
@@ -7,8 +7,8 @@
 } from "./call_header_codec.ts";
 import { EventFramer, type FramedEvent } from "./event_framer.ts";
 import { EventScanner } from "./event_scanner.ts";
-import { isHopHeader, readHopAnswer } from "./hop_headers.ts";
-import { pickForwarded, readHeader } from "./http_headers.ts";
+import { readHopAnswer } from "./hop_headers.ts";
+import { readHeader } from "./http_headers.ts";
 import type { Handover, HandoverEvents } from "./handover.ts";
 import type { CallSink } from "./opaque_call.ts";
 import type { RefusalReason } from "./refusal.ts";
@@ -90,6 +90,8 @@
 export interface StreamProgress {
   /** Whether the head of the answer was passed on. */
   hasBegun: boolean;
+  /** How the caller is told the end of the answer; `undefined` before its head. */
+  framing?: AnswerFraming;
   /** Id of the last event that was passed on, or that the caller had before. */
   lastEventId: string | undefined;
 }
@@ -110,8 +112,8 @@
   /** Whether only complete events of a stream are passed on, so that it can be resumed. */
   readonly framesEvents: boolean;
   readonly progress: StreamProgress;
-  /** Returns headers to add to the answer that is passed on. Default: none. */
-  readonly createHopHeaders?: () => readonly string[];
+  /** Returns the head with which an answer is passed on. */
+  readonly toPassedHead: (head: AnswerHead) => AnswerHead;
   /** Called with the headers of the answer. */
   readonly onHeaders?: (headers: RawHeaders) => void;
   /** Called with the facts in the answer's head, even if the answer is not used. Default: nothing. */
@@ -260,7 +262,9 @@
       );
       return;
     }
-    this.#head = head;
+    this.#head = hopAnswer?.endsWithConnection
+      ? { ...head, framing: "connection" }
+      : head;
     if (isEventStream(head, this.#parts.isStream && isSuccess)) {
       // With the last byte of its length, an answer is complete for its caller.
       const framesEvents = this.#parts.framesEvents ||
@@ -321,11 +325,16 @@
     }
     if (isCut) {
       this.#finishIncomplete({
-        message: "The stream ended within an event",
+        message: `The stream ended within an event, framing ${this.#framing}`,
         isClosed: this.#framing === "connection",
       });
       return;
     }
+    if (this.#isEndUnprovable) {
+      const message = "The rest of the stream ends only with its connection";
+      this.#finishIncomplete({ message });
+      return;
+    }
     // Only comments and blank lines are left.
     const rest = this.#events instanceof EventFramer
       ? this.#events.pending
@@ -360,6 +369,13 @@
     return this.#head?.framing ?? "length";
   }
 
+  /** Whether the caller would be told that an answer is complete which may have been cut. */
+  get #isEndUnprovable(): boolean {
+    const { progress } = this.#parts;
+    return this.#framing === "connection" && progress.hasBegun &&
+      progress.framing !== "connection";
+  }
+
   #scheduleSilenceCheck(): void {
     // Without a reason to check, a timer would only wake the process.
     const isWatched = this.#parts.isServerDead !== undefined ||
@@ -433,12 +449,8 @@
     const { progress, sink } = this.#parts;
     if (progress.hasBegun) return;
     progress.hasBegun = true;
-    const kept = pickForwarded(
-      this.#head!.headers,
-      (name) => isHopHeader(name) ? "never" : "unless-named",
-    );
-    const hopHeaders = this.#parts.createHopHeaders?.() ?? [];
-    sink.begin({ ...this.#head!, headers: [...kept, ...hopHeaders] });
+    progress.framing = this.#framing;
+    sink.begin(this.#parts.toPassedHead(this.#head!));
   }
 
   #finish(outcome: EndedOutcome, isAborted = false): void {
--- a/forwarding/server_sender.ts
+++ b/forwarding/server_sender.ts
@@ -5,6 +5,7 @@
 import type { CallQuarantine } from "../quarantine/mod.ts";
 import type { RegisteredServer, ServerRegistry } from "../servers/mod.ts";
 import type { AnswerFacts, CallHeaderCodec } from "./call_header_codec.ts";
+import type { CallReplies } from "./call_replies.ts";
 import type { Candidate } from "./choose_server.ts";
 import type { CrashConfirmer } from "./crash_confirmer.ts";
 import { type Exchange, isRetryable } from "./exchange.ts";
@@ -55,8 +56,7 @@
   readonly crashConfirmer: CrashConfirmer;
   readonly logger: Logger;
   readonly metrics: Metrics;
-  /** Returns headers to add to those of the server's answer. */
-  readonly createHopHeaders: (exchange: Exchange) => readonly string[];
+  readonly replies: CallReplies;
 }
 
 /**
@@ -125,7 +125,7 @@
       framesEvents: isRetryable(exchange) &&
         exchange.route.routeClass === "stream",
       progress: exchange.progress,
-      createHopHeaders: () => this.#parts.createHopHeaders(exchange),
+      toPassedHead: (head) => this.#parts.replies.toPassedHead(exchange, head),
       onActivity: () => liveness.recordBytes(clock.nowMs()),
       onFacts: (facts) => this.#recordFacts(entry, facts, startMs),
       onAnswerEnd: (end) =>
--- a/soak/link_proxy.ts
+++ b/soak/link_proxy.ts
@@ -8,7 +8,7 @@
 } from "node:net";
 import { systemClock } from "../adapters/system_clock.ts";
 import { waitFor } from "../clock/mod.ts";
-import { resetConnection } from "../standin/reset_connection.ts";
+import { resetConnection } from "../adapters/reset_connection.ts";
 
 /** What a link does with the data that it forwards. */
 export type LinkMode =
--- a/standin/recording_server.ts
+++ b/standin/recording_server.ts
@@ -19,7 +19,7 @@
   TEAM_HEADER,
 } from "./platform_headers.ts";
 import { awaitAnswer, readBody } from "./http_basics.ts";
-import { resetConnection } from "./reset_connection.ts";
+import { resetConnection } from "../adapters/reset_connection.ts";
 
 /** How a server fails. */
 export type ServerFault =
--- a/tests/broken_connection_fixture.ts
+++ b/tests/broken_connection_fixture.ts
@@ -1,7 +1,7 @@
 import { createSocket } from "node:dgram";
 import { once } from "node:events";
 import { connect, type Socket } from "node:net";
-import { resetConnection } from "../standin/reset_connection.ts";
+import { resetConnection } from "../adapters/reset_connection.ts";
 
 /** A connection that breaks in one way, with the bytes that are sent before. */
 export interface BrokenConnection {
