A failure with a body too long to be held back is no answer

What callers saw: of a server's failure that is held back while the call is retried, only the first 64 KB of the body were kept.

Such a failure is no answer now: the send is ended, the call is retried, and the caller gets a 502 of the gateway's own if nobody else answers. Found while looking for cut answers that are framed as complete.

--- a/forwarding/run_attempt.ts
+++ b/forwarding/run_attempt.ts
@@ -150,7 +150,7 @@
 const MIN_FAILURE_STATUS = 500;
 /** Statuses with which the gateway guarantees callers that a call has not run. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
-/** Maximum body of a failure that is held back, in bytes; a longer body is truncated. */
+/** Maximum body of a failure that is held back, in bytes; one with a longer body is no answer. */
 const MAX_HELD_BYTES = 65_536;
 
 /**
@@ -290,7 +290,14 @@
     this.#cancelHandover();
     if (this.#held !== undefined) {
       this.#heldBytes += chunk.length;
-      if (this.#heldBytes <= MAX_HELD_BYTES) this.#held.push(chunk);
+      this.#held.push(chunk);
+      if (this.#heldBytes > MAX_HELD_BYTES) {
+        this.#abortAnswer(
+          `The server failed with status ${
+            this.#head!.status
+          } and a body over ${MAX_HELD_BYTES} bytes`,
+        );
+      }
       return true;
     }
     if (this.#events instanceof EventFramer) {
