Daemons take no answer for whole whose end its server did not tell

Cause: undici takes a body with neither a length nor chunks as complete whichever way its connection ends, and nothing behind it knew how the end was told.

Change: an agent that checks for a reset, as the pool of plain HTTP calls does; JSON that does not parse has been cut; any other body without framing is marked as one that may be cut.

Looked at and left: store, peers, instance lists and engines' caches are read as JSON objects or arrays, of which no part is JSON; streams of daemons end with their terminal event.

--- a/adapters/http_backend_client.ts
+++ b/adapters/http_backend_client.ts
@@ -4,7 +4,7 @@
 } from "./connection_errors.ts";
 import { createParser } from "eventsource-parser";
 import { err, ok, type Result } from "neverthrow";
-import { Agent, type Dispatcher, request } from "undici";
+import { type Agent, type Dispatcher, request } from "undici";
 import {
   type BackendAnswer,
   type BackendCall,
@@ -14,11 +14,14 @@
   type EngineLoad,
   type EngineOrder,
   type EngineState,
+  MAY_BE_CUT_HEADER,
   type OrderFailure,
   type StreamEvent,
 } from "../engine/mod.ts";
+import { readAnswerFraming } from "../forwarding/mod.ts";
 import type { AttemptId } from "../ids/mod.ts";
 import type { BackendServer } from "../resources/mod.ts";
+import { createResetCheckingAgent } from "./reset_checking_agent.ts";
 
 /** Options of an {@linkcode HttpBackendClient}. */
 export interface HttpBackendOptions {
@@ -37,6 +40,7 @@
   "keep-alive",
   "transfer-encoding",
   "content-length",
+  MAY_BE_CUT_HEADER,
 ];
 
 /** Calls backend servers over HTTP, and reads streams as server-sent events. */
@@ -45,7 +49,7 @@
 
   /** @param options Certificates of trusted authorities. */
   constructor(options: HttpBackendOptions = {}) {
-    this.#agent = new Agent({
+    this.#agent = createResetCheckingAgent({
       connect: {
         timeout: CONNECT_TIMEOUT_MS,
         ...(options.authorities === undefined
@@ -166,6 +170,15 @@
         return ok({ kind: "stream", events: readEvents(response.body), load });
       }
       const body = new Uint8Array(await response.body.arrayBuffer());
+      const isUnframed = hasNoFraming(options.method, response);
+      const isJson = headers["content-type"]?.includes("json") ?? false;
+      if (isUnframed && isJson && !isWholeJson(body)) {
+        return err({
+          kind: "broken",
+          message: "The connection ended within the JSON of the answer",
+          isClosed: true,
+        });
+      }
       if (headers["x-ran"] === "not-run" && response.statusCode >= 400) {
         const retryAfterMs = Number(headers["retry-after"] ?? "1") * 1_000;
         const text = Buffer.from(body).toString("utf8").slice(0, 500);
@@ -180,6 +193,8 @@
         status: response.statusCode,
         headers: removeHopByHopHeaders(headers),
         body,
+        mayBeCut: headers[MAY_BE_CUT_HEADER] !== undefined ||
+          isUnframed && !isJson,
         load,
       });
     } catch (error) {
@@ -255,6 +270,25 @@
   }
 }
 
+/** Returns whether only the end of the connection ended the body of an answer. */
+function hasNoFraming(
+  method: Dispatcher.HttpMethod,
+  { headers, statusCode }: Dispatcher.ResponseData,
+): boolean {
+  const rawHeaders = Object.entries(joinHeaderValues(headers)).flat();
+  const answer = { status: statusCode, headers: rawHeaders };
+  return readAnswerFraming(method, answer) === "connection";
+}
+
+function isWholeJson(body: Uint8Array): boolean {
+  try {
+    JSON.parse(Buffer.from(body).toString("utf8"));
+    return true;
+  } catch {
+    return false;
+  }
+}
+
 function joinHeaderValues(
   headers: Readonly<Record<string, string | string[] | undefined>>,
 ): Record<string, string> {
--- a/adapters/http_listener.ts
+++ b/adapters/http_listener.ts
@@ -210,9 +210,12 @@
     : reply.body;
   // After an unread body, the start of the next request on the connection is unknown.
   const isUnread = !message.complete;
+  const mayBeCut = reply.mayBeCut === true;
+  // A length or a last chunk would tell the caller that the body is whole.
+  if (mayBeCut) response.useChunkedEncodingByDefault = false;
   response.writeHead(reply.status, {
     ...reply.headers,
-    "content-length": String(body.length),
+    ...(mayBeCut ? {} : { "content-length": String(body.length) }),
     ...(isUnread ? { connection: "close" } : {}),
   });
   response.end(body);
--- a/adapters/http_listener_test.ts
+++ b/adapters/http_listener_test.ts
@@ -8,6 +8,7 @@
 import { createSilentLogger } from "../logs/mod.ts";
 import { disconnectBeforeAccept } from "../tests/block_event_loop.ts";
 import { openRawCaller } from "../tests/raw_http.ts";
+import { awaitAnswer } from "../tests/received_answer.ts";
 import {
   DEFAULT_LISTENER_LIMITS,
   startListener,
@@ -52,6 +53,22 @@
 }
 
 describe("startListener()", () => {
+  it("sends an answer that may have been cut without a length and without a last chunk", async () => {
+    const listener = await startListener({
+      address: "127.0.0.1:0",
+      limits: DEFAULT_LISTENER_LIMITS,
+      logger: createSilentLogger(),
+      handle: () =>
+        Promise.resolve({ ...createReply("whole?"), mayBeCut: true }),
+    });
+    const caller = await openRawCaller(listener.port, "127.0.0.1");
+    caller.socket.write("GET / HTTP/1.1\r\nHost: a.example\r\n\r\n");
+    const answer = await awaitAnswer(caller);
+    await listener.close();
+    assert.equal(answer.framing, "connection");
+    assert.equal(answer.body, "whole?");
+  });
+
   describe("when a caller disconnected before its connection was accepted", () => {
     // An overloaded process accepts late: work for disconnected callers delays the others.
     it("does not handle its request", async () => {
--- /dev/null
+++ b/adapters/reset_checking_agent.ts
@@ -0,0 +1,122 @@
+import type { IncomingHttpHeaders } from "node:http";
+import type { Socket } from "node:net";
+import {
+  Agent,
+  type buildConnector,
+  Client,
+  DecoratorHandler,
+  type Dispatcher,
+  Pool,
+} from "undici";
+import { readAnswerFraming } from "../forwarding/mod.ts";
+import { hasBeenReset } from "./connection_errors.ts";
+
+/** Connection of a client; `undefined` until it is open. */
+interface Connection {
+  socket: Socket | undefined;
+}
+
+/** Methods of undici's handler, which its types leave out. */
+interface ResponseHandler {
+  onResponseStart(
+    controller: Dispatcher.DispatchController,
+    status: number,
+    headers: IncomingHttpHeaders,
+    statusText?: string,
+  ): void;
+  onResponseEnd(
+    controller: Dispatcher.DispatchController,
+    trailers: IncomingHttpHeaders,
+  ): void;
+  onResponseError(
+    controller: Dispatcher.DispatchController,
+    error: Error,
+  ): void;
+}
+const ResponseDecorator = DecoratorHandler as unknown as new (
+  handler: Dispatcher.DispatchHandler,
+) => ResponseHandler;
+
+/**
+ * Returns an agent for which a body fails whose connection is reset. undici takes a body with
+ * neither a length nor chunks as complete then.
+ *
+ * @param options Options of the agent. `factory` is set by this function.
+ */
+export function createResetCheckingAgent(
+  options: Omit<Agent.Options, "factory">,
+): Agent {
+  return new Agent({
+    ...options,
+    factory: (origin, poolOptions) =>
+      new Pool(origin, { ...poolOptions, factory: createClient }),
+  });
+}
+
+/** Returns a client, which has one connection, that checks how its answers end. */
+function createClient(origin: URL, options: Client.Options): Client {
+  const connection: Connection = { socket: undefined };
+  const connect = options.connect as buildConnector.connector;
+  const client = new Client(origin, {
+    ...options,
+    connect: (target, callback) =>
+      connect(target, (...result) => {
+        connection.socket = result[1] ?? undefined;
+        callback(...result);
+      }),
+  });
+  const dispatch = client.dispatch.bind(client);
+  client.dispatch = (call, handler) =>
+    dispatch(call, new ResetCheck(handler, connection, call.method));
+  return client;
+}
+
+class ResetCheck extends ResponseDecorator {
+  readonly #connection: Connection;
+  readonly #method: string;
+  #endsWithConnection = false;
+
+  constructor(
+    handler: Dispatcher.DispatchHandler,
+    connection: Connection,
+    method: string,
+  ) {
+    super(handler);
+    this.#connection = connection;
+    this.#method = method;
+  }
+
+  override onResponseStart(
+    controller: Dispatcher.DispatchController,
+    status: number,
+    headers: IncomingHttpHeaders,
+    statusText?: string,
+  ): void {
+    const answer = { status, headers: toRawHeaders(headers) };
+    const framing = readAnswerFraming(this.#method, answer);
+    this.#endsWithConnection = framing === "connection";
+    super.onResponseStart(controller, status, headers, statusText);
+  }
+
+  override onResponseEnd(
+    controller: Dispatcher.DispatchController,
+    trailers: IncomingHttpHeaders,
+  ): void {
+    if (this.#endsWithConnection && hasBeenReset(this.#connection.socket)) {
+      const error = new Error("The connection was reset within the answer");
+      super.onResponseError(
+        controller,
+        Object.assign(error, { code: "ECONNRESET" }),
+      );
+      return;
+    }
+    super.onResponseEnd(controller, trailers);
+  }
+}
+
+function toRawHeaders(headers: IncomingHttpHeaders): readonly string[] {
+  return Object.entries(headers).flatMap(([name, value]) => [
+    name,
+    Array.isArray(value) ? value.join(", ") : value ?? "",
+  ]);
+}
--- a/controllers/work_batches.ts
+++ b/controllers/work_batches.ts
@@ -14,6 +14,7 @@
 import { LEASE_TERMS } from "../leases/mod.ts";
 import { type Membership, rankNames } from "../membership/mod.ts";
 import type { GatewayParts } from "../ports/mod.ts";
+import { createFailure, readRow, toErrorBody } from "../results/mod.ts";
 import { BATCH_WORKERS } from "../routing/mod.ts";
 import type { GuardedStore } from "../store/mod.ts";
 
@@ -239,11 +240,22 @@
     signal,
   });
   if (reply.kind === "events") return { status: 500, code: 0, body: null };
+  if (reply.mayBeCut === true) return createCutOutcome();
   const text = Buffer.from(reply.body).toString("utf8");
   const code = Number(reply.headers["x-result-code"] ?? "0");
   return { status: reply.status, code, body: parseBody(text) };
 }
 
+/** Returns the outcome of an item whose answer may have been cut, which a batch cannot tell its caller. */
+function createCutOutcome(): ItemOutcome {
+  const failure = createFailure(
+    "BACKEND_FAILED",
+    "The server did not tell the end of its answer",
+  );
+  const { code, status } = readRow(failure);
+  return { status, code, body: toErrorBody(failure) };
+}
+
 function parseBody(text: string): unknown {
   try {
     return JSON.parse(text);
--- a/engine/backend_client.ts
+++ b/engine/backend_client.ts
@@ -65,6 +65,11 @@
     readonly status: number;
     readonly headers: Readonly<Record<string, string>>;
     readonly body: Uint8Array;
+    /**
+     * Whether only the end of the connection ended the body, so that nobody knows whether it is
+     * whole. Default: no.
+     */
+    readonly mayBeCut?: boolean;
     readonly load: EngineLoad | undefined;
   }
   | {
@@ -74,6 +79,12 @@
     readonly load: EngineLoad | undefined;
   };
 
+/**
+ * Header between instances on an answer whose server did not tell its end: the length that the
+ * instance itself adds does not show that the body is whole.
+ */
+export const MAY_BE_CUT_HEADER = "x-may-be-cut";
+
 /** Order to an engine to change the version that it serves. */
 export interface EngineOrder {
   /** Fencing token of the lease of the region's placement; it grows with each holder. */
--- a/filters/forward_call.ts
+++ b/filters/forward_call.ts
@@ -71,6 +71,7 @@
       status: answer.status,
       headers: { ...answer.headers, ...headers },
       body: answer.body,
+      mayBeCut: answer.mayBeCut === true,
     });
   }
   const source: StreamSource = {
--- a/filters/journal_run.ts
+++ b/filters/journal_run.ts
@@ -149,13 +149,15 @@
 
 /**
  * Returns the answer that the journal keeps, or `undefined` if it keeps none: it keeps
- * only small UTF-8 answers whose residency rules allow every region of the store.
+ * only small UTF-8 answers that are known to be whole, and whose residency rules allow every
+ * region of the store.
  */
 function toKeptAnswer(
   parts: JournalParts,
   exchange: Exchange,
   reply: Extract<Reply, { kind: "whole" }>,
 ): KeptAnswer | undefined {
+  if (reply.mayBeCut === true) return undefined;
   const { allowedRegions } = exchange;
   const isStoreAllowed = allowedRegions === undefined ||
     parts.storeRegions.length > 0 &&
--- a/filters/serve_locally.ts
+++ b/filters/serve_locally.ts
@@ -1,11 +1,12 @@
 import { err, ok, type Result } from "neverthrow";
 import { type Clock, createToken, type Random } from "../clock/mod.ts";
 import type { ConfigurationState } from "../configuration/mod.ts";
-import type {
-  BackendAnswer,
-  BackendCall,
-  BackendClient,
-  DispatchFailure,
+import {
+  type BackendAnswer,
+  type BackendCall,
+  type BackendClient,
+  type DispatchFailure,
+  MAY_BE_CUT_HEADER,
 } from "../engine/mod.ts";
 import {
   type AttemptId,
@@ -318,11 +319,18 @@
       }
       pool.queue.wake();
       parts.recordUsage(exchange, readCompletionTokens(answer.body));
+      const mayBeCut = answer.mayBeCut === true;
+      const isToPeer = exchange.origin.kind === "peer";
       return {
         kind: "whole",
         status: answer.status,
-        headers: { ...answer.headers, ...headers },
+        headers: {
+          ...answer.headers,
+          ...headers,
+          ...(mayBeCut && isToPeer ? { [MAY_BE_CUT_HEADER]: "true" } : {}),
+        },
         body: answer.body,
+        mayBeCut: mayBeCut && !isToPeer,
       };
     }
     case "stream": {
--- a/standin/fake_backend.ts
+++ b/standin/fake_backend.ts
@@ -10,7 +10,7 @@
   OrderFailure,
   StreamEvent,
 } from "../engine/mod.ts";
-import { END_OF_STREAM } from "../engine/mod.ts";
+import { END_OF_STREAM, MAY_BE_CUT_HEADER } from "../engine/mod.ts";
 import type { GatewayRequest, Reply } from "../filters/mod.ts";
 import type { AttemptId } from "../ids/mod.ts";
 import type { BackendServer } from "../resources/mod.ts";
@@ -24,6 +24,8 @@
   isDown: boolean;
   /** Fraction of the accepted requests whose connection is then broken, from 0 to 1. */
   failShare: number;
+  /** Whether whole answers tell where they end. */
+  tellsEnds: boolean;
   /** Attempts that reached the engine, with the body and time of each. */
   readonly runs: {
     readonly attempt: string;
@@ -89,7 +91,14 @@
   /** Adds an engine that is reached at a URL. */
   addEngine(url: string, region: string, speed: EngineSpeed): FakeEngine {
     const core = new EngineCore(this.#clock, speed);
-    const engine = { core, region, isDown: false, failShare: 0, runs: [] };
+    const engine = {
+      core,
+      region,
+      isDown: false,
+      failShare: 0,
+      tellsEnds: true,
+      runs: [],
+    };
     this.engines.set(url, engine);
     return engine;
   }
@@ -177,7 +186,9 @@
       });
     }
     const answer = this.#run(engine, { call, body, signal });
-    return ok(call.isStream ? answer : await gatherAnswer(answer));
+    if (call.isStream) return ok(answer);
+    const whole = await gatherAnswer(answer);
+    return ok(engine.tellsEnds ? whole : { ...whole, mayBeCut: true });
   }
 
   #run(
@@ -263,6 +274,7 @@
       status: reply.status,
       headers: reply.headers,
       body,
+      mayBeCut: reply.headers[MAY_BE_CUT_HEADER] !== undefined,
       load: undefined,
     });
   }
