Soak: servers that answer without a length and break off, by end and reset, at each moment

Callers tell an answer with a mark of its end from one that only its connection ended. The check stays as strict where an answer looks complete (body of the call's own, byte for byte); an answer without a mark has to be a beginning of it, and a stream that stops within an event counts as broken off. One more fault leaves fewer graceful stops undisturbed, for which alone the check of stops is made.

--- a/soak/caller.ts
+++ b/soak/caller.ts
@@ -181,10 +181,22 @@
   } catch {
     return { kind: "broken", body };
   }
+  const { headers } = answer;
+  const mayBeCut = headers["content-length"] === undefined &&
+    headers["transfer-encoding"] === undefined;
+  const isStream = headers["content-type"] === "text/event-stream";
+  if (mayBeCut && isStream && !isBetweenEvents(body)) {
+    return { kind: "broken", body };
+  }
   return {
     kind: "answered",
     status: answer.statusCode ?? 0,
-    isSigned: answer.headers[SIGNATURE_HEADER] !== undefined,
+    isSigned: headers[SIGNATURE_HEADER] !== undefined,
+    mayBeCut,
     body,
   };
 }
+
+function isBetweenEvents(body: string): boolean {
+  return body === "" || body.endsWith("\n\n");
+}
--- a/soak/check_promises.ts
+++ b/soak/check_promises.ts
@@ -1,6 +1,6 @@
 import {
   createRecordedBody,
-  STREAM_EVENTS,
+  createRecordedEvents,
 } from "../standin/recording_server.ts";
 import { ROTATING_TEAM, STEADY_TEAM } from "./caller.ts";
 import {
@@ -147,25 +147,26 @@
 }
 
 function isIntact({ callId, end, kind }: ObservedCall): boolean {
-  if (end.kind === "broken") return kind !== "stream" || isPrefix(end.body);
-  if (end.kind !== "answered" || end.status !== 200) return true;
+  if (end.kind !== "answered" && end.kind !== "broken") return true;
+  const isStream = kind === "stream";
+  if (end.kind === "broken") return !isStream || isPrefix(end.body);
+  if (end.status !== 200) return true;
   if (!end.isSigned) return false;
-  if (kind === "stream") return end.body === createStreamBody(callId);
-  const service =
-    (JSON.parse(end.body) as { readonly service: string }).service;
-  return end.body === createRecordedBody(callId, service);
+  // Without a mark of its end, an answer does not look complete.
+  if (end.mayBeCut) return isPrefix(end.body);
+  return end.body === createWhole(end.body);
 
-  /** Returns whether a body is the beginning of the call's stream, with all events in order. */
+  /** Returns whether a body is the beginning of the call's own answer. */
   function isPrefix(body: string): boolean {
-    return createStreamBody(callId).startsWith(body);
+    return createWhole(body).startsWith(body);
   }
-}
 
-function createStreamBody(callId: string): string {
-  return Array.from(
-    { length: STREAM_EVENTS },
-    (_, at) => `id: ${at + 1}\ndata: ${callId} ${at + 1}\n\n`,
-  ).join("");
+  /** Returns the whole answer of the service that a body names. */
+  function createWhole(body: string): string {
+    if (isStream) return createRecordedEvents(callId).join("");
+    const service = /"service":"([^"]*)/.exec(body)?.[1] ?? "";
+    return createRecordedBody(callId, service);
+  }
 }
 
 function countRuns({ runs }: Observation): ReadonlyMap<string, number> {
@@ -246,6 +247,7 @@
  */
 function readVersion({ end }: ObservedCall): number | undefined {
   if (end.kind !== "answered" || end.status !== 200) return undefined;
+  if (end.mayBeCut) return undefined;
   const { service } = JSON.parse(end.body) as { readonly service: string };
   return Number(service.split("-")[1]);
 }
--- a/soak/check_promises_test.ts
+++ b/soak/check_promises_test.ts
@@ -27,6 +27,7 @@
       kind: "answered",
       status: 200,
       isSigned: true,
+      mayBeCut: false,
       body: createRecordedBody("c1", "work"),
     },
     ...more,
@@ -34,7 +35,7 @@
 }
 
 function createAnswer(status: number, body: string, isSigned = true) {
-  return { kind: "answered", status, isSigned, body } as const;
+  return { kind: "answered", status, isSigned, mayBeCut: false, body } as const;
 }
 
 function createVersionCall(version: number, start = 1): ObservedCall {
@@ -145,6 +146,16 @@
         kind: "stream",
         end: createAnswer(200, STREAM[0] + STREAM.join("")),
       }],
+      ["an answer without a length that is no beginning of the call's own", {
+        end: {
+          ...createAnswer(200, createRecordedBody("c2", "work").slice(0, 40)),
+          mayBeCut: true,
+        },
+      }],
+      ["a stream without a length that lacks an event", {
+        kind: "stream",
+        end: { ...createAnswer(200, STREAM[1]!), mayBeCut: true },
+      }],
       ["an interrupted stream that lacks an event", {
         kind: "stream",
         end: { kind: "broken", body: STREAM[0]! + STREAM[2]! },
@@ -160,6 +171,18 @@
     );
   });
 
+  it("allows an answer without a length that its server may have cut", () => {
+    const body = createRecordedBody("c1", "work");
+    const calls = Array.from(
+      { length: body.length + 1 },
+      (_, size) =>
+        createCall({
+          end: { ...createAnswer(200, body.slice(0, size)), mayBeCut: true },
+        }),
+    );
+    assert.deepEqual(check({ calls }), []);
+  });
+
   it("finds a non-idempotent call that ran twice", () => {
     const calls = [createCall({ kind: "non-idempotent" })];
     const runs = [createRun(), createRun({ server: "s2" })];
--- a/soak/fault_runner.ts
+++ b/soak/fault_runner.ts
@@ -408,6 +408,7 @@
       case "hang":
       case "fail":
       case "break-off":
+      case "cut":
         server.fault = what;
         await this.#wait(durationMs);
         server.fault = "none";
--- a/soak/observation.ts
+++ b/soak/observation.ts
@@ -31,6 +31,8 @@
     readonly kind: "answered";
     readonly status: number;
     readonly isSigned: boolean;
+    /** Whether only the normal end of the connection ended the answer, which may have been cut. */
+    readonly mayBeCut: boolean;
     readonly body: string;
   }
   /** The connection ended before the answer was complete. */
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -38,6 +38,8 @@
       | "hang"
       | "fail"
       | "break-off"
+      /** The server frames answers in other ways, and ends many of them early. */
+      | "cut"
       | "drain"
       /** The server starts again with the same id and another address. */
       | "restart"
@@ -181,6 +183,10 @@
 const SILENT_MS = 1_000;
 /** Length of the intervals that have one silent server each, in milliseconds. */
 const SILENCE_INTERVAL_MS = 3_000;
+/** How long a server cuts answers, in milliseconds. */
+const CUT_ANSWERS_MS = 2_000;
+/** Length of the intervals that have one such server each, in milliseconds. */
+const CUT_ANSWERS_INTERVAL_MS = 4_000;
 /** Time between the starts of two faults, in milliseconds. */
 const FAULT_GAP_MS = { min: 300, max: 1_500 };
 /** Duration of a fault, in milliseconds. */
@@ -218,6 +224,7 @@
     ...planCutOffs(parts, endMs),
     ...planSilences(parts, endMs),
     ...planBrittleServers(parts, endMs),
+    ...planCutAnswers(parts, endMs),
   ];
 }
 
@@ -403,6 +410,20 @@
   }, () => drawServerFault("brittle", { random, servers }));
 }
 
+/** Plans servers that frame answers in other ways and end many of them early. */
+function planCutAnswers(
+  { seed, servers }: PlanParts,
+  endMs: number,
+): readonly PlannedFault[] {
+  const random = createRandom(Math.imul(seed, SEED_SPREAD) ^ 5);
+  return planRecurring({
+    random,
+    intervalMs: CUT_ANSWERS_INTERVAL_MS,
+    durationMs: CUT_ANSWERS_MS,
+    endMs,
+  }, () => drawServerFault("cut", { random, servers }));
+}
+
 /** Plans restores of the store from backups. */
 function planRestores(
   { seed }: PlanParts,
--- a/standin/recording_server.ts
+++ b/standin/recording_server.ts
@@ -20,6 +20,7 @@
 } from "./platform_headers.ts";
 import { awaitAnswer, readBody } from "./http_basics.ts";
 import { resetConnection } from "../adapters/reset_connection.ts";
+import { createCuts, sendCutAnswer } from "./cut_answer.ts";
 
 /** How a server fails. */
 export type ServerFault =
@@ -30,6 +31,8 @@
   | "fail"
   /** Closes the connection in the middle of each answer. */
   | "break-off"
+  /** Frames answers in other ways, and ends many of them early, by end or reset. */
+  | "cut"
   /** Refuses all calls and asks for a cool-down. */
   | "rest";
 
@@ -87,6 +90,14 @@
   return JSON.stringify({ callId, service, filler: "x".repeat(600) });
 }
 
+/** Returns the events of the answer to a call that is streamed. */
+export function createRecordedEvents(callId: string): readonly string[] {
+  return Array.from(
+    { length: STREAM_EVENTS },
+    (_, at) => `id: ${at + 1}\ndata: ${callId} ${at + 1}\n\n`,
+  );
+}
+
 /** A backend server that records each call that it runs. */
 export class RecordingServer {
   /** Current fault. */
@@ -102,6 +113,7 @@
   /** Whether it rejects calls beyond its slots. */
   rejectsBeyondSlots = false;
   #running = 0;
+  readonly #cuts = createCuts();
   readonly #parts: RecordingServerParts;
   readonly #sockets = new Set<Socket>();
   #server: Server | undefined;
@@ -246,6 +258,12 @@
     callId: string,
   ): void {
     const body = createRecordedBody(callId, this.#parts.service);
+    if (this.fault === "cut") {
+      // The end of a body in chunks that is no stream can't be wrong.
+      const cut = { ...this.#cuts.next().value, isChunked: false };
+      void sendCutAnswer(response, { cut, headers, parts: [body], pauseMs: 0 });
+      return;
+    }
     response.writeHead(200, {
       ...headers,
       "content-length": String(Buffer.byteLength(body)),
@@ -264,10 +282,16 @@
     callId: string,
     afterEvent: number,
   ): Promise<void> {
-    response.writeHead(200, {
-      ...headers,
-      "content-type": "text/event-stream",
-    });
+    const streamHeaders = { ...headers, "content-type": "text/event-stream" };
+    if (this.fault === "cut") {
+      return await sendCutAnswer(response, {
+        cut: this.#cuts.next().value,
+        headers: streamHeaders,
+        parts: createRecordedEvents(callId).slice(afterEvent),
+        pauseMs: EVENT_PAUSE_MS,
+      });
+    }
+    response.writeHead(200, streamHeaders);
     for (let event = afterEvent + 1; event <= STREAM_EVENTS; event++) {
       if (response.destroyed || this.fault === "hang") return;
       if (this.fault === "break-off" && event > STREAM_EVENTS / 2) {
@@ -275,7 +299,7 @@
         response.destroy();
         return;
       }
-      response.write(`id: ${event}\ndata: ${callId} ${event}\n\n`);
+      response.write(createRecordedEvents(callId)[event - 1]!);
       await waitFor(systemClock, EVENT_PAUSE_MS);
     }
     response.end();
