An answer without a type is a stream if it begins like one

Cause: an answer without a type on such a route counted as a stream. Its first bytes decide now: a comment, a blank line or the name of a field.

--- a/forwarding/event_scanner.ts
+++ b/forwarding/event_scanner.ts
@@ -44,3 +44,15 @@
     return ends;
   }
 }
+
+/** Names of the fields of events. */
+const FIELD_NAMES = ["data", "event", "id", "retry"] as const;
+
+/** Returns whether the first bytes of a body may be those of an event or a comment. */
+export function isEventStart(chunk: Buffer): boolean {
+  const text = chunk.subarray(0, 8).toString("latin1");
+  return /^[:\r\n]/.test(text) ||
+    FIELD_NAMES.map((name) => `${name}:`).some((field) =>
+      text.startsWith(field) || field.startsWith(text)
+    );
+}
--- a/forwarding/event_scanner_test.ts
+++ b/forwarding/event_scanner_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { EventScanner } from "./event_scanner.ts";
+import { EventScanner, isEventStart } from "./event_scanner.ts";
 
 /** Scans a text in chunks of a size, and returns the ends of events in the whole text. */
 function scan(text: string, chunkSize: number) {
@@ -47,3 +47,16 @@
     assert.equal(scan("data: x\n\n: wa", 4).isInsideEvent, true);
   });
 });
+
+describe("isEventStart()", () => {
+  ["data: x", "id:1\n", ": comment", "\n\ndata", "da", "retry: 10"].forEach(
+    (text) => {
+      it(`takes ${JSON.stringify(text)} for the start of a stream`, () =>
+        assert.ok(isEventStart(Buffer.from(text))));
+    },
+  );
+  ["whole", "database", "{", "<p>"].forEach((text) => {
+    it(`does not take ${JSON.stringify(text)} for the start of a stream`, () =>
+      assert.ok(!isEventStart(Buffer.from(text))));
+  });
+});
--- a/forwarding/run_attempt.ts
+++ b/forwarding/run_attempt.ts
@@ -6,7 +6,7 @@
   RawHeaders,
 } from "./call_header_codec.ts";
 import { EventFramer, type FramedEvent } from "./event_framer.ts";
-import { EventScanner } from "./event_scanner.ts";
+import { EventScanner, isEventStart } from "./event_scanner.ts";
 import { readHopAnswer } from "./hop_headers.ts";
 import { readHeader } from "./http_headers.ts";
 import type { Handover, HandoverEvents } from "./handover.ts";
@@ -107,7 +107,7 @@
   readonly isHop: boolean;
   /** Whether failures of the server are held back instead of passed on. */
   readonly holdsFailures: boolean;
-  /** Whether the call's route streams events, so that an answer without a type is a stream. */
+  /** Whether the call's route streams events, so that an answer without a type may be a stream. */
   readonly isStream: boolean;
   /** Whether only complete events of a stream are passed on, so that it can be resumed. */
   readonly framesEvents: boolean;
@@ -171,6 +171,8 @@
   readonly #resolve: (outcome: AttemptOutcome) => void;
   /** Finds the ends of a stream's events; `undefined` if the answer is no stream. */
   #events: EventFramer | EventScanner | undefined;
+  /** Whether the first bytes decide if the answer is a stream, as its type is missing. */
+  #mustDetectEvents = false;
   readonly #ended = new AbortController();
   readonly #giveUp = () => this.#finish({ kind: "given-up" }, true);
   #send: ActiveSend | undefined;
@@ -265,22 +267,21 @@
     this.#head = hopAnswer?.endsWithConnection
       ? { ...head, framing: "connection" }
       : head;
-    if (isEventStream(head, this.#parts.isStream && isSuccess)) {
-      // With the last byte of its length, an answer is complete for its caller.
-      const framesEvents = this.#parts.framesEvents ||
-        head.framing === "length";
-      this.#events = framesEvents ? new EventFramer() : new EventScanner();
-    } else if (this.#parts.progress.hasBegun && isSuccess) {
-      this.#abortAnswer("The answer that should continue a stream is none");
-      return;
-    }
     const isFailure = head.status >= MIN_FAILURE_STATUS;
     // An answer that has begun can only be continued by a success.
     const isHeld = this.#parts.progress.hasBegun
       ? !isSuccess
       : isFailure && holdsFailures;
-    if (isHeld) this.#held = [];
-    else this.#acceptAnswer();
+    if (isHeld) {
+      this.#held = [];
+      return;
+    }
+    const type = readHeader(head.headers, "content-type");
+    this.#mustDetectEvents = type === undefined && isSuccess &&
+      this.#parts.isStream;
+    const canContinue = this.#mustDetectEvents ||
+      this.#setEvents(isEventStream(type));
+    if (canContinue) this.#acceptAnswer();
   }
 
   onData(chunk: Buffer): boolean {
@@ -300,6 +301,10 @@
       }
       return true;
     }
+    if (this.#mustDetectEvents) {
+      this.#mustDetectEvents = false;
+      if (!this.#setEvents(isEventStart(chunk))) return true;
+    }
     if (this.#events instanceof EventFramer) {
       return this.#passOnEvents(this.#events.push(chunk));
     }
@@ -307,6 +312,24 @@
     return this.#passOn(chunk);
   }
 
+  /**
+   * Sets whether the answer is an event stream. Returns `false` if the attempt has ended because
+   * a stream that has begun cannot be continued by an answer of another kind.
+   */
+  #setEvents(isStream: boolean): boolean {
+    const { framesEvents, progress } = this.#parts;
+    if (!isStream && progress.hasBegun) {
+      this.#abortAnswer("The answer that should continue a stream is none");
+      return false;
+    }
+    if (!isStream) return true;
+    // With the last byte of its length, an answer is complete for its caller.
+    this.#events = framesEvents || this.#framing === "length"
+      ? new EventFramer()
+      : new EventScanner();
+    return true;
+  }
+
   /** Passes on whole events, and remembers the last id, after which the stream can be resumed. */
   #passOnEvents(events: readonly FramedEvent[]): boolean {
     if (events.length === 0) return true;
@@ -482,14 +505,6 @@
   }
 }
 
-/**
- * Returns whether the body of an answer is an event stream.
- *
- * @param head Head of the answer.
- * @param isDefault What an answer without a content type is.
- */
-function isEventStream({ headers }: AnswerHead, isDefault: boolean): boolean {
-  const type = readHeader(headers, "content-type");
-  if (type === undefined) return isDefault;
-  return type.trimStart().toLowerCase().startsWith(EVENT_STREAM_TYPE);
+function isEventStream(contentType = ""): boolean {
+  return contentType.trimStart().toLowerCase().startsWith(EVENT_STREAM_TYPE);
 }
--- a/tests/stream_cut_inside_event_test.ts
+++ b/tests/stream_cut_inside_event_test.ts
@@ -48,6 +48,14 @@
     send: (socket, body) =>
       socket.write(STREAM_HEAD + toChunk(body) + STREAM_END),
   },
+  {
+    name: "chunks and no type",
+    send: (socket, body) =>
+      socket.write(
+        STREAM_HEAD.replace(/Content-Type: .*\r\n/, "") + toChunk(body) +
+          STREAM_END,
+      ),
+  },
   {
     name: "a length",
     send: (socket, body) =>
