JSON lines are no JSON value; headers are flattened and unframed streams made in one place

An answer of JSON lines without a length was refused as cut, since its type contains "json" and its body does not parse as one value (seen on reading; the new case of tests/cut_backend_answer_test.ts failed before). Only application/json and types ending in +json are one value. The flat list of headers and the head of tests' unframed streams stood twice each.

--- a/adapters/http_backend_client.ts
+++ b/adapters/http_backend_client.ts
@@ -21,6 +21,7 @@
 import { readAnswerFraming } from "../forwarding/mod.ts";
 import type { AttemptId } from "../ids/mod.ts";
 import type { BackendServer } from "../resources/mod.ts";
+import { toRawHeaders } from "./raw_headers.ts";
 import { createResetCheckingAgent } from "./reset_checking_agent.ts";
 
 /** Options of an {@linkcode HttpBackendClient}. */
@@ -171,7 +172,7 @@
       }
       const body = new Uint8Array(await response.body.arrayBuffer());
       const isUnframed = hasNoFraming(options.method, response);
-      const isJson = headers["content-type"]?.includes("json") ?? false;
+      const isJson = isJsonType(headers["content-type"]);
       if (isUnframed && isJson && !isWholeJson(body)) {
         return err({
           kind: "broken",
@@ -275,11 +276,16 @@
   method: Dispatcher.HttpMethod,
   { headers, statusCode }: Dispatcher.ResponseData,
 ): boolean {
-  const rawHeaders = Object.entries(joinHeaderValues(headers)).flat();
-  const answer = { status: statusCode, headers: rawHeaders };
+  const answer = { status: statusCode, headers: toRawHeaders(headers) };
   return readAnswerFraming(method, answer) === "connection";
 }
 
+/** Returns whether a body of this type is one JSON value, of which no part is JSON. */
+function isJsonType(contentType = ""): boolean {
+  const name = contentType.split(";")[0]!.trim().toLowerCase();
+  return name === "application/json" || name.endsWith("+json");
+}
+
 function isWholeJson(body: Uint8Array): boolean {
   try {
     JSON.parse(Buffer.from(body).toString("utf8"));
--- a/adapters/reset_checking_agent.ts
+++ b/adapters/reset_checking_agent.ts
@@ -10,6 +10,7 @@
 } from "undici";
 import { readAnswerFraming } from "../forwarding/mod.ts";
 import { hasBeenReset } from "./connection_errors.ts";
+import { toRawHeaders } from "./raw_headers.ts";
 
 /** Connection of a client; `undefined` until it is open. */
 interface Connection {
@@ -113,10 +114,3 @@
     super.onResponseEnd(controller, trailers);
   }
 }
-
-function toRawHeaders(headers: IncomingHttpHeaders): readonly string[] {
-  return Object.entries(headers).flatMap(([name, value]) => [
-    name,
-    Array.isArray(value) ? value.join(", ") : value ?? "",
-  ]);
-}
--- a/tests/answer_without_length_test.ts
+++ b/tests/answer_without_length_test.ts
@@ -12,6 +12,7 @@
   STREAM_END,
   STREAM_HEAD,
   toChunk,
+  UNFRAMED_STREAM_HEAD,
 } from "./stream_fixture.ts";
 import { startTwoRegions } from "./two_regions_fixture.ts";
 
@@ -19,10 +20,6 @@
 
 type RequestHandler = Parameters<typeof startRawServer>[0];
 
-const UNFRAMED_STREAM_HEAD = STREAM_HEAD.replace(
-  "Transfer-Encoding: chunked",
-  "Connection: close",
-);
 const PLAIN_HEAD = UNFRAMED_STREAM_HEAD.replace(
   "text/event-stream",
   "text/plain",
--- a/tests/cut_backend_answer_test.ts
+++ b/tests/cut_backend_answer_test.ts
@@ -91,14 +91,18 @@
       assert.equal(answer.mayBeCut, false);
     });
 
-    it("says that an answer of another type may have been cut", async () => {
-      const result = await dispatch((_, socket) =>
-        socket.end(createHead("text/plain") + "whole")
-      );
-      const answer = result._unsafeUnwrap();
-      assert.ok(answer.kind === "whole");
-      assert.equal(Buffer.from(answer.body).toString(), "whole");
-      assert.equal(answer.mayBeCut, true);
-    });
+    [["text/plain", "whole"], ["application/jsonl", "{}\n{}\n"]].forEach(
+      ([type, body]) => {
+        it(`says that an answer with ${type} may have been cut`, async () => {
+          const result = await dispatch((_, socket) =>
+            socket.end(createHead(type!) + body)
+          );
+          const answer = result._unsafeUnwrap();
+          assert.ok(answer.kind === "whole");
+          assert.equal(Buffer.from(answer.body).toString(), body);
+          assert.equal(answer.mayBeCut, true);
+        });
+      },
+    );
   });
 });
--- a/tests/stream_cut_inside_event_test.ts
+++ b/tests/stream_cut_inside_event_test.ts
@@ -13,15 +13,11 @@
   STREAM_END,
   STREAM_HEAD,
   toChunk,
+  UNFRAMED_STREAM_HEAD,
 } from "./stream_fixture.ts";
 
 afterEach(() => CLEAN_UPS.splice(0).forEach((cleanUp) => cleanUp()));
 
-const UNFRAMED_HEAD = STREAM_HEAD.replace(
-  "Transfer-Encoding: chunked",
-  "Connection: close",
-);
-
 /** A way in which a server frames a stream and ends it, as if it were complete. */
 interface Framing {
   readonly name: string;
@@ -31,12 +27,12 @@
 const FRAMINGS: readonly Framing[] = [
   {
     name: "neither a length nor chunks",
-    send: (socket, body) => socket.end(UNFRAMED_HEAD + body),
+    send: (socket, body) => socket.end(UNFRAMED_STREAM_HEAD + body),
   },
   {
     name: "neither a length nor chunks, in HTTP/1.0",
     send: (socket, body) =>
-      socket.end(UNFRAMED_HEAD.replace("HTTP/1.1", "HTTP/1.0") + body),
+      socket.end(UNFRAMED_STREAM_HEAD.replace("HTTP/1.1", "HTTP/1.0") + body),
   },
   {
     name: "a coding that does not tell its end",
--- a/tests/stream_fixture.ts
+++ b/tests/stream_fixture.ts
@@ -14,6 +14,11 @@
   "",
   "",
 ].join("\r\n");
+/** Head of a signed event stream with neither a length nor chunks. */
+export const UNFRAMED_STREAM_HEAD = STREAM_HEAD.replace(
+  "Transfer-Encoding: chunked",
+  "Connection: close",
+);
 /** Last chunk of an answer in chunked transfer encoding. */
 export const STREAM_END = "0\r\n\r\n";
 
