--- a/tests/stream_cut_inside_event_test.ts
+++ b/tests/stream_cut_inside_event_test.ts
@@ -2,13 +2,13 @@
 import assert from "node:assert/strict";
 import { afterEach, describe, it } from "node:test";
 import type { Socket } from "node:net";
-import { createRequest } from "./http_gateway_fixture.ts";
-import { findHeader, openRawCaller } from "./raw_http.ts";
+import { findHeader } from "./raw_http.ts";
 import { awaitAnswer, listEventIds } from "./received_answer.ts";
 import { startTwoRegions } from "./two_regions_fixture.ts";
 import {
   CLEAN_UPS,
   createEvent,
+  openStream,
   startStreamingGateway,
   STREAM_END,
   STREAM_HEAD,
@@ -89,16 +89,7 @@
 }
 
 async function requestAnswer(port: number, host?: string) {
-  const caller = await openRawCaller(port, host);
-  CLEAN_UPS.push(() => caller.socket.destroy());
-  caller.socket.write(
-    createRequest("/a/x", {
-      method: "POST",
-      body: "prompt",
-      headers: ["Connection: close"],
-    }),
-  );
-  return await awaitAnswer(caller);
+  return await awaitAnswer(await openStream(port, host));
 }
 
 FRAMINGS.forEach((framing) => {
--- a/tests/stream_fixture.ts
+++ b/tests/stream_fixture.ts
@@ -1,6 +1,6 @@
 import { createRequest, startGateway } from "./http_gateway_fixture.ts";
 import { CLEAN_UPS } from "./clean_ups.ts";
-import { openRawCaller, startRawServer } from "./raw_http.ts";
+import { openRawCaller, type RawCaller, startRawServer } from "./raw_http.ts";
 
 export { CLEAN_UPS };
 
@@ -59,9 +59,12 @@
   return { gateway, servers };
 }
 
-/** Requests a stream and returns all bytes received until the connection ended. */
-export async function requestStream(port: number): Promise<string> {
-  const caller = await openRawCaller(port);
+/** Requests a stream on a connection of its own, which ends with the answer. */
+export async function openStream(
+  port: number,
+  host?: string,
+): Promise<RawCaller> {
+  const caller = await openRawCaller(port, host);
   CLEAN_UPS.push(() => caller.socket.destroy());
   caller.socket.write(
     createRequest("/a/x", {
@@ -70,5 +73,10 @@
       headers: ["Connection: close"],
     }),
   );
-  return await caller.awaitEnd();
+  return caller;
+}
+
+/** Requests a stream and returns all bytes received until the connection ended. */
+export async function requestStream(port: number): Promise<string> {
+  return await (await openStream(port)).awaitEnd();
 }
