Soak: an answer without a mark of its end is allowed only where its server told none

The check took any beginning of a call's own answer if only the end of the connection ended it, also where the server had sent a length: a gateway that loses lengths would not have been found. Servers record which answers they cut, and others must have a mark.

--- a/soak/check_promises.ts
+++ b/soak/check_promises.ts
@@ -139,8 +139,15 @@
   return `${call.kind} call ${call.callId} at ${call.instance}: ${end}`;
 }
 
-function checkAnswers({ calls }: Observation): readonly Violation[] {
-  return calls.filter((call) => !isIntact(call)).map((call) => ({
+function checkAnswers({ calls, runs }: Observation): readonly Violation[] {
+  const cutCalls = new Set(
+    runs.filter(({ cutsAnswer }) => cutsAnswer).map(({ callId }) => callId),
+  );
+  // An answer has a mark of its end unless its server told none.
+  const hasMark = ({ callId, end }: ObservedCall) =>
+    end.kind !== "answered" || !end.mayBeCut || cutCalls.has(callId);
+  const isKept = (call: ObservedCall) => isIntact(call) && hasMark(call);
+  return calls.filter((call) => !isKept(call)).map((call) => ({
     promise: "whole answers",
     detail: formatCall(call),
   }));
--- a/soak/check_promises_test.ts
+++ b/soak/check_promises_test.ts
@@ -57,6 +57,7 @@
     crashesServer: false,
     team: STEADY_TEAM.name,
     hasKey: false,
+    cutsAnswer: false,
     ...more,
   };
 }
@@ -180,7 +181,13 @@
           end: { ...createAnswer(200, body.slice(0, size)), mayBeCut: true },
         }),
     );
-    assert.deepEqual(check({ calls }), []);
+    const runs = [createRun({ cutsAnswer: true })];
+    assert.deepEqual(check({ calls, runs }), []);
+    const framed = [createRun()];
+    assert.deepEqual(
+      [...new Set(check({ calls, runs: framed }))],
+      ["whole answers"],
+    );
   });
 
   it("finds a non-idempotent call that ran twice", () => {
--- a/standin/recording_server.ts
+++ b/standin/recording_server.ts
@@ -53,6 +53,8 @@
   readonly team: string | undefined;
   /** Whether the caller's key was sent with the call. */
   readonly hasKey: boolean;
+  /** Whether the server frames the answer in another way and may end it early. */
+  readonly cutsAnswer: boolean;
 }
 
 /** A call that a server refused during its cool-down. */
@@ -189,6 +191,7 @@
     const lastId = request.headers["last-event-id"];
     const resumedAfter = lastId === undefined ? undefined : Number(lastId);
     const atMs = nowMs();
+    const cutsAnswer = this.fault === "cut";
     const teams = request.headersDistinct[TEAM_HEADER] ?? [];
     record({
       callId,
@@ -199,6 +202,7 @@
       crashesServer,
       team: teams.length === 1 ? teams[0] : undefined,
       hasKey: request.headers.authorization !== undefined,
+      cutsAnswer,
     });
     await waitFor(systemClock, WORK_DURATION_MS);
     if (crashesServer) {
@@ -219,11 +223,46 @@
     if (this.fault === "fail") {
       response.writeHead(500, headers);
       response.end("failed");
-    } else if (request.url?.startsWith("/stream")) {
+      return;
+    }
+    const isStream = request.url?.startsWith("/stream") ?? false;
+    if (cutsAnswer) {
+      await this.#sendCutAnswer(response, headers, {
+        callId,
+        afterEvent: isStream ? resumedAfter ?? 0 : undefined,
+      });
+    } else if (isStream) {
       await this.#sendStream(response, headers, callId, resumedAfter ?? 0);
     } else this.#sendBody(response, headers, callId);
   }
 
+  /** Sends a part of a stream after an event, or of a body if there is no event. */
+  async #sendCutAnswer(
+    response: ServerResponse,
+    headers: Record<string, string>,
+    { afterEvent, callId }: {
+      readonly callId: string;
+      readonly afterEvent: number | undefined;
+    },
+  ): Promise<void> {
+    const cut = this.#cuts.next().value;
+    if (afterEvent === undefined) {
+      return await sendCutAnswer(response, {
+        // The end of a body in chunks that is no stream can't be wrong.
+        cut: { ...cut, isChunked: false },
+        headers,
+        parts: [createRecordedBody(callId, this.#parts.service)],
+        pauseMs: 0,
+      });
+    }
+    await sendCutAnswer(response, {
+      cut,
+      headers: { ...headers, "content-type": "text/event-stream" },
+      parts: createRecordedEvents(callId).slice(afterEvent),
+      pauseMs: EVENT_PAUSE_MS,
+    });
+  }
+
   #refuse(response: ServerResponse, callId: string): void {
     const { id, nowMs, recordRefusal } = this.#parts;
     recordRefusal({ server: id, atMs: nowMs() });
@@ -258,12 +297,6 @@
     callId: string,
   ): void {
     const body = createRecordedBody(callId, this.#parts.service);
-    if (this.fault === "cut") {
-      // The end of a body in chunks that is no stream can't be wrong.
-      const cut = { ...this.#cuts.next().value, isChunked: false };
-      void sendCutAnswer(response, { cut, headers, parts: [body], pauseMs: 0 });
-      return;
-    }
     response.writeHead(200, {
       ...headers,
       "content-length": String(Buffer.byteLength(body)),
@@ -282,16 +315,10 @@
     callId: string,
     afterEvent: number,
   ): Promise<void> {
-    const streamHeaders = { ...headers, "content-type": "text/event-stream" };
-    if (this.fault === "cut") {
-      return await sendCutAnswer(response, {
-        cut: this.#cuts.next().value,
-        headers: streamHeaders,
-        parts: createRecordedEvents(callId).slice(afterEvent),
-        pauseMs: EVENT_PAUSE_MS,
-      });
-    }
-    response.writeHead(200, streamHeaders);
+    response.writeHead(200, {
+      ...headers,
+      "content-type": "text/event-stream",
+    });
     for (let event = afterEvent + 1; event <= STREAM_EVENTS; event++) {
       if (response.destroyed || this.fault === "hang") return;
       if (this.fault === "break-off" && event > STREAM_EVENTS / 2) {
