One check for reset answers, one place that tells how streams are handled

The pool of plain HTTP calls and the agent of daemons each decided whether an answer without framing had been reset, and made the same error: findResetError() does both now. Both senders worked out from the route, line by line alike, whether an answer may be a stream and whether its events are held together: readStreamHandling() does. The stand-in made all events of a stream anew for each event.

--- a/adapters/connection_errors.ts
+++ b/adapters/connection_errors.ts
@@ -1,4 +1,5 @@
 import type { Socket } from "node:net";
+import type { AnswerFraming } from "../forwarding/mod.ts";
 
 /** Codes of errors that occur before any byte of a request is sent. */
 const NOT_SENT_CODES: readonly string[] = [
@@ -35,6 +36,22 @@
   return code !== undefined && NOT_SENT_CODES.includes(code);
 }
 
+/**
+ * Returns an error if an answer whose end only its connection tells was reset, and `undefined`
+ * otherwise. undici takes such an answer for a complete one.
+ *
+ * @param framing How the end of the answer's body is told.
+ * @param socket Connection of the answer.
+ */
+export function findResetError(
+  framing: AnswerFraming,
+  socket: Socket | undefined,
+): Error | undefined {
+  if (framing !== "connection" || !hasBeenReset(socket)) return undefined;
+  const error = new Error("The connection was reset within the answer");
+  return Object.assign(error, { code: "ECONNRESET" });
+}
+
 /**
  * Returns whether the other side has reset a connection that is reported as ended.
  *
@@ -43,7 +60,7 @@
  * still reports the reset: a connection that was reset has no remote address. Node
  * caches the remote address on its first read, so it is read only here.
  */
-export function hasBeenReset(socket: Socket | undefined): boolean {
+function hasBeenReset(socket: Socket | undefined): boolean {
   if (socket === undefined || socket.errored) return true;
   return !socket.destroyed && socket.remoteAddress === undefined;
 }
--- a/adapters/connection_pool.ts
+++ b/adapters/connection_pool.ts
@@ -10,7 +10,7 @@
   type ServerClient,
 } from "../forwarding/mod.ts";
 import {
-  hasBeenReset,
+  findResetError,
   isConnectionClosedError,
   isNotSentError,
 } from "./connection_errors.ts";
@@ -302,13 +302,9 @@
   onComplete(trailers: string[] | null): void {
     if (this.#isDone) return;
     const { socket } = this.#connection;
-    if (this.#framing === "connection" && hasBeenReset(socket)) {
-      this.#fail(
-        Object.assign(
-          new Error("The connection was reset within the answer"),
-          { code: "ECONNRESET" },
-        ),
-      );
+    const reset = findResetError(this.#framing, socket);
+    if (reset !== undefined) {
+      this.#fail(reset);
       return;
     }
     this.#isDone = true;
--- a/adapters/reset_checking_agent.ts
+++ b/adapters/reset_checking_agent.ts
@@ -8,8 +8,8 @@
   type Dispatcher,
   Pool,
 } from "undici";
-import { readAnswerFraming } from "../forwarding/mod.ts";
-import { hasBeenReset } from "./connection_errors.ts";
+import { type AnswerFraming, readAnswerFraming } from "../forwarding/mod.ts";
+import { findResetError } from "./connection_errors.ts";
 import { toRawHeaders } from "./raw_headers.ts";
 
 /** Connection of a client; `undefined` until it is open. */
@@ -75,7 +75,7 @@
 class ResetCheck extends ResponseDecorator {
   readonly #connection: Connection;
   readonly #method: string;
-  #endsWithConnection = false;
+  #framing: AnswerFraming = "length";
 
   constructor(
     handler: Dispatcher.DispatchHandler,
@@ -94,8 +94,7 @@
     statusText?: string,
   ): void {
     const answer = { status, headers: toRawHeaders(headers) };
-    const framing = readAnswerFraming(this.#method, answer);
-    this.#endsWithConnection = framing === "connection";
+    this.#framing = readAnswerFraming(this.#method, answer);
     super.onResponseStart(controller, status, headers, statusText);
   }
 
@@ -103,14 +102,8 @@
     controller: Dispatcher.DispatchController,
     trailers: IncomingHttpHeaders,
   ): void {
-    if (this.#endsWithConnection && hasBeenReset(this.#connection.socket)) {
-      const error = new Error("The connection was reset within the answer");
-      super.onResponseError(
-        controller,
-        Object.assign(error, { code: "ECONNRESET" }),
-      );
-      return;
-    }
-    super.onResponseEnd(controller, trailers);
+    const reset = findResetError(this.#framing, this.#connection.socket);
+    if (reset === undefined) super.onResponseEnd(controller, trailers);
+    else super.onResponseError(controller, reset);
   }
 }
--- a/forwarding/exchange.ts
+++ b/forwarding/exchange.ts
@@ -69,6 +69,22 @@
   }
 }
 
+/** How an attempt handles the stream that its answer may be. */
+export interface StreamHandling {
+  /** Whether the call's route streams events, so that an answer without a type may be a stream. */
+  readonly isStream: boolean;
+  /** Whether only complete events of a stream are passed on, so that it can be resumed. */
+  readonly framesEvents: boolean;
+}
+
+/** Returns how the streams of a call's route are handled. */
+export function readStreamHandling(
+  { route: { isResumable, routeClass } }: Pick<Exchange, "route">,
+): StreamHandling {
+  const isStream = routeClass === "stream";
+  return { isStream, framesEvents: isStream && isResumable };
+}
+
 /** Returns whether a call may be sent to a second destination while the first one has it. */
 export function canBeHandedOver(exchange: Exchange): boolean {
   return !exchange.isHandingOver && exchange.attemptsLeft > 1 &&
--- a/forwarding/instance_sender.ts
+++ b/forwarding/instance_sender.ts
@@ -4,7 +4,7 @@
 import type { CallHeaderCodec } from "./call_header_codec.ts";
 import type { CallReplies } from "./call_replies.ts";
 import type { Destination, DestinationChooser } from "./choose_destination.ts";
-import { type Exchange, isRetryable } from "./exchange.ts";
+import { type Exchange, readStreamHandling } from "./exchange.ts";
 import { isHopHeader, readHopAnswer, writeHop } from "./hop_headers.ts";
 import { pickForwarded } from "./http_headers.ts";
 import { computeFirstByteTimeoutMs } from "./compute_first_byte_timeout.ts";
@@ -93,9 +93,7 @@
       callId: facts.callId,
       isHop: true,
       holdsFailures: false,
-      isStream: exchange.route.routeClass === "stream",
-      framesEvents: isRetryable(exchange) &&
-        exchange.route.routeClass === "stream",
+      streams: readStreamHandling(exchange),
       progress,
       toPassedHead: (head) => this.#parts.replies.toPassedHead(exchange, head),
       onHeaders: (headers) => {
--- a/forwarding/run_attempt.ts
+++ b/forwarding/run_attempt.ts
@@ -7,6 +7,7 @@
 } from "./call_header_codec.ts";
 import { EventFramer, type FramedEvent } from "./event_framer.ts";
 import { EventScanner, isEventStart } from "./event_scanner.ts";
+import type { StreamHandling } from "./exchange.ts";
 import { readHopAnswer } from "./hop_headers.ts";
 import { readHeader } from "./http_headers.ts";
 import type { Handover, HandoverEvents } from "./handover.ts";
@@ -107,10 +108,7 @@
   readonly isHop: boolean;
   /** Whether failures of the server are held back instead of passed on. */
   readonly holdsFailures: boolean;
-  /** Whether the call's route streams events, so that an answer without a type may be a stream. */
-  readonly isStream: boolean;
-  /** Whether only complete events of a stream are passed on, so that it can be resumed. */
-  readonly framesEvents: boolean;
+  readonly streams: StreamHandling;
   readonly progress: StreamProgress;
   /** Returns the head with which an answer is passed on. */
   readonly toPassedHead: (head: AnswerHead) => AnswerHead;
@@ -278,7 +276,7 @@
     }
     const type = readHeader(head.headers, "content-type");
     this.#mustDetectEvents = type === undefined && isSuccess &&
-      this.#parts.isStream;
+      this.#parts.streams.isStream;
     const canContinue = this.#mustDetectEvents ||
       this.#setEvents(isEventStream(type));
     if (canContinue) this.#acceptAnswer();
@@ -317,14 +315,14 @@
    * a stream that has begun cannot be continued by an answer of another kind.
    */
   #setEvents(isStream: boolean): boolean {
-    const { framesEvents, progress } = this.#parts;
+    const { progress, streams } = this.#parts;
     if (!isStream && progress.hasBegun) {
       this.#abortAnswer("The answer that should continue a stream is none");
       return false;
     }
     if (!isStream) return true;
     // With the last byte of its length, an answer is complete for its caller.
-    this.#events = framesEvents || this.#framing === "length"
+    this.#events = streams.framesEvents || this.#framing === "length"
       ? new EventFramer()
       : new EventScanner();
     return true;
--- a/forwarding/server_sender.ts
+++ b/forwarding/server_sender.ts
@@ -8,7 +8,7 @@
 import type { CallReplies } from "./call_replies.ts";
 import type { Candidate } from "./choose_server.ts";
 import type { CrashConfirmer } from "./crash_confirmer.ts";
-import { type Exchange, isRetryable } from "./exchange.ts";
+import { type Exchange, isRetryable, readStreamHandling } from "./exchange.ts";
 import type { LearnedServers } from "./learned_servers.ts";
 import { computeFirstByteTimeoutMs } from "./compute_first_byte_timeout.ts";
 import type { Handover, HandoverEvents } from "./handover.ts";
@@ -121,9 +121,7 @@
       callId: exchange.facts.callId,
       isHop: false,
       holdsFailures: canRetry,
-      isStream: exchange.route.routeClass === "stream",
-      framesEvents: isRetryable(exchange) &&
-        exchange.route.routeClass === "stream",
+      streams: readStreamHandling(exchange),
       progress: exchange.progress,
       toPassedHead: (head) => this.#parts.replies.toPassedHead(exchange, head),
       onActivity: () => liveness.recordBytes(clock.nowMs()),
--- a/standin/recording_server.ts
+++ b/standin/recording_server.ts
@@ -319,6 +319,7 @@
       ...headers,
       "content-type": "text/event-stream",
     });
+    const events = createRecordedEvents(callId);
     for (let event = afterEvent + 1; event <= STREAM_EVENTS; event++) {
       if (response.destroyed || this.fault === "hang") return;
       if (this.fault === "break-off" && event > STREAM_EVENTS / 2) {
@@ -326,7 +327,7 @@
         response.destroy();
         return;
       }
-      response.write(createRecordedEvents(callId)[event - 1]!);
+      response.write(events[event - 1]!);
       await waitFor(systemClock, EVENT_PAUSE_MS);
     }
     response.end();
