Tests and soak: streams cut in the head, in the first event, between the line feeds, at an event's end

What was missing: the tests of cut streams began after two whole events, the soak never cut within a head, and nothing showed that such an end counts against the server. In the soak, one in seven answers is cut within its head.

--- a/standin/cut_answer.ts
+++ b/standin/cut_answer.ts
@@ -8,8 +8,8 @@
   /** Whether the answer is in chunks, or only the end of the connection ends it. */
   readonly isChunked: boolean;
   readonly endsWithReset: boolean;
-  /** Share of the body that is sent, from 0 to 1. */
-  readonly share: number;
+  /** Share of the body that is sent, from 0 to 1; `undefined`: only a part of the head is. */
+  readonly share: number | undefined;
 }
 
 /** An answer of which a part is sent. */
@@ -26,15 +26,21 @@
 const MOMENT_STEP = 0.618;
 /** One in so many answers is sent as a whole. */
 const WHOLE_INTERVAL = 4;
+/** One in so many answers, not counting those in chunks, is cut within its head. */
+const HEAD_INTERVAL = 7;
+/** The beginning of a head. */
+const HEAD_PART = "HTTP/1.1 200 OK\r\nContent-Ty";
 
 /** Returns the cuts of answers, one after the other: by end and reset, at each moment. */
 export function* createCuts(): Generator<AnswerCut, never> {
   for (let index = 0;; index++) {
     const isWhole = index % WHOLE_INTERVAL === 0;
+    const share = isWhole ? 1 : (index * MOMENT_STEP) % 1;
+    const isInHead = !isWhole && index % HEAD_INTERVAL === 0;
     yield {
       isChunked: false,
       endsWithReset: !isWhole && index % 2 === 0,
-      share: isWhole ? 1 : (index * MOMENT_STEP) % 1,
+      share: isInHead ? undefined : share,
     };
     // A last chunk ends an answer that has not been cut; only within an event is that wrong.
     yield {
@@ -53,7 +59,10 @@
   response: ServerResponse,
   { cut, headers, parts, pauseMs }: CutAnswer,
 ): Promise<void> {
-  const { socket } = response;
+  if (cut.share === undefined) {
+    response.socket?.write(HEAD_PART, () => endConnection(response, cut));
+    return;
+  }
   const size = parts.reduce((sum, part) => sum + part.length, 0);
   const offset = Math.round(cut.share * size);
   let left = cut.isChunked ? moveIntoEvent(parts.join(""), offset) : offset;
@@ -67,7 +76,17 @@
     if (left <= 0) break;
     await waitFor(systemClock, pauseMs);
   }
-  if (cut.endsWithReset && socket !== null) resetConnection(socket);
+  endConnection(response, cut);
+}
+
+/** Ends a connection by a reset, or normally after what has been sent. */
+function endConnection(
+  response: ServerResponse,
+  { endsWithReset, share }: AnswerCut,
+): void {
+  const { socket } = response;
+  if (endsWithReset && socket !== null) resetConnection(socket);
+  else if (share === undefined) socket?.end();
   else response.end();
 }
 
--- a/tests/stream_cut_inside_event_test.ts
+++ b/tests/stream_cut_inside_event_test.ts
@@ -18,6 +18,8 @@
 
 afterEach(() => CLEAN_UPS.splice(0).forEach((cleanUp) => cleanUp()));
 
+const EVENTS = [1, 2, 3].map(createEvent).join("");
+
 /** A way in which a server frames a stream and ends it, as if it were complete. */
 interface Framing {
   readonly name: string;
@@ -139,3 +141,81 @@
     });
   });
 });
+
+/** Moments before the end of the first event, as all that the server sends. */
+const EARLY_CUTS: readonly (readonly [string, string])[] = [
+  ["in its head", UNFRAMED_STREAM_HEAD.slice(0, 40)],
+  ["after its head", UNFRAMED_STREAM_HEAD],
+  ["within its first event", UNFRAMED_STREAM_HEAD + createEvent(1).slice(0, 9)],
+  [
+    "between the line feeds of its first event",
+    UNFRAMED_STREAM_HEAD +
+    createEvent(1).slice(0, -1),
+  ],
+];
+const ENDS: readonly (readonly [string, (socket: Socket) => void])[] = [
+  ["ends", (socket) => socket.end()],
+  ["is reset", (socket) => socket.resetAndDestroy()],
+];
+
+ENDS.forEach(([how, endConnection]) => {
+  describe(`a stream without a length whose connection ${how}`, () => {
+    EARLY_CUTS.filter(([where]) => where !== "after its head" || how !== "ends")
+      .forEach(([where, sent]) => {
+        /** Sends the beginning of the first stream, and whole streams afterwards. */
+        function createServers() {
+          let calls = 0;
+          const answer = (_: string, socket: Socket) => {
+            if (calls++ > 0) socket.end(UNFRAMED_STREAM_HEAD + EVENTS);
+            else {socket.write(sent, () =>
+                setTimeout(endConnection, 20, socket));}
+          };
+          return [answer, answer];
+        }
+
+        it(`${where} comes whole from another server if it may be resumed`, async () => {
+          const { gateway } = await startStreamingGateway(createServers(), {
+            resumable: true,
+            maxAttempts: 2,
+          });
+          const answer = await requestAnswer(gateway.port);
+          assert.equal(answer.status, "200");
+          assert.equal(answer.body, EVENTS);
+          assert.ok(answer.looksComplete);
+        });
+
+        it(`${where} is no complete success if it may not be resumed`, async () => {
+          const { gateway } = await startStreamingGateway(createServers(), {
+            resumable: false,
+            maxAttempts: 2,
+          });
+          const answer = await requestAnswer(gateway.port);
+          assert.ok(answer.status === "502" || !answer.looksComplete);
+        });
+      });
+
+    it("at the end of an event is resumed with no event lost or doubled, if it shows", async () => {
+      const answer = (request: string, socket: Socket) => {
+        const after = Number(findHeader(request, "last-event-id") ?? "0");
+        const part = after === 0 ? createEvent(1) + createEvent(2) : "";
+        if (part === "") {
+          socket.end(UNFRAMED_STREAM_HEAD + createEvent(after + 1));
+        } else {
+          socket.write(
+            UNFRAMED_STREAM_HEAD + part,
+            () => setTimeout(endConnection, 20, socket),
+          );
+        }
+      };
+      const { gateway } = await startStreamingGateway([answer, answer], {
+        resumable: true,
+        maxAttempts: 2,
+      });
+      const { body, framing } = await requestAnswer(gateway.port);
+      // Nobody can tell a normal end between two events from the end of the stream.
+      const expected = how === "ends" ? [1, 2] : [1, 2, 3];
+      assert.equal(listEventIds(body).join(), expected.join());
+      assert.equal(framing, "connection");
+    });
+  });
+});
