Logs name the prompt parts of calls without an answer, and servers that crashed

In the record of the incident nothing tells what the calls that lost their engines have in common, nor that an instance takes a server for crashed, so that a common cause and a crash storm can't be told apart. Facts of a prompt name its model.

--- a/bench/crowd_bench.ts
+++ b/bench/crowd_bench.ts
@@ -281,6 +281,7 @@
     "Host",
     HOST,
     ...encodePrompt({
+      model: undefined,
       promptTokens: sharedTokens + ownTokens,
       maxOutputTokens: events * EVENT_TOKENS,
       parts: [
--- a/forwarding/call_header_codec.ts
+++ b/forwarding/call_header_codec.ts
@@ -10,8 +10,10 @@
   readonly tokens: number;
 }
 
-/** Prompt size and output limit of a call to a model engine, from which its cost is estimated. */
+/** Model, prompt size and output limit of a call to a model engine, from which its cost is estimated. */
 export interface PromptFacts {
+  /** Name of the model; `undefined` if the call names none. */
+  readonly model: string | undefined;
   /** Length of the prompt, in tokens. */
   readonly promptTokens: number;
   /** Maximum number of tokens that may be generated. */
--- a/forwarding/call_sender.ts
+++ b/forwarding/call_sender.ts
@@ -22,6 +22,8 @@
   settleHandover,
 } from "./settle_attempt.ts";
 
+/** Maximum number of prompt parts that one log line names. */
+const MAX_LOGGED_PARTS = 8;
 /** Lowest HTTP status that means a failure of the server. */
 const MIN_FAILURE_STATUS = 500;
 
@@ -217,9 +219,20 @@
           at,
           // Shows whether the same call gets no answer repeatedly.
           content: exchange.content.fingerprint,
+          ...describeParts(exchange),
           reason: outcome.message,
         });
         return;
     }
   }
 }
+
+/** Returns the field that shows which prompt parts calls without an answer have in common. */
+function describeParts(
+  { facts: { prompt } }: Exchange,
+): { readonly parts?: string } {
+  const shared = prompt?.parts.slice(0, -1) ?? [];
+  if (shared.length === 0) return {};
+  const ids = shared.slice(0, MAX_LOGGED_PARTS).map(({ id }) => id);
+  return { parts: ids.join(" ") };
+}
--- a/forwarding/crash_confirmer.ts
+++ b/forwarding/crash_confirmer.ts
@@ -1,6 +1,7 @@
 import { type Clock, waitFor } from "../clock/mod.ts";
 import type { BackendId, RegionId } from "../ids/mod.ts";
 import type { Logger } from "../logs/mod.ts";
+import type { Metrics } from "../metrics/mod.ts";
 import type { RegisteredServer, ServerRegistry } from "../servers/mod.ts";
 import type { ProbeServer } from "./link_prober.ts";
 import type { ServerLinks } from "./server_links.ts";
@@ -21,6 +22,7 @@
   readonly links: ServerLinks;
   readonly probeServer: ProbeServer;
   readonly logger: Logger;
+  readonly metrics: Metrics;
 }
 
 /**
@@ -46,14 +48,17 @@
   }
 
   async #check(server: RegisteredServer): Promise<boolean> {
-    const { clock, logger, probeServer } = this.#parts;
+    const { clock, logger, metrics, probeServer } = this.#parts;
     const { id, service } = server;
     const witnesses = this.#pickWitnesses(server);
     await waitFor(clock, CLOSING_MS);
     const isAccepting = await probeServer(server.address);
     const hasCrashed = !isAccepting && await this.#hasLinks(witnesses);
     this.#pending.delete(id);
-    if (!hasCrashed) {
+    if (hasCrashed) {
+      logger.warn("server crashed", { server: id, service });
+      metrics.count("servers.crashed", 1, { service });
+    } else {
       logger.info("server closed connections and has not crashed", {
         server: id,
         service,
--- a/metrics/metrics.ts
+++ b/metrics/metrics.ts
@@ -49,6 +49,8 @@
     "gauge; servers that advertise a limit of calls per second",
   "servers.unreachable":
     "gauge; servers to which this instance can open no connection",
+  "servers.crashed":
+    "counter; servers that crashed while they had calls of this instance; tags: service",
   "process.errors":
     "counter; errors that no code has taken; tags: kind (rejection, exception)",
   "quarantine.held": "gauge; calls refused because they crashed servers",
