--- a/tests/virtual_fleet.ts
+++ b/tests/virtual_fleet.ts
@@ -5,7 +5,6 @@
   type AnswerHead,
   type CallOrigin,
   type CallSink,
-  GATEWAY_HEADER_CODEC,
   readHop,
   type SendEvents,
   type SendRequest,
@@ -15,6 +14,7 @@
 import { toFailureDomainId, toRegionId } from "../ids/mod.ts";
 import { createServerEntry } from "./member_fixture.ts";
 import { createHeadSink } from "./opaque_call_fixture.ts";
+import { PROMPT_HEADER_CODEC, writePromptHeaders } from "./prompt_fixture.ts";
 import { createVirtualGateway } from "./virtual_gateway.ts";
 import { VirtualLinks } from "./virtual_links.ts";
 
@@ -33,6 +33,8 @@
   readonly callId: string;
   readonly target: string;
   readonly body: string;
+  /** Shared parts of the call's prompt, in order; the caller's own last part is left out. */
+  readonly parts: readonly string[];
 }
 
 /** How a backend server responds to a call. */
@@ -54,6 +56,20 @@
   readonly headers: readonly string[];
 }
 
+/** What a call to a virtual fleet consists of. */
+export interface VirtualCall {
+  /** Body; calls with the same method, host, target and body have the same content. */
+  readonly body: string;
+  /** Address of the instance that is called. Default: a random one. */
+  readonly address?: string;
+  /** Path. Default: one of route `/a/`. */
+  readonly target?: string;
+  /** Parts of the prompt, in order; the last one is the caller's own. Default: no prompt. */
+  readonly parts?: readonly string[];
+  /** Model of the prompt. Default: `m`. */
+  readonly model?: string;
+}
+
 /** Sizes of a fleet, and behaviour of its servers and network. */
 export interface VirtualFleetParts {
   /** Number of instances and servers by region. */
@@ -129,6 +145,7 @@
       },
       clock: this.clock,
       random: createRandom(this.gateways.size + 1),
+      headerCodec: PROMPT_HEADER_CODEC,
       client: this.#createServerClient(address),
       peerClient: this.#createPeerClient(address),
       probeServer: (server) => this.#probe(address, server),
@@ -157,8 +174,25 @@
    */
   call(
     body: string,
-    address = this.#pickAddress(),
-    target = "/a/x",
+    address?: string,
+    target?: string,
+  ): Promise<CallOutcome> {
+    return this.send({
+      body,
+      ...(address === undefined ? {} : { address }),
+      ...(target === undefined ? {} : { target }),
+    });
+  }
+
+  /** Sends a call, which may have a prompt, to an instance and returns its outcome. */
+  send(
+    {
+      address = this.#pickAddress(),
+      body,
+      model = "m",
+      parts = [],
+      target = "/a/x",
+    }: VirtualCall,
   ): Promise<CallOutcome> {
     const callId = `c${this.#callCount++}`;
     const headers = [
@@ -168,6 +202,7 @@
       callId,
       "X-Deadline-Ms",
       "2000",
+      ...writePromptHeaders(model, parts),
     ];
     return new Promise((resolve) => {
       this.#deliver(address, { kind: "caller" }, {
@@ -268,13 +303,17 @@
         }
         const failed = this.links.take(from, server.id, events);
         if (failed !== undefined) return failed;
+        const { callId, prompt } = PROMPT_HEADER_CODEC.readCall(
+          request.headers,
+        );
         const arrival: Arrival = {
           atMs: this.clock.nowMs(),
           server: server.id,
           from,
-          callId: GATEWAY_HEADER_CODEC.readCall(request.headers).callId,
+          callId,
           target: request.target,
           body: request.body.toString(),
+          parts: prompt?.parts.slice(0, -1).map(({ id }) => id) ?? [],
         };
         this.arrivals.push(arrival);
         server.runningCalls.add(events);
