Calls are known by the parts of their prompts, too, and quarantined by them

Callers saw: calls that share one part of their prompts ended one server after the other, 28 in all, and a quarter of the sound calls was served.

Cause: the quarantine knew a call by a hash of its method, host, path and whole body, so calls that differ never counted together. Proved by the failing test: calls with nothing in common but a part crash 33 to 78 servers; equal calls are refused after the third crash. Ruled out there: reports that get lost or come late (the same without loss), and a crash storm (servers crash no more once the part is refused).

Change: a call is known by its content and by each shared part of its prompt (model and id; 64 at most). A part is suspect if a server crashes while it has such a call, and cleared by any complete answer of a minute before or at any time after, anywhere, so parts that sound calls share stay served. Crashes that more evidence explains do not count; a content and a part with the same crashes: the content is meant. Calls that ran beside can still be held, and then nobody answers them: so single calls are tried, by one instance after the other (rank by part), 1 s after the last crash, then 60, 300 and 600 s after each crash of a trial; the first answer releases it everywhere. The same at the end of a quarantine: one try by one instance. A hop says that a call is a trial.

--- a/daemon/gateway.ts
+++ b/daemon/gateway.ts
@@ -13,6 +13,7 @@
   toRequestId,
 } from "../ids/mod.ts";
 import { ShardedJournal } from "../run_journal/mod.ts";
+import type { CallFingerprint } from "../ids/mod.ts";
 import { type Heartbeat, Membership, rankNames } from "../membership/mod.ts";
 import { createFailure, type Failure, readRow } from "../results/mod.ts";
 import { RetryBudget } from "../retry/mod.ts";
@@ -131,7 +132,11 @@
       readNewestSequence: () => this.membership.newestConfiguration,
       report: (message) => parts.logger.warn(message),
     });
-    this.quarantine = new QuarantineGuard({ logger: parts.logger }).quarantine;
+    this.quarantine = new QuarantineGuard({
+      logger: parts.logger,
+      metrics: parts.metrics,
+      rankSelf: (call) => this.#rankSelf(call),
+    }).quarantine;
     this.#crashGossip = new CrashGossip(this.quarantine);
     this.configuration.subscribe(() => this.#applyCatalog());
     this.#handlers = createPeerHandlers(this);
@@ -217,6 +222,13 @@
     return await this.#handlers[method](params);
   }
 
+  /** Returns the place of this instance in the order in which instances try a quarantined call. */
+  #rankSelf(call: CallFingerprint): number {
+    const { self } = this.parts;
+    const names = new Set([self.id, ...this.membership.liveIds]);
+    return rankNames(call, [...names]).indexOf(self.id);
+  }
+
   /** Returns the crash reports for the heartbeats of one tick, by whether they go to another region. */
   takeCrashReports(): (isRemote: boolean) => readonly CrashReport[] {
     const nowMs = this.parts.clock.nowMs();
--- a/daemon/http_gateway.ts
+++ b/daemon/http_gateway.ts
@@ -32,8 +32,9 @@
 } from "../forwarding/mod.ts";
 import type { CallerLimits, RouteTable } from "../http_routes/mod.ts";
 import type { LimitBounds } from "../admission/mod.ts";
-import type { RegionId } from "../ids/mod.ts";
+import type { CallFingerprint, RegionId } from "../ids/mod.ts";
 import type { Logger } from "../logs/mod.ts";
+import { rankNames } from "../membership/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
 import type { CrashReport } from "../quarantine/mod.ts";
 import { type RegisteredServer, ServerRegistry } from "../servers/mod.ts";
@@ -97,6 +98,8 @@
   readonly limitBounds?: LimitBounds;
   /** Stores a quarantined call for instances that start later. Default: it is not stored. */
   readonly storeQuarantinedCall?: (report: CrashReport) => void;
+  /** Removes a released call from the store. Default: does nothing. */
+  readonly removeQuarantinedCall?: (call: CallFingerprint) => void;
   /** Sends a report to addresses. */
   readonly sendReport: SendReport;
   /**
@@ -174,6 +177,8 @@
       warmUpBounds: parts.warmUpBounds,
       limitBounds: parts.limitBounds ?? DEFAULT_LIMIT_BOUNDS,
       storeQuarantinedCall: parts.storeQuarantinedCall,
+      removeQuarantinedCall: parts.removeQuarantinedCall,
+      rankSelf: (call) => this.#rankSelf(call),
     });
     this.state = parts.createState({
       registry: this.registry,
@@ -427,6 +432,14 @@
     return this.fleet.isRelay(this.state.known, this.#parts.clock.nowMs());
   }
 
+  /** Returns the place of this instance in the order in which instances try a quarantined call. */
+  #rankSelf(call: CallFingerprint): number {
+    const { self } = this.fleet;
+    const others = this.fleet.listLive(this.#parts.clock.nowMs());
+    return rankNames(call, [self, ...others].map(({ id }) => id))
+      .indexOf(self.id);
+  }
+
   #sweep(): void {
     const { clock, metrics } = this.#parts;
     const nowMs = clock.nowMs();
@@ -447,6 +460,7 @@
     metrics.gauge("loop.delay_ms", this.loopDelay.readMs());
     const { quarantine } = this.forwarder;
     metrics.gauge("quarantine.held", quarantine.quarantinedCount);
+    metrics.gauge("quarantine.parts", quarantine.quarantinedPartCount);
     metrics.gauge("quarantine.suspects", quarantine.suspectCount);
     metrics.gauge("servers.limited", this.forwarder.serverLimits.count);
     metrics.gauge(
--- a/fleet/encode_report.ts
+++ b/fleet/encode_report.ts
@@ -2,7 +2,6 @@
 import {
   parseAddress,
   toBackendId,
-  toCallFingerprint,
   toFailureDomainId,
   toInstanceId,
   toRegionId,
@@ -18,7 +17,12 @@
   ReportedPrefix,
 } from "./fleet_report.ts";
 import type { ReportedTeamUsage } from "../admission/mod.ts";
-import type { CrashReport } from "../quarantine/mod.ts";
+import {
+  type CrashReport,
+  type CrashRow,
+  decodeCrashRow,
+  encodeCrashRow,
+} from "../quarantine/mod.ts";
 
 /** Method of the JSON-RPC notification that contains a report. */
 const METHOD = "fleet.report";
@@ -192,9 +196,7 @@
     gossip: gossip.map(decodeGossipRow),
     wantsGossip: (toNumber(requests) & WANTS_GOSSIP) > 0,
     wantsSummary: (toNumber(requests) & WANTS_SUMMARY) > 0,
-    ...(crashes.length > 0
-      ? { crashReports: crashes.map(decodeCrashRow) }
-      : {}),
+    ...(crashes.length > 0 ? { crashReports: crashes.map(readCrashRow) } : {}),
     ...(usage.length > 0 ? { teamUsage: usage.map(decodeUsageRow) } : {}),
     ...(limits.length > 0 ? { limits: limits.map(decodeLimitRow) } : {}),
   };
@@ -327,18 +329,12 @@
   };
 }
 
-type CrashRow = readonly [call: string, ageMs: number, ...servers: string[]];
-
-function encodeCrashRow({ ageMs, call, servers }: CrashReport): CrashRow {
-  return [call, Math.round(ageMs), ...servers];
-}
-
-function decodeCrashRow([call, ageMs, ...servers]: CrashRow): CrashReport {
-  return {
-    call: toCallFingerprint(toText(call)),
-    ageMs: Math.max(0, toNumber(ageMs)),
-    servers: servers.map((server) => toBackendId(toText(server))),
-  };
+function readCrashRow([call, ageMs, ...fields]: CrashRow): CrashReport {
+  return decodeCrashRow([
+    toText(call),
+    toNumber(ageMs),
+    ...fields.map(toText),
+  ]);
 }
 
 function toNumber(value: unknown): number {
--- a/forwarding/call_forwarder.ts
+++ b/forwarding/call_forwarder.ts
@@ -9,20 +9,22 @@
   findHostHomes,
   type HostHomes,
   type HttpRoute,
+  type HttpService,
   pickService,
   RouteCallCounter,
   type RouteTable,
 } from "../http_routes/mod.ts";
-import type { BackendId, RegionId } from "../ids/mod.ts";
+import type { BackendId, CallFingerprint, RegionId } from "../ids/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
 import {
   CallContent,
   type CallQuarantine,
   type CrashReport,
+  type SharedPrompt,
 } from "../quarantine/mod.ts";
 import type { RegisteredServer, ServerRegistry } from "../servers/mod.ts";
-import type { CallHeaderCodec } from "./call_header_codec.ts";
+import type { CallFacts, CallHeaderCodec } from "./call_header_codec.ts";
 import { CallGate } from "./call_gate.ts";
 import { CallReplies } from "./call_replies.ts";
 import { CallSender } from "./call_sender.ts";
@@ -95,6 +97,15 @@
   readonly probeServer: ProbeServer;
   /** Stores a quarantined call where instances that start later find it. Default: it is not stored. */
   readonly storeQuarantinedCall?: ((report: CrashReport) => void) | undefined;
+  /** Removes a released call from where it is stored. Default: does nothing. */
+  readonly removeQuarantinedCall?:
+    | ((call: CallFingerprint) => void)
+    | undefined;
+  /**
+   * Returns the place of this instance in the order in which instances try a quarantined call.
+   * Default: 0, as if it were the only one.
+   */
+  readonly rankSelf?: (call: CallFingerprint) => number;
 }
 
 /** Accepts calls, sends each to a backend server or a remote instance, and passes on the answers. */
@@ -444,7 +455,7 @@
     if (leftMs > 0) scheduleAfterReading(clock, leftMs, giveUp, timer.signal);
     else giveUp();
     const exchange = this.#createExchange(routed, deadlineMs, callAbort.signal);
-    const endServing = this.#quarantineGuard.begin(exchange.content, giveUp);
+    const endServing = this.#quarantineGuard.begin(exchange, giveUp);
     await this.#forward(exchange);
     endServing();
     timer.abort("done");
@@ -462,7 +473,11 @@
     const hop = origin.kind === "instance" ? origin.hop : undefined;
     return {
       ...routed,
-      content: new CallContent({ ...call, host: facts.host }),
+      content: new CallContent({
+        ...call,
+        host: facts.host,
+        prompt: toSharedPrompt(facts, routed.service),
+      }),
       promptParts: toKeyedParts(facts.prompt?.parts ?? []),
       deadlineMs,
       signal,
@@ -477,6 +492,7 @@
       attemptsLeft: hop === undefined ? route.maxAttempts : 1,
       sentTo: [],
       isHandingOver: false,
+      isTrial: hop?.isTrial ?? false,
       mayHaveRun: false,
       heldAnswer: undefined,
       avoidedRegions: new Set(),
@@ -529,7 +545,7 @@
   }
 
   #refuseQuarantined(exchange: Exchange, nowMs: number): boolean {
-    const refusal = this.#quarantineGuard.findRefusal(exchange.content, nowMs);
+    const refusal = this.#quarantineGuard.findRefusal(exchange, nowMs);
     if (refusal === undefined) return false;
     const content = exchange.content.fingerprint;
     this.#replies.finishUnanswered(exchange, refusal, { content });
@@ -551,6 +567,19 @@
   }
 }
 
+/**
+ * Returns what other calls may share of a call's prompt. The last part is the caller's own. Where
+ * no model is named, the servers of one service run the same one.
+ */
+function toSharedPrompt(
+  { prompt }: CallFacts,
+  service: HttpService,
+): SharedPrompt | undefined {
+  if (prompt === undefined) return undefined;
+  const { model = service.name, parts } = prompt;
+  return { model, parts: parts.slice(0, -1).map(({ id }) => id) };
+}
+
 /** A call whose route and service are known. */
 type RoutedCall = Pick<
   Exchange,
--- a/forwarding/call_sender.ts
+++ b/forwarding/call_sender.ts
@@ -1,7 +1,7 @@
 import type { Clock } from "../clock/mod.ts";
 import type { FleetView } from "../fleet/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
-import type { CallQuarantine } from "../quarantine/mod.ts";
+import type { CallContent, CallQuarantine } from "../quarantine/mod.ts";
 import type { CallReplies } from "./call_replies.ts";
 import type { DestinationChooser } from "./choose_destination.ts";
 import {
@@ -107,6 +107,7 @@
     const { clock, metrics, destinations, quarantine } = this.#parts;
     const nowMs = clock.nowMs();
     if (!canBeHandedOver(exchange)) return undefined;
+    if (exchange.isTrial) return undefined;
     if (quarantine.readRemainingQuarantineMs(exchange.content, nowMs) > 0) {
       return undefined;
     }
@@ -219,7 +220,7 @@
           at,
           // Shows whether the same call gets no answer repeatedly.
           content: exchange.content.fingerprint,
-          ...describeParts(exchange),
+          ...describeParts(exchange.content),
           reason: outcome.message,
         });
         return;
@@ -229,10 +230,8 @@
 
 /** Returns the field that shows which prompt parts calls without an answer have in common. */
 function describeParts(
-  { facts: { prompt } }: Exchange,
+  { partFingerprints }: CallContent,
 ): { readonly parts?: string } {
-  const shared = prompt?.parts.slice(0, -1) ?? [];
-  if (shared.length === 0) return {};
-  const ids = shared.slice(0, MAX_LOGGED_PARTS).map(({ id }) => id);
-  return { parts: ids.join(" ") };
+  if (partFingerprints.length === 0) return {};
+  return { parts: partFingerprints.slice(0, MAX_LOGGED_PARTS).join(" ") };
 }
--- a/forwarding/exchange.ts
+++ b/forwarding/exchange.ts
@@ -37,6 +37,8 @@
   sentTo: readonly BackendId[];
   /** Whether the call is being handed over to a second destination while the first one has it. */
   isHandingOver: boolean;
+  /** Whether the call is quarantined, and sent once to learn whether it still crashes servers. */
+  isTrial: boolean;
   /** Whether a server may have run the call. */
   mayHaveRun: boolean;
   /** A failure of a server, passed to the caller if no later attempt succeeds. */
--- a/forwarding/hop_headers.ts
+++ b/forwarding/hop_headers.ts
@@ -34,6 +34,8 @@
   readonly tried: readonly BackendId[];
   /** Version of the first instance's configuration; 0 if it was not sent. */
   readonly configurationVersion: number;
+  /** Whether the call is quarantined, and sent once to learn whether it still crashes servers. */
+  readonly isTrial: boolean;
   /** Team and key of the caller as identified by the first instance; `undefined` if it identified none. */
   readonly caller: IdentifiedTeam | undefined;
 }
@@ -81,6 +83,7 @@
     version: String(hop.configurationVersion),
   });
   if (hop.resumeAfter !== undefined) fields.set("after", hop.resumeAfter);
+  if (hop.isTrial) fields.set("trial", "1");
   if (hop.caller !== undefined) writeCaller(fields, hop.caller);
   return [HOP_HEADER, fields.toString()];
 }
@@ -103,6 +106,7 @@
     resumeAfter: fields.get("after") ?? undefined,
     tried: parseServerIds(fields.get("tried")),
     configurationVersion: Number(fields.get("version") ?? 0),
+    isTrial: fields.get("trial") === "1",
     caller: readCaller(fields),
   };
 }
--- a/forwarding/instance_sender.ts
+++ b/forwarding/instance_sender.ts
@@ -84,6 +84,7 @@
             resumeAfter: progress.lastEventId,
             tried: [...exchange.tried],
             configurationVersion: exchange.access.configurationVersion,
+            isTrial: exchange.isTrial,
             caller: exchange.access.caller,
           }),
         ],
--- a/forwarding/server_sender.ts
+++ b/forwarding/server_sender.ts
@@ -353,7 +353,7 @@
 
   /** Records for the quarantine whether the call was answered or its server crashed. */
   async #recordForQuarantine(
-    { content }: Exchange,
+    { content, isTrial }: Exchange,
     { server: { entry } }: Candidate,
     outcome: EndedOutcome,
     firstByteMs: number | undefined,
@@ -363,7 +363,7 @@
     if (isServed(outcome)) quarantine.recordAnswer(content, nowMs);
     if (!mayHaveCrashedServer(outcome, firstByteMs, nowMs)) return;
     if (await crashConfirmer.confirm(entry)) {
-      quarantine.recordCrash(content, entry.id, nowMs);
+      quarantine.recordCrash(content, entry.id, nowMs, { isTrial });
     }
   }
 }
--- a/ids/mod.ts
+++ b/ids/mod.ts
@@ -34,7 +34,10 @@
 export type AttemptId = Branded<"AttemptId">;
 /** An idempotency key with its team. */
 export type RunKey = Branded<"RunKey">;
-/** Digest of the method, host, path and body of a call; a repeated call has the same one. */
+/**
+ * What calls have in common that are equal or alike: a digest of their method, host, path and
+ * body, or a part of their prompts.
+ */
 export type CallFingerprint = Branded<"CallFingerprint">;
 /** One write to the store; never used twice. */
 export type ChangeId = Branded<"ChangeId">;
--- a/membership/encode_heartbeat.ts
+++ b/membership/encode_heartbeat.ts
@@ -1,12 +1,8 @@
 import { createHmac, timingSafeEqual } from "node:crypto";
 import * as z from "zod";
 import type { Heartbeat } from "./member.ts";
-import {
-  type InstanceId,
-  type RegionId,
-  toBackendId,
-  toCallFingerprint,
-} from "../ids/mod.ts";
+import type { InstanceId, RegionId } from "../ids/mod.ts";
+import { decodeCrashRow, encodeCrashRow } from "../quarantine/mod.ts";
 
 const TAG_BYTES = 12;
 const STATUSES = ["suspect", "leaving", "dead"] as const;
@@ -84,11 +80,7 @@
       ]),
     ]),
   ];
-  const rows = heartbeat.crashReports?.map(({ ageMs, call, servers }) => [
-    call,
-    Math.round(ageMs),
-    ...servers,
-  ]);
+  const rows = heartbeat.crashReports?.map(encodeCrashRow);
   const body = Buffer.from(JSON.stringify({
     jsonrpc: "2.0",
     method: "hb",
@@ -154,11 +146,7 @@
       })),
     })),
     ...(parsed.data.ends === undefined ? {} : {
-      crashReports: parsed.data.ends.map(([call, ageMs, ...servers]) => ({
-        call: toCallFingerprint(call),
-        ageMs,
-        servers: servers.map(toBackendId),
-      })),
+      crashReports: parsed.data.ends.map(decodeCrashRow),
     }),
   };
 }
--- a/metrics/metrics.ts
+++ b/metrics/metrics.ts
@@ -53,7 +53,12 @@
     "counter; servers that crashed while they had calls of this instance; tags: service",
   "process.errors":
     "counter; errors that no code has taken; tags: kind (rejection, exception)",
-  "quarantine.held": "gauge; calls refused because they crashed servers",
+  "quarantine.held":
+    "gauge; calls and prompt parts refused because they crashed servers",
+  "quarantine.parts":
+    "gauge; prompt parts refused because calls with them crashed servers",
+  "quarantine.trials":
+    "counter; quarantined calls sent to learn whether they still crash servers",
   "quarantine.suspects":
     "gauge; calls recorded because a server crashed while it had them",
 } as const;
--- a/quarantine/call_content.ts
+++ b/quarantine/call_content.ts
@@ -1,11 +1,22 @@
 import { createHash } from "node:crypto";
 import { type CallFingerprint, toCallFingerprint } from "../ids/mod.ts";
+import { toPartFingerprint } from "./part_fingerprint.ts";
 
 /**
  * Bytes of the hash that are kept. They have to tell thousands of calls apart, and no
  * caller must be able to write a call that collides with another caller's.
  */
 const HASH_BYTES = 12;
+/** Maximum number of prompt parts by which a call is known, which bounds the work for one call. */
+const MAX_PARTS = 64;
+
+/** What other calls of a model may have in common with a call. */
+export interface SharedPrompt {
+  /** Name of the model; `undefined` if it is not known. */
+  readonly model: string | undefined;
+  /** Identifiers of the prompt parts that other calls may share, in order. */
+  readonly parts: readonly string[];
+}
 
 /** Parts of a call that are the same when its caller sends it again. */
 export interface CallContentParts {
@@ -14,12 +25,15 @@
   /** Path and query. */
   readonly target: string;
   readonly body: Buffer;
+  /** Shared parts of the prompt. Default: none. */
+  readonly prompt?: SharedPrompt | undefined;
 }
 
-/** The content of a call; its fingerprint is computed when it is first read. */
+/** The content of a call; its fingerprints are computed when they are first read. */
 export class CallContent {
   readonly #parts: CallContentParts;
   #fingerprint: CallFingerprint | undefined;
+  #partFingerprints: readonly CallFingerprint[] | undefined;
 
   /** @param parts Parts of the call that are the same when it is sent again. */
   constructor(parts: CallContentParts) {
@@ -31,6 +45,17 @@
     this.#fingerprint ??= computeFingerprint(this.#parts);
     return this.#fingerprint;
   }
+
+  /** Identifies the prompt parts that the call may share with calls of other content. */
+  get partFingerprints(): readonly CallFingerprint[] {
+    this.#partFingerprints ??= listPartFingerprints(this.#parts.prompt);
+    return this.#partFingerprints;
+  }
+
+  /** All that the call is known by: its whole content, and each shared part of its prompt. */
+  get fingerprints(): readonly CallFingerprint[] {
+    return [this.fingerprint, ...this.partFingerprints];
+  }
 }
 
 function computeFingerprint(
@@ -44,3 +69,13 @@
     digest.subarray(0, HASH_BYTES).toString("base64url"),
   );
 }
+
+function listPartFingerprints(
+  prompt: SharedPrompt | undefined,
+): readonly CallFingerprint[] {
+  if (prompt === undefined || prompt.parts.length === 0) return [];
+  const model = prompt.model ?? "";
+  const fingerprints = prompt.parts.slice(0, MAX_PARTS)
+    .map((part) => toPartFingerprint({ model, part }));
+  return [...new Set(fingerprints)];
+}
--- a/quarantine/call_quarantine.ts
+++ b/quarantine/call_quarantine.ts
@@ -1,6 +1,10 @@
 import type { BackendId, CallFingerprint } from "../ids/mod.ts";
 import type { CallContent } from "./call_content.ts";
+import { AnsweredCalls } from "./answered_calls.ts";
 import type { CrashReport } from "./crash_report.ts";
+import { isPartFingerprint } from "./part_fingerprint.ts";
+import { countAttributed, createSuspect, type Suspect } from "./suspect.ts";
+import { computeFirstTrialMs, computeOwnTrialMs } from "./trial_schedule.ts";
 
 /**
  * Number of servers that must crash during a call before the call is quarantined. One
@@ -21,78 +25,143 @@
 const MAX_SERVERS_PER_CALL = 16;
 /** How far the times that two instances report for the same crash differ, in milliseconds. */
 const SAME_CRASH_MS = 1_000;
+/** Maximum number of answered contents that are remembered: enough for a minute at thirty a second. */
+const MAX_ANSWERED_CONTENTS = 2_048;
+/** Maximum number of answered prompt parts that are remembered; calls share most of them. */
+const MAX_ANSWERED_PARTS = 8_192;
 /**
- * How long an answer protects a call from suspicion, in milliseconds. Many callers may
- * send the same call, and several servers may crash at once for a reason of their own.
- * After that time, the call may reach servers of another version.
+ * Time by which calls with several quarantined parts are tried later for each further part, in
+ * milliseconds.
  */
-const ANSWER_VALID_MS = 60_000;
-/** Maximum number of answered calls that are remembered: enough for that time at thirty a second. */
-const MAX_ANSWERED = 2_048;
+const SEVERAL_PARTS_DELAY_MS = 5_000;
+/** Minimum time after which refused callers may retry, in milliseconds. */
+const MIN_RETRY_MS = 500;
 
-interface Suspect {
-  readonly servers: Set<BackendId>;
-  lastCrashMs: number;
-}
+/** A change of what is quarantined. */
+export type QuarantineEvent =
+  | {
+    /**
+     * `quarantined`: calls are refused from now on. `trial-failed`: one that was tried has crashed
+     * another server.
+     */
+    readonly kind: "quarantined" | "trial-failed";
+    readonly report: CrashReport;
+    /** Whether this instance observed the last crash itself; otherwise another one reported it. */
+    readonly isSeenHere: boolean;
+    /** The other suspect with the most crashes, and their number; `undefined`: there is none. */
+    readonly next: Pick<Suspect, "call" | "servers"> | undefined;
+  }
+  /** A server has answered a quarantined call. */
+  | {
+    readonly kind: "released";
+    readonly call: CallFingerprint;
+    readonly isSeenHere: boolean;
+  };
 
-/** A call that has just been quarantined. */
-export interface QuarantinedCall extends CrashReport {
-  /** Whether this instance observed the last crash itself; otherwise another one reported it. */
-  readonly isSeenHere: boolean;
+/** Whether a call may be sent to a server. */
+export type QuarantineVerdict =
+  | { readonly kind: "clear" }
+  /** The call is quarantined, and may be sent once to learn whether it still crashes servers. */
+  | { readonly kind: "trial" }
+  | {
+    readonly kind: "refused";
+    /** What the call has in common with those that crashed servers. */
+    readonly call: CallFingerprint;
+    /** Time until the next trial, in milliseconds. */
+    readonly retryAfterMs: number;
+  };
+
+/** How a call ran that a server crashed with. */
+export interface RecordCrashOptions {
+  /** Whether the call was sent as a trial. Default: no. */
+  readonly isTrial?: boolean;
 }
 
 /** Callbacks of a quarantine. */
 export interface CallQuarantineParts {
-  /** Called when a call has been quarantined. Default: does nothing. */
-  readonly onQuarantined?: (held: QuarantinedCall) => void;
+  /** Called with each change of what is quarantined. Default: does nothing. */
+  readonly onChange?: (event: QuarantineEvent) => void;
+  /**
+   * Returns the place of this instance, from 0, in the order in which instances try a
+   * quarantined call; the order differs from call to call. Default: 0.
+   */
+  readonly rankSelf?: (call: CallFingerprint) => number;
 }
 
+const CLEAR: QuarantineVerdict = { kind: "clear" };
+
 /**
  * Refuses calls that crash backend servers, based on the crashes that this instance
- * observed and that others reported. Without it, a call that crashes each server that
- * runs it would crash one after the other as its caller retries, and each of them would
- * lose all calls that it had.
+ * observed and that others reported. Without it, calls that crash each server that
+ * runs them would crash one after the other, and each of them would lose all calls that
+ * it had.
+ *
+ * A call is known by its whole content, since its id is new each time, and by each part of
+ * its prompt that other calls may share. All of that is suspect if a server crashes while
+ * it has the call. A complete answer clears it, at this or another instance, shortly before
+ * the crash or at any time after it: the calls at fault get none. Servers that crashed
+ * during a suspect with more evidence count against that one only.
  *
- * All calls of a server that crashes are suspects. A complete answer clears a suspect,
- * at this or another instance, shortly before the crash or at any time after it: the
- * call at fault gets none. Servers that crashed during a call with more crashes count
- * against that call only. A call is identified by its content, since its id is new
- * each time.
+ * Calls that merely ran on servers that crashed can be quarantined, too, and then nobody
+ * answers them. So single calls are tried: by one instance after the other, soon after the
+ * last crash, later each time that another server has crashed. The first answer ends the
+ * quarantine everywhere.
  */
 export class CallQuarantine {
-  readonly #onQuarantined: NonNullable<CallQuarantineParts["onQuarantined"]>;
-  /** By content; the one that changed last is at the end. */
+  readonly #onChange: NonNullable<CallQuarantineParts["onChange"]>;
+  readonly #rankSelf: NonNullable<CallQuarantineParts["rankSelf"]>;
+  /** The one that changed last is at the end. */
   readonly #suspects = new Map<CallFingerprint, Suspect>();
   readonly #quarantined = new Set<CallFingerprint>();
-  readonly #answeredMs = new Map<CallFingerprint, number>();
+  readonly #answeredContents = new AnsweredCalls(MAX_ANSWERED_CONTENTS);
+  readonly #answeredParts = new AnsweredCalls(MAX_ANSWERED_PARTS);
   #unreported: CrashReport[] = [];
   #listOffset = 0;
 
   /** @param parts Callbacks. */
   constructor(parts: CallQuarantineParts = {}) {
-    this.#onQuarantined = parts.onQuarantined ?? (() => {});
+    this.#onChange = parts.onChange ?? (() => {});
+    this.#rankSelf = parts.rankSelf ?? (() => 0);
   }
 
-  /** Number of calls that are quarantined. */
+  /** Number of whole contents and prompt parts that are quarantined. */
   get quarantinedCount(): number {
     return this.#quarantined.size;
   }
 
-  /** Number of suspect calls, quarantined ones included. */
+  /** Number of suspect contents and prompt parts, quarantined ones included. */
   get suspectCount(): number {
     return this.#suspects.size;
   }
 
+  /** Number of prompt parts that are quarantined. */
+  get quarantinedPartCount(): number {
+    return [...this.#quarantined].filter(isPartFingerprint).length;
+  }
+
   /**
    * Records that a server crashed while it had a call.
    *
    * @param content Content of the call.
    * @param server The server that crashed.
    * @param nowMs Current time, in milliseconds.
+   * @param options How the call ran.
    */
-  recordCrash(content: CallContent, server: BackendId, nowMs: number): void {
-    const report = { call: content.fingerprint, servers: [server], ageMs: 0 };
-    if (this.#mergeReport(report, nowMs, true)) this.#unreported.push(report);
+  recordCrash(
+    content: CallContent,
+    server: BackendId,
+    nowMs: number,
+    { isTrial = false }: RecordCrashOptions = {},
+  ): void {
+    content.fingerprints.forEach((call) => {
+      const report: CrashReport = {
+        call,
+        servers: [server],
+        ageMs: 0,
+        ...(isTrial ? this.#countFailedTrial(call) : {}),
+      };
+      if (this.#mergeReport(report, nowMs, true)) this.#unreported.push(report);
+    });
   }
 
   /**
@@ -102,10 +171,22 @@
    * @param content Content of the call.
    * @param nowMs Current time, in milliseconds.
    */
-  recordAnswer({ fingerprint }: CallContent, nowMs: number): void {
-    if (this.#mergeAnswer(fingerprint, nowMs)) {
-      this.#unreported.push({ call: fingerprint, servers: [], ageMs: 0 });
-    }
+  recordAnswer({ fingerprints }: CallContent, nowMs: number): void {
+    fingerprints.forEach((call) => this.release(call, nowMs));
+  }
+
+  /**
+   * Ends the quarantine of a content or a prompt part, here and at all other instances, as if a
+   * server had answered a call with it now.
+   *
+   * @param call The content or the prompt part.
+   * @param nowMs Current time, in milliseconds.
+   * @returns Whether servers had crashed during it.
+   */
+  release(call: CallFingerprint, nowMs: number): boolean {
+    const wasSuspect = this.#mergeAnswer(call, nowMs, true);
+    if (wasSuspect) this.#unreported.push({ call, servers: [], ageMs: 0 });
+    return wasSuspect;
   }
 
   /**
@@ -126,20 +207,44 @@
   }
 
   /**
-   * Returns how long a call stays quarantined, in milliseconds; 0: it may be sent.
+   * Returns how long a call stays quarantined unless a trial of it is answered, in
+   * milliseconds; 0: it is not quarantined.
    *
    * @param content Content of the call.
    * @param nowMs Current time, in milliseconds.
    */
   readRemainingQuarantineMs(content: CallContent, nowMs: number): number {
-    if (this.#quarantined.size === 0) return 0;
-    const { fingerprint } = content;
-    const suspect = this.#suspects.get(fingerprint);
-    if (suspect === undefined) return 0;
-    const leftMs = suspect.lastCrashMs + QUARANTINE_MS - nowMs;
-    const isQuarantined = leftMs > 0 &&
-      this.#countAttributed(suspect) >= MIN_CRASHES;
-    return isQuarantined ? leftMs : 0;
+    const remainingMs = this.#listHeld(content)
+      .map(({ lastCrashMs }) => lastCrashMs + QUARANTINE_MS - nowMs);
+    return Math.max(0, ...remainingMs);
+  }
+
+  /**
+   * Decides whether a call may be sent to a server. It has to be asked before each send, as
+   * another instance may have reported a crash since the last one.
+   *
+   * @param content Content of the call.
+   * @param nowMs Current time, in milliseconds.
+   */
+  admit(content: CallContent, nowMs: number): QuarantineVerdict {
+    const held = this.#listHeld(content);
+    const [first] = held;
+    if (first === undefined) return CLEAR;
+    const ownTrialMs = held.map((suspect) =>
+      computeOwnTrialMs(suspect, this.#rankSelf(suspect.call))
+    );
+    // Calls with several quarantined parts are tried later: a crash would not tell them apart.
+    const delayMs = (held.length - 1) * SEVERAL_PARTS_DELAY_MS;
+    if (nowMs >= Math.max(...ownTrialMs) + delayMs) {
+      held.forEach((suspect) => suspect.trialMs = nowMs);
+      return { kind: "trial" };
+    }
+    const firstTrialMs = Math.max(...held.map(computeFirstTrialMs));
+    return {
+      kind: "refused",
+      call: first.call,
+      retryAfterMs: Math.max(MIN_RETRY_MS, firstTrialMs - nowMs),
+    };
   }
 
   /** Returns the crashes and answers to report that were recorded since it was last called. */
@@ -168,66 +273,87 @@
     );
     this.#listOffset += count;
     return picked.map((call) => {
-      const { servers, lastCrashMs } = this.#suspects.get(call)!;
-      const ageMs = Math.max(0, nowMs - lastCrashMs);
-      return { call, servers: [...servers], ageMs };
+      const suspect = this.#suspects.get(call)!;
+      const ageMs = Math.max(0, nowMs - suspect.lastCrashMs);
+      return toReport(suspect, ageMs);
     });
   }
 
+  /** Returns the suspects of a call to which enough crashes are attributed. */
+  #listHeld({ fingerprints }: CallContent): readonly Suspect[] {
+    if (this.#suspects.size === 0) return [];
+    return fingerprints.flatMap((call) => this.#suspects.get(call) ?? [])
+      .filter((suspect) => this.#isHeld(suspect));
+  }
+
+  #listQuarantined(): readonly Suspect[] {
+    return [...this.#quarantined].map((call) => this.#suspects.get(call)!);
+  }
+
+  /** Returns the number of failed trials after another one; nothing if the call is not quarantined. */
+  #countFailedTrial(call: CallFingerprint): Pick<CrashReport, "failedTrials"> {
+    if (!this.#quarantined.has(call)) return {};
+    return { failedTrials: this.#suspects.get(call)!.failedTrials + 1 };
+  }
+
   /** Reports to others that a call during which they saw servers crash was answered here. */
   #reportAnswered(call: CallFingerprint, nowMs: number): void {
-    if (!this.#wasAnswered(call, nowMs)) return;
-    const ageMs = nowMs - this.#answeredMs.get(call)!;
-    this.#unreported.push({ call, servers: [], ageMs });
+    const atMs = this.#answeredOf(call).readValidMs(call, nowMs);
+    if (atMs === undefined) return;
+    this.#unreported.push({ call, servers: [], ageMs: nowMs - atMs });
   }
 
   /** @returns Whether the row contained something new. */
   #mergeReport(
-    { ageMs, call, servers }: CrashReport,
+    report: CrashReport,
     nowMs: number,
     isSeenHere: boolean,
   ): boolean {
+    const { ageMs, call, failedTrials = 0, servers } = report;
     const atMs = nowMs - ageMs;
-    if (servers.length === 0) return this.#mergeAnswer(call, atMs);
-    if (ageMs >= QUARANTINE_MS || this.#wasAnswered(call, nowMs)) return false;
-    const suspect = this.#suspects.get(call) ??
-      { servers: new Set(), lastCrashMs: atMs };
-    const newServers = servers.filter((server) => !suspect.servers.has(server));
-    const capacity = MAX_SERVERS_PER_CALL - suspect.servers.size;
-    // A full record takes no more servers, only the times of later crashes.
-    const isLater = atMs > suspect.lastCrashMs + SAME_CRASH_MS;
-    if (newServers.length === 0 || capacity === 0 && !isLater) return false;
-    newServers.slice(0, capacity).forEach((server) =>
-      suspect.servers.add(server)
-    );
-    // Repeated reports of known crashes must not prolong the quarantine: only new ones do.
-    suspect.lastCrashMs = Math.max(suspect.lastCrashMs, atMs);
-    this.#putSuspect(call, suspect);
-    if (this.#quarantine(call, suspect)) {
-      const report = { call, servers: [...suspect.servers], ageMs };
-      this.#onQuarantined({ ...report, isSeenHere });
-    }
+    if (servers.length === 0) return this.#mergeAnswer(call, atMs, false);
+    const isAnswered =
+      this.#answeredOf(call).readValidMs(call, nowMs) !== undefined;
+    if (ageMs >= QUARANTINE_MS || isAnswered) return false;
+    const suspect = this.#suspects.get(call) ?? createSuspect(call, atMs);
+    const hasNewCrash = addCrashes(suspect, servers, atMs);
+    const hasNewTrial = failedTrials > suspect.failedTrials;
+    if (!hasNewCrash && !hasNewTrial) return false;
+    suspect.failedTrials = Math.max(suspect.failedTrials, failedTrials);
+    this.#putSuspect(suspect);
+    const isNew = this.#quarantine(suspect);
+    if (!isNew && !hasNewTrial) return true;
+    this.#onChange({
+      kind: isNew ? "quarantined" : "trial-failed",
+      report: toReport(suspect, ageMs),
+      isSeenHere,
+      next: this.#findNext(suspect),
+    });
     return true;
   }
 
   /** @returns Whether the call was a suspect. */
-  #mergeAnswer(call: CallFingerprint, atMs: number): boolean {
-    const knownMs = this.#answeredMs.get(call) ?? atMs;
-    this.#answeredMs.delete(call);
-    this.#answeredMs.set(call, Math.max(knownMs, atMs));
-    const [oldest] = this.#answeredMs.keys();
-    if (this.#answeredMs.size > MAX_ANSWERED) this.#answeredMs.delete(oldest!);
-    return this.#removeSuspect(call);
+  #mergeAnswer(
+    call: CallFingerprint,
+    atMs: number,
+    isSeenHere: boolean,
+  ): boolean {
+    this.#answeredOf(call).record(call, atMs);
+    const wasQuarantined = this.#quarantined.has(call);
+    const wasSuspect = this.#removeSuspect(call);
+    if (wasQuarantined) this.#onChange({ kind: "released", call, isSeenHere });
+    return wasSuspect;
   }
 
-  #wasAnswered(call: CallFingerprint, nowMs: number): boolean {
-    const atMs = this.#answeredMs.get(call);
-    return atMs !== undefined && nowMs - atMs < ANSWER_VALID_MS;
+  #answeredOf(call: CallFingerprint): AnsweredCalls {
+    return isPartFingerprint(call)
+      ? this.#answeredParts
+      : this.#answeredContents;
   }
 
-  #putSuspect(call: CallFingerprint, suspect: Suspect): void {
-    this.#suspects.delete(call);
-    this.#suspects.set(call, suspect);
+  #putSuspect(suspect: Suspect): void {
+    this.#suspects.delete(suspect.call);
+    this.#suspects.set(suspect.call, suspect);
     if (this.#suspects.size <= MAX_SUSPECTS) return;
     const oldest = [...this.#suspects.keys()].find((each) =>
       !this.#quarantined.has(each)
@@ -235,38 +361,40 @@
     if (oldest !== undefined) this.#removeSuspect(oldest);
   }
 
+  /** Returns whether enough crashes are attributed to a suspect. */
+  #isHeld(suspect: Suspect): boolean {
+    return suspect.servers.size >= MIN_CRASHES &&
+      countAttributed(suspect, this.#listQuarantined()) >= MIN_CRASHES;
+  }
+
   /** @returns Whether the call has been quarantined by this. */
-  #quarantine(call: CallFingerprint, { servers }: Suspect): boolean {
-    if (servers.size < MIN_CRASHES || this.#quarantined.has(call)) return false;
+  #quarantine(suspect: Suspect): boolean {
+    const { call } = suspect;
+    if (this.#quarantined.has(call) || !this.#isHeld(suspect)) return false;
     this.#quarantined.add(call);
     const [oldest] = this.#quarantined;
     if (this.#quarantined.size > MAX_QUARANTINED) this.#removeSuspect(oldest!);
     return true;
   }
 
-  /**
-   * Counts the servers that crashed during a call, without those that also crashed
-   * during a quarantined call with more crashes: that one crashed them, and this one ran
-   * beside it.
-   */
-  #countAttributed({ servers }: Suspect): number {
-    const moreCrashes = [...this.#quarantined].flatMap((call) => {
-      const other = this.#suspects.get(call)!.servers;
-      return other.size > servers.size ? [other] : [];
-    });
-    return [...servers]
-      .filter((server) => !moreCrashes.some((other) => other.has(server)))
-      .length;
+  /** Returns the other suspect with the most crashes. */
+  #findNext(suspect: Suspect): Suspect | undefined {
+    return [...this.#suspects.values()].filter((each) => each !== suspect)
+      .reduce<Suspect | undefined>(
+        (most, each) =>
+          each.servers.size > (most?.servers.size ?? 0) ? each : most,
+        undefined,
+      );
   }
 
   /**
-   * Releases calls whose quarantine is over. They stay suspects, so that one more crash
-   * quarantines them again.
+   * Lists calls no longer whose quarantine is over. They stay suspects: single calls are tried,
+   * and one more crash quarantines them again.
    */
   #releaseExpired(nowMs: number): void {
-    [...this.#quarantined].filter((call) =>
-      nowMs - this.#suspects.get(call)!.lastCrashMs >= QUARANTINE_MS
-    ).forEach((call) => this.#quarantined.delete(call));
+    this.#listQuarantined().filter(({ lastCrashMs }) =>
+      nowMs - lastCrashMs >= QUARANTINE_MS
+    ).forEach(({ call }) => this.#quarantined.delete(call));
   }
 
   /** @returns Whether the call was a suspect. */
@@ -275,3 +403,37 @@
     return this.#suspects.delete(call);
   }
 }
+
+/**
+ * Adds crashes to a suspect.
+ *
+ * @returns Whether one of them was new.
+ */
+function addCrashes(
+  suspect: Suspect,
+  servers: readonly BackendId[],
+  atMs: number,
+): boolean {
+  const newServers = servers.filter((server) => !suspect.servers.has(server));
+  const capacity = MAX_SERVERS_PER_CALL - suspect.servers.size;
+  // A full record takes no more servers, only the times of later crashes.
+  const isLater = atMs > suspect.lastCrashMs + SAME_CRASH_MS;
+  if (newServers.length === 0 || capacity === 0 && !isLater) return false;
+  newServers.slice(0, capacity)
+    .forEach((server) => suspect.servers.add(server));
+  // Repeated reports of known crashes must not prolong the quarantine: only new ones do.
+  suspect.lastCrashMs = Math.max(suspect.lastCrashMs, atMs);
+  return true;
+}
+
+function toReport(
+  { call, failedTrials, servers }: Suspect,
+  ageMs: number,
+): CrashReport {
+  return {
+    call,
+    servers: [...servers],
+    ageMs,
+    ...(failedTrials > 0 ? { failedTrials } : {}),
+  };
+}
--- a/quarantine/call_quarantine_test.ts
+++ b/quarantine/call_quarantine_test.ts
@@ -13,7 +13,9 @@
 ) {
   const held: CallFingerprint[] = [];
   const quarantine = new CallQuarantine({
-    onQuarantined: ({ call }) => held.push(call),
+    onChange: (event) => {
+      if (event.kind === "quarantined") held.push(event.report.call);
+    },
   });
   Object.entries(crashes).forEach(([body, servers]) =>
     servers.forEach((server, at) =>
--- a/quarantine/crash_report_queue.ts
+++ b/quarantine/crash_report_queue.ts
@@ -1,4 +1,5 @@
 import type { CrashReport } from "./crash_report.ts";
+import { isPartFingerprint } from "./part_fingerprint.ts";
 
 /** Maximum number of queued rows: the calls that three servers had in flight when they crashed. */
 const MAX_ROWS = 192;
@@ -11,8 +12,12 @@
   sendCount: number;
 }
 
-/** Queue of crash reports to send to other instances; the newest are sent first. */
+/**
+ * Queue of crash reports to send to other instances. Those of prompt parts are sent first, as
+ * each counts for many calls; of the others, the newest.
+ */
 export class CrashReportQueue {
+  /** Those that are sent first are at the end. */
   #rows: readonly QueuedRow[] = [];
 
   /** Number of queued rows. */
@@ -20,7 +25,7 @@
     return this.#rows.length;
   }
 
-  /** Adds rows; drops the oldest ones when the queue is full. */
+  /** Adds rows; when the queue is full, drops the ones that would be sent last. */
   add(reports: readonly CrashReport[], nowMs: number): void {
     if (reports.length === 0) return;
     const added = reports.map((report) => ({
@@ -28,11 +33,16 @@
       addedMs: nowMs,
       sendCount: 0,
     }));
-    this.#rows = [...this.#rows, ...added].slice(-MAX_ROWS);
+    const rows = [...this.#rows, ...added];
+    const isOfPart = ({ report }: QueuedRow) => isPartFingerprint(report.call);
+    this.#rows = [
+      ...rows.filter((row) => !isOfPart(row)),
+      ...rows.filter(isOfPart),
+    ].slice(-MAX_ROWS);
   }
 
   /**
-   * Takes the newest rows for a report, with their age.
+   * Takes the next rows for a report, with their age.
    *
    * @param count Maximum number of rows.
    * @param nowMs Current time, in milliseconds.
--- /dev/null
+++ b/quarantine/part_fingerprint.ts
@@ -0,0 +1,38 @@
+import { createHash } from "node:crypto";
+import { type CallFingerprint, toCallFingerprint } from "../ids/mod.ts";
+
+/** Prefix of all fingerprints of prompt parts; those of whole contents never have it. */
+const PART_PREFIX = "part:";
+/** Names that a fingerprint contains as they are; longer or other ones are hashed. */
+const PLAIN_NAME = /^[\w.-]{1,32}$/;
+/** Bytes of the hash that are kept: no caller must be able to write a part that collides with another. */
+const HASH_BYTES = 12;
+
+/** One part of the prompt of a model. */
+export interface ModelPart {
+  /** Name of the model; empty if it is not known. */
+  readonly model: string;
+  /** Identifies the text of the part. */
+  readonly part: string;
+}
+
+/**
+ * Returns the fingerprint that all calls of a model with a prompt part have in common. Other
+ * models have other weights and servers, which the part need not crash.
+ */
+export function toPartFingerprint({ model, part }: ModelPart): CallFingerprint {
+  const isPlain = PLAIN_NAME.test(part) &&
+    (model === "" || PLAIN_NAME.test(model));
+  const name = isPlain ? `${part}@${model}` : hashNames(model, part);
+  return toCallFingerprint(PART_PREFIX + name);
+}
+
+/** Returns whether a fingerprint is that of a prompt part. */
+export function isPartFingerprint(fingerprint: CallFingerprint): boolean {
+  return fingerprint.startsWith(PART_PREFIX);
+}
+
+function hashNames(...names: readonly string[]): string {
+  return createHash("sha256").update(JSON.stringify(names)).digest()
+    .subarray(0, HASH_BYTES).toString("base64url");
+}
--- /dev/null
+++ b/quarantine/trial_schedule.ts
@@ -0,0 +1,40 @@
+import type { Suspect } from "./suspect.ts";
+
+/**
+ * Time from the last crash of quarantined calls to the next trial, in milliseconds, by the
+ * number of trials that have failed. The first one comes soon: calls that merely ran on
+ * servers that crashed must not be refused for long. Each of the others may cost a server.
+ */
+const TRIAL_DELAYS_MS = [1_000, 60_000, 300_000, 600_000] as const;
+/**
+ * Delay between the trials of instances, in milliseconds, by their rank: the outcome of the
+ * first instance's trial is known to the next one in that time.
+ */
+const RANK_DELAY_MS = 1_500;
+/** Time after which a trial without an outcome is repeated, in milliseconds. */
+const TRIAL_TIMEOUT_MS = 5_000;
+
+/**
+ * Returns when the first instance may try a quarantined call, in milliseconds.
+ *
+ * @param suspect What is known against the call.
+ */
+export function computeFirstTrialMs(
+  { failedTrials, lastCrashMs }: Suspect,
+): number {
+  const last = TRIAL_DELAYS_MS.length - 1;
+  return lastCrashMs + TRIAL_DELAYS_MS[Math.min(failedTrials, last)]!;
+}
+
+/**
+ * Returns when this instance may try a quarantined call, in milliseconds.
+ *
+ * @param suspect What is known against the call.
+ * @param rank Place of this instance in the order in which instances try the call, from 0.
+ */
+export function computeOwnTrialMs(suspect: Suspect, rank: number): number {
+  return Math.max(
+    computeFirstTrialMs(suspect) + rank * RANK_DELAY_MS,
+    suspect.trialMs + TRIAL_TIMEOUT_MS,
+  );
+}
--- a/spec/key_spec.ts
+++ b/spec/key_spec.ts
@@ -180,6 +180,7 @@
         remainingMs: 1,
         resumeAfter: undefined,
         tried: [],
+        isTrial: false,
         configurationVersion: omitsVersion ? 0 : sentVersion,
         caller,
       },
--- a/state/refused_call_entries.ts
+++ b/state/refused_call_entries.ts
@@ -33,6 +33,8 @@
   readonly servers: readonly string[];
   /** When the last of these servers crashed, in milliseconds since the epoch. */
   readonly endedMs: number;
+  /** Number of trials that crashed servers again. Default: 0. */
+  readonly failedTrials?: number | undefined;
 }
 
 /**
@@ -48,7 +50,7 @@
   }
 
   /**
-   * Writes the entry of a call, unless it is there already.
+   * Writes the entry of a call, unless it is there already. A failed trial is added to it.
    *
    * @param report The call and the servers that crashed during it.
    */
@@ -71,22 +73,45 @@
     }
   }
 
+  /** Removes the entry of a call that is no longer refused. */
+  async remove(call: CallFingerprint): Promise<void> {
+    const { logger, readRevision, signal, store, toKey } = this.#parts;
+    const key = toKey(call);
+    const expectedRevision = readRevision(key);
+    if (expectedRevision === 0) return;
+    const removed = await store.swap(
+      { key, expectedRevision, value: undefined },
+      { callClass: "lease", signal },
+    );
+    if (removed.isOk()) return;
+    logger.warn("refused call not removed", {
+      content: call,
+      reason: removed.error.message,
+    });
+  }
+
   /** @returns Message of the failure; `undefined`: the entry is written or not needed. */
   async #write(
-    { call, servers }: CrashReport,
+    { call, failedTrials = 0, servers }: CrashReport,
     endedMs: number,
   ): Promise<string | undefined> {
     const { clock, readRevision, signal, store, toKey } = this.#parts;
     const key = toKey(call);
     const leftMs = Math.ceil(endedMs + QUARANTINE_MS - clock.nowMs());
-    if (readRevision(key) > 0 || leftMs <= 0) return undefined;
+    const expectedRevision = readRevision(key);
+    const isStored = expectedRevision > 0 && failedTrials === 0;
+    if (isStored || leftMs <= 0) return undefined;
     const options = { callClass: "lease", signal } as const;
     const leaseId = await store.grantLease(leftMs, options);
     if (leaseId.isErr()) return leaseId.error.message;
-    const value: RefusedCallValue = { servers, endedMs: Math.round(endedMs) };
+    const value: RefusedCallValue = {
+      servers,
+      endedMs: Math.round(endedMs),
+      ...(failedTrials > 0 ? { failedTrials } : {}),
+    };
     const written = await store.swap({
       key,
-      expectedRevision: 0,
+      expectedRevision,
       value: JSON.stringify(value),
       leaseId: leaseId.value,
     }, options);
--- a/state/state_document.ts
+++ b/state/state_document.ts
@@ -25,6 +25,8 @@
     readonly servers: readonly BackendId[];
     /** When the last of these servers crashed, in milliseconds since the epoch. */
     readonly endedMs: number;
+    /** Number of trials that crashed servers again. Default: 0. */
+    readonly failedTrials?: number | undefined;
   }
   /** A key that instances don't follow. */
   | { readonly kind: "other" };
--- a/state/state_in_force.ts
+++ b/state/state_in_force.ts
@@ -254,10 +254,15 @@
         this.#applyConfiguration(entry, document.configuration);
         return;
       case "refused-call": {
-        const { call, endedMs, servers } = document;
+        const { call, endedMs, failedTrials = 0, servers } = document;
         const ageMs = Math.max(0, this.#parts.clock.nowMs() - endedMs);
         this.#cache.put(entry, document);
-        this.#parts.onRefusedCall?.({ call, servers, ageMs });
+        this.#parts.onRefusedCall?.({
+          call,
+          servers,
+          ageMs,
+          failedTrials,
+        });
         return;
       }
       case "evacuation":
--- a/tests/prompt_part_crashes_servers_test.ts
+++ b/tests/prompt_part_crashes_servers_test.ts
@@ -21,7 +21,6 @@
 const MIN_SERVED_SHARE = 0.5;
 /** Interval between sound calls, in milliseconds. */
 const SOUND_INTERVAL_MS = 40;
-const SOUND_PER_ROUND = 1;
 
 /** How calls with the bad part come, and what they do to servers. */
 interface Scenario {
