Embedded default: calls that share a message are quarantined by it

Cause and class as on HTTP routes: calls were known by a hash of all of them. Messages, and texts of completions, are parts now, by model. Refusals name what servers crashed with; single calls are tried as trials.

--- a/filters/exchange.ts
+++ b/filters/exchange.ts
@@ -103,6 +103,8 @@
   call?: Call;
   /** Parts of the call that stay the same when the team sends it again; created on first use. */
   content?: CallContent;
+  /** Whether the call is quarantined, and sent once to learn whether it still crashes servers. */
+  isTrial?: boolean;
   /** Regions that may serve the call; `undefined` if all may. */
   allowedRegions?: ReadonlySet<RegionId> | undefined;
 }
--- a/filters/serve_locally.ts
+++ b/filters/serve_locally.ts
@@ -27,6 +27,7 @@
 } from "../routing/mod.ts";
 import type { Call, Exchange, Reply } from "./exchange.ts";
 import { readCall, readTeam } from "./exchange.ts";
+import { listPromptParts } from "./list_prompt_parts.ts";
 import { relayStream, type StreamSource } from "./relay_stream.ts";
 
 /** Decisions in the handling of a request that an experiment can replace. */
@@ -120,7 +121,7 @@
     isCountedAsStarting = false;
   };
   while (true) {
-    const refusal = refuseQuarantined(parts, exchange);
+    const refusal = refuseQuarantined(parts, exchange, { mayHaveRun });
     if (refusal !== undefined) {
       recordStarted();
       return err(
@@ -174,19 +175,36 @@
   }
 }
 
-/** Returns the refusal of a quarantined call; `undefined` if the call may be sent. */
+/** What has become of a call so far. */
+interface RefuseQuarantinedOptions {
+  /** Whether a server may have run the call. Default: no. */
+  readonly mayHaveRun?: boolean;
+}
+
+/**
+ * Returns the refusal of a quarantined call; `undefined` if the call may be sent. A call that is
+ * sent as a trial is marked as such.
+ */
 export function refuseQuarantined(
   { clock, quarantine }: Pick<ServeParts, "clock" | "quarantine">,
   exchange: Exchange,
+  { mayHaveRun = false }: RefuseQuarantinedOptions = {},
 ): Failure | undefined {
-  const remainingMs = quarantine.readRemainingQuarantineMs(
-    readContent(exchange),
-    clock.nowMs(),
-  );
-  if (remainingMs <= 0) return undefined;
-  return createFailure("CALL_QUARANTINED", "Servers ended under this call", {
-    retryAfterMs: remainingMs,
-  });
+  if (exchange.isTrial && !mayHaveRun) return undefined;
+  const verdict = quarantine.admit(readContent(exchange), clock.nowMs());
+  switch (verdict.kind) {
+    case "clear":
+      return undefined;
+    case "trial":
+      exchange.isTrial = true;
+      return undefined;
+    case "refused":
+      return createFailure(
+        "CALL_QUARANTINED",
+        `Servers crashed during calls with ${verdict.call}`,
+        { retryAfterMs: verdict.retryAfterMs },
+      );
+  }
 }
 
 function recordServerCrash(
@@ -197,17 +215,21 @@
   const nowMs = clock.nowMs();
   const window = Math.floor(nowMs / CRASH_WINDOW_MS);
   const crashId = toBackendId(`${server.id}@${window}`);
-  quarantine.recordCrash(readContent(exchange), crashId, nowMs);
+  const { isTrial = false } = exchange;
+  quarantine.recordCrash(readContent(exchange), crashId, nowMs, { isTrial });
 }
 
 /** Returns the parts of a call that stay the same when the team sends it again. */
 function readContent(exchange: Exchange): CallContent {
-  const { body, method, path } = readCall(exchange);
+  const call = readCall(exchange);
   exchange.content ??= new CallContent({
-    method,
+    method: call.method,
     host: readTeam(exchange).id,
-    target: path,
-    body: Buffer.from(body),
+    target: call.path,
+    body: Buffer.from(call.body),
+    prompt: call.kind === "model"
+      ? { model: call.model, parts: listPromptParts(call.json) }
+      : undefined,
   });
   return exchange.content;
 }
@@ -403,7 +425,8 @@
     continueElsewhere: async (body, signal) => {
       endAttempt({ kind: "failed" });
       recordEarlyCrash();
-      if (refuseQuarantined(parts, exchange) !== undefined) return undefined;
+      const refusal = refuseQuarantined(parts, exchange, { mayHaveRun: true });
+      if (refusal !== undefined) return undefined;
       const next = pool.pick(call.size, tried);
       if (next === undefined || !parts.retries.admit()) return undefined;
       tried.add(next.server.id);
--- a/tests/crashing_call_fleet_test.ts
+++ b/tests/crashing_call_fleet_test.ts
@@ -63,7 +63,7 @@
 ): Promise<number> {
   const pending = fleet.call(daemon, {
     token: TOKEN,
-    path: "/v1/completions",
+    path: "messages" in body ? "/v1/chat/completions" : "/v1/completions",
     headers: { "x-deadline-ms": "2000" },
     body,
   });
@@ -123,3 +123,48 @@
     assert.equal(await callDaemon(fleet, fleet.daemons[4]!, other), 0);
   });
 });
+
+/** A message that crashes engines, among others that sound calls share. */
+const BAD_MESSAGE = { role: "user", content: "bad" };
+const FIRST_MESSAGE = { role: "system", content: "first" };
+
+function createBadBody(nth: number): object {
+  return {
+    model: "m",
+    messages: [FIRST_MESSAGE, BAD_MESSAGE, { role: "user", content: `${nth}` }],
+    max_tokens: 4,
+    ends_server: true,
+  };
+}
+
+function createSoundBody(nth: number): object {
+  const own = { role: "user", content: `sound ${nth}` };
+  return { model: "m", messages: [FIRST_MESSAGE, own], max_tokens: 4 };
+}
+
+describe("calls that differ and share a message that crashes engines", () => {
+  it("are soon sent to engines no more, and those with the same first message are served", async () => {
+    const fleet = await startFleet();
+    const pickDaemon = (nth: number) =>
+      fleet.daemons[nth % fleet.daemons.length]!;
+    const codes: number[] = [];
+    for (let round = 0; round < 60; round++) {
+      codes.push(
+        await callDaemon(fleet, pickDaemon(round), createSoundBody(round)),
+      );
+      await callDaemon(fleet, pickDaemon(round + 2), createBadBody(round));
+    }
+    const runs = listCrashingRuns(fleet);
+    const late = runs.filter((atMs) =>
+      atMs > (runs[4] ?? Infinity) + QUARANTINED_AFTER_MS
+    );
+    const lastCodes = codes.slice(-20);
+    const served = lastCodes.filter((code) => code === 0);
+    assert.ok(runs.length >= 3);
+    assert.ok(late.length <= ALLOWED_SENDS, `${late.length} of ${runs.length}`);
+    assert.ok(
+      served.length >= lastCodes.length / 2,
+      `${served.length} of ${lastCodes.length}`,
+    );
+  });
+});
