Instances take turns with a quarantined call that comes back after a pause

In the new test a part that comes back 90 s later to all nine instances at once was tried by all of them, nine sends; now by one. Turns count from the first call that comes while a trial is due, not from the due time alone, and an instance that has just started takes none. Tests of the other rule: parts first asked for during the crashes, calls whose equal neighbour is quarantined, crashes without a common cause, servers lost at once, another model, a trial that is answered.

--- a/daemon/http_gateway.ts
+++ b/daemon/http_gateway.ts
@@ -432,10 +432,15 @@
     return this.fleet.isRelay(this.state.known, this.#parts.clock.nowMs());
   }
 
-  /** Returns the place of this instance in the order in which instances try a quarantined call. */
+  /**
+   * Returns the place of this instance in the order in which instances try a quarantined call.
+   * One that has just started does not know the others and tries none.
+   */
   #rankSelf(call: CallFingerprint): number {
     const { self } = this.fleet;
-    const others = this.fleet.listLive(this.#parts.clock.nowMs());
+    const nowMs = this.#parts.clock.nowMs();
+    if (!this.fleet.isSettled(nowMs)) return Infinity;
+    const others = this.fleet.listLive(nowMs);
     return rankNames(call, [self, ...others].map(({ id }) => id))
       .indexOf(self.id);
   }
--- a/quarantine/call_quarantine.ts
+++ b/quarantine/call_quarantine.ts
@@ -4,7 +4,11 @@
 import type { CrashReport } from "./crash_report.ts";
 import { isPartFingerprint } from "./part_fingerprint.ts";
 import { countAttributed, createSuspect, type Suspect } from "./suspect.ts";
-import { computeFirstTrialMs, computeOwnTrialMs } from "./trial_schedule.ts";
+import {
+  computeFirstTrialMs,
+  computeOwnTrialMs,
+  recordAsked,
+} from "./trial_schedule.ts";
 
 /**
  * Number of servers that must crash during a call before the call is quarantined. One
@@ -230,6 +234,7 @@
     const held = this.#listHeld(content);
     const [first] = held;
     if (first === undefined) return CLEAR;
+    held.forEach((suspect) => recordAsked(suspect, nowMs));
     const ownTrialMs = held.map((suspect) =>
       computeOwnTrialMs(suspect, this.#rankSelf(suspect.call))
     );
@@ -423,6 +428,7 @@
     .forEach((server) => suspect.servers.add(server));
   // Repeated reports of known crashes must not prolong the quarantine: only new ones do.
   suspect.lastCrashMs = Math.max(suspect.lastCrashMs, atMs);
+  suspect.asked = undefined;
   return true;
 }
 
--- a/quarantine/suspect.ts
+++ b/quarantine/suspect.ts
@@ -10,6 +10,8 @@
   failedTrials: number;
   /** When this instance last let such a call run as a trial, in milliseconds. */
   trialMs: number;
+  /** First and last of the calls that came here while a trial was due, in milliseconds. */
+  asked: { readonly firstMs: number; readonly lastMs: number } | undefined;
 }
 
 /** Returns the record of calls during which no server has crashed yet. */
@@ -23,6 +25,7 @@
     lastCrashMs,
     failedTrials: 0,
     trialMs: -Infinity,
+    asked: undefined,
   };
 }
 
--- a/quarantine/trial_schedule.ts
+++ b/quarantine/trial_schedule.ts
@@ -11,6 +11,11 @@
  * first instance's trial is known to the next one in that time.
  */
 const RANK_DELAY_MS = 1_500;
+/**
+ * Pause after which calls that come count as new ones, in milliseconds. Otherwise a call that
+ * comes to all instances at once after a pause would be tried by all of them.
+ */
+const ASK_PAUSE_MS = 15_000;
 /** Time after which a trial without an outcome is repeated, in milliseconds. */
 const TRIAL_TIMEOUT_MS = 5_000;
 
@@ -26,15 +31,28 @@
   return lastCrashMs + TRIAL_DELAYS_MS[Math.min(failedTrials, last)]!;
 }
 
+/** Records that a quarantined call came to this instance, if a trial is due. */
+export function recordAsked(suspect: Suspect, nowMs: number): void {
+  if (nowMs < computeFirstTrialMs(suspect)) return;
+  const { asked } = suspect;
+  const isContinued = asked !== undefined &&
+    nowMs - asked.lastMs < ASK_PAUSE_MS;
+  const firstMs = isContinued ? asked.firstMs : nowMs;
+  suspect.asked = { firstMs, lastMs: nowMs };
+}
+
 /**
- * Returns when this instance may try a quarantined call, in milliseconds.
+ * Returns when this instance may try a quarantined call, in milliseconds. Instances take turns
+ * from the first call that comes while a trial is due.
  *
  * @param suspect What is known against the call.
  * @param rank Place of this instance in the order in which instances try the call, from 0.
  */
 export function computeOwnTrialMs(suspect: Suspect, rank: number): number {
+  const firstTrialMs = computeFirstTrialMs(suspect);
+  const dueMs = Math.max(firstTrialMs, suspect.asked?.firstMs ?? firstTrialMs);
   return Math.max(
-    computeFirstTrialMs(suspect) + rank * RANK_DELAY_MS,
+    dueMs + rank * RANK_DELAY_MS,
     suspect.trialMs + TRIAL_TIMEOUT_MS,
   );
 }
--- a/tests/prompt_part_crashes_servers_test.ts
+++ b/tests/prompt_part_crashes_servers_test.ts
@@ -29,6 +29,11 @@
   readonly intervalMs?: number;
   readonly durationMs?: number;
   readonly crashAfterMs?: number;
+  /** Shared parts of a sound call. Default: the same first part, and one of 37 subjects. */
+  readonly toSoundParts?: (
+    atMs: number,
+    isBefore: boolean,
+  ) => readonly string[];
   readonly fleet?: Partial<VirtualFleetParts>;
 }
 
@@ -69,11 +74,15 @@
   fleet: VirtualFleet,
   durationMs: number,
   onRound: (atMs: number) => void = () => {},
+  toParts = (atMs: number): readonly string[] => [
+    FIRST_PART,
+    `subject ${atMs % 37}`,
+  ],
 ): Promise<readonly SoundCall[]> {
   const calls: SoundCall[] = [];
   const startMs = fleet.clock.nowMs();
   for (let atMs = 0; atMs < durationMs; atMs += SOUND_INTERVAL_MS) {
-    const parts = [FIRST_PART, `subject ${atMs % 37}`];
+    const parts = toParts(atMs);
     const sent: SoundCall = { atMs: startMs + atMs, parts };
     calls.push(sent);
     void fleet.send({
@@ -97,9 +106,15 @@
     durationMs = 40_000,
     intervalMs = 400,
     toParts = (nth) => [FIRST_PART, BAD_PART, `third ${nth % 5}`],
+    toSoundParts = (atMs) => [FIRST_PART, `subject ${atMs % 37}`],
   } = scenario;
   const fleet = await startFleet(scenario);
-  const before = await sendSoundCalls(fleet, 10_000);
+  const before = await sendSoundCalls(
+    fleet,
+    10_000,
+    () => {},
+    (atMs) => toSoundParts(atMs, true),
+  );
   const startMs = fleet.clock.nowMs();
   let sentCount = 0;
   const calls = await sendSoundCalls(fleet, durationMs, (atMs) => {
@@ -110,7 +125,7 @@
         parts: [...toParts(nth), `${nth}`],
       });
     }
-  });
+  }, (atMs) => toSoundParts(atMs, false));
   await fleet.clock.advance(3_000);
   const sends = fleet.arrivals.filter(isBad);
   const crashed = [...new Map(sends.map((each) => [each.server, each])).keys()];
@@ -183,3 +198,167 @@
     })
   );
 });
+
+/** Returns whether some instance quarantines a prompt part. */
+function quarantinesPart({ gateways }: VirtualFleet): boolean {
+  return [...gateways.values()].some(({ forwarder }) =>
+    forwarder.quarantine.quarantinedPartCount > 0
+  );
+}
+
+describe("sound calls", () => {
+  it("are served though their parts were first asked for while the bad part crashes servers", async () => {
+    const played = await play({
+      toSoundParts: (atMs, isBefore) =>
+        isBefore
+          ? [FIRST_PART, "old"]
+          : [`new first ${atMs % 3}`, `new ${atMs % 37}`],
+    });
+    assertBothRules(played);
+    const parts = new Set(played.calls.map((each) => each.parts.join()));
+    parts.forEach((each) => {
+      const late = played.calls.slice(-400).filter((call) =>
+        call.parts.join() === each
+      );
+      assert.ok(late.some(({ status }) => status === 200), each);
+    });
+  });
+
+  it("are served though another call with their parts is quarantined as a whole", async () => {
+    const fleet = await startFleet({});
+    const parts = ["seldom", "own"];
+    const equal = () =>
+      void fleet.send({ body: "equal", parts: ["seldom", BAD_PART, "own"] });
+    for (let round = 0; round < 20; round++) {
+      equal();
+      await fleet.clock.advance(500);
+    }
+    await fleet.clock.advance(5_000);
+    const statuses: number[] = [];
+    for (let round = 0; round < 10; round++) {
+      void fleet.send({ body: `sound ${round}`, parts })
+        .then(({ status }) => statuses.push(status));
+      await fleet.clock.advance(1_000);
+    }
+    await fleet.clock.advance(3_000);
+    assert.ok(statuses.filter((status) => status === 200).length >= 8);
+  });
+
+  it("are refused for no part when servers crash without a common cause", async () => {
+    const fleet = await startVirtualFleet({
+      regions: REGIONS,
+      table: createRouteTable([createRoute("/a/")]),
+      decide: ({ body }) =>
+        body.startsWith("crash")
+          ? { kind: "end", afterMs: 70 }
+          : { kind: "answer", afterMs: 120 },
+      replacedAfterMs: 3_000,
+    });
+    await sendSoundCalls(fleet, 3_000);
+    let crashCount = 0;
+    let isPartHeld = false;
+    await sendSoundCalls(fleet, 30_000, (atMs) => {
+      isPartHeld ||= quarantinesPart(fleet);
+      if (atMs % 1_000 !== 0) return;
+      const nth = crashCount++;
+      const parts = [FIRST_PART, `subject ${nth % 37}`, `${nth}`];
+      void fleet.send({ body: `crash ${nth}`, parts });
+    });
+    const crashing = fleet.arrivals.filter(({ body }) =>
+      body.startsWith("crash")
+    );
+    assert.ok(crashing.length >= 20);
+    assert.ok(!isPartHeld);
+  });
+
+  it("are soon served again when all that had a new part lost their servers at once", async () => {
+    let mayCrash = true;
+    const fleet = await startVirtualFleet({
+      regions: REGIONS,
+      table: createRouteTable([createRoute("/a/")]),
+      decide: ({ parts }) =>
+        mayCrash && parts.includes("new")
+          ? { kind: "end", afterMs: 300 }
+          : { kind: "answer", afterMs: 120 },
+      replacedAfterMs: 3_000,
+    });
+    Array.from(
+      { length: 40 },
+      (_, nth) => void fleet.send({ body: `${nth}`, parts: ["new", `${nth}`] }),
+    );
+    await fleet.clock.advance(1_000);
+    mayCrash = false;
+    assert.ok(quarantinesPart(fleet));
+    const statuses: number[] = [];
+    for (let atMs = 0; atMs < 20_000; atMs += 100) {
+      const sent = fleet.send({ body: `late ${atMs}`, parts: ["new", "own"] });
+      if (atMs > 10_000) void sent.then(({ status }) => statuses.push(status));
+      await fleet.clock.advance(100);
+    }
+    await fleet.clock.advance(3_000);
+    assert.deepEqual([...new Set(statuses)], [200]);
+    assert.ok(!quarantinesPart(fleet));
+  });
+});
+
+describe("a quarantined prompt part", () => {
+  it("is known to an instance that starts later, and tried by one instance at a time after a pause", async () => {
+    const { fleet } = await play({ durationMs: 10_000 });
+    fleet.start("west-0");
+    await fleet.clock.advance(90_000);
+    const before = fleet.arrivals.filter(isBad).length;
+    for (let round = 0; round < 4; round++) {
+      [...fleet.gateways.keys()].forEach((address) =>
+        void fleet.send({
+          body: `again ${address} ${round}`,
+          parts: [FIRST_PART, BAD_PART, "own"],
+          address,
+        })
+      );
+      await fleet.clock.advance(500);
+    }
+    await fleet.clock.advance(5_000);
+    const sends = fleet.arrivals.filter(isBad).length - before;
+    assert.equal(sends, 1);
+  });
+
+  it("does not keep calls of another model from being served", async () => {
+    const { fleet } = await play({ durationMs: 10_000 });
+    await fleet.clock.advance(10_000);
+    const before = fleet.arrivals.length;
+    void fleet.send({
+      body: "other",
+      parts: [FIRST_PART, BAD_PART, "own"],
+      model: "other",
+    });
+    await fleet.clock.advance(50);
+    assert.equal(fleet.arrivals.length, before + 1);
+  });
+
+  it("is refused with the time of the next trial, and served again once a trial is answered", async () => {
+    let mayCrash = true;
+    const { fleet } = await play({
+      durationMs: 20_000,
+      fleet: {
+        decide: (arrival) =>
+          isBad(arrival) && mayCrash
+            ? { kind: "end", afterMs: 70 }
+            : { kind: "answer", afterMs: 120 },
+      },
+    });
+    mayCrash = false;
+    const statuses: number[] = [];
+    for (let atMs = 0; atMs < 90_000; atMs += 1_000) {
+      void fleet.send({
+        body: `mended ${atMs}`,
+        parts: [FIRST_PART, BAD_PART, "own"],
+      }).then(({ headers, status }) => {
+        statuses.push(status);
+        if (status === 503) assert.ok(headers.includes("Retry-After"));
+      });
+      await fleet.clock.advance(1_000);
+    }
+    assert.equal(statuses[0], 503);
+    assert.deepEqual([...new Set(statuses.slice(-10))], [200]);
+  });
+});
