Two kinds of calls that crash the same servers no longer release each other

Whichever had more crashes explained those of the other, which ran until it had more, and so on; the logs show 'call quarantined' for both in turn. A suspect with three crashes is held if one of them is its own. A call that merely ran beside another has none, and a trial releases the few that have one. The new unit tests failed before.

--- a/quarantine/call_quarantine.ts
+++ b/quarantine/call_quarantine.ts
@@ -16,6 +16,11 @@
  * caller that retries is sent to two more servers.
  */
 const MIN_CRASHES = 3;
+/**
+ * Number of these crashes that no other suspect explains. Two suspects that both crash servers
+ * often do so at the same ones, so that each would release the other if more were wanted.
+ */
+const MIN_OWN_CRASHES = 1;
 /**
  * How long a call stays quarantined after the last server crash, in milliseconds:
  * longer than callers keep retrying, shorter than it takes to fix a server's fault.
@@ -369,7 +374,7 @@
   /** Returns whether enough crashes are attributed to a suspect. */
   #isHeld(suspect: Suspect): boolean {
     return suspect.servers.size >= MIN_CRASHES &&
-      countAttributed(suspect, this.#listQuarantined()) >= MIN_CRASHES;
+      countAttributed(suspect, this.#listQuarantined()) >= MIN_OWN_CRASHES;
   }
 
   /** @returns Whether the call has been quarantined by this. */
--- a/quarantine/call_quarantine_test.ts
+++ b/quarantine/call_quarantine_test.ts
@@ -108,6 +108,28 @@
       assert.ok(!isQuarantined("beside"));
     });
 
+    it("quarantines it, too, once a server has crashed during it alone", () => {
+      const { isQuarantined } = createQuarantine({
+        worse: [0, 1, 2, 3, 5],
+        bad: [0, 1, 2, 4],
+        beside: [0, 1, 2],
+      });
+      assert.ok(isQuarantined("worse"));
+      assert.ok(isQuarantined("bad"));
+      assert.ok(!isQuarantined("beside"));
+    });
+
+    it("keeps it quarantined when another call that crashes the same servers overtakes it", () => {
+      const { isQuarantined, quarantine } = createQuarantine({
+        bad: [0, 1, 2, 3],
+        worse: [0, 1, 2, 4, 5, 6],
+      });
+      assert.ok(isQuarantined("bad"));
+      assert.ok(isQuarantined("worse"));
+      quarantine.recordCrash(createContent("worse"), SERVERS[7]!, 5_000);
+      assert.ok(isQuarantined("bad", 6_000));
+    });
+
     it("lets it run once a server has answered it", () => {
       const { isQuarantined, quarantine } = createQuarantine({
         beside: [0, 1],
