Soak: calls with only a crashing prompt part in common, and both rules checked

Beside the equal calls that crash servers come calls that share one part of their prompts with each other, and all other parts with the calls that have to be served. Checked from outside: three runs at most later than 5 s after the fifth crash; from 10 s after it less than half of the sound calls refused as quarantined.

--- a/soak/caller.ts
+++ b/soak/caller.ts
@@ -1,11 +1,14 @@
 import { Agent, type IncomingMessage, request } from "node:http";
 import { createToken, type Random } from "../clock/mod.ts";
-import { CRASHING_BODY } from "../standin/recording_server.ts";
+import { CRASHING_BODY, CRASHING_PART } from "../standin/recording_server.ts";
 import {
   CALL_ID_HEADER,
+  MODEL_HEADER,
+  PROMPT_PARTS_HEADER,
   REMAINING_HEADER,
   SIGNATURE_HEADER,
   TEAM_HEADER,
+  TOKEN_COUNTS_HEADER,
 } from "../standin/platform_headers.ts";
 import type { CallKind, CallOutcome, ObservedCall } from "./observation.ts";
 
@@ -25,6 +28,12 @@
   return `key-${version}`;
 }
 
+/** First part of all prompts. */
+const FIRST_PART = "first";
+/** Second shared part of all prompts. */
+const SUBJECT_PART = "subject";
+/** Tokens of each prompt part. */
+const PART_TOKENS = 10;
 /** Time that a caller allows for a call, in milliseconds. */
 const CALL_TIMEOUT_MS = 4_000;
 
@@ -94,7 +103,7 @@
         agent: this.#agent,
         host,
         port,
-        method: toBody(kind) === "" ? "GET" : "POST",
+        method: toBody(kind, callId) === "" ? "GET" : "POST",
         path: toPath(kind),
         headers: {
           host: SOAK_HOST,
@@ -103,6 +112,7 @@
           authorization: `Bearer ${key}`,
           // Callers must not name their own team: the gateway has to replace this header.
           [TEAM_HEADER]: "forged",
+          ...toPromptHeaders(kind, callId),
         },
         timeout: CALL_TIMEOUT_MS + 1_000,
       });
@@ -124,7 +134,7 @@
             : { kind: "not-connected" },
         ));
       sent.on("response", (answer) => void readAnswer(answer).then(resolve));
-      sent.end(toBody(kind));
+      sent.end(toBody(kind, callId));
     });
   }
 }
@@ -151,6 +161,7 @@
 function toPath(kind: CallKind): string {
   switch (kind) {
     case "ending":
+    case "ending-part":
     case "rotating":
     case "stranger":
       return "/idempotent/y";
@@ -159,10 +170,46 @@
   }
 }
 
-function toBody(kind: CallKind): string {
+/**
+ * Returns the headers of a call's prompt. Calls with the part that crashes servers share all
+ * other parts but their own last one with calls that have to be served.
+ */
+function toPromptHeaders(
+  kind: CallKind,
+  callId: string,
+): Readonly<Record<string, string>> {
+  const parts = toPromptParts(kind);
+  if (parts.length === 0) return {};
+  const tokens = [...parts, callId].map((part) => `${part}:${PART_TOKENS}`);
+  return {
+    [MODEL_HEADER]: "soak-model",
+    [TOKEN_COUNTS_HEADER]: `${tokens.length * PART_TOKENS},1`,
+    [PROMPT_PARTS_HEADER]: tokens.join(","),
+  };
+}
+
+function toPromptParts(kind: CallKind): readonly string[] {
+  switch (kind) {
+    case "ending-part":
+      return [FIRST_PART, CRASHING_PART, SUBJECT_PART];
+    case "idempotent":
+    case "non-idempotent":
+    case "stream":
+      return [FIRST_PART, SUBJECT_PART];
+    case "ending":
+    case "version":
+    case "rotating":
+    case "stranger":
+      return [];
+  }
+}
+
+function toBody(kind: CallKind, callId: string): string {
   switch (kind) {
     case "ending":
       return CRASHING_BODY;
+    case "ending-part":
+      return callId;
     case "non-idempotent":
     case "stream":
       return "work";
--- a/soak/check_promises.ts
+++ b/soak/check_promises.ts
@@ -1,3 +1,4 @@
+import { checkCrashingPart, checkSharedParts } from "./check_crashing_parts.ts";
 import {
   createRecordedBody,
   createRecordedEvents,
@@ -31,6 +32,8 @@
   | "a graceful shutdown interrupts no call"
   | "calls of disconnected callers do not run"
   | "calls that crash servers are quarantined"
+  | "prompt parts that crash servers are quarantined"
+  | "calls that share other prompt parts are served"
   | "advertised states of servers are respected"
   | "advertised limits of servers are respected"
   | "servers do not fail because of rejections"
@@ -124,6 +127,8 @@
     ...checkStops(observation),
     ...checkAbandonedCalls(observation),
     ...checkQuarantine(observation),
+    ...checkCrashingPart(observation),
+    ...checkSharedParts(observation),
     ...checkAdvertisements(observation),
     ...checkLimits(observation),
     ...checkRejections(observation),
@@ -321,7 +326,9 @@
 function checkQuarantine(
   { calls, pauses, runs }: Observation,
 ): readonly Violation[] {
-  const crashingRuns = runs.filter(({ crashesServer }) => crashesServer);
+  const crashingRuns = runs.filter(({ crashesServer, hasCrashingPart }) =>
+    crashesServer && !hasCrashingPart
+  );
   const crashedServers = [...new Set(crashingRuns.map(({ server }) => server))];
   const thresholdRun = crashingRuns.find(({ server }) =>
     server === crashedServers[CRASHED_SERVERS - 1]
--- a/soak/check_promises_test.ts
+++ b/soak/check_promises_test.ts
@@ -55,6 +55,7 @@
     atMs: 20_000,
     resumedAfter: undefined,
     crashesServer: false,
+    hasCrashingPart: false,
     team: STEADY_TEAM.name,
     hasKey: false,
     cutsAnswer: false,
--- a/soak/crashing_calls.ts
+++ b/soak/crashing_calls.ts
@@ -11,6 +11,8 @@
   readonly fleet: SoakFleet;
   readonly clock: Clock;
   readonly random: Random;
+  /** Whether the calls are equal, or have only a part of their prompts in common. */
+  readonly kind: "ending" | "ending-part";
   /** Returns the instances that have to keep all promises now. */
   readonly listUndisturbed: () => readonly SoakInstance[];
   /** Called with each completed call. */
@@ -18,7 +20,7 @@
 }
 
 /**
- * Repeatedly sends a call that crashes the server that runs it. Each round sends one call to any
+ * Repeatedly sends calls that crash the server that runs them. Each round sends one call to any
  * instance and one to an instance that was not disturbed lately, each on a new connection.
  *
  * @param parts Fleet, clock, source of random numbers and recorder of calls.
@@ -42,11 +44,11 @@
 }
 
 async function sendCrashingCall(
-  { clock, fleet, random, record }: CrashingCallsParts,
+  { clock, fleet, kind, random, record }: CrashingCallsParts,
   instance: SoakInstance,
 ): Promise<void> {
   const nowMs = () => clock.nowMs();
   const caller = new SoakCaller({ random, nowMs, record });
-  await caller.call(fleet.toCalledInstance(instance), "ending");
+  await caller.call(fleet.toCalledInstance(instance), kind);
   caller.close();
 }
--- a/soak/fault_runner.ts
+++ b/soak/fault_runner.ts
@@ -99,7 +99,7 @@
   /** Returns the spans of faults; for crashing calls, the crashes of servers instead. */
   #listSpans(): readonly Span[] {
     const faults = this.#spans.filter(({ planned }) =>
-      planned.fault.kind !== "ending-call"
+      planned.fault.kind !== "ending-calls"
     );
     const ends = this.#parts.fleet.serverCrashesMs.map((atMs) => ({
       fromMs: atMs,
@@ -135,8 +135,8 @@
         return homeInstances;
       case "cut-off":
         return fault.indices.map((index) => instances[index]);
-      case "ending-call":
-        return ["a call under which servers end"];
+      case "ending-calls":
+        return [`calls of kind ${fault.what}`];
       case "link":
         return [
           fault.to === "store"
@@ -169,8 +169,8 @@
         return this.#stopHomes(durationMs);
       case "cut-off":
         return this.#cutOff(fault, durationMs);
-      case "ending-call":
-        return this.#sendCrashingCalls(durationMs);
+      case "ending-calls":
+        return this.#sendCrashingCalls(fault.what, durationMs);
       case "link":
         return this.#disturbLink(fault, durationMs);
       case "server":
@@ -282,8 +282,12 @@
     });
   }
 
-  #sendCrashingCalls(durationMs: number): Promise<void> {
+  #sendCrashingCalls(
+    kind: "ending" | "ending-part",
+    durationMs: number,
+  ): Promise<void> {
     return sendCrashingCalls({
+      kind,
       ...this.#parts,
       listUndisturbed: () => this.#listUndisturbed(),
       record: (call) => this.crashingCalls.push(call),
--- a/soak/observation.ts
+++ b/soak/observation.ts
@@ -11,6 +11,8 @@
   | "version"
   /** A call that crashes the server that runs it. */
   | "ending"
+  /** A call like no other but for a prompt part that crashes the server that runs it. */
+  | "ending-part"
   /** A call of the team whose key changes with each configuration version. */
   | "rotating"
   /** A call with a key that no team ever held; it must not run. */
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -22,8 +22,14 @@
     readonly indices: readonly number[];
     readonly state: Exclude<ServerLinksState, "open">;
   }
-  /** Callers repeatedly send a call that crashes the server that runs it, to any instance. */
-  | { readonly kind: "ending-call" }
+  /**
+   * Callers repeatedly send calls that crash the server that runs them, to any instance: equal
+   * ones, or ones with only a part of their prompts in common.
+   */
+  | {
+    readonly kind: "ending-calls";
+    readonly what: "ending" | "ending-part";
+  }
   | {
     readonly kind: "link";
     /** Target of the link: from one instance to the store, or from all instances to a server. */
@@ -358,12 +364,11 @@
  * calls still arrive.
  */
 function planCrashingCalls(endMs: number): readonly PlannedFault[] {
-  const fault = { kind: "ending-call" } as const;
-  return [{
-    fault,
+  return (["ending", "ending-part"] as const).map((what) => ({
+    fault: { kind: "ending-calls", what },
     atMs: FAULT_FREE_START_MS,
     durationMs: endMs - FAULT_FREE_START_MS,
-  }];
+  }));
 }
 
 /** Plans which servers ask for a cool-down or advertise that they are leaving. */
--- a/standin/platform_headers.ts
+++ b/standin/platform_headers.ts
@@ -8,6 +8,12 @@
 export const EXPECTED_SERVER_HEADER = "x-havenspur-expected-instance";
 /** Marks an answer of a server that did not run the call. */
 export const NOT_EXECUTED_HEADER = "x-havenspur-not-executed";
+/** Name of the model that a call is for. */
+export const MODEL_HEADER = "x-havenspur-model";
+/** Number of prompt tokens and maximum number of output tokens, separated by a comma. */
+export const TOKEN_COUNTS_HEADER = "x-havenspur-token-counts";
+/** ID:TOKENS of each prompt part, separated by commas; the last one is the caller's own. */
+export const PROMPT_PARTS_HEADER = "x-havenspur-prompt-prefix";
 /** Team that the call belongs to; only the gateway sets this header. */
 export const TEAM_HEADER = "x-havenspur-tenant";
 /** In any answer: the server that answers is shutting down. */
--- a/standin/recording_server.ts
+++ b/standin/recording_server.ts
@@ -15,6 +15,7 @@
   LEAVING_HEADER,
   LIMIT_HEADER,
   NOT_EXECUTED_HEADER,
+  PROMPT_PARTS_HEADER,
   SIGNATURE_HEADER,
   TEAM_HEADER,
 } from "./platform_headers.ts";
@@ -38,6 +39,8 @@
 
 /** Body of a call that crashes each server that runs it. */
 export const CRASHING_BODY = "ends the server";
+/** Prompt part of calls that crash each server that runs them, whatever else they hold. */
+export const CRASHING_PART = "badbad";
 
 /** A call that a server started to run. */
 export interface RecordedRun {
@@ -49,6 +52,8 @@
   readonly resumedAfter: number | undefined;
   /** Whether the call crashes the server. */
   readonly crashesServer: boolean;
+  /** Whether it is a part of its prompt that crashes the server. */
+  readonly hasCrashingPart: boolean;
   /** Team from the header of the gateway; `undefined`: the header is missing or occurs more than once. */
   readonly team: string | undefined;
   /** Whether the caller's key was sent with the call. */
@@ -168,8 +173,10 @@
     const { id, nowMs, record, service } = this.#parts;
     const callId = String(request.headers[CALL_ID_HEADER] ?? "");
     const expected = request.headers[EXPECTED_SERVER_HEADER];
-    const crashesServer =
-      (await readBody(request)).toString() === CRASHING_BODY;
+    const hasCrashingPart = String(request.headers[PROMPT_PARTS_HEADER] ?? "")
+      .includes(CRASHING_PART);
+    const body = (await readBody(request)).toString();
+    const crashesServer = hasCrashingPart || body === CRASHING_BODY;
     if (expected !== undefined && expected !== id) {
       response.writeHead(421, {
         [CALL_ID_HEADER]: callId,
@@ -200,6 +207,7 @@
       atMs,
       resumedAfter,
       crashesServer,
+      hasCrashingPart,
       team: teams.length === 1 ? teams[0] : undefined,
       hasKey: request.headers.authorization !== undefined,
       cutsAnswer,
