Reports of crashes are sent by what speaks against a part, not by age

Now a report repeats the servers that crashed just before (three at most), and reports of several servers or of answers are sent first, then those of parts.

--- a/quarantine/call_quarantine.ts
+++ b/quarantine/call_quarantine.ts
@@ -32,6 +32,11 @@
 const MAX_QUARANTINED = 256;
 /** Maximum number of crashed servers that are recorded for one call. */
 const MAX_SERVERS_PER_CALL = 16;
+/**
+ * Maximum number of crashed servers in the report of a new crash. Those that crashed just
+ * before are repeated, as their reports may have been dropped; more bytes bring nothing.
+ */
+const MAX_REPORTED_SERVERS = MIN_CRASHES;
 /** How far the times that two instances report for the same crash differ, in milliseconds. */
 const SAME_CRASH_MS = 1_000;
 /** Maximum number of answered contents that are remembered: enough for a minute at thirty a second. */
@@ -169,7 +174,10 @@
         ageMs: 0,
         ...(isTrial ? this.#countFailedTrial(call) : {}),
       };
-      if (this.#mergeReport(report, nowMs, true)) this.#unreported.push(report);
+      if (!this.#mergeReport(report, nowMs, true)) return;
+      const known = toReport(this.#suspects.get(call)!, 0);
+      const servers = known.servers.slice(-MAX_REPORTED_SERVERS);
+      this.#unreported.push({ ...known, servers });
     });
   }
 
--- a/quarantine/crash_report_queue.ts
+++ b/quarantine/crash_report_queue.ts
@@ -13,8 +13,9 @@
 }
 
 /**
- * Queue of crash reports to send to other instances. Those of prompt parts are sent first, as
- * each counts for many calls; of the others, the newest.
+ * Queue of crash reports to send to other instances. A server that crashes may leave a report
+ * for each of hundreds of calls and prompt parts, of which few matter, so they are sent by
+ * their weight; of equal ones, the newest first.
  */
 export class CrashReportQueue {
   /** Those that are sent first are at the end. */
@@ -33,12 +34,9 @@
       addedMs: nowMs,
       sendCount: 0,
     }));
-    const rows = [...this.#rows, ...added];
-    const isOfPart = ({ report }: QueuedRow) => isPartFingerprint(report.call);
-    this.#rows = [
-      ...rows.filter((row) => !isOfPart(row)),
-      ...rows.filter(isOfPart),
-    ].slice(-MAX_ROWS);
+    this.#rows = [...this.#rows, ...added]
+      .toSorted((a, b) => computeWeight(a.report) - computeWeight(b.report))
+      .slice(-MAX_ROWS);
   }
 
   /**
@@ -58,3 +56,12 @@
     }));
   }
 }
+
+/**
+ * Returns how urgent a report is: most, if several servers crashed or calls were answered. Of the
+ * others, those of prompt parts come first, as each counts for many calls.
+ */
+function computeWeight({ call, servers }: CrashReport): number {
+  if (servers.length !== 1) return 2;
+  return isPartFingerprint(call) ? 1 : 0;
+}
--- a/quarantine/part_fingerprint.ts
+++ b/quarantine/part_fingerprint.ts
@@ -4,7 +4,7 @@
 /** Prefix of all fingerprints of prompt parts; those of whole contents never have it. */
 const PART_PREFIX = "part:";
 /** Names that a fingerprint contains as they are; longer or other ones are hashed. */
-const PLAIN_NAME = /^[\w.-]{1,32}$/;
+const PLAIN_NAME = /^[\w.-]{1,16}$/;
 /** Bytes of the hash that are kept: no caller must be able to write a part that collides with another. */
 const HASH_BYTES = 12;
 
--- a/tests/crash_gossip_test.ts
+++ b/tests/crash_gossip_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { toBackendId } from "../ids/mod.ts";
+import type { CallContent } from "../quarantine/mod.ts";
 import { createContent } from "./content_fixture.ts";
 import { startReporters, type VirtualReporter } from "./reporter_fixture.ts";
 
@@ -61,6 +62,37 @@
     })
   );
 
+  it("of a prompt part reach all instances though each crashed server had hundreds of other parts", async () => {
+    const { clock, listRunning } = await startRegions(3);
+    const reporters = listRunning();
+    const toCall = (name: string, parts: readonly string[]) =>
+      createContent(name, { model: "m", parts });
+    const recordCrash = (index: number) => {
+      const { quarantine } = reporters[index % 2]!;
+      const server = toBackendId(`server-${index}`);
+      const record = (content: CallContent) =>
+        quarantine.recordCrash(content, server, clock.nowMs());
+      record(toCall(`bad ${index}`, ["first", "bad", `${index}`]));
+      Array.from({ length: 64 }, (_, call) => {
+        const parts = Array.from(
+          { length: 20 },
+          (_, part) => `${index} ${call} ${part}`,
+        );
+        record(toCall(`other ${index} ${call}`, parts));
+      });
+    };
+    for (let index = 0; index < 4; index++) {
+      recordCrash(index);
+      await clock.advance(400);
+    }
+    await clock.advance(2_000);
+    const call = toCall("bad again", ["first", "bad", "again"]);
+    const informed = reporters.filter(({ quarantine }) =>
+      quarantine.readRemainingQuarantineMs(call, clock.nowMs()) > 0
+    );
+    assert.equal(informed.length, reporters.length);
+  });
+
   it("reach an instance that was cut off for a while, once it is connected again", async () => {
     const { all, clock, listRunning, network } = await startRegions(3);
     const cutOff = "west-001:1";
