Operators list and release what is quarantined, on the control address

A part whose cause is mended stayed refused until a trial, up to ten minutes, and nobody could see what an instance refuses. quarantine.list and quarantine.release stand beside state.read; a release reaches all instances as an answer does.

--- a/adapters/state_transfer.ts
+++ b/adapters/state_transfer.ts
@@ -3,12 +3,9 @@
 import { request } from "undici";
 import type { StateCopy } from "../state/mod.ts";
 import type { StorePosition } from "../store/mod.ts";
-import type { Logger } from "../logs/mod.ts";
-import type { EndpointRoute } from "./endpoint_server.ts";
-import { createRpcResponder } from "./json_rpc_server.ts";
+import { RPC_PATH } from "./control_route.ts";
+import type { RpcMethods } from "./json_rpc_server.ts";
 
-/** Path of JSON-RPC calls between instances, on the control address. */
-const RPC_PATH = "/rpc";
 /** Method that returns a copy of the known state. */
 const READ_STATE_METHOD = "state.read";
 /** Parameters of `state.read`: the position up to which the caller has the whole state. */
@@ -30,27 +27,16 @@
 const READ_TIMEOUT_MS = 2_000;
 
 /**
- * Returns the route over which peers read the state that this instance has.
+ * Returns the method by which peers read the state that this instance has.
  *
  * @param createCopy Returns a copy of the state after a position.
- * @param logger Receives the errors of calls.
  */
-export function createStateRoute(
+export function createStateMethods(
   createCopy: (after: StorePosition) => StateCopy,
-  logger: Logger,
-): EndpointRoute {
-  const respond = createRpcResponder({
+): RpcMethods {
+  return {
     [READ_STATE_METHOD]: ({ afterRevision, era = 0 }: ReadStateParams) =>
       createCopy({ era, revision: afterRevision }),
-  }, logger);
-  return {
-    method: "POST",
-    path: RPC_PATH,
-    handle: async ({ body }) => ({
-      status: 200,
-      contentType: "application/json",
-      body: await respond(body),
-    }),
   };
 }
 
--- a/quarantine/call_quarantine.ts
+++ b/quarantine/call_quarantine.ts
@@ -297,6 +297,14 @@
     });
   }
 
+  /** Returns all that is quarantined, with the crashes that speak against it. */
+  listQuarantined(nowMs: number): readonly CrashReport[] {
+    this.#releaseExpired(nowMs);
+    return this.#listQuarantined().map((suspect) =>
+      toReport(suspect, Math.max(0, nowMs - suspect.lastCrashMs))
+    );
+  }
+
   /** Returns the suspects of a call to which enough crashes are attributed. */
   #listHeld({ fingerprints }: CallContent): readonly Suspect[] {
     if (this.#suspects.size === 0) return [];
