--- a/deploy/undici_core.js
+++ b/deploy/undici_core.js
@@ -1,6 +1,6 @@
 // What the platform's program uses of undici. Its index loads the whole of fetch,
 // WebSocket and caches as well, which a start on a small machine pays for: the
-// bundle takes this file in its place (esbuild's alias in package.json).
+// bundle takes this file in its place (the alias in build_platform.js).
 // The alias holds for paths below the package, too, hence the relative ones.
 import Agent from "../node_modules/undici/lib/dispatcher/agent.js";
 import dispatchRequest from "../node_modules/undici/lib/api/api-request.js";
