Tests: failed trials in the store, released calls leave it, parts of calls by unit

Trials that failed are known to an instance that starts later, a released call leaves the store, and the quarantine of parts by unit: answered parts are never held however often calls with them crash servers, equal calls are meant as a whole, other models, turns, bounds.

--- a/quarantine/call_quarantine_test.ts
+++ b/quarantine/call_quarantine_test.ts
@@ -2,6 +2,7 @@
 import { describe, it } from "node:test";
 import { type CallFingerprint, toBackendId } from "../ids/mod.ts";
 import { createContent } from "../tests/content_fixture.ts";
+import type { SharedPrompt } from "./call_content.ts";
 import { CallQuarantine } from "./call_quarantine.ts";
 
 const SERVERS = Array.from({ length: 8 }, (_, at) => toBackendId(`s${at}`));
@@ -199,6 +200,91 @@
     });
   });
 
+  describe("when calls share a prompt part", () => {
+    const PARTS = { model: "m", parts: ["first", "second"] };
+    const toCall = (nth: number, prompt: SharedPrompt = PARTS) =>
+      createContent(`call ${nth}`, prompt);
+    const crash = (quarantine: CallQuarantine, count: number) =>
+      SERVERS.slice(0, count).forEach((server, nth) =>
+        quarantine.recordCrash(toCall(nth), server, 1_000 + nth)
+      );
+    const isHeld = (quarantine: CallQuarantine, content = toCall(9)) =>
+      quarantine.readRemainingQuarantineMs(content, 2_000) > 0;
+
+    it("quarantines the part after three crashes of calls that differ", () => {
+      const { quarantine } = createQuarantine({});
+      crash(quarantine, 2);
+      assert.ok(!isHeld(quarantine));
+      crash(quarantine, 3);
+      assert.ok(isHeld(quarantine));
+    });
+
+    it("quarantines no part that was answered, however often calls with it crash servers", () => {
+      const { quarantine } = createQuarantine({});
+      quarantine.recordAnswer(toCall(0), 500);
+      crash(quarantine, 8);
+      assert.ok(!isHeld(quarantine));
+    });
+
+    it("quarantines the call and not the part if all crashes are of the same call", () => {
+      const { quarantine } = createQuarantine({});
+      SERVERS.slice(0, 3).forEach((server) =>
+        quarantine.recordCrash(toCall(0), server, 1_000)
+      );
+      assert.ok(isHeld(quarantine, toCall(0)));
+      assert.ok(!isHeld(quarantine));
+      quarantine.recordCrash(toCall(1), SERVERS[3]!, 1_500);
+      assert.ok(isHeld(quarantine));
+    });
+
+    it("quarantines the part for one model only", () => {
+      const { quarantine } = createQuarantine({});
+      crash(quarantine, 3);
+      assert.ok(!isHeld(quarantine, toCall(9, { ...PARTS, model: "other" })));
+    });
+
+    it("tries one call soon, and releases the part at its answer", () => {
+      const { quarantine } = createQuarantine({});
+      crash(quarantine, 3);
+      const admit = (nowMs: number) => quarantine.admit(toCall(9), nowMs).kind;
+      // Two parts are quarantined, so that the trial comes later.
+      assert.equal(admit(5_000), "refused");
+      assert.equal(admit(10_000), "trial");
+      assert.equal(admit(10_100), "refused");
+      quarantine.recordAnswer(toCall(9), 10_200);
+      assert.equal(admit(10_300), "clear");
+    });
+
+    it("takes turns with other instances, and waits longer after each failed trial", () => {
+      const first = new CallQuarantine();
+      const second = new CallQuarantine({ rankSelf: () => 1 });
+      [first, second].forEach((quarantine) => crash(quarantine, 3));
+      const admit = (quarantine: CallQuarantine, nowMs: number) =>
+        quarantine.admit(toCall(9), nowMs).kind;
+      [first, second].forEach((quarantine) =>
+        assert.equal(admit(quarantine, 3_000), "refused")
+      );
+      assert.equal(admit(first, 8_000), "trial");
+      assert.equal(admit(second, 8_000), "refused");
+      first.recordCrash(toCall(9), SERVERS[5]!, 8_100, { isTrial: true });
+      second.mergeReports(first.takeUnreported(), 8_200);
+      assert.equal(admit(second, 50_000), "refused");
+      assert.equal(admit(first, 50_000), "refused");
+      assert.equal(admit(first, 70_000), "refused");
+      assert.equal(admit(first, 75_000), "trial");
+    });
+
+    it("knows a call by a bounded number of parts, each by a short name", () => {
+      const parts = Array.from({ length: 1_000 }, (_, nth) => `${nth}`);
+      const long = ["a".repeat(5_000), "b@c", "d e"];
+      const { partFingerprints } = toCall(0, { model: "m", parts });
+      const names = toCall(0, { model: "m", parts: long }).partFingerprints;
+      assert.equal(partFingerprints.length, 64);
+      assert.equal(new Set(names).size, 3);
+      assert.ok(names.every((name) => /^part:[\w-]{16}$/.test(name)));
+    });
+  });
+
   describe("when other instances report crashes", () => {
     it("adds their crashes to those it observed itself", () => {
       const { isQuarantined, quarantine } = createQuarantine({ bad: [0] });
--- a/tests/quarantined_call_stored_test.ts
+++ b/tests/quarantined_call_stored_test.ts
@@ -42,6 +42,7 @@
       return follower;
     },
     storeQuarantinedCall: (call) => void entries.store(call),
+    removeQuarantinedCall: (call) => void entries.remove(call),
   });
   gateway.start(ended.signal);
   return { ended, quarantine: gateway.forwarder.quarantine };
@@ -99,6 +100,45 @@
     instances.forEach(({ ended }) => ended.abort());
   });
 
+  it("is refused until the next trial by an instance that starts after trials have failed", async () => {
+    const clock = new VirtualClock();
+    const store = new MemoryStore(clock);
+    const first = startInstance(clock, store, "north-1");
+    await clock.advance(500);
+    recordCrashes(first, clock.nowMs());
+    await clock.advance(1_500);
+    first.quarantine.recordCrash(
+      CRASHING_CONTENT,
+      toBackendId("s4"),
+      clock.nowMs(),
+      { isTrial: true },
+    );
+    await clock.advance(1_000);
+    first.ended.abort();
+    const second = startInstance(clock, store, "north-2");
+    await clock.advance(5_000);
+    const verdict = second.quarantine.admit(CRASHING_CONTENT, clock.nowMs());
+    assert.equal(verdict.kind, "refused");
+    second.ended.abort();
+  });
+
+  it("is in the store no longer than until a server has answered it", async () => {
+    const clock = new VirtualClock();
+    const store = new MemoryStore(clock);
+    const instance = startInstance(clock, store, "north-1");
+    await clock.advance(500);
+    recordCrashes(instance, clock.nowMs());
+    await clock.advance(2_000);
+    const key = toRefusedCallKey(CRASHING_CONTENT.fingerprint);
+    const before = await store.read(key);
+    assert.ok(before._unsafeUnwrap() !== undefined);
+    instance.quarantine.recordAnswer(CRASHING_CONTENT, clock.nowMs());
+    await clock.advance(1_000);
+    const after = await store.read(key);
+    assert.equal(after._unsafeUnwrap(), undefined);
+    instance.ended.abort();
+  });
+
   it("is in the store no longer than it is quarantined", async () => {
     const clock = new VirtualClock();
     const store = new MemoryStore(clock);
