Answered calls are forgotten by generations

Answers of calls whose parts are new each time cost 24 us each where others cost 11, and 450 us with 64 new parts: each pushed the oldest out of a map of 8,192, whose front fills with holes. Two generations make room at once: 10 us without parts, 11 with three, one of them new, 95 us with 64 new ones. The last 2,048 contents and 8,192 parts are always remembered, as before; 1.3 MB at most, and 1.2 MB of 4,096 suspects.

--- a/quarantine/answered_calls.ts
+++ b/quarantine/answered_calls.ts
@@ -7,31 +7,37 @@
  */
 const ANSWER_VALID_MS = 60_000;
 
-/** Remembers, for a while, which calls were answered; the ones answered first are forgotten first. */
+/**
+ * Remembers, for a while, which calls were answered. Two generations make room at once, as
+ * removing single entries from the front of a map gets slow.
+ */
 export class AnsweredCalls {
   readonly #maxCount: number;
-  readonly #answeredMs = new Map<CallFingerprint, number>();
+  #newer = new Map<CallFingerprint, number>();
+  #older: ReadonlyMap<CallFingerprint, number> = new Map();
 
-  /** @param maxCount Maximum number of calls that are remembered. */
+  /** @param maxCount Maximum number of calls that are remembered; the last half of them always are. */
   constructor(maxCount: number) {
     this.#maxCount = maxCount;
   }
 
   /** Records that a call was answered at a time, in milliseconds. */
   record(call: CallFingerprint, atMs: number): void {
-    const knownMs = this.#answeredMs.get(call) ?? atMs;
-    this.#answeredMs.delete(call);
-    this.#answeredMs.set(call, Math.max(knownMs, atMs));
-    if (this.#answeredMs.size <= this.#maxCount) return;
-    const [oldest] = this.#answeredMs.keys();
-    this.#answeredMs.delete(oldest!);
+    this.#newer.set(call, Math.max(this.#readMs(call) ?? atMs, atMs));
+    if (this.#newer.size < this.#maxCount / 2) return;
+    this.#older = this.#newer;
+    this.#newer = new Map();
   }
 
   /** Returns when a call was last answered, if that still protects it from suspicion. */
   readValidMs(call: CallFingerprint, nowMs: number): number | undefined {
-    const atMs = this.#answeredMs.get(call);
+    const atMs = this.#readMs(call);
     return atMs !== undefined && nowMs - atMs < ANSWER_VALID_MS
       ? atMs
       : undefined;
   }
+
+  #readMs(call: CallFingerprint): number | undefined {
+    return this.#newer.get(call) ?? this.#older.get(call);
+  }
 }
--- a/quarantine/call_quarantine.ts
+++ b/quarantine/call_quarantine.ts
@@ -40,9 +40,9 @@
 /** How far the times that two instances report for the same crash differ, in milliseconds. */
 const SAME_CRASH_MS = 1_000;
 /** Maximum number of answered contents that are remembered: enough for a minute at thirty a second. */
-const MAX_ANSWERED_CONTENTS = 2_048;
+const MAX_ANSWERED_CONTENTS = 4_096;
 /** Maximum number of answered prompt parts that are remembered; calls share most of them. */
-const MAX_ANSWERED_PARTS = 8_192;
+const MAX_ANSWERED_PARTS = 16_384;
 /**
  * Time by which calls with several quarantined parts are tried later for each further part, in
  * milliseconds.
