The list of suspects stands apart from the quarantine

Nothing else changes; listing in rotation uses the list for operators. Its 71 tests and those of fleets pass.

--- a/quarantine/call_quarantine.ts
+++ b/quarantine/call_quarantine.ts
@@ -3,33 +3,14 @@
 import { AnsweredCalls } from "./answered_calls.ts";
 import type { CrashReport } from "./crash_report.ts";
 import { isPartFingerprint } from "./part_fingerprint.ts";
-import { countAttributed, createSuspect, type Suspect } from "./suspect.ts";
+import { createSuspect, type Suspect } from "./suspect.ts";
+import { MIN_CRASHES, QUARANTINE_MS, SuspectList } from "./suspect_list.ts";
 import {
   computeFirstTrialMs,
   computeOwnTrialMs,
   recordAsked,
 } from "./trial_schedule.ts";
 
-/**
- * Number of servers that must crash during a call before the call is quarantined. One
- * or two crash during many calls at once that merely ran beside the call at fault; a
- * caller that retries is sent to two more servers.
- */
-const MIN_CRASHES = 3;
-/**
- * Number of these crashes that no other suspect explains. Two suspects that both crash servers
- * often do so at the same ones, so that each would release the other if more were wanted.
- */
-const MIN_OWN_CRASHES = 1;
-/**
- * How long a call stays quarantined after the last server crash, in milliseconds:
- * longer than callers keep retrying, shorter than it takes to fix a server's fault.
- */
-export const QUARANTINE_MS = 600_000;
-/** Maximum number of suspect calls: as many as a hundred servers have in flight. */
-const MAX_SUSPECTS = 4_096;
-/** Maximum number of quarantined calls among these; beyond it, the oldest is released. */
-const MAX_QUARANTINED = 256;
 /** Maximum number of crashed servers that are recorded for one call. */
 const MAX_SERVERS_PER_CALL = 16;
 /**
@@ -124,9 +105,7 @@
 export class CallQuarantine {
   readonly #onChange: NonNullable<CallQuarantineParts["onChange"]>;
   readonly #rankSelf: NonNullable<CallQuarantineParts["rankSelf"]>;
-  /** The one that changed last is at the end. */
-  readonly #suspects = new Map<CallFingerprint, Suspect>();
-  readonly #quarantined = new Set<CallFingerprint>();
+  readonly #suspects = new SuspectList();
   readonly #answeredContents = new AnsweredCalls(MAX_ANSWERED_CONTENTS);
   readonly #answeredParts = new AnsweredCalls(MAX_ANSWERED_PARTS);
   #unreported: CrashReport[] = [];
@@ -140,7 +119,7 @@
 
   /** Number of whole contents and prompt parts that are quarantined. */
   get quarantinedCount(): number {
-    return this.#quarantined.size;
+    return this.#suspects.quarantinedCount;
   }
 
   /** Number of suspect contents and prompt parts, quarantined ones included. */
@@ -150,7 +129,7 @@
 
   /** Number of prompt parts that are quarantined. */
   get quarantinedPartCount(): number {
-    return [...this.#quarantined].filter(isPartFingerprint).length;
+    return this.#suspects.quarantinedPartCount;
   }
 
   /**
@@ -175,7 +154,7 @@
         ...(isTrial ? this.#countFailedTrial(call) : {}),
       };
       if (!this.#mergeReport(report, nowMs, true)) return;
-      const known = toReport(this.#suspects.get(call)!, 0);
+      const known = toReport(this.#suspects.find(call)!, 0);
       const servers = known.servers.slice(-MAX_REPORTED_SERVERS);
       this.#unreported.push({ ...known, servers });
     });
@@ -231,7 +210,7 @@
    * @param nowMs Current time, in milliseconds.
    */
   readRemainingQuarantineMs(content: CallContent, nowMs: number): number {
-    const remainingMs = this.#listHeld(content)
+    const remainingMs = this.#suspects.listHeld(content.fingerprints)
       .map(({ lastCrashMs }) => lastCrashMs + QUARANTINE_MS - nowMs);
     return Math.max(0, ...remainingMs);
   }
@@ -244,7 +223,8 @@
    * @param nowMs Current time, in milliseconds.
    */
   admit(content: CallContent, nowMs: number): QuarantineVerdict {
-    const held = this.#listHeld(content);
+    if (this.#suspects.size === 0) return CLEAR;
+    const held = this.#suspects.listHeld(content.fingerprints);
     const [first] = held;
     if (first === undefined) return CLEAR;
     held.forEach((suspect) => recordAsked(suspect, nowMs));
@@ -283,43 +263,27 @@
     count: number,
     nowMs: number,
   ): readonly CrashReport[] {
-    this.#releaseExpired(nowMs);
-    const quarantined = [...this.#quarantined];
+    const quarantined = this.listQuarantined(nowMs);
     const picked = Array.from(
       { length: Math.min(count, quarantined.length) },
       (_, at) => quarantined[(this.#listOffset + at) % quarantined.length]!,
     );
     this.#listOffset += count;
-    return picked.map((call) => {
-      const suspect = this.#suspects.get(call)!;
-      const ageMs = Math.max(0, nowMs - suspect.lastCrashMs);
-      return toReport(suspect, ageMs);
-    });
+    return picked;
   }
 
   /** Returns all that is quarantined, with the crashes that speak against it. */
   listQuarantined(nowMs: number): readonly CrashReport[] {
-    this.#releaseExpired(nowMs);
-    return this.#listQuarantined().map((suspect) =>
+    return this.#suspects.listInForce(nowMs).map((suspect) =>
       toReport(suspect, Math.max(0, nowMs - suspect.lastCrashMs))
     );
   }
 
-  /** Returns the suspects of a call to which enough crashes are attributed. */
-  #listHeld({ fingerprints }: CallContent): readonly Suspect[] {
-    if (this.#suspects.size === 0) return [];
-    return fingerprints.flatMap((call) => this.#suspects.get(call) ?? [])
-      .filter((suspect) => this.#isHeld(suspect));
-  }
-
-  #listQuarantined(): readonly Suspect[] {
-    return [...this.#quarantined].map((call) => this.#suspects.get(call)!);
-  }
-
   /** Returns the number of failed trials after another one; nothing if the call is not quarantined. */
   #countFailedTrial(call: CallFingerprint): Pick<CrashReport, "failedTrials"> {
-    if (!this.#quarantined.has(call)) return {};
-    return { failedTrials: this.#suspects.get(call)!.failedTrials + 1 };
+    const quarantined = this.#suspects.findQuarantined(call);
+    if (quarantined === undefined) return {};
+    return { failedTrials: quarantined.failedTrials + 1 };
   }
 
   /** Reports to others that a call during which they saw servers crash was answered here. */
@@ -341,19 +305,19 @@
     const isAnswered =
       this.#answeredOf(call).readValidMs(call, nowMs) !== undefined;
     if (ageMs >= QUARANTINE_MS || isAnswered) return false;
-    const suspect = this.#suspects.get(call) ?? createSuspect(call, atMs);
+    const suspect = this.#suspects.find(call) ?? createSuspect(call, atMs);
     const hasNewCrash = addCrashes(suspect, servers, atMs);
     const hasNewTrial = failedTrials > suspect.failedTrials;
     if (!hasNewCrash && !hasNewTrial) return false;
     suspect.failedTrials = Math.max(suspect.failedTrials, failedTrials);
-    this.#putSuspect(suspect);
-    const isNew = this.#quarantine(suspect);
+    this.#suspects.put(suspect);
+    const isNew = this.#suspects.quarantine(suspect);
     if (!isNew && !hasNewTrial) return true;
     this.#onChange({
       kind: isNew ? "quarantined" : "trial-failed",
       report: toReport(suspect, ageMs),
       isSeenHere,
-      next: this.#findNext(suspect),
+      next: this.#suspects.findNext(suspect),
     });
     return true;
   }
@@ -365,8 +329,8 @@
     isSeenHere: boolean,
   ): boolean {
     this.#answeredOf(call).record(call, atMs);
-    const wasQuarantined = this.#quarantined.has(call);
-    const wasSuspect = this.#removeSuspect(call);
+    const wasQuarantined = this.#suspects.findQuarantined(call) !== undefined;
+    const wasSuspect = this.#suspects.remove(call);
     if (wasQuarantined) this.#onChange({ kind: "released", call, isSeenHere });
     return wasSuspect;
   }
@@ -376,58 +340,6 @@
       ? this.#answeredParts
       : this.#answeredContents;
   }
-
-  #putSuspect(suspect: Suspect): void {
-    this.#suspects.delete(suspect.call);
-    this.#suspects.set(suspect.call, suspect);
-    if (this.#suspects.size <= MAX_SUSPECTS) return;
-    const oldest = [...this.#suspects.keys()].find((each) =>
-      !this.#quarantined.has(each)
-    );
-    if (oldest !== undefined) this.#removeSuspect(oldest);
-  }
-
-  /** Returns whether enough crashes are attributed to a suspect. */
-  #isHeld(suspect: Suspect): boolean {
-    return suspect.servers.size >= MIN_CRASHES &&
-      countAttributed(suspect, this.#listQuarantined()) >= MIN_OWN_CRASHES;
-  }
-
-  /** @returns Whether the call has been quarantined by this. */
-  #quarantine(suspect: Suspect): boolean {
-    const { call } = suspect;
-    if (this.#quarantined.has(call) || !this.#isHeld(suspect)) return false;
-    this.#quarantined.add(call);
-    const [oldest] = this.#quarantined;
-    if (this.#quarantined.size > MAX_QUARANTINED) this.#removeSuspect(oldest!);
-    return true;
-  }
-
-  /** Returns the other suspect with the most crashes. */
-  #findNext(suspect: Suspect): Suspect | undefined {
-    return [...this.#suspects.values()].filter((each) => each !== suspect)
-      .reduce<Suspect | undefined>(
-        (most, each) =>
-          each.servers.size > (most?.servers.size ?? 0) ? each : most,
-        undefined,
-      );
-  }
-
-  /**
-   * Lists calls no longer whose quarantine is over. They stay suspects: single calls are tried,
-   * and one more crash quarantines them again.
-   */
-  #releaseExpired(nowMs: number): void {
-    this.#listQuarantined().filter(({ lastCrashMs }) =>
-      nowMs - lastCrashMs >= QUARANTINE_MS
-    ).forEach(({ call }) => this.#quarantined.delete(call));
-  }
-
-  /** @returns Whether the call was a suspect. */
-  #removeSuspect(call: CallFingerprint): boolean {
-    this.#quarantined.delete(call);
-    return this.#suspects.delete(call);
-  }
 }
 
 /**
--- a/quarantine/mod.ts
+++ b/quarantine/mod.ts
@@ -19,3 +19,4 @@
 export * from "./crash_report_queue.ts";
 export * from "./crash_row.ts";
 export * from "./part_fingerprint.ts";
+export { QUARANTINE_MS } from "./suspect_list.ts";
