--- a/soak/check_promises.ts
+++ b/soak/check_promises.ts
@@ -1,4 +1,5 @@
-import { checkCrashingPart, checkSharedParts } from "./check_crashing_parts.ts";
+import { checkQuarantine, checkSharedParts } from "./check_quarantine.ts";
+import { wasPaused } from "./was_paused.ts";
 import {
   createRecordedBody,
   createRecordedEvents,
@@ -59,15 +60,6 @@
  * the users' requirement.
  */
 const ABANDONED_DELAY_MS = 500;
-/** Servers that one call may crash before each instance has to quarantine it. */
-const CRASHED_SERVERS = 3;
-/**
- * Time after which each instance has to quarantine the call, in milliseconds: the users'
- * requirement.
- */
-const QUARANTINE_DELAY_MS = 5_000;
-/** Runs of the call that are allowed after that time: the users' requirement. */
-const MAX_LATE_RUNS = 3;
 /**
  * Time after which an instance has to respect what a server advertises, in milliseconds: the
  * users' requirement.
@@ -127,7 +119,6 @@
     ...checkStops(observation),
     ...checkAbandonedCalls(observation),
     ...checkQuarantine(observation),
-    ...checkCrashingPart(observation),
     ...checkSharedParts(observation),
     ...checkAdvertisements(observation),
     ...checkLimits(observation),
@@ -322,35 +313,6 @@
   }));
 }
 
-/** All calls that crash servers have the same content, so that they are quarantined as one. */
-function checkQuarantine(
-  { calls, pauses, runs }: Observation,
-): readonly Violation[] {
-  const crashingRuns = runs.filter(({ crashesServer, hasCrashingPart }) =>
-    crashesServer && !hasCrashingPart
-  );
-  const crashedServers = [...new Set(crashingRuns.map(({ server }) => server))];
-  const thresholdRun = crashingRuns.find(({ server }) =>
-    server === crashedServers[CRASHED_SERVERS - 1]
-  );
-  if (thresholdRun === undefined) return [];
-  const instanceByCall = new Map(
-    calls.map(({ callId, instance }) => [callId, instance]),
-  );
-  // An instance that has just started or resumed has the same time to learn of the crashes.
-  const late = crashingRuns.filter(({ atMs, callId }) =>
-    atMs > thresholdRun.atMs + QUARANTINE_DELAY_MS &&
-    !pauses.some(({ fromMs, instance, toMs }) =>
-      instance === instanceByCall.get(callId) && fromMs < atMs &&
-      toMs > atMs - QUARANTINE_DELAY_MS
-    )
-  );
-  return late.length <= MAX_LATE_RUNS ? [] : [{
-    promise: "calls that crash servers are quarantined",
-    detail: `${late.length} runs after ${CRASHED_SERVERS} servers had crashed`,
-  }];
-}
-
 function checkAdvertisements(
   { refusals, runs, advertisements }: Observation,
 ): readonly Violation[] {
@@ -469,10 +431,10 @@
   { fromMs, instances, toMs }: Observation["cutOffs"][number],
 ): readonly ObservedCall[] {
   const isInTouch = (instance: string, atMs: number) =>
-    !pauses.some((pause) =>
-      pause.instance === instance && pause.fromMs < atMs &&
-      pause.toMs > atMs - CUT_OFF_DELAY_MS
-    );
+    !wasPaused(pauses, instance, {
+      fromMs: atMs - CUT_OFF_DELAY_MS,
+      toMs: atMs,
+    });
   const others = [...new Set(calls.map(({ instance }) => instance))]
     .filter((instance) => !instances.includes(instance));
   return calls.filter(({ instance, kind, sentMs }) =>
@@ -515,10 +477,10 @@
     Infinity;
   const isLate = sentMs > revokedMs + REVOCATION_DELAY_MS;
   // An instance that was stalled or has just started had less time to learn of the revocation.
-  const isExcused = pauses.some((pause) =>
-    pause.instance === instance && pause.fromMs < sentMs &&
-    pause.toMs > sentMs - REVOCATION_DELAY_MS
-  );
+  const isExcused = wasPaused(pauses, instance, {
+    fromMs: sentMs - REVOCATION_DELAY_MS,
+    toMs: sentMs,
+  });
   return isLate && !isExcused ? "ran a call with a revoked key" : undefined;
 }
 
--- a/soak/check_promises_test.ts
+++ b/soak/check_promises_test.ts
@@ -311,6 +311,56 @@
     assert.deepEqual(check({ runs, pauses: pauses("i2") }), [promise]);
   });
 
+  it("finds runs of calls with a prompt part that crashed five servers, and counts equal calls apart", () => {
+    const createCrash = (server: number, atMs = 20_000) =>
+      createRun({
+        crashesServer: true,
+        hasCrashingPart: true,
+        server: `s${server}`,
+        atMs,
+      });
+    const crashes = [1, 2, 3, 4, 5].map((server) => createCrash(server));
+    const later = (afterMs: number, count: number) =>
+      Array.from({ length: count }, () => createCrash(6, 20_000 + afterMs));
+    const promise: PromiseName =
+      "prompt parts that crash servers are quarantined";
+    assert.deepEqual(check({ runs: [...crashes, ...later(4_900, 9)] }), []);
+    assert.deepEqual(check({ runs: [...crashes, ...later(5_100, 3)] }), []);
+    assert.deepEqual(check({ runs: [...crashes, ...later(5_100, 4)] }), [
+      promise,
+    ]);
+    const four = crashes.slice(1);
+    assert.deepEqual(check({ runs: four }), []);
+  });
+
+  it("finds out when half of the calls that share other prompt parts are refused as quarantined", () => {
+    const runs = [
+      createRun({ crashesServer: true, hasCrashingPart: true, atMs: 1_000 }),
+    ];
+    const quarantined = '{"error":{"type":"quarantined","message":""}}';
+    const createCalls = (refused: number) =>
+      Array.from({ length: 40 }, (_, nth) =>
+        createCall({
+          callId: `sound ${nth}`,
+          sentMs: 11_500 + nth,
+          ...(nth < refused ? { end: createAnswer(503, quarantined) } : {}),
+        }));
+    const checkRefused = (refused: number) =>
+      check({
+        runs,
+        calls: [
+          ...createCalls(refused),
+          createCall({ callId: "bad", kind: "ending-part", sentMs: 12_000 }),
+        ],
+      }).filter((promise) =>
+        promise === "calls that share other prompt parts are served"
+      );
+    assert.deepEqual(checkRefused(20), []);
+    assert.deepEqual(checkRefused(21), [
+      "calls that share other prompt parts are served",
+    ]);
+  });
+
   it("finds late calls to servers that advertise that they are leaving or ask for a cool-down", () => {
     const promise: PromiseName = "advertised states of servers are respected";
     const times = (from: number, count: number) =>
--- a/soak/check_crashing_parts.ts
+++ b/soak/check_quarantine.ts
@@ -1,17 +1,37 @@
-import type { Violation } from "./check_promises.ts";
+import type { PromiseName, Violation } from "./check_promises.ts";
 import {
-  type InstancePause,
   type Observation,
   type ObservedCall,
   WORK_KINDS,
 } from "./observation.ts";
+import { wasPaused } from "./was_paused.ts";
 
-/** Servers that calls with one prompt part may crash before each instance has to quarantine it. */
-const CRASHED_SERVERS = 5;
-/** Time after which each instance has to quarantine the part, in milliseconds: the users' requirement. */
+/** What calls that crash servers have in common. */
+interface CrashingKind {
+  readonly promise: PromiseName;
+  readonly hasCrashingPart: boolean;
+  /** Servers that the calls may crash before each instance has to quarantine them. */
+  readonly crashedServers: number;
+}
+
+const CRASHING_KINDS: readonly CrashingKind[] = [
+  {
+    promise: "calls that crash servers are quarantined",
+    hasCrashingPart: false,
+    crashedServers: 3,
+  },
+  {
+    promise: "prompt parts that crash servers are quarantined",
+    hasCrashingPart: true,
+    crashedServers: 5,
+  },
+];
+/** Time after which each instance has to quarantine the calls, in milliseconds: the users' requirement. */
 const QUARANTINE_DELAY_MS = 5_000;
 /** Runs that are allowed after that time: the users' requirement. */
 const MAX_LATE_RUNS = 3;
+/** Servers whose crashes are waited for before the other calls are looked at: the users' requirement. */
+const COUNTED_SERVERS = 5;
 /** Time after the crashes from which other calls have to be served, in milliseconds: the users' requirement. */
 const SERVICE_DELAY_MS = 10_000;
 /** Share of the other calls that may be refused as quarantined: the users' requirement. */
@@ -19,31 +39,40 @@
 /** Minimum number of other calls of which the share is taken: the users' requirement. */
 const MIN_CALLS = 20;
 
-/** Finds runs of calls with a prompt part that had crashed servers long before. */
-export function checkCrashingPart(
+/** Finds runs of calls that are equal, or share a prompt part, and had crashed servers long before. */
+export function checkQuarantine(
+  observation: Observation,
+): readonly Violation[] {
+  return CRASHING_KINDS.flatMap((kind) => checkKind(observation, kind));
+}
+
+function checkKind(
   { calls, pauses, runs }: Observation,
+  { crashedServers, hasCrashingPart, promise }: CrashingKind,
 ): readonly Violation[] {
-  const crashing = runs.filter(({ hasCrashingPart }) => hasCrashingPart);
+  const crashing = runs.filter((run) =>
+    run.crashesServer && run.hasCrashingPart === hasCrashingPart
+  );
   const servers = [...new Set(crashing.map(({ server }) => server))];
-  const fifth = crashing.find(({ server }) =>
-    server === servers[CRASHED_SERVERS - 1]
+  const threshold = crashing.find(({ server }) =>
+    server === servers[crashedServers - 1]
   );
-  if (fifth === undefined) return [];
+  if (threshold === undefined) return [];
   const instanceByCall = new Map(
     calls.map(({ callId, instance }) => [callId, instance]),
   );
   // An instance that has just started or resumed has the same time to learn of the crashes.
   const late = crashing.filter(({ atMs, callId }) =>
-    atMs > fifth.atMs + QUARANTINE_DELAY_MS &&
+    atMs > threshold.atMs + QUARANTINE_DELAY_MS &&
     !wasPaused(pauses, instanceByCall.get(callId), {
       fromMs: atMs - QUARANTINE_DELAY_MS,
       toMs: atMs,
     })
   );
   return late.length <= MAX_LATE_RUNS ? [] : [{
-    promise: "prompt parts that crash servers are quarantined",
+    promise,
     detail:
-      `${late.length} runs after ${CRASHED_SERVERS} servers had crashed, ${servers.length} in all`,
+      `${late.length} runs after ${crashedServers} servers had crashed, ${servers.length} in all`,
   }];
 }
 
@@ -53,7 +82,7 @@
 ): readonly Violation[] {
   const crashing = runs.filter(({ hasCrashingPart }) => hasCrashingPart);
   const servers = [...new Set(crashing.map(({ server }) => server))];
-  const last = servers.slice(0, CRASHED_SERVERS).at(-1);
+  const last = servers.slice(0, COUNTED_SERVERS).at(-1);
   const lastRun = crashing.find(({ server }) => server === last);
   const untilMs = Math.max(
     ...calls.filter(({ kind }) => kind === "ending-part")
@@ -79,13 +108,3 @@
   return end.kind === "answered" && end.status === 503 &&
     end.body.includes('"quarantined"');
 }
-
-function wasPaused(
-  pauses: readonly InstancePause[],
-  instance: string | undefined,
-  { fromMs, toMs }: Pick<InstancePause, "fromMs" | "toMs">,
-): boolean {
-  return pauses.some((pause) =>
-    pause.instance === instance && pause.fromMs < toMs && pause.toMs > fromMs
-  );
-}
