--- a/quarantine/call_quarantine_test.ts
+++ b/quarantine/call_quarantine_test.ts
@@ -131,6 +131,34 @@
       assert.ok(isQuarantined("bad", 6_000));
     });
 
+    it("keeps it quarantined when the other call has crashed more servers later", () => {
+      const { isQuarantined, quarantine } = createQuarantine({
+        bad: [0, 1, 2],
+      });
+      SERVERS.slice(0, 6).forEach((server) =>
+        quarantine.recordCrash(createContent("worse"), server, 4_000)
+      );
+      assert.ok(isQuarantined("worse"));
+      assert.ok(isQuarantined("bad"));
+    });
+
+    it("keeps it quarantined after a failed trial, though another call explains all its crashes", () => {
+      const { isQuarantined, quarantine } = createQuarantine({
+        bad: [0, 1, 2],
+      });
+      quarantine.recordCrash(createContent("bad"), SERVERS[3]!, 4_000, {
+        isTrial: true,
+      });
+      SERVERS.slice(0, 6).forEach((server) =>
+        quarantine.recordCrash(createContent("worse"), server, 4_500)
+      );
+      quarantine.recordCrash(createContent("worse"), SERVERS[6]!, 4_600, {
+        isTrial: true,
+      });
+      assert.ok(isQuarantined("worse"));
+      assert.ok(isQuarantined("bad"));
+    });
+
     it("lets it run once a server has answered it", () => {
       const { isQuarantined, quarantine } = createQuarantine({
         beside: [0, 1],
--- a/quarantine/suspect_list.ts
+++ b/quarantine/suspect_list.ts
@@ -113,8 +113,13 @@
   }
 
   #isHeld(suspect: Suspect): boolean {
-    return suspect.servers.size >= MIN_CRASHES &&
-      countAttributed(suspect, this.#listQuarantined()) >= MIN_OWN_CRASHES;
+    if (suspect.servers.size < MIN_CRASHES) return false;
+    // Only an answer releases what is quarantined: a suspect that overtakes it may be another
+    // cause. A trial that crashed a server shows more than crashes that others may explain.
+    if (this.#quarantined.has(suspect.call)) return true;
+    if (suspect.failedTrials > 0) return true;
+    const attributed = countAttributed(suspect, this.#listQuarantined());
+    return attributed >= MIN_OWN_CRASHES;
   }
 
   #listQuarantined(): readonly Suspect[] {
