One short digest for contents, prompt parts and messages

The same hash, cut to 12 bytes and encoded alike, stood three times, with its reason each time: in call_content.ts, part_fingerprint.ts and, since this change, list_prompt_parts.ts. quarantine/compute_digest.ts serves all three. All tests pass, formatter and linter are clean.

--- a/filters/list_prompt_parts.ts
+++ b/filters/list_prompt_parts.ts
@@ -1,10 +1,4 @@
-import { createHash } from "node:crypto";
-
-/**
- * Bytes of each hash that are kept: no caller must be able to write a text that collides with
- * another caller's.
- */
-const HASH_BYTES = 12;
+import { computeDigest } from "../quarantine/mod.ts";
 
 /**
  * Returns the identifiers of the parts of a prompt that other calls may contain, too: its
@@ -18,10 +12,5 @@
   const parts = Array.isArray(messages) ? messages : [];
   const texts = Array.isArray(prompt) ? prompt : [prompt];
   return [...parts, ...texts].filter((part) => part !== undefined)
-    .map((part) => hashPart(JSON.stringify(part)));
-}
-
-function hashPart(text: string): string {
-  return createHash("sha256").update(text).digest()
-    .subarray(0, HASH_BYTES).toString("base64url");
+    .map((part) => computeDigest(JSON.stringify(part)));
 }
--- a/quarantine/call_content.ts
+++ b/quarantine/call_content.ts
@@ -1,12 +1,7 @@
-import { createHash } from "node:crypto";
 import { type CallFingerprint, toCallFingerprint } from "../ids/mod.ts";
+import { computeDigest } from "./compute_digest.ts";
 import { toPartFingerprint } from "./part_fingerprint.ts";
 
-/**
- * Bytes of the hash that are kept. They have to tell thousands of calls apart, and no
- * caller must be able to write a call that collides with another caller's.
- */
-const HASH_BYTES = 12;
 /** Maximum number of prompt parts by which a call is known, which bounds the work for one call. */
 const MAX_PARTS = 64;
 
@@ -61,13 +56,8 @@
 function computeFingerprint(
   { body, host, method, target }: CallContentParts,
 ): CallFingerprint {
-  const digest = createHash("sha256")
-    .update(JSON.stringify([method, host, target]))
-    .update(body)
-    .digest();
-  return toCallFingerprint(
-    digest.subarray(0, HASH_BYTES).toString("base64url"),
-  );
+  const head = JSON.stringify([method, host, target]);
+  return toCallFingerprint(computeDigest(head, body));
 }
 
 function listPartFingerprints(
--- a/quarantine/mod.ts
+++ b/quarantine/mod.ts
@@ -14,6 +14,7 @@
  * @module
  */
 export * from "./call_content.ts";
+export * from "./compute_digest.ts";
 export * from "./crash_report.ts";
 export * from "./call_quarantine.ts";
 export * from "./crash_report_queue.ts";
--- a/quarantine/part_fingerprint.ts
+++ b/quarantine/part_fingerprint.ts
@@ -1,12 +1,10 @@
-import { createHash } from "node:crypto";
 import { type CallFingerprint, toCallFingerprint } from "../ids/mod.ts";
+import { computeDigest } from "./compute_digest.ts";
 
 /** Prefix of all fingerprints of prompt parts; those of whole contents never have it. */
 const PART_PREFIX = "part:";
 /** Names that a fingerprint contains as they are; longer or other ones are hashed. */
 const PLAIN_NAME = /^[\w.-]{1,16}$/;
-/** Bytes of the hash that are kept: no caller must be able to write a part that collides with another. */
-const HASH_BYTES = 12;
 
 /** One part of the prompt of a model. */
 export interface ModelPart {
@@ -23,7 +21,9 @@
 export function toPartFingerprint({ model, part }: ModelPart): CallFingerprint {
   const isPlain = PLAIN_NAME.test(part) &&
     (model === "" || PLAIN_NAME.test(model));
-  const name = isPlain ? `${part}@${model}` : hashNames(model, part);
+  const name = isPlain
+    ? `${part}@${model}`
+    : computeDigest(JSON.stringify([model, part]));
   return toCallFingerprint(PART_PREFIX + name);
 }
 
@@ -31,8 +31,3 @@
 export function isPartFingerprint(fingerprint: CallFingerprint): boolean {
   return fingerprint.startsWith(PART_PREFIX);
 }
-
-function hashNames(...names: readonly string[]): string {
-  return createHash("sha256").update(JSON.stringify(names)).digest()
-    .subarray(0, HASH_BYTES).toString("base64url");
-}
