Capacity of instances: settings, reports, representatives, directory

Cause: instances of 0.24 to 1.35 cores and 7 to 140 Mbit/s get equal numbers of callers and calls, and the first by name aggregates, however small it is.

Change: capacity/ derives the capacity from limits.* and halves it in steps while the event loop or the link is behind. Reports name it in a parameter that earlier versions ignore. Representatives are picked by class of capacity, then by id; by id alone while a member reports no capacity. The directory and the choice among members of another region follow the present capacities. Without settings, or with equal ones, choices are as before.

--- a/adapters/call_listener.ts
+++ b/adapters/call_listener.ts
@@ -86,6 +86,8 @@
   readonly #openSinks = new Set<ResponseSink>();
   #limits: CallerLimits = INITIAL_LIMITS;
   #isLeaving = false;
+  /** Bytes that closed connections received and sent. */
+  #closedBytes = 0;
 
   /** @param parts Address, time source and handlers. */
   constructor(parts: CallListenerParts) {
@@ -99,7 +101,10 @@
     });
     this.#server.on("connection", (socket: Socket) => {
       this.#sockets.set(socket, parts.readLoopDelayMs());
-      socket.on("close", () => this.#sockets.delete(socket));
+      socket.on("close", () => {
+        this.#sockets.delete(socket);
+        this.#closedBytes += countBytes(socket);
+      });
     });
     this.#server.on("request", (message, response) => {
       const sink = this.#createSink(response);
@@ -134,6 +139,18 @@
     );
   }
 
+  /**
+   * Bytes received from callers and sent to them since the start. What is received from
+   * callers is sent on to servers, and the other way round, so that the instance's link
+   * carries this sum in each direction.
+   */
+  get transferredBytes(): number {
+    return [...this.#sockets.keys()].reduce(
+      (sum, socket) => sum + countBytes(socket),
+      this.#closedBytes,
+    );
+  }
+
   /** Number of calls whose answers are not fully sent yet. */
   get openCount(): number {
     return [...this.#openCalls.values()].reduce((sum, calls) => sum + calls, 0);
@@ -364,6 +381,11 @@
   }
 }
 
+/** Returns how many bytes a connection received and sent; bytes that wait in memory are not sent. */
+function countBytes(socket: Socket): number {
+  return socket.bytesRead + socket.bytesWritten - socket.writableLength;
+}
+
 function writeRefusal(sink: CallSink, refusal: Refusal): void {
   const { head, body } = toRefusalAnswer(refusal);
   sink.begin(head);
--- a/adapters/endpoint_server.ts
+++ b/adapters/endpoint_server.ts
@@ -21,12 +21,17 @@
   /**
    * Returns the answer to a call.
    *
-   * @param input Query and body of the call.
+   * @param input The call.
    */
-  handle(input: {
-    readonly query: URLSearchParams;
-    readonly body: string;
-  }): EndpointAnswer | Promise<EndpointAnswer>;
+  handle(input: EndpointCall): EndpointAnswer | Promise<EndpointAnswer>;
+}
+
+/** A call to a {@linkcode EndpointRoute}. */
+export interface EndpointCall {
+  readonly query: URLSearchParams;
+  readonly body: string;
+  /** IP address of the caller. */
+  readonly caller: string;
 }
 
 /** Address and routes of a {@linkcode EndpointServer}. */
@@ -96,11 +101,13 @@
   response: ServerResponse,
   logger: Logger,
 ): Promise<void> {
+  // The address is gone once the caller has disconnected.
+  const caller = message.socket.remoteAddress ?? "";
   const body = await readText(message);
   if (body === undefined) return;
   const { status, contentType, body: text } = await handleCall(
     route,
-    { query: readQuery(message), body },
+    { query: readQuery(message), body, caller },
     logger,
   );
   response.writeHead(status, {
@@ -112,7 +119,7 @@
 
 async function handleCall(
   route: EndpointRoute,
-  input: Parameters<EndpointRoute["handle"]>[0],
+  input: EndpointCall,
   logger: Logger,
 ): Promise<EndpointAnswer> {
   try {
--- a/adapters/quarantine_methods_test.ts
+++ b/adapters/quarantine_methods_test.ts
@@ -35,6 +35,7 @@
   const call = async (method: string, params: object = {}) => {
     const { body } = await route.handle({
       query: new URLSearchParams(),
+      caller: "127.0.0.1",
       body: JSON.stringify({ jsonrpc: "2.0", id: 1, method, params }),
     });
     return JSON.parse(body).result;
--- a/daemon/http_gateway.ts
+++ b/daemon/http_gateway.ts
@@ -4,6 +4,7 @@
   type Random,
   scheduleEvery,
 } from "../clock/mod.ts";
+import { CapacityMonitor, type InstanceLimits } from "../capacity/mod.ts";
 import {
   AnswerRecorder,
   type EntryAnswer,
@@ -86,6 +87,10 @@
   readonly probeServer?: ProbeServer;
   /** Record of this instance. */
   readonly self: Omit<MemberRecord, "state">;
+  /** Resources that this instance may use. Default: unknown, and it reports no capacity. */
+  readonly instanceLimits?: InstanceLimits;
+  /** Returns how many bytes the instance has transferred in each direction. Default: not measured. */
+  readonly readLinkBytes?: () => number;
   /** Addresses of a few instances, some of which may be dead. */
   readonly seedAddresses: readonly string[];
   /** Creates the source of routes and servers. */
@@ -141,6 +146,7 @@
   readonly #eventLoopGate: EventLoopGate;
   readonly #reporter: FleetReporter;
   readonly #answerRecorder: AnswerRecorder;
+  readonly #capacity: CapacityMonitor;
   #shutdown: GracefulShutdown | undefined;
   #hasReadPrefixCaches = false;
   #signal: AbortSignal | undefined;
@@ -152,12 +158,14 @@
     this.loopDelay = new EventLoopDelay(clock);
     this.#eventLoopGate = new EventLoopGate(clock);
     this.#answerRecorder = new AnswerRecorder(parts);
+    this.#capacity = new CapacityMonitor(parts.instanceLimits ?? {});
     const loads = new LoadTracker();
     this.fleet = new FleetView({
       self: parts.self,
       loads,
       startMs: clock.nowMs(),
     });
+    this.fleet.setCapacity(this.#capacity.capacity);
     this.registry = new ServerRegistry({
       readWarmUpMs: (service) => this.forwarder.readWarmUpMs(service),
     });
@@ -241,14 +249,15 @@
    *
    * @param region Region of the caller.
    * @param host Host that the caller wants to call.
+   * @param caller IP address of the caller. Default: unknown.
    */
-  pickEntries(region: RegionId, host: string): EntryAnswer {
+  pickEntries(region: RegionId, host: string, caller?: string): EntryAnswer {
     const findHomes = () => this.forwarder.findHomes(host);
     const nowMs = this.#parts.clock.nowMs();
     const isCutOff = (member: MemberRecord) => this.#isCutOff(member);
     const answer = pickEntries(
       this.fleet,
-      { region, findHomes, isCutOff },
+      { region, findHomes, isCutOff, caller },
       nowMs,
     );
     this.#answerRecorder.record({
@@ -428,6 +437,26 @@
     });
   }
 
+  /** Measures whether this instance is behind, and reports a smaller capacity while it is. */
+  #updateCapacity(nowMs: number): void {
+    const before = this.#capacity.capacity;
+    this.#capacity.record({
+      nowMs,
+      loopDelayMs: this.loopDelay.readMs(),
+      linkBytes: this.#parts.readLinkBytes?.() ?? 0,
+    });
+    const { capacity } = this.#capacity;
+    if (capacity === undefined) return;
+    const { currentCores, ratedCores } = capacity;
+    this.#parts.metrics.gauge("capacity.cores", currentCores);
+    if (currentCores === before?.currentCores) return;
+    this.fleet.setCapacity(capacity);
+    this.#parts.logger.info("capacity changed", {
+      cores: currentCores,
+      ratedCores,
+    });
+  }
+
   #isRelay(): boolean {
     return this.fleet.isRelay(this.state.known, this.#parts.clock.nowMs());
   }
@@ -453,6 +482,7 @@
     this.forwarder.updateInstanceCounts();
     this.state.sweep();
     this.#updateReachability();
+    this.#updateCapacity(nowMs);
     const { configurationVersion, store } = this.state.known;
     metrics.gauge("call.in_flight", this.forwarder.inFlight);
     metrics.gauge("call.waiting", this.forwarder.waiting);
--- a/directory/mod.ts
+++ b/directory/mod.ts
@@ -10,3 +10,4 @@
  */
 export * from "./answer_recorder.ts";
 export * from "./pick_entries.ts";
+export * from "./select_by_capacity.ts";
--- a/directory/pick_entries.ts
+++ b/directory/pick_entries.ts
@@ -1,6 +1,7 @@
 import type { FleetView, MemberRecord } from "../fleet/mod.ts";
 import type { HostHomes } from "../http_routes/mod.ts";
 import type { RegionId } from "../ids/mod.ts";
+import { selectByCapacity } from "./select_by_capacity.ts";
 
 /** Maximum number of entries in one answer. */
 const MAX_ENTRIES = 64;
@@ -13,6 +14,8 @@
   readonly findHomes: () => HostHomes;
   /** Returns whether an instance reaches no server of its region. Default: all reach some. */
   readonly isCutOff?: (member: MemberRecord) => boolean;
+  /** IP address of the caller. Default: unknown, and answers do not depend on capacities. */
+  readonly caller?: string;
 }
 
 /**
@@ -73,6 +76,9 @@
  * Of a region's instances, those that reach none of its servers are left out while others
  * do: they could only forward their calls to these.
  *
+ * Of the ready instances, each caller gets a selection in which the small ones of them are
+ * rarer, see {@linkcode selectByCapacity}.
+ *
  * @param fleet Known instances and their states.
  * @param request Region of the caller, and the home regions of the host.
  * @param nowMs Current time, in milliseconds.
@@ -82,13 +88,17 @@
   request: EntryRequest,
   nowMs: number,
 ): EntryAnswer {
-  const { isCutOff = () => false } = request;
-  const listReadyIn = (regions: readonly RegionId[]) =>
-    regions.flatMap((region) => {
+  const { caller, isCutOff = () => false } = request;
+  const listReadyIn = (regions: readonly RegionId[]) => {
+    const usable = regions.flatMap((region) => {
       const ready = fleet.listReady(region, nowMs);
       const connected = ready.filter((member) => !isCutOff(member));
       return connected.length > 0 ? connected : ready;
     });
+    return caller === undefined
+      ? usable
+      : selectByCapacity(usable, caller, MAX_ENTRIES);
+  };
   const listLeaving = (regions: readonly RegionId[]) =>
     [...new Set([request.region, ...regions])]
       .flatMap((region) => fleet.listLeaving(region, nowMs));
--- a/fleet/encode_report.ts
+++ b/fleet/encode_report.ts
@@ -1,4 +1,5 @@
 import { deflateRawSync, inflateRawSync } from "node:zlib";
+import type { MemberCapacity } from "../capacity/mod.ts";
 import {
   parseAddress,
   toBackendId,
@@ -98,7 +99,11 @@
     ...encodeOptionalParams(report),
   ];
   return Buffer.from(
-    JSON.stringify({ jsonrpc: "2.0", method: METHOD, params }),
+    JSON.stringify({
+      jsonrpc: "2.0",
+      method: METHOD,
+      params: addCapacityParam(params, report),
+    }),
   );
 }
 
@@ -146,7 +151,11 @@
 
 function parseReport(text: Buffer): FleetReport | undefined {
   const message = JSON.parse(text.toString("utf8"));
-  return message.method === METHOD ? decodeParams(message.params) : undefined;
+  if (message.method !== METHOD) return undefined;
+  return addCapacities(
+    decodeParams(message.params),
+    message.params[CAPACITY_PARAM],
+  );
 }
 
 /**
@@ -354,3 +363,67 @@
   if (typeof value === "string") return value;
   throw new TypeError(`Wanted a string in a report, got ${typeof value}`);
 }
+
+/**
+ * Position of the parameter with the capacities of the members that a report names. They
+ * are no part of the members' rows, since earlier versions read all that follows in a row
+ * as names of services. The position before it is left to reports on rollouts.
+ */
+const CAPACITY_PARAM = 15;
+/** Values of omitted parameters from the first optional one on: lists, and the store's era. */
+const OMITTED_PARAMS: readonly unknown[] = [[], [], [], 0, []];
+const FIRST_OPTIONAL_PARAM = CAPACITY_PARAM - OMITTED_PARAMS.length;
+const MILLICORES_PER_CORE = 1_000;
+
+/** Rated and present capacity in thousandths of a core; 0: unknown. */
+type CapacityRow = 0 | readonly [ratedMillicores: number, millicores: number];
+
+/**
+ * Adds the capacities of the sender and of the members in the gossip, in this order.
+ * Nothing is added if none is known.
+ */
+function addCapacityParam(
+  params: readonly unknown[],
+  { from, gossip }: FleetReport,
+): readonly unknown[] {
+  const members = [from, ...gossip.map(({ member }) => member)];
+  if (members.every(({ capacity }) => capacity === undefined)) return params;
+  const omitted = OMITTED_PARAMS.slice(params.length - FIRST_OPTIONAL_PARAM);
+  const rows = members.map(({ capacity }) => encodeCapacityRow(capacity));
+  return [...params, ...omitted, rows];
+}
+
+function encodeCapacityRow(capacity: MemberCapacity | undefined): CapacityRow {
+  if (capacity === undefined) return 0;
+  const { currentCores, ratedCores } = capacity;
+  return [
+    Math.max(1, Math.round(MILLICORES_PER_CORE * ratedCores)),
+    Math.max(1, Math.round(MILLICORES_PER_CORE * currentCores)),
+  ];
+}
+
+function addCapacities(report: FleetReport, param: unknown): FleetReport {
+  if (!Array.isArray(param)) return report;
+  const addTo = (member: MemberRecord, at: number): MemberRecord => {
+    const capacity = decodeCapacityRow(param[at]);
+    return capacity === undefined ? member : { ...member, capacity };
+  };
+  return {
+    ...report,
+    from: addTo(report.from, 0),
+    gossip: report.gossip.map(({ ageMs, member }, at) => ({
+      ageMs,
+      member: addTo(member, at + 1),
+    })),
+  };
+}
+
+function decodeCapacityRow(row: unknown): MemberCapacity | undefined {
+  if (!Array.isArray(row)) return undefined;
+  const [ratedMillicores, millicores] = row;
+  const ratedCores = toNumber(ratedMillicores) / MILLICORES_PER_CORE;
+  const currentCores = toNumber(millicores) / MILLICORES_PER_CORE;
+  return ratedCores > 0 && currentCores > 0
+    ? { ratedCores, currentCores }
+    : undefined;
+}
--- a/fleet/fleet_report.ts
+++ b/fleet/fleet_report.ts
@@ -1,4 +1,5 @@
 import type { ReportedTeamUsage } from "../admission/mod.ts";
+import type { MemberCapacity } from "../capacity/mod.ts";
 import type {
   BackendId,
   FailureDomainId,
@@ -35,6 +36,8 @@
    * calls of them itself. Default: none.
    */
   readonly unreachableServices?: readonly string[];
+  /** What it can carry. Default: unknown, as in reports of earlier versions. */
+  readonly capacity?: MemberCapacity;
 }
 
 /** A member as known to another instance, which passes it on. */
--- a/fleet/fleet_view.ts
+++ b/fleet/fleet_view.ts
@@ -1,3 +1,4 @@
+import type { MemberCapacity } from "../capacity/mod.ts";
 import type { InstanceId, RegionId } from "../ids/mod.ts";
 import {
   type FleetReport,
@@ -117,11 +118,13 @@
   #registeredCount = 0;
   #state: MemberState = "starting";
   #unreachableServices: readonly string[] = [];
+  #capacity: MemberCapacity | undefined;
   #leavingSinceMs: number | undefined;
 
   /** @param parts Record of this instance and the load tracker that reports update. */
   constructor(parts: FleetViewParts) {
     this.#self = parts.self;
+    this.#capacity = parts.self.capacity;
     this.#loads = parts.loads;
     this.teamUsage = new TeamUsageTracker(parts.self.region);
     this.#startMs = parts.startMs ?? Number.NEGATIVE_INFINITY;
@@ -130,13 +133,20 @@
   /** Record of this instance. */
   get self(): MemberRecord {
     const unreachableServices = this.#unreachableServices;
+    const capacity = this.#capacity;
     return {
       ...this.#self,
       state: this.#state,
       ...(unreachableServices.length > 0 ? { unreachableServices } : {}),
+      ...(capacity === undefined ? {} : { capacity }),
     };
   }
 
+  /** Sets the capacity of this instance, which its reports name; `undefined`: unknown. */
+  setCapacity(capacity: MemberCapacity | undefined): void {
+    this.#capacity = capacity;
+  }
+
   /** Sets the services whose servers all fail for this instance, which its reports name. */
   setUnreachableServices(services: readonly string[]): void {
     this.#unreachableServices = services;
@@ -430,7 +440,7 @@
     // A member that leaves does not become ready again in the same incarnation.
     if (hasLeft && !isLeaving(member.state)) return;
     entry.leavingSinceMs = readLeavingSinceMs(entry, member, lastSeenMs);
-    entry.member = member;
+    entry.member = keepCapacity(entry.member, member);
   }
 
   /** Removes the loads and usage of dead members, and after a while the members themselves. */
@@ -551,6 +561,17 @@
   }
 }
 
+/**
+ * Returns a member's newer record, with the capacity of the older one if it names none:
+ * gossip of earlier versions leaves it out, although the member has reported it.
+ */
+function keepCapacity(older: MemberRecord, newer: MemberRecord): MemberRecord {
+  const { capacity, incarnation } = older;
+  const isMissing = newer.capacity === undefined && capacity !== undefined &&
+    newer.incarnation === incarnation;
+  return isMissing ? { ...newer, capacity } : newer;
+}
+
 /** Returns since when a member has been leaving, given its newest record. */
 function readLeavingSinceMs(
   previous: MemberEntry | undefined,
--- a/fleet/fleet_view_test.ts
+++ b/fleet/fleet_view_test.ts
@@ -188,6 +188,52 @@
 });
 
 describe("decodeReport()", () => {
+  const capacity = { ratedCores: 1.35, currentCores: 0.675 };
+  const gossip = [
+    { member: createMember("b"), ageMs: 5 },
+    { member: createMember("c", "ready", { capacity }), ageMs: 7 },
+  ];
+
+  // Earlier versions drop a report with any field that they cannot read.
+  it("reads capacities, which change nothing that earlier versions read", () => {
+    const sized = createReport(
+      createMember("a", "ready", { capacity, unreachableServices: ["app"] }),
+      1,
+      { gossip },
+    );
+    const decoded = decodeReport(encodeReport(sized))!;
+    assert.deepEqual(decoded.from, sized.from);
+    assert.deepEqual(decoded.gossip, gossip);
+    const plain = createReport(
+      createMember("a", "ready", { unreachableServices: ["app"] }),
+      1,
+      {
+        gossip: gossip.map((one) => ({
+          ...one,
+          member: createMember(one.member.id),
+        })),
+      },
+    );
+    const readParams = (report: typeof plain) =>
+      JSON.parse(encodeReport(report).toString("utf8")).params as unknown[];
+    const [all, known] = [readParams(sized), readParams(plain)];
+    assert.deepEqual(all.slice(0, known.length), known);
+    assert.deepEqual(all.slice(known.length, 15), [[], [], [], 0, []]);
+  });
+
+  it("keeps a capacity that gossip of an earlier version leaves out", () => {
+    const view = createView();
+    view.applyReport(
+      createReport(createMember("a", "ready", { capacity }), 1),
+      0,
+    );
+    view.applyGossip({ member: createMember("a"), ageMs: 0 }, 100);
+    assert.deepEqual(view.listLocal(200)[0]?.capacity, capacity);
+    const restarted = createMember("a", "ready", { incarnation: "2" });
+    view.applyGossip({ member: restarted, ageMs: 0 }, 300);
+    assert.equal(view.listLocal(400)[0]?.capacity, undefined);
+  });
+
   it("returns what was encoded", () => {
     const report = createReport(createMember("a"), 7, {
       scope: "region",
--- a/fleet/pick_relays_test.ts
+++ b/fleet/pick_relays_test.ts
@@ -20,6 +20,15 @@
   return { ...createNamedMember(name), failureDomain, state };
 }
 
+function createSized(
+  name: string,
+  domain: string,
+  cores: number,
+): MemberRecord {
+  const capacity = { ratedCores: cores, currentCores: cores };
+  return { ...createMember(name, domain), capacity };
+}
+
 function listIds(members: readonly MemberRecord[]): readonly string[] {
   return members.map(({ id }) => id);
 }
@@ -47,6 +56,43 @@
     assert.deepEqual(listIds(pickRepresentatives(members)), ["i-0", "i-2"]);
   });
 
+  it("picks the largest members by class, then by id, so that small ones do not aggregate", () => {
+    const members = [0.175, 1.1, 0.6, 1.35, 0.175, 0.6].map((cores, at) =>
+      createSized(`i-${at}`, at < 4 ? "a" : "b", cores)
+    );
+    assert.deepEqual(listIds(pickRepresentatives(members)), ["i-1", "i-5"]);
+  });
+
+  it("keeps the representatives while one of them is behind for a while", () => {
+    const members = [0.6, 1.35, 1.35].map((cores, at) =>
+      createSized(`i-${at}`, "a", cores)
+    );
+    const isBehind = members.map((member) => ({
+      ...member,
+      capacity: { ratedCores: member.capacity!.ratedCores, currentCores: 0.3 },
+    }));
+    assert.deepEqual(
+      listIds(pickRepresentatives(isBehind)),
+      listIds(pickRepresentatives(members)),
+    );
+  });
+
+  // Instances of earlier versions rank by id alone. If others ranked by capacity beside
+  // them, up to four instances would aggregate, and reports of regions would get lost.
+  it("ranks by id alone while a member reports no capacity", () => {
+    const members = [
+      createSized("i-0", "a", 0.175),
+      createSized("i-1", "a", 1.35),
+      createMember("i-2", "b"),
+    ];
+    assert.deepEqual(listIds(pickRepresentatives(members)), ["i-0", "i-2"]);
+    const candidates = members.map((member) => ({
+      member,
+      isStoreLost: member.id === "i-2",
+    }));
+    assert.deepEqual(listIds(pickRelays(candidates)), ["i-0", "i-2", "i-1"]);
+  });
+
   it("picks the first two members if there is one failure domain", () => {
     const members = [2, 0, 1].map((at) => createMember(`i-${at}`, "a"));
     assert.deepEqual(listIds(pickRepresentatives(members)), ["i-0", "i-1"]);
--- a/forwarding/choose_destination.ts
+++ b/forwarding/choose_destination.ts
@@ -1,5 +1,5 @@
+import { pickByCapacity } from "../capacity/mod.ts";
 import type { Random } from "../clock/mod.ts";
-import { pickRandom } from "../clock/mod.ts";
 import type { FleetView, MemberRecord } from "../fleet/mod.ts";
 import { mayServe } from "../http_routes/mod.ts";
 import type { BackendId, RegionId } from "../ids/mod.ts";
@@ -199,7 +199,7 @@
       if (candidate === undefined) return [];
       const members = fleet.listResponsive(region, nowMs)
         .filter((member) => mayReachServers(exchange, member));
-      const member = pickRandom(members, random);
+      const member = pickByCapacity(members, random);
       if (member === undefined) return [];
       return [{ kind: "remote", member, region, candidate } as const];
     });
--- a/metrics/metrics.ts
+++ b/metrics/metrics.ts
@@ -44,6 +44,8 @@
   "team.calls": "counter; tags: team, result (admitted, refused, given-back)",
   "team.weight": "counter; tags: team, result (admitted, refused, given-back)",
   "call.overloaded": "counter",
+  "capacity.cores":
+    "gauge; capacity that the instance reports at present, in cores",
   "loop.delay_ms": "gauge; longest time that the bytes read now have waited",
   "servers.limited":
     "gauge; servers that advertise a limit of calls per second",
