--- a/bench/run_bench.ts
+++ b/bench/run_bench.ts
@@ -1,6 +1,7 @@
 import { readFileSync } from "node:fs";
 import { type BenchCase, type BenchResult, printResult } from "./bench_case.ts";
 import { runBatchBench } from "./batch_bench.ts";
+import { runCapacityBench } from "./capacity_bench.ts";
 import { runCrowdBench } from "./crowd_bench.ts";
 import { runChoiceBench } from "./choice_bench.ts";
 import { runConfigBench } from "./config_bench.ts";
@@ -49,7 +50,10 @@
 }
 
 /** Benchmarks that take too long to be part of `all`. */
-const LONG_CASES: readonly BenchCase[] = [{ name: "soak", run: runSoakBench }];
+const LONG_CASES: readonly BenchCase[] = [
+  { name: "capacity", run: runCapacityBench },
+  { name: "soak", run: runSoakBench },
+];
 
 const [requestedName = "all"] = process.argv.slice(2);
 const cases = requestedName === "all"
--- a/capacity/instance_capacity.ts
+++ b/capacity/instance_capacity.ts
@@ -22,10 +22,10 @@
 /**
  * Bandwidth in each direction that one core's calls need, in Mbit/s. On the second
  * deployment of docs/design/rollouts_and_capacity.md, a call has 3,050 prompt tokens on
- * average, which are 12 KB, and 8 KB of events. At 5 ms of processor time a call, a core
- * handles 200 calls per second.
+ * average, which are 12 KB, and 8 KB of events. Instances use 0.11 cores for 8 to 10 calls
+ * per second, of which 0.025 are used without calls: about 10 ms a call.
  */
-const LINK_MBPS_PER_CORE = 32;
+const LINK_MBPS_PER_CORE = 16;
 
 /**
  * Returns the capacity that follows from an instance's limits, in cores, or `undefined`
--- a/directory/select_by_capacity.ts
+++ b/directory/select_by_capacity.ts
@@ -1,13 +1,13 @@
 import { listCapacityWeights } from "../capacity/mod.ts";
 import type { MemberRecord } from "../fleet/mod.ts";
-import { computeWeight } from "../membership/mod.ts";
+import { computeUncachedWeight } from "../membership/mod.ts";
 
 /**
  * Minimum number of instances that an answer names while as many are ready, so that a
  * caller finds another one if an instance fails before the answer expires.
  */
 export const MIN_SELECTED = 3;
-/** Number of values of {@linkcode computeWeight}. */
+/** Number of values of {@linkcode computeUncachedWeight}. */
 const WEIGHT_VALUES = 2 ** 32;
 
 interface Candidate {
@@ -47,7 +47,7 @@
   const scale = Math.min(1 / largest, maxCount / total);
   const ranked = members.map((member, at): Candidate => ({
     member,
-    hash: (computeWeight(caller, member.id) + 1) / (WEIGHT_VALUES + 1),
+    hash: (computeUncachedWeight(caller, member.id) + 1) / (WEIGHT_VALUES + 1),
     share: weights[at]! * scale,
   })).sort(compareCandidates);
   const inShare = ranked.filter(({ hash, share }) => hash < share).length;
--- a/fleet/encode_report.ts
+++ b/fleet/encode_report.ts
@@ -1,5 +1,4 @@
 import { deflateRawSync, inflateRawSync } from "node:zlib";
-import type { MemberCapacity } from "../capacity/mod.ts";
 import {
   parseAddress,
   toBackendId,
@@ -212,10 +211,10 @@
 }
 
 function encodeMemberRow(member: MemberRecord): MemberRow {
-  const { id, incarnation, address, region, failureDomain, state } = member;
+  const { id, address, region, failureDomain, state } = member;
   return [
     id,
-    incarnation,
+    encodeIncarnation(member),
     address,
     region,
     failureDomain,
@@ -241,7 +240,7 @@
   if (known === undefined) throw new TypeError(`Wanted a state, got ${state}`);
   return {
     id: toInstanceId(toText(id)),
-    incarnation: toText(incarnation),
+    ...decodeIncarnation(toText(incarnation)),
     address: toAddress(address),
     region: toRegionId(toText(region)),
     failureDomain: toFailureDomainId(toText(failureDomain)),
@@ -365,48 +364,65 @@
 }
 
 /**
- * Position of the parameter with the capacities of the members that a report names. They
- * are no part of the members' rows, since earlier versions read all that follows in a row
- * as names of services. The position before it is left to reports on rollouts.
+ * Position of the parameter with the present capacities of the sender and of the members
+ * in the gossip, in this order. They are no part of the members' rows, since earlier
+ * versions read all that follows in a row as names of services. The position before it is
+ * left to reports on rollouts.
  */
 const CAPACITY_PARAM = 15;
 /** Values of omitted parameters from the first optional one on: lists, and the store's era. */
 const OMITTED_PARAMS: readonly unknown[] = [[], [], [], 0, []];
 const FIRST_OPTIONAL_PARAM = CAPACITY_PARAM - OMITTED_PARAMS.length;
 const MILLICORES_PER_CORE = 1_000;
-
-/** Rated and present capacity in thousandths of a core; 0: unknown. */
-type CapacityRow = 0 | readonly [ratedMillicores: number, millicores: number];
+/** An incarnation with the rated capacity of the instance, in thousandths of a core. */
+const SIZED_INCARNATION = /^(.*)~(\d+)$/;
 
 /**
- * Adds the capacities of the sender and of the members in the gossip, in this order.
- * Nothing is added if none is known.
+ * Returns the incarnation with the rated capacity. Instances of earlier versions pass an
+ * incarnation on unchanged in gossip and summaries, and compare it as a whole. All
+ * instances thereby know the capacity of a member as soon as they know the member, and
+ * rank members in the same order.
  */
+function encodeIncarnation({ capacity, incarnation }: MemberRecord): string {
+  return capacity === undefined
+    ? incarnation
+    : `${incarnation}~${toMillicores(capacity.ratedCores)}`;
+}
+
+function decodeIncarnation(
+  text: string,
+): Pick<MemberRecord, "incarnation" | "capacity"> {
+  const [, incarnation, millicores] = SIZED_INCARNATION.exec(text) ?? [];
+  const ratedCores = Number(millicores ?? 0) / MILLICORES_PER_CORE;
+  return incarnation === undefined || ratedCores === 0
+    ? { incarnation: text }
+    : { incarnation, capacity: { ratedCores, currentCores: ratedCores } };
+}
+
+/** Adds the present capacities in thousandths of a core, if one differs from the rated one; 0: it does not. */
 function addCapacityParam(
   params: readonly unknown[],
   { from, gossip }: FleetReport,
 ): readonly unknown[] {
-  const members = [from, ...gossip.map(({ member }) => member)];
-  if (members.every(({ capacity }) => capacity === undefined)) return params;
+  const capacities = [from, ...gossip.map(({ member }) => member)]
+    .map(({ capacity }) =>
+      capacity === undefined || capacity.currentCores === capacity.ratedCores
+        ? 0
+        : toMillicores(capacity.currentCores)
+    );
+  if (capacities.every((millicores) => millicores === 0)) return params;
   const omitted = OMITTED_PARAMS.slice(params.length - FIRST_OPTIONAL_PARAM);
-  const rows = members.map(({ capacity }) => encodeCapacityRow(capacity));
-  return [...params, ...omitted, rows];
-}
-
-function encodeCapacityRow(capacity: MemberCapacity | undefined): CapacityRow {
-  if (capacity === undefined) return 0;
-  const { currentCores, ratedCores } = capacity;
-  return [
-    Math.max(1, Math.round(MILLICORES_PER_CORE * ratedCores)),
-    Math.max(1, Math.round(MILLICORES_PER_CORE * currentCores)),
-  ];
+  return [...params, ...omitted, capacities];
 }
 
 function addCapacities(report: FleetReport, param: unknown): FleetReport {
   if (!Array.isArray(param)) return report;
   const addTo = (member: MemberRecord, at: number): MemberRecord => {
-    const capacity = decodeCapacityRow(param[at]);
-    return capacity === undefined ? member : { ...member, capacity };
+    const currentCores = toNumber(param[at] ?? 0) / MILLICORES_PER_CORE;
+    const { capacity } = member;
+    return capacity === undefined || currentCores <= 0
+      ? member
+      : { ...member, capacity: { ...capacity, currentCores } };
   };
   return {
     ...report,
@@ -418,12 +434,7 @@
   };
 }
 
-function decodeCapacityRow(row: unknown): MemberCapacity | undefined {
-  if (!Array.isArray(row)) return undefined;
-  const [ratedMillicores, millicores] = row;
-  const ratedCores = toNumber(ratedMillicores) / MILLICORES_PER_CORE;
-  const currentCores = toNumber(millicores) / MILLICORES_PER_CORE;
-  return ratedCores > 0 && currentCores > 0
-    ? { ratedCores, currentCores }
-    : undefined;
+/** Returns a capacity in whole thousandths of a core, at least one. */
+function toMillicores(cores: number): number {
+  return Math.max(1, Math.round(MILLICORES_PER_CORE * cores));
 }
--- a/fleet/fleet_view.ts
+++ b/fleet/fleet_view.ts
@@ -440,7 +440,7 @@
     // A member that leaves does not become ready again in the same incarnation.
     if (hasLeft && !isLeaving(member.state)) return;
     entry.leavingSinceMs = readLeavingSinceMs(entry, member, lastSeenMs);
-    entry.member = keepCapacity(entry.member, member);
+    entry.member = member;
   }
 
   /** Removes the loads and usage of dead members, and after a while the members themselves. */
@@ -561,17 +561,6 @@
   }
 }
 
-/**
- * Returns a member's newer record, with the capacity of the older one if it names none:
- * gossip of earlier versions leaves it out, although the member has reported it.
- */
-function keepCapacity(older: MemberRecord, newer: MemberRecord): MemberRecord {
-  const { capacity, incarnation } = older;
-  const isMissing = newer.capacity === undefined && capacity !== undefined &&
-    newer.incarnation === incarnation;
-  return isMissing ? { ...newer, capacity } : newer;
-}
-
 /** Returns since when a member has been leaving, given its newest record. */
 function readLeavingSinceMs(
   previous: MemberEntry | undefined,
--- a/fleet/plan_reports.ts
+++ b/fleet/plan_reports.ts
@@ -96,9 +96,13 @@
   const onTime = aggregators.filter(({ id }) => !late.has(id));
   // An aggregator that is replaced continues until it receives a summary of its
   // successor.
-  const candidates = isAggregator(self) ? onTime : [self, ...onTime];
+  const isReplaced = !isAggregator(self);
+  const candidates = isReplaced ? [self, ...onTime] : onTime;
+  // Its successors get its summaries too: until all members report to them, they know only
+  // from summaries who is live, and would rank the members in another order than others.
   const assigned = others.filter((member) =>
-    !isAggregator(member) && pickAggregator(member, candidates)?.id === self.id
+    (isReplaced || !isAggregator(member)) &&
+    pickAggregator(member, candidates)?.id === self.id
   );
   return { reportTo, summarizeFor: [...new Set([...assigned, ...requesting])] };
 }
--- a/membership/rank.ts
+++ b/membership/rank.ts
@@ -18,11 +18,20 @@
   const known = cache.get(text);
   if (known !== undefined) return known;
   if (cache.size >= CACHE_LIMIT) cache.clear();
-  const weight = createHash("sha256").update(text).digest().readUInt32BE(0);
+  const weight = computeUncachedWeight(key, name);
   cache.set(text, weight);
   return weight;
 }
 
+/**
+ * Returns the same weight without caching it, for keys that others choose: they would
+ * evict the cached weights of all other keys.
+ */
+export function computeUncachedWeight(key: string, name: string): number {
+  return createHash("sha256").update(`${key}\u0000${name}`).digest()
+    .readUInt32BE(0);
+}
+
 /**
  * Returns the names in descending order of their rendezvous weight for a key.
  * Instances that know the same names agree on the order, and adding or removing a
