An instance refuses at once what its own limits cannot carry

Cause: an instance of 210 MB and 2,212 descriptors accepts as much as one of 602 MB and 10,250, and answers everyone late or ends. A caller that leaves within its body also keeps its call open for ever, since the call counts as one that may run: its memory would never be released.

Change: CarriedWork counts connections, calls and bytes of bodies over both listeners of an instance. Beyond (descriptors - 200) / 2 connections, a third of the memory above 100 MB, or 1,000 calls for each core, a call is refused as not run (503, overloaded, Retry-After 0.150), before its body is read. Connections beyond 64 more are closed. Bytes that end within the body of the only call of a connection are answered like other malformed calls, and release the call.

Missing settings bound nothing.

--- a/adapters/call_listener.ts
+++ b/adapters/call_listener.ts
@@ -6,12 +6,14 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
+import { CarriedWork, type ScarceResource } from "../capacity/mod.ts";
 import {
   type AnswerHead,
   type CallHead,
   type CallOrigin,
   type CallSink,
   measureHeaders,
+  NO_CAPACITY_RETRY_MS,
   type OpaqueCall,
   type RawHeaders,
   readHeader,
@@ -62,6 +64,14 @@
    * must be read first. Default: every body is read.
    */
   readonly findHeadRefusal?: (head: CallHead) => Refusal | undefined;
+  /** Connections, calls and bodies of all listeners of the instance. Default: unbounded. */
+  readonly work?: CarriedWork;
+  /** Refuses a call, given without its body, that the instance cannot carry. */
+  readonly refuseUncarried?: (
+    call: OpaqueCall,
+    sink: CallSink,
+    scarce: ScarceResource,
+  ) => void;
   /** Serves one call and writes its answer to the sink. */
   readonly handle: (call: OpaqueCall, sink: CallSink) => Promise<void>;
 }
@@ -70,6 +80,7 @@
 export class CallListener {
   readonly #parts: CallListenerParts;
   readonly #server: Server;
+  readonly #work: CarriedWork;
   /**
    * Open connections, with the maximum time for which each can have waited to be
    * accepted, in milliseconds; 0 from its first call on.
@@ -78,6 +89,13 @@
   readonly #disconnectDetector = new DisconnectDetector();
   /** Number of calls of each connection whose answers are not fully sent yet. */
   readonly #openCalls = new Map<Duplex, number>();
+  /**
+   * Ends the counted calls of each open connection. The response of a call behind another
+   * one of its connection is not closed when the connection breaks.
+   */
+  readonly #callEnds = new Map<Duplex, Set<() => void>>();
+  /** Connections of which the body of the last call is being read. */
+  readonly #readingSockets = new Set<Duplex>();
   /** Connections that are closed once their open calls are answered. */
   readonly #closingSockets = new Set<Duplex>();
   /** Connections whose answer in progress ends with them: no call behind it can be answered. */
@@ -92,6 +110,7 @@
   /** @param parts Address, time source and handlers. */
   constructor(parts: CallListenerParts) {
     this.#parts = parts;
+    this.#work = parts.work ?? new CarriedWork({});
     this.#server = createServer({
       maxHeaderSize: PARSER_HEADER_BYTES,
       connectionsCheckingInterval: CHECK_INTERVAL_MS,
@@ -104,7 +123,14 @@
       socket.on("close", () => {
         this.#sockets.delete(socket);
         this.#closedBytes += countBytes(socket);
+        this.#work.closeConnection();
+        this.#callEnds.get(socket)?.forEach((endCall) => endCall());
+        this.#callEnds.delete(socket);
+        this.#readingSockets.delete(socket);
       });
+      this.#callEnds.set(socket, new Set());
+      // An instance without a free descriptor could accept, send and store nothing more.
+      if (!this.#work.openConnection()) socket.destroy();
     });
     this.#server.on("request", (message, response) => {
       const sink = this.#createSink(response);
@@ -217,6 +243,37 @@
     if (origin === undefined || !message.url?.startsWith("/")) {
       return refuse({ reason: "malformed", message: "The call is malformed" });
     }
+    const call: OpaqueCall = {
+      method: message.method ?? "GET",
+      target: message.url,
+      headers: message.rawHeaders,
+      body: NO_BODY,
+      receivedMs,
+      unreadMs,
+      origin,
+    };
+    const refuseUncarried = (scarce: ScarceResource) => {
+      response.shouldKeepAlive = false;
+      this.#refuseUncarried(call, sink, scarce);
+    };
+    const scarce = this.#work.beginCall();
+    if (scarce !== undefined) return refuseUncarried(scarce);
+    let bodyBytes = 0;
+    let hasEnded = false;
+    const endCall = () => {
+      if (hasEnded) return;
+      hasEnded = true;
+      this.#callEnds.get(socket)?.delete(endCall);
+      this.#work.endCall(bodyBytes);
+    };
+    this.#callEnds.get(socket)?.add(endCall);
+    response.on("close", endCall);
+    const reserveBody = (bytes: number) => {
+      // The memory of a call that has ended is no longer counted.
+      if (hasEnded || !this.#work.reserveBody(bytes)) return false;
+      bodyBytes += bytes;
+      return true;
+    };
     // A short body is read even if the call is refused: its end marks where the next
     // call begins, so that the connection can be reused.
     if (origin.kind === "caller" && mayHaveLongBody(message)) {
@@ -227,7 +284,9 @@
       });
       if (refusal !== undefined) return refuse(refusal);
     }
-    const body = await readBody(message, maxBodyBytes);
+    this.#readingSockets.add(socket);
+    const body = await readBody(message, maxBodyBytes, reserveBody);
+    this.#readingSockets.delete(socket);
     if (body === "too-large") {
       return refuse({
         reason: "too-large",
@@ -235,17 +294,25 @@
       });
     }
     if (body === "broken") return;
+    if (body === "no-memory") return refuseUncarried("memory");
     if (!await this.#disconnectDetector.isConnected(message.socket)) return;
-    const call: OpaqueCall = {
-      method: message.method ?? "GET",
-      target: message.url,
-      headers: message.rawHeaders,
-      body,
-      receivedMs,
-      unreadMs,
-      origin,
-    };
-    await this.#parts.handle(call, sink);
+    await this.#parts.handle({ ...call, body }, sink);
+  }
+
+  #refuseUncarried(
+    call: OpaqueCall,
+    sink: CallSink,
+    scarce: ScarceResource,
+  ): void {
+    const { refuseUncarried } = this.#parts;
+    if (refuseUncarried !== undefined) refuseUncarried(call, sink, scarce);
+    else {
+      writeRefusal(sink, {
+        reason: "overloaded",
+        message: `This instance has too little for the call: ${scarce}`,
+        retryAfterMs: NO_CAPACITY_RETRY_MS,
+      });
+    }
   }
 
   /** Ends a call whose handler failed; an answer that has begun is broken off. */
@@ -268,13 +335,17 @@
     return this.#openCalls.get(socket) ?? 0;
   }
 
+  /** Returns the number of open calls that have been read, and therefore may run. */
+  #countServedCalls(socket: Duplex): number {
+    return this.#countOpenCalls(socket) -
+      (this.#readingSockets.has(socket) ? 1 : 0);
+  }
+
   #removeOpenCall(socket: Duplex): void {
     const remaining = this.#countOpenCalls(socket) - 1;
-    if (remaining > 0) {
-      this.#openCalls.set(socket, remaining);
-      return;
-    }
-    this.#openCalls.delete(socket);
+    if (remaining > 0) this.#openCalls.set(socket, remaining);
+    else this.#openCalls.delete(socket);
+    if (this.#countServedCalls(socket) > 0) return;
     if (this.#closingSockets.delete(socket)) socket.end();
   }
 
@@ -287,8 +358,13 @@
   #handleClientError(error: NodeJS.ErrnoException, socket: Duplex): void {
     const isClosed = !socket.writable || error.code === "ECONNRESET";
     if (isClosed) socket.destroy();
-    else if (this.#countOpenCalls(socket) > 0) this.#closingSockets.add(socket);
-    else refuseMalformed(error, socket);
+    else if (this.#countServedCalls(socket) > 0) {
+      this.#closingSockets.add(socket);
+    } else {
+      // A caller that left within its body keeps neither its place nor its memory.
+      this.#callEnds.get(socket)?.forEach((endCall) => endCall());
+      refuseMalformed(error, socket);
+    }
   }
 
   /**
@@ -400,20 +476,35 @@
   return headers["transfer-encoding"] !== undefined;
 }
 
+/**
+ * Reads the body of a call.
+ *
+ * @param message The call.
+ * @param maxBytes Maximum size.
+ * @param reserve Reserves memory for bytes, and returns whether there was enough.
+ */
 function readBody(
   message: IncomingMessage,
   maxBytes: number,
-): Promise<Buffer | "too-large" | "broken"> {
-  if (Number(message.headers["content-length"] ?? 0) > maxBytes) {
-    return Promise.resolve("too-large");
+  reserve: (bytes: number) => boolean,
+): Promise<Buffer | "too-large" | "no-memory" | "broken"> {
+  const announcedBytes = Number(message.headers["content-length"] ?? 0);
+  if (announcedBytes > maxBytes) return Promise.resolve("too-large");
+  if (announcedBytes > 0 && !reserve(announcedBytes)) {
+    return Promise.resolve("no-memory");
   }
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
     let size = 0;
+    let isRefused = false;
     message.on("data", (chunk: Buffer) => {
       size += chunk.length;
       if (size > maxBytes) resolve("too-large");
-      else chunks.push(chunk);
+      else if (announcedBytes === 0 && !isRefused && !reserve(chunk.length)) {
+        isRefused = true;
+        chunks.length = 0;
+        resolve("no-memory");
+      } else if (!isRefused) chunks.push(chunk);
     });
     message.on("end", () => {
       const [firstChunk] = chunks;
--- a/adapters/call_listener_test.ts
+++ b/adapters/call_listener_test.ts
@@ -1,6 +1,9 @@
 import assert from "node:assert/strict";
 import { afterEach, describe, it } from "node:test";
+import { waitFor } from "../clock/mod.ts";
+import { systemClock } from "./system_clock.ts";
 import { createRecordingLogger } from "../tests/recording_logger.ts";
+import { CarriedWork } from "../capacity/mod.ts";
 import { openRawCaller } from "../tests/raw_http.ts";
 import { CallListener, type CallListenerParts } from "./call_listener.ts";
 
@@ -9,7 +12,18 @@
 const CLEAN_UPS: (() => void)[] = [];
 afterEach(() => CLEAN_UPS.splice(0).forEach((cleanUp) => cleanUp()));
 
-async function start(handle: CallListenerParts["handle"]) {
+async function waitUntil(isDone: () => boolean): Promise<void> {
+  const endMs = systemClock.nowMs() + 2_000;
+  while (!isDone() && systemClock.nowMs() < endMs) {
+    await waitFor(systemClock, 5);
+  }
+  assert.ok(isDone());
+}
+
+async function start(
+  handle: CallListenerParts["handle"],
+  work = new CarriedWork({}),
+) {
   const { lines, logger } = createRecordingLogger();
   const listener = new CallListener({
     host: HOST,
@@ -18,6 +32,7 @@
     nowMs: () => 0,
     readLoopDelayMs: () => 0,
     readOrigin: () => ({ kind: "caller" }),
+    work,
     handle,
   });
   const port = await listener.open();
@@ -62,4 +77,54 @@
       assert.equal(listener.openCount, 0);
     });
   });
+
+  // An instance that accepts more than it can carry answers everyone late, or ends for
+  // lack of memory or descriptors.
+  describe("when the instance cannot carry a call", () => {
+    const never = () => new Promise<void>(() => {});
+    const createPost = (bytes: number) =>
+      `POST /a HTTP/1.1\r\nHost: a.example\r\nContent-Length: ${bytes}\r\n\r\n`;
+
+    it("refuses calls beyond its processor at once, with a time to retry, until others end", async () => {
+      const work = new CarriedWork({ cores: 0.002 });
+      const { send } = await start(never, work);
+      const callers = [await send(REQUEST), await send(REQUEST)];
+      await waitUntil(() => work.calls === 2);
+      const received = await (await send(REQUEST)).awaitEnd();
+      assert.match(received, /^HTTP\/1\.1 503 .*Retry-After: 0\.150/s);
+      callers[0]!.socket.destroy();
+      await waitUntil(() => work.calls === 1);
+      await send(REQUEST);
+      await waitUntil(() => work.calls === 2);
+    });
+
+    it("refuses bodies beyond its memory before it reads them, and releases the memory", async () => {
+      const work = new CarriedWork({ memoryMb: 101 });
+      const { send } = await start(never, work);
+      const first = await send(createPost(300_000));
+      await waitUntil(() => work.bodyBytes === 300_000);
+      const received = await (await send(createPost(300_000))).awaitEnd();
+      assert.match(received, /^HTTP\/1\.1 503 /);
+      first.socket.destroy();
+      await waitUntil(() => work.bodyBytes === 0 && work.calls === 0);
+    });
+
+    it("refuses calls on connections beyond its descriptors", async () => {
+      const work = new CarriedWork({ fileDescriptors: 202 });
+      const { send } = await start(never, work);
+      await send(REQUEST);
+      await waitUntil(() => work.calls === 1);
+      const received = await (await send(REQUEST)).awaitEnd();
+      assert.match(received, /^HTTP\/1\.1 503 /);
+    });
+
+    it("forgets all calls of a connection that breaks, also those behind another one", async () => {
+      const work = new CarriedWork({});
+      const { send } = await start(never, work);
+      const caller = await send(REQUEST + REQUEST + REQUEST);
+      await waitUntil(() => work.calls === 3);
+      caller.socket.destroy();
+      await waitUntil(() => work.calls === 0);
+    });
+  });
 });
--- a/capacity/capacity_test.ts
+++ b/capacity/capacity_test.ts
@@ -2,6 +2,7 @@
 import { describe, it } from "node:test";
 import { createRandom } from "../clock/mod.ts";
 import { CapacityMonitor } from "./capacity_monitor.ts";
+import { CarriedWork } from "./carried_work.ts";
 import { computeRatedCores, toCapacityClass } from "./instance_capacity.ts";
 import { pickByCapacity } from "./pick_weighted.ts";
 
@@ -90,3 +91,40 @@
     assert.equal(pickByCapacity([], random), undefined);
   });
 });
+
+describe("CarriedWork", () => {
+  it("bounds nothing without limits", () => {
+    const work = new CarriedWork({});
+    for (let at = 0; at < 20_000; at++) {
+      assert.ok(work.openConnection());
+      assert.equal(work.beginCall(), undefined);
+      assert.ok(work.reserveBody(1_000_000));
+    }
+  });
+
+  it("carries on the smallest instance several times its usual calls, and no more", () => {
+    const work = new CarriedWork({
+      cores: 0.243,
+      memoryMb: 210,
+      fileDescriptors: 2_212,
+    });
+    const begun = Array.from({ length: 300 }, () => work.beginCall());
+    assert.equal(begun.filter((scarce) => scarce === undefined).length, 243);
+    assert.equal(begun.at(-1), "processor");
+    work.endCall(0);
+    assert.equal(work.beginCall(), undefined);
+  });
+
+  it("closes connections only beyond those that it refuses with an answer", () => {
+    const work = new CarriedWork({ fileDescriptors: 402 });
+    const opened = Array.from({ length: 200 }, () => work.openConnection());
+    assert.equal(opened.filter((mayStay) => mayStay).length, 165);
+    assert.equal(work.beginCall(), "connections");
+  });
+
+  it("accepts a single body that is larger than its memory for bodies", () => {
+    const work = new CarriedWork({ memoryMb: 50 });
+    assert.ok(work.reserveBody(1_000_000));
+    assert.ok(!work.reserveBody(1));
+  });
+});
--- /dev/null
+++ b/capacity/carried_work.ts
@@ -0,0 +1,113 @@
+import type { InstanceLimits } from "./instance_capacity.ts";
+
+/** File descriptors that connections leave free: for the store, reports, files and operators. */
+const RESERVED_FILE_DESCRIPTORS = 200;
+/** File descriptors of a call: a connection from its caller, and one to its server. */
+const FILE_DESCRIPTORS_PER_CALL = 2;
+/** Connections accepted beyond the bound, whose calls are refused with an answer. */
+const REFUSED_CONNECTIONS = 64;
+/**
+ * Memory of a process without bodies, in MB: a day's largest was 67, and connections and
+ * streams need some more.
+ */
+const BASE_MEMORY_MB = 100;
+/** Share of the other memory for bodies, which are copied when they are read and sent. */
+const BODY_MEMORY_SHARE = 1 / 3;
+/**
+ * Calls in progress for each core: a core handles about 100 calls per second, at 10 ms of
+ * processor time each, and calls last up to 10 s.
+ */
+const CALLS_PER_CORE = 1_000;
+const BYTES_PER_MB = 1_000_000;
+
+/** A resource of which an instance has too little to carry a call. */
+export type ScarceResource = "connections" | "memory" | "processor";
+
+/**
+ * Counts the connections, the calls in progress and the bytes of their bodies, and decides
+ * which calls the instance can carry beside them. Limits that are unknown bound nothing.
+ */
+export class CarriedWork {
+  readonly #maxConnections: number;
+  readonly #maxBodyBytes: number;
+  readonly #maxCalls: number;
+  #connections = 0;
+  #calls = 0;
+  #bodyBytes = 0;
+
+  /** @param limits Resources that the instance may use. */
+  constructor({ cores, fileDescriptors, memoryMb }: InstanceLimits) {
+    this.#maxConnections = fileDescriptors === undefined
+      ? Number.POSITIVE_INFINITY
+      : Math.max(
+        1,
+        (fileDescriptors - RESERVED_FILE_DESCRIPTORS) /
+          FILE_DESCRIPTORS_PER_CALL,
+      );
+    this.#maxBodyBytes = memoryMb === undefined
+      ? Number.POSITIVE_INFINITY
+      : BYTES_PER_MB * BODY_MEMORY_SHARE *
+        Math.max(1, memoryMb - BASE_MEMORY_MB);
+    this.#maxCalls = cores === undefined
+      ? Number.POSITIVE_INFINITY
+      : Math.max(1, CALLS_PER_CORE * cores);
+  }
+
+  /** Calls in progress. */
+  get calls(): number {
+    return this.#calls;
+  }
+
+  /** Bytes reserved for bodies of calls in progress. */
+  get bodyBytes(): number {
+    return this.#bodyBytes;
+  }
+
+  /**
+   * Counts a connection that was accepted.
+   *
+   * @returns Whether it may stay open. Calls on the last connections are refused.
+   */
+  openConnection(): boolean {
+    this.#connections++;
+    return this.#connections <= this.#maxConnections + REFUSED_CONNECTIONS;
+  }
+
+  /** Counts that a connection was closed. */
+  closeConnection(): void {
+    this.#connections--;
+  }
+
+  /**
+   * Begins a call if the instance can carry it.
+   *
+   * @returns The resource of which there is too little, or `undefined` if the call has
+   * begun; {@linkcode endCall} ends it.
+   */
+  beginCall(): ScarceResource | undefined {
+    if (this.#connections > this.#maxConnections) return "connections";
+    if (this.#calls >= this.#maxCalls) return "processor";
+    this.#calls++;
+    return undefined;
+  }
+
+  /**
+   * Reserves memory for a part of the body of a call in progress.
+   *
+   * @returns Whether there was enough; otherwise nothing is reserved. A body is accepted
+   * whatever its size while there is no other one.
+   */
+  reserveBody(bytes: number): boolean {
+    const isTooMuch = this.#bodyBytes > 0 &&
+      this.#bodyBytes + bytes > this.#maxBodyBytes;
+    if (isTooMuch) return false;
+    this.#bodyBytes += bytes;
+    return true;
+  }
+
+  /** Ends a call that has begun, and releases the memory reserved for its body. */
+  endCall(bodyBytes: number): void {
+    this.#calls--;
+    this.#bodyBytes -= bodyBytes;
+  }
+}
--- a/capacity/mod.ts
+++ b/capacity/mod.ts
@@ -13,4 +13,5 @@
  */
 export * from "./instance_capacity.ts";
 export * from "./capacity_monitor.ts";
+export * from "./carried_work.ts";
 export * from "./pick_weighted.ts";
--- a/daemon/http_gateway.ts
+++ b/daemon/http_gateway.ts
@@ -293,7 +293,11 @@
   /** Serves one call. */
   async handle(call: OpaqueCall, sink: CallSink): Promise<void> {
     if (!await this.#eventLoopGate.enter()) {
-      this.#refuseOverloaded(call, sink);
+      this.refuseOverloaded(
+        call,
+        sink,
+        "More calls come than this instance can forward",
+      );
       return;
     }
     if (sink.signal.aborted) return;
@@ -345,18 +349,20 @@
     });
   }
 
-  #refuseOverloaded(call: OpaqueCall, sink: CallSink): void {
+  /** Refuses a call that this instance cannot carry, as not run, with a time to retry. */
+  refuseOverloaded(call: OpaqueCall, sink: CallSink, message: string): void {
     const { headerCodec, logger, metrics } = this.#parts;
     metrics.count("call.overloaded");
     logger.info("refused", {
       call: headerCodec.readCall(call.headers).callId,
       reason: "overloaded",
+      detail: message,
       unreadMs: Math.round(call.unreadMs),
       waitMs: Math.round(this.#eventLoopGate.waitMs),
     });
     this.forwarder.refuse(call, sink, {
       reason: "overloaded",
-      message: "More calls come than this instance can forward",
+      message,
       retryAfterMs: NO_CAPACITY_RETRY_MS,
     });
   }
