--- a/fleet/fleet_view.ts
+++ b/fleet/fleet_view.ts
@@ -1,3 +1,4 @@
+import type { MemberCapacity } from "../capacity/mod.ts";
 import type { InstanceId, RegionId } from "../ids/mod.ts";
 import {
   type FleetReport,
@@ -117,11 +118,13 @@
   #registeredCount = 0;
   #state: MemberState = "starting";
   #unreachableServices: readonly string[] = [];
+  #capacity: MemberCapacity | undefined;
   #leavingSinceMs: number | undefined;
 
   /** @param parts Record of this instance and the load tracker that reports update. */
   constructor(parts: FleetViewParts) {
     this.#self = parts.self;
+    this.#capacity = parts.self.capacity;
     this.#loads = parts.loads;
     this.teamUsage = new TeamUsageTracker(parts.self.region);
     this.#startMs = parts.startMs ?? Number.NEGATIVE_INFINITY;
@@ -130,13 +133,20 @@
   /** Record of this instance. */
   get self(): MemberRecord {
     const unreachableServices = this.#unreachableServices;
+    const capacity = this.#capacity;
     return {
       ...this.#self,
       state: this.#state,
       ...(unreachableServices.length > 0 ? { unreachableServices } : {}),
+      ...(capacity === undefined ? {} : { capacity }),
     };
   }
 
+  /** Sets the capacity of this instance, which its reports name; `undefined`: unknown. */
+  setCapacity(capacity: MemberCapacity | undefined): void {
+    this.#capacity = capacity;
+  }
+
   /** Sets the services whose servers all fail for this instance, which its reports name. */
   setUnreachableServices(services: readonly string[]): void {
     this.#unreachableServices = services;
--- a/fleet/fleet_view_test.ts
+++ b/fleet/fleet_view_test.ts
@@ -188,6 +188,51 @@
 });
 
 describe("decodeReport()", () => {
+  const capacity = { ratedCores: 1.35, currentCores: 0.675 };
+  const gossip = [
+    { member: createMember("b"), ageMs: 5 },
+    { member: createMember("c", "ready", { capacity }), ageMs: 7 },
+  ];
+
+  // Earlier versions drop a report with any field that they cannot read, and pass on only
+  // the fields of a member that they know.
+  it("reads capacities from fields that earlier versions read and pass on", () => {
+    const unreachableServices = ["app"];
+    const more = { capacity, unreachableServices };
+    const sized = createReport(createMember("a", "ready", more), 1, {
+      gossip,
+      wantsSummary: false,
+    });
+    assert.deepEqual(decodeReport(encodeReport(sized)), sized);
+    const { params } = JSON.parse(encodeReport(sized).toString("utf8"));
+    assert.deepEqual(
+      params[0].map((field: unknown) => typeof field),
+      [...Array(5).fill("string"), "number", "string"],
+    );
+    assert.deepEqual(params.slice(10, 15), [[], [], [], 0, []]);
+    const passedOn = decodeReport(Buffer.from(
+      JSON.stringify({
+        method: "fleet.report",
+        params: params.slice(0, 10),
+      }),
+    ))!;
+    const rated = { ratedCores: 1.35, currentCores: 1.35 };
+    assert.deepEqual(passedOn.gossip[1]!.member.capacity, rated);
+    assert.equal(passedOn.from.incarnation, sized.from.incarnation);
+  });
+
+  it("adds no parameter while no instance is behind", () => {
+    const rated = { ratedCores: 1.35, currentCores: 1.35 };
+    const report = createReport(
+      createMember("a", "ready", { capacity: rated }),
+      1,
+      { wantsSummary: false },
+    );
+    const { params } = JSON.parse(encodeReport(report).toString("utf8"));
+    assert.equal(params.length, 10);
+    assert.deepEqual(decodeReport(encodeReport(report)), report);
+  });
+
   it("returns what was encoded", () => {
     const report = createReport(createMember("a"), 7, {
       scope: "region",
