--- a/bench/run_bench.ts
+++ b/bench/run_bench.ts
@@ -14,6 +14,7 @@
 import { runOpaqueBench } from "./opaque_bench.ts";
 import { runOverheadBench } from "./overhead_bench.ts";
 import { runOverloadBench } from "./overload_bench.ts";
+import { runProcessBench } from "./process_bench.ts";
 import { runReportsBench } from "./reports_bench.ts";
 import { runRetriesBench } from "./retries_bench.ts";
 import { runSoakBench } from "./soak_bench.ts";
@@ -49,7 +50,10 @@
 }
 
 /** Benchmarks that take too long to be part of `all`. */
-const LONG_CASES: readonly BenchCase[] = [{ name: "soak", run: runSoakBench }];
+const LONG_CASES: readonly BenchCase[] = [
+  { name: "soak", run: runSoakBench },
+  { name: "process", run: runProcessBench },
+];
 
 const [requestedName = "all"] = process.argv.slice(2);
 const cases = requestedName === "all"
--- a/standin/platform_process.ts
+++ b/standin/platform_process.ts
@@ -33,6 +33,8 @@
 export interface PlatformProcessParts {
   /** Path of the built program. */
   readonly program: string;
+  /** Options of Node itself. Default: none. */
+  readonly nodeOptions?: readonly string[];
   readonly name: string;
   /** Loopback address that only this instance uses. */
   readonly host: string;
@@ -132,17 +134,21 @@
 
   /** Starts the program; its standard output is discarded, its standard error is shown. */
   start(): void {
-    const { hasCuttableLinks = false, program } = this.#parts;
+    const { hasCuttableLinks = false, nodeOptions = [], program } = this.#parts;
     const preload = hasCuttableLinks ? ["--import", LINK_CUTTER] : [];
-    const child = spawn(process.execPath, [...preload, program], {
-      env: { PATH: process.env.PATH, HAVENSPUR_SETTINGS: this.#settingsPath },
-      stdio: [
-        "ignore",
-        "ignore",
-        "inherit",
-        hasCuttableLinks ? "ipc" : "ignore",
-      ],
-    });
+    const child = spawn(
+      process.execPath,
+      [...nodeOptions, ...preload, program],
+      {
+        env: { PATH: process.env.PATH, HAVENSPUR_SETTINGS: this.#settingsPath },
+        stdio: [
+          "ignore",
+          "ignore",
+          "inherit",
+          hasCuttableLinks ? "ipc" : "ignore",
+        ],
+      },
+    );
     this.#child = child;
     this.#starts++;
     this.#sentSignals = [];
