--- a/bench/process_bench.ts
+++ b/bench/process_bench.ts
@@ -107,9 +107,10 @@
     const load = await measure(
       measured,
       () =>
-        Promise.all(measured.map(({ host }) =>
+        Promise.all(measured.map(({ host }, at) =>
           runInstanceLoad({
             host,
+            offsetMs: 1_000 / CALLS_PER_SECOND * at / measured.length,
             port: PLATFORM_PORTS.callers,
             rate: CALLS_PER_SECOND,
             durationMs: LOAD_MS,
--- a/bench/process_load.ts
+++ b/bench/process_load.ts
@@ -32,6 +32,8 @@
   /** Calls per second. */
   readonly rate: number;
   readonly durationMs: number;
+  /** Delay of all calls, in milliseconds, so that instances do not get calls at the same time. */
+  readonly offsetMs: number;
   /** Events of a long stream. */
   readonly streamEvents: number;
 }
@@ -64,7 +66,7 @@
     { path: "/plain/x", events: 0, bodyBytes: 300 },
   ];
   const agent = new Agent({ keepAlive: true });
-  const startMs = performance.now();
+  const startMs = performance.now() + load.offsetMs;
   const count = Math.floor(load.rate * load.durationMs / 1_000);
   const results = await Promise.all(
     Array.from({ length: count }, async (_, index) => {
--- a/daemon/http_gateway.ts
+++ b/daemon/http_gateway.ts
@@ -1,8 +1,8 @@
 import {
   type Clock,
   EventLoopDelay,
+  PeriodicTasks,
   type Random,
-  scheduleEvery,
 } from "../clock/mod.ts";
 import {
   AnswerRecorder,
@@ -137,6 +137,7 @@
   /** Registry of the servers. */
   readonly registry: ServerRegistry;
   readonly #parts: HttpGatewayParts;
+  readonly #tasks: PeriodicTasks;
   readonly #catchUp: PeerCatchUp | undefined;
   readonly #eventLoopGate: EventLoopGate;
   readonly #reporter: FleetReporter;
@@ -149,7 +150,8 @@
   constructor(parts: HttpGatewayParts) {
     const { clock, logger, random } = parts;
     this.#parts = parts;
-    this.loopDelay = new EventLoopDelay(clock);
+    this.#tasks = new PeriodicTasks(clock);
+    this.loopDelay = new EventLoopDelay(clock, this.#tasks);
     this.#eventLoopGate = new EventLoopGate(clock);
     this.#answerRecorder = new AnswerRecorder(parts);
     const loads = new LoadTracker();
@@ -265,14 +267,14 @@
   start(signal: AbortSignal): void {
     const { clock } = this.#parts;
     this.#signal = signal;
-    this.loopDelay.start(signal);
     void this.state.run(signal);
-    this.#reporter.start(signal);
+    this.#reporter.start((intervalMs, run) => this.#tasks.add(intervalMs, run));
     // After a stall of the process, one event loop iteration reads the reports that wait
     // before the sweep.
     const sweepAfterReading = () =>
       clock.schedule(0, () => this.#sweep(), signal);
-    scheduleEvery(clock, SWEEP_INTERVAL_MS, sweepAfterReading, signal);
+    this.#tasks.add(SWEEP_INTERVAL_MS, sweepAfterReading);
+    this.loopDelay.start(signal);
   }
 
   /** Applies settings that can change while the instance runs. */
