--- a/bench/run_bench.ts
+++ b/bench/run_bench.ts
@@ -15,6 +15,7 @@
 import { runOpaqueBench } from "./opaque_bench.ts";
 import { runOverheadBench } from "./overhead_bench.ts";
 import { runOverloadBench } from "./overload_bench.ts";
+import { runProcessBench } from "./process_bench.ts";
 import { runReportsBench } from "./reports_bench.ts";
 import { runRetriesBench } from "./retries_bench.ts";
 import { runSoakBench } from "./soak_bench.ts";
@@ -53,6 +54,7 @@
 const LONG_CASES: readonly BenchCase[] = [
   { name: "capacity", run: runCapacityBench },
   { name: "soak", run: runSoakBench },
+  { name: "process", run: runProcessBench },
 ];
 
 const [requestedName = "all"] = process.argv.slice(2);
