Timers of a call are cancelled without an abort controller

A call has two owners of timers, its deadline and its send. Each had an abort controller, with events, weak references and a finalizer. A plain list of functions does the same for timers.

--- a/clock/clock.ts
+++ b/clock/clock.ts
@@ -1,3 +1,5 @@
+import { Cancellation, type CancelSignal } from "./cancellation.ts";
+
 /** Time and timers; passed as a parameter to whatever needs them. */
 export interface Clock {
   /** Returns milliseconds since the epoch. */
@@ -16,15 +18,9 @@
    * @param callback Function to call.
    * @param signal Cancels the timer.
    */
-  schedule(delayMs: number, callback: () => void, signal?: AbortSignal): void;
+  schedule(delayMs: number, callback: () => void, signal?: CancelSignal): void;
 }
 
-/**
- * Reason for aborting a timer. Without a reason, each abort creates an error with its
- * stack trace.
- */
-const CANCELLED = "cancelled";
-
 /**
  * Resolves after a delay, or at once when the signal aborts.
  *
@@ -39,14 +35,14 @@
 ): Promise<void> {
   return new Promise((resolve) => {
     if (signal?.aborted) return resolve();
-    const timer = new AbortController();
+    const timer = new Cancellation();
     const finish = () => {
       signal?.removeEventListener("abort", finish);
-      timer.abort(CANCELLED);
+      timer.cancel();
       resolve();
     };
     signal?.addEventListener("abort", finish, { once: true });
-    clock.schedule(delayMs, finish, timer.signal);
+    clock.schedule(delayMs, finish, timer);
   });
 }
 
@@ -64,7 +60,7 @@
   clock: Clock,
   delayMs: number,
   callback: () => void,
-  signal: AbortSignal,
+  signal: CancelSignal,
 ): void {
   clock.schedule(delayMs, () => clock.schedule(0, callback, signal), signal);
 }
--- a/clock/mod.ts
+++ b/clock/mod.ts
@@ -11,6 +11,7 @@
  * ```
  * @module
  */
+export * from "./cancellation.ts";
 export * from "./clock.ts";
 export * from "./event_loop_delay.ts";
 export * from "./periodic_tasks.ts";
--- a/clock/virtual_clock.ts
+++ b/clock/virtual_clock.ts
@@ -1,4 +1,5 @@
 import { setImmediate } from "node:timers/promises";
+import type { CancelSignal } from "./cancellation.ts";
 import type { Clock } from "./clock.ts";
 
 interface Timer {
@@ -29,7 +30,7 @@
     return this.#nowMs;
   }
 
-  schedule(delayMs: number, callback: () => void, signal?: AbortSignal): void {
+  schedule(delayMs: number, callback: () => void, signal?: CancelSignal): void {
     if (signal?.aborted) return;
     const timer: Timer = {
       dueMs: this.#nowMs + Math.max(0, delayMs),
--- a/forwarding/call_forwarder.ts
+++ b/forwarding/call_forwarder.ts
@@ -3,7 +3,12 @@
   type LimitBounds,
   type ReportedTeamUsage,
 } from "../admission/mod.ts";
-import { type Clock, type Random, scheduleAfterReading } from "../clock/mod.ts";
+import {
+  Cancellation,
+  type Clock,
+  type Random,
+  scheduleAfterReading,
+} from "../clock/mod.ts";
 import type { FleetView, LoadTracker, ReportedPrefix } from "../fleet/mod.ts";
 import {
   findHostHomes,
@@ -444,7 +449,7 @@
     const { clock } = this.#parts;
     const { call, sink } = routed;
     const callAbort = new AbortController();
-    const timer = new AbortController();
+    const timer = new Cancellation();
     const giveUp = () => callAbort.abort("given up");
     sink.signal.addEventListener("abort", giveUp, { once: true });
     const deadlineMs = call.receivedMs + readRemainingMs(routed);
@@ -452,13 +457,13 @@
     // A timer with no time left would only fire after the call was sent. The timer lets
     // arrived data be read first, so that an answer that arrived in time is passed on even
     // if this instance reads it late.
-    if (leftMs > 0) scheduleAfterReading(clock, leftMs, giveUp, timer.signal);
+    if (leftMs > 0) scheduleAfterReading(clock, leftMs, giveUp, timer);
     else giveUp();
     const exchange = this.#createExchange(routed, deadlineMs, callAbort.signal);
     const endServing = this.#quarantineGuard.begin(exchange, giveUp);
     await this.#forward(exchange);
     endServing();
-    timer.abort("done");
+    timer.cancel();
     sink.signal.removeEventListener("abort", giveUp);
     return exchange.mayHaveRun || exchange.progress.hasBegun;
   }
--- a/forwarding/run_attempt.ts
+++ b/forwarding/run_attempt.ts
@@ -1,4 +1,8 @@
-import { type Clock, scheduleAfterReading } from "../clock/mod.ts";
+import {
+  Cancellation,
+  type Clock,
+  scheduleAfterReading,
+} from "../clock/mod.ts";
 import type { AnswerFraming } from "./answer_framing.ts";
 import type {
   AnswerFacts,
@@ -171,7 +175,7 @@
   #events: EventFramer | EventScanner | undefined;
   /** Whether the first bytes decide if the answer is a stream, as its type is missing. */
   #mustDetectEvents = false;
-  readonly #ended = new AbortController();
+  readonly #ended = new Cancellation();
   readonly #giveUp = () => this.#finish({ kind: "given-up" }, true);
   #send: ActiveSend | undefined;
   #handover: Handover | undefined;
@@ -203,7 +207,7 @@
       scheduleAfterReading(clock, firstByteTimeoutMs, () => {
         this.#isTimeoutOver = true;
         this.#checkSilence();
-      }, this.#ended.signal);
+      }, this.#ended);
     }
     this.#scheduleSilenceCheck();
     this.#send = client.send(request, this);
@@ -413,7 +417,7 @@
     scheduleAfterReading(this.#parts.clock, SILENCE_CHECK_INTERVAL_MS, () => {
       this.#isCheckScheduled = false;
       this.#checkSilence();
-    }, this.#ended.signal);
+    }, this.#ended);
   }
 
   /**
@@ -484,7 +488,7 @@
   #finish(outcome: EndedOutcome, isAborted = false): void {
     if (this.#isFinished) return;
     this.#isFinished = true;
-    this.#ended.abort("finished");
+    this.#ended.cancel();
     this.#parts.signal.removeEventListener("abort", this.#giveUp);
     if (isAborted) this.#send?.abort();
     this.#resolve(this.#settleHandover(outcome));
--- a/tests/virtual_event_loop.ts
+++ b/tests/virtual_event_loop.ts
@@ -1,4 +1,4 @@
-import type { Clock } from "../clock/mod.ts";
+import type { CancelSignal, Clock } from "../clock/mod.ts";
 
 /** A simulated event loop and its clock: a test sets how long each iteration takes, and runs the timers between iterations. */
 export class VirtualEventLoop implements Clock {
@@ -6,7 +6,7 @@
   #timers: {
     readonly dueMs: number;
     readonly callback: () => void;
-    readonly signal: AbortSignal | undefined;
+    readonly signal: CancelSignal | undefined;
   }[] = [];
 
   nowMs(): number {
@@ -17,7 +17,7 @@
     return this.#nowMs;
   }
 
-  schedule(delayMs: number, callback: () => void, signal?: AbortSignal): void {
+  schedule(delayMs: number, callback: () => void, signal?: CancelSignal): void {
     this.#timers.push({ dueMs: this.#nowMs + delayMs, callback, signal });
   }
 
