Events that arrive whole are passed on without copies

An event that fills its chunk was copied twice, to join it with what was kept back and with the other events of the chunk.

--- a/forwarding/event_framer.ts
+++ b/forwarding/event_framer.ts
@@ -33,7 +33,10 @@
     const ends = this.#scanner.scan(chunk);
     const events = ends.map((end, at) => {
       const part = chunk.subarray(ends[at - 1] ?? 0, end);
-      const bytes = Buffer.concat([...this.#pending.splice(0), part]);
+      // Most chunks are one event, which needs no copy.
+      const bytes = this.#pending.length === 0
+        ? part
+        : Buffer.concat([...this.#pending.splice(0), part]);
       const id = ID_LINE.exec(bytes.toString("latin1"))?.[1];
       return { bytes, id };
     });
--- a/forwarding/run_attempt.ts
+++ b/forwarding/run_attempt.ts
@@ -337,7 +337,9 @@
     if (events.length === 0) return true;
     const lastId = events.findLast(({ id }) => id !== undefined)?.id;
     const canContinue = this.#passOn(
-      Buffer.concat(events.map(({ bytes }) => bytes)),
+      events.length === 1
+        ? events[0]!.bytes
+        : Buffer.concat(events.map(({ bytes }) => bytes)),
     );
     this.#parts.progress.lastEventId = lastId ??
       this.#parts.progress.lastEventId;
