--- a/forwarding/run_attempt.ts
+++ b/forwarding/run_attempt.ts
@@ -1,4 +1,8 @@
-import { type Clock, scheduleAfterReading } from "../clock/mod.ts";
+import {
+  Cancellation,
+  type Clock,
+  scheduleAfterReading,
+} from "../clock/mod.ts";
 import type { AnswerFraming } from "./answer_framing.ts";
 import type {
   AnswerFacts,
@@ -171,7 +175,7 @@
   #events: EventFramer | EventScanner | undefined;
   /** Whether the first bytes decide if the answer is a stream, as its type is missing. */
   #mustDetectEvents = false;
-  readonly #ended = new AbortController();
+  readonly #ended = new Cancellation();
   readonly #giveUp = () => this.#finish({ kind: "given-up" }, true);
   #send: ActiveSend | undefined;
   #handover: Handover | undefined;
@@ -203,7 +207,7 @@
       scheduleAfterReading(clock, firstByteTimeoutMs, () => {
         this.#isTimeoutOver = true;
         this.#checkSilence();
-      }, this.#ended.signal);
+      }, this.#ended);
     }
     this.#scheduleSilenceCheck();
     this.#send = client.send(request, this);
@@ -333,7 +337,9 @@
     if (events.length === 0) return true;
     const lastId = events.findLast(({ id }) => id !== undefined)?.id;
     const canContinue = this.#passOn(
-      Buffer.concat(events.map(({ bytes }) => bytes)),
+      events.length === 1
+        ? events[0]!.bytes
+        : Buffer.concat(events.map(({ bytes }) => bytes)),
     );
     this.#parts.progress.lastEventId = lastId ??
       this.#parts.progress.lastEventId;
@@ -413,7 +419,7 @@
     scheduleAfterReading(this.#parts.clock, SILENCE_CHECK_INTERVAL_MS, () => {
       this.#isCheckScheduled = false;
       this.#checkSilence();
-    }, this.#ended.signal);
+    }, this.#ended);
   }
 
   /**
@@ -484,7 +490,7 @@
   #finish(outcome: EndedOutcome, isAborted = false): void {
     if (this.#isFinished) return;
     this.#isFinished = true;
-    this.#ended.abort("finished");
+    this.#ended.cancel();
     this.#parts.signal.removeEventListener("abort", this.#giveUp);
     if (isAborted) this.#send?.abort();
     this.#resolve(this.#settleHandover(outcome));
