Tests of a fleet of different capacities under failure

Cause: nothing shows what callers and forwarded calls meet while instances of different capacities die, restart or report another capacity.

VirtualFleet gets limits by address and crash().

--- a/tests/virtual_fleet.ts
+++ b/tests/virtual_fleet.ts
@@ -1,3 +1,4 @@
+import type { InstanceLimits } from "../capacity/mod.ts";
 import { createRandom, VirtualClock } from "../clock/mod.ts";
 import type { HttpGateway } from "../daemon/http_gateway.ts";
 import { decodeReport, encodeReport, type SendReport } from "../fleet/mod.ts";
@@ -85,6 +86,8 @@
   readonly replacedAfterMs?: number;
   /** Returns headers that a server adds to each answer besides the call's id. Default: none. */
   readonly answerHeaders?: (server: string) => readonly string[];
+  /** Limits of instances by address. Default: unknown. */
+  readonly limits?: Readonly<Record<string, InstanceLimits>>;
   /** Share of datagrams that are lost. Default: 0. */
   readonly lostShare?: number;
   /** Returns whether all datagrams are lost at present. Default: never. */
@@ -151,6 +154,7 @@
       probeServer: (server) => this.#probe(address, server),
       sendReport: this.#createSendReport(address),
       seedAddresses: names.slice(0, 3).map(toVirtualAddress),
+      instanceLimits: this.#parts.limits?.[address] ?? {},
       retryBounds: { ratio: 1, slack: 1_000, windowMs: 10_000 },
     });
     gateway.forwarder.setTable(this.#parts.table);
@@ -160,6 +164,11 @@
     return gateway;
   }
 
+  /** Crashes an instance: it sends and receives nothing more. */
+  crash(address: string): void {
+    this.gateways.delete(address);
+  }
+
   /** Stops all instances. */
   stop(): void {
     this.#stopping.abort("stopped");
@@ -379,6 +388,13 @@
         const abandoned = new AbortController();
         const to = toVirtualName(request.address);
         const delayMs = this.#readDelayMs(from, to);
+        if (!this.gateways.has(to)) {
+          this.clock.schedule(
+            delayMs,
+            () => events.onFailure({ kind: "not-sent", message: "refused" }),
+          );
+          return { resume: () => {}, abort: () => {} };
+        }
         const sink: CallSink = {
           ...createSink(() => {}),
           signal: abandoned.signal,
@@ -390,10 +406,9 @@
         this.clock.schedule(
           delayMs,
           () =>
-            this.#deliver(to, { kind: "instance", hop }, {
-              request,
-              sink,
-            }),
+            this.gateways.has(to)
+              ? this.#deliver(to, { kind: "instance", hop }, { request, sink })
+              : events.onFailure({ kind: "closed", message: "crashed" }),
           abandoned.signal,
         );
         return { resume: () => {}, abort: () => abandoned.abort("given up") };
@@ -408,7 +423,7 @@
       names.filter((to) => to !== from).forEach((to) => {
         this.reportBytes += datagram.length;
         if (this.#random.nextFloat() < (this.#parts.lostShare ?? 0)) return;
-        if (this.#parts.isCut?.()) return;
+        if (this.#parts.isCut?.() || !this.gateways.has(from)) return;
         this.clock.schedule(
           this.#readDelayMs(from, to),
           () =>
