Members report to all others when the next aggregators are dead too

Cause: ranked by capacity, the instances next in line are as large as the aggregators, and die with them where all large instances of a region die. Members know the next two from summaries only, wait for them for 4 s, and then take each other for dead: in a region of 12, members knew of 1 to 7 live ones of 8. The same happened before when the first four by name died.

Change: without a summary for 1.8 s, a member reports to all members of its region. Silence without summaries counts as death after 3 s in place of 4 s.

--- a/daemon/fleet_reporter.ts
+++ b/daemon/fleet_reporter.ts
@@ -211,13 +211,18 @@
     const plan = this.#planReports(localPeers, nowMs);
     const usesAggregators = isLargeRegion(localPeers) && !this.#isAggregating;
     const crashReports = this.#crashGossip.takeForReport("local", nowMs);
+    // If the aggregators and those next in rank die at once, nobody else tells the members
+    // of each other.
+    const reportTo = usesAggregators && fleet.hasLostSummaries(nowMs)
+      ? localPeers.map(({ member }) => member)
+      : plan.reportTo;
     sendReport(
       this.#writer.createReport({ crashReports, known, prefixes, nowMs }, {
         // Aggregators receive reports from the members themselves.
         includesMembers: !usesAggregators,
         wantsSummary: usesAggregators && !fleet.hasSummaries(nowMs),
       }),
-      toAddresses(plan.reportTo),
+      toAddresses(reportTo),
     );
     this.#summarizedCount = plan.summarizeFor.length;
     if (this.#summarizedCount > 0) this.#sendSummaries(plan, localPeers, nowMs);
--- a/fleet/fleet_view.ts
+++ b/fleet/fleet_view.ts
@@ -35,9 +35,17 @@
  * Silence after which a member is considered dead while no aggregator sends summaries,
  * in milliseconds. Without summaries, members of a large region receive no reports
  * about each other. Until the next aggregator has begun, which takes up to 1.7 s, they
- * must not consider each other dead, or the whole region loses its members.
+ * must not consider each other dead, or the whole region loses its members. If the next
+ * ones are dead as well, members report to all others from {@linkcode LOST_SUMMARIES_MS}
+ * on, so that live ones are heard in time.
  */
-const MAX_SILENCE_MS = 4_000;
+const MAX_SILENCE_MS = 3_000;
+/**
+ * Time without a summary from which members report to all others, in milliseconds: the
+ * next two aggregators have not begun. It leaves eight reports until silent members
+ * count as dead.
+ */
+const LOST_SUMMARIES_MS = 1_800;
 /**
  * Gap between summaries after which the silence of members is counted from the next
  * summary on, in milliseconds: four summary intervals.
@@ -191,6 +199,12 @@
     return nowMs - this.#summaries.lastMs < SUMMARY_TIMEOUT_MS;
   }
 
+  /** Whether summaries arrived before, and none has for longer than the next aggregators need to begin. */
+  hasLostSummaries(nowMs: number): boolean {
+    const { lastMs } = this.#summaries;
+    return lastMs !== NEVER && nowMs - lastMs >= LOST_SUMMARIES_MS;
+  }
+
   /**
    * Returns the live members, without this instance, with what is known of them.
    *
--- a/tests/capacity_roles_test.ts
+++ b/tests/capacity_roles_test.ts
@@ -45,9 +45,14 @@
       all.get(`north-${String(index).padStart(3, "0")}:1`)!.crash()
     );
     listRunning().forEach(({ addCalls }) => addCalls(1));
-    // Two more large ones are next in rank. They are known from summaries only, so that it
-    // takes 4 s until they count as dead.
-    await clock.advance(5_500);
+    // The next two in rank are dead as well, which no summary tells. Members must neither
+    // wait for them for long nor take each other for dead.
+    for (let step = 0; step < 35; step++) {
+      await clock.advance(100);
+      listRunning().forEach(({ fleet }) =>
+        assert.ok(fleet.countLive(clock.nowMs()) >= 8)
+      );
+    }
     assert.deepEqual(listAggregators(listRunning()), [
       "north-000",
       "north-001",
