Tests: prompt parts keep their names on the way, scenarios in a fixture

Cause: the test headers separated prompt parts by spaces, so that a part named "new 7" became two parts, "new" and "7", and the first of them was shared by all calls. The scenario of new parts around the bad one did not test that.

Change: parts are separated by commas. The scenarios move to tests/prompt_part_fixture.ts, so that other files can use them, and each test prints its figures. The virtual fleet takes a seed.

--- a/tests/prompt_fixture.ts
+++ b/tests/prompt_fixture.ts
@@ -5,6 +5,8 @@
 
 const MODEL_HEADER = "X-Model";
 const PARTS_HEADER = "X-Prompt-Parts";
+/** Separates parts. A space would split the names of parts that contain one. */
+const SEPARATOR = ",";
 /** Tokens of each prompt part. */
 const PART_TOKENS = 100;
 
@@ -14,7 +16,7 @@
   parts: readonly string[],
 ): readonly string[] {
   if (parts.length === 0) return [];
-  return [MODEL_HEADER, model, PARTS_HEADER, parts.join(" ")];
+  return [MODEL_HEADER, model, PARTS_HEADER, parts.join(SEPARATOR)];
 }
 
 /** The gateway's own headers, with those of {@linkcode writePromptHeaders}. */
@@ -24,7 +26,7 @@
     const facts = GATEWAY_HEADER_CODEC.readCall(headers);
     const at = headers.indexOf(PARTS_HEADER);
     if (at < 0) return facts;
-    const parts = headers[at + 1]!.split(" ")
+    const parts = headers[at + 1]!.split(SEPARATOR)
       .map((id) => ({ id, tokens: PART_TOKENS }));
     return {
       ...facts,
--- a/tests/prompt_part_crashes_servers_test.ts
+++ b/tests/prompt_part_crashes_servers_test.ts
@@ -1,167 +1,22 @@
 // Guards against calls that crash server after server by a prompt part that they share: only equal calls counted together.
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import {
+  assertBothRules,
+  BAD_PART,
+  FIRST_PART,
+  formatFigures,
+  isBad,
+  playScenario,
+  REGIONS,
+  type Scenario,
+  sendSoundCalls,
+  startScenarioFleet,
+} from "./prompt_part_fixture.ts";
 import { createRoute, createRouteTable } from "./route_fixture.ts";
-import type {
-  Arrival,
-  VirtualFleet,
-  VirtualFleetParts,
-} from "./virtual_fleet.ts";
+import type { VirtualFleet } from "./virtual_fleet.ts";
 import { startVirtualFleet } from "./virtual_fleet_fixture.ts";
 
-const BAD_PART = "bad";
-const FIRST_PART = "first";
-/** Time after the fifth crash from which the users count sends of the part, in milliseconds. */
-const KNOWN_AFTER_MS = 5_000;
-/** Sends that are allowed after that time. */
-const ALLOWED_SENDS = 3;
-/** Time after the fifth crash from which the users compare the service of sound calls, in milliseconds. */
-const SERVED_AFTER_MS = 10_000;
-/** Share of the sound calls that has to be served then, of the share that was served before. */
-const MIN_SERVED_SHARE = 0.5;
-/** Interval between sound calls, in milliseconds. */
-const SOUND_INTERVAL_MS = 40;
-
-/** How calls with the bad part come, and what they do to servers. */
-interface Scenario {
-  /** Shared parts of the nth call with the bad part. Default: the bad one is the second of three. */
-  readonly toParts?: (nth: number) => readonly string[];
-  readonly intervalMs?: number;
-  readonly durationMs?: number;
-  readonly crashAfterMs?: number;
-  /** Shared parts of a sound call. Default: the same first part, and one of 37 subjects. */
-  readonly toSoundParts?: (
-    atMs: number,
-    isBefore: boolean,
-  ) => readonly string[];
-  readonly fleet?: Partial<VirtualFleetParts>;
-}
-
-/** A sound call, and how it ended. */
-interface SoundCall {
-  readonly atMs: number;
-  readonly parts: readonly string[];
-  status?: number;
-}
-
-const REGIONS = {
-  north: { instances: 3, servers: 3 },
-  south: { instances: 3, servers: 2 },
-  west: { instances: 3, servers: 1 },
-};
-
-function isBad({ parts }: Arrival): boolean {
-  return parts.includes(BAD_PART);
-}
-
-async function startFleet(
-  { crashAfterMs = 70, fleet = {} }: Scenario,
-): Promise<VirtualFleet> {
-  return await startVirtualFleet({
-    regions: REGIONS,
-    table: createRouteTable([createRoute("/a/")]),
-    decide: (arrival) =>
-      isBad(arrival)
-        ? { kind: "end", afterMs: crashAfterMs }
-        : { kind: "answer", afterMs: 120 },
-    replacedAfterMs: 6_000,
-    ...fleet,
-  });
-}
-
-/** Sends sound calls that share their first part, for a while, and returns them. */
-async function sendSoundCalls(
-  fleet: VirtualFleet,
-  durationMs: number,
-  onRound: (atMs: number) => void = () => {},
-  toParts = (atMs: number): readonly string[] => [
-    FIRST_PART,
-    `subject ${atMs % 37}`,
-  ],
-): Promise<readonly SoundCall[]> {
-  const calls: SoundCall[] = [];
-  const startMs = fleet.clock.nowMs();
-  for (let atMs = 0; atMs < durationMs; atMs += SOUND_INTERVAL_MS) {
-    const parts = toParts(atMs);
-    const sent: SoundCall = { atMs: startMs + atMs, parts };
-    calls.push(sent);
-    void fleet.send({
-      body: `sound ${startMs + atMs}`,
-      parts: [...parts, `${atMs}`],
-    })
-      .then(({ status }) => sent.status = status);
-    onRound(atMs);
-    await fleet.clock.advance(SOUND_INTERVAL_MS);
-  }
-  return calls;
-}
-
-function computeServedShare(calls: readonly SoundCall[]): number {
-  return calls.filter(({ status }) => status === 200).length / calls.length;
-}
-
-/** Plays a scenario, and returns what the users count. */
-async function play(scenario: Scenario) {
-  const {
-    durationMs = 40_000,
-    intervalMs = 400,
-    toParts = (nth) => [FIRST_PART, BAD_PART, `third ${nth % 5}`],
-    toSoundParts = (atMs) => [FIRST_PART, `subject ${atMs % 37}`],
-  } = scenario;
-  const fleet = await startFleet(scenario);
-  const before = await sendSoundCalls(
-    fleet,
-    10_000,
-    () => {},
-    (atMs) => toSoundParts(atMs, true),
-  );
-  const startMs = fleet.clock.nowMs();
-  let sentCount = 0;
-  const calls = await sendSoundCalls(fleet, durationMs, (atMs) => {
-    while (sentCount * intervalMs <= atMs) {
-      const nth = sentCount++;
-      void fleet.send({
-        body: `bad ${nth}`,
-        parts: [...toParts(nth), `${nth}`],
-      });
-    }
-  }, (atMs) => toSoundParts(atMs, false));
-  await fleet.clock.advance(3_000);
-  const sends = fleet.arrivals.filter(isBad);
-  const crashed = [...new Map(sends.map((each) => [each.server, each])).keys()];
-  const crashesMs = crashed.map((server) =>
-    sends.find((send) => send.server === server)!.atMs
-  );
-  const fifthMs = crashesMs[4] ?? crashesMs.at(-1) ?? startMs;
-  const isCounted = crashesMs.length >= 5;
-  const late = isCounted
-    ? sends.filter(({ atMs }) => atMs > fifthMs + KNOWN_AFTER_MS)
-    : [];
-  const served = calls.filter(({ atMs }) => atMs > fifthMs + SERVED_AFTER_MS);
-  return {
-    fleet,
-    calls,
-    crashCount: crashed.length,
-    lateCount: late.length,
-    servedBefore: computeServedShare(before),
-    servedAfter: computeServedShare(served),
-  };
-}
-
-type Played = Awaited<ReturnType<typeof play>>;
-
-function assertBothRules(played: Played): void {
-  const { crashCount, lateCount, servedAfter, servedBefore } = played;
-  const figures = JSON.stringify({
-    crashCount,
-    lateCount,
-    servedAfter,
-    servedBefore,
-  });
-  assert.ok(lateCount <= ALLOWED_SENDS, figures);
-  assert.ok(servedAfter >= MIN_SERVED_SHARE * servedBefore, figures);
-}
-
 const SCENARIOS: Readonly<Record<string, Scenario>> = {
   "is the second of three": {},
   "is the first": { toParts: (nth) => [BAD_PART, `second ${nth % 5}`] },
@@ -192,8 +47,10 @@
 describe("a prompt part that crashes servers", () => {
   Object.entries(SCENARIOS).forEach(([name, scenario]) =>
     describe(`when it ${name}`, () => {
-      it("is soon sent to servers no more, and sound calls with the same first part are served", async () => {
-        assertBothRules(await play(scenario));
+      it("is soon sent to servers no more, and sound calls with the same first part are served", async (context) => {
+        const played = await playScenario(scenario);
+        context.diagnostic(formatFigures(played));
+        assertBothRules(played);
       });
     })
   );
@@ -208,7 +65,7 @@
 
 describe("sound calls", () => {
   it("are served though their parts were first asked for while the bad part crashes servers", async () => {
-    const played = await play({
+    const played = await playScenario({
       toSoundParts: (atMs, isBefore) =>
         isBefore
           ? [FIRST_PART, "old"]
@@ -225,7 +82,7 @@
   });
 
   it("are served though another call with their parts is quarantined as a whole", async () => {
-    const fleet = await startFleet({});
+    const fleet = await startScenarioFleet({});
     const parts = ["seldom", "own"];
     const equal = () =>
       void fleet.send({ body: "equal", parts: ["seldom", BAD_PART, "own"] });
@@ -303,10 +160,10 @@
 
 describe("a quarantined prompt part", () => {
   it("is known to an instance that starts later, and tried by one instance at a time after a pause", async () => {
-    const { fleet } = await play({ durationMs: 10_000 });
+    const { fleet } = await playScenario({ durationMs: 10_000 });
     fleet.start("west-0");
     await fleet.clock.advance(90_000);
-    const before = fleet.arrivals.filter(isBad).length;
+    const before = fleet.arrivals.filter((each) => isBad(each)).length;
     for (let round = 0; round < 4; round++) {
       [...fleet.gateways.keys()].forEach((address) =>
         void fleet.send({
@@ -318,12 +175,12 @@
       await fleet.clock.advance(500);
     }
     await fleet.clock.advance(5_000);
-    const sends = fleet.arrivals.filter(isBad).length - before;
+    const sends = fleet.arrivals.filter((each) => isBad(each)).length - before;
     assert.equal(sends, 1);
   });
 
   it("does not keep calls of another model from being served", async () => {
-    const { fleet } = await play({ durationMs: 10_000 });
+    const { fleet } = await playScenario({ durationMs: 10_000 });
     await fleet.clock.advance(10_000);
     const before = fleet.arrivals.length;
     void fleet.send({
@@ -337,7 +194,7 @@
 
   it("is refused with the time of the next trial, and served again once a trial is answered", async () => {
     let mayCrash = true;
-    const { fleet } = await play({
+    const { fleet } = await playScenario({
       durationMs: 20_000,
       fleet: {
         decide: (arrival) =>
--- a/tests/virtual_fleet.ts
+++ b/tests/virtual_fleet.ts
@@ -87,6 +87,8 @@
   readonly answerHeaders?: (server: string) => readonly string[];
   /** Share of datagrams that are lost. Default: 0. */
   readonly lostShare?: number;
+  /** Seed of the instances that are called and of the datagrams that are lost. Default: 11. */
+  readonly seed?: number;
   /** Returns whether all datagrams are lost at present. Default: never. */
   readonly isCut?: () => boolean;
 }
@@ -112,7 +114,7 @@
   /** Bytes of all reports sent, also of those that were lost. */
   reportBytes = 0;
   readonly #parts: VirtualFleetParts;
-  readonly #random = createRandom(11);
+  readonly #random;
   readonly #servers = new Map<string, VirtualServer>();
   readonly #stopping = new AbortController();
   #startedServerCount = 0;
@@ -121,6 +123,7 @@
   /** @param parts Sizes of the fleet, and behaviour of its servers and network. */
   constructor(parts: VirtualFleetParts) {
     this.#parts = parts;
+    this.#random = createRandom(parts.seed ?? 11);
     Object.entries(parts.regions).forEach(([region, { instances }]) =>
       Array.from(
         { length: instances },
