Crashes of the last servers of a region are counted

Cause: before a server that closed its connections counts as crashed, another server of the region has to accept a connection, as otherwise the links of the instance may be lost. Servers that had crashed just before were asked, too. The bad parts are held a wave of crashes later.

Change: servers that are known to have crashed, by own observation or by a report of another instance, don't show that links are lost. If one of them accepts a connection, that still counts.

--- a/forwarding/call_forwarder.ts
+++ b/forwarding/call_forwarder.ts
@@ -186,6 +186,7 @@
           ...parts,
           ...known,
           links: this.#learned.links,
+          quarantine: this.quarantine,
         }),
         learned: this.#learned,
         replies: this.#replies,
--- a/forwarding/crash_confirmer.ts
+++ b/forwarding/crash_confirmer.ts
@@ -2,6 +2,7 @@
 import type { BackendId, RegionId } from "../ids/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
+import type { CallQuarantine } from "../quarantine/mod.ts";
 import type { RegisteredServer, ServerRegistry } from "../servers/mod.ts";
 import type { ProbeServer } from "./link_prober.ts";
 import type { ServerLinks } from "./server_links.ts";
@@ -20,6 +21,8 @@
   readonly ownRegion: RegionId;
   readonly registry: ServerRegistry;
   readonly links: ServerLinks;
+  /** Knows which servers have crashed, here and at other instances. */
+  readonly quarantine: Pick<CallQuarantine, "hasCrashed">;
   readonly probeServer: ProbeServer;
   readonly logger: Logger;
   readonly metrics: Metrics;
@@ -28,7 +31,8 @@
 /**
  * Tells whether a server that closed a connection during a call has crashed. It has not if
  * it accepts new connections: single connections are reset, too. Where no other server
- * accepts one either, the links of this instance are the more likely cause.
+ * accepts one either, the links of this instance are the more likely cause, unless all of
+ * these servers are known to have crashed, too.
  */
 export class CrashConfirmer {
   readonly #parts: CrashConfirmerParts;
@@ -69,29 +73,35 @@
   }
 
   /**
-   * Returns other servers that could be reached until now, those of other services first:
-   * a call crashes servers of its own service.
+   * Returns other servers that could be reached until now: those first that are not known to have
+   * crashed, and of these the ones of other services, as a call crashes servers of its own service.
    */
   #pickWitnesses(
     { id, service }: RegisteredServer,
   ): readonly RegisteredServer[] {
-    const { links, ownRegion, registry } = this.#parts;
+    const { links, ownRegion, quarantine, registry } = this.#parts;
     const others = registry.listUsableServices(ownRegion)
       .flatMap((name) => registry.listUsable(name, ownRegion))
       .map(({ entry }) => entry)
       .filter((entry) => entry.id !== id && !links.isUnreachable(entry.id));
     const ofService = others.filter((entry) => entry.service === service);
     const ofOthers = others.filter((entry) => entry.service !== service);
-    return [...ofOthers, ...ofService].slice(0, MAX_WITNESSES);
+    const ordered = [...ofOthers, ...ofService];
+    const crashed = ordered.filter((entry) => quarantine.hasCrashed(entry.id));
+    const running = ordered.filter((entry) => !quarantine.hasCrashed(entry.id));
+    return [...running, ...crashed].slice(0, MAX_WITNESSES);
   }
 
-  /** Returns whether one of the servers can be reached, or there is none to show it. */
+  /**
+   * Returns whether one of the servers can be reached, or there is none to show it. A server that
+   * has crashed does not show that links are lost: the last one of a region crashes as well.
+   */
   async #hasLinks(witnesses: readonly RegisteredServer[]): Promise<boolean> {
-    if (witnesses.length === 0) return true;
-    const { probeServer } = this.#parts;
+    const { probeServer, quarantine } = this.#parts;
     const reached = await Promise.all(
       witnesses.map(({ address }) => probeServer(address)),
     );
-    return reached.includes(true);
+    return reached.includes(true) ||
+      witnesses.every(({ id }) => quarantine.hasCrashed(id));
   }
 }
--- a/quarantine/call_quarantine.ts
+++ b/quarantine/call_quarantine.ts
@@ -18,6 +18,8 @@
  * before are repeated, as their reports may have been dropped; more bytes bring nothing.
  */
 const MAX_REPORTED_SERVERS = MIN_CRASHES;
+/** Maximum number of crashed servers that are remembered: the servers of a large region. */
+const MAX_CRASHED_SERVERS = 256;
 /** How far the times that two instances report for the same crash differ, in milliseconds. */
 const SAME_CRASH_MS = 1_000;
 /** Maximum number of answered contents that are remembered: enough for a minute at thirty a second. */
@@ -108,6 +110,8 @@
   readonly #suspects = new SuspectList();
   readonly #answeredContents = new AnsweredCalls(MAX_ANSWERED_CONTENTS);
   readonly #answeredParts = new AnsweredCalls(MAX_ANSWERED_PARTS);
+  /** Servers that have crashed, in the order in which that became known. */
+  readonly #crashedServers = new Set<BackendId>();
   #unreported: CrashReport[] = [];
   #listOffset = 0;
 
@@ -132,6 +136,11 @@
     return this.#suspects.quarantinedPartCount;
   }
 
+  /** Returns whether a server is known to have crashed lately, here or at another instance. */
+  hasCrashed(server: BackendId): boolean {
+    return this.#crashedServers.has(server);
+  }
+
   /**
    * Records that a server crashed while it had a call.
    *
@@ -302,6 +311,7 @@
     const { ageMs, call, failedTrials = 0, servers } = report;
     const atMs = nowMs - ageMs;
     if (servers.length === 0) return this.#mergeAnswer(call, atMs, false);
+    servers.forEach((server) => this.#rememberCrashed(server));
     const isAnswered =
       this.#answeredOf(call).readValidMs(call, nowMs) !== undefined;
     if (ageMs >= QUARANTINE_MS || isAnswered) return false;
@@ -322,6 +332,13 @@
     return true;
   }
 
+  #rememberCrashed(server: BackendId): void {
+    this.#crashedServers.add(server);
+    if (this.#crashedServers.size <= MAX_CRASHED_SERVERS) return;
+    const [oldest] = this.#crashedServers;
+    this.#crashedServers.delete(oldest!);
+  }
+
   /** @returns Whether the call was a suspect. */
   #mergeAnswer(
     call: CallFingerprint,
