A second bad prompt part is held after two crashes of its own

Cause: two parts that crash servers in turn share the six servers. When all have crashed after a second, one part has three crashes or more and is held, the other one has two.

Change: while a prompt part is quarantined, two servers whose crashes no quarantined suspect explains are enough for another part. Suspects that already meet that are quarantined when the first part is. Answers protect and release parts as before.

--- a/quarantine/call_quarantine.ts
+++ b/quarantine/call_quarantine.ts
@@ -323,13 +323,33 @@
     this.#suspects.put(suspect);
     const isNew = this.#suspects.quarantine(suspect);
     if (!isNew && !hasNewTrial) return true;
+    this.#emitChange(isNew ? "quarantined" : "trial-failed", suspect, {
+      ageMs,
+      isSeenHere,
+    });
+    if (!isNew) return true;
+    this.#suspects.listHeldBeside().forEach((other) => {
+      if (!this.#suspects.quarantine(other)) return;
+      const otherAgeMs = Math.max(0, nowMs - other.lastCrashMs);
+      this.#emitChange("quarantined", other, { ageMs: otherAgeMs, isSeenHere });
+    });
+    return true;
+  }
+
+  #emitChange(
+    kind: "quarantined" | "trial-failed",
+    suspect: Suspect,
+    { ageMs, isSeenHere }: {
+      readonly ageMs: number;
+      readonly isSeenHere: boolean;
+    },
+  ): void {
     this.#onChange({
-      kind: isNew ? "quarantined" : "trial-failed",
+      kind,
       report: toReport(suspect, ageMs),
       isSeenHere,
       next: this.#suspects.findNext(suspect),
     });
-    return true;
   }
 
   #rememberCrashed(server: BackendId): void {
--- a/quarantine/call_quarantine_test.ts
+++ b/quarantine/call_quarantine_test.ts
@@ -247,6 +247,25 @@
       assert.ok(isHeld(quarantine));
     });
 
+    it("quarantines another part after two crashes that the first one does not explain", () => {
+      const { held, quarantine } = createQuarantine({});
+      const other = (nth: number) =>
+        toCall(nth, { model: "m", parts: ["first", "other"] });
+      quarantine.recordAnswer(toCall(0, { model: "m", parts: ["first"] }), 500);
+      const beside = toCall(50, { model: "m", parts: ["beside"] });
+      [0, 1].forEach((server) =>
+        quarantine.recordCrash(beside, SERVERS[server]!, 1_000)
+      );
+      [3, 4].forEach((server) =>
+        quarantine.recordCrash(other(server), SERVERS[server]!, 1_000)
+      );
+      assert.ok(!isHeld(quarantine, other(9)));
+      crash(quarantine, 3);
+      assert.ok(isHeld(quarantine, other(9)));
+      assert.ok(held.includes(other(9).partFingerprints[1]!));
+      assert.ok(!isHeld(quarantine, beside));
+    });
+
     it("quarantines no part that was answered, however often calls with it crash servers", () => {
       const { quarantine } = createQuarantine({});
       quarantine.recordAnswer(toCall(0), 500);
--- a/quarantine/suspect_list.ts
+++ b/quarantine/suspect_list.ts
@@ -8,6 +8,12 @@
  * caller that retries is sent to two more servers.
  */
 export const MIN_CRASHES = 3;
+/**
+ * Number of servers that are enough for a prompt part while another one is quarantined, if no
+ * other suspect explains their crashes. Two parts that crash servers in turn share the servers,
+ * and a third crash of each costs servers that are just replaced.
+ */
+const MIN_CRASHES_BESIDE_OTHERS = 2;
 /**
  * Number of these crashes that no other suspect explains. Two suspects that both crash servers
  * often do so at the same ones, so that each would release the other if more were wanted.
@@ -79,6 +85,13 @@
     return true;
   }
 
+  /** Returns the suspects that enough speaks against since another one is quarantined. */
+  listHeldBeside(): readonly Suspect[] {
+    return [...this.#suspects.values()].filter((suspect) =>
+      !this.#quarantined.has(suspect.call) && this.#isHeld(suspect)
+    );
+  }
+
   /** Removes a suspect. Returns whether there was one. */
   remove(call: CallFingerprint): boolean {
     this.#quarantined.delete(call);
@@ -113,15 +126,25 @@
   }
 
   #isHeld(suspect: Suspect): boolean {
-    if (suspect.servers.size < MIN_CRASHES) return false;
+    if (suspect.servers.size < MIN_CRASHES_BESIDE_OTHERS) return false;
     // Only an answer releases what is quarantined: a suspect that overtakes it may be another
     // cause. A trial that crashed a server shows more than crashes that others may explain.
     if (this.#quarantined.has(suspect.call)) return true;
+    if (suspect.servers.size < MIN_CRASHES) return this.#isHeldBeside(suspect);
     if (suspect.failedTrials > 0) return true;
     const attributed = countAttributed(suspect, this.#listQuarantined());
     return attributed >= MIN_OWN_CRASHES;
   }
 
+  #isHeldBeside(suspect: Suspect): boolean {
+    if (!isPartFingerprint(suspect.call)) return false;
+    const quarantined = this.#listQuarantined();
+    if (!quarantined.some(({ call }) => isPartFingerprint(call))) return false;
+    const explained = new Set(quarantined.flatMap((each) => [...each.servers]));
+    const own = [...suspect.servers].filter((server) => !explained.has(server));
+    return own.length >= MIN_CRASHES_BESIDE_OTHERS;
+  }
+
   #listQuarantined(): readonly Suspect[] {
     return [...this.#quarantined].map((call) => this.#suspects.get(call)!);
   }
