All parts of long prompts count in the quarantine

Cause: only the first 64 parts of a prompt were looked at, as that bounded the memory for answered parts and the work for one call. A bad part behind them was never known.

Change: up to 1,024 parts of a call count, of longer prompts the first and the last 512. Memory is bounded apart from that. One answered call adds 64 parts at most to those that are remembered and refreshes all that are known, so that a flood of new parts displaces no more answers than before; calls that come again have the rest remembered. At a crash, parts that were answered in the last minute are left out first; of the others 160 at most become suspect, known suspects before parts picked by digest. Reports stay as they were. The test that a call is known by 64 of 1,000 parts is replaced: it demanded the fault. The new ones bound the parts, suspects and remembered answers.

--- a/quarantine/answered_calls.ts
+++ b/quarantine/answered_calls.ts
@@ -29,6 +29,11 @@
     this.#newer = new Map();
   }
 
+  /** Returns whether an answer of a call is remembered. */
+  has(call: CallFingerprint): boolean {
+    return this.#newer.has(call) || this.#older.has(call);
+  }
+
   /** Returns when a call was last answered, if that still protects it from suspicion. */
   readValidMs(call: CallFingerprint, nowMs: number): number | undefined {
     const atMs = this.#readMs(call);
--- a/quarantine/call_content.ts
+++ b/quarantine/call_content.ts
@@ -2,8 +2,11 @@
 import { computeDigest } from "./compute_digest.ts";
 import { toPartFingerprint } from "./part_fingerprint.ts";
 
-/** Maximum number of prompt parts by which a call is known, which bounds the work for one call. */
-const MAX_PARTS = 64;
+/**
+ * Maximum number of prompt parts by which a call is known, which bounds the work for one call.
+ * Of longer prompts, the first and the last parts count.
+ */
+const MAX_PARTS = 1_024;
 
 /** What other calls of a model may have in common with a call. */
 export interface SharedPrompt {
@@ -65,7 +68,12 @@
 ): readonly CallFingerprint[] {
   if (prompt === undefined || prompt.parts.length === 0) return [];
   const model = prompt.model ?? "";
-  const fingerprints = prompt.parts.slice(0, MAX_PARTS)
+  const fingerprints = pickParts(prompt.parts)
     .map((part) => toPartFingerprint({ model, part }));
   return [...new Set(fingerprints)];
 }
+
+function pickParts(parts: readonly string[]): readonly string[] {
+  if (parts.length <= MAX_PARTS) return parts;
+  return [...parts.slice(0, MAX_PARTS / 2), ...parts.slice(-MAX_PARTS / 2)];
+}
--- a/quarantine/call_quarantine.ts
+++ b/quarantine/call_quarantine.ts
@@ -1,6 +1,7 @@
 import type { BackendId, CallFingerprint } from "../ids/mod.ts";
 import type { CallContent } from "./call_content.ts";
 import { AnsweredCalls } from "./answered_calls.ts";
+import { computeDigest } from "./compute_digest.ts";
 import type { CrashReport } from "./crash_report.ts";
 import { isPartFingerprint } from "./part_fingerprint.ts";
 import { createSuspect, type Suspect } from "./suspect.ts";
@@ -18,6 +19,18 @@
  * before are repeated, as their reports may have been dropped; more bytes bring nothing.
  */
 const MAX_REPORTED_SERVERS = MIN_CRASHES;
+/**
+ * Maximum number of prompt parts of one answered call that are remembered for the first time.
+ * Otherwise calls with many new parts would displace the parts that others share. Calls that
+ * come again have their other parts remembered, too.
+ */
+const MAX_NEW_ANSWERED_PARTS = 64;
+/**
+ * Maximum number of prompt parts of one call that become suspect at a crash. Those that were
+ * answered lately never do, which leaves few of most calls. The queue of crash reports holds as
+ * many.
+ */
+const MAX_NEW_SUSPECT_PARTS = 160;
 /** Maximum number of crashed servers that are remembered: the servers of a large region. */
 const MAX_CRASHED_SERVERS = 256;
 /** How far the times that two instances report for the same crash differ, in milliseconds. */
@@ -155,7 +168,7 @@
     nowMs: number,
     { isTrial = false }: RecordCrashOptions = {},
   ): void {
-    content.fingerprints.forEach((call) => {
+    this.#listSuspect(content, nowMs).forEach((call) => {
       const report: CrashReport = {
         call,
         servers: [server],
@@ -176,8 +189,19 @@
    * @param content Content of the call.
    * @param nowMs Current time, in milliseconds.
    */
-  recordAnswer({ fingerprints }: CallContent, nowMs: number): void {
-    fingerprints.forEach((call) => this.release(call, nowMs));
+  recordAnswer(
+    { fingerprint, partFingerprints }: CallContent,
+    nowMs: number,
+  ): void {
+    this.release(fingerprint, nowMs);
+    let newCount = 0;
+    partFingerprints.forEach((part) => {
+      const isKnown = this.#answeredParts.has(part) ||
+        this.#suspects.find(part) !== undefined;
+      if (isKnown || newCount++ < MAX_NEW_ANSWERED_PARTS) {
+        this.release(part, nowMs);
+      }
+    });
   }
 
   /**
@@ -288,6 +312,30 @@
     );
   }
 
+  /**
+   * Returns what becomes suspect at the crash of a server that had a call. Of too many prompt
+   * parts, suspects come first, then those that all instances pick alike by their digests.
+   */
+  #listSuspect(
+    { fingerprint, partFingerprints }: CallContent,
+    nowMs: number,
+  ): readonly CallFingerprint[] {
+    const parts = partFingerprints.filter((part) =>
+      this.#answeredParts.readValidMs(part, nowMs) === undefined
+    );
+    if (parts.length <= MAX_NEW_SUSPECT_PARTS) return [fingerprint, ...parts];
+    const known = parts.filter((part) =>
+      this.#suspects.find(part) !== undefined
+    );
+    const digests = parts
+      .filter((part) => this.#suspects.find(part) === undefined)
+      .map((part) => ({ part, digest: computeDigest(part) }))
+      .toSorted((a, b) => a.digest < b.digest ? -1 : 1);
+    const picked = digests.slice(0, MAX_NEW_SUSPECT_PARTS)
+      .map(({ part }) => part);
+    return [fingerprint, ...picked, ...known];
+  }
+
   /** Returns the number of failed trials after another one; nothing if the call is not quarantined. */
   #countFailedTrial(call: CallFingerprint): Pick<CrashReport, "failedTrials"> {
     const quarantined = this.#suspects.findQuarantined(call);
--- a/quarantine/call_quarantine_test.ts
+++ b/quarantine/call_quarantine_test.ts
@@ -321,15 +321,70 @@
       assert.equal(admit(first, 75_000), "trial");
     });
 
-    it("knows a call by a bounded number of parts, each by a short name", () => {
-      const parts = Array.from({ length: 1_000 }, (_, nth) => `${nth}`);
-      const long = ["a".repeat(5_000), "b@c", "d e"];
-      const { partFingerprints } = toCall(0, { model: "m", parts });
-      const names = toCall(0, { model: "m", parts: long }).partFingerprints;
-      assert.equal(partFingerprints.length, 64);
+    it("knows a call by all of 1,000 parts and by a bounded number of more, each by a short name", () => {
+      const toParts = (count: number) =>
+        Array.from({ length: count }, (_, nth) => `${nth}`);
+      const list = (parts: readonly string[]) =>
+        toCall(0, { model: "m", parts }).partFingerprints;
+      const names = list(["a".repeat(5_000), "b@c", "d e"]);
+      assert.equal(list(toParts(1_000)).length, 1_000);
+      assert.equal(list(toParts(10_000)).length, 1_024);
+      assert.equal(list(toParts(10_000)).at(-1), list(["9999"])[0]);
       assert.equal(new Set(names).size, 3);
       assert.ok(names.every((name) => /^part:[\w-]{16}$/.test(name)));
     });
+
+    const toNewParts = (nth: number, count: number) =>
+      Array.from({ length: count }, (_, part) => `new ${nth} ${part}`);
+
+    it("quarantines the part behind hundreds of new ones, and reports it first", () => {
+      const { held, quarantine } = createQuarantine({});
+      const long = (nth: number) =>
+        toCall(nth, { model: "m", parts: [...toNewParts(nth, 150), "bad"] });
+      [0, 1, 2].forEach((nth) =>
+        quarantine.recordCrash(long(nth), SERVERS[nth]!, 1_000 + nth)
+      );
+      const bad = toCall(9, { model: "m", parts: ["bad"] });
+      assert.ok(isHeld(quarantine, bad));
+      assert.deepEqual(held, [bad.partFingerprints[0]]);
+    });
+
+    it("makes a bounded number of parts suspect at one crash", () => {
+      const { quarantine } = createQuarantine({});
+      const parts = toNewParts(0, 1_000);
+      quarantine.recordCrash(
+        toCall(0, { model: "m", parts }),
+        SERVERS[0]!,
+        1_000,
+      );
+      assert.ok(quarantine.suspectCount <= 192);
+    });
+
+    it("remembers the answer of a part though others with 1,000 new parts follow", () => {
+      const { quarantine } = createQuarantine({});
+      quarantine.recordAnswer(toCall(0), 0);
+      Array.from(
+        { length: 120 },
+        (_, nth) =>
+          quarantine.recordAnswer(
+            toCall(nth, { model: "m", parts: toNewParts(nth, 1_000) }),
+            500,
+          ),
+      );
+      crash(quarantine, 8);
+      assert.ok(!isHeld(quarantine));
+    });
+
+    it("protects all parts of a long prompt once it was answered several times", () => {
+      const { quarantine } = createQuarantine({});
+      const long = (nth: number) =>
+        toCall(nth, { model: "m", parts: toNewParts(0, 150) });
+      [0, 1, 2].forEach((nth) => quarantine.recordAnswer(long(nth), 500));
+      SERVERS.forEach((server, nth) =>
+        quarantine.recordCrash(long(10 + nth), server, 1_000)
+      );
+      assert.ok(!isHeld(quarantine, long(99)));
+    });
   });
 
   describe("when other instances report crashes", () => {
--- a/quarantine/suspect_list.ts
+++ b/quarantine/suspect_list.ts
@@ -65,10 +65,12 @@
     this.#suspects.delete(suspect.call);
     this.#suspects.set(suspect.call, suspect);
     if (this.#suspects.size <= MAX_SUSPECTS) return;
-    const oldest = [...this.#suspects.keys()].find((each) =>
-      !this.#quarantined.has(each)
-    );
-    if (oldest !== undefined) this.remove(oldest);
+    // A plain loop, as a copy of all keys at each new suspect takes most of the time of a crash.
+    for (const each of this.#suspects.keys()) {
+      if (this.#quarantined.has(each)) continue;
+      this.remove(each);
+      return;
+    }
   }
 
   /**
