--- a/tests/crashing_call_fleet_test.ts
+++ b/tests/crashing_call_fleet_test.ts
@@ -1,82 +1,16 @@
 // Guards against a call that crashes engine after engine of `havenspurd`: its crashes were known to one call at one daemon.
 import assert from "node:assert/strict";
-import { afterEach, describe, it } from "node:test";
+import { describe, it } from "node:test";
 import {
-  type FakeDaemon,
-  FakeFleet,
-  hashToken,
-  NEW_ENGINE,
-} from "../standin/mod.ts";
-
-const TOKEN = "token";
-const REGIONS = ["r1", "r2", "r3"];
-const CRASHING_BODY = {
-  model: "m",
-  prompt: "bad",
-  max_tokens: 4,
-  ends_server: true,
-};
-/** Time after which all daemons must quarantine the call, as users measure it, in milliseconds. */
-const QUARANTINED_AFTER_MS = 5_000;
-const ALLOWED_SENDS = 3;
-
-const FLEETS: FakeFleet[] = [];
-afterEach(() => FLEETS.splice(0).forEach((fleet) => fleet.stop()));
-
-async function startFleet(): Promise<FakeFleet> {
-  const fleet = new FakeFleet({ regions: REGIONS });
-  FLEETS.push(fleet);
-  await fleet.clock.advance(3_000);
-  const engines = REGIONS.flatMap((region, at) =>
-    [1, 2].map((number) => {
-      const url = `http://127.0.0.1:${10_000 + at * 10 + number}`;
-      fleet.backend.addEngine(url, region, NEW_ENGINE);
-      const spec = {
-        service: "chat",
-        region,
-        failureDomain: "fd",
-        url,
-        slots: 16,
-      };
-      return { kind: "engine", name: `${region}-e${number}`, spec };
-    })
-  );
-  await fleet.apply([
-    { kind: "model", name: "m", spec: {} },
-    { kind: "service", name: "chat", spec: { model: "m" } },
-    ...engines,
-    {
-      kind: "team",
-      name: "t",
-      spec: { tokenHashes: [hashToken(TOKEN)], requestsPerSecond: 10_000 },
-    },
-  ]);
-  return fleet;
-}
-
-/** Calls a daemon and returns the result code; 0 if the call was answered. */
-async function callDaemon(
-  fleet: FakeFleet,
-  daemon: FakeDaemon,
-  body: object,
-  durationMs = 2_500,
-): Promise<number> {
-  const pending = fleet.call(daemon, {
-    token: TOKEN,
-    path: "messages" in body ? "/v1/chat/completions" : "/v1/completions",
-    headers: { "x-deadline-ms": "2000" },
-    body,
-  });
-  await fleet.clock.advance(durationMs);
-  const reply = await pending;
-  return Number(reply.headers["x-result-code"] ?? "0");
-}
-
-function listCrashingRuns({ backend }: FakeFleet): readonly number[] {
-  return [...backend.engines.values()].flatMap(({ runs }) => runs)
-    .filter(({ body }) => body.includes("ends_server"))
-    .map(({ atMs }) => atMs).sort((a, b) => a - b);
-}
+  ALLOWED_SENDS,
+  assertBothRulesHold,
+  BAD_MESSAGE,
+  callDaemon,
+  CRASHING_BODY,
+  listCrashingRuns,
+  QUARANTINED_AFTER_MS,
+  startFleet,
+} from "./crashing_call_fixture.ts";
 
 describe("a call that crashes engines", () => {
   it("is no longer sent to engines by any daemon once it has crashed three", async () => {
@@ -124,47 +58,30 @@
   });
 });
 
-/** A message that crashes engines, among others that sound calls share. */
-const BAD_MESSAGE = { role: "user", content: "bad" };
-const FIRST_MESSAGE = { role: "system", content: "first" };
-
-function createBadBody(nth: number): object {
-  return {
-    model: "m",
-    messages: [FIRST_MESSAGE, BAD_MESSAGE, { role: "user", content: `${nth}` }],
-    max_tokens: 4,
-    ends_server: true,
-  };
-}
+/** Number of other messages of a long conversation. */
+const LONG_MESSAGES = 150;
 
-function createSoundBody(nth: number): object {
-  const own = { role: "user", content: `sound ${nth}` };
-  return { model: "m", messages: [FIRST_MESSAGE, own], max_tokens: 4 };
-}
+/** Messages between the first and the last one of the nth crashing call. */
+const CRASHING_MESSAGES: Readonly<
+  Record<string, (nth: number) => readonly object[]>
+> = {
+  "share a message that crashes engines": () => [BAD_MESSAGE],
+  "share a message that crashes engines behind 150 new ones": (nth) => [
+    ...Array.from({ length: LONG_MESSAGES }, (_, at) => ({
+      role: "user",
+      content: `new ${nth} ${at}`,
+    })),
+    BAD_MESSAGE,
+  ],
+};
 
-describe("calls that differ and share a message that crashes engines", () => {
-  it("are soon sent to engines no more, and those with the same first message are served", async () => {
-    const fleet = await startFleet();
-    const pickDaemon = (nth: number) =>
-      fleet.daemons[nth % fleet.daemons.length]!;
-    const codes: number[] = [];
-    for (let round = 0; round < 60; round++) {
-      codes.push(
-        await callDaemon(fleet, pickDaemon(round), createSoundBody(round)),
+describe("calls that differ", () => {
+  Object.entries(CRASHING_MESSAGES).forEach(([name, toMessages]) =>
+    it(`and ${name} are soon sent to engines no more, and those with the same first message are served`, async (context) => {
+      await assertBothRulesHold(
+        toMessages,
+        (figures) => context.diagnostic(figures),
       );
-      await callDaemon(fleet, pickDaemon(round + 2), createBadBody(round));
-    }
-    const runs = listCrashingRuns(fleet);
-    const late = runs.filter((atMs) =>
-      atMs > (runs[4] ?? Infinity) + QUARANTINED_AFTER_MS
-    );
-    const lastCodes = codes.slice(-20);
-    const served = lastCodes.filter((code) => code === 0);
-    assert.ok(runs.length >= 3);
-    assert.ok(late.length <= ALLOWED_SENDS, `${late.length} of ${runs.length}`);
-    assert.ok(
-      served.length >= lastCodes.length / 2,
-      `${served.length} of ${lastCodes.length}`,
-    );
-  });
+    })
+  );
 });
