Members tell an aggregator that is none of the planned ones whom they know

Cause: 65 instances of five sizes that start at once while the store is silent know only the seed. Members gathered around several aggregators; one of them never learned of the planned ones, as no report names members in a large region. After 15 s instances knew of 22 to 65 live ones. By name, the seed is usually an aggregator itself.

Change: a member whose summaries come from an instance that is no planned aggregator names members in its reports. The directory's property test runs with capacities, too.

--- a/daemon/fleet_reporter.ts
+++ b/daemon/fleet_reporter.ts
@@ -219,7 +219,7 @@
     sendReport(
       this.#writer.createReport({ crashReports, known, prefixes, nowMs }, {
         // Aggregators receive reports from the members themselves.
-        includesMembers: !usesAggregators,
+        includesMembers: !usesAggregators || plan.hasOtherAggregator,
         wantsSummary: usesAggregators && !fleet.hasSummaries(nowMs),
       }),
       toAddresses(reportTo),
--- a/directory/pick_entries_property_test.ts
+++ b/directory/pick_entries_property_test.ts
@@ -49,14 +49,37 @@
   caller: anyRegion,
 });
 
-/** Returns the answer that the first member of the list gives to the caller. */
-function answer({ caller, members, routes }: Situation): EntryAnswer {
+/** Capacities of the members, in turn, in cores. */
+const CORES = [0.243, 1.35, 0.675, 0.324];
+
+/**
+ * Returns the answer that the first member of the list gives to the caller.
+ *
+ * @param address IP address of the caller. Default: unknown, as are all capacities.
+ */
+function answer(
+  { caller, members, routes }: Situation,
+  address?: string,
+): EntryAnswer {
   const [own, ...others] = members;
   const [ownRegion, ownState] = own!;
-  const fleet = createFleetView(createMember("self", ownRegion));
+  const toCapacity = (at: number) => {
+    const cores = CORES[at % CORES.length]!;
+    return address === undefined
+      ? {}
+      : { capacity: { ratedCores: cores, currentCores: cores } };
+  };
+  const fleet = createFleetView({
+    ...createMember("self", ownRegion),
+    ...toCapacity(0),
+  });
   fleet.setState(ownState, 0);
   others.forEach(([region, state], at) => {
-    const member = { ...createMember(`member-${at}`, region), state };
+    const member = {
+      ...createMember(`member-${at}`, region),
+      state,
+      ...toCapacity(at + 1),
+    };
     fleet.applyReport(createReport(member, 1), 0);
   });
   const used = new Map(
@@ -67,7 +90,11 @@
   );
   const findHomes = () =>
     findHostHomes([...used.keys()], (route) => used.get(route)!);
-  return pickEntries(fleet, { region: toRegionId(caller), findHomes }, 1);
+  return pickEntries(fleet, {
+    region: toRegionId(caller),
+    findHomes,
+    ...(address === undefined ? {} : { caller: address }),
+  }, 1);
 }
 
 function sumCalls(routes: readonly UsedRoute[]): number {
@@ -130,4 +157,23 @@
       { seed: 20_261_203, numRuns: 500 },
     );
   });
+
+  // A caller must not be directed elsewhere, or to nobody, because instances differ in size.
+  it("makes the same choice whatever the capacities, and names at least 3 of the same instances", () => {
+    fc.assert(
+      fc.property(anySituation, fc.ipV4(), (situation, address) => {
+        const all = answer(situation);
+        const selected = answer(situation, address);
+        assert.equal(selected.choice, all.choice);
+        assert.equal(selected.ttlMs, all.ttlMs);
+        const ids = new Set(all.entries.map(({ id }) => id));
+        assert.ok(selected.entries.every(({ id }) => ids.has(id)));
+        const wanted = all.choice === "leaving"
+          ? ids.size
+          : Math.min(3, ids.size);
+        assert.ok(selected.entries.length >= wanted);
+      }),
+      { seed: 20_261_204, numRuns: 1_000 },
+    );
+  });
 });
--- a/fleet/plan_reports.ts
+++ b/fleet/plan_reports.ts
@@ -36,6 +36,11 @@
   readonly reportTo: readonly MemberRecord[];
   /** Members that receive its summaries of the region; empty: it sends no summaries. */
   readonly summarizeFor: readonly MemberRecord[];
+  /**
+   * Whether a member sends summaries that should not by this plan. It may not know the
+   * aggregators, and learns of them from reports that name members.
+   */
+  readonly hasOtherAggregator: boolean;
 }
 
 /** Arguments of {@linkcode planReports}. */
@@ -80,7 +85,11 @@
   const requesting = peers.filter(({ wantsSummary }) => wantsSummary)
     .map(({ member }) => member);
   if (!isLargeRegion(peers)) {
-    return { reportTo: others, summarizeFor: mayAggregate ? requesting : [] };
+    return {
+      reportTo: others,
+      summarizeFor: mayAggregate ? requesting : [],
+      hasOtherAggregator: false,
+    };
   }
   const aggregators = pickRepresentatives([self, ...others]);
   const isAggregator = (member: MemberRecord) =>
@@ -88,7 +97,12 @@
   const reportTo = peers.filter(({ isAggregating, member }) =>
     isAggregating || isAggregator(member)
   ).map(({ member }) => member);
-  if (!mayAggregate) return { reportTo, summarizeFor: [] };
+  const hasOtherAggregator = peers.some(({ isAggregating, member }) =>
+    isAggregating && !isAggregator(member)
+  );
+  if (!mayAggregate) {
+    return { reportTo, summarizeFor: [], hasOtherAggregator };
+  }
   const late = new Set(
     peers.filter(({ silentMs }) => silentMs > AGGREGATOR_TIMEOUT_MS)
       .map(({ member }) => member.id),
@@ -104,7 +118,8 @@
     (isReplaced || !isAggregator(member)) &&
     pickAggregator(member, candidates)?.id === self.id
   );
-  return { reportTo, summarizeFor: [...new Set([...assigned, ...requesting])] };
+  const summarizeFor = [...new Set([...assigned, ...requesting])];
+  return { reportTo, summarizeFor, hasOtherAggregator };
 }
 
 /** Returns the aggregator for a member: the one in its failure domain, or else the first. */
--- a/tests/capacity_roles_test.ts
+++ b/tests/capacity_roles_test.ts
@@ -60,6 +60,24 @@
     assertCallCounts(listRunning(), 8);
   });
 
+  // The seed is known to all from the start, but the aggregators are not: members gathered
+  // around several aggregators that did not learn of each other while the store was silent.
+  it("become known to all instances that start at once, without the store", async () => {
+    const sizes = [0.243, 0.324, 0.54, 0.675, 1.35];
+    const { clock, listRunning } = startReporters({
+      perRegion: 65,
+      findCapacity: (index) => createCapacity(sizes[index % sizes.length]!),
+    });
+    await clock.advance(4_000);
+    assert.deepEqual(listAggregators(listRunning()), [
+      "north-004",
+      "north-009",
+    ]);
+    listRunning().forEach(({ fleet }) =>
+      assert.equal(fleet.countLive(clock.nowMs()), 65)
+    );
+  });
+
   it("include a small instance where a failure domain has no other", async () => {
     const { clock, listRunning } = startReporters({
       perRegion: PER_REGION,
