The HTTP client's parser is not optimized a second time

Cause: undici's parser is WebAssembly; V8 optimizes one large function of it a few seconds after a start, on its own threads, which holds the peak of memory. Change: --no-wasm-tier-up in the run line.

--- a/bench/process_bench.ts
+++ b/bench/process_bench.ts
@@ -17,7 +17,7 @@
 /** Program of the platform, as `deploy/system.toml` builds it. */
 const PROGRAM = "target/havenspur.cjs";
 /** Options with which `deploy/system.toml` runs the program. */
-const NODE_OPTIONS = ["--max-old-space-size=158"];
+const NODE_OPTIONS = ["--max-old-space-size=158", "--no-wasm-tier-up"];
 const REGION = "north";
 const REMOTE_REGION = "south";
 /** Instances of each program that are measured. */
