--- a/ids/mod.ts
+++ b/ids/mod.ts
@@ -41,6 +41,10 @@
 export type CallFingerprint = Branded<"CallFingerprint">;
 /** One write to the store; never used twice. */
 export type ChangeId = Branded<"ChangeId">;
+/** Version of a service's servers, as their entries declare it. */
+export type ServerVersion = Branded<"ServerVersion">;
+/** One order to roll out a version. */
+export type RolloutId = Branded<"RolloutId">;
 
 /** Base in which an id contains the start time of a server: 8 characters instead of 13. */
 const START_RADIX = 36;
@@ -67,6 +71,11 @@
   text as CallFingerprint;
 /** Returns the text as a change id. */
 export const toChangeId = (text: string): ChangeId => text as ChangeId;
+/** Returns the text as a server version. */
+export const toServerVersion = (text: string): ServerVersion =>
+  text as ServerVersion;
+/** Returns the text as a rollout id. */
+export const toRolloutId = (text: string): RolloutId => text as RolloutId;
 
 /**
  * Returns the id of one start of a backend server. A server that restarts under the
--- a/tests/import_rules_test.ts
+++ b/tests/import_rules_test.ts
@@ -27,6 +27,7 @@
 
 /** Topic folders with decision logic: they depend on ports, and use no sockets, files or globals. */
 const DECISION_FOLDERS = [
+  "rollouts",
   "http_routes",
   "servers",
   "fleet",
