Rollouts: route, slow, suspects, sequence and forgetRecord in the interface

Cause: the canary must cover rare routes, find versions that are slow in a part of their responses, avoid one faulty server, and recognise a store restored from an older copy. Change: VersionedCall.route, LogSums.slow, RolloutReport.suspects, RolloutRecord.sequence and RolloutTracker.forgetRecord(). Optional, except LogSums.slow. Result: builds and lints; no behaviour yet.

--- a/rollouts/rollout_tracker.ts
+++ b/rollouts/rollout_tracker.ts
@@ -53,6 +53,12 @@
   /** Applies a record, as read from the store or after this instance wrote it. */
   applyRecord(_record: RolloutRecord): void {}
 
+  /**
+   * Records that the store holds no record of a service any more. What is remembered stays
+   * valid and is planned to be written again.
+   */
+  forgetRecord(_service: string): void {}
+
   /** Replaces the registered servers of all services. */
   applyServers(_servers: readonly VersionedServer[]): void {}
 
--- a/rollouts/rollout_types.ts
+++ b/rollouts/rollout_types.ts
@@ -50,6 +50,11 @@
   readonly order?: RolloutProgress;
   /** Destinations that were rolled back and not ordered again since. Default: none. */
   readonly rejected?: readonly ServerVersion[];
+  /**
+   * Number of writes to this record. In a store restored from an older copy it is smaller
+   * than in the memory of instances. Default: 0.
+   */
+  readonly sequence?: number;
 }
 
 /** Bounds of the deployment on rollouts. */
@@ -81,6 +86,8 @@
   readonly service: string;
   /** Region whose servers the call is about to be sent to. */
   readonly region: RegionId;
+  /** Route, as in `VersionedSend`: rare routes get a larger share. Default: none. */
+  readonly route?: string;
   /** Last shared part of the prompt. Default: none; the call is assigned at random. */
   readonly affinityKey?: string;
   /** `false` for retries, handovers and resumed streams. */
@@ -146,6 +153,11 @@
   readonly count: number;
   readonly sum: number;
   readonly squares: number;
+  /**
+   * Durations several times longer than the geometric mean of the versions in force on the
+   * same route: the mean of all shows little if only a part is slow.
+   */
+  readonly slow: number;
 }
 
 /** Whose responses a row counts: those of the versions in force together, or of one server. */
@@ -174,6 +186,8 @@
   readonly isBad: boolean;
   /** Calls in flight at servers of versions that the order replaces. */
   readonly previousCalls: number;
+  /** Canary servers that look faulty, which the canary avoids. Default: none. */
+  readonly suspects?: readonly BackendId[];
   /** Empty in scope `summary`. */
   readonly evidence: readonly EvidenceRow[];
 }
