--- a/rollouts/mod.ts
+++ b/rollouts/mod.ts
@@ -15,5 +15,7 @@
  * ```
  * @module
  */
+export { REPEATED_TEST, SEQUENTIAL_TEST } from "./canary_test.ts";
+export type { CanaryTest } from "./canary_test.ts";
 export * from "./rollout_tracker.ts";
 export * from "./rollout_types.ts";
