--- a/bench/run_bench.ts
+++ b/bench/run_bench.ts
@@ -18,6 +18,7 @@
 import { runRetriesBench } from "./retries_bench.ts";
 import { runSoakBench } from "./soak_bench.ts";
 import { runSpillBench } from "./spill_bench.ts";
+import { runRolloutsBench } from "./rollouts_bench.ts";
 import { runRoutingBench } from "./routing_bench.ts";
 
 const CASES: readonly BenchCase[] = [
@@ -49,7 +50,10 @@
 }
 
 /** Benchmarks that take too long to be part of `all`. */
-const LONG_CASES: readonly BenchCase[] = [{ name: "soak", run: runSoakBench }];
+const LONG_CASES: readonly BenchCase[] = [
+  { name: "soak", run: runSoakBench },
+  { name: "rollouts", run: runRolloutsBench },
+];
 
 const [requestedName = "all"] = process.argv.slice(2);
 const cases = requestedName === "all"
--- a/rollouts/assign_version.ts
+++ b/rollouts/assign_version.ts
@@ -109,9 +109,12 @@
   if (servers.size === 0) return undefined;
   const isDrawn = run.lottery.draw(
     { route, affinityKey },
-    TRIAL_PART * bounds.exposureShare,
-    naturalShare,
-    Math.max(0, nowMs - progress.startedMs),
+    {
+      share: TRIAL_PART * bounds.exposureShare,
+      naturalShare,
+      elapsedMs: Math.max(0, nowMs - progress.startedMs),
+      available: run.budget.available,
+    },
   );
   return isDrawn && run.budget.canSpend()
     ? { kind: "trial", destination: run.destination, servers }
--- a/rollouts/canary_analysis.ts
+++ b/rollouts/canary_analysis.ts
@@ -26,15 +26,17 @@
 
 /** Responses of the destination from which it can be judged good. */
 export const MIN_RESPONSES = 30;
-/** The same on a route with at least `COMMON_ROUTE` responses of the versions in force. */
-const MIN_ROUTE_RESPONSES = 5;
-const COMMON_ROUTE = 100;
-/** Part of a rare route's responses that the canary is required to have got, of those in force. */
-const RARE_ROUTE_SHARE = 0.04;
+/**
+ * The same on each route. With 8, of which the worst server is left out, 1 in 40 versions that
+ * fail 60% of the calls of one route passes the canary.
+ */
+const MIN_ROUTE_RESPONSES = 12;
+/** Part of a rare route's responses in force that the canary must have got, if that is less. */
+const RARE_ROUTE_SHARE = 0.25;
 /** Score from which a single server is avoided: a tenth of the orders of magnitude of a finding. */
 const SUSPECT_SCORE = 0.5;
 /** Responses from which durations are judged: the first ones of a server pay for cold caches. */
-const MIN_DURATIONS = 8;
+const MIN_DURATIONS = 5;
 /**
  * Limits on the weight of durations. Servers of one version differ in speed, so that
  * many responses of few servers tell less than as many independent ones.
@@ -159,12 +161,14 @@
 ): boolean {
   const count = (route?: string) =>
     canaryRows.filter((row) => route === undefined || row.route === route)
-      .reduce((sum, { responses }) => sum + responses, 0);
+      // Responses of cold servers tell nothing of durations.
+      .reduce((sum, row) => sum + row.failures + row.firstByte.count, 0);
   return count() >= MIN_RESPONSES &&
     [...baselines.values()].every(({ responses, route }) => {
-      const required = responses >= COMMON_ROUTE
-        ? MIN_ROUTE_RESPONSES
-        : Math.floor(responses * RARE_ROUTE_SHARE);
+      const required = Math.min(
+        MIN_ROUTE_RESPONSES,
+        Math.floor(responses * RARE_ROUTE_SHARE),
+      );
       return count(route) >= required;
     });
 }
--- a/rollouts/canary_lottery.ts
+++ b/rollouts/canary_lottery.ts
@@ -11,8 +11,19 @@
 const EVEN_PART = 0.7;
 /** Shortest burst, as a part of the period: half of the calls go to the canary in it. */
 const MIN_BURST_SHARE_FACTOR = 2;
+/** Unused sends from which bursts are longer: cold servers took few calls. */
+const LARGE_SURPLUS = 2;
+/**
+ * Own calls up to which an instance uses its budget as soon as it has one. An instance of a
+ * large fleet has a budget of one or two sends for the whole order; a draw with the usual
+ * share would leave it unused.
+ */
+const FEW_CALLS = 100;
+/** Factor of the share for each unused send, and the largest share. */
+const SURPLUS_FACTOR = 3;
+const MAX_SHARE = 0.5;
 /** Part of the share that is distributed evenly over routes, so that rare ones are covered. */
-const EVEN_ROUTE_PART = 0.5;
+const EVEN_ROUTE_PART = 0.7;
 /** Calls by which hashing may miss a route's share before calls are drawn at random. */
 const MAX_DEFICIT = 2;
 const MAX_EXCESS = 3;
@@ -25,6 +36,18 @@
   readonly affinityKey: string | undefined;
 }
 
+/** What the canary may get. */
+export interface LotteryInput {
+  /** Share of all calls that the canary gets over time. */
+  readonly share: number;
+  /** Share that loads the canary's servers as later. */
+  readonly naturalShare: number;
+  /** Time since the order, which instances know alike, in milliseconds. */
+  readonly elapsedMs: number;
+  /** Sends that the budget allows now. */
+  readonly available: number;
+}
+
 interface RouteCounts {
   calls: number;
   expected: number;
@@ -56,15 +79,11 @@
    * Returns whether the canary gets a call.
    *
    * @param call The call.
-   * @param share Share of all calls that the canary gets over time.
-   * @param naturalShare Share that loads the canary's servers as later.
-   * @param elapsedMs Time since the order, which instances know alike.
+   * @param input What the canary may get.
    */
   draw(
     call: LotteryCall,
-    share: number,
-    naturalShare: number,
-    elapsedMs: number,
+    { available, elapsedMs, naturalShare, share }: LotteryInput,
   ): boolean {
     const counts = this.#count(call.route);
     const part = Math.max(
@@ -72,12 +91,14 @@
       Math.min(1, share / Math.max(share, naturalShare)),
     );
     const isEven = part >= EVEN_PART;
+    const burstPart = available >= LARGE_SURPLUS ? 2 * part : part;
     // Bursts end the period, since the budget for them is earned before.
-    const isBurst = elapsedMs % BURST_PERIOD_MS >= BURST_PERIOD_MS * (1 - part);
+    const isBurst = elapsedMs % BURST_PERIOD_MS >=
+      BURST_PERIOD_MS * (1 - burstPart);
     if (!isEven && !isBurst) return false;
     const probability = this.#computeShare(
       counts,
-      isEven ? share : share / part,
+      isEven ? this.#raiseShare(call, share, available) : share / part,
     );
     counts.expected += probability;
     const isDrawn = this.#decide(call, counts, probability);
@@ -109,7 +130,19 @@
     return !hasExcess && this.#hash(affinityKey) < probability;
   }
 
-  /** Returns a route's share: half of the share by calls, half evenly over routes. */
+  #raiseShare(
+    { affinityKey }: LotteryCall,
+    share: number,
+    available: number,
+  ): number {
+    const mayRaise = available >= 1 && (affinityKey === undefined ||
+      this.#calls <= FEW_CALLS || available >= LARGE_SURPLUS);
+    return mayRaise
+      ? Math.min(MAX_SHARE, share * (1 + SURPLUS_FACTOR * available))
+      : share;
+  }
+
+  /** Returns a route's share: a part of the share by calls, the rest evenly over routes. */
   #computeShare({ calls }: RouteCounts, share: number): number {
     const routeShare = calls / this.#calls;
     const factor = 1 - EVEN_ROUTE_PART +
--- a/rollouts/canary_test.ts
+++ b/rollouts/canary_test.ts
@@ -41,6 +41,8 @@
 const FINDING_RATIO = Math.log(1 / FALSE_ALARM_PROBABILITY);
 /** The same probability, one-sided, in standard errors. */
 const FINDING_SCORE = 3.72;
+/** Standard errors that are a suspicion: one in ten good versions has them by chance. */
+const SUSPICION_SCORE = 1.28;
 
 /**
  * The test that is used: Wald's sequential probability ratio test. Its error rates hold
@@ -102,7 +104,7 @@
   const weighted = strata.map((stratum, at) =>
     computeScore(stratum) * Math.sqrt(counts[at]! / total)
   );
-  return sum(weighted) / FINDING_SCORE;
+  return (sum(weighted) - SUSPICION_SCORE) / (FINDING_SCORE - SUSPICION_SCORE);
 }
 
 function sum(values: readonly number[]): number {
--- a/rollouts/evidence.ts
+++ b/rollouts/evidence.ts
@@ -90,17 +90,55 @@
   };
 }
 
-/** Returns the sums of rows by route and subject. */
+interface MutableSums {
+  count: number;
+  sum: number;
+  squares: number;
+  slow: number;
+}
+
+/**
+ * Returns the sums of rows by route and subject. Rows are added in place: instances sum the
+ * rows of all others many times a second while an order runs.
+ */
 export function sumRows(rows: Iterable<EvidenceRow>): readonly EvidenceRow[] {
-  const sums = new Map<string, EvidenceRow>();
+  const sums = new Map<
+    string,
+    {
+      readonly route: string;
+      readonly subject: EvidenceRow["subject"];
+      responses: number;
+      failures: number;
+      readonly firstByte: MutableSums;
+      readonly gap: MutableSums;
+    }
+  >();
   for (const row of rows) {
     const key = toRowKey(row);
     const known = sums.get(key);
-    sums.set(key, known === undefined ? row : addRows(known, row));
+    if (known === undefined) {
+      const firstByte = { ...row.firstByte };
+      sums.set(key, { ...row, firstByte, gap: { ...row.gap } });
+      continue;
+    }
+    known.responses += row.responses;
+    known.failures += row.failures;
+    increase(known.firstByte, row.firstByte);
+    increase(known.gap, row.gap);
   }
   return [...sums.values()];
 }
 
+function increase(
+  sums: MutableSums,
+  { count, slow, squares, sum }: LogSums,
+): void {
+  sums.count += count;
+  sums.sum += sum;
+  sums.squares += squares;
+  sums.slow += slow;
+}
+
 /** Returns a key that is the same for rows of the same route and subject. */
 export function toRowKey({ route, subject }: EvidenceRow): string {
   return `${route}\u0000${subject}`;
--- a/rollouts/exposure_budget.ts
+++ b/rollouts/exposure_budget.ts
@@ -71,10 +71,14 @@
     return { sends: this.#sends, canarySends: this.#canarySends };
   }
 
+  /** Canary sends that keep to the bound now, the next send included; may be a fraction. */
+  get available(): number {
+    return this.#share * (this.#sends + 1) + this.#offset - this.#canarySends;
+  }
+
   /** Returns whether one more canary send keeps to the bound. */
   canSpend(): boolean {
-    return this.#canarySends + 1 <=
-      this.#share * (this.#sends + 1) + this.#offset;
+    return this.available >= 1;
   }
 
   /** Counts a send that begins. */
--- a/rollouts/order_run.ts
+++ b/rollouts/order_run.ts
@@ -14,7 +14,7 @@
 } from "./rollout_types.ts";
 
 /** Shortest time between two evaluations of the evidence, in milliseconds. */
-const EVALUATION_INTERVAL_MS = 25;
+const EVALUATION_INTERVAL_MS = 50;
 
 /** What an order's state depends on. */
 export interface OrderRunParts {
