--- a/bench/rollouts_servers.ts
+++ b/bench/rollouts_servers.ts
@@ -1,10 +1,5 @@
 import type { Random } from "../clock/mod.ts";
-import {
-  type BackendId,
-  type RegionId,
-  type ServerVersion,
-  toBackendId,
-} from "../ids/mod.ts";
+import { type RegionId, type ServerVersion, toBackendId } from "../ids/mod.ts";
 import type { SendOutcome, VersionedServer } from "../rollouts/mod.ts";
 
 /** How a version is bad. */
