--- a/bench/rollouts_bench.ts
+++ b/bench/rollouts_bench.ts
@@ -53,6 +53,8 @@
  * with which the benchmark takes some minutes.
  */
 const SEED_FACTOR = Number(process.env.ROLLOUT_SEEDS ?? 1);
+/** Numbers of instances to run, separated by commas. Default: all. */
+const CHOSEN_SIZES = process.env.ROLLOUT_SIZES?.split(",").map(Number);
 const SIZES: readonly Size[] = [
   {
     instances: 9,
@@ -82,6 +84,7 @@
   const rows: string[][] = [];
   const figures: Record<string, number> = {};
   for (const size of SIZES) {
+    if (CHOSEN_SIZES?.includes(size.instances) === false) continue;
     const tests = size.instances === 9
       ? [SEQUENTIAL_TEST, REPEATED_TEST]
       : [SEQUENTIAL_TEST];
--- a/rollouts/canary_analysis.ts
+++ b/rollouts/canary_analysis.ts
@@ -36,7 +36,10 @@
 /** Score from which a single server is avoided: a tenth of the orders of magnitude of a finding. */
 const SUSPECT_SCORE = 0.5;
 /** Responses from which durations are judged: the first ones of a server pay for cold caches. */
-const MIN_DURATIONS = 5;
+const MIN_DURATIONS = 8;
+/** Fewer durations are a suspicion at most, from this number on. */
+const MIN_SUSPECT_DURATIONS = 5;
+const MAX_SUSPICION = 0.99;
 /**
  * Limits on the weight of durations. Servers of one version differ in speed, so that
  * many responses of few servers tell less than as many independent ones.
@@ -86,13 +89,15 @@
     {
       name: `${field} slow`,
       score: (pairs, test) =>
-        hasDurations(pairs, field)
-          ? test.compareShares(
+        limitScore(
+          pairs,
+          field,
+          test.compareShares(
             pairs.map((pair) => mapPair(pair, (row) => toSlow(row[field]))),
             SLOW,
             MAX_SLOW_COUNT,
-          )
-          : 0,
+          ),
+        ),
     },
   ]),
 ];
@@ -216,10 +221,13 @@
   return { trials: count, hits: slow };
 }
 
-function hasDurations(
+/** Limits what a score of few durations says. */
+function limitScore(
   pairs: readonly RowPair[],
   field: "firstByte" | "gap",
-): boolean {
-  return pairs.reduce((sum, { canary }) => sum + canary[field].count, 0) >=
-    MIN_DURATIONS;
+  score: number,
+): number {
+  const count = pairs.reduce((sum, { canary }) => sum + canary[field].count, 0);
+  if (count < MIN_SUSPECT_DURATIONS) return 0;
+  return count < MIN_DURATIONS ? Math.min(score, MAX_SUSPICION) : score;
 }
--- a/rollouts/plan_record.ts
+++ b/rollouts/plan_record.ts
@@ -59,6 +59,8 @@
     return beginOrder(input, order);
   }
   if (isRunning) {
+    // An older entry of the operator is a late read: what runs waits for the present one.
+    if (order !== undefined && !isSameOrder(order, progress)) return undefined;
     return order === undefined
       ? advanceRecord(record, progress, "rolled-back", input.nowMs, "withdrawn")
       : planPhase(input, progress);
