--- a/rollouts/canary_analysis.ts
+++ b/rollouts/canary_analysis.ts
@@ -78,13 +78,15 @@
     {
       name: `${field} mean`,
       score: (pairs, test) =>
-        hasDurations(pairs, field)
-          ? test.compareMeans(
+        limitScore(
+          pairs,
+          field,
+          test.compareMeans(
             pairs.map((pair) => mapPair(pair, (row): MeanSample => row[field])),
             MEAN_LOGS,
             MAX_MEAN_COUNT,
-          )
-          : 0,
+          ),
+        ),
     },
     {
       name: `${field} slow`,
@@ -106,8 +108,8 @@
  * Compares a version with the versions in force, by route and over all routes, stratified
  * by route so that another mix of routes is no difference. A finding must hold without the
  * server that looks worst, unless the destination has only one: one server may be faulty
- * although its version is good. Only servers of few responses are needed beside it, since
- * the canary moves on from servers that look faulty.
+ * although its version is good. The canary moves on from
+ * servers that look faulty, so that there are others to compare.
  *
  * @param rows Sums of the evidence by route and subject.
  * @param hasOtherServers Whether the destination has more than one server.
