--- a/bench/run_bench.ts
+++ b/bench/run_bench.ts
@@ -20,6 +20,7 @@
 import { runRetriesBench } from "./retries_bench.ts";
 import { runSoakBench } from "./soak_bench.ts";
 import { runSpillBench } from "./spill_bench.ts";
+import { runRolloutsBench } from "./rollouts_bench.ts";
 import { runRoutingBench } from "./routing_bench.ts";
 
 const CASES: readonly BenchCase[] = [
@@ -55,6 +56,7 @@
   { name: "capacity", run: runCapacityBench },
   { name: "soak", run: runSoakBench },
   { name: "process", run: runProcessBench },
+  { name: "rollouts", run: runRolloutsBench },
 ];
 
 const [requestedName = "all"] = process.argv.slice(2);
