Rollouts: documents, records by compare-and-swap, reports, wiring

Cause: rollouts/ decides without a store, sockets or other instances. Change: settings (bounds.exposureShare and others); the documents op/rollout/, havenspur/rollouts/ and status/rollout/, and the version of servers; StateInForce passes orders and records to a sink, from the store and from copies of peers; RolloutEntries writes records and statuses; reports have an optional parameter for rollouts, which no report contains while no order runs; RolloutController connects the tracker with all of them, with log lines, metrics and the control method rollouts.list. An order's id is derived from its entry's revision and content, not from the store's era: an instance that starts after a restore cannot tell in which era an entry was written, and would take a rolled-back order for a new one.

--- a/daemon/fleet_reporter.ts
+++ b/daemon/fleet_reporter.ts
@@ -24,6 +24,7 @@
 import type { StateSource } from "../state/mod.ts";
 import { CrashGossip } from "./crash_gossip.ts";
 import type { LimitGossip } from "./limit_gossip.ts";
+import { omitEvidence, type RolloutGossip } from "./rollout_gossip.ts";
 
 /** Interval between reports to the own region, in milliseconds. */
 const REPORT_INTERVAL_MS = 150;
@@ -76,6 +77,8 @@
   readonly quarantine: CallQuarantine;
   /** Limits that servers advertised. Default: none. */
   readonly limits?: Pick<LimitGossip, "recordReported" | "listReported">;
+  /** Orders that run. Default: none. */
+  readonly rollouts?: Pick<RolloutGossip, "recordReported" | "listReported">;
   /** Called after each round of reports. */
   readonly onRound: () => void;
   /** Called when another instance reports a newer state of the store. */
@@ -110,6 +113,7 @@
       listTeamUsage: () => [],
       listLimits: (scope, nowMs) =>
         parts.limits?.listReported(scope, nowMs) ?? [],
+      listRollouts: (scope) => parts.rollouts?.listReported(scope) ?? [],
       ...parts,
     });
     this.#crashGossip = new CrashGossip(parts.quarantine);
@@ -162,12 +166,20 @@
    * @param from Address of the sender.
    */
   receive(report: FleetReport, from: string): void {
-    const { clock, fleet, recordPrefixes, limits, sendReport, state } =
-      this.#parts;
+    const {
+      clock,
+      fleet,
+      limits,
+      recordPrefixes,
+      rollouts,
+      sendReport,
+      state,
+    } = this.#parts;
     const nowMs = clock.nowMs();
     if (fleet.applyReport(report, nowMs)) {
       recordPrefixes(report.prefixes);
       limits?.recordReported(report, nowMs);
+      rollouts?.recordReported(report, nowMs);
       const isLocal = report.from.region === fleet.self.region;
       if (!isLocal) this.#forwardRegionReport(report, nowMs);
       else if (report.scope === "instance") this.addPrefixes(report.prefixes);
@@ -318,9 +330,15 @@
     }
     const plan = this.#planReports(seen, nowMs);
     const others = isFirst ? plan.reportTo : [];
-    sendReport(report, toAddresses([...others, ...plan.summarizeFor]), {
-      isCompressed: true,
-    });
+    const options = { isCompressed: true };
+    if (report.rollouts === undefined) {
+      const receivers = [...others, ...plan.summarizeFor];
+      sendReport(report, toAddresses(receivers), options);
+      return;
+    }
+    // Only aggregators judge versions; members get the verdict.
+    sendReport(report, toAddresses(others), options);
+    sendReport(omitEvidence(report), toAddresses(plan.summarizeFor), options);
   }
 
   /** Contacts instances of which only the address is known, and asks which members they know. */
--- a/daemon/http_gateway.ts
+++ b/daemon/http_gateway.ts
@@ -38,11 +38,15 @@
 import type { Metrics } from "../metrics/mod.ts";
 import type { CrashReport } from "../quarantine/mod.ts";
 import { type RegisteredServer, ServerRegistry } from "../servers/mod.ts";
-import type { StateSource } from "../state/mod.ts";
+import type { RolloutSink, StateSource } from "../state/mod.ts";
 import type { Result } from "neverthrow";
 import { FleetReporter } from "./fleet_reporter.ts";
 import { LimitGossip } from "./limit_gossip.ts";
 import { GracefulShutdown, type ShutdownOptions } from "./graceful_shutdown.ts";
+import {
+  RolloutController,
+  type RolloutSettings,
+} from "./rollout_controller.ts";
 import { PeerCatchUp, type ReadPeerState } from "./peer_catch_up.ts";
 
 /** Interval between sweeps of expired state, in milliseconds. */
@@ -64,6 +68,8 @@
   readonly onServers: () => void;
   /** Called with each quarantined call that is stored in the store. */
   readonly onRefusedCall: (report: CrashReport) => void;
+  /** Receives orders and records of rollouts. Default: rollouts are off. */
+  readonly rollouts?: RolloutSink | undefined;
   /** Called when the store has been restored from an older copy. */
   readonly onRestored: () => void;
   /** Whether this instance follows the store for its region. */
@@ -100,6 +106,8 @@
   readonly storeQuarantinedCall?: (report: CrashReport) => void;
   /** Removes a released call from the store. Default: does nothing. */
   readonly removeQuarantinedCall?: (call: CallFingerprint) => void;
+  /** Bounds and writer of rollouts. Default: rollouts are off, and versions have no effect. */
+  readonly rollouts?: RolloutSettings | undefined;
   /** Sends a report to addresses. */
   readonly sendReport: SendReport;
   /**
@@ -136,6 +144,8 @@
   readonly state: StateSource;
   /** Registry of the servers. */
   readonly registry: ServerRegistry;
+  /** Rollouts; `undefined`: they are off. */
+  readonly rollouts: RolloutController | undefined;
   readonly #parts: HttpGatewayParts;
   readonly #catchUp: PeerCatchUp | undefined;
   readonly #eventLoopGate: EventLoopGate;
@@ -161,6 +171,14 @@
     this.registry = new ServerRegistry({
       readWarmUpMs: (service) => this.forwarder.readWarmUpMs(service),
     });
+    this.rollouts = parts.rollouts && new RolloutController({
+      ...parts,
+      ...parts.rollouts,
+      fleet: this.fleet,
+      registry: this.registry,
+      getState: () => this.state,
+      isRelay: () => this.#isRelay(),
+    });
     this.forwarder = new CallForwarder({
       clock,
       random,
@@ -184,6 +202,7 @@
       registry: this.registry,
       applyTable: (table) => {
         parts.applyLimits(table.configuration.limits);
+        this.rollouts?.setTable(table);
         this.forwarder.setTable(table);
         if (this.#shutdown === undefined) this.fleet.setState("ready");
       },
@@ -196,6 +215,7 @@
         if (this.#isRelay()) this.forwarder.storeAllQuarantinedCallsAgain();
       },
       isRelay: () => this.#isRelay(),
+      rollouts: this.rollouts?.sink,
     });
     const { readPeerState } = parts;
     this.#catchUp = readPeerState && new PeerCatchUp({
@@ -222,7 +242,9 @@
         limits: this.forwarder.serverLimits,
         logger,
       }),
+      rollouts: this.rollouts?.gossip,
       onRound: () => {
+        this.rollouts?.check();
         this.forwarder.updateInstanceCounts();
         this.forwarder.wakeWaitingCalls();
         this.#catchUp?.check();
@@ -356,6 +378,7 @@
     this.fleet.setRegisteredCount(this.state.instanceAddresses.length);
     this.forwarder.updateInstanceCounts();
     this.forwarder.forgetUnregisteredServers();
+    this.rollouts?.applyServers();
     this.#readPrefixCaches();
     this.forwarder.wakeWaitingCalls();
     // The other instances of the region get changes of the store from its relays.
@@ -452,6 +475,7 @@
     // An instance that the sweep drops has to count as silent at once.
     this.forwarder.updateInstanceCounts();
     this.state.sweep();
+    this.rollouts?.sweep();
     this.#updateReachability();
     const { configurationVersion, store } = this.state.known;
     metrics.gauge("call.in_flight", this.forwarder.inFlight);
--- a/fleet/encode_report.ts
+++ b/fleet/encode_report.ts
@@ -23,6 +23,8 @@
   decodeCrashRow,
   encodeCrashRow,
 } from "../quarantine/mod.ts";
+import { decodeRolloutRow, encodeRolloutRow } from "./encode_rollouts.ts";
+import { toNumber, toText } from "./read_wire.ts";
 
 /** Method of the JSON-RPC notification that contains a report. */
 const METHOD = "fleet.report";
@@ -178,6 +180,7 @@
     usage = [],
     limits = [],
     storeEra = 0,
+    rollouts = [],
   ] = params;
   return {
     from: decodeMemberRow(from),
@@ -199,6 +202,9 @@
     ...(crashes.length > 0 ? { crashReports: crashes.map(readCrashRow) } : {}),
     ...(usage.length > 0 ? { teamUsage: usage.map(decodeUsageRow) } : {}),
     ...(limits.length > 0 ? { limits: limits.map(decodeLimitRow) } : {}),
+    ...(rollouts.length > 0
+      ? { rollouts: rollouts.map(decodeRolloutRow) }
+      : {}),
   };
 }
 
@@ -278,12 +284,17 @@
 }
 
 /**
- * Returns the parameters for crashes, usage, limits and the store's era. Empty ones at
- * the end are omitted.
+ * Returns the parameters for crashes, usage, limits, the store's era and rollouts. Empty
+ * ones at the end are omitted.
  */
 function encodeOptionalParams(
-  { crashReports: crashes = [], known, limits = [], teamUsage: usage = [] }:
-    FleetReport,
+  {
+    crashReports: crashes = [],
+    known,
+    limits = [],
+    rollouts = [],
+    teamUsage: usage = [],
+  }: FleetReport,
 ): readonly unknown[] {
   const lists = [
     crashes.map(encodeCrashRow),
@@ -291,6 +302,9 @@
     limits.map(encodeLimitRow),
   ];
   const { era } = known.store;
+  if (rollouts.length > 0) {
+    return [...lists, era, rollouts.map(encodeRolloutRow)];
+  }
   if (era > 0) return [...lists, era];
   const last = lists.findLastIndex((list) => list.length > 0);
   return lists.slice(0, last + 1);
@@ -337,20 +351,8 @@
   ]);
 }
 
-function toNumber(value: unknown): number {
-  if (typeof value === "number" && Number.isFinite(value)) return value;
-  throw new TypeError(
-    `Wanted a finite number in a report, got ${typeof value}`,
-  );
-}
-
 function toAddress(value: unknown): string {
   const text = toText(value);
   if (parseAddress(text) !== undefined) return text;
   throw new TypeError(`Wanted an address in a report, got "${text}"`);
 }
-
-function toText(value: unknown): string {
-  if (typeof value === "string") return value;
-  throw new TypeError(`Wanted a string in a report, got ${typeof value}`);
-}
--- a/fleet/fleet_report.ts
+++ b/fleet/fleet_report.ts
@@ -6,6 +6,7 @@
   RegionId,
 } from "../ids/mod.ts";
 import type { CrashReport } from "../quarantine/mod.ts";
+import type { RolloutReport } from "../rollouts/mod.ts";
 import type { StorePosition } from "../store/mod.ts";
 
 /**
@@ -113,6 +114,8 @@
   readonly teamUsage?: readonly ReportedTeamUsage[];
   /** Limits that servers of the sender's region advertise. Default: none. */
   readonly limits?: readonly ReportedLimit[];
+  /** Orders that run, as seen by the instances that `scope` names. Default: none. */
+  readonly rollouts?: readonly RolloutReport[];
   /** Whether the sender requests the members that the receiver knows. */
   readonly wantsGossip: boolean;
   /** Whether the sender belongs to a large region and receives no summaries of it. Default: no. */
--- a/fleet/fleet_view.ts
+++ b/fleet/fleet_view.ts
@@ -161,6 +161,16 @@
       .map(({ member }) => member);
   }
 
+  /**
+   * Returns the members that may still send calls, without this instance: the live ones,
+   * and those that became silent without having reported that they leave.
+   */
+  listPossiblyRunning(nowMs: number): readonly MemberRecord[] {
+    return [...this.#members.values()].filter((entry) =>
+      this.#isLive(entry, nowMs) || !isLeaving(entry.member.state)
+    ).map(({ member }) => member);
+  }
+
   /** Returns the live members with their states and how long each has been silent, for logs. */
   describe(nowMs: number): string {
     const own = `${this.#self.id} ${this.#state}`;
@@ -363,6 +373,38 @@
       .some(({ id }) => id === this.#self.id);
   }
 
+  /**
+   * Returns the place of this instance among the relays of all regions: those that the store
+   * answers come first, then by name.
+   *
+   * @param own How up to date this instance is with the store.
+   * @param nowMs Current time, in milliseconds.
+   */
+  readRelayRank(own: KnownState, nowMs: number): number {
+    const others = [...this.#members.values()].filter((entry) =>
+      this.#isLive(entry, nowMs)
+    ).map(({ known, member }): RelayCandidate => ({
+      member,
+      isStoreLost: known?.isStoreLost ?? false,
+    }));
+    const all = [
+      { member: this.self, isStoreLost: own.isStoreLost },
+      ...others,
+    ];
+    const relays = new Set(
+      this.listRegions().flatMap((region) =>
+        pickRelays(all.filter(({ member }) => member.region === region))
+      ).map(({ id }) => id),
+    );
+    relays.add(this.#self.id);
+    return all.filter(({ member }) => relays.has(member.id))
+      .sort((a, b) =>
+        Number(a.isStoreLost) - Number(b.isStoreLost) ||
+        (a.member.id < b.member.id ? -1 : 1)
+      )
+      .findIndex(({ member }) => member.id === this.#self.id);
+  }
+
   /**
    * Applies a received report.
    *
--- a/fleet/report_writer.ts
+++ b/fleet/report_writer.ts
@@ -8,6 +8,7 @@
 } from "./fleet_report.ts";
 import type { ReportedTeamUsage } from "../admission/mod.ts";
 import type { CrashReport } from "../quarantine/mod.ts";
+import type { RolloutReport } from "../rollouts/mod.ts";
 import type { LoadTracker } from "./load_tracker.ts";
 
 /** Maximum number of members named in a report, so that the report fits into one packet. */
@@ -39,6 +40,10 @@
     scope: FleetReport["scope"],
     nowMs: number,
   ) => readonly ReportedLimit[];
+  /** Returns the orders that run, with the evidence that a scope contains. */
+  readonly listRollouts: (
+    scope: FleetReport["scope"],
+  ) => readonly RolloutReport[];
 }
 
 /** Content of a report besides loads and members. */
@@ -101,6 +106,7 @@
       crashReports,
       teamUsage,
       limits: this.#parts.listLimits("instance", nowMs),
+      rollouts: this.#parts.listRollouts("instance"),
       wantsGossip: false,
       wantsSummary,
     };
@@ -132,7 +138,7 @@
     );
     const picked = pickRoundRobin(localMembers, this.#localGossipOffset, count);
     this.#localGossipOffset += count;
-    const { fleet, listLimits, listTeamUsage } = this.#parts;
+    const { fleet, listLimits, listRollouts, listTeamUsage } = this.#parts;
     return {
       from: this.#parts.fleet.self,
       sequence: ++this.#sequence,
@@ -144,6 +150,7 @@
       crashReports,
       teamUsage: fleet.teamUsage.sumLocal(listTeamUsage(nowMs)),
       limits: listLimits(scope, nowMs),
+      rollouts: listRollouts(scope),
       wantsGossip: false,
     };
   }
--- a/metrics/metrics.ts
+++ b/metrics/metrics.ts
@@ -61,6 +61,16 @@
     "counter; quarantined calls sent to learn whether they still crash servers",
   "quarantine.suspects":
     "gauge; calls recorded because a server crashed while it had them",
+  "rollout.phase":
+    "gauge; phase of the latest order: 1 trial, 2 ramp, 3 switch, 4 completed, 5 rolled back; tags: service, version",
+  "rollout.previous_calls":
+    "gauge; calls in flight at servers of versions that the order replaces; tags: service",
+  "rollout.responses":
+    "gauge; responses that this instance counted for the running order; tags: service, version (in-force, ordered), result (good, failed)",
+  "rollout.found_bad":
+    "counter; versions that this instance found bad, or was told are bad; tags: service",
+  "rollout.writes":
+    "counter; writes of a rollout's record or status; tags: entry (record, status), result (written, conflict, failed)",
 } as const;
 
 /** Name of a metric. */
--- a/state/mod.ts
+++ b/state/mod.ts
@@ -17,6 +17,8 @@
 export * from "./evaluate_server_entry.ts";
 export * from "./retained_documents.ts";
 export * from "./server_entries.ts";
+export * from "./rollout_documents.ts";
+export * from "./rollout_entries.ts";
 export * from "./state_in_force.ts";
 export * from "./state_follower.ts";
 export * from "./instance_entry.ts";
--- a/state/state_document.ts
+++ b/state/state_document.ts
@@ -4,9 +4,28 @@
   BackendId,
   CallFingerprint,
   FailureDomainId,
+  InstanceId,
+  RegionId,
+  ServerVersion,
 } from "../ids/mod.ts";
+import type { RolloutRecord } from "../rollouts/mod.ts";
 import type { RegisteredServer } from "../servers/mod.ts";
 
+/** An instance that has an entry in the store. */
+export interface RegisteredInstance {
+  readonly id: InstanceId;
+  readonly address: string;
+  /** `undefined`: it runs earlier software, which does not write its region. */
+  readonly region: RegionId | undefined;
+}
+
+/** An operator's order, without the id that its entry gives it. */
+export interface RolloutOrderDocument {
+  readonly service: string;
+  readonly destination: ServerVersion;
+  readonly durationMs: number;
+}
+
 /** Decoded value of a key in the store. */
 export type StateDocument =
   | {
@@ -16,8 +35,20 @@
   | { readonly kind: "server"; readonly server: RegisteredServer }
   /** A failure domain whose servers are to get no calls. */
   | { readonly kind: "evacuation"; readonly failureDomain: FailureDomainId }
-  /** Address at which another instance can be reached. */
-  | { readonly kind: "instance"; readonly address: string }
+  /** Another instance, and the address at which it can be reached. */
+  | (RegisteredInstance & { readonly kind: "instance" })
+  /** An operator's order to move a service's calls to servers of another version. */
+  | (RolloutOrderDocument & { readonly kind: "rollout-order" })
+  /** An order that can't be applied: the order before it stays in force. */
+  | {
+    readonly kind: "refused-order";
+    readonly service: string;
+    /** Version that it names, where that much can be read. */
+    readonly destination: ServerVersion | undefined;
+    readonly reason: string;
+  }
+  /** What instances have decided on the versions of a service. */
+  | { readonly kind: "rollout-record"; readonly record: RolloutRecord }
   /** A call during which servers crashed, refused until some time after the last crash. */
   | {
     readonly kind: "refused-call";
--- a/state/state_follower.ts
+++ b/state/state_follower.ts
@@ -7,6 +7,8 @@
 } from "../store/mod.ts";
 import { mayReplace } from "./merge_state.ts";
 import { EXPIRED_GRACE_MS } from "./server_entries.ts";
+import type { RolloutDocuments } from "./rollout_documents.ts";
+import type { RegisteredInstance } from "./state_document.ts";
 import { StateInForce, type StateInForceParts } from "./state_in_force.ts";
 import type { StateCopy, StateSource } from "./state_source.ts";
 
@@ -98,7 +100,17 @@
 
   /** Addresses of instances that have an entry in the store. */
   get instanceAddresses(): readonly string[] {
-    return this.#inForce.instanceAddresses;
+    return this.instances.map(({ address }) => address);
+  }
+
+  /** Instances that have an entry in the store. */
+  get instances(): readonly RegisteredInstance[] {
+    return this.#inForce.instances;
+  }
+
+  /** Orders and records of rollouts, as they are in force. */
+  get rollouts(): RolloutDocuments {
+    return this.#inForce.rollouts;
   }
 
   /** Returns the entry of a key as last seen. */
--- a/state/state_in_force.ts
+++ b/state/state_in_force.ts
@@ -16,8 +16,13 @@
 import { pickFresh } from "./merge_state.ts";
 import type { RemovedKey } from "./removal_log.ts";
 import { RetainedDocuments } from "./retained_documents.ts";
+import {
+  RolloutDocuments,
+  type RolloutSink,
+  toOrderId,
+} from "./rollout_documents.ts";
 import { ServerEntries } from "./server_entries.ts";
-import type { StateDecoder } from "./state_document.ts";
+import type { RegisteredInstance, StateDecoder } from "./state_document.ts";
 import type { StateCopy } from "./state_source.ts";
 
 /**
@@ -44,6 +49,8 @@
   readonly onServers: () => void;
   /** Called with each refused call found in the store. Default: does nothing. */
   readonly onRefusedCall?: (report: CrashReport) => void;
+  /** Receives orders and records of rollouts. Default: they have no effect. */
+  readonly rollouts?: RolloutSink | undefined;
   /** Called when the store was restored from an older copy and has lost later writes. */
   readonly onRestored?: () => void;
 }
@@ -65,10 +72,14 @@
   readonly #parts: StateInForceParts;
   readonly #cache = new DocumentCache();
   readonly #retained = new RetainedDocuments();
+  /** Orders and records of rollouts. */
+  readonly rollouts = new RolloutDocuments();
   readonly #servers: ServerEntries;
   #position = STORE_START;
   #configuration: RouteConfiguration | undefined;
   #evacuated: readonly FailureDomainId[] = [];
+  /** Whether the state of a restored store is being applied. */
+  #isRestoring = false;
 
   /** @param parts Decoder and receivers of changes. */
   constructor(parts: StateInForceParts) {
@@ -86,10 +97,10 @@
     return this.#configuration?.version ?? 0;
   }
 
-  /** Addresses of instances that have an entry in the store. */
-  get instanceAddresses(): readonly string[] {
+  /** Instances that have an entry in the store. */
+  get instances(): readonly RegisteredInstance[] {
     return this.#cache.documents.flatMap((document) =>
-      document.kind === "instance" ? [document.address] : []
+      document.kind === "instance" ? [document] : []
     );
   }
 
@@ -180,6 +191,7 @@
     });
     this.#advance({ era: this.#position.era, revision });
     this.#applyEvacuations();
+    this.rollouts.flush(this.#parts.rollouts);
     if (fresh.length > 0) this.#parts.onServers();
   }
 
@@ -195,6 +207,7 @@
       return;
     }
     this.#cache.keepOnly(listKeys(snapshot));
+    this.rollouts.keepOnly(this.#listRolloutServices());
     this.#applyAll(snapshot, graceMs);
   }
 
@@ -214,7 +227,10 @@
       if (document.kind !== "evacuation") return;
       this.#retained.add(key, document, nowMs + RESTORED_GRACE_MS);
     });
+    this.rollouts.beginEra();
+    this.#isRestoring = true;
     this.#applyAll(snapshot, RESTORED_GRACE_MS);
+    this.#isRestoring = false;
     onRestored?.();
   }
 
@@ -228,6 +244,7 @@
     this.#advance({ era, revision });
     this.#cache.resetRemovals(this.#position.revision);
     this.#applyEvacuations();
+    this.rollouts.flush(this.#parts.rollouts);
     this.#parts.onServers();
   }
 
@@ -265,6 +282,29 @@
         });
         return;
       }
+      case "rollout-order": {
+        this.#cache.put(entry, document);
+        const { destination, durationMs, service } = document;
+        const id = toOrderId(entry.revision, document);
+        const order = { id, service, destination, durationMs };
+        this.rollouts.putOrder(order, this.#isRestoring);
+        return;
+      }
+      case "refused-order": {
+        const { destination, reason, service } = document;
+        this.#logRefusal(entry, reason);
+        this.#cache.put(entry, document);
+        this.rollouts.refuseOrder({
+          service,
+          status: destination &&
+            { service, destination, state: "rolled_back" },
+        });
+        return;
+      }
+      case "rollout-record":
+        this.#cache.put(entry, document);
+        this.rollouts.putRecord(document.record);
+        return;
       case "evacuation":
       case "instance":
       case "other":
@@ -277,9 +317,8 @@
    * no new calls until its next valid entry, since the entry may be of another writer.
    */
   #refuseEntry(entry: StoreEntry, reason: string): void {
-    const { key, revision } = entry;
-    this.#parts.logger.error("document refused", { key, revision, reason });
-    const before = this.#cache.readDocument(key);
+    this.#logRefusal(entry, reason);
+    const before = this.#cache.readDocument(entry.key);
     switch (before?.kind) {
       case "configuration":
         this.#cache.skip(entry);
@@ -287,18 +326,53 @@
       case "server":
         this.#servers.withdraw(entry, before.server);
         return;
+      case "rollout-record":
+        this.rollouts.removeRecord(before.record.service);
+        this.#cache.put(entry, { kind: "other" });
+        return;
       default:
         this.#cache.put(entry, { kind: "other" });
     }
   }
 
+  #logRefusal({ key, revision }: StoreEntry, reason: string): void {
+    this.#parts.logger.error("document refused", { key, revision, reason });
+  }
+
+  /** Returns the services that have an order, and those that have a record. */
+  #listRolloutServices() {
+    const orders = new Set<string>();
+    const records = new Set<string>();
+    this.#cache.documents.forEach((document) => {
+      switch (document.kind) {
+        case "rollout-order":
+        case "refused-order":
+          orders.add(document.service);
+          break;
+        case "rollout-record":
+          records.add(document.record.service);
+      }
+    });
+    return { orders, records };
+  }
+
   #removeKey(removed: RemovedKey, isAfterOutage: boolean): void {
     const { key } = removed;
     this.#retained.drop(key);
     const document = this.#cache.remove(removed);
-    if (document?.kind !== "server") return;
-    const { era } = this.#position;
-    this.#servers.remove(key, document.server, { era, isAfterOutage });
+    switch (document?.kind) {
+      case "server": {
+        const { era } = this.#position;
+        this.#servers.remove(key, document.server, { era, isAfterOutage });
+        return;
+      }
+      case "rollout-order":
+      case "refused-order":
+        this.rollouts.removeOrder(document.service);
+        return;
+      case "rollout-record":
+        this.rollouts.removeRecord(document.record.service);
+    }
   }
 
   #applyConfiguration(
--- a/state/state_source.ts
+++ b/state/state_source.ts
@@ -1,6 +1,8 @@
 import type { KnownState } from "../fleet/mod.ts";
 import type { StoreEntry, StorePosition } from "../store/mod.ts";
 import type { RemovedKey } from "./removal_log.ts";
+import type { RolloutDocuments } from "./rollout_documents.ts";
+import type { RegisteredInstance } from "./state_document.ts";
 
 /** What an instance knows of the store, as a copy for another instance. */
 export interface StateCopy extends StorePosition {
@@ -25,6 +27,10 @@
   readonly isReachable: boolean;
   /** Addresses of other instances that the source lists. */
   readonly instanceAddresses: readonly string[];
+  /** Other instances that the source lists. Default: none. */
+  readonly instances?: readonly RegisteredInstance[];
+  /** Orders and records of rollouts. Default: none. */
+  readonly rollouts?: RolloutDocuments;
   /**
    * Returns a copy for a peer.
    *
--- a/tests/import_rules_test.ts
+++ b/tests/import_rules_test.ts
@@ -19,7 +19,7 @@
   /x-havenspur-/i,
   /["'`/]havenspur\/(resolve|readiness|kv-|report|hold-)/,
   /HAVENSPUR_SETTINGS/,
-  /\bop\/(config|evacuate)/,
+  /\bop\/(config|evacuate|rollout)/,
   /\b(warmupRemainingMs|kvCacheTokens|targetLatencyMs|sessionAffinity)\b/,
 ];
 /** Sources that may use the platform's names: its adapter, its stand-ins and tests. */
