--- a/daemon/rollout_controller.ts
+++ b/daemon/rollout_controller.ts
@@ -118,18 +118,28 @@
     const nowMs = clock.nowMs();
     const rank = fleet.readRelayRank(state.known, nowMs);
     const refused = state.rollouts?.listRefused() ?? [];
-    const replaced = new Set(refused.map(({ service }) => service));
+    const withoutStatus = new Set(
+      [...refused, ...this.#listUnrecorded()].map(({ service }) => service),
+    );
     write({
       rank,
       records: this.tracker.planWrites(nowMs, rank),
       statuses: [
         ...this.tracker.listStatuses()
-          .filter(({ service }) => !replaced.has(service)),
+          .filter(({ service }) => !withoutStatus.has(service)),
         ...refused,
       ],
     });
   }
 
+  /** Returns the services whose record is of an earlier order: its status says nothing of this one. */
+  #listUnrecorded(): readonly ServiceRollout[] {
+    const known = this.#parts.getState().rollouts?.list() ?? [];
+    return known.filter(({ order, record }) =>
+      order !== undefined && order.id !== record?.order?.id
+    );
+  }
+
   /** Updates servers whose state changed without a write to the store, and the metrics. */
   sweep(): void {
     this.applyServers();
--- a/standin/memory_store.ts
+++ b/standin/memory_store.ts
@@ -26,6 +26,10 @@
   loseAnswers: number;
   /** Number of coming writes that take no effect and whose answer is lost. Counts down. */
   loseRequests: number;
+  /** Number of coming writes that run `lateMs` after their answer was lost. Counts down. */
+  runLate: number;
+  /** Time after which such writes run, in milliseconds. */
+  lateMs: number;
 }
 
 /** Numbers of calls to the store; a watch counts once, however long it waits. */
@@ -60,6 +64,11 @@
   isClosed: boolean;
 }
 
+const ANSWER_LOST: StoreFailure = {
+  kind: "unknown",
+  message: "Cannot tell the end of the write: answer lost",
+};
+
 /** A stand-in for the platform's key-value store that keeps its data in memory. */
 export class MemoryStore implements RevisionedStore {
   /** Current faults. */
@@ -68,6 +77,8 @@
     latencyMs: 0,
     loseAnswers: 0,
     loseRequests: 0,
+    runLate: 0,
+    lateMs: 3_000,
   };
   /** Calls since the start. */
   readonly counts: StoreCounts = {
@@ -228,18 +239,17 @@
     if (failure) return err(failure);
     if (this.faults.loseRequests > 0) {
       this.faults.loseRequests--;
-      return err({
-        kind: "unknown",
-        message: "Cannot tell the end of the write: answer lost",
-      });
+      return err(ANSWER_LOST);
+    }
+    if (this.faults.runLate > 0) {
+      this.faults.runLate--;
+      this.#clock.schedule(this.faults.lateMs, () => this.#applySwap(swap));
+      return err(ANSWER_LOST);
     }
     const outcome = this.#applySwap(swap);
     if (this.faults.loseAnswers > 0) {
       this.faults.loseAnswers--;
-      return err({
-        kind: "unknown",
-        message: "Cannot tell the end of the write: answer lost",
-      });
+      return err(ANSWER_LOST);
     }
     return ok(outcome);
   }
--- a/standin/platform_operator.ts
+++ b/standin/platform_operator.ts
@@ -7,6 +7,8 @@
   readonly service: string;
   readonly address: string;
   readonly region: string;
+  /** Version of its software. Default: `v1`. */
+  readonly version?: string;
   /** Number of calls that it works on at a time. */
   readonly slots: number;
   readonly isDraining: boolean;
@@ -32,6 +34,20 @@
   readonly keys: readonly string[];
 }
 
+/** An operator's order to move a service's calls to servers of another version. */
+export interface OperatorRollout {
+  readonly service: string;
+  readonly destination: string;
+  /** Time within which it is to end, in seconds. */
+  readonly durationS: number;
+}
+
+/** Status of an order, as the system writes it. */
+export interface OperatorRolloutStatus {
+  readonly state: "running" | "completed" | "rolled_back";
+  readonly destination: string;
+}
+
 /** Delay before a failed write is retried, in milliseconds. */
 const RETRY_DELAY_MS = 100;
 const REQUEST_LIMITS = {
@@ -91,13 +107,41 @@
     await this.#put(key, isEvacuated ? {} : undefined);
   }
 
+  /** Orders that a service's calls move to servers of another version. */
+  async orderRollout(order: OperatorRollout): Promise<void> {
+    await this.#put(`op/rollout/${order.service}`, order);
+  }
+
+  /** Overwrites the order of a service with a value that is not a valid order. */
+  async overwriteRolloutWithInvalid(service: string): Promise<void> {
+    await this.#put(`op/rollout/${service}`, "no order");
+  }
+
+  /** Removes the order of a service. */
+  async withdrawRollout(service: string): Promise<void> {
+    await this.#put(`op/rollout/${service}`, undefined);
+  }
+
+  /** Returns the status of a service's order; `undefined`: none is written, or the store is down. */
+  async readRolloutStatus(
+    service: string,
+  ): Promise<OperatorRolloutStatus | undefined> {
+    const order = await this.#store.read(`op/rollout/${service}`);
+    const status = await this.#store.read(`status/rollout/${service}`);
+    const entry = status.unwrapOr(undefined);
+    // A status that is older than the order is of the order before.
+    const orderRevision = order.unwrapOr(undefined)?.revision ?? 0;
+    if (entry === undefined || entry.revision < orderRevision) return undefined;
+    return JSON.parse(entry.value) as OperatorRolloutStatus;
+  }
+
   /** Writes the entry of a server. */
   async register(server: ServerEntry): Promise<void> {
     await this.#put(`servers/${server.id}`, {
       service: server.service,
       address: server.address,
       zone: `${server.region}-a`,
-      version: "v1",
+      version: server.version ?? "v1",
       slots: server.slots,
       state: server.isDraining ? "draining" : "ready",
       warmupRemainingMs: 0,
--- a/standin/platform_store_server.ts
+++ b/standin/platform_store_server.ts
@@ -27,6 +27,9 @@
   readonly era: number;
 };
 
+/** Keys of operators and servers, which the system must not write. */
+const FOREIGN_KEY = /^(op|servers)\//;
+
 interface Answer {
   readonly status: number;
   readonly body: unknown;
@@ -161,6 +164,9 @@
 ): Promise<Answer> {
   const [put] = puts;
   const key = put?.key ?? remove[0] ?? "";
+  if (FOREIGN_KEY.test(key)) {
+    return { status: 403, body: { error: `"${key}" is not writable` } };
+  }
   const swapped = await store.swap({
     key,
     expectedRevision: precondition[0]?.revision ?? 0,
--- a/state/rollout_entries.ts
+++ b/state/rollout_entries.ts
@@ -19,6 +19,8 @@
   readonly encodeRecord: (record: RolloutRecord) => EncodedEntry;
   /** Returns the key and the value of a status' entry. */
   readonly encodeStatus: (status: RolloutStatus) => EncodedEntry;
+  /** Returns the revision of a service's order; 0: it has none. */
+  readonly readOrderRevision: (service: string) => number;
   /** Returns the entry of a key as last seen in the store. */
   readonly readEntry: (key: string) => StoreEntry | undefined;
   /** Cancels all pending writes. */
@@ -68,13 +70,17 @@
 
   /** Starts the writes that are due, and resolves when they have ended. */
   async update({ rank, records, statuses }: WantedRollouts): Promise<void> {
-    const { clock, encodeRecord, encodeStatus } = this.#parts;
+    const { clock, encodeRecord, encodeStatus, readOrderRevision } =
+      this.#parts;
     const nowMs = clock.nowMs();
     // A status follows from the record in the store: while that one is about to change, it waits.
     const changing = new Set(records.map(({ service }) => service));
     const differing = statuses
       .filter(({ service }) => !changing.has(service))
-      .map(encodeStatus).filter((entry) => this.#differs(entry));
+      .filter((status) =>
+        // An equal status of an earlier order does not tell the operator how this one ended.
+        this.#differs(encodeStatus(status), readOrderRevision(status.service))
+      ).map(encodeStatus);
     const keys = new Set(differing.map(toText));
     [...this.#differsSinceMs.keys()].filter((text) => !keys.has(text))
       .forEach((text) => this.#differsSinceMs.delete(text));
@@ -91,8 +97,10 @@
     ]);
   }
 
-  #differs({ key, value }: EncodedEntry): boolean {
-    return this.#parts.readEntry(key)?.value !== value;
+  /** Returns whether the store has another value, or wrote it before a revision. */
+  #differs({ key, value }: EncodedEntry, minRevision = 0): boolean {
+    const entry = this.#parts.readEntry(key);
+    return entry?.value !== value || entry.revision < minRevision;
   }
 
   async #write(kind: EntryKind, { key, value }: EncodedEntry): Promise<void> {
