Rollouts: ids of orders are ERA.REVISION, as the tracker compares them

Cause: rollouts/ tells a later order by era and revision; ids by content had no order. Change: toOrderId(); RolloutDocuments takes an entry that a restored store still has for the same order; the era of the first full read counts for its orders.

--- a/daemon/rollout_controller.ts
+++ b/daemon/rollout_controller.ts
@@ -10,11 +10,12 @@
   RolloutTracker,
 } from "../rollouts/mod.ts";
 import type { ServerRegistry } from "../servers/mod.ts";
-import type {
-  RolloutSink,
-  ServiceRollout,
-  StateSource,
-  WantedRollouts,
+import {
+  isSameEntry,
+  type RolloutSink,
+  type ServiceRollout,
+  type StateSource,
+  type WantedRollouts,
 } from "../state/mod.ts";
 import { RolloutGossip } from "./rollout_gossip.ts";
 import {
@@ -136,7 +137,8 @@
   #listUnrecorded(): readonly ServiceRollout[] {
     const known = this.#parts.getState().rollouts?.list() ?? [];
     return known.filter(({ order, record }) =>
-      order !== undefined && order.id !== record?.order?.id
+      order !== undefined &&
+      (record?.order === undefined || !isSameEntry(order, record.order))
     );
   }
 
--- a/state/rollout_documents.ts
+++ b/state/rollout_documents.ts
@@ -4,7 +4,6 @@
   RolloutRecord,
   RolloutStatus,
 } from "../rollouts/mod.ts";
-import type { RolloutOrderDocument } from "./state_document.ts";
 
 /** Maximum number of earlier orders remembered for each service. */
 const MAX_EARLIER_ORDERS = 16;
@@ -22,8 +21,8 @@
   order: RolloutOrder | undefined;
   /** Whether the store was restored without the order, and has had no other one since. */
   isOrderLost: boolean;
-  /** Ids of orders that the current one has replaced. */
-  earlierIds: readonly RolloutId[];
+  /** Orders that the current one has replaced. */
+  earlier: readonly RolloutOrder[];
   /** The record that the store has. */
   record: RolloutRecord | undefined;
   /** Destination of an order that can't be applied and came after the others, if it is readable. */
@@ -50,22 +49,29 @@
   readonly status: RolloutStatus | undefined;
 }
 
+/** Returns the id of an order: the store's era and the revision of the operator's entry. */
+export function toOrderId(era: number, revision: number): RolloutId {
+  return toRolloutId(`${era}.${revision}`);
+}
+
 /**
- * Returns the id of an order. It is derived from the entry alone, so that instances that
- * start after a restore of the store give an entry the same id as those that ran before.
- * The store's era is no part of it for that reason; the content keeps an entry apart from
- * another one that got the same revision in another era.
- *
- * @param revision Revision of the operator's entry.
- * @param order Content of the entry.
+ * Returns whether two orders are the same entry of the operator. A restored store keeps the
+ * entry's revision and content in its next era; an entry with another content may have got
+ * the same revision in another era.
  */
-export function toOrderId(
-  revision: number,
-  { destination, durationMs }: RolloutOrderDocument,
-): RolloutId {
-  return toRolloutId(`${revision}.${durationMs}.${destination}`);
+export function isSameEntry(a: OrderIdentity, b: OrderIdentity): boolean {
+  const readRevision = ({ id }: OrderIdentity) => id.split(".")[1];
+  return a.id === b.id ||
+    readRevision(a) === readRevision(b) && a.destination === b.destination &&
+      a.durationMs === b.durationMs;
 }
 
+/** What tells an order from others. */
+export type OrderIdentity = Pick<
+  RolloutOrder,
+  "id" | "destination" | "durationMs"
+>;
+
 /**
  * Orders and records of rollouts, by service. Records are what the store has; its receiver
  * knows which are older than what it decided. An order that the store lost when it was
@@ -83,8 +89,10 @@
   putOrder(order: RolloutOrder, isRestored: boolean): void {
     const known = this.#open(order.service);
     // The copy is from before the operator replaced this order.
-    if (isRestored && known.earlierIds.includes(order.id)) return;
-    const isSame = known.order?.id === order.id && !known.isRefused;
+    const isOld = known.earlier.some((each) => isSameEntry(each, order));
+    if (isRestored && isOld) return;
+    const isSame = known.order !== undefined &&
+      isSameEntry(known.order, order) && !known.isRefused;
     if (isSame) known.isOrderLost = false;
     else replaceOrder(known, order);
   }
@@ -184,7 +192,7 @@
     const opened: ServiceRollouts = {
       order: undefined,
       isOrderLost: false,
-      earlierIds: [],
+      earlier: [],
       record: undefined,
       refused: undefined,
       isRefused: false,
@@ -202,8 +210,7 @@
   order: RolloutOrder | undefined,
 ): void {
   if (known.order !== undefined && known.order.id !== order?.id) {
-    known.earlierIds = [...known.earlierIds, known.order.id]
-      .slice(-MAX_EARLIER_ORDERS);
+    known.earlier = [...known.earlier, known.order].slice(-MAX_EARLIER_ORDERS);
   }
   known.order = order;
   known.isOrderLost = false;
--- a/state/state_in_force.ts
+++ b/state/state_in_force.ts
@@ -78,6 +78,8 @@
   #position = STORE_START;
   #configuration: RouteConfiguration | undefined;
   #evacuated: readonly FailureDomainId[] = [];
+  /** Era of the last full read, also while it is being applied. */
+  #appliedEra = 0;
   /** Whether the state of a restored store is being applied. */
   #isRestoring = false;
 
@@ -239,6 +241,7 @@
     graceMs: number,
   ): void {
     const { clock, registry } = this.#parts;
+    this.#appliedEra = era;
     entries.forEach((entry) => this.#applyEntry(entry));
     registry.replaceAll(this.#servers.list(), clock.nowMs(), graceMs);
     this.#advance({ era, revision });
@@ -285,7 +288,7 @@
       case "rollout-order": {
         this.#cache.put(entry, document);
         const { destination, durationMs, service } = document;
-        const id = toOrderId(entry.revision, document);
+        const id = toOrderId(this.#appliedEra, entry.revision);
         const order = { id, service, destination, durationMs };
         this.rollouts.putOrder(order, this.#isRestoring);
         return;
