--- a/daemon/rollout_observer.ts
+++ b/daemon/rollout_observer.ts
@@ -1,4 +1,3 @@
-import type { Clock } from "../clock/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
 import type {
@@ -45,16 +44,14 @@
 /** Writes the log lines and metrics of rollouts. */
 export class RolloutObserver {
   readonly #parts: {
-    readonly clock: Clock;
     readonly logger: Logger;
     readonly metrics: Metrics;
   };
   readonly #lineCounts = new Map<string, number>();
 
-  /** @param parts Clock, log and metrics. */
+  /** @param parts Log and metrics. */
   constructor(
     parts: {
-      readonly clock: Clock;
       readonly logger: Logger;
       readonly metrics: Metrics;
     },
--- a/tests/rollout_instances_fixture.ts
+++ b/tests/rollout_instances_fixture.ts
@@ -67,12 +67,16 @@
   const random = createRandom(5);
   const arrivals: VersionedArrival[] = [];
   const counted = { reportBytes: 0 };
-  /** Reports of the last round. */
   const reports: FleetReport[] = [];
+  /** Names of the instances that were sent evidence on versions. */
+  const informed = new Set<string>();
   const instances = new Map<string, ReturnType<typeof startInstance>>();
   const names = Object.entries(regions).flatMap(([region, count]) =>
     Array.from({ length: count }, (_, at) => `${region}-${at}`)
   );
+  const toAddress = (name: string) => `10.0.0.${names.indexOf(name) + 1}:1`;
+  const toName = (address: string) =>
+    names.find((name) => toAddress(name) === address)!;
   const domains = Object.keys(regions).map((region) =>
     [toFailureDomainId(`${region}-a`), toRegionId(region)] as const
   );
@@ -104,10 +108,10 @@
       self: {
         ...createVirtualGateway(name).fleet.self,
         incarnation: String(clock.nowMs()),
-        address: `${name}:1`,
+        address: toAddress(name),
       },
       random: createRandom(names.indexOf(name) + 1),
-      seedAddresses: names.map((each) => `${each}:1`),
+      seedAddresses: names.map(toAddress),
       createState: (sinks) => {
         follower = new StateFollower({
           ...sinks,
@@ -124,7 +128,7 @@
       readPeerState: (address, after) =>
         Promise.resolve(
           ok(
-            instances.get(address.split(":")[0]!)!.gateway.state
+            instances.get(toName(address))!.gateway.state
               .createCopy(after),
           ),
         ),
@@ -147,10 +151,14 @@
         reports.push(report);
         addresses.forEach((address) => {
           counted.reportBytes += datagram.length;
-          const to = address.split(":")[0]!;
+          const to = toName(address);
+          const { rollouts = [] } = report;
+          if (rollouts.some(({ evidence }) => evidence.length > 0)) {
+            informed.add(to);
+          }
           clock.schedule(
             to.split("-")[0] === name.split("-")[0] ? 1 : 55,
-            () => instances.get(to)?.receive(datagram, `${name}:1`),
+            () => instances.get(to)?.receive(datagram, toAddress(name)),
           );
         });
       },
@@ -195,7 +203,10 @@
   await operator.configure(1, [ROUTE]);
   await registerServers("v1");
   for (const name of names) {
-    const value = encodeInstance("10.0.0.9:1", toRegionId(name.split("-")[0]!));
+    const value = encodeInstance(
+      toAddress(name),
+      toRegionId(name.split("-")[0]!),
+    );
     await putKey(store, toInstanceKey(name), value);
     instances.set(name, startInstance(name));
   }
@@ -212,6 +223,7 @@
     clock,
     counted,
     end,
+    informed,
     instances,
     operator,
     registerServers,
--- a/tests/rollout_instances_test.ts
+++ b/tests/rollout_instances_test.ts
@@ -67,7 +67,15 @@
     await fleet.run(13_000);
     assert.equal((await fleet.rollout).state, "rolled_back");
     assert.ok(measureRollbackMs(fleet) <= ROLLBACK_TARGET_MS);
+    assert.ok(fleet.arrivals.filter(({ isFailed }) => isFailed).length < 50);
     assert.ok(countExposed(fleet) <= 0.1 * fleet.arrivals.length + 50);
+    // In the large region, the evidence goes to the two aggregators only.
+    assert.deepEqual([...fleet.informed].sort(), [
+      "north-0",
+      "north-1",
+      "south-0",
+      "south-1",
+    ]);
     fleet.end();
   });
 
