--- a/standin/platform_process.ts
+++ b/standin/platform_process.ts
@@ -45,6 +45,8 @@
   readonly storeAddress: string;
   /** Time from SIGTERM to SIGKILL, in seconds. */
   readonly graceS: number;
+  /** Lines of the settings file beyond those that each deployment has. Default: none. */
+  readonly extraSettings?: readonly string[];
   /** Whether the links of the program to servers can be cut. Default: no. */
   readonly hasCuttableLinks?: boolean;
   /** Called when the program ends and was not stopped, with how it ended. Default: ignored. */
@@ -274,6 +276,7 @@
     `seeds=${parts.seedHosts.map((seed) => `${seed}:${control}`).join(",")}`,
     `bounds.graceS=${parts.graceS}`,
     `platform.address=${parts.storeAddress}`,
+    ...parts.extraSettings ?? [],
   ].join("\n");
 }
 
