Forwarding: servers are chosen by what a rollout allows

Cause: a server of a version that is neither in force nor ordered must get no calls, and a canary only first sends. Change: ServerVersions asks the tracker for each choice, at home, for other regions, for refusals, reachability, probes and prefix caches. The draw of a call is made once. Sends are counted as they begin; first sends record outcome, time to first byte and longest gap. The hop header carries whether a call is a repeat and which version began its stream; the hop answer names the version that answered.

--- a/forwarding/call_forwarder.ts
+++ b/forwarding/call_forwarder.ts
@@ -52,6 +52,7 @@
 import type { ServerLimits } from "./server_limits.ts";
 import { ServerReachability } from "./server_reachability.ts";
 import { ServerSender } from "./server_sender.ts";
+import { ServerVersions, type VersionRules } from "./server_versions.ts";
 import { NO_CAPACITY_RETRY_MS } from "./settle_attempt.ts";
 import { CapacityQueue } from "./capacity_queue.ts";
 import { describeTeamChanges } from "../teams/mod.ts";
@@ -106,6 +107,8 @@
    * Default: 0, as if it were the only one.
    */
   readonly rankSelf?: (call: CallFingerprint) => number;
+  /** Rollouts of services. Default: versions of servers have no effect. */
+  readonly rollouts?: VersionRules | undefined;
 }
 
 /** Accepts calls, sends each to a backend server or a remote instance, and passes on the answers. */
@@ -123,6 +126,7 @@
   readonly #gate: CallGate;
   readonly #reachability: ServerReachability;
   readonly #linkProber: LinkProber;
+  readonly #versions: ServerVersions;
   #table: RouteTable | undefined;
   #inFlight = 0;
 
@@ -150,9 +154,12 @@
       warmUpBounds: parts.warmUpBounds,
       readMemoryTokens: (server) => this.#readMemoryTokens(server),
     });
+    const ownRegion = fleet.self.region;
+    const versions = new ServerVersions({ ...parts, ownRegion });
+    this.#versions = versions;
     const known = {
-      ownRegion: fleet.self.region,
-      registry,
+      ownRegion,
+      registry: versions,
       loads,
       learned: this.#learned,
     };
@@ -161,6 +168,7 @@
     this.#linkProber = new LinkProber({ ...parts, ...known, reachability });
     const servers = new ServerChooser({
       ...known,
+      registry,
       reachability,
       random,
       countOthers: () =>
@@ -170,6 +178,7 @@
       fleet,
       servers,
       reachability,
+      versions,
       random,
       listRegions: () => fleet.listRegions(),
     });
@@ -188,6 +197,7 @@
           links: this.#learned.links,
         }),
         learned: this.#learned,
+        versions,
         replies: this.#replies,
       }),
       instanceSender: new InstanceSender({
@@ -292,11 +302,13 @@
 
   /** Returns the model engines of a region that calls may be sent to. */
   listEngines(region: RegionId): readonly RegisteredServer[] {
-    return this.#parts.registry.servers.map(({ entry }) => entry)
-      .filter(({ id, service }) =>
-        this.#parts.registry.isUsable(id) &&
-        this.#table?.findService(service)?.engine !== undefined
-      ).filter((entry) => entry.region === region);
+    return this.#parts.registry.servers
+      .filter((server) =>
+        this.#parts.registry.isUsable(server.entry.id) &&
+        this.#table?.findService(server.entry.service)?.engine !== undefined &&
+        this.#versions.mayServe(server)
+      ).map(({ entry }) => entry)
+      .filter((entry) => entry.region === region);
   }
 
   /** Returns the prompt parts sent since the last invocation, for the next report. */
@@ -484,6 +496,7 @@
       progress: {
         hasBegun: false,
         lastEventId: hop?.resumeAfter ?? facts.lastEventId,
+        version: hop?.version,
       },
       tried: new Set(hop?.tried),
       unreached: new Set(),
@@ -493,6 +506,8 @@
       sentTo: [],
       isHandingOver: false,
       isTrial: hop?.isTrial ?? false,
+      isFirstSend: !isRepeat(routed),
+      hasDrawnVersion: false,
       mayHaveRun: false,
       heldAnswer: undefined,
       avoidedRegions: new Set(),
@@ -536,7 +551,11 @@
     nowMs: number,
   ): void {
     const service = exchange.service.name;
-    const known = { ...this.#parts, learned: this.#learned };
+    const known = {
+      ...this.#parts,
+      registry: this.#versions,
+      learned: this.#learned,
+    };
     this.#replies.finishUnanswered(
       exchange,
       toNoCapacityRefusal(service, destination, nowMs),
@@ -580,6 +599,16 @@
   return { model, parts: parts.slice(0, -1).map(({ id }) => id) };
 }
 
+/** Returns whether a call was sent before. */
+function isRepeat(
+  { call: { origin }, facts }: Pick<RoutedCall, "call" | "facts">,
+): boolean {
+  // Which version began a stream that its caller resumes is not known.
+  if (origin.kind === "caller") return facts.lastEventId !== undefined;
+  // Instances of earlier versions name only the servers that had the call.
+  return origin.hop.isRepeat || origin.hop.tried.length > 0;
+}
+
 /** A call whose route and service are known. */
 type RoutedCall = Pick<
   Exchange,
--- a/forwarding/call_replies.ts
+++ b/forwarding/call_replies.ts
@@ -48,6 +48,7 @@
       tried: sentTo,
       endsWithConnection: false,
       reason: refusal.reason,
+      version: undefined,
     });
     sink.begin({ ...head, headers: [...head.headers, ...hopHeaders] });
     sink.write(body);
@@ -62,7 +63,10 @@
    * @param exchange The call.
    * @param head Head of the server's answer.
    */
-  toPassedHead({ call, sentTo }: Exchange, head: AnswerHead): AnswerHead {
+  toPassedHead(
+    { call, progress, sentTo }: Exchange,
+    head: AnswerHead,
+  ): AnswerHead {
     const headers = pickForwarded(
       head.headers,
       (name) => isHopHeader(name) ? "never" : "unless-named",
@@ -74,6 +78,7 @@
       tried: sentTo,
       endsWithConnection,
       reason: undefined,
+      version: progress.version,
     });
     return {
       ...head,
--- a/forwarding/choose_destination.ts
+++ b/forwarding/choose_destination.ts
@@ -13,6 +13,7 @@
 } from "./choose_server.ts";
 import type { Exchange } from "./exchange.ts";
 import type { ServerReachability } from "./server_reachability.ts";
+import type { ServerFilter, ServerVersions } from "./server_versions.ts";
 
 /** Where a call is sent next, or why it is sent nowhere now. */
 export type Destination =
@@ -57,6 +58,17 @@
   { readonly kind: "local" | "remote" }
 >;
 
+/** A server or an instance that a call can be sent to. */
+type SendableDestination = Exclude<Destination, NoDestination>;
+
+/** Returns which servers of a region a call may use by their versions. */
+type RegionFilter = (region: RegionId) => ServerFilter;
+
+/** How a server of another region is chosen. */
+type RemoteChoice = Pick<ChooseServerOptions, "includesFull"> & {
+  readonly filterFor: RegionFilter;
+};
+
 /**
  * Round trip to another region before it is measured, in milliseconds. The
  * requirements assume tens of milliseconds each way.
@@ -85,6 +97,8 @@
   readonly fleet: FleetView;
   readonly servers: Pick<ServerChooser, "choose" | "listEligible">;
   readonly reachability: ServerReachability;
+  /** Which servers a call may use by their versions. */
+  readonly versions: ServerVersions;
   readonly random: Random;
   readonly listRegions: () => readonly RegionId[];
 }
@@ -106,19 +120,64 @@
   }
 
   /**
-   * Returns where a call is sent next.
+   * Returns where a call is sent next. The send must begin before the next wait: which
+   * servers the call may use by their versions can change at any time.
    *
    * @param exchange The call.
    * @param nowMs Time now.
    */
   choose(exchange: Exchange, nowMs: number): Destination {
+    const { versions } = this.#parts;
+    const drawn = versions.drawFirst(exchange);
+    const first = drawn && this.#chooseDrawn(exchange, drawn, nowMs);
+    if (first !== undefined) return first;
+    return this.#chooseAmong(
+      exchange,
+      nowMs,
+      (region) => versions.filterForRepeat(exchange, region),
+    );
+  }
+
+  /** Returns a destination at the version that was drawn for a call, or `undefined` without one. */
+  #chooseDrawn(
+    exchange: Exchange,
+    drawn: NonNullable<ReturnType<ServerVersions["drawFirst"]>>,
+    nowMs: number,
+  ): SendableDestination | undefined {
+    const { fleet: { self: { region: own } }, servers, versions } = this.#parts;
+    const isAllowed = versions.filterFor(drawn);
+    if (drawn.kind === "destination") {
+      const found = this.#chooseAmong(exchange, nowMs, () => isAllowed);
+      return found.kind === "local" || found.kind === "remote"
+        ? found
+        : undefined;
+    }
+    // An instance counts the canary calls that it sends to servers itself. A call that is
+    // forwarded is drawn again by the instance that receives it.
+    const isHome = listAllowedRegions(exchange, [own]).length > 0;
+    const candidate = isHome
+      ? servers.choose(toNeeds(exchange, exchange.unreached), own, nowMs, {
+        among: "working",
+        isAllowed,
+      })
+      : undefined;
+    return candidate && { kind: "local", candidate };
+  }
+
+  /** Returns where a call is sent next among the servers that it may use in each region. */
+  #chooseAmong(
+    exchange: Exchange,
+    nowMs: number,
+    filterFor: RegionFilter,
+  ): Destination {
     const { fleet: { self: { region: own } }, servers } = this.#parts;
+    const isAllowed = filterFor(own);
     const localNeeds = toNeeds(exchange, exchange.unreached);
     const isForwarded = exchange.call.origin.kind === "instance";
     const allowed = listAllowedRegions(exchange, this.#parts.listRegions());
     const isHome = allowed.includes(own);
     const local = isHome
-      ? servers.choose(localNeeds, own, nowMs, { among: "working" })
+      ? servers.choose(localNeeds, own, nowMs, { among: "working", isAllowed })
       : undefined;
     const marginMs = REMOTE_MARGIN_FRACTION * exchange.route.targetMs;
     // The round trip alone costs more than the local server: no server there can be cheaper.
@@ -132,10 +191,10 @@
         region !== own && !exchange.avoidedRegions.has(region) &&
         !isTooFar(region)
       );
-    const remote = this.#chooseRemote(exchange, others, nowMs);
+    const remote = this.#chooseRemote(exchange, others, nowMs, { filterFor });
     const asksNeighbors = isHome && !isForwarded && local === undefined;
     const elsewhere = asksNeighbors
-      ? this.#addNeighbor(exchange, remote, nowMs)
+      ? this.#addNeighbor(exchange, remote, nowMs, filterFor)
       : remote;
     const isCheaper = elsewhere !== undefined &&
       (local === undefined ||
@@ -143,7 +202,7 @@
     if (isCheaper) return elsewhere;
     if (local !== undefined) return { kind: "local", candidate: local };
     const lastResort = isHome
-      ? this.#chooseLastResort(exchange, localNeeds, nowMs)
+      ? this.#chooseLastResort(exchange, localNeeds, nowMs, isAllowed)
       : undefined;
     if (lastResort !== undefined) {
       return { kind: "local", candidate: lastResort };
@@ -151,9 +210,10 @@
     const reachable = isForwarded
       ? allowed.filter((region) => region === own)
       : allowed;
-    const explained = this.#explain(exchange, reachable, nowMs);
+    const explained = this.#explain(exchange, reachable, nowMs, filterFor);
     if (explained.kind !== "wait" || isForwarded) return explained;
-    return this.#chooseWaitingPlace(exchange, allowed, nowMs) ?? explained;
+    return this.#chooseWaitingPlace(exchange, allowed, nowMs, filterFor) ??
+      explained;
   }
 
   /** Returns the mean round trip to another region, in milliseconds. */
@@ -185,7 +245,7 @@
     exchange: Exchange,
     regions: readonly RegionId[],
     nowMs: number,
-    choice: Pick<ChooseServerOptions, "includesFull"> = {},
+    { filterFor, ...choice }: RemoteChoice,
   ): RemoteDestination | undefined {
     const { fleet, random, servers } = this.#parts;
     const needs = toNeeds(exchange);
@@ -194,6 +254,7 @@
         among: "all",
         extraTokens: this.#tokensInTransit.get(region) ?? 0,
         roundTripMs: this.readRoundTripMs(region),
+        isAllowed: filterFor(region),
         ...choice,
       });
       if (candidate === undefined) return [];
@@ -215,6 +276,7 @@
     exchange: Exchange,
     allowed: readonly RegionId[],
     nowMs: number,
+    filterFor: RegionFilter,
   ): RemoteDestination | undefined {
     if (!this.#parts.reachability.isCutOff(nowMs)) return undefined;
     const regions = allowed.filter((region) =>
@@ -222,6 +284,7 @@
     );
     return this.#chooseRemote(exchange, regions, nowMs, {
       includesFull: true,
+      filterFor,
     });
   }
 
@@ -234,6 +297,7 @@
     exchange: Exchange,
     remote: RemoteDestination | undefined,
     nowMs: number,
+    filterFor: RegionFilter,
   ): RemoteDestination | undefined {
     const { fleet: { self }, reachability } = this.#parts;
     const isLost = reachability.isServiceLost(exchange.service.name, nowMs);
@@ -242,7 +306,9 @@
     const mayAsk = isCutOff || remote === undefined &&
         exchange.avoidedInstances.size < MAX_NEIGHBORS_OF_LOST_SERVICE;
     if (!mayAsk) return remote;
-    const neighbor = this.#chooseRemote(exchange, [self.region], nowMs);
+    const neighbor = this.#chooseRemote(exchange, [self.region], nowMs, {
+      filterFor,
+    });
     if (neighbor === undefined || remote === undefined) {
       return neighbor ?? remote;
     }
@@ -259,11 +325,12 @@
     exchange: Exchange,
     needs: CallNeeds,
     nowMs: number,
+    isAllowed: ServerFilter,
   ): Candidate | undefined {
     const { fleet: { self }, reachability, servers } = this.#parts;
     const isForwarded = exchange.call.origin.kind === "instance";
     if (isForwarded && reachability.isCutOff(nowMs)) return undefined;
-    return servers.choose(needs, self.region, nowMs);
+    return servers.choose(needs, self.region, nowMs, { isAllowed });
   }
 
   /** Returns whether a call may reach a server of a region, from here or by another instance. */
@@ -287,10 +354,16 @@
     exchange: Exchange,
     regions: readonly RegionId[],
     nowMs: number,
+    filterFor: RegionFilter,
   ): NoDestination {
     const { service, tried } = exchange;
     const eligible = regions.flatMap((region) =>
-      this.#parts.servers.listEligible(service.name, region, nowMs)
+      this.#parts.servers.listEligible(
+        service.name,
+        region,
+        nowMs,
+        filterFor(region),
+      )
     );
     const isOutOfReach = eligible.length > 0 &&
       !regions.some((region) => this.#isWithinReach(exchange, region, nowMs));
--- a/forwarding/choose_server.ts
+++ b/forwarding/choose_server.ts
@@ -3,11 +3,12 @@
 import type { BackendId, RegionId } from "../ids/mod.ts";
 import { computeWeight } from "../membership/mod.ts";
 import type { LoadTracker } from "../fleet/mod.ts";
-import type { KnownServer, ServerRegistry } from "../servers/mod.ts";
+import type { KnownServer } from "../servers/mod.ts";
 import type { LearnedServers } from "./learned_servers.ts";
 import type { KeyedPart } from "./prefix_cache_model.ts";
 import type { SlotUsage } from "./rejection_gate.ts";
 import type { ServerReachability } from "./server_reachability.ts";
+import type { ServerFilter, UsableServers } from "./server_versions.ts";
 
 /**
  * Calls that a plain server gets for each of its slots: one runs and one waits
@@ -131,12 +132,15 @@
   readonly roundTripMs?: number;
   /** Whether servers at capacity may be chosen, where the call then waits. Default: no. */
   readonly includesFull?: boolean;
+  /** Which servers the call may use by their versions. Default: all. */
+  readonly isAllowed?: ServerFilter;
 }
 
 /** What a server is chosen from. */
 export interface ServerChooserParts {
   readonly ownRegion: RegionId;
-  readonly registry: ServerRegistry;
+  /** All usable servers, whatever their versions are. */
+  readonly registry: UsableServers;
   readonly loads: LoadTracker;
   readonly learned: LearnedServers;
   readonly reachability: ServerReachability;
@@ -197,14 +201,15 @@
     needs: CallNeeds,
     region: RegionId,
     nowMs: number,
-    { among = "any" }: ChooseServerOptions,
+    { among = "any", isAllowed }: ChooseServerOptions,
   ): readonly KnownServer[] {
     const { learned: { health, links }, reachability, registry } = this.#parts;
     const service = needs.service.name;
     const available = registry.listUsable(service, region)
-      .filter(({ entry }) =>
-        !needs.tried.has(entry.id) &&
-        health.readCooldownUntilMs(entry.id) <= nowMs
+      .filter((server) =>
+        !needs.tried.has(server.entry.id) &&
+        health.readCooldownUntilMs(server.entry.id) <= nowMs &&
+        (isAllowed === undefined || isAllowed(server))
       );
     if (among === "all") return available;
     const working = available.filter(({ entry }) =>
@@ -242,18 +247,25 @@
       )?.candidate;
   }
 
-  /** Returns the servers of a service in a region that may get calls, now or later. */
+  /**
+   * Returns the servers of a service in a region that may get calls, now or later.
+   *
+   * @param isAllowed Which servers the call may use by their versions. Default: all.
+   */
   listEligible(
     service: string,
     region: RegionId,
     nowMs: number,
+    isAllowed?: ServerFilter,
   ): readonly EligibleServer[] {
     const { learned: { health, limitGate }, registry } = this.#parts;
-    return registry.listUsable(service, region).map(({ entry: { id } }) => ({
-      id,
-      cooldownUntilMs: health.readCooldownUntilMs(id),
-      limitedUntilMs: limitGate.readOpensAtMs(id, nowMs),
-    }));
+    return registry.listUsable(service, region)
+      .filter((server) => isAllowed === undefined || isAllowed(server))
+      .map(({ entry: { id } }) => ({
+        id,
+        cooldownUntilMs: health.readCooldownUntilMs(id),
+        limitedUntilMs: limitGate.readOpensAtMs(id, nowMs),
+      }));
   }
 
   /**
--- a/forwarding/crash_confirmer.ts
+++ b/forwarding/crash_confirmer.ts
@@ -2,9 +2,10 @@
 import type { BackendId, RegionId } from "../ids/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
-import type { RegisteredServer, ServerRegistry } from "../servers/mod.ts";
+import type { RegisteredServer } from "../servers/mod.ts";
 import type { ProbeServer } from "./link_prober.ts";
 import type { ServerLinks } from "./server_links.ts";
+import type { UsableServers } from "./server_versions.ts";
 
 /**
  * How long after its connections a crashed server may still accept new ones, in
@@ -18,7 +19,8 @@
 export interface CrashConfirmerParts {
   readonly clock: Clock;
   readonly ownRegion: RegionId;
-  readonly registry: ServerRegistry;
+  /** Servers that any call may be sent to. */
+  readonly registry: UsableServers;
   readonly links: ServerLinks;
   readonly probeServer: ProbeServer;
   readonly logger: Logger;
--- a/forwarding/exchange.ts
+++ b/forwarding/exchange.ts
@@ -39,6 +39,10 @@
   isHandingOver: boolean;
   /** Whether the call is quarantined, and sent once to learn whether it still crashes servers. */
   isTrial: boolean;
+  /** Whether the call has not been sent before, also not by another instance. */
+  isFirstSend: boolean;
+  /** Whether it has been drawn which versions the first send of the call may use. */
+  hasDrawnVersion: boolean;
   /** Whether a server may have run the call. */
   mayHaveRun: boolean;
   /** A failure of a server, passed to the caller if no later attempt succeeds. */
--- a/forwarding/hop_headers.ts
+++ b/forwarding/hop_headers.ts
@@ -1,9 +1,11 @@
 import {
   type BackendId,
   type InstanceId,
+  type ServerVersion,
   toBackendId,
   toInstanceId,
   toRegionId,
+  toServerVersion,
   toTeamId,
 } from "../ids/mod.ts";
 import type { IdentifiedTeam } from "../teams/mod.ts";
@@ -36,6 +38,10 @@
   readonly configurationVersion: number;
   /** Whether the call is quarantined, and sent once to learn whether it still crashes servers. */
   readonly isTrial: boolean;
+  /** Whether the call was sent before. Such calls use the versions in force only. */
+  readonly isRepeat: boolean;
+  /** Version that began the stream to resume; `undefined` if none did, or it has no effect. */
+  readonly version: ServerVersion | undefined;
   /** Team and key of the caller as identified by the first instance; `undefined` if it identified none. */
   readonly caller: IdentifiedTeam | undefined;
 }
@@ -58,6 +64,8 @@
   readonly endsWithConnection: boolean;
   /** Why the second instance refused the call; `undefined` for an answer, or if it was not sent. */
   readonly reason: RefusalReason | undefined;
+  /** Version of the server that answered; `undefined` if none did, or it has no effect. */
+  readonly version: ServerVersion | undefined;
 }
 
 /** Value of the field that says that the server's answer ends with its connection. */
@@ -84,6 +92,8 @@
   });
   if (hop.resumeAfter !== undefined) fields.set("after", hop.resumeAfter);
   if (hop.isTrial) fields.set("trial", "1");
+  if (hop.isRepeat) fields.set("repeat", "1");
+  if (hop.version !== undefined) fields.set("begunBy", hop.version);
   if (hop.caller !== undefined) writeCaller(fields, hop.caller);
   return [HOP_HEADER, fields.toString()];
 }
@@ -107,6 +117,8 @@
     tried: parseServerIds(fields.get("tried")),
     configurationVersion: Number(fields.get("version") ?? 0),
     isTrial: fields.get("trial") === "1",
+    isRepeat: fields.get("repeat") === "1",
+    version: parseVersion(fields.get("begunBy")),
     caller: readCaller(fields),
   };
 }
@@ -154,6 +166,7 @@
   });
   if (answer.endsWithConnection) fields.set("end", CONNECTION_END);
   if (answer.reason !== undefined) fields.set("reason", answer.reason);
+  if (answer.version !== undefined) fields.set("begunBy", answer.version);
   return [HOP_ANSWER_HEADER, fields.toString()];
 }
 
@@ -170,9 +183,14 @@
     tried: parseServerIds(fields.get("tried")),
     endsWithConnection: fields.get("end") === CONNECTION_END,
     reason: parseRefusalReason(fields.get("reason")),
+    version: parseVersion(fields.get("begunBy")),
   };
 }
 
+function parseVersion(text: string | null): ServerVersion | undefined {
+  return text === null ? undefined : toServerVersion(text);
+}
+
 function parseServerIds(text: string | null): readonly BackendId[] {
   if (text === null || text === "") return [];
   return text.split(" ").map(toBackendId);
--- a/forwarding/instance_sender.ts
+++ b/forwarding/instance_sender.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "../clock/mod.ts";
+import type { ServerVersion } from "../ids/mod.ts";
 import type { FleetView } from "../fleet/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
 import type { CallHeaderCodec } from "./call_header_codec.ts";
@@ -63,6 +64,9 @@
       isInTransit = false;
       destinations.addInTransit(region, -candidate.prefillTokens);
     };
+    let version: ServerVersion | undefined;
+    const isRepeat = !exchange.isFirstSend;
+    exchange.isFirstSend = false;
     const outcome = await runAttempt({
       client: this.#parts.client,
       headerCodec,
@@ -85,6 +89,8 @@
             tried: [...exchange.tried],
             configurationVersion: exchange.access.configurationVersion,
             isTrial: exchange.isTrial,
+            isRepeat,
+            version: progress.version,
             caller: exchange.access.caller,
           }),
         ],
@@ -96,10 +102,14 @@
       holdsFailures: false,
       streams: readStreamHandling(exchange),
       progress,
-      toPassedHead: (head) => this.#parts.replies.toPassedHead(exchange, head),
+      toPassedHead: (head) => {
+        progress.version ??= version;
+        return this.#parts.replies.toPassedHead(exchange, head);
+      },
       onHeaders: (headers) => {
         const answer = readHopAnswer(headers);
         if (answer === undefined) return;
+        version = answer.version;
         answer.tried.forEach((server) => exchange.tried.add(server));
         const roundTripMs = clock.nowMs() - startMs - answer.servedMs;
         destinations.recordRoundTrip(region, roundTripMs);
--- a/forwarding/link_prober.ts
+++ b/forwarding/link_prober.ts
@@ -1,9 +1,10 @@
 import type { Clock } from "../clock/mod.ts";
 import type { BackendId, RegionId } from "../ids/mod.ts";
 import type { Logger } from "../logs/mod.ts";
-import type { KnownServer, ServerRegistry } from "../servers/mod.ts";
+import type { KnownServer } from "../servers/mod.ts";
 import type { LearnedServers } from "./learned_servers.ts";
 import type { ServerReachability } from "./server_reachability.ts";
+import type { ServerVersions } from "./server_versions.ts";
 
 /**
  * Share of the region's servers that fail from which the others are probed too: it may be
@@ -18,7 +19,11 @@
 export interface LinkProberParts {
   readonly clock: Clock;
   readonly ownRegion: RegionId;
-  readonly registry: ServerRegistry;
+  /** Servers that any call may be sent to. */
+  readonly registry: Pick<
+    ServerVersions,
+    "find" | "listUsable" | "listUsableServices" | "mayServe"
+  >;
   readonly learned: LearnedServers;
   readonly reachability: ServerReachability;
   readonly probeServer: ProbeServer;
@@ -62,9 +67,9 @@
   async #probe(server: BackendId): Promise<void> {
     const { clock, learned: { links }, logger, probeServer, registry } =
       this.#parts;
-    const entry = registry.find(server)?.entry;
-    if (entry === undefined) return;
-    const { address, service } = entry;
+    const known = registry.find(server);
+    if (known === undefined || !registry.mayServe(known)) return;
+    const { address, service } = known.entry;
     const startMs = clock.nowMs();
     const isReached = await probeServer(address);
     const nowMs = clock.nowMs();
--- a/forwarding/mod.ts
+++ b/forwarding/mod.ts
@@ -30,6 +30,7 @@
 export * from "./server_limits.ts";
 export * from "./server_links.ts";
 export * from "./server_reachability.ts";
+export * from "./server_versions.ts";
 export * from "./link_prober.ts";
 export * from "./fleet_retry_budget.ts";
 export * from "./warm_up_gate.ts";
--- a/forwarding/no_capacity.ts
+++ b/forwarding/no_capacity.ts
@@ -1,9 +1,9 @@
 import type { FleetView, LoadTracker } from "../fleet/mod.ts";
-import type { ServerRegistry } from "../servers/mod.ts";
 import type { NoDestination } from "./choose_destination.ts";
 import type { LearnedServers } from "./learned_servers.ts";
 import type { Refusal } from "./refusal.ts";
 import { NO_CAPACITY_RETRY_MS } from "./settle_attempt.ts";
+import type { UsableServers } from "./server_versions.ts";
 
 /**
  * Returns whether it is futile to let a call wait that has no destination now. No server
@@ -76,7 +76,8 @@
 export interface ServerStateSources {
   readonly fleet: Pick<FleetView, "self">;
   readonly loads: LoadTracker;
-  readonly registry: ServerRegistry;
+  /** Servers that any call may be sent to. */
+  readonly registry: UsableServers;
   readonly learned: Pick<LearnedServers, "health" | "limits">;
 }
 
--- a/forwarding/run_attempt.ts
+++ b/forwarding/run_attempt.ts
@@ -1,4 +1,5 @@
 import { type Clock, scheduleAfterReading } from "../clock/mod.ts";
+import type { ServerVersion } from "../ids/mod.ts";
 import type { AnswerFraming } from "./answer_framing.ts";
 import type {
   AnswerFacts,
@@ -93,6 +94,8 @@
   hasBegun: boolean;
   /** How the caller is told the end of the answer; `undefined` before its head. */
   framing?: AnswerFraming;
+  /** Version of the server that began the answer, where versions have an effect. */
+  version?: ServerVersion | undefined;
   /** Id of the last event that was passed on, or that the caller had before. */
   lastEventId: string | undefined;
 }
--- a/forwarding/server_reachability.ts
+++ b/forwarding/server_reachability.ts
@@ -1,12 +1,13 @@
 import type { LoadTracker } from "../fleet/mod.ts";
 import type { BackendId, RegionId } from "../ids/mod.ts";
-import type { ServerRegistry } from "../servers/mod.ts";
 import type { LearnedServers } from "./learned_servers.ts";
+import type { UsableServers } from "./server_versions.ts";
 
 /** What a {@linkcode ServerReachability} is created from. */
 export interface ServerReachabilityParts {
   readonly ownRegion: RegionId;
-  readonly registry: ServerRegistry;
+  /** Servers that any call may be sent to. */
+  readonly registry: UsableServers;
   readonly loads: LoadTracker;
   readonly learned: LearnedServers;
 }
--- a/forwarding/server_sender.ts
+++ b/forwarding/server_sender.ts
@@ -18,7 +18,9 @@
   runAttempt,
 } from "./run_attempt.ts";
 import type { ServerClient } from "./server_client.ts";
+import { SendEvidence } from "./send_evidence.ts";
 import type { ServerOutcome } from "./server_health.ts";
+import type { ServerVersions } from "./server_versions.ts";
 
 /**
  * How long a server is excluded after another server answered at its address, in
@@ -50,6 +52,8 @@
   readonly fleet: FleetView;
   readonly loads: LoadTracker;
   readonly learned: LearnedServers;
+  /** Counts sends by the versions of their servers. */
+  readonly versions: ServerVersions;
   /** Records crashes of servers and the calls that they had. */
   readonly quarantine: CallQuarantine;
   /** Tells crashes of servers from lost connections. */
@@ -83,7 +87,8 @@
     candidate: Candidate,
     options: SendOptions,
   ): Promise<AttemptOutcome> {
-    const { clock, headerCodec, learned, loads, metrics } = this.#parts;
+    const { clock, headerCodec, learned, loads, metrics, versions } =
+      this.#parts;
     const { server: { entry }, prefillTokens } = candidate;
     const { call, service } = exchange;
     const startMs = clock.nowMs();
@@ -91,6 +96,11 @@
     const gated = learned.rejectionGate.begin(entry.id, candidate.usage);
     const load = this.#beginLoad(candidate);
     const liveness = learned.liveness.begin(entry.id, startMs);
+    // The server was chosen in the same turn of the event loop: what the rollout allowed then
+    // is still allowed.
+    const counted = versions.beginSend(candidate.server, exchange.route.name);
+    const evidence = counted && new SendEvidence(counted, exchange, startMs);
+    const version = versions.readVersion(candidate.server);
     this.#recordSend(exchange, candidate, startMs);
     learned.costJitter.record(
       service.name,
@@ -123,8 +133,15 @@
       holdsFailures: canRetry,
       streams: readStreamHandling(exchange),
       progress: exchange.progress,
-      toPassedHead: (head) => this.#parts.replies.toPassedHead(exchange, head),
-      onActivity: () => liveness.recordBytes(clock.nowMs()),
+      toPassedHead: (head) => {
+        exchange.progress.version ??= version;
+        return this.#parts.replies.toPassedHead(exchange, head);
+      },
+      onActivity: () => {
+        const nowMs = clock.nowMs();
+        liveness.recordBytes(nowMs);
+        evidence?.recordBytes(nowMs);
+      },
       onFacts: (facts) => this.#recordFacts(entry, facts, startMs),
       onAnswerEnd: (end) =>
         metrics.count("call.answer_ends", 1, {
@@ -134,6 +151,7 @@
       onFirstByte: () => {
         load.endReading();
         firstByteMs = clock.nowMs();
+        evidence?.recordFirstByte(firstByteMs);
         const tookMs = firstByteMs - startMs;
         learned.speeds.record(entry.id, service.name, {
           tokens: queuedTokens + prefillTokens,
@@ -162,6 +180,7 @@
     const ended = outcome.kind === "handed-over"
       ? outcome.firstOutcome
       : outcome;
+    evidence?.end(ended, clock.nowMs());
     if (ended.kind === "rejected") gated.reject(clock.nowMs());
     this.#recordOutcome(exchange, candidate, ended, startMs);
     void this.#recordForQuarantine(exchange, candidate, ended, firstByteMs);
@@ -214,6 +233,7 @@
     if (service.engine !== undefined) {
       learned.recordSent(entry.id, exchange.promptParts);
     }
+    exchange.isFirstSend = false;
     exchange.tried.add(entry.id);
     exchange.sentTo = [...exchange.sentTo, entry.id];
   }
--- a/servers/server_registry.ts
+++ b/servers/server_registry.ts
@@ -1,4 +1,9 @@
-import type { BackendId, FailureDomainId, RegionId } from "../ids/mod.ts";
+import type {
+  BackendId,
+  FailureDomainId,
+  RegionId,
+  ServerVersion,
+} from "../ids/mod.ts";
 
 /** A backend server as it registered itself. */
 export interface RegisteredServer {
@@ -20,6 +25,8 @@
   readonly coldForMs: number;
   /** Counts the entries written by this start: an earlier one may be read after a later one. */
   readonly sequence: number;
+  /** Version of its software; `undefined` if it declares none. */
+  readonly version?: ServerVersion | undefined;
 }
 
 /** A registered server with what this instance has learned of it. */
--- a/spec/key_spec.ts
+++ b/spec/key_spec.ts
@@ -181,6 +181,8 @@
         resumeAfter: undefined,
         tried: [],
         isTrial: false,
+        isRepeat: false,
+        version: undefined,
         configurationVersion: omitsVersion ? 0 : sentVersion,
         caller,
       },
