--- a/forwarding/server_versions.ts
+++ b/forwarding/server_versions.ts
@@ -177,8 +177,19 @@
     const { rollouts } = this.#parts;
     if (rollouts === undefined || assignment === undefined) return undefined;
     if (assignment.kind === "any") return undefined;
-    return (server) =>
+    const isAllowed = (server: KnownServer) =>
       rollouts.isAllowed(assignment, toVersionedServer(server));
+    if (assignment.kind === "trial") return isAllowed;
+    // Other assignments depend on the version only, and servers have few.
+    const byVersion = new Map<ServerVersion | undefined, boolean>();
+    return (server) => {
+      const { version } = server.entry;
+      const known = byVersion.get(version);
+      if (known !== undefined) return known;
+      const isVersionAllowed = isAllowed(server);
+      byVersion.set(version, isVersionAllowed);
+      return isVersionAllowed;
+    };
   }
 }
 
--- a/tests/virtual_fleet.ts
+++ b/tests/virtual_fleet.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from "node:events";
 import { createRandom, VirtualClock } from "../clock/mod.ts";
 import type { HttpGateway } from "../daemon/http_gateway.ts";
 import { decodeReport, encodeReport, type SendReport } from "../fleet/mod.ts";
@@ -9,9 +10,11 @@
   type SendEvents,
   type SendRequest,
   type ServerClient,
+  type VersionRules,
 } from "../forwarding/mod.ts";
 import type { RouteTable } from "../http_routes/mod.ts";
-import { toFailureDomainId, toRegionId } from "../ids/mod.ts";
+import type { RegisteredServer } from "../servers/mod.ts";
+import { toFailureDomainId, toRegionId, toServerVersion } from "../ids/mod.ts";
 import { createServerEntry } from "./member_fixture.ts";
 import { createHeadSink } from "./opaque_call_fixture.ts";
 import { PROMPT_HEADER_CODEC, writePromptHeaders } from "./prompt_fixture.ts";
@@ -28,11 +31,17 @@
   readonly atMs: number;
   /** Id of the server. */
   readonly server: string;
+  /** Version of the server. */
+  readonly version: string;
   /** Address of the sending instance. */
   readonly from: string;
   readonly callId: string;
   readonly target: string;
   readonly body: string;
+  /** Id after which a stream is resumed; `undefined` if it is not. */
+  readonly lastEventId: string | undefined;
+  /** Calls that the server works on, this one included. */
+  readonly running: number;
   /** Shared parts of the call's prompt, in order; the caller's own last part is left out. */
   readonly parts: readonly string[];
 }
@@ -45,6 +54,18 @@
     /** Default: 200. */
     readonly status?: number;
   }
+  /** A stream of events, ids from 1 on or after the one resumed, each naming the server's version. */
+  | {
+    readonly kind: "stream";
+    readonly afterMs: number;
+    readonly gapMs: number;
+    /** Id of the last event. */
+    readonly events: number;
+    /** Id of the event after which the connection closes. Default: none. */
+    readonly cutAfter?: number;
+  }
+  /** The server runs the call and closes its connection without an answer. */
+  | { readonly kind: "lose"; readonly afterMs: number }
   /** The server runs the call, then crashes together with all its calls. */
   | { readonly kind: "end"; readonly afterMs: number }
   /** The server refuses the call at once and states that it did not run it. */
@@ -54,6 +75,8 @@
 export interface CallOutcome {
   readonly status: number;
   readonly headers: readonly string[];
+  /** What the caller received, for calls that await the whole answer. */
+  readonly body?: string;
 }
 
 /** What a call to a virtual fleet consists of. */
@@ -68,6 +91,8 @@
   readonly parts?: readonly string[];
   /** Model of the prompt. Default: `m`. */
   readonly model?: string;
+  /** Whether the outcome is that of the whole answer, not of its head. Default: no. */
+  readonly awaitsEnd?: boolean;
 }
 
 /** Sizes of a fleet, and behaviour of its servers and network. */
@@ -76,6 +101,12 @@
   readonly regions: Readonly<
     Record<string, { readonly instances: number; readonly servers: number }>
   >;
+  /** Version of the servers that the fleet starts with. Default: `v1`. */
+  readonly version?: string;
+  /** Creates the rules on versions of an instance that starts. Default: none. */
+  readonly createRollouts?: (address: string) => VersionRules;
+  /** Called when the servers that an instance knows have changed. Default: nothing. */
+  readonly onServers?: (address: string, gateway: HttpGateway) => void;
   readonly table: RouteTable;
   /** Slots of each server. Default: 64. */
   readonly slots?: number;
@@ -87,13 +118,14 @@
   readonly answerHeaders?: (server: string) => readonly string[];
   /** Share of datagrams that are lost. Default: 0. */
   readonly lostShare?: number;
-  /** Returns whether all datagrams are lost at present. Default: never. */
-  readonly isCut?: () => boolean;
+  /** Returns whether datagrams between two instances are lost at present. Default: never. */
+  readonly isCut?: (from: string, to: string) => boolean;
 }
 
 interface VirtualServer {
   readonly id: string;
   readonly region: string;
+  readonly version: string;
   readonly runningCalls: Set<SendEvents>;
   hasCrashed: boolean;
 }
@@ -114,7 +146,7 @@
   readonly #parts: VirtualFleetParts;
   readonly #random = createRandom(11);
   readonly #servers = new Map<string, VirtualServer>();
-  readonly #stopping = new AbortController();
+  readonly #stopping = new Map<string, AbortController>();
   #startedServerCount = 0;
   #callCount = 0;
 
@@ -128,7 +160,7 @@
       )
     );
     Object.entries(parts.regions).forEach(([region, { servers }]) =>
-      Array.from({ length: servers }, () => this.#startServer(region))
+      this.startServers(region, servers)
     );
   }
 
@@ -146,6 +178,7 @@
       clock: this.clock,
       random: createRandom(this.gateways.size + 1),
       headerCodec: PROMPT_HEADER_CODEC,
+      rollouts: this.#parts.createRollouts?.(address),
       client: this.#createServerClient(address),
       peerClient: this.#createPeerClient(address),
       probeServer: (server) => this.#probe(address, server),
@@ -154,15 +187,44 @@
       retryBounds: { ratio: 1, slack: 1_000, windowMs: 10_000 },
     });
     gateway.forwarder.setTable(this.#parts.table);
+    this.#stopping.get(address)?.abort("replaced");
+    const stopping = new AbortController();
+    setMaxListeners(0, stopping.signal);
+    this.#stopping.set(address, stopping);
     this.gateways.set(address, gateway);
-    gateway.start(this.#stopping.signal);
+    gateway.start(stopping.signal);
     this.#servers.forEach((server) => this.#register(gateway, server));
+    this.#parts.onServers?.(address, gateway);
     return gateway;
   }
 
+  /** Starts servers of a version in a region, and returns their ids. */
+  startServers(
+    region: string,
+    count: number,
+    version = this.#parts.version ?? "v1",
+  ): readonly string[] {
+    const ids = Array.from(
+      { length: count },
+      () => this.#startServer(region, version).id,
+    );
+    this.gateways.forEach((gateway, address) =>
+      this.#parts.onServers?.(address, gateway)
+    );
+    return ids;
+  }
+
+  /** Stops all servers of a version without draining: their calls get no answer. */
+  stopServers(version: string): void {
+    const stopped = [...this.#servers.values()]
+      .filter((server) => server.version === version);
+    stopped.forEach((server) => this.#loseCalls(server));
+    this.#unregister(stopped);
+  }
+
   /** Stops all instances. */
   stop(): void {
-    this.#stopping.abort("stopped");
+    this.#stopping.forEach((each) => each.abort("stopped"));
   }
 
   /**
@@ -188,6 +250,7 @@
   send(
     {
       address = this.#pickAddress(),
+      awaitsEnd = false,
       body,
       model = "m",
       parts = [],
@@ -204,7 +267,15 @@
       "2000",
       ...writePromptHeaders(model, parts),
     ];
+    const { signal } = this.#stopping.get(address)!;
     return new Promise((resolve) => {
+      // A call ends without an answer when the called instance is replaced.
+      const abandon = () => resolve({ status: 0, headers: [] });
+      signal.addEventListener("abort", abandon, { once: true });
+      const finish = (outcome: CallOutcome) => {
+        signal.removeEventListener("abort", abandon);
+        resolve(outcome);
+      };
       this.#deliver(address, { kind: "caller" }, {
         request: {
           address,
@@ -214,7 +285,10 @@
           body: Buffer.from(body),
           maxConnections: 1,
         },
-        sink: createSink((head) => resolve(head)),
+        sink: {
+          ...(awaitsEnd ? createWholeSink(finish) : createSink(finish)),
+          signal,
+        },
       });
     });
   }
@@ -243,20 +317,26 @@
     }, sink);
   }
 
-  #startServer(region: string): void {
+  #startServer(region: string, version: string): VirtualServer {
     const server: VirtualServer = {
       id: `${region}-server-${this.#startedServerCount++}`,
       region,
+      version,
       runningCalls: new Set(),
       hasCrashed: false,
     };
     this.#servers.set(server.id, server);
     this.gateways.forEach((gateway) => this.#register(gateway, server));
+    return server;
   }
 
-  #register(gateway: HttpGateway, { id, region }: VirtualServer): void {
+  #register(
+    gateway: HttpGateway,
+    { id, region, version }: VirtualServer,
+  ): void {
     gateway.registry.put(
       createServerEntry(id, {
+        version: toServerVersion(version),
         address: id,
         region: toRegionId(region),
         failureDomain: toFailureDomainId(`${region}-a`),
@@ -268,27 +348,37 @@
 
   #crashServer(server: VirtualServer): void {
     if (server.hasCrashed) return;
+    this.#loseCalls(server);
+    const { replacedAfterMs } = this.#parts;
+    if (replacedAfterMs === undefined) return;
+    this.clock.schedule(replacedAfterMs, () => {
+      if (!this.#servers.has(server.id)) return;
+      this.#unregister([server]);
+      this.startServers(server.region, 1, server.version);
+    });
+  }
+
+  #loseCalls(server: VirtualServer): void {
     server.hasCrashed = true;
     const lostCalls = [...server.runningCalls];
     server.runningCalls.clear();
     lostCalls.forEach((events) =>
       events.onFailure({ kind: "closed", message: "other side closed" })
     );
-    const { replacedAfterMs } = this.#parts;
-    if (replacedAfterMs === undefined) return;
-    this.clock.schedule(replacedAfterMs, () => {
-      this.#servers.delete(server.id);
-      this.gateways.forEach(({ registry, forwarder }) => {
-        registry.replaceAll(
-          registry.servers.map(({ entry }) => entry)
-            .filter(({ id }) => id !== server.id),
-          this.clock.nowMs(),
-          0,
-        );
-        forwarder.forgetUnregisteredServers();
-      });
-      this.#startServer(server.region);
+  }
+
+  #unregister(servers: readonly VirtualServer[]): void {
+    const removed = new Set(servers.map(({ id }) => id));
+    removed.forEach((id) => this.#servers.delete(id));
+    this.gateways.forEach(({ registry, forwarder }) => {
+      const kept = registry.servers.map(({ entry }): RegisteredServer => entry)
+        .filter(({ id }) => !removed.has(id));
+      registry.replaceAll(kept, this.clock.nowMs(), 0);
+      forwarder.forgetUnregisteredServers();
     });
+    this.gateways.forEach((gateway, address) =>
+      this.#parts.onServers?.(address, gateway)
+    );
   }
 
   #createServerClient(from: string): ServerClient {
@@ -303,20 +393,23 @@
         }
         const failed = this.links.take(from, server.id, events);
         if (failed !== undefined) return failed;
-        const { callId, prompt } = PROMPT_HEADER_CODEC.readCall(
+        const { callId, lastEventId, prompt } = PROMPT_HEADER_CODEC.readCall(
           request.headers,
         );
+        server.runningCalls.add(events);
         const arrival: Arrival = {
           atMs: this.clock.nowMs(),
           server: server.id,
+          version: server.version,
           from,
           callId,
           target: request.target,
           body: request.body.toString(),
+          lastEventId,
+          running: server.runningCalls.size,
           parts: prompt?.parts.slice(0, -1).map(({ id }) => id) ?? [],
         };
         this.arrivals.push(arrival);
-        server.runningCalls.add(events);
         this.links.begin(from, events);
         const ignoreIfEnded = (callback: () => void) => () => {
           if (server.runningCalls.has(events)) callback();
@@ -340,6 +433,20 @@
               ignoreIfEnded(() => sendAnswer(action.status ?? 200, [])),
             );
             break;
+          case "stream":
+            this.clock.schedule(
+              action.afterMs,
+              ignoreIfEnded(() =>
+                this.#stream(server, arrival, events, action)
+              ),
+            );
+            break;
+          case "lose":
+            this.clock.schedule(
+              action.afterMs,
+              ignoreIfEnded(() => this.#close(server, arrival, events)),
+            );
+            break;
           case "end":
             this.clock.schedule(
               action.afterMs,
@@ -366,6 +473,44 @@
     };
   }
 
+  /** Sends the events of a stream one after the other. */
+  #stream(
+    server: VirtualServer,
+    arrival: Arrival,
+    events: SendEvents,
+    action: Extract<ServerAction, { kind: "stream" }>,
+  ): void {
+    events.onHead({
+      status: 200,
+      statusText: "",
+      headers: [
+        "X-Call-Id",
+        arrival.callId,
+        "Content-Type",
+        "text/event-stream",
+      ],
+    });
+    const sendNext = (id: number) => {
+      if (!server.runningCalls.has(events)) return;
+      if (id > action.events) {
+        server.runningCalls.delete(events);
+        if (this.links.end(arrival.from, server.id, events)) events.onEnd([]);
+        return;
+      }
+      events.onData(Buffer.from(`id: ${id}\ndata: ${server.version}\n\n`));
+      if (id === action.cutAfter) this.#close(server, arrival, events);
+      else this.clock.schedule(action.gapMs, () => sendNext(id + 1));
+    };
+    sendNext(Number(arrival.lastEventId ?? 0) + 1);
+  }
+
+  /** Closes the connection of a call. */
+  #close(server: VirtualServer, { from }: Arrival, events: SendEvents): void {
+    server.runningCalls.delete(events);
+    this.links.abort(from, events);
+    events.onFailure({ kind: "closed", message: "other side closed" });
+  }
+
   async #probe(from: string, address: string): Promise<boolean> {
     if (!await this.links.probe(from)) return false;
     const server = this.#servers.get(address);
@@ -383,6 +528,10 @@
           ...createSink(() => {}),
           signal: abandoned.signal,
           begin: (head) => void events.onHead(head),
+          write: (bytes) => {
+            events.onData(Buffer.from(bytes));
+            return true;
+          },
           end: (trailers) => events.onEnd(trailers),
           abort: () =>
             events.onFailure({ kind: "closed", message: "broken off" }),
@@ -408,7 +557,7 @@
       names.filter((to) => to !== from).forEach((to) => {
         this.reportBytes += datagram.length;
         if (this.#random.nextFloat() < (this.#parts.lostShare ?? 0)) return;
-        if (this.#parts.isCut?.()) return;
+        if (this.#parts.isCut?.(from, to)) return;
         this.clock.schedule(
           this.#readDelayMs(from, to),
           () =>
@@ -437,6 +586,21 @@
   return address.split(":")[0]!;
 }
 
+/** Returns a sink that passes on the whole answer, with status 0 if it is broken off. */
+function createWholeSink(resolve: (outcome: CallOutcome) => void): CallSink {
+  let head: AnswerHead = { status: 0, statusText: "", headers: [] };
+  let body = "";
+  return {
+    ...createHeadSink((begun) => void (head = begun)),
+    write: (bytes) => {
+      body += bytes.toString();
+      return true;
+    },
+    end: () => resolve({ status: head.status, headers: head.headers, body }),
+    abort: () => resolve({ status: 0, headers: head.headers, body }),
+  };
+}
+
 /** Returns a sink that passes on the head of an answer, with status 0 if the answer is broken off. */
 function createSink(begin: (head: AnswerHead) => void): CallSink {
   return {
