--- a/tests/virtual_fleet.ts
+++ b/tests/virtual_fleet.ts
@@ -104,7 +104,10 @@
   /** Version of the servers that the fleet starts with. Default: `v1`. */
   readonly version?: string;
   /** Creates the rules on versions of an instance that starts. Default: none. */
-  readonly createRollouts?: (address: string) => VersionRules;
+  readonly createRollouts?: (
+    address: string,
+    clock: VirtualClock,
+  ) => VersionRules;
   /** Called when the servers that an instance knows have changed. Default: nothing. */
   readonly onServers?: (address: string, gateway: HttpGateway) => void;
   readonly table: RouteTable;
@@ -178,7 +181,7 @@
       clock: this.clock,
       random: createRandom(this.gateways.size + 1),
       headerCodec: PROMPT_HEADER_CODEC,
-      rollouts: this.#parts.createRollouts?.(address),
+      rollouts: this.#parts.createRollouts?.(address, this.clock),
       client: this.#createServerClient(address),
       peerClient: this.#createPeerClient(address),
       probeServer: (server) => this.#probe(address, server),
