--- a/daemon/http_gateway.ts
+++ b/daemon/http_gateway.ts
@@ -28,6 +28,7 @@
   type RetryBounds,
   type ServerClient,
   toCachedPrefixes,
+  type VersionRules,
   type WarmUpBounds,
 } from "../forwarding/mod.ts";
 import type { CallerLimits, RouteTable } from "../http_routes/mod.ts";
@@ -102,12 +103,14 @@
   readonly warmUpBounds: WarmUpBounds;
   /** Usage allowed beyond the limits of teams. Default: none, over a window of 8 s. */
   readonly limitBounds?: LimitBounds;
+  /** Rules on the versions of servers. Default: those of the rollouts that `rolloutSettings` enables. */
+  readonly rollouts?: VersionRules | undefined;
   /** Stores a quarantined call for instances that start later. Default: it is not stored. */
   readonly storeQuarantinedCall?: (report: CrashReport) => void;
   /** Removes a released call from the store. Default: does nothing. */
   readonly removeQuarantinedCall?: (call: CallFingerprint) => void;
   /** Bounds and writer of rollouts. Default: rollouts are off, and versions have no effect. */
-  readonly rollouts?: RolloutSettings | undefined;
+  readonly rolloutSettings?: RolloutSettings | undefined;
   /** Sends a report to addresses. */
   readonly sendReport: SendReport;
   /**
@@ -171,9 +174,9 @@
     this.registry = new ServerRegistry({
       readWarmUpMs: (service) => this.forwarder.readWarmUpMs(service),
     });
-    this.rollouts = parts.rollouts && new RolloutController({
+    this.rollouts = parts.rolloutSettings && new RolloutController({
       ...parts,
-      ...parts.rollouts,
+      ...parts.rolloutSettings,
       fleet: this.fleet,
       registry: this.registry,
       getState: () => this.state,
@@ -197,6 +200,7 @@
       storeQuarantinedCall: parts.storeQuarantinedCall,
       removeQuarantinedCall: parts.removeQuarantinedCall,
       rankSelf: (call) => this.#rankSelf(call),
+      rollouts: parts.rollouts ?? this.rollouts?.tracker,
     });
     this.state = parts.createState({
       registry: this.registry,
--- a/tests/rollout_instances_fixture.ts
+++ b/tests/rollout_instances_fixture.ts
@@ -134,7 +134,7 @@
         ),
       ...(hasRollouts
         ? {
-          rollouts: {
+          rolloutSettings: {
             bounds: {
               exposureShare: 0.1,
               exposureSlack: 50,
