Rollouts: calls bound by a team, age of reports in log lines, a test of home regions

Cause: a team with one home needs servers of the version there as a route does; a line about a phase did not tell how old its counts are.

--- a/daemon/rollout_controller.ts
+++ b/daemon/rollout_controller.ts
@@ -1,6 +1,6 @@
 import type { Clock, Random } from "../clock/mod.ts";
 import type { FleetView } from "../fleet/mod.ts";
-import type { RouteTable } from "../http_routes/mod.ts";
+import type { HttpRoute, RouteTable } from "../http_routes/mod.ts";
 import { type RegionId, toIncarnation } from "../ids/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
@@ -85,7 +85,10 @@
       onEvent: (event) => this.#observer.observe(event),
     });
     this.gossip = new RolloutGossip(this.tracker);
-    this.#observer = new RolloutObserver(parts);
+    this.#observer = new RolloutObserver({
+      ...parts,
+      readReportAgeMs: () => this.gossip.readReportAgeMs(clock.nowMs()),
+    });
   }
 
   /** Receives the orders and records of the store. */
@@ -188,10 +191,13 @@
 
   /** Returns whether a route or a team binds calls of a service to one region. */
   #needsOwnServers(service: string, region: RegionId): boolean {
-    const { routes = [] } = this.#table?.configuration ?? {};
-    return routes.some(({ homeRegions, services }) =>
-      homeRegions?.length === 1 && homeRegions[0] === region &&
-      services.some((each) => each.service === service)
+    const { routes = [], teams } = this.#table?.configuration ?? {};
+    const isBound = ({ homeRegions }: Pick<HttpRoute, "homeRegions">) =>
+      homeRegions?.length === 1 && homeRegions[0] === region;
+    const hasBoundTeam = teams?.teams.some(isBound) ?? false;
+    return routes.some((route) =>
+      (isBound(route) || hasBoundTeam && !route.isPublic) &&
+      route.services.some((each) => each.service === service)
     );
   }
 }
--- a/daemon/rollout_gossip.ts
+++ b/daemon/rollout_gossip.ts
@@ -44,9 +44,14 @@
     );
   }
 
+  /** Returns the time since another instance's last report, in milliseconds. */
+  readReportAgeMs(nowMs: number): number {
+    return nowMs - this.#lastReportMs;
+  }
+
   /** Returns whether a report of another instance was received lately. */
   hasContact(nowMs: number): boolean {
-    return nowMs - this.#lastReportMs < CUT_OFF_MS;
+    return this.readReportAgeMs(nowMs) < CUT_OFF_MS;
   }
 }
 
--- a/daemon/rollout_observer.ts
+++ b/daemon/rollout_observer.ts
@@ -41,27 +41,27 @@
   readonly gapMs: number | undefined;
 }
 
+/** Constructor arguments of {@linkcode RolloutObserver}. */
+export interface RolloutObserverParts {
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  /** Returns the time since another instance's last report, in milliseconds. */
+  readonly readReportAgeMs: () => number;
+}
+
 /** Writes the log lines and metrics of rollouts. */
 export class RolloutObserver {
-  readonly #parts: {
-    readonly logger: Logger;
-    readonly metrics: Metrics;
-  };
+  readonly #parts: RolloutObserverParts;
   readonly #lineCounts = new Map<string, number>();
 
-  /** @param parts Log and metrics. */
-  constructor(
-    parts: {
-      readonly logger: Logger;
-      readonly metrics: Metrics;
-    },
-  ) {
+  /** @param parts Log, metrics and the age of what was reported. */
+  constructor(parts: RolloutObserverParts) {
     this.#parts = parts;
   }
 
   /** Logs an event of an order. */
   observe(event: RolloutEvent): void {
-    const { logger, metrics } = this.#parts;
+    const { logger, metrics, readReportAgeMs } = this.#parts;
     const id = event.kind === "ordered" ? event.order.id : event.id;
     if (event.kind === "found-bad") {
       const { service } = event;
@@ -85,6 +85,7 @@
           order: id,
           phase: event.phase,
           reason: event.reason,
+          reportAgeMs: Math.round(readReportAgeMs()),
           routes: formatRoutes(event.evidence),
         });
         return;
@@ -93,6 +94,7 @@
           service: event.service,
           order: id,
           reason: event.reason,
+          reportAgeMs: Math.round(readReportAgeMs()),
           routes: formatRoutes(event.evidence),
         });
     }
--- a/daemon/rollout_observer_test.ts
+++ b/daemon/rollout_observer_test.ts
@@ -32,6 +32,7 @@
   const lines: Readonly<Record<string, unknown>>[] = [];
   const gauges = new Map<string, number>();
   const observer = new RolloutObserver({
+    readReportAgeMs: () => 120,
     logger: createLogger({
       clock,
       fields: {},
@@ -65,8 +66,8 @@
     const { lines, observer } = startObserver();
     observer.observe(FOUND_BAD);
     assert.equal(
-      lines[0]?.routes,
-      "chat: old 2 of 400 failed first byte 40 ms, new 9 of 30 failed first byte 40 ms",
+      `${lines[0]?.reportAgeMs} ${lines[0]?.routes}`,
+      "120 chat: old 2 of 400 failed first byte 40 ms, new 9 of 30 failed first byte 40 ms",
     );
   });
 
--- a/tests/rollout_instances_fixture.ts
+++ b/tests/rollout_instances_fixture.ts
@@ -50,6 +50,8 @@
   readonly regions: Readonly<Record<string, number>>;
   /** Share of the responses of `v2` that are failures. Default: 0. */
   readonly failedShare?: number;
+  /** Regions that may serve the route's calls. Default: all. */
+  readonly homeRegions?: readonly string[];
   /** Whether rollouts are on. Default: yes. */
   readonly hasRollouts?: boolean;
 }
@@ -59,7 +61,8 @@
  * instance asks its tracker for a server of its region every 20 ms.
  */
 export async function startInstances(
-  { failedShare = 0, hasRollouts = true, regions }: StartInstancesOptions,
+  { failedShare = 0, hasRollouts = true, homeRegions = [], regions }:
+    StartInstancesOptions,
 ) {
   const clock = new VirtualClock();
   const store = new MemoryStore(clock);
@@ -177,8 +180,12 @@
     };
   };
 
-  const registerServers = async (version: string, isDraining = false) => {
-    for (const region of Object.keys(regions)) {
+  const registerServers = async (
+    version: string,
+    isDraining = false,
+    serverRegions: readonly string[] = Object.keys(regions),
+  ) => {
+    for (const region of serverRegions) {
       for (let at = 0; at < SERVERS_PER_REGION; at++) {
         await operator.register({
           id: `${version}-${region}-${at}`,
@@ -200,7 +207,7 @@
       }
     }
   };
-  await operator.configure(1, [ROUTE]);
+  await operator.configure(1, [{ ...ROUTE, homeRegions }]);
   await registerServers("v1");
   for (const name of names) {
     const value = encodeInstance(
--- a/tests/rollout_instances_test.ts
+++ b/tests/rollout_instances_test.ts
@@ -141,6 +141,24 @@
   });
 });
 
+describe("a rollout in a fleet whose calls are bound to a region", () => {
+  it("is not completed without servers of the version in that region", async () => {
+    const fleet = await startInstances({
+      regions: { north: 2, south: 2 },
+      homeRegions: ["north"],
+    });
+    await fleet.run(4_000);
+    await fleet.registerServers("v2", false, ["south"]);
+    await fleet.operator.orderRollout(ORDER);
+    await fleet.run(13_000);
+    const { rollouts } = fleet.instances.get("north-0")!.gateway;
+    const [listed] = rollouts!.list();
+    assert.equal(listed?.record?.order?.phase, "rolled-back");
+    assert.equal(listed?.record?.order?.reason, "no-servers-in-region");
+    fleet.end();
+  });
+});
+
 describe("reports without an order", () => {
   it("are as long as where rollouts are off", async () => {
     const measure = async (hasRollouts: boolean) => {
