--- a/daemon/http_gateway.ts
+++ b/daemon/http_gateway.ts
@@ -103,14 +103,14 @@
   readonly warmUpBounds: WarmUpBounds;
   /** Usage allowed beyond the limits of teams. Default: none, over a window of 8 s. */
   readonly limitBounds?: LimitBounds;
-  /** Rules on the versions of servers. Default: those of the rollouts that `rolloutSettings` enables. */
-  readonly rollouts?: VersionRules | undefined;
+  /** Which versions of servers calls may use. Default: those that `rollouts` allows. */
+  readonly versionRules?: VersionRules | undefined;
   /** Stores a quarantined call for instances that start later. Default: it is not stored. */
   readonly storeQuarantinedCall?: (report: CrashReport) => void;
   /** Removes a released call from the store. Default: does nothing. */
   readonly removeQuarantinedCall?: (call: CallFingerprint) => void;
   /** Bounds and writer of rollouts. Default: rollouts are off, and versions have no effect. */
-  readonly rolloutSettings?: RolloutSettings | undefined;
+  readonly rollouts?: RolloutSettings | undefined;
   /** Sends a report to addresses. */
   readonly sendReport: SendReport;
   /**
@@ -174,9 +174,9 @@
     this.registry = new ServerRegistry({
       readWarmUpMs: (service) => this.forwarder.readWarmUpMs(service),
     });
-    this.rollouts = parts.rolloutSettings && new RolloutController({
+    this.rollouts = parts.rollouts && new RolloutController({
       ...parts,
-      ...parts.rolloutSettings,
+      ...parts.rollouts,
       fleet: this.fleet,
       registry: this.registry,
       getState: () => this.state,
@@ -200,7 +200,7 @@
       storeQuarantinedCall: parts.storeQuarantinedCall,
       removeQuarantinedCall: parts.removeQuarantinedCall,
       rankSelf: (call) => this.#rankSelf(call),
-      rollouts: parts.rollouts ?? this.rollouts?.tracker,
+      rollouts: parts.versionRules ?? this.rollouts?.tracker,
     });
     this.state = parts.createState({
       registry: this.registry,
--- a/tests/rollout_instances_fixture.ts
+++ b/tests/rollout_instances_fixture.ts
@@ -137,7 +137,7 @@
         ),
       ...(hasRollouts
         ? {
-          rolloutSettings: {
+          rollouts: {
             bounds: {
               exposureShare: 0.1,
               exposureSlack: 50,
