Servers without a version always count as in force; the choice benchmark with trackers

Cause: an order for a service whose servers declare no version would have left it without servers. Change: the filter passes such servers except for a canary or a switched destination.

--- a/bench/choice_bench.ts
+++ b/bench/choice_bench.ts
@@ -1,5 +1,13 @@
 import { createRoute, createRouteTable } from "../tests/route_fixture.ts";
-import { VirtualFleet } from "../tests/virtual_fleet.ts";
+import { createRandom } from "../clock/mod.ts";
+import type { HttpGateway } from "../daemon/http_gateway.ts";
+import { toVersionedServer } from "../forwarding/mod.ts";
+import { toIncarnation, toInstanceId, toRegionId } from "../ids/mod.ts";
+import { RolloutTracker } from "../rollouts/mod.ts";
+import {
+  VirtualFleet,
+  type VirtualFleetParts,
+} from "../tests/virtual_fleet.ts";
 import { type BenchResult, toCell } from "./bench_case.ts";
 
 /** Numbers of instances and servers in each of three regions. */
@@ -19,7 +27,69 @@
 
 /** Measures the processor time that instances spend on choosing among many servers. */
 export async function runChoiceBench(): Promise<BenchResult> {
+  const first = await measure({});
+  // The engine has optimized the code by now, so that only these two are alike.
+  const off = await measure({});
+  const idle = await measure(trackVersions());
+  return {
+    head: [
+      "rollouts",
+      "instances",
+      "calls",
+      "processor ms a second and instance",
+    ],
+    rows: [["off, first run", ...first.row], ["off", ...off.row], [
+      "no order",
+      ...idle.row,
+    ]],
+    figures: {
+      cpu_ms_a_second_and_instance: first.perInstanceMs,
+      warm_cpu_ms_a_second_and_instance: off.perInstanceMs,
+      warm_with_rollouts_cpu_ms_a_second_and_instance: idle.perInstanceMs,
+    },
+    notes: [
+      "Includes the stand-ins and the virtual clock; differs between runs.",
+    ],
+  };
+}
+
+/** Returns parts of a fleet that has rollouts, none of which is ordered. */
+function trackVersions(): Partial<VirtualFleetParts> {
+  const trackers = new Map<string, RolloutTracker>();
+  return {
+    createRollouts: (address, clock) => {
+      const tracker = new RolloutTracker({
+        clock,
+        random: createRandom(trackers.size),
+        bounds: {
+          exposureShare: 0.1,
+          exposureSlack: 50,
+          rollbackMs: 5_000,
+          contactMs: 6_000,
+        },
+        fleet: {
+          instance: toInstanceId(address),
+          incarnation: toIncarnation("1"),
+          region: toRegionId(address.split("-")[0]!),
+          listMembers: () => [],
+          isInTouch: () => true,
+        },
+      });
+      trackers.set(address, tracker);
+      return tracker;
+    },
+    onServers: (address, { registry }: HttpGateway) =>
+      trackers.get(address)!.applyServers(
+        registry.servers.map((server) =>
+          toVersionedServer(server, server.entry.version!)
+        ),
+      ),
+  };
+}
+
+async function measure(rollouts: Partial<VirtualFleetParts>) {
   const fleet = new VirtualFleet({
+    ...rollouts,
     regions: REGIONS,
     table: createRouteTable([createRoute("/a/")]),
     decide: () => ({ kind: "answer", afterMs: SERVICE_TIME_MS }),
@@ -37,16 +107,10 @@
   fleet.stop();
   const instances = fleet.gateways.size;
   const perInstanceMs = cpuMs / instances / (RUN_MS / 1_000);
-  return {
-    head: ["instances", "calls", "processor ms a second and instance"],
-    rows: [[
-      String(instances),
-      String(fleet.arrivals.length),
-      toCell(perInstanceMs),
-    ]],
-    figures: { cpu_ms_a_second_and_instance: perInstanceMs },
-    notes: [
-      "Includes the stand-ins and the virtual clock; differs between runs.",
-    ],
-  };
+  const row = [
+    String(instances),
+    String(fleet.arrivals.length),
+    toCell(perInstanceMs),
+  ];
+  return { perInstanceMs, row };
 }
--- a/daemon/http_gateway.ts
+++ b/daemon/http_gateway.ts
@@ -97,8 +97,8 @@
   readonly warmUpBounds: WarmUpBounds;
   /** Usage allowed beyond the limits of teams. Default: none, over a window of 8 s. */
   readonly limitBounds?: LimitBounds;
-  /** Rollouts of services. Default: versions of servers have no effect. */
-  readonly rollouts?: VersionRules | undefined;
+  /** Which versions of servers calls may use. Default: versions have no effect. */
+  readonly versionRules?: VersionRules | undefined;
   /** Stores a quarantined call for instances that start later. Default: it is not stored. */
   readonly storeQuarantinedCall?: (report: CrashReport) => void;
   /** Removes a released call from the store. Default: does nothing. */
@@ -182,7 +182,7 @@
       storeQuarantinedCall: parts.storeQuarantinedCall,
       removeQuarantinedCall: parts.removeQuarantinedCall,
       rankSelf: (call) => this.#rankSelf(call),
-      rollouts: parts.rollouts,
+      rollouts: parts.versionRules,
     });
     this.state = parts.createState({
       registry: this.registry,
--- a/forwarding/server_versions.ts
+++ b/forwarding/server_versions.ts
@@ -1,9 +1,4 @@
-import {
-  type BackendId,
-  type RegionId,
-  type ServerVersion,
-  toServerVersion,
-} from "../ids/mod.ts";
+import type { BackendId, RegionId, ServerVersion } from "../ids/mod.ts";
 import type {
   RolloutTracker,
   SendRecord,
@@ -28,9 +23,6 @@
 /** Returns whether a call may be sent to a server. `undefined`: to each usable one. */
 export type ServerFilter = ((server: KnownServer) => boolean) | undefined;
 
-/** Version of servers that register none. */
-const NO_VERSION = toServerVersion("");
-
 /** What {@linkcode ServerVersions} is created from. */
 export interface ServerVersionsParts {
   readonly ownRegion: RegionId;
@@ -81,18 +73,19 @@
   }
 
   /** Returns whether some call may be sent to a server now, or a stream be resumed there. */
-  mayServe({ entry, coldUntilMs }: KnownServer): boolean {
+  mayServe(server: KnownServer): boolean {
     const { rollouts } = this.#parts;
-    if (rollouts === undefined) return true;
+    const { entry } = server;
+    if (rollouts === undefined || entry.version === undefined) return true;
     const assignment = rollouts.assign({
       service: entry.service,
       region: entry.region,
       isFirstSend: false,
-      mustUse: entry.version ?? NO_VERSION,
+      mustUse: entry.version,
     });
     return rollouts.isAllowed(
       assignment,
-      toVersionedServer({ entry, coldUntilMs }),
+      toVersionedServer(server, entry.version),
     );
   }
 
@@ -177,8 +170,14 @@
     const { rollouts } = this.#parts;
     if (rollouts === undefined || assignment === undefined) return undefined;
     if (assignment.kind === "any") return undefined;
+    // Servers without a version are replaced by no order: they count as in force.
     const isAllowed = (server: KnownServer) =>
-      rollouts.isAllowed(assignment, toVersionedServer(server));
+      server.entry.version === undefined
+        ? assignment.kind === "in-force"
+        : rollouts.isAllowed(
+          assignment,
+          toVersionedServer(server, server.entry.version),
+        );
     if (assignment.kind === "trial") return isAllowed;
     // Other assignments depend on the version only, and servers have few.
     const byVersion = new Map<ServerVersion | undefined, boolean>();
@@ -195,8 +194,9 @@
 
 /** Returns a usable server as the rollouts know it. */
 export function toVersionedServer(
-  { coldUntilMs, entry }: Pick<KnownServer, "coldUntilMs" | "entry">,
+  { coldUntilMs, entry }: KnownServer,
+  version: ServerVersion,
 ): VersionedServer {
-  const { id, region, service, version = NO_VERSION } = entry;
+  const { id, region, service } = entry;
   return { id, service, region, version, isReady: true, coldUntilMs };
 }
--- a/tests/rollout_calls_test.ts
+++ b/tests/rollout_calls_test.ts
@@ -132,6 +132,22 @@
     ]);
   });
 
+  it("are told from servers without any version, which always get calls", async () => {
+    const { fleet, rules } = await start({
+      servers: { north: [1, 1] },
+      decide: () => OK,
+      slots: 1,
+    });
+    rules.isOrdered = false;
+    const { registry } = fleet.gateways.get("north-0")!;
+    registry.servers.forEach(({ entry }) =>
+      registry.put({ ...entry, version: undefined }, fleet.clock.nowMs())
+    );
+    Array.from({ length: 4 }, () => void fleet.call("x", "north-0"));
+    await callOnce(fleet);
+    assert.equal(new Set(fleet.arrivals.map(({ server }) => server)).size, 2);
+  });
+
   it("do not shorten the time after which a refused caller may return", async () => {
     const { fleet, rules } = await start({
       servers: { north: [1, 1] },
--- a/tests/rollout_fleet_fixture.ts
+++ b/tests/rollout_fleet_fixture.ts
@@ -163,7 +163,7 @@
   #applyServers(address: string, { registry }: HttpGateway): void {
     this.#trackers.get(address)!.applyServers(
       registry.servers.map((server) => ({
-        ...toVersionedServer(server),
+        ...toVersionedServer(server, server.entry.version!),
         isReady: registry.isUsable(server.entry.id),
       })),
     );
--- a/tests/virtual_fleet.ts
+++ b/tests/virtual_fleet.ts
@@ -181,7 +181,7 @@
       clock: this.clock,
       random: createRandom(this.gateways.size + 1),
       headerCodec: PROMPT_HEADER_CODEC,
-      rollouts: this.#parts.createRollouts?.(address, this.clock),
+      versionRules: this.#parts.createRollouts?.(address, this.clock),
       client: this.#createServerClient(address),
       peerClient: this.#createPeerClient(address),
       probeServer: (server) => this.#probe(address, server),
