--- a/rollouts/canary_analysis.ts
+++ b/rollouts/canary_analysis.ts
@@ -26,15 +26,20 @@
 
 /** Responses of the destination from which it can be judged good. */
 export const MIN_RESPONSES = 30;
-/** The same on a route with at least `COMMON_ROUTE` responses of the versions in force. */
-const MIN_ROUTE_RESPONSES = 5;
-const COMMON_ROUTE = 100;
-/** Part of a rare route's responses that the canary is required to have got, of those in force. */
-const RARE_ROUTE_SHARE = 0.04;
+/**
+ * The same on each route. With 8, of which the worst server is left out, 1 in 40 versions that
+ * fail 60% of the calls of one route passes the canary.
+ */
+const MIN_ROUTE_RESPONSES = 12;
+/** Part of a rare route's responses in force that the canary must have got, if that is less. */
+const RARE_ROUTE_SHARE = 0.25;
 /** Score from which a single server is avoided: a tenth of the orders of magnitude of a finding. */
 const SUSPECT_SCORE = 0.5;
 /** Responses from which durations are judged: the first ones of a server pay for cold caches. */
 const MIN_DURATIONS = 8;
+/** Fewer durations are a suspicion at most, from this number on. */
+const MIN_SUSPECT_DURATIONS = 5;
+const MAX_SUSPICION = 0.99;
 /**
  * Limits on the weight of durations. Servers of one version differ in speed, so that
  * many responses of few servers tell less than as many independent ones.
@@ -73,24 +78,28 @@
     {
       name: `${field} mean`,
       score: (pairs, test) =>
-        hasDurations(pairs, field)
-          ? test.compareMeans(
+        limitScore(
+          pairs,
+          field,
+          test.compareMeans(
             pairs.map((pair) => mapPair(pair, (row): MeanSample => row[field])),
             MEAN_LOGS,
             MAX_MEAN_COUNT,
-          )
-          : 0,
+          ),
+        ),
     },
     {
       name: `${field} slow`,
       score: (pairs, test) =>
-        hasDurations(pairs, field)
-          ? test.compareShares(
+        limitScore(
+          pairs,
+          field,
+          test.compareShares(
             pairs.map((pair) => mapPair(pair, (row) => toSlow(row[field]))),
             SLOW,
             MAX_SLOW_COUNT,
-          )
-          : 0,
+          ),
+        ),
     },
   ]),
 ];
@@ -99,8 +108,8 @@
  * Compares a version with the versions in force, by route and over all routes, stratified
  * by route so that another mix of routes is no difference. A finding must hold without the
  * server that looks worst, unless the destination has only one: one server may be faulty
- * although its version is good. Only servers of few responses are needed beside it, since
- * the canary moves on from servers that look faulty.
+ * although its version is good. The canary moves on from
+ * servers that look faulty, so that there are others to compare.
  *
  * @param rows Sums of the evidence by route and subject.
  * @param hasOtherServers Whether the destination has more than one server.
@@ -159,12 +168,14 @@
 ): boolean {
   const count = (route?: string) =>
     canaryRows.filter((row) => route === undefined || row.route === route)
-      .reduce((sum, { responses }) => sum + responses, 0);
+      // Responses of cold servers tell nothing of durations.
+      .reduce((sum, row) => sum + row.failures + row.firstByte.count, 0);
   return count() >= MIN_RESPONSES &&
     [...baselines.values()].every(({ responses, route }) => {
-      const required = responses >= COMMON_ROUTE
-        ? MIN_ROUTE_RESPONSES
-        : Math.floor(responses * RARE_ROUTE_SHARE);
+      const required = Math.min(
+        MIN_ROUTE_RESPONSES,
+        Math.floor(responses * RARE_ROUTE_SHARE),
+      );
       return count(route) >= required;
     });
 }
@@ -212,10 +223,13 @@
   return { trials: count, hits: slow };
 }
 
-function hasDurations(
+/** Limits what a score of few durations says. */
+function limitScore(
   pairs: readonly RowPair[],
   field: "firstByte" | "gap",
-): boolean {
-  return pairs.reduce((sum, { canary }) => sum + canary[field].count, 0) >=
-    MIN_DURATIONS;
+  score: number,
+): number {
+  const count = pairs.reduce((sum, { canary }) => sum + canary[field].count, 0);
+  if (count < MIN_SUSPECT_DURATIONS) return 0;
+  return count < MIN_DURATIONS ? Math.min(score, MAX_SUSPICION) : score;
 }
