--- a/daemon/http_gateway.ts
+++ b/daemon/http_gateway.ts
@@ -103,7 +103,7 @@
   readonly warmUpBounds: WarmUpBounds;
   /** Usage allowed beyond the limits of teams. Default: none, over a window of 8 s. */
   readonly limitBounds?: LimitBounds;
-  /** Which versions of servers calls may use. Default: versions have no effect. */
+  /** Which versions of servers calls may use. Default: those that `rollouts` allows. */
   readonly versionRules?: VersionRules | undefined;
   /** Stores a quarantined call for instances that start later. Default: it is not stored. */
   readonly storeQuarantinedCall?: (report: CrashReport) => void;
@@ -200,7 +200,7 @@
       storeQuarantinedCall: parts.storeQuarantinedCall,
       removeQuarantinedCall: parts.removeQuarantinedCall,
       rankSelf: (call) => this.#rankSelf(call),
-      rollouts: parts.versionRules,
+      rollouts: parts.versionRules ?? this.rollouts?.tracker,
     });
     this.state = parts.createState({
       registry: this.registry,
