--- a/daemon/http_gateway.ts
+++ b/daemon/http_gateway.ts
@@ -29,6 +29,7 @@
   type RetryBounds,
   type ServerClient,
   toCachedPrefixes,
+  type VersionRules,
   type WarmUpBounds,
 } from "../forwarding/mod.ts";
 import type { CallerLimits, RouteTable } from "../http_routes/mod.ts";
@@ -39,11 +40,15 @@
 import type { Metrics } from "../metrics/mod.ts";
 import type { CrashReport } from "../quarantine/mod.ts";
 import { type RegisteredServer, ServerRegistry } from "../servers/mod.ts";
-import type { StateSource } from "../state/mod.ts";
+import type { RolloutSink, StateSource } from "../state/mod.ts";
 import type { Result } from "neverthrow";
 import { FleetReporter } from "./fleet_reporter.ts";
 import { LimitGossip } from "./limit_gossip.ts";
 import { GracefulShutdown, type ShutdownOptions } from "./graceful_shutdown.ts";
+import {
+  RolloutController,
+  type RolloutSettings,
+} from "./rollout_controller.ts";
 import { PeerCatchUp, type ReadPeerState } from "./peer_catch_up.ts";
 
 /** Interval between sweeps of expired state, in milliseconds. */
@@ -65,6 +70,8 @@
   readonly onServers: () => void;
   /** Called with each quarantined call that is stored in the store. */
   readonly onRefusedCall: (report: CrashReport) => void;
+  /** Receives orders and records of rollouts. Default: rollouts are off. */
+  readonly rollouts?: RolloutSink | undefined;
   /** Called when the store has been restored from an older copy. */
   readonly onRestored: () => void;
   /** Whether this instance follows the store for its region. */
@@ -101,10 +108,14 @@
   readonly warmUpBounds: WarmUpBounds;
   /** Usage allowed beyond the limits of teams. Default: none, over a window of 8 s. */
   readonly limitBounds?: LimitBounds;
+  /** Which versions of servers calls may use. Default: those that `rollouts` allows. */
+  readonly versionRules?: VersionRules | undefined;
   /** Stores a quarantined call for instances that start later. Default: it is not stored. */
   readonly storeQuarantinedCall?: (report: CrashReport) => void;
   /** Removes a released call from the store. Default: does nothing. */
   readonly removeQuarantinedCall?: (call: CallFingerprint) => void;
+  /** Bounds and writer of rollouts. Default: rollouts are off, and versions have no effect. */
+  readonly rollouts?: RolloutSettings | undefined;
   /** Sends a report to addresses. */
   readonly sendReport: SendReport;
   /**
@@ -141,6 +152,8 @@
   readonly state: StateSource;
   /** Registry of the servers. */
   readonly registry: ServerRegistry;
+  /** Rollouts; `undefined`: they are off. */
+  readonly rollouts: RolloutController | undefined;
   readonly #parts: HttpGatewayParts;
   readonly #tasks: PeriodicTasks;
   readonly #catchUp: PeerCatchUp | undefined;
@@ -171,6 +184,14 @@
     this.registry = new ServerRegistry({
       readWarmUpMs: (service) => this.forwarder.readWarmUpMs(service),
     });
+    this.rollouts = parts.rollouts && new RolloutController({
+      ...parts,
+      ...parts.rollouts,
+      fleet: this.fleet,
+      registry: this.registry,
+      getState: () => this.state,
+      isRelay: () => this.#isRelay(),
+    });
     this.forwarder = new CallForwarder({
       clock,
       random,
@@ -189,11 +210,13 @@
       storeQuarantinedCall: parts.storeQuarantinedCall,
       removeQuarantinedCall: parts.removeQuarantinedCall,
       rankSelf: (call) => this.#rankSelf(call),
+      rollouts: parts.versionRules ?? this.rollouts?.tracker,
     });
     this.state = parts.createState({
       registry: this.registry,
       applyTable: (table) => {
         parts.applyLimits(table.configuration.limits);
+        this.rollouts?.setTable(table);
         this.forwarder.setTable(table);
         if (this.#shutdown === undefined) this.fleet.setState("ready");
       },
@@ -206,6 +229,7 @@
         if (this.#isRelay()) this.forwarder.storeAllQuarantinedCallsAgain();
       },
       isRelay: () => this.#isRelay(),
+      rollouts: this.rollouts?.sink,
     });
     const { readPeerState } = parts;
     this.#catchUp = readPeerState && new PeerCatchUp({
@@ -232,7 +256,9 @@
         limits: this.forwarder.serverLimits,
         logger,
       }),
+      rollouts: this.rollouts?.gossip,
       onRound: () => {
+        this.rollouts?.check();
         this.forwarder.updateInstanceCounts();
         this.forwarder.wakeWaitingCalls();
         this.#catchUp?.check();
@@ -373,6 +399,7 @@
     this.fleet.setRegisteredCount(this.state.instanceAddresses.length);
     this.forwarder.updateInstanceCounts();
     this.forwarder.forgetUnregisteredServers();
+    this.rollouts?.applyServers();
     this.#readPrefixCaches();
     this.forwarder.wakeWaitingCalls();
     // The other instances of the region get changes of the store from its relays.
@@ -489,6 +516,7 @@
     // An instance that the sweep drops has to count as silent at once.
     this.forwarder.updateInstanceCounts();
     this.state.sweep();
+    this.rollouts?.sweep();
     this.#updateReachability();
     this.#updateCapacity(nowMs);
     const { configurationVersion, store } = this.state.known;
--- a/forwarding/crash_confirmer.ts
+++ b/forwarding/crash_confirmer.ts
@@ -3,9 +3,10 @@
 import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
 import type { CallQuarantine } from "../quarantine/mod.ts";
-import type { RegisteredServer, ServerRegistry } from "../servers/mod.ts";
+import type { RegisteredServer } from "../servers/mod.ts";
 import type { ProbeServer } from "./link_prober.ts";
 import type { ServerLinks } from "./server_links.ts";
+import type { UsableServers } from "./server_versions.ts";
 
 /**
  * How long after its connections a crashed server may still accept new ones, in
@@ -19,7 +20,8 @@
 export interface CrashConfirmerParts {
   readonly clock: Clock;
   readonly ownRegion: RegionId;
-  readonly registry: ServerRegistry;
+  /** Servers that any call may be sent to. */
+  readonly registry: UsableServers;
   readonly links: ServerLinks;
   /** Knows which servers have crashed, here and at other instances. */
   readonly quarantine: Pick<CallQuarantine, "hasCrashed">;
