Whole instances forward calls under a rollout, with store and reports as wired

Cause: the fleet tests drive trackers directly; nothing showed that calls of whole instances ask the wired ones, or what a restart of all does before an order. Change: the fixture of branch state can have its instances forward the calls.

--- a/tests/rollout_instances_fixture.ts
+++ b/tests/rollout_instances_fixture.ts
@@ -3,6 +3,11 @@
 import type { HttpGateway } from "../daemon/http_gateway.ts";
 import { decodeReport, encodeReport, type FleetReport } from "../fleet/mod.ts";
 import { toFailureDomainId, toRegionId } from "../ids/mod.ts";
+import {
+  GATEWAY_HEADER_CODEC,
+  readHeader,
+  type ServerClient,
+} from "../forwarding/mod.ts";
 import { createSilentLogger } from "../logs/mod.ts";
 import { NO_METRICS } from "../metrics/mod.ts";
 import {
@@ -21,6 +26,7 @@
 import { RolloutEntries, StateFollower } from "../state/mod.ts";
 import { putKey } from "./follower_fixture.ts";
 import { SERVICE } from "./rollout_relay_fixture.ts";
+import { createHeadSink, createOpaqueCall } from "./opaque_call_fixture.ts";
 import { createVirtualGateway } from "./virtual_gateway.ts";
 
 /** Interval between the calls of one instance, in milliseconds. */
@@ -50,16 +56,19 @@
   readonly regions: Readonly<Record<string, number>>;
   /** Share of the responses of `v2` that are failures. Default: 0. */
   readonly failedShare?: number;
+  /** Whether calls are forwarded. Default: no, the tracker alone is asked for a server. */
+  readonly forwardsCalls?: boolean;
   /** Whether rollouts are on. Default: yes. */
   readonly hasRollouts?: boolean;
 }
 
 /**
- * Starts instances that follow a store and exchange reports. Calls are not forwarded: each
- * instance asks its tracker for a server of its region every 20 ms.
+ * Starts instances that follow a store and exchange reports. Each instance gets a call every
+ * 20 ms.
  */
 export async function startInstances(
-  { failedShare = 0, hasRollouts = true, regions }: StartInstancesOptions,
+  { failedShare = 0, forwardsCalls = false, hasRollouts = true, regions }:
+    StartInstancesOptions,
 ) {
   const clock = new VirtualClock();
   const store = new MemoryStore(clock);
@@ -112,6 +121,8 @@
       },
       random: createRandom(names.indexOf(name) + 1),
       seedAddresses: names.map(toAddress),
+      headerCodec: GATEWAY_HEADER_CODEC,
+      client: createClient(name, random, arrivals, failedShare, clock),
       createState: (sinks) => {
         follower = new StateFollower({
           ...sinks,
@@ -173,7 +184,10 @@
         if (ended.signal.aborted) return;
         gateway.receiveReport(decodeReport(datagram)!, from);
       },
-      send: () => send(gateway, name, random, arrivals, failedShare, clock),
+      send: () =>
+        forwardsCalls
+          ? forward(gateway, clock)
+          : send(gateway, name, random, arrivals, failedShare, clock),
     };
   };
 
@@ -235,6 +249,36 @@
   };
 }
 
+/** Returns a client whose servers answer after a time; it knows their versions by their names. */
+function createClient(
+  from: string,
+  random: Random,
+  arrivals: VersionedArrival[],
+  failedShare: number,
+  clock: VirtualClock,
+): ServerClient {
+  return {
+    send: ({ headers }, events) => {
+      const [version] = readHeader(headers, "x-server-id")!.split("-");
+      const isFailed = version === "v2" && random.nextFloat() < failedShare;
+      const atMs = clock.nowMs();
+      arrivals.push({ atMs, version: version!, from, isFailed });
+      const status = isFailed ? 500 : 200;
+      clock.schedule(CALL_MS, () => {
+        events.onHead({ status, statusText: "", headers: [] });
+        events.onEnd([]);
+      });
+      return { resume: () => {}, abort: () => {} };
+    },
+  };
+}
+
+/** Has an instance serve a call. */
+function forward(gateway: HttpGateway, clock: VirtualClock): void {
+  const call = createOpaqueCall(clock.nowMs());
+  void gateway.handle(call, createHeadSink(() => {}));
+}
+
 function send(
   { fleet, registry, rollouts }: HttpGateway,
   from: string,
