Failed trials of all prompt parts delay the next ones together

Cause: each quarantined part was tried on its own schedule, 1 s, 60 s, 300 s after its last crash. Two bad messages on the embedded default thus cost four servers in 155 s, later than 5 s after the fifth crash; users count all bad parts together, and allow 3.

Change: the first trial of a part comes as before, later ones are delayed by the failed trials of all quarantined calls. Suspects whose last crash is that of the same server were tried by one call, and count once.

--- a/quarantine/call_quarantine.ts
+++ b/quarantine/call_quarantine.ts
@@ -260,9 +260,10 @@
     const held = this.#suspects.listHeld(content.fingerprints);
     const [first] = held;
     if (first === undefined) return CLEAR;
-    held.forEach((suspect) => recordAsked(suspect, nowMs));
+    const failedTrials = this.#suspects.failedTrialCount;
+    held.forEach((suspect) => recordAsked(suspect, failedTrials, nowMs));
     const ownTrialMs = held.map((suspect) =>
-      computeOwnTrialMs(suspect, this.#rankSelf(suspect.call))
+      computeOwnTrialMs(suspect, failedTrials, this.#rankSelf(suspect.call))
     );
     // Calls with several quarantined parts are tried later: a crash would not tell them apart.
     const delayMs = (held.length - 1) * SEVERAL_PARTS_DELAY_MS;
@@ -270,7 +271,9 @@
       held.forEach((suspect) => suspect.trialMs = nowMs);
       return { kind: "trial" };
     }
-    const firstTrialMs = Math.max(...held.map(computeFirstTrialMs));
+    const firstTrialMs = Math.max(
+      ...held.map((suspect) => computeFirstTrialMs(suspect, failedTrials)),
+    );
     return {
       kind: "refused",
       call: first.call,
--- a/quarantine/call_quarantine_test.ts
+++ b/quarantine/call_quarantine_test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from "node:test";
 import { type CallFingerprint, toBackendId } from "../ids/mod.ts";
 import { createContent } from "../tests/content_fixture.ts";
-import type { SharedPrompt } from "./call_content.ts";
+import type { CallContent, SharedPrompt } from "./call_content.ts";
 import { CallQuarantine } from "./call_quarantine.ts";
 
 const SERVERS = Array.from({ length: 8 }, (_, at) => toBackendId(`s${at}`));
@@ -321,6 +321,27 @@
       assert.equal(admit(first, 75_000), "trial");
     });
 
+    it("delays later trials of a part by the failed trials of another one", () => {
+      const { quarantine } = createQuarantine({});
+      let callCount = 100;
+      const toPart = (part: string) =>
+        toCall(callCount++, { model: "m", parts: [part] });
+      const admit = (part: string, nowMs: number) =>
+        quarantine.admit(toPart(part), nowMs).kind;
+      SERVERS.slice(0, 6).forEach((server, nth) => {
+        const part = nth < 3 ? "bad" : "other";
+        quarantine.recordCrash(toPart(part), server, 1_000);
+      });
+      ["bad", "other"].forEach((part, nth) => {
+        assert.equal(admit(part, 3_000), "trial");
+        quarantine.recordCrash(toPart(part), SERVERS[6 + nth]!, 3_100, {
+          isTrial: true,
+        });
+      });
+      assert.equal(admit("other", 100_000), "refused");
+      assert.equal(admit("other", 310_000), "trial");
+    });
+
     it("knows a call by all of 1,000 parts and by a bounded number of more, each by a short name", () => {
       const toParts = (count: number) =>
         Array.from({ length: count }, (_, nth) => `${nth}`);
--- a/quarantine/suspect_list.ts
+++ b/quarantine/suspect_list.ts
@@ -1,4 +1,4 @@
-import type { CallFingerprint } from "../ids/mod.ts";
+import type { BackendId, CallFingerprint } from "../ids/mod.ts";
 import { isPartFingerprint } from "./part_fingerprint.ts";
 import { countAttributed, type Suspect } from "./suspect.ts";
 
@@ -45,6 +45,20 @@
     return this.#quarantined.size;
   }
 
+  /**
+   * Number of failed trials of all quarantined suspects. Suspects whose last crash is that of the
+   * same server were tried by the same call, and count once.
+   */
+  get failedTrialCount(): number {
+    const byServer = new Map<BackendId | undefined, number>();
+    this.#listQuarantined().forEach(({ failedTrials, servers }) => {
+      const last = [...servers].at(-1);
+      const most = Math.max(byServer.get(last) ?? 0, failedTrials);
+      byServer.set(last, most);
+    });
+    return [...byServer.values()].reduce((sum, count) => sum + count, 0);
+  }
+
   /** Number of prompt parts among the quarantined suspects. */
   get quarantinedPartCount(): number {
     return [...this.#quarantined].filter(isPartFingerprint).length;
--- a/quarantine/trial_schedule.ts
+++ b/quarantine/trial_schedule.ts
@@ -20,20 +20,31 @@
 const TRIAL_TIMEOUT_MS = 5_000;
 
 /**
- * Returns when the first instance may try a quarantined call, in milliseconds.
+ * Returns when the first instance may try a quarantined call, in milliseconds. A first trial
+ * comes soon. Later ones are delayed by the failed trials of all calls, as each of several calls
+ * at fault would otherwise cost as many servers as one.
  *
  * @param suspect What is known against the call.
+ * @param allFailedTrials Number of failed trials of all quarantined calls.
  */
 export function computeFirstTrialMs(
   { failedTrials, lastCrashMs }: Suspect,
+  allFailedTrials: number,
 ): number {
   const last = TRIAL_DELAYS_MS.length - 1;
-  return lastCrashMs + TRIAL_DELAYS_MS[Math.min(failedTrials, last)]!;
+  const count = failedTrials === 0
+    ? 0
+    : Math.max(failedTrials, allFailedTrials);
+  return lastCrashMs + TRIAL_DELAYS_MS[Math.min(count, last)]!;
 }
 
 /** Records that a quarantined call came to this instance, if a trial is due. */
-export function recordAsked(suspect: Suspect, nowMs: number): void {
-  if (nowMs < computeFirstTrialMs(suspect)) return;
+export function recordAsked(
+  suspect: Suspect,
+  allFailedTrials: number,
+  nowMs: number,
+): void {
+  if (nowMs < computeFirstTrialMs(suspect, allFailedTrials)) return;
   const { asked } = suspect;
   const isContinued = asked !== undefined &&
     nowMs - asked.lastMs < ASK_PAUSE_MS;
@@ -46,10 +57,15 @@
  * from the first call that comes while a trial is due.
  *
  * @param suspect What is known against the call.
+ * @param allFailedTrials Number of failed trials of all quarantined calls.
  * @param rank Place of this instance in the order in which instances try the call, from 0.
  */
-export function computeOwnTrialMs(suspect: Suspect, rank: number): number {
-  const firstTrialMs = computeFirstTrialMs(suspect);
+export function computeOwnTrialMs(
+  suspect: Suspect,
+  allFailedTrials: number,
+  rank: number,
+): number {
+  const firstTrialMs = computeFirstTrialMs(suspect, allFailedTrials);
   const dueMs = Math.max(firstTrialMs, suspect.asked?.firstMs ?? firstTrialMs);
   return Math.max(
     dueMs + rank * RANK_DELAY_MS,
