--- a/adapters/scraped_metrics.ts
+++ b/adapters/scraped_metrics.ts
@@ -37,6 +37,8 @@
   const registry = new Registry();
   const counters = new Map<MetricName, Counter>();
   const gauges = new Map<MetricName, Gauge>();
+  // Most gauges are set several times a second to the value that they have.
+  const gaugeValues = new Map<MetricName, number>();
   const histograms = new Map<MetricName, Histogram>();
   const createOptions = (name: MetricName) => ({
     name: PREFIX + name.replaceAll(".", "_"),
@@ -57,8 +59,12 @@
   return {
     count: (name, by = 1, tags: MetricTags = {}) =>
       getCounter(name).inc({ ...tags }, by),
-    gauge: (name, value, tags: MetricTags = {}) =>
-      getGauge(name).set({ ...tags }, value),
+    gauge: (name, value, tags) => {
+      if (tags !== undefined) return getGauge(name).set({ ...tags }, value);
+      if (gaugeValues.get(name) === value) return;
+      gaugeValues.set(name, value);
+      getGauge(name).set(value);
+    },
     time: (name, valueMs, tags: MetricTags = {}) =>
       getHistogram(name).observe({ ...tags }, valueMs),
     format: () => registry.metrics(),
--- a/adapters/scraped_metrics_test.ts
+++ b/adapters/scraped_metrics_test.ts
@@ -20,6 +20,17 @@
     );
   });
 
+  // A value that is not set again must not hide later ones.
+  it("shows the last value of a gauge that is set often", async () => {
+    const metrics = createScrapedMetrics();
+    [3, 3, 0, 0, 3, 5, 5].forEach((value) =>
+      metrics.gauge("call.in_flight", value)
+    );
+    assert.match(await metrics.format(), /havenspur_call_in_flight 5\n/);
+    metrics.gauge("call.in_flight", 0);
+    assert.match(await metrics.format(), /havenspur_call_in_flight 0\n/);
+  });
+
   // Counting a metric with a tag that it does not have throws where the answer is passed on.
   it("takes every tag of a metric whose tags have lists of values", async () => {
     const metrics = createScrapedMetrics();
