The main bundle stays a CommonJS module beside its code cache

The loader wraps it in a function itself: tests/signals_before_program_test.ts puts another module in its place, which the loader of before could not run.

--- a/deploy/build_platform.js
+++ b/deploy/build_platform.js
@@ -50,12 +50,8 @@
     },
   }),
 ]);
-writeFileSync(
-  mainPath,
-  `(function(exports,require,module,__filename,__dirname){${
-    main.text.replace(/^#!.*/, "")
-  }})`,
-);
+// The loader wraps the bundle in a function, before which no line for a shell may stand.
+writeFileSync(mainPath, main.text.replace(/^#!.*/, ""));
 rmSync(`${mainPath}.cache`, { force: true });
 // Without a code cache the program runs all the same, and starts more slowly.
 const written = spawnSync(
