--- a/quarantine/call_quarantine_test.ts
+++ b/quarantine/call_quarantine_test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from "node:test";
 import { type CallFingerprint, toBackendId } from "../ids/mod.ts";
 import { createContent } from "../tests/content_fixture.ts";
-import type { CallContent, SharedPrompt } from "./call_content.ts";
+import type { SharedPrompt } from "./call_content.ts";
 import { CallQuarantine } from "./call_quarantine.ts";
 
 const SERVERS = Array.from({ length: 8 }, (_, at) => toBackendId(`s${at}`));
