Rollouts: specification with a mutant for each rule; slow versions on fast servers

Cause: a relay that planned 'completed', or an instance that restarted in the switch, could still resume a stream at an old server; the specification found that rule missing while it was written. Change: both keep away from old servers; durations are a suspicion with all canary servers, too; spec/rollout_spec.ts.

--- a/rollouts/canary_analysis.ts
+++ b/rollouts/canary_analysis.ts
@@ -58,6 +58,7 @@
 
 interface Measure {
   readonly name: string;
+  readonly isDuration: boolean;
   readonly score: (strata: readonly RowPair[], test: CanaryTest) => number;
 }
 
@@ -67,6 +68,7 @@
 const MEASURES: readonly Measure[] = [
   {
     name: "failures",
+    isDuration: false,
     score: (pairs, test) =>
       test.compareShares(
         pairs.map((pair) => mapPair(pair, toFailures)),
@@ -77,6 +79,7 @@
   ...(["firstByte", "gap"] as const).flatMap((field): readonly Measure[] => [
     {
       name: `${field} mean`,
+      isDuration: true,
       score: (pairs, test) =>
         limitScore(
           pairs,
@@ -90,6 +93,7 @@
     },
     {
       name: `${field} slow`,
+      isDuration: true,
       score: (pairs, test) =>
         limitScore(
           pairs,
@@ -135,7 +139,7 @@
       ? canaryRows
       : canaryRows.filter(({ route }) => route === scope);
     const servers = groupByServer(scoped);
-    for (const { name, score } of MEASURES) {
+    for (const { isDuration, name, score } of MEASURES) {
       const scores = servers.map((server) => ({
         id: server.id,
         score: score(toPairs(server.rows, baselines), test),
@@ -150,7 +154,9 @@
         ? scoped.filter(({ subject }) => subject !== worst?.id)
         : scoped;
       const value = score(toPairs(others, baselines), test);
-      if (value > 0) isSuspicious = true;
+      // The servers beside the slowest one may be the fastest of their version.
+      const isSlow = isDuration && score(toPairs(scoped, baselines), test) > 0;
+      if (value > 0 || isSlow) isSuspicious = true;
       if (value >= 1) badReason ??= `${name} on ${scope ?? "all routes"}`;
     }
   }
--- a/rollouts/mod.ts
+++ b/rollouts/mod.ts
@@ -17,5 +17,7 @@
  */
 export { REPEATED_TEST, SEQUENTIAL_TEST } from "./canary_test.ts";
 export type { CanaryTest } from "./canary_test.ts";
+export * from "./compare_records.ts";
+export { type PlanInput, planRecord } from "./plan_record.ts";
 export * from "./rollout_tracker.ts";
 export * from "./rollout_types.ts";
--- a/rollouts/rollout_tracker.ts
+++ b/rollouts/rollout_tracker.ts
@@ -232,6 +232,9 @@
     if (!state.isOrderKnown && state.isRunning) return undefined;
     if (run !== undefined && state.isRunning) this.#evaluate(state, run);
     const own = this.#readProgress(state);
+    const isSettled = run?.members.isSettled(own, nowMs) ?? false;
+    // The relay keeps to what it plans: the write may be executed at any time after this.
+    if (run !== undefined && isSettled) run.hasLeft = true;
     return planRecord({
       record,
       order,
@@ -239,7 +242,7 @@
       verdict: run?.verdict ??
         { isSuspicious: false, isCovered: false, suspects: [] },
       badReason: state.isRunning ? run?.badReason : undefined,
-      isSettled: run?.members.isSettled(own, nowMs) ?? false,
+      isSettled,
       needsOwnServers: (region) =>
         this.#parts.needsOwnServers?.(service, region) ?? false,
       areActiveGone: versions.areGone(record.inForce, nowMs),
@@ -255,9 +258,7 @@
     nowMs: number,
   ): RolloutReport {
     const own = this.#readProgress(state);
-    if (state.readStage().kind === "switch" && own.previousCalls === 0) {
-      run.hasLeft = true;
-    }
+    if (own.phase === "switch" && own.previousCalls === 0) run.hasLeft = true;
     const progress = scope === "region"
       ? run.members.combineRegion(own, nowMs)
       : own;
--- a/rollouts/service_rollout.ts
+++ b/rollouts/service_rollout.ts
@@ -239,7 +239,7 @@
   }
 
   #beginRun(
-    { destination, id, startedMs }: RolloutProgress,
+    { destination, id, phase, startedMs }: RolloutProgress,
     nowMs: number,
   ): void {
     const { bounds, canaryTest, fleet, random } = this.#parts;
@@ -256,6 +256,8 @@
       ranBefore: runsSinceMs <= Math.min(nowMs, startedMs),
       nowMs,
     });
+    // After a start in the switch, there is nothing left to end at old servers.
+    this.#run.hasLeft = phase === "switch";
     const reason = this.#pendingBad.get(id);
     if (reason !== undefined) this.#run.markBad(reason);
     this.#pendingBad.delete(id);
--- a/spec/run_model.ts
+++ b/spec/run_model.ts
@@ -10,6 +10,7 @@
   RESTORED_STORE_MUTANTS,
   RESTORED_STORE_SPEC,
 } from "./restored_store_spec.ts";
+import { ROLLOUT_MUTANTS, ROLLOUT_SPECS } from "./rollout_spec.ts";
 import { SERVER_MUTANTS, SERVER_SPEC } from "./server_spec.ts";
 import type { Mutant, Specification } from "./specification.ts";
 import { STATE_MUTANTS, STATE_SPECS } from "./state_spec.ts";
@@ -24,6 +25,7 @@
   RESTORED_STORE_SPEC,
   SERVER_SPEC,
   KEY_SPEC,
+  ...ROLLOUT_SPECS,
 ];
 const MUTANTS: readonly Mutant[] = [
   ...JOURNAL_MUTANTS,
@@ -33,6 +35,7 @@
   ...RESTORED_STORE_MUTANTS,
   ...SERVER_MUTANTS,
   ...KEY_MUTANTS,
+  ...ROLLOUT_MUTANTS,
 ];
 
 const failureCount = process.argv.includes("--mutants")
