--- a/bench/rollouts_bench.ts
+++ b/bench/rollouts_bench.ts
@@ -4,11 +4,8 @@
   SEQUENTIAL_TEST,
 } from "../rollouts/mod.ts";
 import { type BenchResult, computeQuantile, toCell } from "./bench_case.ts";
-import {
-  type RolloutCase,
-  RolloutFleetSim,
-  type RolloutResult,
-} from "./rollouts_fleet.ts";
+import type { RolloutCase, RolloutResult } from "./rollouts_case.ts";
+import { RolloutFleetSim } from "./rollouts_fleet.ts";
 import type { BadKind, Fault } from "./rollouts_servers.ts";
 
 const BAD_KINDS: readonly BadKind[] = [
--- a/bench/rollouts_fleet.ts
+++ b/bench/rollouts_fleet.ts
@@ -3,52 +3,22 @@
   type RegionId,
   toIncarnation,
   toInstanceId,
-  toRegionId,
   toRolloutId,
   toServerVersion,
 } from "../ids/mod.ts";
 import {
-  type CanaryTest,
   type RolloutOrder,
   type RolloutRecord,
-  type RolloutReportScope,
   RolloutTracker,
 } from "../rollouts/mod.ts";
+import { ROUTES, type SimServer, SimServers } from "./rollouts_servers.ts";
 import {
-  type BadKind,
-  type Fault,
-  ROUTES,
-  type SimServer,
-  SimServers,
-} from "./rollouts_servers.ts";
-
-/** One simulated order. */
-export interface RolloutCase {
-  readonly seed: number;
-  readonly kind: BadKind;
-  readonly fault: Fault;
-  readonly instances: number;
-  readonly callsPerSecond: number;
-  readonly serversPerRegion: number;
-  /** Default: the test that the tracker uses. */
-  readonly canaryTest?: CanaryTest;
-}
-
-/** What came of one order. */
-export interface RolloutResult {
-  readonly state: "completed" | "rolled-back" | "running";
-  readonly reason: string;
-  /** Time from the order to its end, in milliseconds. */
-  readonly endMs: number;
-  /** Sends to the new version while not completed, over the bound of the order. */
-  readonly exposureUsed: number;
-  /** Bad responses of the new version. */
-  readonly badResponses: number;
-  /** Time from the 50th bad response to the last send to the new version; 0 if none. */
-  readonly rollbackMs: number;
-  /** Calls in flight at old servers at `completed`. */
-  readonly previousCalls: number;
-}
+  REGIONS,
+  type RolloutCase,
+  type RolloutResult,
+  type SimInstance,
+} from "./rollouts_case.ts";
+import { SimReports } from "./rollouts_reports.ts";
 
 const TICK_MS = 10;
 const ORDER_AT_MS = 3_000;
@@ -57,13 +27,13 @@
 const EXTRA_MS = 3_000;
 const REPORT_MS = 150;
 const REGION_REPORT_MS = 300;
-const REGION_DELAY_MS = 60;
-const LOCAL_DELAY_MS = 10;
+/** Shares of the reports that are lost. */
+const USUAL_LOSS = 0.01;
+const HIGH_LOSS = 0.3;
 const STORE_DELAY_MS = 30;
 const PLAN_MS = 50;
 const OLD = toServerVersion("v1");
 const NEW = toServerVersion("v2");
-const REGIONS = ["a", "b", "c"].map(toRegionId);
 const BOUNDS = {
   exposureShare: 0.1,
   exposureSlack: 50,
@@ -71,16 +41,6 @@
   contactMs: 6_000,
 };
 
-interface SimInstance {
-  readonly id: ReturnType<typeof toInstanceId>;
-  readonly region: RegionId;
-  readonly rank: number;
-  incarnation: number;
-  tracker: RolloutTracker;
-  heardMs: number;
-  viewRevision: number;
-}
-
 /** Trackers of a fleet with simulated servers, store and reports, on a virtual clock. */
 export class RolloutFleetSim {
   readonly clock = new VirtualClock();
@@ -99,7 +59,7 @@
   #lastNewSendMs = 0;
   #endMs = 0;
   #previousCalls = 0;
-  #cutRegion: RegionId | undefined;
+  readonly #reports: SimReports;
 
   constructor(parts: RolloutCase) {
     this.#case = parts;
@@ -125,9 +85,15 @@
       instance.tracker = this.#createTracker(instance);
       return instance;
     });
+    this.#reports = new SimReports(
+      this.instances,
+      this.clock,
+      this.#random,
+      parts.fault === "reports-lost" ? HIGH_LOSS : USUAL_LOSS,
+    );
     this.#every(TICK_MS, () => this.#sendCalls());
-    this.#every(REPORT_MS, () => this.#reportLocally());
-    this.#every(REGION_REPORT_MS, () => this.#reportRegions());
+    this.#every(REPORT_MS, () => this.#reports.sendLocally());
+    this.#every(REGION_REPORT_MS, () => this.#reports.sendRegions());
     this.#every(PLAN_MS, () => this.#planWrites());
     this.#every(REPORT_MS, () => this.#publish());
   }
@@ -231,8 +197,8 @@
       case "all-restart":
         return at(2_500, () => this.instances.forEach(restart));
       case "region-cut":
-        at(3_000, () => this.#cutRegion = REGIONS[2]);
-        return at(5_500, () => this.#cutRegion = undefined);
+        at(3_000, () => this.#reports.cutRegion = REGIONS[2]);
+        return at(5_500, () => this.#reports.cutRegion = undefined);
       default:
         return;
     }
@@ -243,7 +209,7 @@
     const sinceOrderMs = this.clock.nowMs() - this.#startMs - ORDER_AT_MS;
     const isDown = this.#case.fault === "store-down" &&
       sinceOrderMs > 3_000 && sinceOrderMs < 6_500;
-    return !isDown && region !== this.#cutRegion;
+    return !isDown && region !== this.#reports.cutRegion;
   }
 
   /** Passes the state of the store on to all instances that it reaches. */
@@ -286,61 +252,6 @@
     });
   }
 
-  #deliver(
-    from: SimInstance,
-    scope: RolloutReportScope,
-    targets: readonly SimInstance[],
-    delayMs: number,
-  ): void {
-    const reports = from.tracker.createReports(scope);
-    const loss = this.#case.fault === "reports-lost" ? 0.3 : 0.01;
-    const { id, incarnation, region } = from;
-    targets.forEach((target) => {
-      if (target === from || this.#random.nextFloat() < loss) return;
-      if (region !== target.region && this.#isCut(region, target.region)) {
-        return;
-      }
-      this.clock.schedule(delayMs, () => {
-        target.heardMs = this.clock.nowMs();
-        target.tracker.mergeReports({
-          instance: id,
-          incarnation: toIncarnation(`${incarnation}`),
-          region,
-          scope,
-        }, reports);
-      });
-    });
-  }
-
-  #isCut(a: RegionId, b: RegionId): boolean {
-    return a === this.#cutRegion || b === this.#cutRegion;
-  }
-
-  #reportLocally(): void {
-    REGIONS.forEach((region) => {
-      const members = this.instances.filter((each) => each.region === region);
-      const aggregators = members.filter(({ rank }) => rank < 2);
-      members.forEach((member) =>
-        this.#deliver(member, "instance", aggregators, LOCAL_DELAY_MS)
-      );
-      aggregators.forEach((each) =>
-        this.#deliver(each, "summary", members, LOCAL_DELAY_MS)
-      );
-    });
-  }
-
-  #reportRegions(): void {
-    const representatives = this.instances.filter(({ rank }) => rank < 2);
-    representatives.forEach((each) =>
-      this.#deliver(
-        each,
-        "region",
-        representatives.filter(({ region }) => region !== each.region),
-        REGION_DELAY_MS,
-      )
-    );
-  }
-
   #sendCalls(): void {
     const expected = this.#case.callsPerSecond * TICK_MS / 1_000;
     let count = Math.floor(expected + this.#random.nextFloat());
