Test: crashes of a new version do not quarantine calls whose retries are answered

Cause: calls that share a prompt part go to the canary together, so that a version which crashes could have had that part refused everywhere. Change: a test alone; the answered retries already clear the call.

--- a/tests/rollout_calls_test.ts
+++ b/tests/rollout_calls_test.ts
@@ -188,6 +188,19 @@
     }
   });
 
+  it("is not quarantined for crashes of the new version, as its retries are answered", async () => {
+    const { fleet } = await start({
+      servers: { north: [3, 6] },
+      decide: answerOld({ kind: "end", afterMs: 20 }),
+    });
+    for (let count = 0; count < 6; count++) {
+      const { outcome } = await callOnce(fleet);
+      assert.equal(outcome.status, 200);
+    }
+    const crashes = fleet.arrivals.filter(({ version }) => version === NEW);
+    assert.ok(crashes.length >= 4, `${crashes.length} servers crashed`);
+  });
+
   it("runs once if it is not idempotent", async () => {
     const { fleet } = await start({
       decide: answerOld({ kind: "lose", afterMs: 20 }),
