--- a/bench/choice_bench.ts
+++ b/bench/choice_bench.ts
@@ -30,7 +30,7 @@
   const first = await measure({});
   // The engine has optimized the code by now, so that only these two are alike.
   const off = await measure({});
-  const idle = await measure(trackVersions());
+  const idle = await measure(createTrackedParts());
   return {
     head: [
       "rollouts",
@@ -54,7 +54,7 @@
 }
 
 /** Returns parts of a fleet that has rollouts, none of which is ordered. */
-function trackVersions(): Partial<VirtualFleetParts> {
+function createTrackedParts(): Partial<VirtualFleetParts> {
   const trackers = new Map<string, RolloutTracker>();
   return {
     createRollouts: (address, clock) => {
--- a/forwarding/choose_destination.ts
+++ b/forwarding/choose_destination.ts
@@ -66,7 +66,7 @@
 
 /** How a server of another region is chosen. */
 type RemoteChoice = Pick<ChooseServerOptions, "includesFull"> & {
-  readonly filterFor: RegionFilter;
+  readonly createFilter: RegionFilter;
 };
 
 /**
@@ -134,7 +134,7 @@
     return this.#chooseAmong(
       exchange,
       nowMs,
-      (region) => versions.filterForRepeat(exchange, region),
+      (region) => versions.createRepeatFilter(exchange, region),
     );
   }
 
@@ -145,7 +145,7 @@
     nowMs: number,
   ): SendableDestination | undefined {
     const { fleet: { self: { region: own } }, servers, versions } = this.#parts;
-    const isAllowed = versions.filterFor(drawn);
+    const isAllowed = versions.createFilter(drawn);
     if (drawn.kind === "destination") {
       const found = this.#chooseAmong(exchange, nowMs, () => isAllowed);
       return found.kind === "local" || found.kind === "remote"
@@ -168,10 +168,10 @@
   #chooseAmong(
     exchange: Exchange,
     nowMs: number,
-    filterFor: RegionFilter,
+    createFilter: RegionFilter,
   ): Destination {
     const { fleet: { self: { region: own } }, servers } = this.#parts;
-    const isAllowed = filterFor(own);
+    const isAllowed = createFilter(own);
     const localNeeds = toNeeds(exchange, exchange.unreached);
     const isForwarded = exchange.call.origin.kind === "instance";
     const allowed = listAllowedRegions(exchange, this.#parts.listRegions());
@@ -191,10 +191,12 @@
         region !== own && !exchange.avoidedRegions.has(region) &&
         !isTooFar(region)
       );
-    const remote = this.#chooseRemote(exchange, others, nowMs, { filterFor });
+    const remote = this.#chooseRemote(exchange, others, nowMs, {
+      createFilter,
+    });
     const asksNeighbors = isHome && !isForwarded && local === undefined;
     const elsewhere = asksNeighbors
-      ? this.#addNeighbor(exchange, remote, nowMs, filterFor)
+      ? this.#addNeighbor(exchange, remote, nowMs, createFilter)
       : remote;
     const isCheaper = elsewhere !== undefined &&
       (local === undefined ||
@@ -210,9 +212,9 @@
     const reachable = isForwarded
       ? allowed.filter((region) => region === own)
       : allowed;
-    const explained = this.#explain(exchange, reachable, nowMs, filterFor);
+    const explained = this.#explain(exchange, reachable, nowMs, createFilter);
     if (explained.kind !== "wait" || isForwarded) return explained;
-    return this.#chooseWaitingPlace(exchange, allowed, nowMs, filterFor) ??
+    return this.#chooseWaitingPlace(exchange, allowed, nowMs, createFilter) ??
       explained;
   }
 
@@ -245,7 +247,7 @@
     exchange: Exchange,
     regions: readonly RegionId[],
     nowMs: number,
-    { filterFor, ...choice }: RemoteChoice,
+    { createFilter, ...choice }: RemoteChoice,
   ): RemoteDestination | undefined {
     const { fleet, random, servers } = this.#parts;
     const needs = toNeeds(exchange);
@@ -254,7 +256,7 @@
         among: "all",
         extraTokens: this.#tokensInTransit.get(region) ?? 0,
         roundTripMs: this.readRoundTripMs(region),
-        isAllowed: filterFor(region),
+        isAllowed: createFilter(region),
         ...choice,
       });
       if (candidate === undefined) return [];
@@ -276,7 +278,7 @@
     exchange: Exchange,
     allowed: readonly RegionId[],
     nowMs: number,
-    filterFor: RegionFilter,
+    createFilter: RegionFilter,
   ): RemoteDestination | undefined {
     if (!this.#parts.reachability.isCutOff(nowMs)) return undefined;
     const regions = allowed.filter((region) =>
@@ -284,7 +286,7 @@
     );
     return this.#chooseRemote(exchange, regions, nowMs, {
       includesFull: true,
-      filterFor,
+      createFilter,
     });
   }
 
@@ -297,7 +299,7 @@
     exchange: Exchange,
     remote: RemoteDestination | undefined,
     nowMs: number,
-    filterFor: RegionFilter,
+    createFilter: RegionFilter,
   ): RemoteDestination | undefined {
     const { fleet: { self }, reachability } = this.#parts;
     const isLost = reachability.isServiceLost(exchange.service.name, nowMs);
@@ -307,7 +309,7 @@
         exchange.avoidedInstances.size < MAX_NEIGHBORS_OF_LOST_SERVICE;
     if (!mayAsk) return remote;
     const neighbor = this.#chooseRemote(exchange, [self.region], nowMs, {
-      filterFor,
+      createFilter,
     });
     if (neighbor === undefined || remote === undefined) {
       return neighbor ?? remote;
@@ -354,7 +356,7 @@
     exchange: Exchange,
     regions: readonly RegionId[],
     nowMs: number,
-    filterFor: RegionFilter,
+    createFilter: RegionFilter,
   ): NoDestination {
     const { service, tried } = exchange;
     const eligible = regions.flatMap((region) =>
@@ -362,7 +364,7 @@
         service.name,
         region,
         nowMs,
-        filterFor(region),
+        createFilter(region),
       )
     );
     const isOutOfReach = eligible.length > 0 &&
--- a/forwarding/server_versions.ts
+++ b/forwarding/server_versions.ts
@@ -120,7 +120,7 @@
   }
 
   /** Returns which servers an assignment allows. The result holds only until the next wait. */
-  filterFor(assignment: VersionAssignment): ServerFilter {
+  createFilter(assignment: VersionAssignment): ServerFilter {
     return this.#toFilter(assignment);
   }
 
@@ -128,7 +128,7 @@
    * Returns which servers of a region a retry, a handover, a resumed stream or a call outside
    * the canary may use. The result holds only until the next wait.
    */
-  filterForRepeat(
+  createRepeatFilter(
     { progress: { version }, service }: VersionNeeds,
     region: RegionId,
   ): ServerFilter {
