Fleet tests: a version that turns bad in the ramp, with the store up and silent

Cause: no other run reaches 50 bad responses, so that the bound on what follows them was not put to the test. Change: two tests that require 50.

--- a/tests/rollout_fleet_test.ts
+++ b/tests/rollout_fleet_test.ts
@@ -109,6 +109,27 @@
     assert.equal(result.phase, "rolled-back");
   });
 
+  [false, true].forEach((isStoreSilent) => {
+    it(
+      `that turns bad in the ramp gets no call later than the bound after its 50th bad response, store ${
+        isStoreSilent ? "silent" : "up"
+      }`,
+      async () => {
+        const result = await run(`bad in the ramp, ${isStoreSilent}`, {
+          ...NINE,
+          callsPerSecond: 500,
+          fault: (_, answer, sinceMs, random) =>
+            sinceMs > 6_600 && random() < 0.7 ? FAIL : answer(),
+          disturb: (fleet, sinceMs) => {
+            fleet.isStoreUp = !isStoreSilent || sinceMs < 6_600;
+          },
+        });
+        assertContained(result);
+        assert.ok(result.badResponses >= 50, "the bound was put to the test");
+      },
+    );
+  });
+
   it("keeps to its exposure while single instances restart", async () => {
     const result = await run("restarts of single instances", {
       ...NINE,
