Soak: rollouts of good and bad versions, and checks of their promises

Change: two thirds of the seeds order one rollout of 12 s, to a good version or to one that fails half of its calls, with plain servers or with model engines. Plans draw it from a separate random sequence, so that the other faults of a seed stay. In seeds with engines the servers are engines for the whole run; in seeds with a rollout a restore of the store waits while the order is being written. Six checks in soak/check_rollouts.ts use what callers and servers observe.

--- a/soak/check_promises.ts
+++ b/soak/check_promises.ts
@@ -1,4 +1,5 @@
 import { checkQuarantine, checkSharedParts } from "./check_quarantine.ts";
+import { checkRollouts } from "./check_rollouts.ts";
 import { wasPaused } from "./was_paused.ts";
 import {
   createRecordedBody,
@@ -40,6 +41,12 @@
   | "servers do not fail because of rejections"
   | "callers of cut-off instances are served"
   | "calls run for the team that holds their key"
+  | "versions without an order get no calls"
+  | "bad versions get at most their exposure"
+  | "bad versions are rolled back in time"
+  | "the end of a rollout is final"
+  | "a completed rollout interrupts no call"
+  | "streams are of one version"
   | "service after the faults"
   | "no growth";
 
@@ -125,6 +132,7 @@
     ...checkRejections(observation),
     ...checkCutOffs(observation),
     ...checkKeys(observation),
+    ...checkRollouts(observation),
     ...checkService(observation),
     ...checkProcesses(observation),
   ];
--- a/soak/check_promises_test.ts
+++ b/soak/check_promises_test.ts
@@ -52,6 +52,7 @@
     callId: "c1",
     server: "s1",
     service: "work",
+    version: "v1",
     atMs: 20_000,
     resumedAfter: undefined,
     crashesServer: false,
@@ -84,6 +85,8 @@
     refusals: [],
     rejections: [],
     revokedKeys: [],
+    rollouts: [],
+    storeRestoresMs: [],
     lastVersion: 1,
     recoveredFromMs: 10_000,
     ...more,
@@ -92,6 +95,12 @@
 }
 
 describe("checkPromises()", () => {
+  it("finds a call at a version that nobody ordered", () => {
+    assert.deepEqual(check({ runs: [createRun({ version: "v2" })] }), [
+      "versions without an order get no calls",
+    ]);
+  });
+
   describe("keys of teams", () => {
     const promise = ["calls run for the team that holds their key"];
     const stale = createCall({ kind: "rotating", key: "key-1" });
--- a/soak/fault_runner.ts
+++ b/soak/fault_runner.ts
@@ -10,8 +10,11 @@
   InstancePause,
   InstanceStop,
   ObservedCall,
+  ObservedRollout,
   ServerAdvertisement,
 } from "./observation.ts";
+import type { RecordedBadAnswer } from "../standin/recording_server.ts";
+import { SoakRollout } from "./soak_rollout.ts";
 import type { ServerSlot, SoakFleet, SoakInstance } from "./soak_fleet.ts";
 
 /** Constructor arguments of {@linkcode FaultRunner}. */
@@ -40,6 +43,8 @@
 const SLOW_STORE_MS = 300;
 /** How long the store is down before it is restored from a backup, in milliseconds. */
 const RESTORE_DOWNTIME_MS = 800;
+/** Interval at which an order waits for the restore of an older backup, in milliseconds. */
+const BACKUP_POLL_MS = 100;
 /** Calls per second that a server with a limit advertises: fewer than its callers send. */
 const LIMIT_PER_SECOND = 2;
 
@@ -73,6 +78,11 @@
   readonly cutOffs: CutOff[] = [];
   /** When each instance was stalled or down. */
   readonly pauses: InstancePause[] = [];
+  /** When the store was restored from a backup. */
+  readonly storeRestoresMs: number[] = [];
+  readonly #rollouts: SoakRollout[] = [];
+  /** Backups of the store that are still to be restored. */
+  #backupCount = 0;
   readonly #stops: (Span & { readonly instance: string })[] = [];
   readonly #spans: (Span & { readonly planned: PlannedFault })[] = [];
   readonly #parts: FaultParts;
@@ -84,6 +94,13 @@
     this.#parts = parts;
   }
 
+  /** Returns the rollouts, and which of the bad answers belong to each. */
+  listRollouts(
+    badAnswers: readonly RecordedBadAnswer[],
+  ): readonly ObservedRollout[] {
+    return this.#rollouts.flatMap((rollout) => rollout.list(badAnswers));
+  }
+
   /** Returns the graceful shutdowns, and whether each of them was undisturbed by other faults. */
   listStops(): readonly InstanceStop[] {
     return this.#stops.map(({ fromMs, instance, toMs }) => ({
@@ -98,8 +115,10 @@
 
   /** Returns the spans of faults; for crashing calls, the crashes of servers instead. */
   #listSpans(): readonly Span[] {
-    const faults = this.#spans.filter(({ planned }) =>
-      planned.fault.kind !== "ending-calls"
+    const faults = this.#spans.filter(({ planned: { fault } }) =>
+      fault.kind !== "ending-calls" &&
+      // A rollout of a good version must interrupt no call.
+      (fault.kind !== "rollout" || fault.what === "bad")
     );
     const ends = this.#parts.fleet.serverCrashesMs.map((atMs) => ({
       fromMs: atMs,
@@ -151,6 +170,8 @@
           : [store];
       case "operator":
         return [`operator ${fault.what}`];
+      case "rollout":
+        return ["operator rollout"];
     }
   }
 
@@ -179,6 +200,8 @@
         return this.#disturbStore(fault.what, durationMs);
       case "operator":
         return this.#applyOperatorChange(fault.what, durationMs);
+      case "rollout":
+        return this.#rollOut(fault.what === "bad", durationMs);
     }
   }
 
@@ -479,19 +502,42 @@
   async #restoreStore(durationMs: number): Promise<void> {
     const { fleet } = this.#parts;
     const { operator, store } = fleet;
+    while (
+      this.#rollouts.some(({ isOrdering }) => isOrdering) &&
+      !fleet.closed.aborted
+    ) {
+      await this.#wait(BACKUP_POLL_MS);
+    }
     const backup = store.createBackup();
+    this.#backupCount++;
     await fleet.configure();
     await this.#wait(durationMs - RESTORE_DOWNTIME_MS);
     await this.#disturb(async () => {
       store.setDown(true);
       await this.#wait(RESTORE_DOWNTIME_MS);
       store.restoreBackup(backup);
+      this.storeRestoresMs.push(this.#parts.clock.nowMs());
       store.setDown(false);
     });
+    this.#backupCount--;
     await fleet.configure();
     await operator.rewriteAll();
   }
 
+  /**
+   * Orders a rollout, once no backup can be restored that would lack the order: the operator
+   * would write it again, as another order.
+   */
+  async #rollOut(isBad: boolean, durationMs: number): Promise<void> {
+    const { closed } = this.#parts.fleet;
+    while (this.#backupCount > 0 && !closed.aborted) {
+      await this.#wait(BACKUP_POLL_MS);
+    }
+    const rollout = new SoakRollout(this.#parts, { isBad, durationMs });
+    this.#rollouts.push(rollout);
+    await rollout.run();
+  }
+
   async #applyOperatorChange(
     what: Extract<Fault, { kind: "operator" }>["what"],
     durationMs: number,
--- a/soak/observation.ts
+++ b/soak/observation.ts
@@ -1,4 +1,5 @@
 import type {
+  RecordedBadAnswer,
   RecordedRefusal,
   RecordedRun,
 } from "../standin/recording_server.ts";
@@ -141,6 +142,38 @@
   readonly atMs: number;
 }
 
+/** Status of a rollout, as it was read from the store. */
+export interface RolloutStatusReading {
+  readonly atMs: number;
+  readonly state: string;
+  readonly destination: string;
+}
+
+/** A call that an old server had not answered when the platform stopped it. */
+export interface InterruptedRun {
+  readonly callId: string;
+  readonly server: string;
+  readonly atMs: number;
+}
+
+/** A rollout that the operator ordered. */
+export interface ObservedRollout {
+  readonly service: string;
+  readonly destination: string;
+  /** Whether a part of the destination's answers are failures. */
+  readonly isBad: boolean;
+  /** When the operator began to write the order, in milliseconds. */
+  readonly orderedFromMs: number;
+  /** When the order's time limit ends, in milliseconds. */
+  readonly deadlineMs: number;
+  /** When the operator read that it was rolled back; `undefined`: never. */
+  readonly rolledBackMs: number | undefined;
+  readonly badAnswers: readonly RecordedBadAnswer[];
+  /** Readings of the status, in order. */
+  readonly statuses: readonly RolloutStatusReading[];
+  readonly interruptedRuns: readonly InterruptedRun[];
+}
+
 /** Everything that was observed from outside the processes in one run. */
 export interface Observation {
   readonly calls: readonly ObservedCall[];
@@ -168,6 +201,9 @@
   /** Calls that servers rejected because all slots were taken. */
   readonly rejections: readonly RecordedRefusal[];
   readonly revokedKeys: readonly RevokedKey[];
+  readonly rollouts: readonly ObservedRollout[];
+  /** When the store was restored from a backup. */
+  readonly storeRestoresMs: readonly number[];
   /** Version of the last configuration. */
   readonly lastVersion: number;
   /** Time from which on all calls must be served again. */
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -76,7 +76,14 @@
       /** The store goes down and is restored from a backup taken when the fault began. */
       | "restore";
   }
-  | { readonly kind: "operator"; readonly what: "configure" | "evacuate" };
+  | { readonly kind: "operator"; readonly what: "configure" | "evacuate" }
+  /** The operator orders a rollout; some answers of a bad version are failures. */
+  | {
+    readonly kind: "rollout";
+    readonly what: "good" | "bad";
+    /** Whether the servers are plain ones or model engines, for the whole run. */
+    readonly servers: "plain" | "engines";
+  };
 
 /** A fault with its start time and duration. */
 export interface PlannedFault {
@@ -193,6 +200,10 @@
 const CUT_ANSWERS_MS = 2_000;
 /** Length of the intervals that have one such server each, in milliseconds. */
 const CUT_ANSWERS_INTERVAL_MS = 4_000;
+/** Time limit of a rollout, in milliseconds, as in the users' orders. */
+const ROLLOUT_MS = 12_000;
+/** Share of the seeds that have a rollout, and of those the shares with a bad version and with engines. */
+const ROLLOUT_SHARE = { any: 2 / 3, bad: 1 / 2, engines: 1 / 2 } as const;
 /** Time between the starts of two faults, in milliseconds. */
 const FAULT_GAP_MS = { min: 300, max: 1_500 };
 /** Duration of a fault, in milliseconds. */
@@ -231,9 +242,30 @@
     ...planSilences(parts, endMs),
     ...planBrittleServers(parts, endMs),
     ...planCutAnswers(parts, endMs),
+    ...planRollouts(parts, endMs),
   ];
 }
 
+/** Plans one rollout in a part of the seeds, from a separate random sequence as for crowds. */
+function planRollouts(
+  { seed }: PlanParts,
+  endMs: number,
+): readonly PlannedFault[] {
+  const random = createRandom(Math.imul(seed, SEED_SPREAD) ^ 6);
+  const spareMs = endMs - FAULT_FREE_START_MS - ROLLOUT_MS;
+  if (spareMs < 0 || random.nextFloat() >= ROLLOUT_SHARE.any) return [];
+  const isBad = random.nextFloat() < ROLLOUT_SHARE.bad;
+  return [{
+    fault: {
+      kind: "rollout",
+      what: isBad ? "bad" : "good",
+      servers: random.nextFloat() < ROLLOUT_SHARE.engines ? "engines" : "plain",
+    },
+    atMs: FAULT_FREE_START_MS + Math.round(random.nextFloat() * spareMs),
+    durationMs: ROLLOUT_MS,
+  }];
+}
+
 /**
  * Plans one loss of links to all servers, from a separate random sequence as for crowds. In
  * half of the seeds it comes before all others: it is skipped if an instance is disturbed.
--- a/soak/plan_test.ts
+++ b/soak/plan_test.ts
@@ -18,6 +18,24 @@
     assert.notEqual(format(7), format(8));
   });
 
+  // Guards against seeds of which none tries one kind of version or of servers.
+  it("has rollouts of good and bad versions of both kinds of servers in some seeds, and none in others", () => {
+    const kinds = Array.from(
+      { length: 40 },
+      (_, seed) =>
+        createPlan({ ...SIZES, seed }).filter(({ fault }) =>
+          fault.kind === "rollout"
+        ).map(({ fault }) => Object.values(fault).join(" ")).join(),
+    );
+    assert.deepEqual([...new Set(kinds)].sort(), [
+      "",
+      "rollout bad engines",
+      "rollout bad plain",
+      "rollout good engines",
+      "rollout good plain",
+    ]);
+  });
+
   it("ends every fault before the fault-free time at the end, and uses only existing indexes", () => {
     fc.assert(
       fc.property(fc.integer({ min: 0, max: 1_000_000 }), (seed) => {
--- a/soak/run_soak.ts
+++ b/soak/run_soak.ts
@@ -3,6 +3,7 @@
 import { createRandom, type Random, waitFor } from "../clock/mod.ts";
 import type { PlatformProcess } from "../standin/platform_process.ts";
 import type {
+  RecordedBadAnswer,
   RecordedRefusal,
   RecordedRun,
 } from "../standin/recording_server.ts";
@@ -19,7 +20,7 @@
   type ProcessResources,
   WORK_KINDS,
 } from "./observation.ts";
-import { createPlan, FAULT_FREE_END_MS } from "./plan.ts";
+import { createPlan, FAULT_FREE_END_MS, type PlannedFault } from "./plan.ts";
 import {
   type LostInstance,
   SoakFleet,
@@ -74,21 +75,38 @@
   const runs: RecordedRun[] = [];
   const refusals: RecordedRefusal[] = [];
   const rejections: RecordedRefusal[] = [];
+  const badAnswers: RecordedBadAnswer[] = [];
+  const plan = createPlan({
+    seed: parts.seed,
+    seconds: parts.seconds,
+    instances: REGIONS.length * parts.instancesPerRegion,
+    instancesPerRegion: parts.instancesPerRegion,
+    servers: REGIONS.length * SERVERS_PER_REGION,
+  });
   const fleet = new SoakFleet({
     program: parts.program,
     regions: REGIONS,
     instancesPerRegion: parts.instancesPerRegion,
     serversPerRegion: SERVERS_PER_REGION,
+    hasEngines: plan.some(({ fault }) =>
+      fault.kind === "rollout" && fault.servers === "engines"
+    ),
     clock,
     recordRun: (run) => runs.push(run),
     recordRefusal: (refusal) => refusals.push(refusal),
     recordRejection: (rejection) => rejections.push(rejection),
+    recordBadAnswer: (answer) => badAnswers.push(answer),
   });
   try {
     await fleet.start();
     const lost = await Promise.race([fleet.awaitReady(), fleet.lostInstance]);
     if (lost !== undefined) return createLostReport(parts, lost);
-    return await observe(parts, fleet, { runs, refusals, rejections });
+    return await observe(parts, { fleet, plan }, {
+      runs,
+      refusals,
+      rejections,
+      badAnswers,
+    });
   } finally {
     await fleet.close();
   }
@@ -109,8 +127,13 @@
 
 async function observe(
   parts: SoakParts,
-  fleet: SoakFleet,
-  recorded: Pick<Observation, "refusals" | "rejections" | "runs">,
+  { fleet, plan }: {
+    readonly fleet: SoakFleet;
+    readonly plan: readonly PlannedFault[];
+  },
+  { badAnswers, ...recorded }:
+    & Pick<Observation, "refusals" | "rejections" | "runs">
+    & { readonly badAnswers: readonly RecordedBadAnswer[] },
 ): Promise<SoakReport> {
   const clock = systemClock;
   const startMs = clock.nowMs();
@@ -125,13 +148,6 @@
     random: createRandom(parts.seed + 2),
     print: parts.print,
   });
-  const plan = createPlan({
-    seed: parts.seed,
-    seconds: parts.seconds,
-    instances: fleet.instances.length,
-    instancesPerRegion: parts.instancesPerRegion,
-    servers: fleet.slots.length,
-  });
   let faultsEndedMs = startMs;
   const runPlan = async () => {
     await Promise.all(plan.map(async (planned) => {
@@ -166,6 +182,8 @@
     pauses: faults.pauses,
     cutOffs: faults.cutOffs,
     revokedKeys: fleet.revokedKeys,
+    rollouts: faults.listRollouts(badAnswers),
+    storeRestoresMs: faults.storeRestoresMs,
     lastVersion: fleet.version,
     recoveredFromMs: faultsEndedMs + RECOVERY_MS,
   });
--- a/soak/soak_fleet.ts
+++ b/soak/soak_fleet.ts
@@ -8,6 +8,7 @@
 import { startStoreStandin } from "../standin/platform_store_server.ts";
 import { MemoryStore } from "../standin/memory_store.ts";
 import {
+  type RecordedBadAnswer,
   type RecordedRefusal,
   type RecordedRun,
   RecordingServer,
@@ -23,7 +24,8 @@
   toRotatingKey,
 } from "./caller.ts";
 import type { PromiseName } from "./check_promises.ts";
-import type { RevokedKey } from "./observation.ts";
+import { ROLLOUT_BOUNDS } from "./check_rollouts.ts";
+import type { InterruptedRun, RevokedKey } from "./observation.ts";
 import { LinkProxy } from "./link_proxy.ts";
 
 /** Constructor arguments of {@linkcode SoakFleet}. */
@@ -33,10 +35,13 @@
   readonly regions: readonly string[];
   readonly instancesPerRegion: number;
   readonly serversPerRegion: number;
+  /** Whether the servers of the work service are model engines. */
+  readonly hasEngines: boolean;
   readonly clock: Clock;
   readonly recordRun: (run: RecordedRun) => void;
   readonly recordRefusal: (refusal: RecordedRefusal) => void;
   readonly recordRejection: (rejection: RecordedRefusal) => void;
+  readonly recordBadAnswer: (answer: RecordedBadAnswer) => void;
 }
 
 /** An instance, with its own link to the store. */
@@ -52,10 +57,19 @@
   readonly detail: string;
 }
 
+/** Software of a server, as far as rollouts are concerned. */
+export interface ServerSoftware {
+  readonly version: string;
+  /** Share of the calls that it answers with a failure. */
+  readonly badShare: number;
+}
+
 /** Slot for one backend server, whose server is replaced or restarted after faults. */
 export interface ServerSlot {
   readonly region: string;
   readonly service: string;
+  /** Version of the software of its servers. */
+  version: ServerSoftware;
   server: RecordingServer;
   link: LinkProxy;
   address: string;
@@ -63,7 +77,19 @@
 }
 
 /** Service of all routes but the one that is named after the configuration version. */
-const WORK_SERVICE = "work";
+export const WORK_SERVICE = "work";
+/** Engines of the work service where it has them, with the slots of its servers. */
+const ENGINE = { slots: 16, cacheTokens: 400_000 };
+/** Software that servers run without a rollout. */
+const FIRST_SOFTWARE: ServerSoftware = { version: "v1", badShare: 0 };
+/** Settings that enable rollouts, with the bounds that the checks use. */
+const ROLLOUT_SETTINGS = [
+  "contracts=drain,rollout",
+  `bounds.exposureShare=${ROLLOUT_BOUNDS.exposureShare}`,
+  `bounds.exposureSlack=${ROLLOUT_BOUNDS.exposureSlack}`,
+  `bounds.rollbackMs=${ROLLOUT_BOUNDS.rollbackMs}`,
+  `bounds.contactMs=${ROLLOUT_BOUNDS.contactMs}`,
+];
 /** Host number of the first instance's loopback address. */
 const FIRST_HOST = 10;
 /** Time from SIGTERM to SIGKILL on the users' platform, in seconds. */
@@ -83,6 +109,10 @@
   readonly operator: PlatformOperator;
   readonly instances: SoakInstance[] = [];
   readonly slots: ServerSlot[] = [];
+  /** Slots of the version that is being rolled out; the other faults leave them alone. */
+  readonly newSlots: ServerSlot[] = [];
+  /** All servers of the work service that were started. */
+  readonly #workServers: RecordingServer[] = [];
   /** When servers crashed because of a call. */
   readonly serverCrashesMs: number[] = [];
   /** Keys that a later configuration has revoked. */
@@ -146,6 +176,7 @@
         seedHosts: hosts.slice(0, 3),
         storeAddress: await storeLink.open(),
         graceS: GRACE_S,
+        extraSettings: ROLLOUT_SETTINGS,
         hasCuttableLinks: true,
         onUnexpectedEnd: (end) =>
           this.#reportLost({
@@ -248,7 +279,7 @@
     ], [
       { name: STEADY_TEAM.name, keys: [STEADY_TEAM.key] },
       { name: ROTATING_TEAM, keys: [toRotatingKey(this.#version)] },
-    ]);
+    ], this.#parts.hasEngines ? { [WORK_SERVICE]: ENGINE } : {});
     this.revokedKeys.push({
       key: toRotatingKey(this.#version - 1),
       atMs: this.#parts.clock.nowMs(),
@@ -257,15 +288,53 @@
 
   /** Starts a new server in a slot, with a new id and address. */
   async replaceServer(slot: ServerSlot): Promise<void> {
-    const next = await this.#createSlot(slot.region, slot.service);
+    const { region, service, version } = slot;
+    const next = await this.#createSlot(region, service, { version });
     Object.assign(slot, next);
   }
 
+  /** Starts a server of a new version beside that of each slot. */
+  async startVersion(version: ServerSoftware): Promise<void> {
+    for (const { region, service } of this.slots) {
+      this.newSlots.push(await this.#createSlot(region, service, { version }));
+    }
+  }
+
+  /**
+   * Stops all servers of the work service that do not run a version, and puts the new servers
+   * into the slots.
+   *
+   * @returns Calls that the stopped servers had not answered.
+   */
+  async completeVersion(version: string): Promise<readonly InterruptedRun[]> {
+    const old = this.#workServers.filter((server) =>
+      server.version !== version
+    );
+    const atMs = this.#parts.clock.nowMs();
+    const interrupted = old.flatMap((server) =>
+      server.runningCalls.map((callId) => ({ callId, server: server.id, atMs }))
+    );
+    old.forEach((server) => server.crash());
+    const next = this.newSlots.splice(0);
+    this.slots.forEach((slot, at) => Object.assign(slot, next[at]));
+    await Promise.all(old.map(({ id }) => this.operator.unregister(id)));
+    return interrupted;
+  }
+
+  /** Lets the servers of the new version drain; they are not replaced any more. */
+  async drainVersion(): Promise<void> {
+    const drained = this.newSlots.splice(0);
+    await Promise.all(drained.map((slot) => this.register(slot, true)));
+  }
+
   /** Restarts the server of a slot, with the same id and another address. */
   async restartServer(slot: ServerSlot): Promise<void> {
     slot.server.crash();
-    const { region, server, service } = slot;
-    Object.assign(slot, await this.#createSlot(region, service, server.id));
+    const { region, server: { id }, service, version } = slot;
+    Object.assign(
+      slot,
+      await this.#createSlot(region, service, { id, version }),
+    );
   }
 
   /** Registers a slot's server in the store, and whether it drains. */
@@ -277,6 +346,7 @@
       service,
       address,
       region,
+      version: server.version,
       slots,
       isDraining,
       startedMs,
@@ -289,7 +359,9 @@
     const { signal } = this.#closed;
     this.serverCrashesMs.push(this.#parts.clock.nowMs());
     await waitFor(this.#parts.clock, REPLACEMENT_DELAY_MS, signal);
-    const slot = this.slots.find(({ server }) => server.id === id);
+    const slot = [...this.slots, ...this.newSlots].find(({ server }) =>
+      server.id === id
+    );
     // Another fault may have replaced the server in the meantime.
     if (signal.aborted || slot === undefined) return;
     await this.operator.unregister(id);
@@ -321,12 +393,23 @@
   async #createSlot(
     region: string,
     service: string,
-    id = `s-${++this.#serverCount}`,
+    { id = `s-${++this.#serverCount}`, version = FIRST_SOFTWARE }: {
+      readonly id?: string;
+      readonly version?: ServerSoftware;
+    } = {},
   ): Promise<ServerSlot> {
-    const { clock, recordRefusal, recordRejection, recordRun } = this.#parts;
+    const {
+      clock,
+      recordBadAnswer,
+      recordRefusal,
+      recordRejection,
+      recordRun,
+    } = this.#parts;
     const server = new RecordingServer({
       id,
       service,
+      ...version,
+      recordBadAnswer,
       nowMs: () => clock.nowMs(),
       record: recordRun,
       recordRefusal,
@@ -337,7 +420,8 @@
     const address = await link.open();
     this.links.push(link);
     const startedMs = Math.floor(clock.nowMs());
-    const slot = { region, service, server, link, address, startedMs };
+    if (service === WORK_SERVICE) this.#workServers.push(server);
+    const slot = { region, service, version, server, link, address, startedMs };
     this.#closers.push(() => link.close(), () => server.crash());
     await this.register(slot);
     return slot;
--- a/standin/platform_rollout.ts
+++ b/standin/platform_rollout.ts
@@ -25,6 +25,8 @@
   readonly operator: PlatformOperator;
   readonly clock: Clock;
   readonly servers: RolloutServers;
+  /** Called when the store has accepted the order. Default: ignored. */
+  readonly onOrdered?: () => void;
   /** Ends the wait for the status. */
   readonly signal: AbortSignal;
 }
@@ -46,11 +48,12 @@
  */
 export async function runRollout(
   order: OperatorRollout,
-  { clock, operator, servers, signal }: RunRolloutParts,
+  { clock, onOrdered, operator, servers, signal }: RunRolloutParts,
 ): Promise<RolloutEnd> {
   await servers.startNew();
   await operator.orderRollout(order);
   const orderedMs = clock.nowMs();
+  onOrdered?.();
   let status: OperatorRolloutStatus | undefined;
   while (!signal.aborted && !isFinal(status, order)) {
     await waitFor(clock, STATUS_POLL_MS, signal);
--- a/standin/recording_server.ts
+++ b/standin/recording_server.ts
@@ -7,7 +7,7 @@
 } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import { systemClock } from "../adapters/system_clock.ts";
-import { waitFor } from "../clock/mod.ts";
+import { createRandom, waitFor } from "../clock/mod.ts";
 import {
   BRITTLE_HEADER,
   CALL_ID_HEADER,
@@ -47,6 +47,8 @@
   readonly callId: string;
   readonly server: string;
   readonly service: string;
+  /** Version of the server's software. */
+  readonly version: string;
   readonly atMs: number;
   /** Number of the event after which the stream was resumed; `undefined`: it starts at the first event. */
   readonly resumedAfter: number | undefined;
@@ -68,10 +70,22 @@
   readonly atMs: number;
 }
 
+/** A failure that a server of a bad version answered with. */
+export interface RecordedBadAnswer {
+  readonly version: string;
+  readonly atMs: number;
+}
+
 /** Constructor arguments of {@linkcode RecordingServer}. */
 export interface RecordingServerParts {
   readonly id: string;
   readonly service: string;
+  /** Version of its software. Default: `v1`. */
+  readonly version?: string;
+  /** Share of the calls that a bad version answers with a failure. Default: 0. */
+  readonly badShare?: number;
+  /** Receives the failures of a bad version. Default: ignored. */
+  readonly recordBadAnswer?: (answer: RecordedBadAnswer) => void;
   readonly nowMs: () => number;
   readonly record: (run: RecordedRun) => void;
   readonly recordRefusal: (refusal: RecordedRefusal) => void;
@@ -87,6 +101,8 @@
 const WORK_DURATION_MS = 25;
 /** Number of calls that a server works on at a time, unless it has fewer slots. */
 const DEFAULT_SLOTS = 16;
+/** Seed of the choice of calls that a bad version fails. */
+const BAD_ANSWER_SEED = 1;
 /** Number of events in a stream. */
 export const STREAM_EVENTS = 12;
 /** Pause between the events of a stream, in milliseconds. */
@@ -119,7 +135,8 @@
   slots = DEFAULT_SLOTS;
   /** Whether it rejects calls beyond its slots. */
   rejectsBeyondSlots = false;
-  #running = 0;
+  readonly #running = new Map<ServerResponse, string>();
+  readonly #random = createRandom(BAD_ANSWER_SEED);
   readonly #cuts = createCuts();
   readonly #parts: RecordingServerParts;
   readonly #sockets = new Set<Socket>();
@@ -140,6 +157,16 @@
     return this.#parts.service;
   }
 
+  /** Version of its software. */
+  get version(): string {
+    return this.#parts.version ?? "v1";
+  }
+
+  /** Ids of the calls that it has not answered completely. */
+  get runningCalls(): readonly string[] {
+    return [...this.#running.values()];
+  }
+
   /**
    * Listens on loopback.
    *
@@ -171,6 +198,7 @@
     response: ServerResponse,
   ): Promise<void> {
     const { id, nowMs, record, service } = this.#parts;
+    const { version } = this;
     const callId = String(request.headers[CALL_ID_HEADER] ?? "");
     const expected = request.headers[EXPECTED_SERVER_HEADER];
     const hasCrashingPart = String(request.headers[PROMPT_PARTS_HEADER] ?? "")
@@ -189,12 +217,12 @@
       this.#refuse(response, callId);
       return;
     }
-    if (this.rejectsBeyondSlots && this.#running >= this.slots) {
+    if (this.rejectsBeyondSlots && this.#running.size >= this.slots) {
       this.#reject(response, callId);
       return;
     }
-    this.#running++;
-    response.once("close", () => this.#running--);
+    this.#running.set(response, callId);
+    response.once("close", () => this.#running.delete(response));
     const lastId = request.headers["last-event-id"];
     const resumedAfter = lastId === undefined ? undefined : Number(lastId);
     const atMs = nowMs();
@@ -204,6 +232,7 @@
       callId,
       server: id,
       service,
+      version,
       atMs,
       resumedAfter,
       crashesServer,
@@ -228,6 +257,12 @@
         : { [LIMIT_HEADER]: String(this.limitPerSecond) }),
       ...this.#createBrittleHeaders(),
     };
+    if (this.#random.nextFloat() < (this.#parts.badShare ?? 0)) {
+      this.#parts.recordBadAnswer?.({ version, atMs: nowMs() });
+      response.writeHead(500, headers);
+      response.end("failed");
+      return;
+    }
     if (this.fault === "fail") {
       response.writeHead(500, headers);
       response.end("failed");
