Soak: old versions get no calls after a rollout, and a line on each rollout

Cause: the check of versions without an order took the first version for allowed at all times, and a server that was being replaced at `completed` could put the old version back into its slot. Nothing showed how much of a rollout the checks could observe.

Change: a run at the old version later than 6 s after `completed` breaks the promise; a replacement of the old version that comes after `completed` is stopped. A run prints the calls at the new version, its failures, and the calls at old servers when they stopped.

Measured: tests of the checks and of plans pass.

--- a/soak/check_rollouts.ts
+++ b/soak/check_rollouts.ts
@@ -1,3 +1,4 @@
+import type { RecordedRun } from "../standin/recording_server.ts";
 import type { PromiseName, Violation } from "./check_promises.ts";
 import {
   isServed,
@@ -50,15 +51,21 @@
 function checkOrders(
   { rollouts, runs }: RolloutObservation,
 ): readonly Violation[] {
-  const isOrdered = (service: string, version: string, atMs: number) =>
-    rollouts.some((rollout) =>
-      rollout.service === service && rollout.destination === version &&
-      atMs >= rollout.orderedFromMs &&
-      atMs <= (rollout.rolledBackMs ?? Infinity) + ROLLOUT_BOUNDS.rollbackMs
-    );
-  return runs.filter(({ atMs, service, version }) =>
-    version !== FIRST_VERSION && !isOrdered(service, version, atMs)
-  ).map(({ atMs, callId, server, version }) => ({
+  const isAllowed = ({ atMs, service, version }: RecordedRun) => {
+    const own = rollouts.filter((rollout) => rollout.service === service);
+    return version === FIRST_VERSION
+      ? own.every(({ completedMs = Infinity }) =>
+        // Unreachable instances may not know of the end for so long.
+        atMs <= completedMs + ROLLOUT_BOUNDS.contactMs
+      )
+      : own.some(({ destination, orderedFromMs, rolledBackMs = Infinity }) =>
+        destination === version && atMs >= orderedFromMs &&
+        atMs <= rolledBackMs + ROLLOUT_BOUNDS.rollbackMs
+      );
+  };
+  return runs.filter((run) => !isAllowed(run)).map((
+    { atMs, callId, server, version },
+  ) => ({
     promise: "versions without an order get no calls",
     detail: `${server} of ${version} ran ${callId} at ${Math.round(atMs)} ms`,
   }));
--- a/soak/check_rollouts_test.ts
+++ b/soak/check_rollouts_test.ts
@@ -58,6 +58,7 @@
     orderedFromMs: ORDERED_MS,
     deadlineMs: DEADLINE_MS,
     rolledBackMs: undefined,
+    completedMs: undefined,
     badAnswers: [],
     statuses: [],
     interruptedRuns: [],
@@ -114,6 +115,14 @@
       assert.deepEqual(check({ rolledBackMs: 15_200 }, { runs }), []);
     });
 
+    it("finds a call at the old version long after another one was completed", () => {
+      const runs = [createRun({ version: "v1", atMs: 21_100 })];
+      assert.deepEqual(check({ completedMs: 15_000 }, { runs }), promise);
+      assert.deepEqual(check({ completedMs: 15_200 }, { runs }), []);
+      const service = "other";
+      assert.deepEqual(check({ completedMs: 15_000, service }, { runs }), []);
+    });
+
     it("allows calls at the version in force at any time", () => {
       const runs = [createRun({ version: "v1", atMs: 1 })];
       assert.deepEqual(check({}, { runs }), []);
--- a/soak/observation.ts
+++ b/soak/observation.ts
@@ -168,6 +168,8 @@
   readonly deadlineMs: number;
   /** When the operator read that it was rolled back; `undefined`: never. */
   readonly rolledBackMs: number | undefined;
+  /** When the operator read that it was completed; `undefined`: never. */
+  readonly completedMs: number | undefined;
   readonly badAnswers: readonly RecordedBadAnswer[];
   /** Readings of the status, in order. */
   readonly statuses: readonly RolloutStatusReading[];
--- a/soak/run_soak.ts
+++ b/soak/run_soak.ts
@@ -17,6 +17,7 @@
   KEY_KINDS,
   type Observation,
   type ObservedCall,
+  type ObservedRollout,
   type ProcessResources,
   WORK_KINDS,
 } from "./observation.ts";
@@ -25,6 +26,7 @@
   type LostInstance,
   SoakFleet,
   type SoakInstance,
+  WORK_SERVICE,
 } from "./soak_fleet.ts";
 
 /** Arguments of {@linkcode runSoak}. */
@@ -168,6 +170,10 @@
     return createLostReport(parts, lost, { ...counts, faults: plan.length });
   }
   const processes = fleet.instances.flatMap(measureProcess);
+  const rollouts = faults.listRollouts(badAnswers);
+  rollouts.forEach((rollout) =>
+    parts.print(formatRollout(rollout, recorded.runs))
+  );
   const violations = checkPromises({
     calls: [...calls, ...faults.crashingCalls],
     ...recorded,
@@ -182,7 +188,7 @@
     pauses: faults.pauses,
     cutOffs: faults.cutOffs,
     revokedKeys: fleet.revokedKeys,
-    rollouts: faults.listRollouts(badAnswers),
+    rollouts,
     storeRestoresMs: faults.storeRestoresMs,
     lastVersion: fleet.version,
     recoveredFromMs: faultsEndedMs + RECOVERY_MS,
@@ -196,6 +202,21 @@
   };
 }
 
+/** Returns a line that shows how much of a rollout the checks could observe. */
+function formatRollout(
+  { badAnswers, deadlineMs, destination, interruptedRuns, orderedFromMs }:
+    ObservedRollout,
+  runs: readonly RecordedRun[],
+): string {
+  const arrived = runs.filter(({ atMs, service }) =>
+    service === WORK_SERVICE && atMs >= orderedFromMs && atMs <= deadlineMs
+  );
+  const exposed = arrived.filter(({ version }) => version === destination);
+  return `rollout: ${exposed.length} of ${arrived.length} calls at ` +
+    `${destination} until the time limit, ${badAnswers.length} bad answers, ` +
+    `${interruptedRuns.length} calls at old servers when they stopped`;
+}
+
 function startCallers(
   fleet: SoakFleet,
   calls: ObservedCall[],
--- a/soak/soak_fleet.ts
+++ b/soak/soak_fleet.ts
@@ -290,7 +290,7 @@
   async replaceServer(slot: ServerSlot): Promise<void> {
     const { region, service, version } = slot;
     const next = await this.#createSlot(region, service, { version });
-    Object.assign(slot, next);
+    await this.#assign(slot, next);
   }
 
   /** Starts a server of a new version beside that of each slot. */
@@ -331,10 +331,18 @@
   async restartServer(slot: ServerSlot): Promise<void> {
     slot.server.crash();
     const { region, server: { id }, service, version } = slot;
-    Object.assign(
-      slot,
-      await this.#createSlot(region, service, { id, version }),
-    );
+    const next = await this.#createSlot(region, service, { id, version });
+    await this.#assign(slot, next);
+  }
+
+  /** Puts a server into a slot, unless a rollout has given the slot another version meanwhile. */
+  async #assign(slot: ServerSlot, next: ServerSlot): Promise<void> {
+    if (slot.version.version === next.version.version) {
+      Object.assign(slot, next);
+      return;
+    }
+    next.server.crash();
+    await this.operator.unregister(next.server.id);
   }
 
   /** Registers a slot's server in the store, and whether it drains. */
--- a/soak/soak_rollout.ts
+++ b/soak/soak_rollout.ts
@@ -39,6 +39,7 @@
   #orderedFromMs: number | undefined;
   #deadlineMs = Infinity;
   #rolledBackMs: number | undefined;
+  #completedMs: number | undefined;
 
   /**
    * @param parts Fleet, clock and printer.
@@ -102,6 +103,7 @@
       orderedFromMs: this.#orderedFromMs,
       deadlineMs: this.#deadlineMs,
       rolledBackMs: this.#rolledBackMs,
+      completedMs: this.#completedMs,
       badAnswers: badAnswers.filter(({ version }) => version === DESTINATION),
       statuses: this.#statuses,
       interruptedRuns: this.#interruptedRuns,
@@ -116,6 +118,7 @@
       const atMs = clock.nowMs();
       if (status !== undefined) this.#statuses.push({ atMs, ...status });
       if (status?.state === "rolled_back") this.#rolledBackMs ??= atMs;
+      if (status?.state === "completed") this.#completedMs ??= atMs;
       await waitFor(clock, STATUS_POLL_MS, fleet.closed);
     }
   }
