Soak: the order comes 0.5 s after the start of the new servers

Cause: servers of the new version registered milliseconds before the order, so that calls without an order could hardly be seen.

The tests of the checks were not run again, as neither they nor the checks changed.

--- a/soak/soak_rollout.ts
+++ b/soak/soak_rollout.ts
@@ -22,6 +22,11 @@
  * may get.
  */
 const BAD_SHARE = 0.5;
+/**
+ * Time from the registration of the new servers to the order, in milliseconds: long enough to
+ * observe calls that reach them without an order.
+ */
+const ORDER_DELAY_MS = 500;
 /** How long the status may come after the time limit, in milliseconds: as long as the faults last, and more. */
 const STATUS_DELAY_MS = 6_000;
 /** Interval at which the status is read, in milliseconds. */
@@ -79,6 +84,7 @@
       servers: {
         startNew: async () => {
           await fleet.startVersion({ version: DESTINATION, badShare });
+          await waitFor(clock, ORDER_DELAY_MS, fleet.closed);
           this.#orderedFromMs = clock.nowMs();
           void this.#watchStatus();
         },
