--- a/soak/run_soak.ts
+++ b/soak/run_soak.ts
@@ -3,6 +3,7 @@
 import { createRandom, type Random, waitFor } from "../clock/mod.ts";
 import type { PlatformProcess } from "../standin/platform_process.ts";
 import type {
+  RecordedBadAnswer,
   RecordedRefusal,
   RecordedRun,
 } from "../standin/recording_server.ts";
@@ -16,14 +17,16 @@
   KEY_KINDS,
   type Observation,
   type ObservedCall,
+  type ObservedRollout,
   type ProcessResources,
   WORK_KINDS,
 } from "./observation.ts";
-import { createPlan, FAULT_FREE_END_MS } from "./plan.ts";
+import { createPlan, FAULT_FREE_END_MS, type PlannedFault } from "./plan.ts";
 import {
   type LostInstance,
   SoakFleet,
   type SoakInstance,
+  WORK_SERVICE,
 } from "./soak_fleet.ts";
 
 /** Arguments of {@linkcode runSoak}. */
@@ -74,21 +77,38 @@
   const runs: RecordedRun[] = [];
   const refusals: RecordedRefusal[] = [];
   const rejections: RecordedRefusal[] = [];
+  const badAnswers: RecordedBadAnswer[] = [];
+  const plan = createPlan({
+    seed: parts.seed,
+    seconds: parts.seconds,
+    instances: REGIONS.length * parts.instancesPerRegion,
+    instancesPerRegion: parts.instancesPerRegion,
+    servers: REGIONS.length * SERVERS_PER_REGION,
+  });
   const fleet = new SoakFleet({
     program: parts.program,
     regions: REGIONS,
     instancesPerRegion: parts.instancesPerRegion,
     serversPerRegion: SERVERS_PER_REGION,
+    hasEngines: plan.some(({ fault }) =>
+      fault.kind === "rollout" && fault.servers === "engines"
+    ),
     clock,
     recordRun: (run) => runs.push(run),
     recordRefusal: (refusal) => refusals.push(refusal),
     recordRejection: (rejection) => rejections.push(rejection),
+    recordBadAnswer: (answer) => badAnswers.push(answer),
   });
   try {
     await fleet.start();
     const lost = await Promise.race([fleet.awaitReady(), fleet.lostInstance]);
     if (lost !== undefined) return createLostReport(parts, lost);
-    return await observe(parts, fleet, { runs, refusals, rejections });
+    return await observe(parts, { fleet, plan }, {
+      runs,
+      refusals,
+      rejections,
+      badAnswers,
+    });
   } finally {
     await fleet.close();
   }
@@ -109,8 +129,13 @@
 
 async function observe(
   parts: SoakParts,
-  fleet: SoakFleet,
-  recorded: Pick<Observation, "refusals" | "rejections" | "runs">,
+  { fleet, plan }: {
+    readonly fleet: SoakFleet;
+    readonly plan: readonly PlannedFault[];
+  },
+  { badAnswers, ...recorded }:
+    & Pick<Observation, "refusals" | "rejections" | "runs">
+    & { readonly badAnswers: readonly RecordedBadAnswer[] },
 ): Promise<SoakReport> {
   const clock = systemClock;
   const startMs = clock.nowMs();
@@ -125,13 +150,6 @@
     random: createRandom(parts.seed + 2),
     print: parts.print,
   });
-  const plan = createPlan({
-    seed: parts.seed,
-    seconds: parts.seconds,
-    instances: fleet.instances.length,
-    instancesPerRegion: parts.instancesPerRegion,
-    servers: fleet.slots.length,
-  });
   let faultsEndedMs = startMs;
   const runPlan = async () => {
     await Promise.all(plan.map(async (planned) => {
@@ -152,6 +170,10 @@
     return createLostReport(parts, lost, { ...counts, faults: plan.length });
   }
   const processes = fleet.instances.flatMap(measureProcess);
+  const rollouts = faults.listRollouts(badAnswers);
+  rollouts.forEach((rollout) =>
+    parts.print(formatRollout(rollout, recorded.runs))
+  );
   const violations = checkPromises({
     calls: [...calls, ...faults.crashingCalls],
     ...recorded,
@@ -166,6 +188,8 @@
     pauses: faults.pauses,
     cutOffs: faults.cutOffs,
     revokedKeys: fleet.revokedKeys,
+    rollouts,
+    storeRestoresMs: faults.storeRestoresMs,
     lastVersion: fleet.version,
     recoveredFromMs: faultsEndedMs + RECOVERY_MS,
   });
@@ -178,6 +202,21 @@
   };
 }
 
+/** Returns a line that shows how much of a rollout the checks could observe. */
+function formatRollout(
+  { badAnswers, deadlineMs, destination, interruptedRuns, orderedFromMs }:
+    ObservedRollout,
+  runs: readonly RecordedRun[],
+): string {
+  const arrived = runs.filter(({ atMs, service }) =>
+    service === WORK_SERVICE && atMs >= orderedFromMs && atMs <= deadlineMs
+  );
+  const exposed = arrived.filter(({ version }) => version === destination);
+  return `rollout: ${exposed.length} of ${arrived.length} calls at ` +
+    `${destination} until the time limit, ${badAnswers.length} bad answers, ` +
+    `${interruptedRuns.length} calls at old servers when they stopped`;
+}
+
 function startCallers(
   fleet: SoakFleet,
   calls: ObservedCall[],
