Rollouts: sends whose connection did not open are taken back from the exposure

Cause: a send counted as an arrival at the service from its begin on. Sends that reached no server earned the canary further sends, so the exposure exceeded its share of the arrivals while servers in force could not be reached. Change: a send record can end as `not-sent`, which takes the send back from the budget of its order. Forwarding reports it for first and repeated sends.

--- a/forwarding/send_evidence.ts
+++ b/forwarding/send_evidence.ts
@@ -47,9 +47,11 @@
 
   /** Records how the send ended. */
   end(outcome: EndedOutcome, nowMs: number): void {
+    const sendOutcome = this.#toSendOutcome(outcome, nowMs);
+    // A send that reached no server is taken back whether or not it is compared.
     this.#record.end(
-      this.#isCompared
-        ? this.#toSendOutcome(outcome, nowMs)
+      this.#isCompared || sendOutcome.kind === "not-sent"
+        ? sendOutcome
         : { kind: "ignored" },
     );
   }
@@ -64,8 +66,9 @@
       case "no-answer":
       case "broken":
         return { kind: "failed" };
-      case "rejected":
       case "not-sent":
+        return { kind: "not-sent" };
+      case "rejected":
         return { kind: "ignored" };
       case "given-up": {
         const { deadlineMs, sink } = this.#exchange;
--- a/rollouts/evidence.ts
+++ b/rollouts/evidence.ts
@@ -1,4 +1,4 @@
-import type { EvidenceRow, LogSums, SendOutcome } from "./rollout_types.ts";
+import type { EvidenceRow, LogSums, ResponseOutcome } from "./rollout_types.ts";
 
 const NO_SUMS: LogSums = { count: 0, sum: 0, squares: 0, slow: 0 };
 /** A duration this many times the usual one counts as slow: bad versions are several times slower. */
@@ -32,7 +32,7 @@
 /** Returns a row with one more response. */
 export function addOutcome(
   row: EvidenceRow,
-  outcome: Exclude<SendOutcome, { kind: "ignored" }>,
+  outcome: ResponseOutcome,
   baseline: RouteBaseline | undefined,
   isCold: boolean,
 ): EvidenceRow {
--- a/rollouts/evidence_store.ts
+++ b/rollouts/evidence_store.ts
@@ -8,8 +8,8 @@
 import type {
   EvidenceRow,
   EvidenceSubject,
+  ResponseOutcome,
   RolloutReportOrigin,
-  SendOutcome,
 } from "./rollout_types.ts";
 
 type Rows = Map<string, EvidenceRow>;
@@ -71,7 +71,7 @@
   record(
     route: string,
     subject: EvidenceSubject,
-    outcome: Exclude<SendOutcome, { kind: "ignored" }>,
+    outcome: ResponseOutcome,
     isCold: boolean,
   ): void {
     const empty = createRow(route, subject);
--- a/rollouts/exposure_budget.ts
+++ b/rollouts/exposure_budget.ts
@@ -86,4 +86,14 @@
     this.#sends++;
     if (isCanary) this.#canarySends++;
   }
+
+  /**
+   * Takes back a counted send that did not reach its server. Sends that it has earned the
+   * canary meanwhile stay begun: at most the share of the sends whose connections are being
+   * opened, which the unused part of the slack covers.
+   */
+  refund(isCanary: boolean): void {
+    this.#sends--;
+    if (isCanary) this.#canarySends--;
+  }
 }
--- a/rollouts/rollout_tracker.ts
+++ b/rollouts/rollout_tracker.ts
@@ -4,6 +4,7 @@
 import { planRecord } from "./plan_record.ts";
 import type { RolloutTrackerParts } from "./rollout_tracker_parts.ts";
 import type {
+  ResponseOutcome,
   RolloutOrder,
   RolloutRecord,
   RolloutReport,
@@ -125,7 +126,8 @@
         if (hasEnded) return;
         hasEnded = true;
         state.countInFlight(version, -1);
-        if (run === undefined || outcome.kind === "ignored") return;
+        if (outcome.kind === "not-sent") run?.budget.refund(isDestination);
+        if (run === undefined || !isResponse(outcome)) return;
         const subject = isDestination ? id : "in-force";
         run.evidence.record(route, subject, outcome, isCold);
         run.requestEvaluation();
@@ -320,3 +322,7 @@
     return state;
   }
 }
+
+function isResponse(outcome: SendOutcome): outcome is ResponseOutcome {
+  return outcome.kind === "answered" || outcome.kind === "failed";
+}
--- a/rollouts/rollout_tracker_test.ts
+++ b/rollouts/rollout_tracker_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import {
+  BOUNDS,
   createOrder,
   createOrigin,
   createReport,
@@ -13,7 +14,7 @@
   V3,
 } from "../tests/rollout_fixture.ts";
 import { toRegionId, toRolloutId } from "../ids/mod.ts";
-import type { RolloutPhase } from "./rollout_types.ts";
+import type { RolloutPhase, SendOutcome } from "./rollout_types.ts";
 
 const OLD = createServers(V1);
 const NEW = createServers(V2);
@@ -44,6 +45,25 @@
   });
 }
 
+/** Largest number of sends of `spendBudget`. */
+const MAX_SENDS = 500;
+
+/** Sends to the canary while the budget allows it; returns how many sends began. */
+function spendBudget(bed: TrackerBed, outcome: SendOutcome): number {
+  const assignment = bed.tracker.assign({
+    service: "app",
+    region: REGION,
+    isFirstSend: false,
+    mustUse: V2,
+  });
+  let sends = 0;
+  while (sends < MAX_SENDS && bed.tracker.isAllowed(assignment, NEW[0]!)) {
+    sendTo(bed, NEW[0]).end(outcome);
+    sends++;
+  }
+  return sends;
+}
+
 describe("RolloutTracker", () => {
   describe("without an order", () => {
     // Guards against traffic to servers that are merely registered (requirement 1).
@@ -184,6 +204,25 @@
       assert.equal(newSends, 0);
     });
 
+    // Guards against an exposure above the bound (requirement 2): sends that reach no server
+    // must not earn sends to the canary.
+    it("earns nothing by sends whose connection did not open", () => {
+      const bed = createBed();
+      for (let index = 0; index < 2_000; index++) {
+        sendTo(bed).end({ kind: "not-sent" });
+      }
+      const newSends = spendBudget(bed, { kind: "ignored" });
+      const slack = BOUNDS.exposureSlack / 2;
+      assert.ok(newSends <= slack / (1 - 0.08) + 1, `${newSends}`);
+    });
+
+    // Guards against a canary that is starved by a server which cannot be reached.
+    it("gets back the sends whose connection did not open", () => {
+      const bed = createBed();
+      assert.equal(spendBudget(bed, { kind: "not-sent" }), MAX_SENDS);
+      assert.ok(spendBudget(bed, { kind: "ignored" }) >= 25);
+    });
+
     // Guards against one faulty server that gets the whole canary.
     it("moves on from a server that looks faulty to others", () => {
       const bed = createBed();
--- a/rollouts/rollout_types.ts
+++ b/rollouts/rollout_types.ts
@@ -132,7 +132,15 @@
   /** 5xx, truncated or missing response, wrong bytes. */
   | { readonly kind: "failed" }
   /** Rejected without having run, or ended by the caller: says nothing of the version. */
-  | { readonly kind: "ignored" };
+  | { readonly kind: "ignored" }
+  /** No byte was sent, as the connection did not open: the server got no call. */
+  | { readonly kind: "not-sent" };
+
+/** How a send ended that shows something of the server's version. */
+export type ResponseOutcome = Extract<
+  SendOutcome,
+  { readonly kind: "answered" | "failed" }
+>;
 
 /** One send that has begun. */
 export interface SendRecord {
--- a/tests/rollout_calls_test.ts
+++ b/tests/rollout_calls_test.ts
@@ -349,6 +349,19 @@
     ]);
   });
 
+  // Guards against an exposure share that grows by sends which reach no server.
+  it("is told of first and repeated sends whose connection did not open", async () => {
+    const { fleet, rules } = await start({ decide: () => OK });
+    const { registry } = fleet.gateways.get("north-0")!;
+    registry.servers.slice(1).forEach(({ entry }) =>
+      registry.put({ ...entry, address: "closed" }, fleet.clock.nowMs())
+    );
+    await callOnce(fleet);
+    const kinds = rules.outcomes.map(({ kind }) => kind);
+    assert.ok(kinds.length >= 2, `${kinds.length} sends`);
+    assert.ok(kinds.slice(0, -1).every((kind) => kind === "not-sent"));
+  });
+
   it("counts a call that is not answered until its deadline as a failure", async () => {
     const { fleet, rules } = await start({
       decide: () => ({ kind: "answer", afterMs: 60_000 }),
