Rollouts: a rollback takes a destination out of the versions in force

Cause: where servers of two versions are registered before the first order, both are in force. An order for one of them that was found bad ended in a record that kept it in force, so calls were sent to the bad version again. Change: `rolled-back` removes the destination from the versions in force if others remain. Until the record is written, instances use those others.

--- a/rollouts/assign_version.ts
+++ b/rollouts/assign_version.ts
@@ -25,7 +25,7 @@
   if (call.mustUse !== undefined) {
     return assignFixed(state, stage, call, call.mustUse);
   }
-  if (stage.kind === "none") return toInForce(state.inForce);
+  if (stage.kind === "none") return toInForce(state.previousVersions);
   const nowMs = parts.clock.nowMs();
   const { destination } = stage.run;
   if (stage.kind === "switch") return { kind: "destination", destination };
@@ -75,8 +75,9 @@
   }
 }
 
+/** Returns whether a version may get calls other than by a running order. */
 function isActive(state: ServiceRollout, version: ServerVersion): boolean {
-  return state.inForce.includes(version);
+  return state.previousVersions.includes(version);
 }
 
 /** Assigns a resumed stream, which must stay with the version that began it. */
--- a/rollouts/plan_record.ts
+++ b/rollouts/plan_record.ts
@@ -1,4 +1,3 @@
-import type { ServerVersion } from "../ids/mod.ts";
 import type { CanaryVerdict } from "./canary_analysis.ts";
 import { isFinal, isLaterOrder, isSameOrder } from "./compare_records.ts";
 import { TRIAL_PART } from "./exposure_budget.ts";
@@ -220,11 +219,16 @@
   if (phase === "completed") {
     return next(record, { order, inForce: [destination] });
   }
-  const rejected: readonly ServerVersion[] = phase === "rolled-back" &&
-      !record.inForce.includes(destination)
-    ? [...record.rejected ?? [], destination]
-    : record.rejected ?? [];
-  return next(record, { order, rejected });
+  if (phase !== "rolled-back") return next(record, { order });
+  const others = record.inForce.filter((version) => version !== destination);
+  // A version in force that alone serves the calls cannot be rejected.
+  if (others.length === 0) return next(record, { order });
+  // The destination may have been in force beside others.
+  return next(record, {
+    order,
+    inForce: others,
+    rejected: [...record.rejected ?? [], destination],
+  });
 }
 
 function next(
--- a/rollouts/rollout_tracker_test.ts
+++ b/rollouts/rollout_tracker_test.ts
@@ -223,6 +223,23 @@
       assert.ok(spendBudget(bed, { kind: "ignored" }) >= 25);
     });
 
+    // Guards against calls to a bad version that was in force beside the one it replaces
+    // (requirement 3): a rollback to all versions in force would send calls to it again.
+    it("sends nothing to a bad version that was in force before its order", () => {
+      const bed = new TrackerBed();
+      bed.tracker.applyServers(ALL);
+      bed.advance(2_500);
+      assert.deepEqual(bed.record?.inForce, [V1, V2]);
+      bed.tracker.applyOrder("app", createOrder());
+      bed.advance(100);
+      bed.tracker.mergeReports(createOrigin(), [createReport({ isBad: true })]);
+      assert.equal(bed.sendCalls(100, ALL, true), 0);
+      bed.advance(100);
+      assert.equal(bed.record?.order?.phase, "rolled-back");
+      assert.deepEqual(bed.record?.inForce, [V1]);
+      assert.equal(bed.sendCalls(100, ALL, true), 0);
+    });
+
     // Guards against one faulty server that gets the whole canary.
     it("moves on from a server that looks faulty to others", () => {
       const bed = createBed();
