Rollouts: a ramp whose end cannot be recorded keeps to the exposure

Cause: the second stage of the ramp lasted until the switch was recorded. While the store was down, the destination got half of the calls until the deadline. Change: the ramp's share is 0 once the share of the order is used up. Result: a new test sums the shares up to the deadline.

--- a/rollouts/plan_record.ts
+++ b/rollouts/plan_record.ts
@@ -69,24 +69,41 @@
 
 /** Returns how long a stage of the ramp lasts, so that the whole order keeps to its exposure. */
 export function computeRampStageMs(
-  { exposureShare }: RolloutBounds,
-  { durationMs, phaseSinceMs, startedMs }: RolloutProgress,
+  bounds: RolloutBounds,
+  progress: RolloutProgress,
 ): number {
-  const trialMs = Math.max(0, (phaseSinceMs ?? startedMs) - startedMs);
-  const remainingMs = exposureShare *
-    (durationMs - TRIAL_PART * Math.min(trialMs, durationMs));
-  const stageMs = RAMP_PART * remainingMs / (RAMP_SHARES[0] + RAMP_SHARES[1]);
+  const stageMs = RAMP_PART * computeRampExposureMs(bounds, progress) /
+    (RAMP_SHARES[0] + RAMP_SHARES[1]);
   return Math.max(MIN_STAGE_MS, Math.min(MAX_STAGE_MS, stageMs));
 }
 
-/** Returns the share of the calls that the destination gets in the ramp. */
+/**
+ * Returns the share of the calls that the destination gets in the ramp. It is 0 once the
+ * order's exposure is used: a store that is down cannot record the end of the ramp.
+ */
 export function computeRampShare(
   bounds: RolloutBounds,
   progress: RolloutProgress,
   nowMs: number,
 ): number {
+  const [first, second] = RAMP_SHARES;
+  const stageMs = computeRampStageMs(bounds, progress);
   const sinceMs = nowMs - (progress.phaseSinceMs ?? progress.startedMs);
-  return RAMP_SHARES[sinceMs < computeRampStageMs(bounds, progress) ? 0 : 1];
+  if (sinceMs < stageMs) return first;
+  const remainingMs = computeRampExposureMs(bounds, progress) - first * stageMs;
+  return sinceMs < stageMs + Math.max(stageMs, remainingMs / second)
+    ? second
+    : 0;
+}
+
+/** Returns the exposure that the trial left, as the time for which all calls would use it. */
+function computeRampExposureMs(
+  { exposureShare }: RolloutBounds,
+  { durationMs, phaseSinceMs, startedMs }: RolloutProgress,
+): number {
+  const trialMs = Math.max(0, (phaseSinceMs ?? startedMs) - startedMs);
+  return exposureShare *
+    (durationMs - TRIAL_PART * Math.min(trialMs, durationMs));
 }
 
 function beginOrder(
--- a/rollouts/plan_record_test.ts
+++ b/rollouts/plan_record_test.ts
@@ -17,6 +17,7 @@
   rankPhase,
 } from "./compare_records.ts";
 import {
+  computeRampShare,
   computeRampStageMs,
   type PlanInput,
   planRecord,
@@ -237,6 +238,33 @@
   });
 });
 
+describe("computeRampShare()", () => {
+  // Guards against a ramp that exceeds the exposure because a store that is down cannot
+  // record its end (requirement 2).
+  it("keeps trial and ramp to the exposure however late the ramp ends", () => {
+    const { id } = createOrder();
+    for (const durationMs of [4_000, 12_000, 60_000]) {
+      const trialMs = Math.max(durationMs / 2, durationMs - 6_000);
+      const progress = {
+        id,
+        destination: V2,
+        durationMs,
+        startedMs: 0,
+        phaseSinceMs: trialMs,
+        phase: "ramp",
+      } as const;
+      let used = 0.08 * trialMs;
+      for (let nowMs = trialMs; nowMs < durationMs; nowMs++) {
+        used += computeRampShare(BOUNDS, progress, nowMs);
+      }
+      assert.ok(used <= 0.1 * durationMs + 1, `${durationMs} ms: ${used}`);
+      const stageMs = computeRampStageMs(BOUNDS, progress);
+      const lastMs = trialMs + 2 * stageMs - 1;
+      assert.equal(computeRampShare(BOUNDS, progress, lastMs), RAMP_SHARES[1]);
+    }
+  });
+});
+
 describe("isLaterRecord()", () => {
   // Guards against a restored store that takes a decision back.
   it("prefers a later phase, a newer order and more writes", () => {
