Rollouts: statistics have no names of test files

Cause: canary_test.ts, sequential_test.ts and repeated_test.ts hold statistics, but the suffix `_test.ts` marks tests here, so the runner loaded them and reported three skipped files. Change: they are canary_statistics.ts, probability_ratio.ts and z_score.ts.

--- a/rollouts/canary_analysis.ts
+++ b/rollouts/canary_analysis.ts
@@ -3,14 +3,14 @@
   type CanaryTest,
   SEQUENTIAL_TEST,
   type Stratum,
-} from "./canary_test.ts";
+} from "./canary_statistics.ts";
 import { addRows, createRow } from "./evidence.ts";
 import type { EvidenceRow, LogSums } from "./rollout_types.ts";
 import type {
   ExcessHypotheses,
   MeanSample,
   ShareSample,
-} from "./sequential_test.ts";
+} from "./probability_ratio.ts";
 
 /** What is found of a version. */
 export interface CanaryVerdict {
--- a/rollouts/canary_analysis_test.ts
+++ b/rollouts/canary_analysis_test.ts
@@ -3,7 +3,7 @@
 import { toBackendId } from "../ids/mod.ts";
 import { createRow } from "../tests/rollout_fixture.ts";
 import { analyzeCanary } from "./canary_analysis.ts";
-import { REPEATED_TEST, SEQUENTIAL_TEST } from "./canary_test.ts";
+import { REPEATED_TEST, SEQUENTIAL_TEST } from "./canary_statistics.ts";
 
 const [A, B, C] = ["a", "b", "c"].map(toBackendId) as [
   ReturnType<typeof toBackendId>,
--- a/rollouts/canary_test.ts
+++ b/rollouts/canary_statistics.ts
@@ -4,8 +4,8 @@
   type ExcessHypotheses,
   type MeanSample,
   type ShareSample,
-} from "./sequential_test.ts";
-import { computeMeanScore, computeShareScore } from "./repeated_test.ts";
+} from "./probability_ratio.ts";
+import { computeMeanScore, computeShareScore } from "./z_score.ts";
 
 /** Samples of the canary and of the versions in force on one route. */
 export interface Stratum<Sample> {
--- a/rollouts/mod.ts
+++ b/rollouts/mod.ts
@@ -15,8 +15,8 @@
  * ```
  * @module
  */
-export { REPEATED_TEST, SEQUENTIAL_TEST } from "./canary_test.ts";
-export type { CanaryTest } from "./canary_test.ts";
+export { REPEATED_TEST, SEQUENTIAL_TEST } from "./canary_statistics.ts";
+export type { CanaryTest } from "./canary_statistics.ts";
 export * from "./compare_records.ts";
 export { type PlanInput, planRecord } from "./plan_record.ts";
 export * from "./rollout_tracker.ts";
--- a/rollouts/order_run.ts
+++ b/rollouts/order_run.ts
@@ -1,7 +1,7 @@
 import type { Random } from "../clock/mod.ts";
 import type { BackendId, RolloutId, ServerVersion } from "../ids/mod.ts";
 import { analyzeCanary, type CanaryVerdict } from "./canary_analysis.ts";
-import type { CanaryTest } from "./canary_test.ts";
+import type { CanaryTest } from "./canary_statistics.ts";
 import { CanaryLottery } from "./canary_lottery.ts";
 import { EvidenceStore } from "./evidence_store.ts";
 import { drawOffset, ExposureBudget } from "./exposure_budget.ts";
--- a/rollouts/rollout_tracker_parts.ts
+++ b/rollouts/rollout_tracker_parts.ts
@@ -1,5 +1,5 @@
 import type { Clock, Random } from "../clock/mod.ts";
-import type { CanaryTest } from "./canary_test.ts";
+import type { CanaryTest } from "./canary_statistics.ts";
 import type {
   RolloutBounds,
   RolloutEvent,
--- a/rollouts/repeated_test.ts
+++ b/rollouts/z_score.ts
@@ -1,4 +1,4 @@
-import type { MeanSample, ShareSample } from "./sequential_test.ts";
+import type { MeanSample, ShareSample } from "./probability_ratio.ts";
 
 /** Half a hit added to each cell, without which a share of 0 has no deviation. */
 const CONTINUITY = 0.5;
