Rollouts: one rule for equal orders, one delay of relays

Cause: rollouts/ and state/ each had a function that tells whether two orders are the same entry of the operator, a list of final phases, and the delay of 150 ms by rank. Change: state/ and daemon/ use isSameOrder, isFinal and RELAY_RANK_DELAY_MS of rollouts/. Result: 83 tests of plan_record, rollout_tracker, rollout_documents, rollout_entries and state/ pass.

--- a/daemon/rollout_controller.ts
+++ b/daemon/rollout_controller.ts
@@ -5,17 +5,17 @@
 import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
 import {
+  isSameOrder,
   type RolloutBounds,
   type RolloutMember,
   RolloutTracker,
 } from "../rollouts/mod.ts";
 import type { ServerRegistry } from "../servers/mod.ts";
-import {
-  isSameEntry,
-  type RolloutSink,
-  type ServiceRollout,
-  type StateSource,
-  type WantedRollouts,
+import type {
+  RolloutSink,
+  ServiceRollout,
+  StateSource,
+  WantedRollouts,
 } from "../state/mod.ts";
 import { RolloutGossip } from "./rollout_gossip.ts";
 import {
@@ -141,7 +141,7 @@
     const known = this.#parts.getState().rollouts?.list() ?? [];
     return known.filter(({ order, record }) =>
       order !== undefined &&
-      (record?.order === undefined || !isSameEntry(order, record.order))
+      (record?.order === undefined || !isSameOrder(order, record.order))
     );
   }
 
--- a/rollouts/compare_records.ts
+++ b/rollouts/compare_records.ts
@@ -25,19 +25,22 @@
   return phase === "completed" || phase === "rolled-back";
 }
 
+/** What tells an order from others. */
+export type OrderIdentity = Pick<
+  RolloutOrder,
+  "id" | "destination" | "durationMs"
+>;
+
 /**
- * Returns whether an order is the one that is recorded. After a restore of the store the
- * same entry of the operator is read in a later era. A second order of its own would restart
- * a version that was rolled back.
+ * Returns whether two orders are the same entry of the operator. A restored store keeps the
+ * entry's revision and content in its next era, and an order of its own would restart a
+ * version that was rolled back. An entry with another content may have got the same revision
+ * in another era.
  */
-export function isSameOrder(
-  order: RolloutOrder,
-  progress: RolloutProgress,
-): boolean {
-  if (order.id === progress.id) return true;
-  return parseId(order.id).revision === parseId(progress.id).revision &&
-    order.destination === progress.destination &&
-    order.durationMs === progress.durationMs;
+export function isSameOrder(a: OrderIdentity, b: OrderIdentity): boolean {
+  if (a.id === b.id) return true;
+  return parseId(a.id).revision === parseId(b.id).revision &&
+    a.destination === b.destination && a.durationMs === b.durationMs;
 }
 
 /** Returns whether the first order was written after the second. */
--- a/rollouts/rollout_tracker.ts
+++ b/rollouts/rollout_tracker.ts
@@ -25,7 +25,7 @@
 const ANY: VersionAssignment = { kind: "any" };
 const NO_SEND: SendRecord = { end: () => {} };
 /** Delay of a relay's write for each relay before it, in milliseconds: usually one writes. */
-const RANK_DELAY_MS = 150;
+export const RELAY_RANK_DELAY_MS = 150;
 
 /** A decision that a relay waits to write. */
 interface PendingWrite {
@@ -195,7 +195,7 @@
       const pending = this.#pendingWrites.get(state.service);
       const sinceMs = pending?.key === key ? pending.sinceMs : nowMs;
       this.#pendingWrites.set(state.service, { key, sinceMs });
-      return nowMs - sinceMs >= rank * RANK_DELAY_MS ? [record] : [];
+      return nowMs - sinceMs >= rank * RELAY_RANK_DELAY_MS ? [record] : [];
     });
   }
 
--- a/state/rollout_documents.ts
+++ b/state/rollout_documents.ts
@@ -1,8 +1,10 @@
 import { type RolloutId, toRolloutId } from "../ids/mod.ts";
-import type {
-  RolloutOrder,
-  RolloutRecord,
-  RolloutStatus,
+import {
+  isFinal,
+  isSameOrder,
+  type RolloutOrder,
+  type RolloutRecord,
+  type RolloutStatus,
 } from "../rollouts/mod.ts";
 
 /** Maximum number of earlier orders remembered for each service. */
@@ -54,24 +56,6 @@
   return toRolloutId(`${era}.${revision}`);
 }
 
-/**
- * Returns whether two orders are the same entry of the operator. A restored store keeps the
- * entry's revision and content in its next era; an entry with another content may have got
- * the same revision in another era.
- */
-export function isSameEntry(a: OrderIdentity, b: OrderIdentity): boolean {
-  const readRevision = ({ id }: OrderIdentity) => id.split(".")[1];
-  return a.id === b.id ||
-    readRevision(a) === readRevision(b) && a.destination === b.destination &&
-      a.durationMs === b.durationMs;
-}
-
-/** What tells an order from others. */
-export type OrderIdentity = Pick<
-  RolloutOrder,
-  "id" | "destination" | "durationMs"
->;
-
 /**
  * Orders and records of rollouts, by service. Records are what the store has; its receiver
  * knows which are older than what it decided. An order that the store lost when it was
@@ -89,10 +73,10 @@
   putOrder(order: RolloutOrder, isRestored: boolean): void {
     const known = this.#open(order.service);
     // The copy is from before the operator replaced this order.
-    const isOld = known.earlier.some((each) => isSameEntry(each, order));
+    const isOld = known.earlier.some((each) => isSameOrder(each, order));
     if (isRestored && isOld) return;
     const isSame = known.order !== undefined &&
-      isSameEntry(known.order, order) && !known.isRefused;
+      isSameOrder(known.order, order) && !known.isRefused;
     if (isSame) known.isOrderLost = false;
     else replaceOrder(known, order);
   }
@@ -233,6 +217,5 @@
 
 function isRunning(record: RolloutRecord | undefined): boolean {
   const phase = record?.order?.phase;
-  return phase !== undefined && phase !== "completed" &&
-    phase !== "rolled-back";
+  return phase !== undefined && !isFinal(phase);
 }
--- a/state/rollout_entries.ts
+++ b/state/rollout_entries.ts
@@ -1,11 +1,13 @@
 import type { Clock } from "../clock/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
-import type { RolloutRecord, RolloutStatus } from "../rollouts/mod.ts";
+import {
+  RELAY_RANK_DELAY_MS,
+  type RolloutRecord,
+  type RolloutStatus,
+} from "../rollouts/mod.ts";
 import type { RevisionedStore, StoreEntry } from "../store/mod.ts";
 
-/** How much longer each relay waits than the one before it, in milliseconds. */
-export const RELAY_RANK_DELAY_MS = 150;
 /** Time until a write that failed, or that the follower has not seen, is tried again, in milliseconds. */
 const RETRY_DELAY_MS = 1_000;
 
--- a/tests/rollout_documents_test.ts
+++ b/tests/rollout_documents_test.ts
@@ -6,7 +6,7 @@
 import type { RolloutRecord } from "../rollouts/mod.ts";
 import { MemoryStore } from "../standin/memory_store.ts";
 import { PlatformOperator } from "../standin/platform_operator.ts";
-import { isSameEntry } from "../state/mod.ts";
+import { isSameOrder } from "../rollouts/mod.ts";
 import { putKey } from "./follower_fixture.ts";
 import { createRecord, SERVICE, startRelay } from "./rollout_relay_fixture.ts";
 
@@ -56,7 +56,7 @@
     await clock.advance(500);
     assert.equal(first.orders.get(SERVICE)?.id, id);
     assert.ok(
-      isSameEntry(second.orders.get(SERVICE)!, first.orders.get(SERVICE)!),
+      isSameOrder(second.orders.get(SERVICE)!, first.orders.get(SERVICE)!),
     );
     // A later order must count as later at both.
     const next = await order("v3");
