Forwarding: what servers advertise is recorded by a class of its own

Recording cool-downs, limits and leaving from the heads of answers needs none of what sends calls. Result: 156 tests of forwarding/, rollout_calls, advertised_server_state and server_limit pass.

--- a/forwarding/server_sender.ts
+++ b/forwarding/server_sender.ts
@@ -3,8 +3,8 @@
 import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
 import type { CallQuarantine } from "../quarantine/mod.ts";
-import type { RegisteredServer, ServerRegistry } from "../servers/mod.ts";
-import type { AnswerFacts, CallHeaderCodec } from "./call_header_codec.ts";
+import type { ServerRegistry } from "../servers/mod.ts";
+import type { CallHeaderCodec } from "./call_header_codec.ts";
 import type { CallReplies } from "./call_replies.ts";
 import type { Candidate } from "./choose_server.ts";
 import type { CrashConfirmer } from "./crash_confirmer.ts";
@@ -19,6 +19,7 @@
 } from "./run_attempt.ts";
 import type { ServerClient } from "./server_client.ts";
 import { SendEvidence } from "./send_evidence.ts";
+import { ServerFactsRecorder } from "./server_facts_recorder.ts";
 import type { ServerOutcome } from "./server_health.ts";
 import type { ServerVersions } from "./server_versions.ts";
 
@@ -69,10 +70,12 @@
  */
 export class ServerSender {
   readonly #parts: ServerSenderParts;
+  readonly #facts: ServerFactsRecorder;
 
   /** @param parts Clock, client, logger, metrics and what is known of servers. */
   constructor(parts: ServerSenderParts) {
     this.#parts = parts;
+    this.#facts = new ServerFactsRecorder(parts);
   }
 
   /**
@@ -142,7 +145,7 @@
         liveness.recordBytes(nowMs);
         evidence?.recordBytes(nowMs);
       },
-      onFacts: (facts) => this.#recordFacts(entry, facts, startMs),
+      onFacts: (facts) => this.#facts.record(entry, facts, startMs),
       onAnswerEnd: (end) =>
         metrics.count("call.answer_ends", 1, {
           service: service.name,
@@ -289,88 +292,6 @@
     }
   }
 
-  /** Records what a server reports about itself in the head of an answer. */
-  #recordFacts(
-    server: RegisteredServer,
-    facts: AnswerFacts,
-    sentMs: number,
-  ): void {
-    const {
-      coldForMs,
-      isLeaving,
-      isMisdirected: isMisdirected,
-      cooldownMs: cooldownMs,
-    } = facts;
-    const { id, service } = server;
-    // Another server has the address, and the answer is about that server.
-    if (isMisdirected) return;
-    this.#recordLimit(server, facts, sentMs);
-    this.#recordTolerance(server, facts, sentMs);
-    const { clock, learned: { health }, logger, registry } = this.#parts;
-    const nowMs = clock.nowMs();
-    if (coldForMs !== undefined && coldForMs > 0) {
-      registry.markCold(id, nowMs + coldForMs);
-    }
-    if (isLeaving && registry.markLeaving(id)) {
-      logger.info("server is shutting down", { server: id, service });
-    }
-    if (
-      cooldownMs !== undefined &&
-      health.startCooldown(id, nowMs + cooldownMs, nowMs)
-    ) {
-      const forMs = Math.round(cooldownMs);
-      logger.info("server entered cool-down", { server: id, service, forMs });
-    }
-  }
-
-  #recordLimit(
-    { id, service }: RegisteredServer,
-    { isNotExecuted, limitPerSecond: perSecond }: AnswerFacts,
-    sentMs: number,
-  ): void {
-    // A rejection without a limit does not lift the known one: a server that rejects calls
-    // still needs it.
-    if (isNotExecuted && perSecond === undefined) return;
-    const { clock, learned: { limits }, logger } = this.#parts;
-    if (!limits.recordAdvertised(id, { perSecond, sentMs }, clock.nowMs())) {
-      return;
-    }
-    if (perSecond === undefined) {
-      logger.info("server no longer advertises a limit", {
-        server: id,
-        service,
-      });
-    } else {
-      logger.info("server advertised a limit", {
-        server: id,
-        service,
-        perSecond,
-      });
-    }
-  }
-
-  #recordTolerance(
-    { id, service }: RegisteredServer,
-    { isNotExecuted, rejectionsPerSecond: perSecond }: AnswerFacts,
-    sentMs: number,
-  ): void {
-    // Like a limit, it isn't lifted by a rejection that does not name it.
-    if (isNotExecuted && perSecond === undefined) return;
-    const { clock, learned: { rejectionGate }, logger } = this.#parts;
-    const advertised = { perSecond, sentMs };
-    if (!rejectionGate.recordAdvertised(id, advertised, clock.nowMs())) return;
-    logger.info(
-      perSecond === undefined
-        ? "server no longer limits rejections"
-        : "server advertised a limit of rejections",
-      {
-        server: id,
-        service,
-        ...(perSecond === undefined ? {} : { perSecond }),
-      },
-    );
-  }
-
   /** Records for the quarantine whether the call was answered or its server crashed. */
   async #recordForQuarantine(
     { content, isTrial }: Exchange,
