Rollouts: shorter functions where state is applied and calls are sent

Cause: StateInForce.#applyEntry and ServerSender.send grew by rollouts, and the comment on the first versions said that ordered ones were left out. The comment and the name of the tracker's set of runs whose finding was announced are corrected. Behaviour is the same. Result: 188 tests of rollout_calls, rollout_documents, rollout_tracker, forwarding/ and state/ pass; lint passes.

--- a/forwarding/server_sender.ts
+++ b/forwarding/server_sender.ts
@@ -17,11 +17,11 @@
   type EndedOutcome,
   runAttempt,
 } from "./run_attempt.ts";
-import type { ServerClient } from "./server_client.ts";
+import type { SendRequest, ServerClient } from "./server_client.ts";
 import { SendEvidence } from "./send_evidence.ts";
 import { ServerFactsRecorder } from "./server_facts_recorder.ts";
-import type { ServerOutcome } from "./server_health.ts";
 import type { ServerVersions } from "./server_versions.ts";
+import { toServerOutcome } from "./to_server_outcome.ts";
 
 /**
  * How long a server is excluded after another server answered at its address, in
@@ -93,7 +93,7 @@
     const { clock, headerCodec, learned, loads, metrics, versions } =
       this.#parts;
     const { server: { entry }, prefillTokens } = candidate;
-    const { call, service } = exchange;
+    const { service } = exchange;
     const startMs = clock.nowMs();
     const queuedTokens = loads.readTotal(entry.id).pendingTokens;
     const gated = learned.rejectionGate.begin(entry.id, candidate.usage);
@@ -116,21 +116,7 @@
       client: this.#parts.client,
       headerCodec,
       sink: exchange.sink,
-      request: {
-        address: entry.address,
-        method: call.method,
-        target: call.target,
-        headers: headerCodec.writeSend(call.headers, {
-          serverName: entry.name,
-          rank: exchange.access.rank,
-          team: exchange.access.caller?.team.id,
-          withholdsKeys: exchange.access.withholdsKeys,
-          remainingMs: Math.max(1, Math.floor(exchange.deadlineMs - startMs)),
-          lastEventId: exchange.progress.lastEventId,
-        }),
-        body: call.body,
-        maxConnections: this.#computeMaxConnections(candidate, exchange),
-      },
+      request: this.#createRequest(exchange, candidate, startMs),
       callId: exchange.facts.callId,
       isHop: false,
       holdsFailures: canRetry,
@@ -190,6 +176,30 @@
     return outcome;
   }
 
+  #createRequest(
+    exchange: Exchange,
+    candidate: Candidate,
+    nowMs: number,
+  ): SendRequest {
+    const { access, call, deadlineMs, progress } = exchange;
+    const { entry } = candidate.server;
+    return {
+      address: entry.address,
+      method: call.method,
+      target: call.target,
+      headers: this.#parts.headerCodec.writeSend(call.headers, {
+        serverName: entry.name,
+        rank: access.rank,
+        team: access.caller?.team.id,
+        withholdsKeys: access.withholdsKeys,
+        remainingMs: Math.max(1, Math.floor(deadlineMs - nowMs)),
+        lastEventId: progress.lastEventId,
+      }),
+      body: call.body,
+      maxConnections: this.#computeMaxConnections(candidate, exchange),
+    };
+  }
+
   /** Counts a call as load of its server until the returned functions end its prompt reading and the call. */
   #beginLoad(
     candidate: Candidate,
@@ -325,21 +335,3 @@
 function isServed(outcome: EndedOutcome): boolean {
   return outcome.kind === "answered" && outcome.status < 500;
 }
-
-function toServerOutcome(outcome: EndedOutcome): ServerOutcome | undefined {
-  switch (outcome.kind) {
-    case "answered":
-      return outcome.status >= 500 ? "error" : "answered";
-    case "failed":
-      return "error";
-    case "no-answer":
-    case "broken":
-      return "no-answer";
-    case "rejected":
-      return outcome.isMisdirected ? undefined : "rejected";
-    // Connections that do not open are recorded apart; a limit of this instance shows nothing.
-    case "not-sent":
-    case "given-up":
-      return undefined;
-  }
-}
--- a/rollouts/known_versions.ts
+++ b/rollouts/known_versions.ts
@@ -22,7 +22,7 @@
     return this.#servers;
   }
 
-  /** Versions seen in the first seconds, without those that are ordered. */
+  /** Versions seen in the first seconds; an ordered one may be among them. */
   get firstVersions(): readonly ServerVersion[] {
     return [...this.#firstVersions].sort();
   }
--- a/rollouts/rollout_tracker.ts
+++ b/rollouts/rollout_tracker.ts
@@ -39,8 +39,8 @@
   readonly #createdMs: number;
   readonly #services = new Map<string, ServiceRollout>();
   readonly #pendingWrites = new Map<string, PendingWrite>();
-  /** Runs whose finding was told. */
-  readonly #told = new WeakSet<OrderRun>();
+  /** Runs whose finding was passed to `onEvent`, which is called once for each. */
+  readonly #announcedRuns = new WeakSet<OrderRun>();
 
   /** @param parts Collaborators of the tracker. */
   constructor(parts: RolloutTrackerParts) {
@@ -303,8 +303,8 @@
     const serverCount = state.versions.countServers(run.destination);
     run.evaluate(this.#parts.clock.nowMs(), serverCount);
     const { badReason, evidence, id } = run;
-    if (badReason === undefined || this.#told.has(run)) return;
-    this.#told.add(run);
+    if (badReason === undefined || this.#announcedRuns.has(run)) return;
+    this.#announcedRuns.add(run);
     this.#parts.onEvent?.({
       kind: "found-bad",
       service: state.service,
--- a/state/state_in_force.ts
+++ b/state/state_in_force.ts
@@ -22,7 +22,11 @@
   toOrderId,
 } from "./rollout_documents.ts";
 import { ServerEntries } from "./server_entries.ts";
-import type { RegisteredInstance, StateDecoder } from "./state_document.ts";
+import type {
+  RegisteredInstance,
+  StateDecoder,
+  StateDocument,
+} from "./state_document.ts";
 import type { StateCopy } from "./state_source.ts";
 
 /**
@@ -285,8 +289,27 @@
         });
         return;
       }
-      case "rollout-order": {
+      case "rollout-order":
+      case "refused-order":
+      case "rollout-record":
+        this.#cache.put(entry, document);
+        this.#applyRollout(entry, document);
+        return;
+      case "evacuation":
+      case "instance":
+      case "other":
         this.#cache.put(entry, document);
+    }
+  }
+
+  #applyRollout(
+    entry: StoreEntry,
+    document: StateDocument & {
+      kind: "rollout-order" | "refused-order" | "rollout-record";
+    },
+  ): void {
+    switch (document.kind) {
+      case "rollout-order": {
         const { destination, durationMs, service } = document;
         const id = toOrderId(this.#appliedEra, entry.revision);
         const order = { id, service, destination, durationMs };
@@ -296,7 +319,6 @@
       case "refused-order": {
         const { destination, reason, service } = document;
         this.#logRefusal(entry, reason);
-        this.#cache.put(entry, document);
         this.rollouts.refuseOrder({
           service,
           status: destination &&
@@ -305,13 +327,7 @@
         return;
       }
       case "rollout-record":
-        this.#cache.put(entry, document);
         this.rollouts.putRecord(document.record);
-        return;
-      case "evacuation":
-      case "instance":
-      case "other":
-        this.#cache.put(entry, document);
     }
   }
 
