--- a/forwarding/server_sender.ts
+++ b/forwarding/server_sender.ts
@@ -3,8 +3,8 @@
 import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
 import type { CallQuarantine } from "../quarantine/mod.ts";
-import type { RegisteredServer, ServerRegistry } from "../servers/mod.ts";
-import type { AnswerFacts, CallHeaderCodec } from "./call_header_codec.ts";
+import type { ServerRegistry } from "../servers/mod.ts";
+import type { CallHeaderCodec } from "./call_header_codec.ts";
 import type { CallReplies } from "./call_replies.ts";
 import type { Candidate } from "./choose_server.ts";
 import type { CrashConfirmer } from "./crash_confirmer.ts";
@@ -17,10 +17,11 @@
   type EndedOutcome,
   runAttempt,
 } from "./run_attempt.ts";
-import type { ServerClient } from "./server_client.ts";
+import type { SendRequest, ServerClient } from "./server_client.ts";
 import { SendEvidence } from "./send_evidence.ts";
-import type { ServerOutcome } from "./server_health.ts";
+import { ServerFactsRecorder } from "./server_facts_recorder.ts";
 import type { ServerVersions } from "./server_versions.ts";
+import { toServerOutcome } from "./to_server_outcome.ts";
 
 /**
  * How long a server is excluded after another server answered at its address, in
@@ -69,10 +70,12 @@
  */
 export class ServerSender {
   readonly #parts: ServerSenderParts;
+  readonly #facts: ServerFactsRecorder;
 
   /** @param parts Clock, client, logger, metrics and what is known of servers. */
   constructor(parts: ServerSenderParts) {
     this.#parts = parts;
+    this.#facts = new ServerFactsRecorder(parts);
   }
 
   /**
@@ -90,7 +93,7 @@
     const { clock, headerCodec, learned, loads, metrics, versions } =
       this.#parts;
     const { server: { entry }, prefillTokens } = candidate;
-    const { call, service } = exchange;
+    const { service } = exchange;
     const startMs = clock.nowMs();
     const queuedTokens = loads.readTotal(entry.id).pendingTokens;
     const gated = learned.rejectionGate.begin(entry.id, candidate.usage);
@@ -113,21 +116,7 @@
       client: this.#parts.client,
       headerCodec,
       sink: exchange.sink,
-      request: {
-        address: entry.address,
-        method: call.method,
-        target: call.target,
-        headers: headerCodec.writeSend(call.headers, {
-          serverName: entry.name,
-          rank: exchange.access.rank,
-          team: exchange.access.caller?.team.id,
-          withholdsKeys: exchange.access.withholdsKeys,
-          remainingMs: Math.max(1, Math.floor(exchange.deadlineMs - startMs)),
-          lastEventId: exchange.progress.lastEventId,
-        }),
-        body: call.body,
-        maxConnections: this.#computeMaxConnections(candidate, exchange),
-      },
+      request: this.#createRequest(exchange, candidate, startMs),
       callId: exchange.facts.callId,
       isHop: false,
       holdsFailures: canRetry,
@@ -142,7 +131,7 @@
         liveness.recordBytes(nowMs);
         evidence?.recordBytes(nowMs);
       },
-      onFacts: (facts) => this.#recordFacts(entry, facts, startMs),
+      onFacts: (facts) => this.#facts.record(entry, facts, startMs),
       onAnswerEnd: (end) =>
         metrics.count("call.answer_ends", 1, {
           service: service.name,
@@ -187,6 +176,30 @@
     return outcome;
   }
 
+  #createRequest(
+    exchange: Exchange,
+    candidate: Candidate,
+    nowMs: number,
+  ): SendRequest {
+    const { access, call, deadlineMs, progress } = exchange;
+    const { entry } = candidate.server;
+    return {
+      address: entry.address,
+      method: call.method,
+      target: call.target,
+      headers: this.#parts.headerCodec.writeSend(call.headers, {
+        serverName: entry.name,
+        rank: access.rank,
+        team: access.caller?.team.id,
+        withholdsKeys: access.withholdsKeys,
+        remainingMs: Math.max(1, Math.floor(deadlineMs - nowMs)),
+        lastEventId: progress.lastEventId,
+      }),
+      body: call.body,
+      maxConnections: this.#computeMaxConnections(candidate, exchange),
+    };
+  }
+
   /** Counts a call as load of its server until the returned functions end its prompt reading and the call. */
   #beginLoad(
     candidate: Candidate,
@@ -289,88 +302,6 @@
     }
   }
 
-  /** Records what a server reports about itself in the head of an answer. */
-  #recordFacts(
-    server: RegisteredServer,
-    facts: AnswerFacts,
-    sentMs: number,
-  ): void {
-    const {
-      coldForMs,
-      isLeaving,
-      isMisdirected: isMisdirected,
-      cooldownMs: cooldownMs,
-    } = facts;
-    const { id, service } = server;
-    // Another server has the address, and the answer is about that server.
-    if (isMisdirected) return;
-    this.#recordLimit(server, facts, sentMs);
-    this.#recordTolerance(server, facts, sentMs);
-    const { clock, learned: { health }, logger, registry } = this.#parts;
-    const nowMs = clock.nowMs();
-    if (coldForMs !== undefined && coldForMs > 0) {
-      registry.markCold(id, nowMs + coldForMs);
-    }
-    if (isLeaving && registry.markLeaving(id)) {
-      logger.info("server is shutting down", { server: id, service });
-    }
-    if (
-      cooldownMs !== undefined &&
-      health.startCooldown(id, nowMs + cooldownMs, nowMs)
-    ) {
-      const forMs = Math.round(cooldownMs);
-      logger.info("server entered cool-down", { server: id, service, forMs });
-    }
-  }
-
-  #recordLimit(
-    { id, service }: RegisteredServer,
-    { isNotExecuted, limitPerSecond: perSecond }: AnswerFacts,
-    sentMs: number,
-  ): void {
-    // A rejection without a limit does not lift the known one: a server that rejects calls
-    // still needs it.
-    if (isNotExecuted && perSecond === undefined) return;
-    const { clock, learned: { limits }, logger } = this.#parts;
-    if (!limits.recordAdvertised(id, { perSecond, sentMs }, clock.nowMs())) {
-      return;
-    }
-    if (perSecond === undefined) {
-      logger.info("server no longer advertises a limit", {
-        server: id,
-        service,
-      });
-    } else {
-      logger.info("server advertised a limit", {
-        server: id,
-        service,
-        perSecond,
-      });
-    }
-  }
-
-  #recordTolerance(
-    { id, service }: RegisteredServer,
-    { isNotExecuted, rejectionsPerSecond: perSecond }: AnswerFacts,
-    sentMs: number,
-  ): void {
-    // Like a limit, it isn't lifted by a rejection that does not name it.
-    if (isNotExecuted && perSecond === undefined) return;
-    const { clock, learned: { rejectionGate }, logger } = this.#parts;
-    const advertised = { perSecond, sentMs };
-    if (!rejectionGate.recordAdvertised(id, advertised, clock.nowMs())) return;
-    logger.info(
-      perSecond === undefined
-        ? "server no longer limits rejections"
-        : "server advertised a limit of rejections",
-      {
-        server: id,
-        service,
-        ...(perSecond === undefined ? {} : { perSecond }),
-      },
-    );
-  }
-
   /** Records for the quarantine whether the call was answered or its server crashed. */
   async #recordForQuarantine(
     { content, isTrial }: Exchange,
@@ -404,21 +335,3 @@
 function isServed(outcome: EndedOutcome): boolean {
   return outcome.kind === "answered" && outcome.status < 500;
 }
-
-function toServerOutcome(outcome: EndedOutcome): ServerOutcome | undefined {
-  switch (outcome.kind) {
-    case "answered":
-      return outcome.status >= 500 ? "error" : "answered";
-    case "failed":
-      return "error";
-    case "no-answer":
-    case "broken":
-      return "no-answer";
-    case "rejected":
-      return outcome.isMisdirected ? undefined : "rejected";
-    // Connections that do not open are recorded apart; a limit of this instance shows nothing.
-    case "not-sent":
-    case "given-up":
-      return undefined;
-  }
-}
--- a/rollouts/rollout_tracker.ts
+++ b/rollouts/rollout_tracker.ts
@@ -4,6 +4,7 @@
 import { planRecord } from "./plan_record.ts";
 import type { RolloutTrackerParts } from "./rollout_tracker_parts.ts";
 import type {
+  ResponseOutcome,
   RolloutOrder,
   RolloutRecord,
   RolloutReport,
@@ -24,7 +25,7 @@
 const ANY: VersionAssignment = { kind: "any" };
 const NO_SEND: SendRecord = { end: () => {} };
 /** Delay of a relay's write for each relay before it, in milliseconds: usually one writes. */
-const RANK_DELAY_MS = 150;
+export const RELAY_RANK_DELAY_MS = 150;
 
 /** A decision that a relay waits to write. */
 interface PendingWrite {
@@ -38,8 +39,8 @@
   readonly #createdMs: number;
   readonly #services = new Map<string, ServiceRollout>();
   readonly #pendingWrites = new Map<string, PendingWrite>();
-  /** Runs whose finding was told. */
-  readonly #told = new WeakSet<OrderRun>();
+  /** Runs whose finding was passed to `onEvent`, which is called once for each. */
+  readonly #announcedRuns = new WeakSet<OrderRun>();
 
   /** @param parts Collaborators of the tracker. */
   constructor(parts: RolloutTrackerParts) {
@@ -125,7 +126,8 @@
         if (hasEnded) return;
         hasEnded = true;
         state.countInFlight(version, -1);
-        if (run === undefined || outcome.kind === "ignored") return;
+        if (outcome.kind === "not-sent") run?.budget.refund(isDestination);
+        if (run === undefined || !isResponse(outcome)) return;
         const subject = isDestination ? id : "in-force";
         run.evidence.record(route, subject, outcome, isCold);
         run.requestEvaluation();
@@ -193,7 +195,7 @@
       const pending = this.#pendingWrites.get(state.service);
       const sinceMs = pending?.key === key ? pending.sinceMs : nowMs;
       this.#pendingWrites.set(state.service, { key, sinceMs });
-      return nowMs - sinceMs >= rank * RANK_DELAY_MS ? [record] : [];
+      return nowMs - sinceMs >= rank * RELAY_RANK_DELAY_MS ? [record] : [];
     });
   }
 
@@ -301,8 +303,8 @@
     const serverCount = state.versions.countServers(run.destination);
     run.evaluate(this.#parts.clock.nowMs(), serverCount);
     const { badReason, evidence, id } = run;
-    if (badReason === undefined || this.#told.has(run)) return;
-    this.#told.add(run);
+    if (badReason === undefined || this.#announcedRuns.has(run)) return;
+    this.#announcedRuns.add(run);
     this.#parts.onEvent?.({
       kind: "found-bad",
       service: state.service,
@@ -320,3 +322,7 @@
     return state;
   }
 }
+
+function isResponse(outcome: SendOutcome): outcome is ResponseOutcome {
+  return outcome.kind === "answered" || outcome.kind === "failed";
+}
