Capacity: the work of a start does not halve the reported capacity

Cause: two late samples of the event loop in the first second after the start halved the capacity for 6 s or more. A start alone is late on 0.243 cores. Change: a late event loop counts from 4 s after the first sample on.

--- a/capacity/capacity_monitor.ts
+++ b/capacity/capacity_monitor.ts
@@ -20,6 +20,13 @@
  * directory for 2 s, so that the effect of a reduction shows only after that time.
  */
 const REDUCTION_INTERVAL_MS = 2_500;
+/**
+ * Time from the first sample for which a late event loop does not count, in milliseconds.
+ * A start takes 0.3 to 0.43 s of processor time (docs/design/processor_time.md), which are
+ * up to 1.8 s on 0.243 cores, and says nothing about the calls that the instance can carry
+ * afterwards. The time is about twice as long.
+ */
+const START_UP_MS = 4_000;
 /** Time without being behind after which the capacity is raised one step, in milliseconds. */
 const RECOVERY_INTERVAL_MS = 6_000;
 /** Factor of one step. Callers move at each step, so that there are few of them. */
@@ -48,6 +55,7 @@
   readonly #ratedCores: number | undefined;
   #fraction = 1;
   #lateSamples = 0;
+  #firstSampleMs: number | undefined;
   #changedMs = Number.NEGATIVE_INFINITY;
   #behindMs = Number.NEGATIVE_INFINITY;
   #linkWindow: { readonly startMs: number; readonly bytes: number } | undefined;
@@ -70,7 +78,9 @@
   /** Records a sample. Samples are taken several times per second. */
   record(sample: CapacitySample): void {
     const { loopDelayMs, nowMs } = sample;
-    this.#lateSamples = loopDelayMs >= BEHIND_DELAY_MS
+    this.#firstSampleMs ??= nowMs;
+    const isStarting = nowMs - this.#firstSampleMs < START_UP_MS;
+    this.#lateSamples = !isStarting && loopDelayMs >= BEHIND_DELAY_MS
       ? this.#lateSamples + 1
       : 0;
     this.#measureLink(sample);
--- a/capacity/capacity_test.ts
+++ b/capacity/capacity_test.ts
@@ -46,6 +46,28 @@
   });
 });
 
+describe("CapacityMonitor at the start of an instance", () => {
+  // On 0.243 cores the work of a start would halve the capacity for the next 6 s.
+  it("reports the rated capacity while the event loop is late in the first seconds only", () => {
+    const monitor = new CapacityMonitor({ cores: 0.243 });
+    const reported = Array.from({ length: 40 }, (_, at) => {
+      const nowMs = at * SAMPLE_INTERVAL_MS;
+      const loopDelayMs = nowMs < 3_000 ? 400 : 0;
+      monitor.record({ nowMs, loopDelayMs, linkBytes: 0 });
+      return monitor.capacity!.currentCores;
+    });
+    assert.deepEqual([...new Set(reported)], [0.243]);
+  });
+
+  it("reports less once the event loop stays late after the first seconds", () => {
+    const monitor = new CapacityMonitor({ cores: 0.243 });
+    for (let nowMs = 0; nowMs <= 5_000; nowMs += SAMPLE_INTERVAL_MS) {
+      monitor.record({ nowMs, loopDelayMs: 400, linkBytes: 0 });
+    }
+    assert.equal(monitor.capacity!.currentCores, 0.1215);
+  });
+});
+
 describe("pickByCapacity()", () => {
   it("picks in proportion to the present capacities, or uniformly if one is unknown", () => {
     const random = createRandom(3);
