Capacity: an instance rates itself with the value that others decode

Change: the rated capacity is rounded to thousandths, at least one. The test of a link of 7 Mbit/s expects 0.438 in place of 7/16, as others decode. Measured: the new test of capacity/ fails before and passes after.

--- a/capacity/instance_capacity.ts
+++ b/capacity/instance_capacity.ts
@@ -26,9 +26,15 @@
  * per second, of which 0.025 are used without calls: about 10 ms a call.
  */
 const LINK_MBPS_PER_CORE = 16;
+/**
+ * Steps of a rated capacity. Reports contain thousandths of a core: with any other value
+ * an instance would rank itself differently than the others rank it.
+ */
+const MILLICORES_PER_CORE = 1_000;
 
 /**
- * Returns the capacity that follows from an instance's limits, in cores, or `undefined`
+ * Returns the capacity that follows from an instance's limits, in cores rounded to
+ * thousandths, or `undefined`
  * if neither its processor nor its link is known.
  *
  * @param limits Resources that the instance may use.
@@ -37,10 +43,12 @@
   { cores, linkMbps }: InstanceLimits,
 ): number | undefined {
   if (cores === undefined && linkMbps === undefined) return undefined;
-  return Math.min(
+  const exactCores = Math.min(
     cores ?? Number.POSITIVE_INFINITY,
     (linkMbps ?? Number.POSITIVE_INFINITY) / LINK_MBPS_PER_CORE,
   );
+  const millicores = Math.max(1, Math.round(MILLICORES_PER_CORE * exactCores));
+  return millicores / MILLICORES_PER_CORE;
 }
 
 /**
