Directory: the largest instance that is behind moves only its own callers

Cause: shares were capacities divided by the largest present one. When the only largest instance was behind or caught up, the answers of all callers changed, who then closed connections to instances that were well. Change: shares are divided by the largest rated capacity.

--- a/directory/select_by_capacity.ts
+++ b/directory/select_by_capacity.ts
@@ -21,10 +21,10 @@
 /**
  * Selects the instances that one caller uses, so that each instance is used in proportion
  * to its present capacity. The largest instances are named to all callers, and one with
- * a tenth of their capacity to a tenth of them. Which callers these are is decided by
+ * a tenth of their rated capacity to a tenth of them. Which callers these are is decided by
  * rendezvous hashing: a caller gets the same answer while membership and capacities are
- * the same, and an instance that starts, stops or changes moves only its own callers
- * unless it is the largest one.
+ * the same, and an instance that is behind moves only its own callers. One that
+ * starts or stops does so too, unless it is the only largest one.
  *
  * Returns all instances if a capacity is unknown, or if all have the same one.
  *
@@ -42,7 +42,10 @@
 ): readonly MemberRecord[] {
   const weights = listCapacityWeights(members);
   if (weights === undefined) return members;
-  const largest = Math.max(...weights);
+  // The rated capacity, as the shares of all others would change whenever the largest is behind.
+  const largest = Math.max(
+    ...members.map(({ capacity }) => capacity!.ratedCores),
+  );
   const total = weights.reduce((sum, weight) => sum + weight, 0);
   const scale = Math.min(1 / largest, maxCount / total);
   const ranked = members.map((member, at): Candidate => ({
--- a/directory/select_by_capacity_test.ts
+++ b/directory/select_by_capacity_test.ts
@@ -88,6 +88,23 @@
     );
   });
 
+  // Callers would close connections to all other instances when the only large one, after
+  // it was behind, has caught up.
+  it("changes the other instances of hardly any caller when the only largest one is behind", () => {
+    const sized = REGION.map((_, at) => createSized(at, at === 3 ? 1.35 : 0.5));
+    const behind = sized.map((member, at) =>
+      at === 3 ? createSized(at, 1.35, 0.675) : member
+    );
+    const listOthers = (members: readonly MemberRecord[], caller: string) =>
+      select(members, caller).map(({ id }) => id)
+        .filter((id) => id !== REGION[3]!.id).sort();
+    const changed = CALLERS.filter((caller) =>
+      `${listOthers(behind, caller)}` !== `${listOthers(sized, caller)}`
+    );
+    // Callers with fewer than three instances in their share get the next ones.
+    assert.ok(changed.length < 0.01 * CALLERS.length, `${changed.length}`);
+  });
+
   // Callers close their connections to instances that an answer no longer names.
   it("takes no other instance from a caller when one dies or changes, whatever the order", () => {
     const others = REGION.filter((_, at) => at !== 1);
