Code cache: the loader checks that a cache is whole and of its bundle

Cause: V8 compares only the length of the source with a cache and does not check the content. A cache with 64 damaged bytes ended the process at its start (V8 check failed), and a bundle replaced by one of the same length ran the code of the former.

--- a/deploy/write_code_cache.cjs
+++ b/deploy/write_code_cache.cjs
@@ -79,7 +79,12 @@
         },
         { name: "records", maxConnections: 100 },
       ],
-      tenants: [{ name: "team", apiKeys: ["key"], requestsPerS: 1_000, burst: 1_000 }],
+      tenants: [{
+        name: "team",
+        apiKeys: ["key"],
+        requestsPerS: 1_000,
+        burst: 1_000,
+      }],
       limits: {
         maxHeaderBytes: 16_384,
         maxBodyBytes: 100_000,
@@ -176,16 +181,16 @@
     ].join("\n"),
   );
   process.env.HAVENSPUR_SETTINGS = settings;
-  const { runMain } = new Function(
+  const { runMain, writeCache } = new Function(
     "require",
     "__dirname",
-    `${readFileSync(loaderPath, "utf8")}; return { runMain };`,
+    `${readFileSync(loaderPath, "utf8")}; return { runMain, writeCache };`,
   )(require, __dirname);
   // The program takes its arguments and its log from this process.
   process.argv.splice(2);
   const script = runMain(mainPath, require);
   const finish = () => {
-    writeFileSync(`${mainPath}.cache`, script.createCachedData());
+    writeCache(mainPath, script);
     process.exit(0);
   };
   setTimeout(finish, MAX_RUN_MS);
