--- a/rollouts/plan_record_test.ts
+++ b/rollouts/plan_record_test.ts
@@ -68,7 +68,7 @@
 const VERDICT = { isCovered: true, isSuspicious: false, suspects: [] };
 
 describe("planRecord()", () => {
-  // Each case is one row of the page's tables; a wrong outcome harms callers or the operator.
+  // A wrong outcome harms callers or the operator; the cases are those of the design note's tables.
   const cases: readonly (readonly [
     string,
     Partial<PlanInput>,
