Rollouts: servers are handed to the tracker only when they changed

Cause: a deployment with rollouts handed all servers to the tracker four times a second, though no order ran and nothing had changed; every instance built its groups again.

--- a/daemon/rollout_controller.ts
+++ b/daemon/rollout_controller.ts
@@ -63,6 +63,8 @@
   readonly #parts: RolloutControllerParts;
   readonly #observer: RolloutObserver;
   #table: RouteTable | undefined;
+  /** Changes of the registry when its servers were last applied. */
+  #appliedChanges = 0;
 
   /** @param parts State, servers, other instances and the writer. */
   constructor(parts: RolloutControllerParts) {
@@ -104,6 +106,7 @@
   /** Applies the registered servers. */
   applyServers(): void {
     const { registry } = this.#parts;
+    this.#appliedChanges = registry.changeCount;
     this.tracker.applyServers(
       registry.servers.flatMap(({ coldUntilMs, entry }) => {
         const { id, region, service, version } = entry;
@@ -147,10 +150,13 @@
 
   /** Updates servers whose state changed without a write to the store, and the metrics. */
   sweep(): void {
-    this.applyServers();
+    const reports = this.tracker.createReports("instance");
+    const isChanged = this.#parts.registry.changeCount !== this.#appliedChanges;
+    // While an order runs, its canary servers also depend on the time.
+    if (isChanged || reports.length > 0) this.applyServers();
     const known = this.#parts.getState().rollouts?.list() ?? [];
     const records = known.flatMap(({ record }) => record ?? []);
-    this.#observer.measure(records, this.tracker.createReports("instance"));
+    this.#observer.measure(records, reports);
   }
 
   /** Returns the rollouts by service, with what this instance has counted for orders that run. */
--- a/servers/server_registry.ts
+++ b/servers/server_registry.ts
@@ -57,6 +57,7 @@
   readonly #readWarmUpMs: (service: string) => number;
   #usablePools: ReadonlyMap<string, readonly KnownServer[]> = new Map();
   #usableServices: ReadonlyMap<RegionId, readonly string[]> = new Map();
+  #changeCount = 0;
 
   /** @param options Warm-up times of the services. */
   constructor(options: ServerRegistryOptions = {}) {
@@ -68,6 +69,11 @@
     return [...this.#servers.values()];
   }
 
+  /** Number of changes so far, by which a reader tells whether anything is new. */
+  get changeCount(): number {
+    return this.#changeCount;
+  }
+
   /** Failure domains whose servers get no calls at present. */
   get evacuated(): ReadonlySet<FailureDomainId> {
     return this.#evacuated;
@@ -217,6 +223,7 @@
   }
 
   #refreshPools(): void {
+    this.#changeCount++;
     const pools = new Map<string, KnownServer[]>();
     this.#servers.forEach((known, id) => {
       if (!this.isUsable(id)) return;
