--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,2 +1,3 @@
 #!/bin/sh
+ulimit -c 0
 exec node "$(dirname "$0")/run.mjs"
