--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -9,16 +9,16 @@
 
 const WAVES = 3;
 /** Streams at a time at each machine: the usual number, and in a burst of 2.5 times that. */
-const STREAMS = 28;
+const STREAMS = 24;
 const BURST_X = 2.5;
 const WAVE_MS = 9_000;
 const ENGINES = 5;
 const SLOTS = 64;
 const SESSIONS = 4;
 /** Parts of a session's history, all shared: short turns, then documents. */
-const TURNS = 850;
+const TURNS = 900;
 const TURN_TOKENS = 8;
-const DOCUMENTS = 300;
+const DOCUMENTS = 330;
 const DOCUMENT_TOKENS = 256;
 const OWN_TOKENS = 40;
 const EVENTS = 10;
--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -104,7 +104,7 @@
     });
   }
 
-  async awaitReady(limitMs = 15_000) {
+  async awaitReady(limitMs = 30_000) {
     const until = Date.now() + limitMs;
     while (!await this.isReady()) {
       if (Date.now() > until) throw new Error(`${this.name} is not ready`);
