--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -1,5 +1,5 @@
 // Clients upload bodies in small chunks, as many at once as in a burst.
-import { dirname } from "node:path";
+import { dirname, join } from "node:path";
 import { fileURLToPath } from "node:url";
 import net from "node:net";
 import { readFileSync } from "node:fs";
@@ -56,7 +56,7 @@
   });
 }
 
-await runCase(dirname(fileURLToPath(import.meta.url)), async ({ isTrouble, onEnd, record }) => {
+await runCase(process.argv[2] ?? join(dirname(fileURLToPath(import.meta.url)), "record.txt"), async ({ isTrouble, onEnd, record }) => {
   const passedOn = new Set();
   const { machines } = await startDeployment({
     onEnd,
@@ -71,6 +71,7 @@
       region: "casablanca",
       answer: async ({ callId, path }, socket) => {
         passedOn.add(callId);
+        record(`run ${callId} ${path} at i-${name}`);
         await sleep(path.startsWith("/record/") ? RECORD_WORK_MS : 50);
         if (socket.destroyed) return;
         socket.write(`HTTP/1.1 200 OK\r\nX-Havenspur-Attempt-Id: ${callId}\r\n` +
@@ -93,6 +94,7 @@
           const request = formatRequest("POST", "/record/1", {}, "note");
           id = request.id;
           sent++;
+          record(`sent ${id} POST /record/1 to ${machine.name}, number ${sent} of its connection`);
           socket.write(request.text);
         };
         socket.on("connect", send);
@@ -102,6 +104,7 @@
           if (!isComplete) return;
           bytes = Buffer.alloc(0);
           if (status === 200) answered++;
+          record(`answered ${id}: ${status}`);
           id = undefined;
           if (isOver || headers.connection === "close") socket.destroy();
           else send();
@@ -131,7 +134,12 @@
   const uploadWave = async (machine, wave) => {
     let peakMb = 0;
     const meter = setInterval(() => peakMb = Math.max(peakMb, readMemoryMb(machine)), 50);
-    const results = await Promise.all(Array.from({ length: count }, () => upload(machine.host)));
+    const results = await Promise.all(Array.from({ length: count }, async (_, at) => {
+      record(`sent upload ${wave}.${at + 1} to ${machine.name}`);
+      const how = await upload(machine.host);
+      record(`ended upload ${wave}.${at + 1} to ${machine.name}: ${how}`);
+      return how;
+    }));
     clearInterval(meter);
     const sums = Object.entries(Object.groupBy?.(results, (how) => how) ?? results.reduce((all, how) => ({ ...all, [how]: [...all[how] ?? [], how] }), {}))
       .map(([how, all]) => `${all.length} x ${how}`).join(", ");
--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -1,7 +1,7 @@
 // Clients send prompts with a long history of shared parts, as many at once as in a burst.
 import { readFileSync } from "node:fs";
 import net from "node:net";
-import { dirname } from "node:path";
+import { dirname, join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { parseAnswer, sendRaw } from "../lib/client.mjs";
 import { formatRequest, route, service, startDeployment } from "../lib/deployment.mjs";
@@ -36,9 +36,9 @@
 ].join(",");
 const PROMPT_TOKENS = TURNS * TURN_TOKENS + DOCUMENTS * DOCUMENT_TOKENS + OWN_TOKENS;
 
-await runCase(dirname(fileURLToPath(import.meta.url)), async ({ isTrouble, onEnd, record }) => {
+await runCase(process.argv[2] ?? join(dirname(fileURLToPath(import.meta.url)), "record.txt"), async ({ isTrouble, onEnd, record }) => {
   const passedOn = new Set();
-  const createEngine = () => {
+  const createEngine = (name) => {
     let running = 0;
     return async ({ callId }, socket) => {
       if (running >= SLOTS) {
@@ -47,6 +47,7 @@
         return;
       }
       running++;
+      record(`run ${callId} at ${name}`);
       socket.write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n" +
         `X-Havenspur-Attempt-Id: ${callId}\r\nX-Havenspur-Response-Signature: 3e1b.${callId}\r\n\r\n`);
       for (let at = 1; at <= EVENTS && !socket.destroyed; at++) {
@@ -60,6 +61,7 @@
   };
   const app = async ({ callId }, socket) => {
     passedOn.add(callId);
+    record(`run ${callId} at i-app`);
     await sleep(RECORD_WORK_MS);
     if (socket.destroyed) return;
     socket.write(`HTTP/1.1 200 OK\r\nX-Havenspur-Attempt-Id: ${callId}\r\n` +
@@ -78,7 +80,7 @@
     services: [service("assinatura-app"), service("barista-lm", { maxConnections: 370, engine: engineFields })],
     engines: [
       { id: "i-app", service: "assinatura-app", region: "recife", answer: app },
-      ...Array.from({ length: ENGINES }, (_, n) => ({ id: `i-lm${n}`, service: "barista-lm", region: "recife", answer: createEngine() })),
+      ...Array.from({ length: ENGINES }, (_, n) => ({ id: `i-lm${n}`, service: "barista-lm", region: "recife", answer: createEngine(`i-lm${n}`) })),
     ],
   });
   const lost = [];
@@ -96,6 +98,7 @@
           const request = formatRequest("POST", "/record/1", {}, "note");
           id = request.id;
           sent++;
+          record(`sent ${id} POST /record/1 to ${machine.name}, number ${sent} of its connection`);
           socket.write(request.text);
         };
         socket.on("connect", send);
@@ -105,6 +108,7 @@
           if (!isComplete) return;
           bytes = Buffer.alloc(0);
           if (status === 200) answered++;
+          record(`answered ${id}: ${status}`);
           id = undefined;
           if (isOver || headers.connection === "close") socket.destroy();
           else send();
@@ -141,14 +145,16 @@
     const stream = async () => {
       while (Date.now() < untilMs && machine.isRunning) {
         const n = calls++;
-        const { text } = formatRequest("POST", "/notes/1", {
+        const { id, text } = formatRequest("POST", "/notes/1", {
           "X-Havenspur-Model": "m",
           "X-Havenspur-Token-Counts": `${PROMPT_TOKENS},120`,
           "X-Havenspur-Prompt-Prefix": createPrefix(n % SESSIONS, n),
           "X-Havenspur-Deadline-Remaining": "8000",
         }, "prompt");
+        record(`sent ${id} POST /notes/1 to ${machine.name}`);
         const { how, isComplete, status } = await sendRaw({ host: machine.host, text });
         const end = isComplete ? `${status}` : `${status ?? "no answer"}, ${how}`;
+        record(`answered ${id}: ${end}`);
         sums[end] = (sums[end] ?? 0) + 1;
         if (!isComplete) await sleep(300);
       }
--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -1,6 +1,6 @@
 // Starts the project's program as the deploy file says, on loopback addresses of its own.
 import { spawn } from "node:child_process";
-import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { appendFileSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import http from "node:http";
 import net from "node:net";
 import { tmpdir } from "node:os";
@@ -119,11 +119,15 @@
   }
 }
 
-/** Runs a case; writes the record, ends all processes, and exits with the verdict. */
-export async function runCase(folder, run) {
+/**
+ * Runs a case; writes the record line by line, ends all processes, and exits with the verdict.
+ *
+ * @param recordPath File of the record, which is begun anew.
+ */
+export async function runCase(recordPath, run) {
   const startMs = Date.now();
-  const lines = [];
-  const record = (text) => lines.push(`${((Date.now() - startMs) / 1000).toFixed(3)} s  ${text}`);
+  writeFileSync(recordPath, "");
+  const record = (text) => appendFileSync(recordPath, `${((Date.now() - startMs) / 1000).toFixed(3)} s  ${text}\n`);
   const closers = [];
   const finish = (code) => {
     for (const close of closers.reverse()) {
@@ -131,7 +135,6 @@
         close();
       } catch { /* it has ended already */ }
     }
-    writeFileSync(join(folder, "record.txt"), lines.join("\n") + "\n");
     process.exit(code);
   };
   const limit = setTimeout(() => {
