Prompts of many parts: keys of prefixes have a bounded length

What callers saw: with 60 streams at a time at an instance, prompts of 1,231 parts, the process ends on a full heap. Cause: the key of a part listed the ids of all parts before it, so that the keys of a call grew with the square of its parts. Heap over 60 calls: headers 15 KB a call, parsed parts 90 KB, keys 99 KB and 2,329 KB more once they had been used. Change: extendPrefixKey() digests a key of over 64 characters; the next part extends the digest. Short keys are as before. Longer ones that instances of earlier versions report are digested as they are read.

--- a/fleet/encode_report.ts
+++ b/fleet/encode_report.ts
@@ -31,6 +31,7 @@
   encodeIncarnation,
 } from "./encode_capacities.ts";
 import { decodeRolloutRow, encodeRolloutRow } from "./encode_rollouts.ts";
+import { limitPrefixKey } from "./prefix_key.ts";
 import { toNumber, toText } from "./read_wire.ts";
 
 /** Method of the JSON-RPC notification that contains a report. */
@@ -282,7 +283,7 @@
   const [server, part, tokens] = row;
   return {
     server: toBackendId(toText(server)),
-    part: toText(part) || undefined,
+    part: limitPrefixKey(toText(part)) || undefined,
     tokens: toNumber(tokens),
   };
 }
--- a/fleet/mod.ts
+++ b/fleet/mod.ts
@@ -18,6 +18,7 @@
 export * from "./team_usage_tracker.ts";
 export * from "./load_tracker.ts";
 export * from "./pick_relays.ts";
+export * from "./prefix_key.ts";
 export * from "./prefix_queue.ts";
 export * from "./plan_reports.ts";
 export * from "./fleet_view.ts";
--- a/forwarding/prefix_cache_model.ts
+++ b/forwarding/prefix_cache_model.ts
@@ -1,4 +1,4 @@
-import type { ReportedPrefix } from "../fleet/mod.ts";
+import { extendPrefixKey, type ReportedPrefix } from "../fleet/mod.ts";
 import type { BackendId } from "../ids/mod.ts";
 import type { PromptPart } from "./call_header_codec.ts";
 import { forgetOthers } from "./forget_others.ts";
@@ -35,10 +35,14 @@
   parts: readonly PromptPart[],
 ): readonly KeyedPart[] {
   let key = "";
-  return parts.map(({ id, tokens }, index) => {
-    key = key === "" ? id : `${key}.${id}`;
-    return { key, tokens, isShared: index < parts.length - 1 };
-  }).filter(({ tokens }) => tokens >= MIN_PART_TOKENS);
+  let untracked: string[] = [];
+  return parts.flatMap(({ id, tokens }, index) => {
+    untracked.push(id);
+    if (tokens < MIN_PART_TOKENS) return [];
+    key = extendPrefixKey(key, untracked);
+    untracked = [];
+    return [{ key, tokens, isShared: index < parts.length - 1 }];
+  });
 }
 
 /**
@@ -56,7 +60,11 @@
 ): readonly ReportedPrefix[] {
   return reported.filter(({ tokens }) => tokens >= MIN_PART_TOKENS)
     .sort((a, b) => a.tokens - b.tokens)
-    .map(({ id, tokens }) => ({ server, part: id, tokens }));
+    .map(({ id, tokens }) => ({
+      server,
+      part: extendPrefixKey("", [id]),
+      tokens,
+    }));
 }
 
 /**
--- a/forwarding/prefix_cache_model_test.ts
+++ b/forwarding/prefix_cache_model_test.ts
@@ -1,6 +1,8 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { MAX_PREFIX_KEY_LENGTH } from "../fleet/mod.ts";
 import { toBackendId } from "../ids/mod.ts";
+import type { PromptPart } from "./call_header_codec.ts";
 import {
   PrefixCacheModel,
   toCachedPrefixes,
@@ -23,6 +25,44 @@
   });
 });
 
+describe("toKeyedParts() of a prompt with many parts", () => {
+  const createParts = (count: number, firstId = "1"): readonly PromptPart[] =>
+    Array.from({ length: count }, (_, at) => ({
+      id: at === 0 ? firstId : (0x10000000 + at).toString(16),
+      tokens: at % 3 === 2 ? 8 : 256,
+    }));
+
+  // A prompt of 1,231 parts took 3.2 MB of keys, and a burst of such calls filled the heap.
+  it("bounds the length of each key", () => {
+    const parts = toKeyedParts(createParts(1_231));
+    assert.equal(parts.length, 821);
+    parts.forEach(({ key }) =>
+      assert.ok(key.length <= MAX_PREFIX_KEY_LENGTH, key)
+    );
+    assert.equal(new Set(parts.map(({ key }) => key)).size, parts.length);
+  });
+
+  it("bounds the key of a part with a long identifier, also of one that an engine reports", () => {
+    const id = "a".repeat(10_000);
+    const [part] = toKeyedParts([{ id, tokens: 800 }]);
+    const [cached] = toCachedPrefixes(SERVER, [{ id, tokens: 800 }]);
+    assert.ok(part!.key.length <= MAX_PREFIX_KEY_LENGTH);
+    assert.equal(cached!.part, part!.key);
+  });
+
+  it("gives equal keys to equal prefixes, and others after an early part that differs", () => {
+    const long = toKeyedParts(createParts(60));
+    const short = toKeyedParts(createParts(45));
+    const other = toKeyedParts(createParts(60, "2"));
+    const keys = long.map(({ key }) => key);
+    assert.deepEqual(
+      short.map(({ key }) => key),
+      keys.slice(0, short.length),
+    );
+    other.forEach(({ key }) => assert.ok(!keys.includes(key)));
+  });
+});
+
 describe("PrefixCacheModel", () => {
   it("counts a part as cached only together with all parts before it", () => {
     const memory = new PrefixCacheModel();
