Prefix caches: the number of tracked parts is bounded over all servers

Cause: the model of the engines' caches was bounded in tokens for each engine. Reports of other instances name parts of any size, and with many engines even parts of the usual size had no bound over all of them. Change: 65,536 parts over all servers, shared evenly; the parts used least recently go first. The new test fails on the parent: 65,537 parts of one token stay. 127 tests of forwarding and engine_prefix_cache pass.

--- a/forwarding/prefix_cache_model.ts
+++ b/forwarding/prefix_cache_model.ts
@@ -9,6 +9,12 @@
  */
 export const MIN_PART_TOKENS = 256;
 
+/**
+ * Maximum number of parts that are tracked for all servers together. Capacities in tokens do not
+ * bound it: other instances report parts of any size.
+ */
+const MAX_TRACKED_PARTS = 65_536;
+
 /** Prompt parts that an engine reports to have cached. */
 export interface CachedParts {
   readonly parts: readonly PromptPart[];
@@ -99,18 +105,13 @@
     part: Pick<KeyedPart, "key" | "tokens">,
     capacityTokens: number,
   ): void {
-    const cache = this.#byServer.get(server) ?? new Map<string, number>();
-    this.#byServer.set(server, cache);
+    const cache = this.#byServer.get(server) ?? this.#addServer(server);
     const before = cache.get(part.key) ?? 0;
     cache.delete(part.key);
     cache.set(part.key, part.tokens);
-    let total = (this.#tokens.get(server) ?? 0) + part.tokens - before;
-    for (const [key, tokens] of cache) {
-      if (total <= capacityTokens) break;
-      cache.delete(key);
-      total -= tokens;
-    }
+    const total = (this.#tokens.get(server) ?? 0) + part.tokens - before;
     this.#tokens.set(server, total);
+    this.#evict(server, capacityTokens);
   }
 
   /** Removes the parts of all servers but the given ones. */
@@ -118,4 +119,25 @@
     forgetOthers(this.#byServer, servers);
     forgetOthers(this.#tokens, servers);
   }
+
+  /** Adds a server; the others keep only their smaller share of the tracked parts. */
+  #addServer(server: BackendId): Map<string, number> {
+    const cache = new Map<string, number>();
+    this.#byServer.set(server, cache);
+    this.#byServer.forEach((_, each) => this.#evict(each));
+    return cache;
+  }
+
+  /** Evicts the parts of a server that were used least recently, until the others fit. */
+  #evict(server: BackendId, capacityTokens = Number.POSITIVE_INFINITY): void {
+    const cache = this.#byServer.get(server)!;
+    const maxParts = Math.max(1, MAX_TRACKED_PARTS / this.#byServer.size);
+    let total = this.#tokens.get(server) ?? 0;
+    for (const [key, tokens] of cache) {
+      if (total <= capacityTokens && cache.size <= maxParts) break;
+      cache.delete(key);
+      total -= tokens;
+    }
+    this.#tokens.set(server, total);
+  }
 }
--- a/forwarding/prefix_cache_model_test.ts
+++ b/forwarding/prefix_cache_model_test.ts
@@ -90,6 +90,31 @@
   });
 });
 
+describe("PrefixCacheModel with many small parts", () => {
+  const OTHER = toBackendId("s2");
+  const record = (
+    model: PrefixCacheModel,
+    server: typeof SERVER,
+    count: number,
+    name: string,
+  ) =>
+    Array.from({ length: count }, (_, at) => `${name}${at}`)
+      .forEach((key) => model.record(server, { key, tokens: 1 }, Infinity));
+  const hasCached = (model: PrefixCacheModel, key: string) =>
+    model.countCachedTokens(SERVER, [{ key, tokens: 1, isShared: true }]) > 0;
+
+  // Parts of one token, as another instance may report them, took memory without bound.
+  it("bounds their number over all servers", () => {
+    const model = new PrefixCacheModel();
+    record(model, SERVER, 65_537, "a");
+    assert.equal(hasCached(model, "a0"), false);
+    assert.equal(hasCached(model, "a65536"), true);
+    record(model, OTHER, 1, "b");
+    assert.equal(hasCached(model, "a32768"), false);
+    assert.equal(hasCached(model, "a32769"), true);
+  });
+});
+
 describe("toCachedPrefixes()", () => {
   it("omits small parts and puts the largest last, so that it is evicted last", () => {
     const engine = toBackendId("e1");
