Rendezvous hash: weights of long keys are not cached

Cause: the cache of weights was bounded to 20,000 entries, not in bytes. Servers are ranked by the key of a call's first shared part; keys that listed all parts before it had up to 11 KB, so that the cache could take over 200 MB. Keys are short now; names that callers choose elsewhere have up to 200 characters. Change: weights of texts over 160 characters are computed each time, in the few microseconds of a digest.

--- a/membership/rank.ts
+++ b/membership/rank.ts
@@ -2,10 +2,12 @@
 
 const cache = new Map<string, number>();
 /**
- * Maximum number of cached weights, of about 100 bytes each. Request keys are
- * ranked, too, and would otherwise grow the cache without bound.
+ * Maximum number of cached weights. Request keys are ranked, too, and would otherwise grow
+ * the cache without bound.
  */
 const CACHE_LIMIT = 20_000;
+/** Maximum length of a text whose weight is cached, in characters. Callers choose some keys. */
+const MAX_CACHED_LENGTH = 160;
 
 /**
  * Returns the weight of a name for a key, from 0 to 2^32 - 1, by SHA-256.
@@ -14,6 +16,9 @@
  * @param name Candidate.
  */
 export function computeWeight(key: string, name: string): number {
+  if (key.length + name.length > MAX_CACHED_LENGTH) {
+    return computeUncachedWeight(key, name);
+  }
   const text = `${key}\u0000${name}`;
   const known = cache.get(text);
   if (known !== undefined) return known;
