Small routes: bodies are collected in blocks

Cause: the readiness, directory, control and metrics ports kept each chunk of a body as a Buffer of its own, up to 65,536 of them on each connection. Change: ByteCollector, as for the bodies of calls.

--- a/adapters/endpoint_server.ts
+++ b/adapters/endpoint_server.ts
@@ -4,6 +4,7 @@
   type ServerResponse,
 } from "node:http";
 import findMyWay, { type HTTPMethod } from "find-my-way";
+import { ByteCollector } from "../bytes/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import { startListening } from "./start_listening.ts";
 
@@ -143,17 +144,15 @@
 
 /** Returns the body of a call, or `undefined` if the connection breaks before its end. */
 async function readText(message: IncomingMessage): Promise<string | undefined> {
-  const chunks: Buffer[] = [];
-  let size = 0;
+  const body = new ByteCollector();
   try {
     for await (const chunk of message) {
-      size += chunk.length;
-      if (size > MAX_BODY_BYTES) return "";
-      chunks.push(chunk);
+      body.append(chunk);
+      if (body.size > MAX_BODY_BYTES) return "";
     }
   } catch {
     // The only error of a message is that its caller disconnected.
     return undefined;
   }
-  return Buffer.concat(chunks).toString("utf8");
+  return body.take().toString("utf8");
 }
--- a/tests/bodies_in_small_chunks_test.ts
+++ b/tests/bodies_in_small_chunks_test.ts
@@ -3,6 +3,10 @@
 import { connect, type Socket } from "node:net";
 import { afterEach, describe, it } from "node:test";
 import { CallListener } from "../adapters/call_listener.ts";
+import {
+  startEndpointServer,
+  toJsonAnswer,
+} from "../adapters/endpoint_server.ts";
 import { systemClock } from "../adapters/system_clock.ts";
 import { CarriedWork } from "../capacity/mod.ts";
 import { waitFor } from "../clock/mod.ts";
@@ -13,24 +17,42 @@
 const HOST = "127.0.0.1";
 const BODY_BYTES = 4_000_000;
 const CHUNK_BYTES = 64;
+const CHUNKS_PER_WRITE = 500;
 /** Bodies are held in blocks; the connection and its parser need some more. */
 const MAX_GROWTH_BYTES = BODY_BYTES + 1_000_000;
+const SMALL_BODY_BYTES = 60_000;
+const MAX_SMALL_GROWTH_BYTES = 1_000_000;
 const WAIT_MS = 20_000;
+/** Time in which a small body is read, in milliseconds. */
+const READ_MS = 500;
 
 const CLEAN_UPS: (() => void)[] = [];
 afterEach(() => CLEAN_UPS.splice(0).forEach((cleanUp) => cleanUp()));
 
+/** Size of a body and of its chunks. */
+interface Upload {
+  readonly bodyBytes: number;
+  readonly chunkBytes: number;
+}
+
 /** Opens a connection, and sends a body in small chunks without the last one. */
-async function uploadAllButEnd(port: number): Promise<Socket> {
+async function uploadAllButEnd(
+  port: number,
+  { bodyBytes, chunkBytes }: Upload = {
+    bodyBytes: BODY_BYTES,
+    chunkBytes: CHUNK_BYTES,
+  },
+): Promise<Socket> {
   const socket = connect(port, HOST);
   CLEAN_UPS.push(() => socket.destroy());
   await once(socket, "connect");
   socket.write(
     "POST /a HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n",
   );
-  const chunk = `${CHUNK_BYTES.toString(16)}\r\n${"x".repeat(CHUNK_BYTES)}\r\n`;
-  const chunks = Buffer.from(chunk.repeat(500));
-  for (let left = BODY_BYTES; left > 0; left -= 500 * CHUNK_BYTES) {
+  const chunk = `${chunkBytes.toString(16)}\r\n${"x".repeat(chunkBytes)}\r\n`;
+  const chunks = Buffer.from(chunk.repeat(CHUNKS_PER_WRITE));
+  const writeBytes = CHUNKS_PER_WRITE * chunkBytes;
+  for (let left = bodyBytes; left > 0; left -= writeBytes) {
     if (!socket.write(chunks)) await once(socket, "drain");
   }
   return socket;
@@ -44,6 +66,34 @@
   assert.ok(isDone());
 }
 
+describe("a body sent to one of the small routes in chunks of one byte", () => {
+  // A list of the chunks took some 250 bytes for each, on any number of connections.
+  it("takes little more memory than its bytes", async () => {
+    const server = await startEndpointServer({
+      host: HOST,
+      port: 0,
+      routes: [{
+        method: "POST",
+        path: "/a",
+        handle: ({ body }) => toJsonAnswer(200, body.length),
+      }],
+      logger: createSilentLogger(),
+    });
+    CLEAN_UPS.push(() => server.close());
+    const before = measureHeapBytes();
+    const socket = await uploadAllButEnd(server.port, {
+      bodyBytes: SMALL_BODY_BYTES,
+      chunkBytes: 1,
+    });
+    await waitFor(systemClock, READ_MS);
+    const growthBytes = measureHeapBytes() - before;
+    assert.ok(growthBytes < MAX_SMALL_GROWTH_BYTES, `${growthBytes} bytes`);
+    socket.write("0\r\n\r\n");
+    const [answer] = await once(socket, "data");
+    assert.match(String(answer), new RegExp(`\r\n\r\n${SMALL_BODY_BYTES}$`));
+  });
+});
+
 describe("a body of a plain HTTP call in chunks of 64 bytes", () => {
   // A list of the chunks took five times the bytes, and a burst of uploads filled the heap.
   it("takes little more memory than its bytes, and is passed on whole", async () => {
