Forwarding: bytes that are kept back are collected in blocks

Cause: failures that are kept back for a retry, and the beginning of an event whose end has not arrived, were lists of pieces. A piece is a view of the bytes that were read with it, so that pieces of one byte kept up to 64 KB each. Change: ByteCollector for both; a piece that is a small part of its buffer is copied.

--- a/forwarding/event_framer.ts
+++ b/forwarding/event_framer.ts
@@ -1,3 +1,4 @@
+import { ByteCollector } from "../bytes/mod.ts";
 import { EventScanner } from "./event_scanner.ts";
 
 /** One complete event of a stream. */
@@ -16,16 +17,21 @@
  */
 export class EventFramer {
   readonly #scanner = new EventScanner();
-  #pending: Buffer[] = [];
+  readonly #pending = new ByteCollector();
 
   /** Whether the bytes so far end within an event. */
   get isInsideEvent(): boolean {
     return this.#scanner.isInsideEvent;
   }
 
-  /** Bytes after the last blank line. */
-  get pending(): Buffer {
-    return Buffer.concat(this.#pending);
+  /** Number of bytes after the last blank line. */
+  get pendingSize(): number {
+    return this.#pending.size;
+  }
+
+  /** Returns the bytes after the last blank line, and forgets them. */
+  takePending(): Buffer {
+    return this.#pending.take();
   }
 
   /** Adds bytes and returns the events that they complete. */
@@ -34,14 +40,16 @@
     const events = ends.map((end, at) => {
       const part = chunk.subarray(ends[at - 1] ?? 0, end);
       // Most chunks are one event, which needs no copy.
-      const bytes = this.#pending.length === 0
-        ? part
-        : Buffer.concat([...this.#pending.splice(0), part]);
+      const bytes = this.#pending.size === 0 ? part : this.#complete(part);
       const id = ID_LINE.exec(bytes.toString("latin1"))?.[1];
       return { bytes, id };
     });
-    const rest = chunk.subarray(ends.at(-1) ?? 0);
-    if (rest.length > 0) this.#pending.push(rest);
+    this.#pending.append(chunk.subarray(ends.at(-1) ?? 0));
     return events;
   }
+
+  #complete(part: Buffer): Buffer {
+    this.#pending.append(part);
+    return this.#pending.take();
+  }
 }
--- a/forwarding/run_attempt.ts
+++ b/forwarding/run_attempt.ts
@@ -1,3 +1,4 @@
+import { ByteCollector } from "../bytes/mod.ts";
 import {
   Cancellation,
   type Clock,
@@ -185,8 +186,8 @@
   #isTimeoutOver = false;
   #isCheckScheduled = false;
   #head: AnswerHead | undefined;
-  #held: Buffer[] | undefined;
-  #heldBytes = 0;
+  /** Body of a failure that is held back. */
+  #held: ByteCollector | undefined;
   #hasFirstByte = false;
   #isFinished = false;
   #hasPassedBytes = false;
@@ -278,7 +279,7 @@
       ? !isSuccess
       : isFailure && holdsFailures;
     if (isHeld) {
-      this.#held = [];
+      this.#held = new ByteCollector();
       return;
     }
     const type = readHeader(head.headers, "content-type");
@@ -295,9 +296,8 @@
     this.#recordFirstByte();
     this.#cancelHandover();
     if (this.#held !== undefined) {
-      this.#heldBytes += chunk.length;
-      this.#held.push(chunk);
-      if (this.#heldBytes > MAX_HELD_BYTES) {
+      this.#held.append(chunk);
+      if (this.#held.size > MAX_HELD_BYTES) {
         this.#abortAnswer(
           `The server failed with status ${
             this.#head!.status
@@ -355,7 +355,7 @@
     const isCut = this.#events?.isInsideEvent ?? false;
     this.#reportEnd(isCut ? "inside-event" : "whole");
     if (this.#held !== undefined) {
-      const body = Buffer.concat(this.#held);
+      const body = this.#held.take();
       const answer = { head: this.#head!, body, trailers };
       this.#finish({ kind: "failed", answer });
       return;
@@ -373,10 +373,9 @@
       return;
     }
     // Only comments and blank lines are left.
-    const rest = this.#events instanceof EventFramer
-      ? this.#events.pending
-      : undefined;
-    if (rest !== undefined && rest.length > 0) this.#passOn(rest);
+    if (this.#events instanceof EventFramer && this.#events.pendingSize > 0) {
+      this.#passOn(this.#events.takePending());
+    }
     this.#begin();
     this.#parts.sink.end(trailers);
     this.#finish({ kind: "answered", status: this.#head!.status });
