Answers in small pieces: pieces that wait for a caller are written together

Cause: each piece was a write of its own, some 500 bytes each while it waits. The bound of 16 KB on waiting answers counts bytes, not writes. Change: AnswerWriter collects pieces that arrive during a write.

--- a/adapters/call_listener.ts
+++ b/adapters/call_listener.ts
@@ -23,6 +23,7 @@
 } from "../forwarding/mod.ts";
 import { type CallerLimits, INITIAL_LIMITS } from "../http_routes/mod.ts";
 import type { Logger } from "../logs/mod.ts";
+import { AnswerWriter } from "./answer_writer.ts";
 import { resetConnection } from "./reset_connection.ts";
 import { startListening } from "./start_listening.ts";
 import { systemClock } from "./system_clock.ts";
@@ -392,12 +393,14 @@
   readonly signal: AbortSignal;
   readonly #response: ServerResponse;
   readonly #connection: SinkConnection;
+  readonly #writer: AnswerWriter;
   /** Whether the caller takes the normal end of the connection for the end of the answer. */
   #endsWithConnection = false;
 
   constructor(response: ServerResponse, connection: SinkConnection) {
     this.#response = response;
     this.#connection = connection;
+    this.#writer = new AnswerWriter(response);
     const disconnect = new AbortController();
     this.signal = disconnect.signal;
     response.on("close", () => {
@@ -425,11 +428,11 @@
   }
 
   write(chunk: Buffer): boolean {
-    return this.#response.write(chunk);
+    return this.#writer.write(chunk);
   }
 
   onDrain(callback: () => void): void {
-    this.#response.once("drain", callback);
+    this.#writer.onDrain(callback);
   }
 
   end(trailers: RawHeaders): void {
@@ -437,10 +440,12 @@
       at % 2 === 0 ? [[name, trailers[at + 1]!] as [string, string]] : []
     );
     if (pairs.length > 0) this.#response.addTrailers(pairs);
+    this.#writer.flush();
     this.#response.end();
   }
 
   abort(): void {
+    this.#writer.flush();
     if (!this.#endsWithConnection) {
       this.#response.destroy();
       return;
