Heads of calls: their memory is counted and bounded, like that of bodies

What callers saw: with keys of bounded length, 1,200 calls that arrive every 8 ms and last 14 s, with prompts of 1,231 parts, still end the process after about 600 (trial on one instance; SIGABRT): a call held 150 KB for a head of 14 KB. Cause: only bodies were counted against the memory of the instance. A head takes memory for each line and each part of a prompt, up to 30 times its text. Change: estimateHeadMemory() bounds what a head takes; CarriedWork admits heads up to 0.4 of the heap and half of the memory for calls, and leaves bodies the rest. Gauges call.head_bytes and call.body_bytes show both.

--- a/adapters/call_listener.ts
+++ b/adapters/call_listener.ts
@@ -7,7 +7,11 @@
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import { ByteCollector } from "../bytes/mod.ts";
-import { CarriedWork, type ScarceResource } from "../capacity/mod.ts";
+import {
+  CarriedWork,
+  estimateHeadMemory,
+  type ScarceResource,
+} from "../capacity/mod.ts";
 import {
   type AnswerHead,
   type CallHead,
@@ -258,7 +262,8 @@
       response.shouldKeepAlive = false;
       this.#refuseUncarried(call, sink, scarce);
     };
-    const scarce = this.#work.beginCall();
+    const headBytes = estimateHeadMemory(message.rawHeaders);
+    const scarce = this.#work.beginCall(headBytes);
     if (scarce !== undefined) return refuseUncarried(scarce);
     let bodyBytes = 0;
     let hasEnded = false;
@@ -266,7 +271,7 @@
       if (hasEnded) return;
       hasEnded = true;
       this.#callEnds.get(socket)?.delete(endCall);
-      this.#work.endCall(bodyBytes);
+      this.#work.endCall(bodyBytes, headBytes);
     };
     this.#callEnds.get(socket)?.add(endCall);
     response.on("close", endCall);
--- a/adapters/call_listener_test.ts
+++ b/adapters/call_listener_test.ts
@@ -105,5 +105,22 @@
       second.socket.destroy();
       await waitUntil(() => work.calls === 0);
     });
+
+    it("refuses heads of many pieces while the memory for heads is taken", async () => {
+      const work = new CarriedWork({ heapMb: 1 });
+      const { send } = await start(never, work);
+      const parts = Array.from({ length: 900 }, (_, at) => `${at}:256`).join();
+      const request =
+        `GET /a HTTP/1.1\r\nHost: a.example\r\nX-P: ${parts}\r\n\r\n`;
+      const callers = [await send(request), await send(request)];
+      await waitUntil(() => work.calls === 1 && work.headBytes > 180_000);
+      const texts = await Promise.race(
+        callers.map((caller) => caller.awaitEnd()),
+      );
+      assert.match(texts, / 503 .*Retry-After: .*: memory/s);
+      assert.equal(work.calls, 1);
+      callers.forEach(({ socket }) => socket.destroy());
+      await waitUntil(() => work.headBytes === 0);
+    });
   });
 });
--- a/capacity/capacity_test.ts
+++ b/capacity/capacity_test.ts
@@ -136,4 +136,18 @@
     assert.equal(count(() => unbounded.openConnection()), 5_000);
     assert.equal(begin(unbounded), 5_000);
   });
+
+  // Heads of many pieces filled the heap, as only the bytes of bodies were counted.
+  it("bounds the memory for heads, which leaves less for bodies", () => {
+    const work = new CarriedWork({ memoryMb: 400, heapMb: 200 });
+    assert.equal(work.beginCall(79_000_000), undefined);
+    assert.equal(work.beginCall(2_000_000), "memory");
+    assert.equal(work.beginCall(), undefined);
+    assert.ok(work.reserveBody(73_000_000));
+    assert.equal(work.reserveBody(1_000_000), false);
+    work.endCall(73_000_000, 79_000_000);
+    assert.equal(work.beginCall(2_000_000), undefined);
+    assert.ok(work.reserveBody(74_000_000));
+    assert.equal(new CarriedWork({}).beginCall(1e12), undefined);
+  });
 });
--- a/capacity/carried_work.ts
+++ b/capacity/carried_work.ts
@@ -13,6 +13,10 @@
 const BASE_MEMORY_MB = 100;
 /** Share of the other memory for bodies, which are copied when they are read and sent. */
 const BODY_MEMORY_SHARE = 1 / 3;
+/** Share of the other memory for heads, which usually take far less. */
+const HEAD_MEMORY_SHARE = 1 / 2;
+/** Share of the heap for heads; the process itself and its tables need the rest. */
+const HEAD_HEAP_SHARE = 0.4;
 /**
  * Calls in progress for each core: a core handles 143 calls per second, at 7 ms of processor
  * time each (docs/design/processor_time.md), and calls last up to 12 s, the longest timeout.
@@ -24,19 +28,22 @@
 export type ScarceResource = "connections" | "memory" | "processor";
 
 /**
- * Counts the connections, the calls in progress and the bytes of their bodies, and decides
- * which calls the instance can carry beside them. Limits that are unknown bound nothing.
+ * Counts the connections, the calls in progress and the memory for their heads and bodies, and
+ * decides which calls the instance can carry beside them. Limits that are unknown bound nothing.
  */
 export class CarriedWork {
   readonly #maxConnections: number;
-  readonly #maxBodyBytes: number;
+  /** Memory for heads and bodies. */
+  readonly #callMemoryBytes: number;
+  readonly #maxHeadBytes: number;
   readonly #maxCalls: number;
   #connections = 0;
   #calls = 0;
+  #headBytes = 0;
   #bodyBytes = 0;
 
   /** @param limits Resources that the instance may use. */
-  constructor({ cores, fileDescriptors, memoryMb }: InstanceLimits) {
+  constructor({ cores, fileDescriptors, heapMb, memoryMb }: InstanceLimits) {
     this.#maxConnections = fileDescriptors === undefined
       ? Number.POSITIVE_INFINITY
       : Math.max(
@@ -44,10 +51,13 @@
         (fileDescriptors - RESERVED_FILE_DESCRIPTORS) /
           FILE_DESCRIPTORS_PER_CALL,
       );
-    this.#maxBodyBytes = memoryMb === undefined
+    this.#callMemoryBytes = memoryMb === undefined
       ? Number.POSITIVE_INFINITY
-      : BYTES_PER_MB * BODY_MEMORY_SHARE *
-        Math.max(1, memoryMb - BASE_MEMORY_MB);
+      : BYTES_PER_MB * Math.max(1, memoryMb - BASE_MEMORY_MB);
+    this.#maxHeadBytes = Math.min(
+      HEAD_MEMORY_SHARE * this.#callMemoryBytes,
+      HEAD_HEAP_SHARE * BYTES_PER_MB * (heapMb ?? Number.POSITIVE_INFINITY),
+    );
     this.#maxCalls = cores === undefined
       ? Number.POSITIVE_INFINITY
       : Math.max(1, CALLS_PER_CORE * cores);
@@ -58,6 +68,11 @@
     return this.#calls;
   }
 
+  /** Estimated memory for the heads of calls in progress, in bytes. */
+  get headBytes(): number {
+    return this.#headBytes;
+  }
+
   /** Bytes reserved for bodies of calls in progress. */
   get bodyBytes(): number {
     return this.#bodyBytes;
@@ -81,13 +96,16 @@
   /**
    * Begins a call if the instance can carry it.
    *
+   * @param headBytes Estimated memory for its head, in bytes. Default: none.
    * @returns The resource of which there is too little, or `undefined` if the call has
    * begun; {@linkcode endCall} ends it.
    */
-  beginCall(): ScarceResource | undefined {
+  beginCall(headBytes = 0): ScarceResource | undefined {
     if (this.#connections > this.#maxConnections) return "connections";
     if (this.#calls >= this.#maxCalls) return "processor";
+    if (this.#headBytes + headBytes > this.#maxHeadBytes) return "memory";
     this.#calls++;
+    this.#headBytes += headBytes;
     return undefined;
   }
 
@@ -98,16 +116,19 @@
    * whatever its size while there is no other one.
    */
   reserveBody(bytes: number): boolean {
+    const maxBodyBytes = BODY_MEMORY_SHARE *
+      (this.#callMemoryBytes - this.#headBytes);
     const isTooMuch = this.#bodyBytes > 0 &&
-      this.#bodyBytes + bytes > this.#maxBodyBytes;
+      this.#bodyBytes + bytes > maxBodyBytes;
     if (isTooMuch) return false;
     this.#bodyBytes += bytes;
     return true;
   }
 
-  /** Ends a call that has begun, and releases the memory reserved for its body. */
-  endCall(bodyBytes: number): void {
+  /** Ends a call that has begun, and releases the memory reserved for its body and its head. */
+  endCall(bodyBytes: number, headBytes = 0): void {
     this.#calls--;
     this.#bodyBytes -= bodyBytes;
+    this.#headBytes -= headBytes;
   }
 }
--- a/capacity/instance_capacity.ts
+++ b/capacity/instance_capacity.ts
@@ -5,6 +5,8 @@
   /** Bandwidth of the link in each direction, in Mbit/s. */
   readonly linkMbps?: number;
   readonly memoryMb?: number;
+  /** Maximum size of the JavaScript heap. */
+  readonly heapMb?: number;
   readonly fileDescriptors?: number;
 }
 
--- a/daemon/http_gateway.ts
+++ b/daemon/http_gateway.ts
@@ -4,7 +4,11 @@
   type Random,
   scheduleEvery,
 } from "../clock/mod.ts";
-import { CapacityMonitor, type InstanceLimits } from "../capacity/mod.ts";
+import {
+  CapacityMonitor,
+  type CarriedWork,
+  type InstanceLimits,
+} from "../capacity/mod.ts";
 import {
   AnswerRecorder,
   type EntryAnswer,
@@ -96,6 +100,8 @@
   readonly self: Omit<MemberRecord, "state">;
   /** Resources that this instance may use. Default: unknown, and it reports no capacity. */
   readonly instanceLimits?: InstanceLimits;
+  /** Memory for calls in progress, which is measured. Default: unknown. */
+  readonly carriedWork?: Pick<CarriedWork, "bodyBytes" | "headBytes">;
   /** Returns how many bytes the instance has transferred in each direction. Default: not measured. */
   readonly readLinkBytes?: () => number;
   /** Addresses of a few instances, some of which may be dead. */
@@ -520,6 +526,9 @@
     const { configurationVersion, store } = this.state.known;
     metrics.gauge("call.in_flight", this.forwarder.inFlight);
     metrics.gauge("call.waiting", this.forwarder.waiting);
+    const { carriedWork } = this.#parts;
+    metrics.gauge("call.head_bytes", carriedWork?.headBytes ?? 0);
+    metrics.gauge("call.body_bytes", carriedWork?.bodyBytes ?? 0);
     metrics.gauge("state.configuration_version", configurationVersion);
     metrics.gauge("state.store_revision", store.revision);
     metrics.gauge("state.store_era", store.era);
--- a/metrics/metrics.ts
+++ b/metrics/metrics.ts
@@ -21,6 +21,10 @@
   "call.first_byte_ms": "timing; tags: service",
   "call.in_flight": "gauge",
   "call.waiting": "gauge",
+  "call.head_bytes":
+    "gauge; estimated memory for the heads of calls in progress, in bytes",
+  "call.body_bytes":
+    "gauge; memory for the bodies of calls in progress, in bytes",
   "call.repeats": "counter; tags: service",
   "call.offers": "counter; tags: service",
   "call.away": "counter; tags: service, region",
