Embedded default: bodies are collected in blocks, and counted over all requests

Cause: the listener for OpenAI-compatible requests kept each chunk of a body as a Buffer of its own, and nothing bounded the bodies or heads of all requests, nor those of plain HTTP calls where no platform names the memory of the instance. Change: ByteCollector; one CarriedWork for all listeners of a daemon, with the memory of the machine or control group and the limit of the heap. A request without room is refused as not run with OVERLOADED. CarriedCall holds what a call takes, for both listeners.

--- a/adapters/call_listener.ts
+++ b/adapters/call_listener.ts
@@ -8,8 +8,8 @@
 import type { Duplex } from "node:stream";
 import { ByteCollector } from "../bytes/mod.ts";
 import {
+  CarriedCall,
   CarriedWork,
-  estimateHeadMemory,
   type ScarceResource,
 } from "../capacity/mod.ts";
 import {
@@ -262,25 +262,15 @@
       response.shouldKeepAlive = false;
       this.#refuseUncarried(call, sink, scarce);
     };
-    const headBytes = estimateHeadMemory(message.rawHeaders);
-    const scarce = this.#work.beginCall(headBytes);
+    const carried = new CarriedCall(this.#work);
+    const scarce = carried.begin(message.rawHeaders);
     if (scarce !== undefined) return refuseUncarried(scarce);
-    let bodyBytes = 0;
-    let hasEnded = false;
     const endCall = () => {
-      if (hasEnded) return;
-      hasEnded = true;
       this.#callEnds.get(socket)?.delete(endCall);
-      this.#work.endCall(bodyBytes, headBytes);
+      carried.end();
     };
     this.#callEnds.get(socket)?.add(endCall);
     response.on("close", endCall);
-    const reserveBody = (bytes: number) => {
-      // The memory of a call that has ended is no longer counted.
-      if (hasEnded || !this.#work.reserveBody(bytes)) return false;
-      bodyBytes += bytes;
-      return true;
-    };
     // A short body is read even if the call is refused: its end marks where the next
     // call begins, so that the connection can be reused.
     if (origin.kind === "caller" && mayHaveLongBody(message)) {
@@ -292,7 +282,7 @@
       if (refusal !== undefined) return refuse(refusal);
     }
     this.#readingSockets.add(socket);
-    const body = await readBody(message, maxBodyBytes, reserveBody);
+    const body = await readBody(message, maxBodyBytes, carried);
     this.#readingSockets.delete(socket);
     if (body === "too-large") {
       return refuse({
@@ -492,16 +482,16 @@
  *
  * @param message The call.
  * @param maxBytes Maximum size.
- * @param reserve Reserves memory for bytes, and returns whether there was enough.
+ * @param carried The call's part of the instance's work, in which memory is reserved.
  */
 function readBody(
   message: IncomingMessage,
   maxBytes: number,
-  reserve: (bytes: number) => boolean,
+  carried: CarriedCall,
 ): Promise<Buffer | "too-large" | "no-memory" | "broken"> {
   const announcedBytes = Number(message.headers["content-length"] ?? 0);
   if (announcedBytes > maxBytes) return Promise.resolve("too-large");
-  if (announcedBytes > 0 && !reserve(announcedBytes)) {
+  if (announcedBytes > 0 && !carried.reserve(announcedBytes)) {
     return Promise.resolve("no-memory");
   }
   return new Promise((resolve) => {
@@ -511,7 +501,9 @@
     message.on("data", (chunk: Buffer) => {
       size += chunk.length;
       if (size > maxBytes) resolve("too-large");
-      else if (announcedBytes === 0 && !isRefused && !reserve(chunk.length)) {
+      else if (
+        announcedBytes === 0 && !isRefused && !carried.reserve(chunk.length)
+      ) {
         isRefused = true;
         body.clear();
         resolve("no-memory");
--- a/adapters/http_listener.ts
+++ b/adapters/http_listener.ts
@@ -11,6 +11,8 @@
 import { setMaxListeners } from "node:events";
 import { err, ok, type Result } from "neverthrow";
 import { scheduleEvery } from "../clock/mod.ts";
+import { ByteCollector } from "../bytes/mod.ts";
+import { CarriedCall, CarriedWork } from "../capacity/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import { startListening } from "./start_listening.ts";
 import { ACCEPT_BACKLOG, DisconnectDetector } from "./disconnect_detector.ts";
@@ -51,6 +53,8 @@
   readonly handle: (request: GatewayRequest) => Promise<Reply>;
   /** Certificates for HTTPS. Default: the listener serves plain HTTP. */
   readonly tls?: TlsCertificates | undefined;
+  /** Memory for heads and bodies of all listeners of the instance. Default: unbounded. */
+  readonly work?: CarriedWork;
 }
 
 /** HTTP or HTTPS listener that accepts requests. */
@@ -72,6 +76,9 @@
 /** Time after which a close ends the connections that are still active, in milliseconds. */
 const CLOSE_TIMEOUT_MS = 2_000;
 
+/** Time after which a caller may retry a request for which there was no memory, in milliseconds. */
+const NO_MEMORY_RETRY_MS = 1_000;
+
 /** Default limits of a {@linkcode Listener}. */
 export const DEFAULT_LISTENER_LIMITS: ListenerLimits = {
   maxBodyBytes: 1_048_576,
@@ -163,8 +170,14 @@
   response.on("close", () => {
     if (!response.writableFinished) disconnect.abort();
   });
+  const carried = new CarriedCall(parts.work ?? new CarriedWork({}));
+  response.on("close", () => carried.end());
+  if (carried.begin(message.rawHeaders) !== undefined) {
+    writeWhole(message, response, toRefusal(createNoMemory()));
+    return;
+  }
   const reply = await parts.handle(
-    toRequest(parts, message, disconnect.signal),
+    toRequest(parts, message, { signal: disconnect.signal, carried }),
   );
   if (response.destroyed) {
     if (reply.kind === "events") await closeUnreadStream(reply.events);
@@ -267,7 +280,10 @@
 function toRequest(
   parts: ListenerParts,
   message: IncomingMessage,
-  signal: AbortSignal,
+  { carried, signal }: {
+    readonly carried: CarriedCall;
+    readonly signal: AbortSignal;
+  },
 ): GatewayRequest {
   const url = message.url ?? "/";
   const at = url.indexOf("?");
@@ -283,7 +299,7 @@
     path: at < 0 ? url : url.slice(0, at),
     query: at < 0 ? "" : url.slice(at),
     headers,
-    readBody: () => readBody(parts.limits, message),
+    readBody: () => readBody(parts.limits, message, carried),
     signal,
   };
 }
@@ -291,11 +307,11 @@
 async function readBody(
   limits: ListenerLimits,
   message: IncomingMessage,
+  carried: CarriedCall,
 ): Promise<Result<Buffer, Failure>> {
   const declaredBytes = Number(message.headers["content-length"] ?? "0");
   if (declaredBytes > limits.maxBodyBytes) return err(createTooLarge(limits));
-  const chunks: Buffer[] = [];
-  let receivedBytes = 0;
+  const body = new ByteCollector();
   let isLate = false;
   const read = new AbortController();
   systemClock.schedule(limits.bodyTimeoutMs, () => {
@@ -304,15 +320,18 @@
   }, read.signal);
   try {
     return await new Promise((resolve) => {
+      const refuse = (failure: Failure) => {
+        message.pause();
+        body.clear();
+        resolve(err(failure));
+      };
       message.on("data", (chunk: Buffer) => {
-        receivedBytes += chunk.length;
-        if (receivedBytes <= limits.maxBodyBytes) chunks.push(chunk);
-        else {
-          message.pause();
-          resolve(err(createTooLarge(limits)));
-        }
+        if (body.size + chunk.length > limits.maxBodyBytes) {
+          refuse(createTooLarge(limits));
+        } else if (!carried.reserve(chunk.length)) refuse(createNoMemory());
+        else body.append(chunk);
       });
-      message.on("end", () => resolve(ok(Buffer.concat(chunks))));
+      message.on("end", () => resolve(ok(body.take())));
       message.on("late", () => {
         message.pause();
         resolve(
@@ -341,6 +360,14 @@
   );
 }
 
+function createNoMemory(): Failure {
+  return createFailure(
+    "OVERLOADED",
+    "This instance has too little memory for the request",
+    { retryAfterMs: NO_MEMORY_RETRY_MS },
+  );
+}
+
 function refuseInvalidRequest(
   error: NodeJS.ErrnoException,
   socket: import("node:stream").Duplex,
--- a/bin/start_daemon.ts
+++ b/bin/start_daemon.ts
@@ -15,8 +15,10 @@
   PEER_PATH,
   SocketPeerTransport,
 } from "../adapters/socket_peer_transport.ts";
+import { readProcessLimits } from "../adapters/process_limits.ts";
 import { createStatsdMetrics } from "../adapters/statsd_metrics.ts";
 import { createSystemRandom, systemClock } from "../adapters/system_clock.ts";
+import { CarriedWork } from "../capacity/mod.ts";
 import { Gateway } from "../daemon/mod.ts";
 import { type GatewayRequest, type Reply, toRefusal } from "../filters/mod.ts";
 import { toFailureDomainId, toInstanceId, toRegionId } from "../ids/mod.ts";
@@ -81,7 +83,9 @@
   } = {
     handle: () => Promise.resolve(createNotReadyReply()),
   };
+  const work = new CarriedWork(readProcessLimits());
   const listener = await startListener({
+    work,
     address: settings.listen.address,
     limits: {
       maxBodyBytes: settings.limits.max_body_bytes,
@@ -121,7 +125,7 @@
   const httpGateway = http === undefined ? undefined : await startHttpGateway(
     { ...settings, http },
     gateway.configuration,
-    { logger, metrics },
+    { logger, metrics, work },
   );
   await transport.open((heartbeat) => gateway.receiveHeartbeat(heartbeat));
   requestHandler.handle = createHandler(gateway, logger);
--- a/bin/start_http_gateway.ts
+++ b/bin/start_http_gateway.ts
@@ -6,6 +6,7 @@
 import { probeConnection } from "../adapters/probe_connection.ts";
 import { ReportSocket } from "../adapters/report_socket.ts";
 import { createSystemRandom, systemClock } from "../adapters/system_clock.ts";
+import type { CarriedWork } from "../capacity/mod.ts";
 import { createToken } from "../clock/mod.ts";
 import type { ConfigurationState } from "../configuration/mod.ts";
 import { CatalogState, HttpGateway } from "../daemon/mod.ts";
@@ -39,14 +40,16 @@
  *
  * @param settings Settings that have the `http` section.
  * @param configuration Configuration in force at the daemon.
- * @param outputs Log and metrics.
+ * @param outputs Log, metrics, and the memory for calls.
  */
 export async function startHttpGateway(
   settings: Settings & { readonly http: NonNullable<Settings["http"]> },
   configuration: ConfigurationState,
-  { logger, metrics }: {
+  { logger, metrics, work }: {
     readonly logger: Logger;
     readonly metrics: Metrics;
+    /** Memory for the calls of all listeners of the daemon. */
+    readonly work: CarriedWork;
   },
 ): Promise<RunningHttpGateway> {
   const { http, instance } = settings;
@@ -67,6 +70,7 @@
       nowMs,
       readLoopDelayMs: () => gateway.loopDelay.readMs(),
       readOrigin,
+      work,
       findHeadRefusal: (head) => gateway.forwarder.findHeadRefusal(head),
       handle: (call, sink) => gateway.handle(call, sink),
     });
@@ -90,6 +94,7 @@
     client: new ConnectionPool(),
     peerClient: new ConnectionPool(),
     probeServer: probeConnection,
+    carriedWork: work,
     self: {
       id: toInstanceId(instance.id),
       incarnation: createToken(random),
--- a/capacity/mod.ts
+++ b/capacity/mod.ts
@@ -14,5 +14,6 @@
 export * from "./instance_capacity.ts";
 export * from "./capacity_monitor.ts";
 export * from "./carried_work.ts";
+export * from "./carried_call.ts";
 export * from "./estimate_head_memory.ts";
 export * from "./pick_weighted.ts";
--- a/tests/bodies_in_small_chunks_test.ts
+++ b/tests/bodies_in_small_chunks_test.ts
@@ -7,9 +7,14 @@
   startEndpointServer,
   toJsonAnswer,
 } from "../adapters/endpoint_server.ts";
+import {
+  DEFAULT_LISTENER_LIMITS,
+  startListener,
+} from "../adapters/http_listener.ts";
 import { systemClock } from "../adapters/system_clock.ts";
 import { CarriedWork } from "../capacity/mod.ts";
 import { waitFor } from "../clock/mod.ts";
+import { toRefusal } from "../filters/mod.ts";
 import { INITIAL_LIMITS } from "../http_routes/mod.ts";
 import { createSilentLogger } from "../logs/mod.ts";
 import { measureHeapBytes } from "./measure_heap.ts";
@@ -124,3 +129,52 @@
     await waitUntil(() => receivedBytes === BODY_BYTES);
   });
 });
+
+describe("a body of an OpenAI-compatible request in chunks of 64 bytes", () => {
+  const start = async (work: CarriedWork) => {
+    const received: (number | string)[] = [];
+    const listener = await startListener({
+      address: `${HOST}:0`,
+      limits: { ...DEFAULT_LISTENER_LIMITS, maxBodyBytes: BODY_BYTES },
+      logger: createSilentLogger(),
+      work,
+      handle: async ({ readBody }) => {
+        const body = await readBody();
+        received.push(body.isOk() ? body.value.length : body.error.name);
+        return body.isOk()
+          ? { kind: "whole", status: 200, headers: {}, body: "read" }
+          : toRefusal(body.error);
+      },
+    });
+    CLEAN_UPS.push(() => void listener.destroy());
+    return { port: listener.port, received };
+  };
+
+  // A list of the chunks took five times the bytes.
+  it("takes little more memory than its bytes, and is passed on whole", async () => {
+    const work = new CarriedWork({});
+    const { port, received } = await start(work);
+    const before = measureHeapBytes();
+    const socket = await uploadAllButEnd(port);
+    await waitUntil(() => work.bodyBytes === BODY_BYTES);
+    const growthBytes = measureHeapBytes() - before;
+    assert.ok(growthBytes < MAX_GROWTH_BYTES, `${growthBytes} bytes`);
+    socket.write("0\r\n\r\n");
+    await waitUntil(() => received[0] === BODY_BYTES && work.bodyBytes === 0);
+  });
+
+  // Bodies of any number of requests were held at a time.
+  it("is refused as not run while the memory for bodies is taken", async () => {
+    const work = new CarriedWork({ memoryMb: 101 });
+    const { port, received } = await start(work);
+    const upload = { bodyBytes: 192_000, chunkBytes: CHUNK_BYTES };
+    const first = await uploadAllButEnd(port, upload);
+    await waitUntil(() => work.bodyBytes === upload.bodyBytes);
+    const second = await uploadAllButEnd(port, upload);
+    const [answer] = await once(second, "data");
+    assert.match(String(answer), /^HTTP\/1\.1 503 [^]*x-ran: not-run/);
+    first.write("0\r\n\r\n");
+    await waitUntil(() => received.includes(upload.bodyBytes));
+    await waitUntil(() => work.bodyBytes === 0);
+  });
+});
