Embedded default: events that wait for a caller are written together

Cause: as for answers of plain HTTP calls, each event was a write of its own, some 500 bytes while it waits, and the bound on waiting answers counts bytes. Change: the listener writes events by AnswerWriter.

--- a/adapters/http_listener.ts
+++ b/adapters/http_listener.ts
@@ -14,6 +14,7 @@
 import { ByteCollector } from "../bytes/mod.ts";
 import { CarriedCall, CarriedWork } from "../capacity/mod.ts";
 import type { Logger } from "../logs/mod.ts";
+import { AnswerWriter } from "./answer_writer.ts";
 import { startListening } from "./start_listening.ts";
 import { ACCEPT_BACKLOG, DisconnectDetector } from "./disconnect_detector.ts";
 import { systemClock } from "./system_clock.ts";
@@ -254,25 +255,29 @@
     "cache-control": "no-store",
   });
   response.flushHeaders();
+  const writer = new AnswerWriter(response);
   for await (const event of reply.events) {
     if (response.destroyed) break;
     const id = event.id === undefined ? "" : `id: ${event.id}\n`;
-    const canWriteMore = response.write(`${id}data: ${event.data}\n\n`);
-    if (!canWriteMore) await waitForDrain(response);
+    const bytes = Buffer.from(`${id}data: ${event.data}\n\n`);
+    if (!writer.write(bytes)) await waitForDrain(response, writer);
   }
+  writer.flush();
   response.end();
 }
 
 /** Waits until the caller has read more, so that a slow reader uses bounded memory. */
-async function waitForDrain(response: ServerResponse): Promise<void> {
+async function waitForDrain(
+  response: ServerResponse,
+  writer: AnswerWriter,
+): Promise<void> {
   if (response.destroyed) return;
   await new Promise<void>((resolve) => {
     const finish = () => {
-      response.off("drain", finish);
       response.off("close", finish);
       resolve();
     };
-    response.on("drain", finish);
+    writer.onDrain(finish);
     response.on("close", finish);
   });
 }
--- a/tests/answers_in_small_pieces_test.ts
+++ b/tests/answers_in_small_pieces_test.ts
@@ -3,6 +3,10 @@
 import { connect, type Socket } from "node:net";
 import { afterEach, describe, it } from "node:test";
 import { CallListener } from "../adapters/call_listener.ts";
+import {
+  DEFAULT_LISTENER_LIMITS,
+  startListener,
+} from "../adapters/http_listener.ts";
 import { systemClock } from "../adapters/system_clock.ts";
 import { waitFor } from "../clock/mod.ts";
 import type { CallSink } from "../forwarding/mod.ts";
@@ -89,19 +93,24 @@
   return Buffer.concat(parts);
 }
 
+/** Returns the memory that each caller takes whose answer isn't read, in bytes. */
+async function measureUnreadAnswers(port: number): Promise<number> {
+  const before = measureHeapBytes();
+  const sockets = await Promise.all(
+    Array.from({ length: CALLERS }, () => sendCall(port)),
+  );
+  sockets.forEach((socket) => socket.pause());
+  await waitFor(systemClock, WRITE_MS);
+  return (measureHeapBytes() - before) / CALLERS;
+}
+
 describe("an answer in pieces of one byte", () => {
   // Each piece that waited for a slow caller took some 500 bytes, and filled the heap.
   it("takes little memory while its caller reads nothing", async () => {
     const port = await listen((sink) =>
       writeSingleBytes(sink, Number.POSITIVE_INFINITY)
     );
-    const before = measureHeapBytes();
-    const sockets = await Promise.all(
-      Array.from({ length: CALLERS }, () => sendCall(port)),
-    );
-    sockets.forEach((socket) => socket.pause());
-    await waitFor(systemClock, WRITE_MS);
-    const perCallBytes = (measureHeapBytes() - before) / CALLERS;
+    const perCallBytes = await measureUnreadAnswers(port);
     assert.ok(
       perCallBytes < MAX_GROWTH_PER_CALL_BYTES,
       `${perCallBytes} bytes`,
@@ -131,3 +140,25 @@
     }
   });
 });
+
+describe("a stream of short events of the embedded default", () => {
+  // Each event that waited for a slow caller was a write of its own.
+  it("takes little memory while its caller reads nothing", async () => {
+    async function* produce() {
+      while (true) yield await Promise.resolve({ data: "x" });
+    }
+    const listener = await startListener({
+      address: `${HOST}:0`,
+      limits: DEFAULT_LISTENER_LIMITS,
+      logger: createSilentLogger(),
+      handle: () =>
+        Promise.resolve({ kind: "events", headers: {}, events: produce() }),
+    });
+    CLEAN_UPS.push(() => void listener.destroy());
+    const perCallBytes = await measureUnreadAnswers(listener.port);
+    assert.ok(
+      perCallBytes < MAX_GROWTH_PER_CALL_BYTES,
+      `${perCallBytes} bytes`,
+    );
+  });
+});
