Answers that are read whole, or ahead of a slow caller, are bounded in bytes

Change: readAnswer() and readWholeLines() collect pieces in blocks, up to 64 MiB an answer and 4 MiB a line; the embedded default reads 4 KB of a stream ahead. An event over 4 MiB breaks its stream off, as one that its engine broke off.

--- a/adapters/etcd_store.ts
+++ b/adapters/etcd_store.ts
@@ -1,4 +1,9 @@
 import { isNotSentError } from "./connection_errors.ts";
+import {
+  MAX_ANSWER_BYTES,
+  readAnswerText,
+  readWholeLines,
+} from "./read_answer.ts";
 import { err, ok, type Result } from "neverthrow";
 import { Agent, request } from "undici";
 import {
@@ -144,12 +149,10 @@
         signal,
         dispatcher: this.#agent,
       });
-      let text = "";
-      const decoder = new TextDecoder();
-      for await (const chunk of response.body) {
-        text += decoder.decode(chunk as Buffer, { stream: true });
-        const lines = text.split("\n");
-        text = lines.pop() ?? "";
+      for await (
+        const bytes of readWholeLines(response.body, MAX_ANSWER_BYTES)
+      ) {
+        const lines = bytes.toString("utf8").split("\n");
         yield* lines.filter((line) => line !== "").flatMap(parseWatchLine);
       }
     } catch {
@@ -174,7 +177,7 @@
         dispatcher: this.#agent,
         signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
       });
-      const text = await response.body.text();
+      const text = await readAnswerText(response.body);
       if (response.statusCode === 200) return ok(JSON.parse(text) as T);
       const message = `Cannot call the store: got ${response.statusCode}`;
       return err({
--- a/adapters/http_backend_client.ts
+++ b/adapters/http_backend_client.ts
@@ -22,6 +22,7 @@
 import type { AttemptId } from "../ids/mod.ts";
 import type { BackendServer } from "../resources/mod.ts";
 import { toRawHeaders } from "./raw_headers.ts";
+import { readAnswer, readWholeLines } from "./read_answer.ts";
 import { createResetCheckingAgent } from "./reset_checking_agent.ts";
 
 /** Options of an {@linkcode HttpBackendClient}. */
@@ -33,6 +34,13 @@
 const CONNECT_TIMEOUT_MS = 1_000;
 const CALL_TIMEOUT_MS = 1_000;
 const ORDER_TIMEOUT_MS = 5_000;
+/** Maximum length of an event of a stream, in characters. */
+const MAX_EVENT_LENGTH = 4_194_304;
+/**
+ * Maximum number of bytes of an answer that are read ahead of its caller. Each piece of them
+ * takes some 150 bytes more.
+ */
+const MAX_UNREAD_BYTES = 4_096;
 /** Status by which an engine rejects an order with an outdated fencing token. */
 const FENCED_STATUS = 412;
 /** Headers that concern one connection only, and are not passed on to the caller. */
@@ -162,6 +170,7 @@
       const response = await request(url, {
         ...options,
         dispatcher: this.#agent,
+        highWaterMark: MAX_UNREAD_BYTES,
       });
       const headers = joinHeaderValues(response.headers);
       const load = parseLoad(headers["x-engine-load"]);
@@ -170,7 +179,7 @@
       if (isStream) {
         return ok({ kind: "stream", events: readEvents(response.body), load });
       }
-      const body = new Uint8Array(await response.body.arrayBuffer());
+      const body = new Uint8Array(await readAnswer(response.body));
       const isUnframed = hasNoFraming(options.method, response);
       const isJson = isJsonType(headers["content-type"]);
       if (isUnframed && isJson && !isWholeJson(body)) {
@@ -246,6 +255,10 @@
   const parsedEvents: StreamEvent[] = [];
   let hasEnded = false;
   const parser = createParser({
+    maxBufferSize: MAX_EVENT_LENGTH,
+    onError: (error) => {
+      if (error.type === "max-buffer-size-exceeded") throw error;
+    },
     onEvent: ({ id, data }) => {
       const at = id?.lastIndexOf("/") ?? -1;
       if (id === undefined || at < 0) return;
@@ -259,8 +272,9 @@
   });
   const decoder = new TextDecoder();
   try {
-    for await (const chunk of body.iterator({ destroyOnReturn: false })) {
-      parser.feed(decoder.decode(chunk as Buffer, { stream: true }));
+    const pieces = body.iterator({ destroyOnReturn: false });
+    for await (const lines of readWholeLines(pieces)) {
+      parser.feed(decoder.decode(lines, { stream: true }));
       yield* parsedEvents.splice(0);
     }
   } finally {
--- a/adapters/http_platform.ts
+++ b/adapters/http_platform.ts
@@ -4,6 +4,7 @@
 import { toInstanceId, toRegionId } from "../ids/mod.ts";
 import type { InstanceRecord } from "../membership/mod.ts";
 import type { Directory, InstanceList, PlatformFailure } from "../peers/mod.ts";
+import { readAnswerText } from "./read_answer.ts";
 
 /** Timeout of a call to the platform, in milliseconds. */
 const CALL_TIMEOUT_MS = 1_500;
@@ -69,7 +70,7 @@
       ...options,
       signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
     });
-    const text = await response.body.text();
+    const text = await readAnswerText(response.body);
     if (response.statusCode === 200) return ok(text);
     return err({ message: `Cannot call ${url}: got ${response.statusCode}` });
   } catch (error) {
--- a/adapters/socket_peer_transport.ts
+++ b/adapters/socket_peer_transport.ts
@@ -13,6 +13,7 @@
 import type { Metrics } from "../metrics/mod.ts";
 import { bindSocket } from "./start_listening.ts";
 import { createRpcResponder, type RpcResponder } from "./json_rpc_server.ts";
+import { readAnswerText } from "./read_answer.ts";
 import type {
   PeerFailure,
   PeerMethod,
@@ -119,7 +120,7 @@
           dispatcher: this.#agent,
           signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
         });
-        client.receive(JSON.parse(await response.body.text()));
+        client.receive(JSON.parse(await readAnswerText(response.body)));
       } catch (error) {
         const { message } = error as Error;
         failure = {
--- a/adapters/state_transfer.ts
+++ b/adapters/state_transfer.ts
@@ -5,6 +5,7 @@
 import type { StorePosition } from "../store/mod.ts";
 import { RPC_PATH } from "./control_route.ts";
 import type { RpcMethods } from "./json_rpc_server.ts";
+import { readAnswerText } from "./read_answer.ts";
 
 /** Method that returns a copy of the known state. */
 const READ_STATE_METHOD = "state.read";
@@ -58,7 +59,7 @@
       body: JSON.stringify(payload),
       signal: AbortSignal.timeout(READ_TIMEOUT_MS),
     });
-    client.receive(JSON.parse(await response.body.text()));
+    client.receive(JSON.parse(await readAnswerText(response.body)));
   }, () => ++callId);
   try {
     const params: ReadStateParams = { afterRevision: revision, era };
