Reports: one that is too large for a datagram is compressed, and never dropped unseen

Cause: a report over 64 KB failed to be sent, and the error was ignored without a log line. Change: such a report is compressed; if that does not suffice, prompt parts are left out, and a change of what is left out is logged. Result: a report of 2,700 servers arrives whole, one with 1,800 incompressible keys without them. Fleet, region_reports and unusable_report pass.

--- a/adapters/report_socket.ts
+++ b/adapters/report_socket.ts
@@ -1,5 +1,6 @@
 import { createSocket, type Socket } from "node:dgram";
 import {
+  COMPRESSED_HEADER_BYTES,
   compressReport,
   decodeReport,
   encodeCompressedHeader,
@@ -11,10 +12,15 @@
 import type { Logger } from "../logs/mod.ts";
 import { bindSocket } from "./start_listening.ts";
 
+/** Maximum size of a datagram over IPv4, in bytes. */
+const MAX_DATAGRAM_BYTES = 65_507;
+
 /** Sends and receives reports as UDP datagrams. */
 export class ReportSocket {
   readonly #address: string;
   readonly #logger: Logger;
+  /** What was left out of the last report that was too large, to log only changes. */
+  #lastOmission: Omission = "nothing";
   readonly #socket: Socket = createSocket("udp4");
 
   /**
@@ -44,7 +50,8 @@
 
   /**
    * Sends a report to several addresses. Lost datagrams are not sent again: the next
-   * report replaces them.
+   * report replaces them. A report that is too large for a datagram is compressed, and sent
+   * without its prompt parts if that does not suffice.
    */
   send(
     report: FleetReport,
@@ -52,22 +59,66 @@
     { echoes = [], isCompressed = false }: SendReportOptions = {},
   ): void {
     if (addresses.length === 0) return;
-    const body = isCompressed ? compressReport(report) : encodeReport(report);
+    const encoded = encodeWithinDatagram(report, isCompressed);
+    this.#logOmission(encoded);
+    if (encoded.omitted === "everything") return;
     addresses.forEach((address, index) => {
       const { host, port } = toSocketAddress(address);
-      const datagram = isCompressed
-        ? [encodeCompressedHeader(echoes[index] ?? 0), body]
-        : body;
+      const datagram = encoded.isCompressed
+        ? [encodeCompressedHeader(echoes[index] ?? 0), encoded.bytes]
+        : encoded.bytes;
       this.#socket.send(datagram, port, host, ignoreError);
     });
   }
 
+  #logOmission({ bytes, omitted }: EncodedReport): void {
+    if (omitted === this.#lastOmission) return;
+    this.#lastOmission = omitted;
+    this.#logger.warn("size of reports changed", {
+      omitted,
+      bytes: bytes.length,
+      maxBytes: MAX_DATAGRAM_BYTES,
+    });
+  }
+
   /** Closes the socket. */
   close(): void {
     this.#socket.close();
   }
 }
 
+/** What is left out of a report so that it fits into a datagram. */
+type Omission = "nothing" | "prefixes" | "everything";
+
+interface EncodedReport {
+  readonly bytes: Buffer;
+  readonly isCompressed: boolean;
+  readonly omitted: Omission;
+}
+
+/** Encodes as much of a report as fits into a datagram. */
+function encodeWithinDatagram(
+  report: FleetReport,
+  isCompressed: boolean,
+): EncodedReport {
+  const bytes = isCompressed ? compressReport(report) : encodeReport(report);
+  if (isWithinDatagram(bytes)) {
+    return { bytes, isCompressed, omitted: "nothing" };
+  }
+  const compressed = isCompressed ? bytes : compressReport(report);
+  if (isWithinDatagram(compressed)) {
+    return { bytes: compressed, isCompressed: true, omitted: "nothing" };
+  }
+  // Prompt parts are hints, and the only rows that callers choose.
+  const shortened = compressReport({ ...report, prefixes: [] });
+  const omitted = isWithinDatagram(shortened) ? "prefixes" : "everything";
+  return { bytes: shortened, isCompressed: true, omitted };
+}
+
+function isWithinDatagram({ length }: Buffer): boolean {
+  return length + COMPRESSED_HEADER_BYTES <= MAX_DATAGRAM_BYTES;
+}
+
 function toSocketAddress(address: string): NetworkAddress {
   const parsed = parseAddress(address);
   if (parsed !== undefined) return parsed;
--- a/fleet/encode_report.ts
+++ b/fleet/encode_report.ts
@@ -47,7 +47,8 @@
  * which are the same for all receivers and are compressed only once.
  */
 const COMPRESSED_MARKER = 1;
-const COMPRESSED_HEADER_BYTES = 5;
+/** Size of the header that precedes a compressed report, in bytes. */
+export const COMPRESSED_HEADER_BYTES = 5;
 /** Maximum size of a decompressed report: far more than a region of hundreds of instances needs. */
 const MAX_REPORT_BYTES = 262_144;
 /** Bits of the parameter that holds the sender's requests. */
