Embedded default: only the parts by which a call is known are digested

Cause: listPromptParts digested each message of a prompt, of which CallContent uses 1,024. A body of 1 MB may hold hundreds of thousands. Change: the parts are picked before they are digested.

--- a/filters/list_prompt_parts.ts
+++ b/filters/list_prompt_parts.ts
@@ -1,4 +1,4 @@
-import { computeDigest } from "../quarantine/mod.ts";
+import { computeDigest, pickParts } from "../quarantine/mod.ts";
 
 /**
  * Returns the identifiers of the parts of a prompt that other calls may contain, too: its
@@ -11,6 +11,6 @@
 ): readonly string[] {
   const parts = Array.isArray(messages) ? messages : [];
   const texts = Array.isArray(prompt) ? prompt : [prompt];
-  return [...parts, ...texts].filter((part) => part !== undefined)
-    .map((part) => computeDigest(JSON.stringify(part)));
+  const all = [...parts, ...texts].filter((part) => part !== undefined);
+  return pickParts(all).map((part) => computeDigest(JSON.stringify(part)));
 }
--- a/quarantine/call_content.ts
+++ b/quarantine/call_content.ts
@@ -73,7 +73,11 @@
   return [...new Set(fingerprints)];
 }
 
-function pickParts(parts: readonly string[]): readonly string[] {
+/**
+ * Returns the parts of a prompt by which calls are known: all, or the first and the last ones
+ * of too many.
+ */
+export function pickParts<Part>(parts: readonly Part[]): readonly Part[] {
   if (parts.length <= MAX_PARTS) return parts;
   return [...parts.slice(0, MAX_PARTS / 2), ...parts.slice(-MAX_PARTS / 2)];
 }
