Directory: remembered hosts have a bounded length

Cause: the last choices for 1,024 pairs of region and host are remembered, and callers choose the host: up to 16 KB each, as part of the text of a query. Change: a key over 256 characters is a digest; keys are copied.

--- a/directory/answer_recorder.ts
+++ b/directory/answer_recorder.ts
@@ -1,3 +1,4 @@
+import { computeDigest } from "../quarantine/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
 import type { RegionId } from "../ids/mod.ts";
@@ -8,6 +9,8 @@
  * remembered. Callers choose both names, so that memory needs a bound.
  */
 const MAX_REMEMBERED = 1_024;
+/** Maximum length of the key of such a pair, in characters; that of a longer one is a digest. */
+const MAX_KEY_LENGTH = 256;
 
 /** An answer given to a caller, with the facts that determined it. */
 export interface GivenAnswer extends EntryAnswer {
@@ -45,7 +48,7 @@
     const { choice, configurationVersion, entries, host, region } = given;
     const { logger, metrics } = this.#parts;
     metrics.count("directory.answers", 1, { choice });
-    const key = `${region} ${host}`;
+    const key = toRememberedKey(region, host);
     const before = this.#last.get(key) ?? "near";
     if (before === choice) return;
     if (this.#last.size >= MAX_REMEMBERED) this.#last.clear();
@@ -61,3 +64,10 @@
     });
   }
 }
+
+/** Returns the key of a region and a host; names of callers may be long. */
+function toRememberedKey(region: RegionId, host: string): string {
+  // `join()` copies the names, which are parts of a longer text.
+  const key = [region, host].join(" ");
+  return key.length <= MAX_KEY_LENGTH ? key : computeDigest(key);
+}
--- a/directory/answer_recorder_test.ts
+++ b/directory/answer_recorder_test.ts
@@ -3,9 +3,13 @@
 import { toRegionId } from "../ids/mod.ts";
 import { createSilentLogger, type Logger } from "../logs/mod.ts";
 import { NO_METRICS } from "../metrics/mod.ts";
+import { measureHeapBytes } from "../tests/measure_heap.ts";
 import { AnswerRecorder } from "./answer_recorder.ts";
 import type { EntryChoice } from "./pick_entries.ts";
 
+const HOSTS = 1_000;
+const MAX_GROWTH_BYTES = 1_000_000;
+
 /** Creates a recorder, and lists of what it counts and logs. */
 function start() {
   const counted: string[] = [];
@@ -66,4 +70,15 @@
       "forgotten, so that near is the default",
     );
   });
+
+  // Callers choose the host, and a thousand of them kept a thousand long texts.
+  it("remembers hosts of any length in little memory", () => {
+    const { record } = start();
+    const before = measureHeapBytes();
+    for (let at = 0; at < HOSTS; at++) {
+      record("elsewhere", Buffer.alloc(16_000, `${at} `).toString("latin1"));
+    }
+    const growthBytes = measureHeapBytes() - before;
+    assert.ok(growthBytes < MAX_GROWTH_BYTES, `${growthBytes} bytes`);
+  });
 });
