Forwarding: an event that does not end is broken off after 4 MiB

Cause: events of streams that may be resumed, or whose length is known, are kept back until they are whole, for as long as the server sends. Change: an event over 4 MiB ends the attempt as an answer that broke off.

--- a/forwarding/run_attempt.ts
+++ b/forwarding/run_attempt.ts
@@ -158,6 +158,8 @@
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 /** Maximum body of a failure that is held back, in bytes; one with a longer body is no answer. */
 const MAX_HELD_BYTES = 65_536;
+/** Maximum size of an event that is passed on only once it is complete, in bytes. */
+const MAX_EVENT_BYTES = 4_194_304;
 
 /**
  * Sends a call once and passes on the answer as it arrives.
@@ -311,7 +313,11 @@
       if (!this.#setEvents(isEventStart(chunk))) return true;
     }
     if (this.#events instanceof EventFramer) {
-      return this.#passOnEvents(this.#events.push(chunk));
+      const canContinue = this.#passOnEvents(this.#events.push(chunk));
+      if (this.#events.pendingSize > MAX_EVENT_BYTES) {
+        this.#abortAnswer(`An event is over ${MAX_EVENT_BYTES} bytes`);
+      }
+      return canContinue;
     }
     this.#events?.scan(chunk);
     return this.#passOn(chunk);
--- a/forwarding/run_attempt_test.ts
+++ b/forwarding/run_attempt_test.ts
@@ -122,4 +122,22 @@
       assert.equal((await outcome).kind, "no-answer");
     });
   });
+
+  // An event without an end was collected for as long as its server sent.
+  it("breaks off an event that is over 4 MiB", async () => {
+    const { events, outcome } = startAttempt();
+    events.onHead({
+      status: 200,
+      statusText: "",
+      headers: STREAM_HEADERS,
+      framing: "chunked",
+    });
+    const piece = Buffer.alloc(65_536, "x");
+    for (let sent = 0; sent <= 4_194_304; sent += piece.length) {
+      events.onData(piece);
+    }
+    const ended = await outcome;
+    assert.ok(ended.kind === "no-answer");
+    assert.match(ended.message, /event is over 4194304 bytes/);
+  });
 });
