Embedded default: what JSON takes once it is parsed is counted

Cause: a body is parsed as JSON, and lists of short values take up to 28 times their text in the heap (200 KB of brackets: 5.6 MB), which nothing counted. Change: 96 bytes for each value count against the memory for heads. A request without room is refused as not run with OVERLOADED.

--- a/adapters/http_listener.ts
+++ b/adapters/http_listener.ts
@@ -338,7 +338,11 @@
         } else if (!carried.reserve(chunk.length)) refuse(createNoMemory());
         else body.append(chunk);
       });
-      message.on("end", () => resolve(ok(body.take())));
+      message.on("end", () => {
+        const bytes = body.take();
+        if (carried.reserveParsed(bytes)) resolve(ok(bytes));
+        else resolve(err(createNoMemory()));
+      });
       message.on("late", () => {
         message.pause();
         resolve(
--- a/capacity/carried_call.ts
+++ b/capacity/carried_call.ts
@@ -1,5 +1,6 @@
 import type { CarriedWork, ScarceResource } from "./carried_work.ts";
 import { estimateHeadMemory } from "./estimate_head_memory.ts";
+import { estimateJsonMemory } from "./estimate_json_memory.ts";
 
 /** The part of an instance's work that one call takes, from its head to the end of its answer. */
 export class CarriedCall {
@@ -36,6 +37,14 @@
     return true;
   }
 
+  /** Reserves memory for a body that is parsed as JSON; returns whether there was enough. */
+  reserveParsed(body: Buffer): boolean {
+    const bytes = estimateJsonMemory(body);
+    if (!this.#isInProgress || !this.#work.reserveHead(bytes)) return false;
+    this.#headBytes += bytes;
+    return true;
+  }
+
   /** Ends the call, and releases its memory; does nothing the second time. */
   end(): void {
     if (!this.#isInProgress) return;
--- a/capacity/carried_work.ts
+++ b/capacity/carried_work.ts
@@ -103,12 +103,22 @@
   beginCall(headBytes = 0): ScarceResource | undefined {
     if (this.#connections > this.#maxConnections) return "connections";
     if (this.#calls >= this.#maxCalls) return "processor";
-    if (this.#headBytes + headBytes > this.#maxHeadBytes) return "memory";
+    if (!this.reserveHead(headBytes)) return "memory";
     this.#calls++;
-    this.#headBytes += headBytes;
     return undefined;
   }
 
+  /**
+   * Reserves memory for the head of a call, or for what is parsed of its body.
+   *
+   * @returns Whether there was enough; otherwise nothing is reserved.
+   */
+  reserveHead(bytes: number): boolean {
+    if (this.#headBytes + bytes > this.#maxHeadBytes) return false;
+    this.#headBytes += bytes;
+    return true;
+  }
+
   /**
    * Reserves memory for a part of the body of a call in progress.
    *
--- a/capacity/mod.ts
+++ b/capacity/mod.ts
@@ -16,4 +16,5 @@
 export * from "./carried_work.ts";
 export * from "./carried_call.ts";
 export * from "./estimate_head_memory.ts";
+export * from "./estimate_json_memory.ts";
 export * from "./pick_weighted.ts";
--- a/tests/memory_of_heads_test.ts
+++ b/tests/memory_of_heads_test.ts
@@ -3,7 +3,7 @@
 import { connect } from "node:net";
 import { afterEach, describe, it } from "node:test";
 import { systemClock } from "../adapters/system_clock.ts";
-import { estimateHeadMemory } from "../capacity/mod.ts";
+import { estimateHeadMemory, estimateJsonMemory } from "../capacity/mod.ts";
 import { waitFor } from "../clock/mod.ts";
 import { startGateway, TEST_HOST } from "./http_gateway_fixture.ts";
 import { measureHeapBytes } from "./measure_heap.ts";
@@ -103,3 +103,30 @@
     });
   });
 });
+
+const VALUES = 50_000;
+const TEXTS: readonly (readonly [name: string, text: string])[] = [
+  ["empty lists", `[${"[],".repeat(VALUES)}0]`],
+  ["empty objects", `[${"{},".repeat(VALUES)}0]`],
+  ["lists within each other", "[".repeat(VALUES) + "]".repeat(VALUES)],
+  [
+    "members of one object",
+    `{${createParts(VALUES, (at) => `"k${at}":${at}`)}}`,
+  ],
+  ["objects of one member", `[${createParts(VALUES, (at) => `{"k${at}":1}`)}]`],
+  ["short strings", `[${createParts(VALUES, (at) => `"${at}"`)}]`],
+];
+
+describe("estimateJsonMemory()", () => {
+  TEXTS.forEach(([name, text]) => {
+    // The heap ends the process where parsed bodies take more memory than is counted.
+    it(`is at least what a text takes with ${name}`, () => {
+      const before = measureHeapBytes();
+      const parsed: unknown = JSON.parse(text);
+      const bytes = measureHeapBytes() - before;
+      assert.ok(parsed !== undefined);
+      const estimated = estimateJsonMemory(Buffer.from(text));
+      assert.ok(bytes <= estimated, `${bytes} bytes of ${estimated}`);
+    });
+  });
+});
