Prefix caches: the key of a first part keeps no header in memory

Cause: the key of a prompt's first part is its identifier, cut out of a header. V8 keeps the whole text of which 13 characters or more are a part: each such key in a cache kept a header of up to 16 KB, for as long as the part was tracked. Change: keys are copied. `join()` of a single text, taken for a copy until now, returns that text.

--- a/fleet/prefix_key.ts
+++ b/fleet/prefix_key.ts
@@ -17,13 +17,20 @@
  * @param parts Identifiers of the parts that extend it, in order.
  */
 export function extendPrefixKey(key: string, parts: readonly string[]): string {
-  // `join()` copies the texts: a part of a longer string would keep all of it in memory.
   const extended = (key === "" ? parts : [key, ...parts]).join(SEPARATOR);
   return extended.length <= MAX_PREFIX_KEY_LENGTH
-    ? extended
+    ? copyText(extended)
     : DIGEST_MARK + computeDigest(extended);
 }
 
+/**
+ * Returns a copy of a text. A text that was cut out of a longer one, such as a header, keeps all
+ * of that one in memory.
+ */
+function copyText(text: string): string {
+  return Buffer.from(text).toString();
+}
+
 /** Returns the key that an instance of an earlier version reports, within the maximum length. */
 export function limitPrefixKey(key: string): string {
   return key.length <= MAX_PREFIX_KEY_LENGTH ? key : extendPrefixKey("", [key]);
