Tests of memory: bounds that had been raised without a failure are back

The title of one says twice the bytes, its check allowed three times. Change: twice the bytes and 20 KB in byte_collector, 0.2 MB in run_attempt, 1 MB over the body in bodies_in_small_chunks, 1.5 MB for a stream that is read ahead.

--- a/bytes/byte_collector_test.ts
+++ b/bytes/byte_collector_test.ts
@@ -43,7 +43,7 @@
       collector.append(Buffer.alloc(4_096, at % 256).subarray(0, 1));
     }
     const growthBytes = measureHeapBytes() - before;
-    assert.ok(growthBytes < 3 * SMALL_PIECES, `${growthBytes} bytes`);
+    assert.ok(growthBytes < 2 * SMALL_PIECES + 20_000, `${growthBytes} bytes`);
     assert.equal(collector.take()[513], 1);
   });
 });
--- a/forwarding/run_attempt_test.ts
+++ b/forwarding/run_attempt_test.ts
@@ -14,8 +14,8 @@
 
 /** Bytes that are kept back, each a piece of its own. */
 const KEPT_BYTES = 20_000;
-/** Blocks take at most twice the bytes; the measurement varies by some hundred KB. */
-const MAX_KEPT_GROWTH_BYTES = 1_000_000;
+/** Blocks take at most twice the bytes. */
+const MAX_KEPT_GROWTH_BYTES = 200_000;
 
 const STREAM_HEADERS = ["Content-Type", "text/event-stream"];
 
--- a/tests/backend_answers_in_small_pieces_test.ts
+++ b/tests/backend_answers_in_small_pieces_test.ts
@@ -12,6 +12,7 @@
 
 const PIECES = 300_000;
 const MAX_GROWTH_BYTES = 3_000_000;
+const MAX_READ_AHEAD_BYTES = 1_500_000;
 /** Time in which the pieces are sent and read, in milliseconds. */
 const SEND_MS = 1_500;
 
@@ -69,7 +70,7 @@
     const stream = (await dispatch())._unsafeUnwrap();
     await waitFor(systemClock, SEND_MS);
     const growthBytes = measureHeapBytes() - before;
-    assert.ok(growthBytes < MAX_GROWTH_BYTES, `${growthBytes} bytes`);
+    assert.ok(growthBytes < MAX_READ_AHEAD_BYTES, `${growthBytes} bytes`);
     assert.ok(stream.kind === "stream");
     void stream.events[Symbol.asyncIterator]().return?.();
   });
--- a/tests/bodies_in_small_chunks_test.ts
+++ b/tests/bodies_in_small_chunks_test.ts
@@ -24,8 +24,8 @@
 const BODY_BYTES = 4_000_000;
 const CHUNK_BYTES = 64;
 const CHUNKS_PER_WRITE = 500;
-/** Bodies are held in blocks; the connection, its parser and the measurement need some more. */
-const MAX_GROWTH_BYTES = 1.5 * BODY_BYTES;
+/** Bodies are held in blocks; the connection and its parser need some more. */
+const MAX_GROWTH_BYTES = BODY_BYTES + 1_000_000;
 const SMALL_BODY_BYTES = 60_000;
 const MAX_SMALL_GROWTH_BYTES = 4 * SMALL_BODY_BYTES;
 const CONNECTIONS = 10;
