Logs and metrics of handovers: how each ended, and calls whose caller left

Callers lost streams beside a silent server, and neither the beginning nor the end of a handover was told, nor that a caller's connection closed before its answer was complete: a call whose connection closes left no line, whoever closed it.

Line 'handover ended' (from, at, end, tookMs), metric call.handovers (service, end), line 'caller left'. No decision changes.

--- a/forwarding/call_replies.ts
+++ b/forwarding/call_replies.ts
@@ -102,6 +102,7 @@
     const { call, progress, sink } = exchange;
     if (sink.signal.aborted) {
       this.count(exchange, "caller-left");
+      this.log(exchange, "caller left", { hasBegun: progress.hasBegun });
       return;
     }
     this.count(exchange, refusal.reason);
--- a/forwarding/call_sender.ts
+++ b/forwarding/call_sender.ts
@@ -104,7 +104,7 @@
     from: SendDestination,
     events: HandoverEvents,
   ): Handover | undefined {
-    const { clock, metrics, destinations, quarantine } = this.#parts;
+    const { clock, metrics, destinations, quarantine, replies } = this.#parts;
     const nowMs = clock.nowMs();
     if (!canBeHandedOver(exchange)) return undefined;
     if (exchange.isTrial) return undefined;
@@ -116,7 +116,8 @@
     if (target.kind !== "local" && target.kind !== "remote") return undefined;
     if (!this.#takeRetry(exchange)) return undefined;
     beginHandover(exchange);
-    metrics.count("call.offers", 1, { service: exchange.service.name });
+    const service = exchange.service.name;
+    metrics.count("call.offers", 1, { service });
     return new Handover({
       clock,
       target,
@@ -130,6 +131,15 @@
         this.#logOutcome(exchange, target, outcome);
         settleHandover(exchange, target, outcome);
       },
+      onEnd: (end) => {
+        metrics.count("call.handovers", 1, { service, end });
+        replies.log(exchange, "handover ended", {
+          from: readDestinationId(from),
+          at: readDestinationId(target),
+          end,
+          tookMs: Math.round(clock.nowMs() - nowMs),
+        });
+      },
     }, events);
   }
 
@@ -176,9 +186,7 @@
   ): void {
     const { metrics, replies } = this.#parts;
     const service = exchange.service.name;
-    const at = destination.kind === "remote"
-      ? destination.member.id
-      : destination.candidate.server.entry.id;
+    const at = readDestinationId(destination);
     switch (outcome.kind) {
       case "answered":
         if (outcome.status < MIN_FAILURE_STATUS) return;
@@ -228,6 +236,13 @@
   }
 }
 
+/** Returns the id of the server or of the remote instance. */
+function readDestinationId(destination: SendDestination): string {
+  return destination.kind === "remote"
+    ? destination.member.id
+    : destination.candidate.server.entry.id;
+}
+
 /** Returns the field that shows which prompt parts calls without an answer have in common. */
 function describeParts(
   { partFingerprints }: CallContent,
--- a/forwarding/handover.ts
+++ b/forwarding/handover.ts
@@ -10,6 +10,22 @@
  */
 const ACCEPTED_AFTER_MS = 200;
 
+/**
+ * How a handover ended:
+ *
+ * - `answered`: the second destination answers.
+ * - `assumed`: the second destination has not refused the call in time.
+ * - `refused`: the second destination does not run the call, or gives no answer.
+ * - `first-answered`: the first destination answers after all.
+ * - `first-ended`: the first destination has ended the call without an answer.
+ */
+export type HandoverEnd =
+  | "answered"
+  | "assumed"
+  | "refused"
+  | "first-answered"
+  | "first-ended";
+
 /** Notified once of how a handover ended. */
 export interface HandoverEvents {
   /** The second destination has accepted the call; the send to the first one must stop. */
@@ -28,6 +44,8 @@
   ) => Promise<AttemptOutcome>;
   /** Settles a send that ended before the second destination accepted the call. */
   readonly settle: (outcome: EndedOutcome) => void;
+  /** Called once with how the handover ended. Default: nothing. */
+  readonly onEnd?: (end: HandoverEnd) => void;
 }
 
 /**
@@ -41,6 +59,7 @@
   readonly outcome: Promise<AttemptOutcome>;
   readonly #events: HandoverEvents;
   readonly #settle: HandoverParts["settle"];
+  readonly #onEnd: HandoverParts["onEnd"];
   readonly #cancelled = new AbortController();
   readonly #decided = new AbortController();
 
@@ -54,33 +73,36 @@
     this.target = parts.target;
     this.#events = events;
     this.#settle = parts.settle;
-    const accept = () => this.#accept();
+    this.#onEnd = parts.onEnd;
     scheduleAfterReading(
       parts.clock,
       ACCEPTED_AFTER_MS,
-      accept,
+      () => this.#accept("assumed"),
       this.#decided.signal,
     );
     this.outcome = parts.send({
       signal: this.#cancelled.signal,
-      onAccepted: accept,
+      onAccepted: () => this.#accept("answered"),
     });
     void this.outcome.then((outcome) => this.#end(outcome));
   }
 
   /** Cancels the second send, because the first destination answers after all. */
   cancel(): void {
+    if (!this.#decided.signal.aborted) this.#onEnd?.("first-answered");
     this.#cancelled.abort("cancelled");
   }
 
   /** Leaves the call with the second destination, whatever its outcome; no event follows. */
   commit(): void {
+    if (!this.#decided.signal.aborted) this.#onEnd?.("first-ended");
     this.#decided.abort("committed");
   }
 
-  #accept(): void {
+  #accept(end: "answered" | "assumed"): void {
     if (this.#decided.signal.aborted || this.#cancelled.signal.aborted) return;
     this.#decided.abort("accepted");
+    this.#onEnd?.(end);
     this.#events.onAccepted(this);
   }
 
@@ -89,6 +111,8 @@
     if (outcome.kind === "handed-over" || this.#decided.signal.aborted) return;
     this.#decided.abort("ended");
     this.#settle(outcome);
-    if (!this.#cancelled.signal.aborted) this.#events.onRefused();
+    if (this.#cancelled.signal.aborted) return;
+    this.#onEnd?.("refused");
+    this.#events.onRefused();
   }
 }
--- a/metrics/metrics.ts
+++ b/metrics/metrics.ts
@@ -27,6 +27,8 @@
     "gauge; memory for the bodies of calls in progress, in bytes",
   "call.repeats": "counter; tags: service",
   "call.offers": "counter; tags: service",
+  "call.handovers":
+    "counter; handovers of calls from silent destinations; tags: service, end (answered, assumed, refused, first-answered, first-ended)",
   "call.away": "counter; tags: service, region",
   "call.not_sent":
     "counter; sends of which no byte left, as no connection opened; tags: service",
