Handover: a call leaves its silent server only for one that delivers, or is known to run it

Callers lost answers that their servers went on with after a second of silence: streams were closed in the middle, calls got 502 or 504.

Cause: a second destination counted as having the call when it had not refused it for 200 ms. Silence was taken for acceptance: by a server that is silent itself or lets the call wait, and over a hop by an instance that lets it wait for a quarter of the objective and then refuses it. The first send was aborted then. The class: the absence of a refusal is taken for a sign.

Ruled out: limits of a new configuration close no connection whose answer is in progress (a server of Node's with all three timeouts lowered to 500 ms under five open answers: all whole).

Change: the second destination has the call once it delivers a part of its answer. Model engines may not work on one call together for 400 ms: after 200 ms (and the round trip to another region) the second send is withdrawn, unless its server sends answers of other calls, or the first one can't be connected to. Other services have no such limit, and both may go on. A destination that fails for this instance is not chosen for a handover. An instance that gets a call in a handover refuses it at once if it has no server with room. The head of an answer alone decides nothing any more, on neither side.

Test changed: handover_test.ts demanded that the call is left to the second destination after 400 ms of its silence, which is the fault; it now demands that exactly one of them has the call by then, and which.

--- a/forwarding/call_forwarder.ts
+++ b/forwarding/call_forwarder.ts
@@ -191,6 +191,7 @@
       ...parts,
       replies: this.#replies,
       destinations: this.#destinations,
+      learned: this.#learned,
       retryBudgets: this.#retryBudgets,
       quarantine: this.quarantine,
       serverSender: new ServerSender({
@@ -510,7 +511,7 @@
       // Only the instance that the caller reached retries calls.
       attemptsLeft: hop === undefined ? route.maxAttempts : 1,
       sentTo: [],
-      isHandingOver: false,
+      isHandingOver: hop?.isHandover ?? false,
       isTrial: hop?.isTrial ?? false,
       isFirstSend: !isRepeat(routed),
       hasDrawnVersion: false,
@@ -530,9 +531,8 @@
         if (await this.#sender.send(exchange, destination)) return;
         continue;
       }
-      const { access: { rank }, route: { targetMs } } = exchange;
-      const maxWaitMs = exchange.call.receivedMs +
-        MAX_WAIT_TARGET_FRACTION * targetMs - nowMs;
+      const { access: { rank } } = exchange;
+      const maxWaitMs = computeMaxWaitMs(exchange, nowMs);
       if (isWaitFutile(destination, nowMs, maxWaitMs)) {
         this.#refuseForCapacity(exchange, destination, nowMs);
         return;
@@ -605,6 +605,15 @@
   return { model, parts: parts.slice(0, -1).map(({ id }) => id) };
 }
 
+/** Returns how long a call may still wait for capacity, in milliseconds. */
+function computeMaxWaitMs(
+  { call: { receivedMs }, isHandingOver, route: { targetMs } }: Exchange,
+  nowMs: number,
+): number {
+  if (isHandingOver) return 0;
+  return receivedMs + MAX_WAIT_TARGET_FRACTION * targetMs - nowMs;
+}
+
 /** Returns whether a call was sent before. */
 function isRepeat(
   { call: { origin }, facts }: Pick<RoutedCall, "call" | "facts">,
--- a/forwarding/call_sender.ts
+++ b/forwarding/call_sender.ts
@@ -2,6 +2,7 @@
 import type { FleetView } from "../fleet/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
 import type { CallContent, CallQuarantine } from "../quarantine/mod.ts";
+import type { BackendId } from "../ids/mod.ts";
 import type { CallReplies } from "./call_replies.ts";
 import type { DestinationChooser } from "./choose_destination.ts";
 import {
@@ -11,6 +12,7 @@
   type Exchange,
 } from "./exchange.ts";
 import type { InstanceSender } from "./instance_sender.ts";
+import type { LearnedServers } from "./learned_servers.ts";
 import { Handover, type HandoverEvents } from "./handover.ts";
 import type { FleetRetryBudgets } from "./fleet_retry_budget.ts";
 import type { AttemptOutcome, EndedOutcome } from "./run_attempt.ts";
@@ -24,6 +26,12 @@
 
 /** Maximum number of prompt parts that one log line names. */
 const MAX_LOGGED_PARTS = 8;
+/**
+ * Time for which two model engines may have one call, in milliseconds, without the round trip
+ * to the second one. They must not work on it together for 400 ms, and timers of a busy
+ * process fire 100 ms late or more.
+ */
+const MAX_OVERLAP_MS = 200;
 /** Lowest HTTP status that means a failure of the server. */
 const MIN_FAILURE_STATUS = 500;
 
@@ -34,6 +42,8 @@
   readonly metrics: Metrics;
   readonly replies: CallReplies;
   readonly destinations: DestinationChooser;
+  /** What shows whether servers are silent or lost. */
+  readonly learned: Pick<LearnedServers, "links" | "liveness">;
   readonly retryBudgets: FleetRetryBudgets;
   readonly quarantine: CallQuarantine;
   readonly serverSender: ServerSender;
@@ -78,7 +88,7 @@
   async #attempt(
     exchange: Exchange,
     destination: SendDestination,
-    handoverOptions: Pick<SendOptions, "signal" | "onAccepted"> = {},
+    handoverOptions: Pick<SendOptions, "signal" | "onDelivering"> = {},
   ): Promise<AttemptOutcome> {
     const options: SendOptions = {
       ...handoverOptions,
@@ -112,19 +122,25 @@
       return undefined;
     }
     avoidInstance(exchange, from);
-    const target = destinations.choose(exchange, nowMs);
-    if (target.kind !== "local" && target.kind !== "remote") return undefined;
-    if (!this.#takeRetry(exchange)) return undefined;
     beginHandover(exchange);
+    const target = destinations.choose(exchange, nowMs);
+    const isSendable = target.kind === "local" || target.kind === "remote";
+    if (!isSendable || !this.#takeRetry(exchange)) {
+      endHandover(exchange);
+      return undefined;
+    }
     const service = exchange.service.name;
     metrics.count("call.offers", 1, { service });
     return new Handover({
       clock,
       target,
-      send: ({ signal, onAccepted }) =>
+      overlapMs: this.#computeOverlapMs(exchange, target),
+      mayLeaveFirst: () =>
+        this.#isLost(from) || this.#hasSentSince(target, nowMs),
+      send: ({ signal, onDelivering }) =>
         this.#attempt(exchange, target, {
           signal: AbortSignal.any([exchange.signal, signal]),
-          onAccepted,
+          onDelivering,
         }),
       settle: (outcome) => {
         endHandover(exchange);
@@ -143,6 +159,38 @@
     }, events);
   }
 
+  /**
+   * Returns for how long two destinations may have a call, in milliseconds, or `undefined`
+   * without a limit. Only model engines must not work on one call together.
+   */
+  #computeOverlapMs(
+    { service }: Exchange,
+    target: SendDestination,
+  ): number | undefined {
+    if (service.engine === undefined) return undefined;
+    if (target.kind === "local") return MAX_OVERLAP_MS;
+    return MAX_OVERLAP_MS +
+      this.#parts.destinations.readRoundTripMs(target.region);
+  }
+
+  /** Returns whether no connection to a server can be opened, so that it does not merely stall. */
+  #isLost(destination: SendDestination): boolean {
+    return destination.kind === "local" &&
+      this.#parts.learned.links.isUnreachable(readServerId(destination));
+  }
+
+  /**
+   * Returns whether a server has sent bytes of any call since a time. One that has done so,
+   * and has not refused a call, runs that call.
+   */
+  #hasSentSince(destination: SendDestination, sinceMs: number): boolean {
+    return destination.kind === "local" &&
+      this.#parts.learned.liveness.hasSentSince(
+        readServerId(destination),
+        sinceMs,
+      );
+  }
+
   /** Settles the outcome of a send. Returns whether the call is done. */
   #settle(
     exchange: Exchange,
@@ -240,7 +288,13 @@
 function readDestinationId(destination: SendDestination): string {
   return destination.kind === "remote"
     ? destination.member.id
-    : destination.candidate.server.entry.id;
+    : readServerId(destination);
+}
+
+function readServerId(
+  { candidate }: Extract<SendDestination, { readonly kind: "local" }>,
+): BackendId {
+  return candidate.server.entry.id;
 }
 
 /** Returns the field that shows which prompt parts calls without an answer have in common. */
--- a/forwarding/choose_destination.ts
+++ b/forwarding/choose_destination.ts
@@ -203,7 +203,8 @@
         local.costMs > elsewhere.candidate.costMs + marginMs);
     if (isCheaper) return elsewhere;
     if (local !== undefined) return { kind: "local", candidate: local };
-    const lastResort = isHome
+    // A destination that fails for this instance is no better than the one that is silent.
+    const lastResort = isHome && !exchange.isHandingOver
       ? this.#chooseLastResort(exchange, localNeeds, nowMs, isAllowed)
       : undefined;
     if (lastResort !== undefined) {
@@ -213,7 +214,8 @@
       ? allowed.filter((region) => region === own)
       : allowed;
     const explained = this.#explain(exchange, reachable, nowMs, createFilter);
-    if (explained.kind !== "wait" || isForwarded) return explained;
+    const mayWait = !isForwarded && !exchange.isHandingOver;
+    if (explained.kind !== "wait" || !mayWait) return explained;
     return this.#chooseWaitingPlace(exchange, allowed, nowMs, createFilter) ??
       explained;
   }
--- a/forwarding/exchange.ts
+++ b/forwarding/exchange.ts
@@ -35,7 +35,10 @@
   attemptsLeft: number;
   /** Servers that this instance sent the call to, in order. */
   sentTo: readonly BackendId[];
-  /** Whether the call is being handed over to a second destination while the first one has it. */
+  /**
+   * Whether the call is being handed over to a second destination while the first one has it. At
+   * an instance that is the second destination, this holds from the start.
+   */
   isHandingOver: boolean;
   /** Whether the call is quarantined, and sent once to learn whether it still crashes servers. */
   isTrial: boolean;
--- a/forwarding/handover.ts
+++ b/forwarding/handover.ts
@@ -2,26 +2,20 @@
 import type { AttemptOutcome, EndedOutcome } from "./run_attempt.ts";
 import type { SendDestination } from "./settle_attempt.ts";
 
-/**
- * Time in milliseconds after which a second destination counts as having accepted a call,
- * if it has neither answered nor refused it. A full server refuses within one round trip,
- * which takes 110 to 160 ms between regions. Two servers must not work on one stream for
- * 400 ms, and timers of a busy process fire 100 ms late or more.
- */
-const ACCEPTED_AFTER_MS = 200;
-
 /**
  * How a handover ended:
  *
  * - `answered`: the second destination answers.
- * - `assumed`: the second destination has not refused the call in time.
+ * - `taken`: the second destination does not answer in time, but is known to have the call.
+ * - `not-taken`: the second destination does not answer in time, and may not have the call.
  * - `refused`: the second destination does not run the call, or gives no answer.
  * - `first-answered`: the first destination answers after all.
  * - `first-ended`: the first destination has ended the call without an answer.
  */
 export type HandoverEnd =
   | "answered"
-  | "assumed"
+  | "taken"
+  | "not-taken"
   | "refused"
   | "first-answered"
   | "first-ended";
@@ -38,9 +32,19 @@
 export interface HandoverParts {
   readonly clock: Clock;
   readonly target: SendDestination;
-  /** Sends the call, and calls `onAccepted` before any part of an answer is passed on. */
+  /** Time for which both destinations may have the call, in milliseconds. Default: unlimited. */
+  readonly overlapMs?: number | undefined;
+  /**
+   * Returns whether the first destination may be left although the second one has not
+   * answered, since it is known to have the call, or the first one is known to be lost.
+   */
+  readonly mayLeaveFirst: () => boolean;
+  /** Sends the call, and calls `onDelivering` before any part of an answer is passed on. */
   readonly send: (
-    options: { readonly signal: AbortSignal; readonly onAccepted: () => void },
+    options: {
+      readonly signal: AbortSignal;
+      readonly onDelivering: () => void;
+    },
   ) => Promise<AttemptOutcome>;
   /** Settles a send that ended before the second destination accepted the call. */
   readonly settle: (outcome: EndedOutcome) => void;
@@ -51,7 +55,9 @@
 /**
  * A call that is sent to a second destination while the first one still has it. A stalled
  * server looks like a dead one. If the first send were aborted before another server has
- * the call, the caller would lose an answer that was merely slow.
+ * the call, the caller would lose an answer that was merely slow. Silence of the second
+ * destination is no sign that it has the call: where both may not have it any longer, the
+ * second send is withdrawn.
  */
 export class Handover {
   readonly target: SendDestination;
@@ -60,8 +66,11 @@
   readonly #events: HandoverEvents;
   readonly #settle: HandoverParts["settle"];
   readonly #onEnd: HandoverParts["onEnd"];
+  readonly #mayLeaveFirst: HandoverParts["mayLeaveFirst"];
   readonly #cancelled = new AbortController();
   readonly #decided = new AbortController();
+  /** Why the second send is cancelled, unless it ends by itself. */
+  #cancelledAs: "not-taken" | "first-answered" | undefined;
 
   /**
    * Sends the call to the second destination.
@@ -74,23 +83,25 @@
     this.#events = events;
     this.#settle = parts.settle;
     this.#onEnd = parts.onEnd;
-    scheduleAfterReading(
-      parts.clock,
-      ACCEPTED_AFTER_MS,
-      () => this.#accept("assumed"),
-      this.#decided.signal,
-    );
+    this.#mayLeaveFirst = parts.mayLeaveFirst;
+    if (parts.overlapMs !== undefined) {
+      scheduleAfterReading(
+        parts.clock,
+        parts.overlapMs,
+        () => this.#endOverlap(),
+        this.#decided.signal,
+      );
+    }
     this.outcome = parts.send({
       signal: this.#cancelled.signal,
-      onAccepted: () => this.#accept("answered"),
+      onDelivering: () => this.#accept("answered"),
     });
     void this.outcome.then((outcome) => this.#end(outcome));
   }
 
   /** Cancels the second send, because the first destination answers after all. */
   cancel(): void {
-    if (!this.#decided.signal.aborted) this.#onEnd?.("first-answered");
-    this.#cancelled.abort("cancelled");
+    this.#cancel("first-answered");
   }
 
   /** Leaves the call with the second destination, whatever its outcome; no event follows. */
@@ -99,7 +110,17 @@
     this.#decided.abort("committed");
   }
 
-  #accept(end: "answered" | "assumed"): void {
+  #endOverlap(): void {
+    if (this.#mayLeaveFirst()) this.#accept("taken");
+    else this.#cancel("not-taken");
+  }
+
+  #cancel(as: "not-taken" | "first-answered"): void {
+    this.#cancelledAs ??= as;
+    this.#cancelled.abort("cancelled");
+  }
+
+  #accept(end: "answered" | "taken"): void {
     if (this.#decided.signal.aborted || this.#cancelled.signal.aborted) return;
     this.#decided.abort("accepted");
     this.#onEnd?.(end);
@@ -111,8 +132,8 @@
     if (outcome.kind === "handed-over" || this.#decided.signal.aborted) return;
     this.#decided.abort("ended");
     this.#settle(outcome);
-    if (this.#cancelled.signal.aborted) return;
-    this.#onEnd?.("refused");
-    this.#events.onRefused();
+    const end = this.#cancelledAs ?? "refused";
+    this.#onEnd?.(end);
+    if (end !== "first-answered") this.#events.onRefused();
   }
 }
--- a/forwarding/handover_test.ts
+++ b/forwarding/handover_test.ts
@@ -3,7 +3,7 @@
 import { VirtualClock } from "../clock/mod.ts";
 import { createMember } from "../tests/member_fixture.ts";
 import { toRegionId } from "../ids/mod.ts";
-import { Handover } from "./handover.ts";
+import { Handover, type HandoverParts } from "./handover.ts";
 import type { AttemptOutcome } from "./run_attempt.ts";
 import type { SendDestination } from "./settle_attempt.ts";
 
@@ -18,26 +18,40 @@
   sends: 1,
 };
 
-function start() {
+/** Time for which both destinations may have the call, in milliseconds. */
+const OVERLAP_MS = 200;
+
+function start(options: Pick<HandoverParts, "overlapMs"> = {}) {
   const clock = new VirtualClock();
   const seen: string[] = [];
   let end: (outcome: AttemptOutcome) => void = () => {};
   let answer = () => {};
+  let mayLeaveFirst = false;
   const handover = new Handover({
     clock,
     target: DESTINATION,
-    send: ({ onAccepted, signal }) => {
-      answer = onAccepted;
-      signal.addEventListener("abort", () => seen.push("stopped"));
-      return new Promise((resolve) => (end = resolve));
+    overlapMs: OVERLAP_MS,
+    ...options,
+    mayLeaveFirst: () => mayLeaveFirst,
+    send: ({ onDelivering, signal }) => {
+      answer = onDelivering;
+      return new Promise((resolve) => {
+        end = resolve;
+        signal.addEventListener("abort", () => {
+          seen.push("stopped");
+          resolve({ kind: "given-up" });
+        });
+      });
     },
     settle: ({ kind }) => seen.push(`settled ${kind}`),
+    onEnd: (kind) => seen.push(kind),
   }, {
-    onAccepted: () => seen.push("taken"),
+    onAccepted: () => seen.push("taken over"),
     onRefused: () => seen.push("refused"),
   });
   return {
     answer: () => answer(),
+    allowLeavingFirst: () => (mayLeaveFirst = true),
     clock,
     end: async (outcome: AttemptOutcome) => {
       end(outcome);
@@ -55,7 +69,7 @@
       await clock.advance(100);
       await end(REFUSED);
       await clock.advance(1_000);
-      assert.deepEqual(seen, ["settled rejected", "refused"]);
+      assert.deepEqual(seen, ["settled rejected", "refused", "refused"]);
     });
   });
 
@@ -63,18 +77,38 @@
     it("hands the call over immediately and only once", async () => {
       const { answer, clock, end, seen } = start();
       answer();
-      assert.deepEqual(seen, ["taken"]);
+      assert.deepEqual(seen, ["answered", "taken over"]);
       await clock.advance(1_000);
       await end({ kind: "answered", status: 200 });
-      assert.deepEqual(seen, ["taken"]);
+      assert.deepEqual(seen, ["answered", "taken over"]);
     });
   });
 
   describe("when the second destination neither refuses nor answers", () => {
-    it("hands the call over before two servers have worked on it for 400 ms", async () => {
+    it("leaves the call with the first one alone before two servers have worked on it for 400 ms", async () => {
       const { clock, seen } = start();
       await clock.advance(399);
-      assert.deepEqual(seen, ["taken"]);
+      assert.deepEqual(seen, [
+        "stopped",
+        "settled given-up",
+        "not-taken",
+        "refused",
+      ]);
+    });
+
+    it("hands the call over before that if the second one is known to have it", async () => {
+      const { allowLeavingFirst, clock, seen } = start();
+      allowLeavingFirst();
+      await clock.advance(399);
+      assert.deepEqual(seen, ["taken", "taken over"]);
+    });
+
+    it("leaves the call with both where they may work on it together", async () => {
+      const { answer, clock, seen } = start({ overlapMs: undefined });
+      await clock.advance(10_000);
+      assert.deepEqual(seen, []);
+      answer();
+      assert.deepEqual(seen, ["answered", "taken over"]);
     });
   });
 
@@ -86,7 +120,11 @@
       await end({ kind: "given-up" });
       answer();
       await clock.advance(1_000);
-      assert.deepEqual(seen, ["stopped", "settled given-up"]);
+      assert.deepEqual(seen, [
+        "stopped",
+        "settled given-up",
+        "first-answered",
+      ]);
     });
   });
 
@@ -96,7 +134,7 @@
       handover.commit();
       await end(REFUSED);
       await clock.advance(1_000);
-      assert.deepEqual(seen, []);
+      assert.deepEqual(seen, ["first-ended"]);
       assert.deepEqual(await handover.outcome, REFUSED);
     });
   });
--- a/forwarding/hop_headers.ts
+++ b/forwarding/hop_headers.ts
@@ -40,6 +40,8 @@
   readonly isTrial: boolean;
   /** Whether the call was sent before. Such calls use the versions in force only. */
   readonly isRepeat: boolean;
+  /** Whether another destination has the call meanwhile, so that it must not wait for capacity. */
+  readonly isHandover: boolean;
   /** Version that began the stream to resume; `undefined` if none did, or it has no effect. */
   readonly version: ServerVersion | undefined;
   /** Team and key of the caller as identified by the first instance; `undefined` if it identified none. */
@@ -93,6 +95,7 @@
   if (hop.resumeAfter !== undefined) fields.set("after", hop.resumeAfter);
   if (hop.isTrial) fields.set("trial", "1");
   if (hop.isRepeat) fields.set("repeat", "1");
+  if (hop.isHandover) fields.set("handover", "1");
   if (hop.version !== undefined) fields.set("begunBy", hop.version);
   if (hop.caller !== undefined) writeCaller(fields, hop.caller);
   return [HOP_HEADER, fields.toString()];
@@ -118,6 +121,7 @@
     configurationVersion: Number(fields.get("version") ?? 0),
     isTrial: fields.get("trial") === "1",
     isRepeat: fields.get("repeat") === "1",
+    isHandover: fields.get("handover") === "1",
     version: parseVersion(fields.get("begunBy")),
     caller: readCaller(fields),
   };
--- a/forwarding/instance_sender.ts
+++ b/forwarding/instance_sender.ts
@@ -90,6 +90,7 @@
             configurationVersion: exchange.access.configurationVersion,
             isTrial: exchange.isTrial,
             isRepeat,
+            isHandover: exchange.isHandingOver,
             version: progress.version,
             caller: exchange.access.caller,
           }),
@@ -116,7 +117,7 @@
       },
       onFirstByte: endTransit,
       signal: options.signal ?? exchange.signal,
-      onAccepted: options.onAccepted,
+      onDelivering: options.onDelivering,
       startHandover: options.startHandover,
       clock,
       firstByteTimeoutMs: computeFirstByteTimeoutMs(
--- a/forwarding/run_attempt.ts
+++ b/forwarding/run_attempt.ts
@@ -144,8 +144,10 @@
   readonly isServerDead?: (() => boolean) | undefined;
   /** Starts a handover to a second destination. Returns `undefined` if there is none now. */
   readonly startHandover: (events: HandoverEvents) => Handover | undefined;
-  /** Called before any part of an answer is passed on. Default: nothing. */
+  /** Called when the head shows that the call runs. Default: nothing. */
   readonly onAccepted?: (() => void) | undefined;
+  /** Called each time before a part of the answer is passed on. Default: nothing. */
+  readonly onDelivering?: (() => void) | undefined;
   readonly clock: Clock;
 }
 
@@ -289,14 +291,13 @@
       this.#parts.streams.isStream;
     const canContinue = this.#mustDetectEvents ||
       this.#setEvents(isEventStream(type));
-    if (canContinue) this.#acceptAnswer();
+    if (canContinue) this.#parts.onAccepted?.();
   }
 
   onData(chunk: Buffer): boolean {
     if (this.#isFinished) return true;
     this.#parts.onActivity?.();
     this.#recordFirstByte();
-    this.#cancelHandover();
     if (this.#held !== undefined) {
       this.#held.append(chunk);
       if (this.#held.size > MAX_HELD_BYTES) {
@@ -308,6 +309,7 @@
       }
       return true;
     }
+    this.#cancelHandover();
     if (this.#mustDetectEvents) {
       this.#mustDetectEvents = false;
       if (!this.#setEvents(isEventStart(chunk))) return true;
@@ -403,6 +405,10 @@
     return this.#isTimeoutOver && !this.#hasFirstByte;
   }
 
+  get #isSilent(): boolean {
+    return this.#isFirstByteLate || (this.#parts.isServerDead?.() ?? false);
+  }
+
   #reportEnd(how: AnswerEnd["how"]): void {
     this.#parts.onAnswerEnd?.({ framing: this.#framing, how });
   }
@@ -437,7 +443,7 @@
    */
   #checkSilence(): void {
     if (this.#isFinished || this.#handover !== undefined) return;
-    if (this.#isFirstByteLate || this.#parts.isServerDead?.()) {
+    if (this.#isSilent) {
       this.#handover = this.#parts.startHandover({
         onAccepted: () => this.#abortAnswer("The server is silent"),
         onRefused: () => {
@@ -457,11 +463,6 @@
     this.#scheduleSilenceCheck();
   }
 
-  #acceptAnswer(): void {
-    this.#cancelHandover();
-    this.#parts.onAccepted?.();
-  }
-
   /** Ends the attempt and closes the connection, whose further data cannot be trusted. */
   #abortAnswer(message: string): void {
     this.#finishIncomplete({ message }, true);
@@ -488,7 +489,9 @@
   }
 
   #begin(): void {
-    const { progress, sink } = this.#parts;
+    const { onDelivering, progress, sink } = this.#parts;
+    this.#cancelHandover();
+    onDelivering?.();
     if (progress.hasBegun) return;
     progress.hasBegun = true;
     progress.framing = this.#framing;
--- a/forwarding/server_liveness.ts
+++ b/forwarding/server_liveness.ts
@@ -97,6 +97,11 @@
       this.#readSilenceMs(server, nowMs) > DEAD_SILENCE_MS;
   }
 
+  /** Returns whether a server has sent bytes, on any connection, after a time. */
+  hasSentSince(server: BackendId, sinceMs: number): boolean {
+    return (this.#byServer.get(server)?.lastByteMs ?? 0) > sinceMs;
+  }
+
   #isStreaming(server: BackendId): boolean {
     return (this.#byServer.get(server)?.begunAnswers ?? 0) > 0;
   }
--- a/forwarding/server_sender.ts
+++ b/forwarding/server_sender.ts
@@ -41,7 +41,7 @@
   /** Aborts the send. Default: the signal of the exchange. */
   readonly signal?: AbortSignal;
   /** Called before any part of an answer is passed on. Default: nothing. */
-  readonly onAccepted?: () => void;
+  readonly onDelivering?: () => void;
 }
 
 /** Dependencies of a {@linkcode ServerSender}. */
@@ -149,10 +149,8 @@
         metrics.time("call.first_byte_ms", tookMs, { service: service.name });
       },
       signal: options.signal ?? exchange.signal,
-      onAccepted: () => {
-        gated.release();
-        options.onAccepted?.();
-      },
+      onAccepted: () => gated.release(),
+      onDelivering: options.onDelivering,
       startHandover: options.startHandover,
       clock,
       firstByteTimeoutMs: computeFirstByteTimeoutMs(
--- a/spec/key_spec.ts
+++ b/spec/key_spec.ts
@@ -182,6 +182,7 @@
         tried: [],
         isTrial: false,
         isRepeat: false,
+        isHandover: false,
         version: undefined,
         configurationVersion: omitsVersion ? 0 : sentVersion,
         caller,
