Forwarded calls: the limits on callers are checked once, by the first instance

Seen: a call with headers just within maxHeaderBytes that takes a hop is answered 431; one whose body the second instance's newer configuration no longer allows, 413. Neither has a hop answer, so the first instance passes it on as the server's own, and callers do not repeat it. Cause: CallListener measures each call by the limits in force, also on the port between instances, where the header of the hop is added to those of the caller. Evidence: two tests on sockets fail before (431 and 413 for 200). Change: the sizes of a forwarded call are not bounded again.

--- a/adapters/call_listener.ts
+++ b/adapters/call_listener.ts
@@ -47,6 +47,8 @@
 const RESET_DELAY_MS = 50;
 /** Maximum size of a body that is read even if its call is refused, in bytes. */
 const SHORT_BODY_BYTES = 16_384;
+/** Bounds on the sizes of calls that another instance forwards. */
+const UNBOUNDED_SIZES = { maxBodyBytes: Infinity, maxHeaderBytes: Infinity };
 /** Body of calls that were sent without one. */
 const NO_BODY = Buffer.alloc(0);
 
@@ -241,14 +243,17 @@
       if (!message.complete) response.shouldKeepAlive = false;
       writeRefusal(sink, refusal);
     };
-    const { maxBodyBytes, maxHeaderBytes } = this.#limits;
+    const origin = this.#parts.readOrigin(message.rawHeaders);
+    // The instance that forwards a call has checked its size, and adds a header.
+    const { maxBodyBytes, maxHeaderBytes } = origin?.kind === "instance"
+      ? UNBOUNDED_SIZES
+      : this.#limits;
     if (measureHeaders(message.rawHeaders) > maxHeaderBytes) {
       return refuse({
         reason: "header-too-large",
         message: `The headers are over ${maxHeaderBytes} bytes`,
       });
     }
-    const origin = this.#parts.readOrigin(message.rawHeaders);
     if (origin === undefined || !message.url?.startsWith("/")) {
       return refuse({ reason: "malformed", message: "The call is malformed" });
     }
--- a/tests/region_hop_test.ts
+++ b/tests/region_hop_test.ts
@@ -156,6 +156,20 @@
     assert.equal(new Set(servers).size, 2);
   });
 
+  ["header", "body"].forEach((part) =>
+    it(`is answered if the second instance takes only a smaller ${part} of callers`, async () => {
+      const { far, near } = await startTwoRegions((_, socket) =>
+        socket.write(createAnswer("c1", "from afar"))
+      );
+      far.configure(2, {
+        limits: part === "header"
+          ? { maxHeaderBytes: 150 }
+          : { maxBodyBytes: 1 },
+      });
+      assert.match(await sendCall(near.port), /^HTTP\/1\.1 200 OK/);
+    })
+  );
+
   it("takes no second hop", async () => {
     const { far, server } = await startTwoRegions(() => {}, {
       homeRegions: ["north"],
