Embedded default: a close of the listener does not cut answers that are being sent

Cause: Node's close() and closeIdleConnections() take a connection for idle whose response has ended, also while most of its bytes wait to be sent. Evidence: a test on sockets, whose caller does not read for 100 ms, fails before. Change: an answer is ended once the connection has taken its last bytes.

--- a/adapters/http_listener.ts
+++ b/adapters/http_listener.ts
@@ -234,7 +234,16 @@
     ...(mayBeCut ? {} : { "content-length": String(body.length) }),
     ...(isUnread ? { connection: "close" } : {}),
   });
-  response.end(body);
+  response.write(body);
+  endOnceSent(response);
+}
+
+/**
+ * Ends an answer once the connection has taken all of it: with a response that has ended, Node
+ * takes the connection for idle, and a close of the listener would cut the rest.
+ */
+function endOnceSent(response: ServerResponse): void {
+  response.write("", () => response.end());
 }
 
 /**
@@ -265,7 +274,7 @@
     if (!writer.write(bytes)) await waitForDrain(response, writer);
   }
   writer.flush();
-  response.end();
+  endOnceSent(response);
 }
 
 /** Waits until the caller has read more, so that a slow reader uses bounded memory. */
--- a/adapters/http_listener_test.ts
+++ b/adapters/http_listener_test.ts
@@ -184,6 +184,25 @@
   });
 
   describe("when a reader is slow", () => {
+    it("sends the rest of an answer that it still reads when the listener closes", async () => {
+      const reply = createReply("x".repeat(16_000_000));
+      const listener = await startListener({
+        address: "127.0.0.1:0",
+        limits: DEFAULT_LISTENER_LIMITS,
+        logger: createSilentLogger(),
+        handle: () => Promise.resolve(reply),
+      });
+      const caller = await openRawCaller(listener.port, "127.0.0.1");
+      caller.socket.write("GET / HTTP/1.1\r\nHost: a.example\r\n\r\n");
+      await caller.awaitText("200 OK");
+      caller.socket.pause();
+      const closed = listener.close();
+      await new Promise((resolve) => setTimeout(resolve, 100));
+      caller.socket.resume();
+      assert.equal((await caller.awaitEnd()).split("x").length, 16_000_001);
+      await closed;
+    });
+
     it("pauses the stream: the source produces no more than the buffers hold", async () => {
       const chunk = "x".repeat(64_000);
       let produced = 0;
