Liveness: calls that this instance does not read, and servers whose entry lapsed

Seen: a resumable stream whose caller does not read for 1.3 s is sent to a second server, and the first send, which was sound, is aborted. A server whose entry lapses for a moment while it streams counts as silent for later calls. Cause: the silence of a server is measured over all its answers, also those that this instance has paused, since their callers do not read. keepOnly forgets a server with calls in flight: when its entry is back, the bytes of these calls are recorded in an object that nobody reads. Change: a paused answer is no wait for bytes; what is known of a server is kept while it has calls.

--- a/forwarding/server_liveness.ts
+++ b/forwarding/server_liveness.ts
@@ -23,9 +23,11 @@
 
 interface Activity {
   lastByteMs: number;
-  /** When each call in flight was sent, the oldest first. */
-  readonly sends: Set<{ readonly atMs: number }>;
-  /** Number of calls in flight whose answers have begun. */
+  /** Number of calls in flight. */
+  calls: number;
+  /** Since when bytes of each call in flight that is not paused are awaited, the oldest first. */
+  readonly waits: Set<{ readonly sinceMs: number }>;
+  /** Number of these calls whose answers have begun. */
   begunAnswers: number;
 }
 
@@ -33,6 +35,10 @@
 export interface TrackedCall {
   /** Records that bytes of the answer were received. */
   readonly recordBytes: (nowMs: number) => void;
+  /** Records that the answer is not read for now, so that its server can send nothing. */
+  readonly pause: () => void;
+  /** Records that the answer is read again. */
+  readonly resume: (nowMs: number) => void;
   /** Records that the call has ended. */
   readonly end: () => void;
 }
@@ -57,19 +63,34 @@
    */
   begin(server: BackendId, nowMs: number): TrackedCall {
     const activity = this.#byServer.get(server) ??
-      { lastByteMs: nowMs, sends: new Set(), begunAnswers: 0 };
+      { lastByteMs: nowMs, calls: 0, waits: new Set(), begunAnswers: 0 };
     this.#byServer.set(server, activity);
-    const sent = { atMs: nowMs };
-    activity.sends.add(sent);
+    activity.calls++;
+    let wait = { sinceMs: nowMs };
+    activity.waits.add(wait);
     let hasBegun = false;
+    let hasEnded = false;
+    const pause = () => {
+      if (activity.waits.delete(wait) && hasBegun) activity.begunAnswers--;
+    };
     return {
       recordBytes: (receivedMs) => {
         activity.lastByteMs = receivedMs;
-        if (!hasBegun) activity.begunAnswers++;
+        if (!hasBegun && activity.waits.has(wait)) activity.begunAnswers++;
         hasBegun = true;
       },
+      pause,
+      resume: (resumedMs) => {
+        if (hasEnded || activity.waits.has(wait)) return;
+        wait = { sinceMs: resumedMs };
+        activity.waits.add(wait);
+        if (hasBegun) activity.begunAnswers++;
+      },
       end: () => {
-        if (activity.sends.delete(sent) && hasBegun) activity.begunAnswers--;
+        if (hasEnded) return;
+        hasEnded = true;
+        pause();
+        activity.calls--;
       },
     };
   }
@@ -109,13 +130,15 @@
   /** Returns how long a server with calls in flight has been silent, in milliseconds; 0 without calls. */
   #readSilenceMs(server: BackendId, nowMs: number): number {
     const activity = this.#byServer.get(server);
-    const [oldest] = activity?.sends ?? [];
+    const [oldest] = activity?.waits ?? [];
     if (activity === undefined || oldest === undefined) return 0;
-    return nowMs - Math.max(activity.lastByteMs, oldest.atMs);
+    return nowMs - Math.max(activity.lastByteMs, oldest.sinceMs);
   }
 
-  /** Removes the state of all servers but the given ones. */
+  /** Removes the state of all servers but the given ones and those that have calls in flight. */
   keepOnly(servers: ReadonlySet<BackendId>): void {
-    forgetOthers(this.#byServer, servers);
+    const busy = [...this.#byServer].filter(([, { calls }]) => calls > 0)
+      .map(([server]) => server);
+    forgetOthers(this.#byServer, new Set([...servers, ...busy]));
   }
 }
--- a/forwarding/server_liveness_test.ts
+++ b/forwarding/server_liveness_test.ts
@@ -40,6 +40,32 @@
     assert.equal(liveness.isDead(SERVER, 6_001), true);
   });
 
+  it("does not consider a server silent whose answers are not read", () => {
+    const liveness = new ServerLiveness();
+    const call = liveness.begin(SERVER, 0);
+    call.recordBytes(100);
+    call.pause();
+    assert.equal(liveness.isDead(SERVER, 5_000), false);
+    assert.equal(liveness.isSilent(SERVER, ESTIMATE_MS, 5_000), false);
+    call.resume(5_000);
+    assert.equal(liveness.isDead(SERVER, 6_000), false);
+    assert.equal(liveness.isDead(SERVER, 6_001), true);
+    call.end();
+    call.resume(7_000);
+    assert.equal(liveness.isDead(SERVER, 9_000), false);
+  });
+
+  it("does not consider a server silent whose entry lapsed and came back while it streamed", () => {
+    const liveness = new ServerLiveness();
+    const streaming = liveness.begin(SERVER, 0);
+    streaming.recordBytes(100);
+    liveness.keepOnly(new Set());
+    liveness.begin(SERVER, 200).recordBytes(300);
+    streaming.recordBytes(1_300);
+    assert.equal(liveness.isDead(SERVER, 1_301), false);
+    assert.equal(liveness.isSilent(SERVER, ESTIMATE_MS, 1_301), false);
+  });
+
   it("does not consider a server silent that has no calls", () => {
     const liveness = new ServerLiveness();
     assert.equal(liveness.isSilent(SERVER, ESTIMATE_MS, 90_000), false);
