Streams that callers do not read no longer count as silent servers

Callers that read nothing for 1.3 s or more while their resumable stream was larger than the buffers had it sent to a second server and the first send aborted, with two servers at work on one stream; if the second one gave no answer, the stream was closed. No silent server was needed.

Cause: the gateway stops to read an answer whose caller does not read, and took the silence that it had made itself for that of the server. The class is the same as that of handovers: silence without its reason.

--- a/forwarding/run_attempt.ts
+++ b/forwarding/run_attempt.ts
@@ -148,6 +148,10 @@
   readonly onAccepted?: (() => void) | undefined;
   /** Called each time before a part of the answer is passed on. Default: nothing. */
   readonly onDelivering?: (() => void) | undefined;
+  /** Called when the answer is not read on until the caller has read more. Default: nothing. */
+  readonly onPause?: (() => void) | undefined;
+  /** Called when the answer is read on after a pause. Default: nothing. */
+  readonly onResume?: (() => void) | undefined;
   readonly clock: Clock;
 }
 
@@ -195,6 +199,8 @@
   #hasFirstByte = false;
   #isFinished = false;
   #hasPassedBytes = false;
+  /** Whether the answer is not read until the caller has read more. */
+  #isPaused = false;
 
   constructor(
     parts: AttemptParts,
@@ -406,6 +412,7 @@
   }
 
   get #isSilent(): boolean {
+    if (this.#isPaused) return false;
     return this.#isFirstByteLate || (this.#parts.isServerDead?.() ?? false);
   }
 
@@ -484,10 +491,23 @@
     this.#hasPassedBytes = true;
     const { sink } = this.#parts;
     const canContinue = sink.write(chunk);
-    if (!canContinue) sink.onDrain(() => this.#send?.resume());
+    if (!canContinue) this.#pause();
     return canContinue;
   }
 
+  /** Stops to read the answer until the caller has read more. */
+  #pause(): void {
+    if (this.#isPaused) return;
+    const { onPause, onResume, sink } = this.#parts;
+    this.#isPaused = true;
+    onPause?.();
+    sink.onDrain(() => {
+      this.#isPaused = false;
+      if (!this.#isFinished) onResume?.();
+      this.#send?.resume();
+    });
+  }
+
   #begin(): void {
     const { onDelivering, progress, sink } = this.#parts;
     this.#cancelHandover();
--- a/forwarding/server_sender.ts
+++ b/forwarding/server_sender.ts
@@ -151,6 +151,8 @@
       signal: options.signal ?? exchange.signal,
       onAccepted: () => gated.release(),
       onDelivering: options.onDelivering,
+      onPause: () => liveness.pause(),
+      onResume: () => liveness.resume(clock.nowMs()),
       startHandover: options.startHandover,
       clock,
       firstByteTimeoutMs: computeFirstByteTimeoutMs(
