A rejection whose body never ends no longer keeps its connection

Seen: a call that a server rejects (X-Havenspur-Not-Executed, or 421) is settled at once, but the server's connection stays open for as long as the server sends, and with it a place among the connections to that server, so that a few of them end in "All N connections are in use".

Cause: the attempt ends without an abort, so that the rest of the answer is read and the connection kept. Nothing bounded that rest, and the deadline of the call no longer applied to it.

Fix: an attempt that ends before its answer tells the send to drain it. The pool reads at most 64 KB in at most 500 ms, then closes the connection, frees its place and logs address and reason (at most 5 lines a second). It holds for every answer that is not used, whatever its status.

--- a/adapters/connection_pool.ts
+++ b/adapters/connection_pool.ts
@@ -1,5 +1,6 @@
 import type { Socket } from "node:net";
 import { buildConnector, Client, type Dispatcher } from "undici";
+import { Cancellation, scheduleAfterReading } from "../clock/mod.ts";
 import {
   type ActiveSend,
   type AnswerFraming,
@@ -14,6 +15,7 @@
   isConnectionClosedError,
   isNotSentError,
 } from "./connection_errors.ts";
+import { LineRateLimiter, type Logger } from "../logs/mod.ts";
 import { systemClock } from "./system_clock.ts";
 
 /** Maximum time to open a connection, in milliseconds: several round trips between regions. */
@@ -36,6 +38,13 @@
  */
 const SILENCE_MS = 400;
 
+/** Maximum size of the rest of an unused answer that is read to keep its connection, in bytes. */
+const MAX_DRAINED_BYTES = 65_536;
+/** Maximum time to read that rest, in milliseconds: several round trips between regions. */
+const MAX_DRAIN_MS = 500;
+/** Maximum number of log lines in one second, so that a faulty server does not hide other lines. */
+const LINES_PER_SECOND = 5;
+
 /** Characters that HTTP does not allow in a status text. */
 const UNWRITABLE_PATTERN = /[^\t\x20-\x7e\x80-\xff]/;
 
@@ -56,6 +65,8 @@
    * milliseconds. Default: 400.
    */
   readonly silenceMs?: number;
+  /** Receives which connections were closed because their bytes did not end. Default: none. */
+  readonly logger?: Logger;
 }
 
 /**
@@ -67,10 +78,13 @@
 export class ConnectionPool implements ServerClient {
   readonly #hosts = new Map<string, HostConnections>();
   readonly #silenceMs: number;
+  readonly #logger: Logger | undefined;
+  readonly #lineLimiter = new LineRateLimiter(LINES_PER_SECOND);
 
-  /** @param options Silence after which idle connections are closed. */
+  /** @param options Silence after which idle connections are closed, and the log. */
   constructor(options: ConnectionPoolOptions = {}) {
     this.#silenceMs = options.silenceMs ?? SILENCE_MS;
+    this.#logger = options.logger;
   }
 
   /**
@@ -83,7 +97,10 @@
     const { address, maxConnections } = request;
     let host = this.#hosts.get(address);
     if (host === undefined) {
-      host = new HostConnections(address, this.#silenceMs);
+      host = new HostConnections(address, {
+        silenceMs: this.#silenceMs,
+        logClosed: (reason) => this.#logClosed(address, reason),
+      });
       this.#hosts.set(address, host);
     }
     return host.send(request, events, maxConnections);
@@ -108,18 +125,31 @@
     this.#hosts.forEach((host) => host.destroy());
     this.#hosts.clear();
   }
+
+  #logClosed(address: string, reason: string): void {
+    const suppressed = this.#lineLimiter.admitLine(systemClock.nowMs());
+    if (suppressed === undefined) return;
+    this.#logger?.warn("connection closed", { address, reason, suppressed });
+  }
+}
+
+/** What the connections to a host need of their pool. */
+interface HostParts {
+  readonly silenceMs: number;
+  /** Logs why a connection was closed whose bytes did not end. */
+  readonly logClosed: (reason: string) => void;
 }
 
 class HostConnections {
   busyCount = 0;
   readonly #address: string;
-  readonly #silenceMs: number;
+  readonly #parts: HostParts;
   /** Free connections; the last one was used last and is the least likely to be closed. */
   readonly #free: Connection[] = [];
 
-  constructor(address: string, silenceMs: number) {
+  constructor(address: string, parts: HostParts) {
     this.#address = address;
-    this.#silenceMs = silenceMs;
+    this.#parts = parts;
   }
 
   send(
@@ -147,9 +177,9 @@
       }
       destroyQuietly(connection);
       const wasSilent = (connection.answeredMs ?? 0) < startMs &&
-        systemClock.nowMs() - startMs >= this.#silenceMs;
+        systemClock.nowMs() - startMs >= this.#parts.silenceMs;
       if (wasKept && wasSilent) this.#closeSilent(startMs);
-    });
+    }, this.#parts.logClosed);
     send.start(request);
     return send;
   }
@@ -216,6 +246,10 @@
   readonly #connection: Connection;
   readonly #events: SendEvents;
   readonly #release: (isReusable: boolean) => void;
+  readonly #logClosed: (reason: string) => void;
+  /** Ends the reading of an answer that is not used; `undefined` while it is used. */
+  #drainEnded: Cancellation | undefined;
+  #drainedBytes = 0;
   #abort: (() => void) | undefined;
   #resume = () => {};
   #isDone = false;
@@ -227,10 +261,15 @@
     connection: Connection,
     events: SendEvents,
     release: (isReusable: boolean) => void,
+    logClosed: (reason: string) => void,
   ) {
     this.#connection = connection;
     this.#events = events;
-    this.#release = release;
+    this.#release = (isReusable) => {
+      this.#drainEnded?.cancel();
+      release(isReusable);
+    };
+    this.#logClosed = logClosed;
   }
 
   start(request: SendRequest): void {
@@ -262,6 +301,22 @@
     this.#release(false);
   }
 
+  drain(): void {
+    if (this.#isDone || this.#drainEnded !== undefined) return;
+    this.#drainEnded = new Cancellation();
+    scheduleAfterReading(
+      systemClock,
+      MAX_DRAIN_MS,
+      () => this.#endDrain(`An unused answer took over ${MAX_DRAIN_MS} ms`),
+      this.#drainEnded,
+    );
+  }
+
+  #endDrain(reason: string): void {
+    this.#logClosed(reason);
+    this.abort();
+  }
+
   onConnect(abort: (error?: Error) => void): void {
     this.#abort = () => abort();
     if (this.#isDone) {
@@ -296,7 +351,12 @@
   onData(chunk: Buffer): boolean {
     if (this.#isDone) return true;
     this.#connection.answeredMs = systemClock.nowMs();
-    return this.#events.onData(chunk);
+    if (this.#drainEnded === undefined) return this.#events.onData(chunk);
+    this.#drainedBytes += chunk.length;
+    if (this.#drainedBytes > MAX_DRAINED_BYTES) {
+      this.#endDrain(`An unused answer is over ${MAX_DRAINED_BYTES} bytes`);
+    }
+    return true;
   }
 
   onComplete(trailers: string[] | null): void {
--- a/adapters/connection_pool_test.ts
+++ b/adapters/connection_pool_test.ts
@@ -3,12 +3,18 @@
 import type { Socket } from "node:net";
 import { describe, it } from "node:test";
 import { startRawServer } from "../tests/raw_http.ts";
+import { createRecordingLogger } from "../tests/recording_logger.ts";
+import { waitUntil } from "../tests/wait_until.ts";
 import { ConnectionPool } from "./connection_pool.ts";
 
 const ANSWER = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
 /** Sends one call; `ended` resolves with "answered" or with the message of the failure. */
-function send(pool: ConnectionPool, address: string) {
+function send(
+  pool: ConnectionPool,
+  address: string,
+  { maxConnections = 8, onHead = () => {} } = {},
+) {
   let finish: (outcome: string) => void;
   let kind: string | undefined;
   const ended = new Promise<string>((resolve) => {
@@ -20,9 +26,9 @@
     target: "/",
     headers: [],
     body: Buffer.alloc(0),
-    maxConnections: 8,
+    maxConnections,
   }, {
-    onHead: () => {},
+    onHead,
     onData: () => true,
     onEnd: () => finish("answered"),
     onFailure: (failure) => {
@@ -84,6 +90,35 @@
     });
   });
 
+  // A rejection whose body never ended kept its connection, and its place among those to its server.
+  describe("when the rest of an unused answer does not end", () => {
+    const head = "HTTP/1.1 503 Full\r\nContent-Length: 1000000000\r\n\r\n";
+    const endings = [
+      ["over 65536 bytes", "x".repeat(100_000)],
+      ["over 500 ms", "x"],
+    ] as const;
+    endings.forEach(([reason, rest]) => {
+      it(`closes its connection and logs that it is ${reason}`, async () => {
+        const { lines, logger } = createRecordingLogger();
+        const server = await startRawServer((_, socket) => {
+          socket.write(server.requests.length === 1 ? head + rest : ANSWER);
+        });
+        const pool = new ConnectionPool({ logger });
+        const { active } = send(pool, server.address, {
+          maxConnections: 1,
+          onHead: () => active.drain?.(),
+        });
+        await waitUntil(() => lines.length > 0);
+        const next = send(pool, server.address, { maxConnections: 1 });
+        assert.equal(await next.ended, "answered");
+        assert.match(lines[0]!, new RegExp(reason));
+        assert.equal(server.sockets[0]!.readyState, "closed");
+        pool.close();
+        server.close();
+      });
+    });
+  });
+
   it("has the system probe a kept connection, so that its loss is noticed", async () => {
     const server = await startRawServer((_, socket) => socket.write(ANSWER));
     const pool = new ConnectionPool();
--- a/bin/start_http_gateway.ts
+++ b/bin/start_http_gateway.ts
@@ -91,8 +91,8 @@
     logger,
     metrics,
     headerCodec: GATEWAY_HEADER_CODEC,
-    client: new ConnectionPool(),
-    peerClient: new ConnectionPool(),
+    client: new ConnectionPool({ logger }),
+    peerClient: new ConnectionPool({ logger }),
     probeServer: probeConnection,
     carriedWork: work,
     self: {
--- a/forwarding/run_attempt.ts
+++ b/forwarding/run_attempt.ts
@@ -257,8 +257,6 @@
       return;
     }
     if (facts.isNotExecuted || facts.isMisdirected) {
-      // The send is not aborted: the body of a rejection is short, and reading it to its
-      // end keeps the connection open for other calls.
       this.#finish({
         kind: "rejected",
         isMisdirected: facts.isMisdirected,
@@ -524,6 +522,7 @@
     this.#ended.cancel();
     this.#parts.signal.removeEventListener("abort", this.#giveUp);
     if (isAborted) this.#send?.abort();
+    else this.#send?.drain?.();
     this.#resolve(this.#settleHandover(outcome));
   }
 
--- a/forwarding/server_client.ts
+++ b/forwarding/server_client.ts
@@ -54,6 +54,11 @@
   resume(): void;
   /** Closes the connection, so that the server stops working on the call. No event follows. */
   abort(): void;
+  /**
+   * Reads the rest of an answer that is not used, so that other calls can use the connection,
+   * and closes it if the rest is long or slow. Default: the answer is read to its end.
+   */
+  drain?(): void;
 }
 
 /** Sends calls to backend servers and to other instances over persistent connections. */
--- /dev/null
+++ b/tests/bytes_without_end_test.ts
@@ -0,0 +1,200 @@
+// Guards against a server whose bytes never end, and that keeps a call waiting or its connection open for as long as it sends.
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import type { Socket } from "node:net";
+import { afterEach, describe, it } from "node:test";
+import { CLEAN_UPS } from "./clean_ups.ts";
+import {
+  createAnswer,
+  createRequest,
+  startGateway,
+} from "./http_gateway_fixture.ts";
+import { openRawCaller, startRawServer } from "./raw_http.ts";
+import { awaitAnswer } from "./received_answer.ts";
+
+afterEach(() => CLEAN_UPS.splice(0).forEach((cleanUp) => cleanUp()));
+
+/** Time that a call, and then the end of the connection of its server, may take, in milliseconds. */
+const MAX_WAIT_MS = 2_000;
+/** Timeout of a call that must not be used up, in milliseconds. */
+const CALL_TIMEOUT_MS = 10_000;
+/** Maximum number of bytes that a server gets rid of, those in the system's buffers included. */
+const MAX_SENT_BYTES = 16_777_216;
+/** Size of the pieces in which a server sends at full speed, in bytes. */
+const PIECE_BYTES = 65_536;
+/** Time between two bytes of a slow server, in milliseconds. */
+const SLOW_INTERVAL_MS = 100;
+
+/** Bytes that a server sends for ever after the beginning of an answer. */
+interface EndlessAnswer {
+  readonly beginning: string;
+  readonly repeated: string;
+  readonly isSlow?: boolean;
+  /** Whether the answer is broken off that the caller has begun to get. Default: no. */
+  readonly isBrokenOff?: boolean;
+  /** Status of a call that may run once; `undefined` if the answer is passed on. Default: 502. */
+  readonly onceStatus?: string | undefined;
+}
+
+function toHead(status: string, ...headers: readonly string[]): string {
+  return createAnswer("c1", "", headers).replace("200 OK", status)
+    .replace(/Content-Length: \d+/, "Content-Length: 1000000000000");
+}
+const CHUNKED_HEAD = toHead("200 OK")
+  .replace(/Content-Length: \d+/, "Transfer-Encoding: chunked");
+const REJECTION = "X-Havenspur-Not-Executed: 1";
+const LINE = "x".repeat(1_000);
+
+const ANSWERS: Readonly<Record<string, EndlessAnswer>> = {
+  "a header line": { beginning: "HTTP/1.1 200 OK\r\nX: ", repeated: "x" },
+  "header lines": { beginning: "HTTP/1.1 200 OK\r\n", repeated: "X: y\r\n" },
+  "the body of a rejection": {
+    beginning: toHead("503 Full", REJECTION),
+    repeated: LINE,
+    onceStatus: "503",
+  },
+  "the body of a rejection, slowly": {
+    beginning: toHead("429 Full", REJECTION),
+    repeated: "x",
+    isSlow: true,
+    onceStatus: "503",
+  },
+  "the body of a misdirected call, slowly": {
+    beginning: toHead("421 Misdirected"),
+    repeated: "x",
+    isSlow: true,
+    onceStatus: "200",
+  },
+  "the body of a 503 without a rejection": {
+    beginning: toHead("503 Full"),
+    repeated: LINE,
+  },
+  "the body of a held failure": {
+    beginning: toHead("500 Failed"),
+    repeated: LINE,
+    onceStatus: undefined,
+  },
+  "the body of an unsigned answer": {
+    beginning: toHead("200 OK").replace(/.*Signature.*\r\n/, ""),
+    repeated: LINE,
+  },
+  "the body of another call's answer": {
+    beginning: toHead("200 OK").replace("c1", "c2"),
+    repeated: LINE,
+  },
+  "an encoded body": {
+    beginning: toHead("200 OK", "Content-Encoding: gzip"),
+    repeated: LINE,
+  },
+  "a trailer": {
+    beginning: CHUNKED_HEAD + "1\r\nx\r\n0\r\nX: ",
+    repeated: "x",
+    isBrokenOff: true,
+  },
+  "trailers": {
+    beginning: CHUNKED_HEAD + "1\r\nx\r\n0\r\n",
+    repeated: "X: y\r\n",
+    isBrokenOff: true,
+  },
+};
+
+/** Sends bytes until the connection is closed, as fast as it takes them or one by one. */
+function sendForEver(socket: Socket, { repeated, isSlow }: EndlessAnswer) {
+  if (isSlow) {
+    const timer = setInterval(() => socket.write(repeated), SLOW_INTERVAL_MS);
+    socket.once("close", () => clearInterval(timer));
+    return;
+  }
+  const piece = repeated.repeat(Math.ceil(PIECE_BYTES / repeated.length));
+  const sendMore = () => {
+    while (!socket.destroyed && socket.write(piece));
+  };
+  socket.on("drain", sendMore);
+  sendMore();
+}
+
+/** Returns whether an event comes in time. */
+async function isInTime(event: Promise<unknown>): Promise<boolean> {
+  const late = new AbortController();
+  const timer = setTimeout(() => late.abort(), MAX_WAIT_MS);
+  const outcome = await Promise.race([
+    event.then(() => true),
+    once(late.signal, "abort").then(() => false),
+  ]);
+  clearTimeout(timer);
+  return outcome;
+}
+
+/** Has the first server of a call send an answer without end, and the next one a whole one. */
+async function callEndlessServer(
+  answer: EndlessAnswer,
+  kind: "safe" | "unsafe",
+) {
+  let calls = 0;
+  let endless: Socket | undefined;
+  const servers = await Promise.all(
+    [1, 2].map(() =>
+      startRawServer((_, socket) => {
+        if (calls++ > 0) {
+          socket.write(createAnswer("c1", "whole"));
+          return;
+        }
+        endless = socket;
+        socket.write(answer.beginning);
+        sendForEver(socket, answer);
+      })
+    ),
+  );
+  const gateway = await startGateway({
+    routes: [{
+      prefix: "/a/",
+      kind,
+      maxAttempts: kind === "safe" ? 2 : 1,
+      timeoutMs: CALL_TIMEOUT_MS,
+      targetMs: CALL_TIMEOUT_MS,
+    }],
+    servers: { s1: servers[0]!.address, s2: servers[1]!.address },
+  });
+  const caller = await openRawCaller(gateway.port);
+  CLEAN_UPS.push(
+    () => gateway.close(),
+    () => caller.socket.destroy(),
+    ...servers.map((server) => () => server.close()),
+  );
+  caller.socket.write(
+    createRequest("/a/x", { headers: ["Connection: close"] }),
+  );
+  const received = awaitAnswer(caller);
+  assert.ok(await isInTime(received), `the call waits: "${caller.read()}"`);
+  const closed = new Promise<void>((resolve) => {
+    if (endless!.destroyed) resolve();
+    else endless!.once("close", () => resolve());
+  });
+  assert.ok(await isInTime(closed), "the connection is kept");
+  const sentBytes = endless!.bytesWritten;
+  assert.ok(sentBytes < MAX_SENT_BYTES, `the server sent ${sentBytes} bytes`);
+  return await received;
+}
+
+describe("bytes without end of a server", () => {
+  Object.entries(ANSWERS).forEach(([name, answer]) => {
+    const { isBrokenOff = false } = answer;
+
+    it(`end a call that may run again in time: ${name}`, async () => {
+      const { body, looksComplete } = await callEndlessServer(answer, "safe");
+      assert.equal(looksComplete, !isBrokenOff);
+      assert.equal(body, isBrokenOff ? "x" : "whole");
+    });
+
+    const onceStatus = "onceStatus" in answer ? answer.onceStatus : "502";
+    if (onceStatus === undefined) return;
+    it(`end a call that may run once in time: ${name}`, async () => {
+      const { looksComplete, status } = await callEndlessServer(
+        answer,
+        "unsafe",
+      );
+      assert.equal(looksComplete, !isBrokenOff);
+      assert.equal(status, isBrokenOff ? "200" : onceStatus);
+    });
+  });
+});
