--- a/tests/virtual_fleet.ts
+++ b/tests/virtual_fleet.ts
@@ -116,6 +116,8 @@
   readonly slots?: number;
   /** Decides how a server responds to a call. */
   readonly decide: (arrival: Arrival) => ServerAction;
+  /** Returns until when a server sends no event of any stream. Default: it always sends. */
+  readonly readSilentUntilMs?: (server: string) => number;
   /** Time after which a crashed server is replaced, in milliseconds. Default: never. */
   readonly replacedAfterMs?: number;
   /** Returns headers that a server adds to each answer besides the call's id. Default: none. */
@@ -512,6 +514,12 @@
         if (this.links.end(arrival.from, server.id, events)) events.onEnd([]);
         return;
       }
+      const silentMs = (this.#parts.readSilentUntilMs?.(server.id) ?? 0) -
+        this.clock.nowMs();
+      if (silentMs > 0) {
+        this.clock.schedule(silentMs, () => sendNext(id));
+        return;
+      }
       events.onData(Buffer.from(`id: ${id}\ndata: ${server.version}\n\n`));
       if (id === action.cutAfter) this.#close(server, arrival, events);
       else this.clock.schedule(action.gapMs, () => sendNext(id + 1));
