Log: a call whose connection closes within its answer, and which side closed it

Seen: of four answers that broke off in an incident, no line named one, and the record did not tell who had closed the connection. Cause: a call whose connection has closed is only counted, as caller-left, also where this instance closed it. Evidence: four tests fail before: no line, and one reason for all ways of closing. Change: the signal of a sink tells which side closed the connection; a call that a server had gets a line with it, whether the answer had begun, and the server.

--- a/adapters/call_listener.ts
+++ b/adapters/call_listener.ts
@@ -106,6 +106,8 @@
   readonly #readingSockets = new Set<Duplex>();
   /** Connections that are closed once their open calls are answered. */
   readonly #closingSockets = new Set<Duplex>();
+  /** Connections that failed or were reset from outside. */
+  readonly #failedSockets = new WeakSet<Duplex>();
   /** Connections whose answer in progress ends with them: no call behind it can be answered. */
   readonly #lastAnswerSockets = new WeakSet<Duplex>();
   /** Answers that are not fully sent yet. */
@@ -217,6 +219,8 @@
       // The answers to other calls of the connection would be lost with it.
       mayEndConnection: () => this.#countOpenCalls(socket) <= 1,
       onEndsConnection: () => this.#lastAnswerSockets.add(socket),
+      wasClosedByCaller: () =>
+        socket.readableEnded || this.#failedSockets.has(socket),
     });
     this.#openSinks.add(sink);
     response.on("close", () => this.#openSinks.delete(sink));
@@ -362,8 +366,10 @@
    */
   #handleClientError(error: NodeJS.ErrnoException, socket: Duplex): void {
     const isClosed = !socket.writable || error.code === "ECONNRESET";
-    if (isClosed) socket.destroy();
-    else if (this.#countServedCalls(socket) > 0) {
+    if (isClosed) {
+      this.#failedSockets.add(socket);
+      socket.destroy();
+    } else if (this.#countServedCalls(socket) > 0) {
       this.#closingSockets.add(socket);
     } else {
       // A caller that left within its body keeps neither its place nor its memory.
@@ -390,6 +396,8 @@
   readonly mayEndConnection: () => boolean;
   /** Called when an answer begins that ends with its connection. */
   readonly onEndsConnection: () => void;
+  /** Returns whether a connection that is closed was ended or reset from outside. */
+  readonly wasClosedByCaller: () => boolean;
 }
 
 class ResponseSink implements CallSink {
@@ -407,7 +415,11 @@
     const disconnect = new AbortController();
     this.signal = disconnect.signal;
     response.on("close", () => {
-      if (!response.writableFinished) disconnect.abort("the caller went away");
+      if (response.writableFinished) return;
+      const by = connection.wasClosedByCaller()
+        ? "the caller"
+        : "this instance";
+      disconnect.abort(`${by} closed the connection`);
     });
   }
 
--- a/adapters/call_listener_test.ts
+++ b/adapters/call_listener_test.ts
@@ -84,6 +84,38 @@
     assert.deepEqual(calls[0]!.headers.slice(-2), ["Host", "a.example"]);
   });
 
+  // Of an answer that broke off, no line told which side had closed the connection.
+  describe("when a connection closes within an answer", () => {
+    const startHeld = async () => {
+      const signals: AbortSignal[] = [];
+      const started = await start((_, { signal }) => {
+        signals.push(signal);
+        return Promise.resolve();
+      });
+      const { socket } = await started.send(REQUEST);
+      await waitUntil(() => signals.length > 0);
+      const awaitReason = async () => {
+        await waitUntil(() => signals[0]!.aborted);
+        return signals[0]!.reason;
+      };
+      return { ...started, socket, awaitReason };
+    };
+
+    (["end", "resetAndDestroy"] as const).forEach((close) =>
+      it(`tells that the caller closed it (${close})`, async () => {
+        const { awaitReason, socket } = await startHeld();
+        socket[close]();
+        assert.match(await awaitReason(), /^the caller /);
+      })
+    );
+
+    it("tells that this instance closed it", async () => {
+      const { awaitReason, listener } = await startHeld();
+      listener.destroy();
+      assert.match(await awaitReason(), /^this instance /);
+    });
+  });
+
   // An instance that accepts more than it can carry answers everyone late, or ends for
   // lack of memory or descriptors.
   describe("when the instance cannot carry a call", () => {
--- a/forwarding/call_forwarder_test.ts
+++ b/forwarding/call_forwarder_test.ts
@@ -17,6 +17,7 @@
   createOpaqueCall,
   SINGLE_ROUTE_TABLE,
 } from "../tests/opaque_call_fixture.ts";
+import { createRecordingLogger } from "../tests/recording_logger.ts";
 import { createReport } from "../tests/report_fixture.ts";
 import { CallForwarder } from "./call_forwarder.ts";
 import { GATEWAY_HEADER_CODEC } from "./gateway_header_codec.ts";
@@ -37,6 +38,11 @@
   };
 }
 
+/** Never answers. */
+const SILENT_CLIENT: ServerClient = {
+  send: () => ({ resume: () => {}, abort: () => {} }),
+};
+
 /** Has no free connection, so that it sends nothing. */
 const FULL_CLIENT: ServerClient = {
   send: (_, events) => {
@@ -148,6 +154,20 @@
     });
   });
 
+  it("logs a call that a server had when its connection closed", async () => {
+    const { lines, logger } = createRecordingLogger();
+    const { clock, forwarder } = start({ client: SILENT_CLIENT, logger });
+    forwarder.setTable(SINGLE_ROUTE_TABLE);
+    const connection = new AbortController();
+    const sink = { ...createHeadSink(() => {}), signal: connection.signal };
+    void forwarder.handle(createOpaqueCall(clock.nowMs()), sink);
+    await clock.advance(10);
+    connection.abort("the caller closed the connection");
+    await clock.advance(1);
+    const line = lines.find((each) => each.includes("within the call"));
+    assert.match(line ?? "", /"reason":"the caller closed .*"at":"s1"/);
+  });
+
   describe("when it has just started and has no configuration", () => {
     it("serves a call if the configuration arrives shortly after it", async () => {
       const { clock, forwarder, handle } = start();
--- a/forwarding/call_replies.ts
+++ b/forwarding/call_replies.ts
@@ -102,7 +102,14 @@
     const { call, progress, sink } = exchange;
     if (sink.signal.aborted) {
       this.count(exchange, "caller-left");
-      this.log(exchange, "caller left", { hasBegun: progress.hasBegun });
+      if (exchange.mayHaveRun) {
+        const { sentTo } = exchange;
+        this.log(exchange, "connection closed within the call", {
+          reason: String(sink.signal.reason),
+          hasBegun: progress.hasBegun,
+          ...(sentTo.length > 0 ? { at: sentTo.at(-1)! } : {}),
+        });
+      }
       return;
     }
     this.count(exchange, refusal.reason);
--- a/forwarding/opaque_call.ts
+++ b/forwarding/opaque_call.ts
@@ -31,7 +31,7 @@
 
 /** Destination of the answer to a call. */
 export interface CallSink {
-  /** Aborts when the caller disconnects. */
+  /** Aborts when the connection closes before the whole answer is sent, with who closed it. */
   readonly signal: AbortSignal;
   /** Sends the head of the answer. */
   begin(head: AnswerHead): void;
