Comparison of versions: a pause for a slow caller can be left out of the gaps

Seen: read only, no call was lost by it. A caller that does not read makes its server look as if it paused, and the version that the server runs worse than the other one. Cause: SendEvidence measures gaps between the bytes that this instance reads, also while it does not read. Evidence: the unit test is of the new function; the sender, which is another part's file, does not call it yet. Change: recordResume begins the next gap where reading goes on.

--- a/forwarding/send_evidence.ts
+++ b/forwarding/send_evidence.ts
@@ -39,6 +39,11 @@
     this.#lastBytesMs = nowMs;
   }
 
+  /** Records that the answer is read again, which this instance had paused for its caller. */
+  recordResume(nowMs: number): void {
+    this.#lastBytesMs = nowMs;
+  }
+
   /** Records the first byte of the answer's body. */
   recordFirstByte(nowMs: number): void {
     this.#firstByteMs = nowMs;
