A connection whose bytes never become an answer is closed

Seen: a server that sends a status line, spaces in a header, blank lines, interim answers, a chunk's size or a chunk's extension without end holds its call until the deadline (10 s in the test; on the OpenAI listener, without a deadline of its caller, for ever). After a whole answer, blank lines without end kept the connection.

Cause: undici bounds names and values of headers only. It skips all other bytes beside a body without a callback, so that nothing counts them; its timeouts are off, as silence is no failure.

The call fails as for any bytes that are no answer; the pool logs the address and the reason. Both pools of connections use it.

--- a/adapters/connection_pool.ts
+++ b/adapters/connection_pool.ts
@@ -15,6 +15,7 @@
   isConnectionClosedError,
   isNotSentError,
 } from "./connection_errors.ts";
+import { FRAMING_EXCEEDED, FramingLimit } from "./framing_limit.ts";
 import { LineRateLimiter, type Logger } from "../logs/mod.ts";
 import { systemClock } from "./system_clock.ts";
 
@@ -51,6 +52,7 @@
 interface Connection {
   readonly client: Client;
   socket: Socket | undefined;
+  framingLimit: FramingLimit | undefined;
   /**
    * Time of the last byte of an answer, in milliseconds on this instance's clock;
    * `undefined` before the first one.
@@ -205,6 +207,7 @@
     const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
     const connection: Connection = {
       socket: undefined,
+      framingLimit: undefined,
       answeredMs: undefined,
       client: new Client(`http://${this.#address}`, {
         pipelining: 1,
@@ -219,6 +222,7 @@
             const socket: Socket | null | undefined = result[1];
             if (socket) {
               connection.socket = socket;
+              connection.framingLimit = new FramingLimit(socket);
               socket.setNoDelay(true);
               socket.setKeepAlive(true, PROBE_AFTER_MS);
             }
@@ -229,6 +233,9 @@
     };
     // A closed idle connection is removed: its client would open another one.
     connection.client.on("disconnect", () => {
+      if (connection.framingLimit?.isExceeded) {
+        this.#parts.logClosed(FRAMING_EXCEEDED);
+      }
       const at = this.#free.indexOf(connection);
       if (at < 0) return;
       this.#free.splice(at, 1);
@@ -349,6 +356,7 @@
   }
 
   onData(chunk: Buffer): boolean {
+    this.#connection.framingLimit?.recordBody(chunk.length);
     if (this.#isDone) return true;
     this.#connection.answeredMs = systemClock.nowMs();
     if (this.#drainEnded === undefined) return this.#events.onData(chunk);
@@ -361,7 +369,8 @@
 
   onComplete(trailers: string[] | null): void {
     if (this.#isDone) return;
-    const { socket } = this.#connection;
+    const { framingLimit, socket } = this.#connection;
+    framingLimit?.reset();
     const reset = findResetError(this.#framing, socket);
     if (reset !== undefined) {
       this.#fail(reset);
--- a/adapters/reset_checking_agent.ts
+++ b/adapters/reset_checking_agent.ts
@@ -10,11 +10,13 @@
 } from "undici";
 import { type AnswerFraming, readAnswerFraming } from "../forwarding/mod.ts";
 import { findResetError } from "./connection_errors.ts";
+import { FramingLimit } from "./framing_limit.ts";
 import { toRawHeaders } from "./raw_headers.ts";
 
 /** Connection of a client; `undefined` until it is open. */
 interface Connection {
   socket: Socket | undefined;
+  framingLimit: FramingLimit | undefined;
 }
 
 /** Methods of undici's handler, which its types leave out. */
@@ -25,6 +27,10 @@
     headers: IncomingHttpHeaders,
     statusText?: string,
   ): void;
+  onResponseData(
+    controller: Dispatcher.DispatchController,
+    chunk: Buffer,
+  ): void;
   onResponseEnd(
     controller: Dispatcher.DispatchController,
     trailers: IncomingHttpHeaders,
@@ -39,8 +45,8 @@
 ) => ResponseHandler;
 
 /**
- * Returns an agent for which a body fails whose connection is reset. undici takes a body with
- * neither a length nor chunks as complete then.
+ * Returns an agent for which a body fails whose connection is reset: undici takes a body with
+ * neither a length nor chunks as complete then. It also bounds the bytes beside bodies.
  *
  * @param options Options of the agent. `factory` is set by this function.
  */
@@ -56,13 +62,18 @@
 
 /** Returns a client, which has one connection, that checks how its answers end. */
 function createClient(origin: URL, options: Client.Options): Client {
-  const connection: Connection = { socket: undefined };
+  const connection: Connection = {
+    socket: undefined,
+    framingLimit: undefined,
+  };
   const connect = options.connect as buildConnector.connector;
   const client = new Client(origin, {
     ...options,
     connect: (target, callback) =>
       connect(target, (...result) => {
         connection.socket = result[1] ?? undefined;
+        connection.framingLimit = connection.socket &&
+          new FramingLimit(connection.socket);
         callback(...result);
       }),
   });
@@ -98,10 +109,19 @@
     super.onResponseStart(controller, status, headers, statusText);
   }
 
+  override onResponseData(
+    controller: Dispatcher.DispatchController,
+    chunk: Buffer,
+  ): void {
+    this.#connection.framingLimit?.recordBody(chunk.length);
+    super.onResponseData(controller, chunk);
+  }
+
   override onResponseEnd(
     controller: Dispatcher.DispatchController,
     trailers: IncomingHttpHeaders,
   ): void {
+    this.#connection.framingLimit?.reset();
     const reset = findResetError(this.#framing, this.#connection.socket);
     if (reset === undefined) super.onResponseEnd(controller, trailers);
     else super.onResponseError(controller, reset);
--- a/tests/bytes_without_end_test.ts
+++ b/tests/bytes_without_end_test.ts
@@ -3,6 +3,14 @@
 import { once } from "node:events";
 import type { Socket } from "node:net";
 import { afterEach, describe, it } from "node:test";
+import { HttpBackendClient } from "../adapters/http_backend_client.ts";
+import type { BackendCall } from "../engine/mod.ts";
+import {
+  toAttemptId,
+  toBackendId,
+  toFailureDomainId,
+  toRegionId,
+} from "../ids/mod.ts";
 import { CLEAN_UPS } from "./clean_ups.ts";
 import {
   createAnswer,
@@ -30,6 +38,8 @@
   readonly beginning: string;
   readonly repeated: string;
   readonly isSlow?: boolean;
+  /** Method of the call. Default: `GET`. */
+  readonly method?: string;
   /** Whether the answer is broken off that the caller has begun to get. Default: no. */
   readonly isBrokenOff?: boolean;
   /** Status of a call that may run once; `undefined` if the answer is passed on. Default: 502. */
@@ -46,8 +56,15 @@
 const LINE = "x".repeat(1_000);
 
 const ANSWERS: Readonly<Record<string, EndlessAnswer>> = {
+  "a status line": { beginning: "HTTP/1.1 200 O", repeated: "K" },
   "a header line": { beginning: "HTTP/1.1 200 OK\r\nX: ", repeated: "x" },
+  "spaces in a header": { beginning: "HTTP/1.1 200 OK\r\nX:", repeated: " " },
   "header lines": { beginning: "HTTP/1.1 200 OK\r\n", repeated: "X: y\r\n" },
+  "blank lines before a head": { beginning: "", repeated: "\r\n" },
+  "interim answers": {
+    beginning: "",
+    repeated: "HTTP/1.1 102 Processing\r\n\r\n",
+  },
   "the body of a rejection": {
     beginning: toHead("503 Full", REJECTION),
     repeated: LINE,
@@ -65,6 +82,12 @@
     isSlow: true,
     onceStatus: "200",
   },
+  "the chunk size of a rejection": {
+    beginning: toHead("503 Full", REJECTION)
+      .replace(/Content-Length: \d+/, "Transfer-Encoding: chunked"),
+    repeated: "0",
+    onceStatus: "503",
+  },
   "the body of a 503 without a rejection": {
     beginning: toHead("503 Full"),
     repeated: LINE,
@@ -86,6 +109,16 @@
     beginning: toHead("200 OK", "Content-Encoding: gzip"),
     repeated: LINE,
   },
+  "a chunk size": {
+    beginning: CHUNKED_HEAD + "1\r\nx\r\n",
+    repeated: "0",
+    isBrokenOff: true,
+  },
+  "a chunk extension": {
+    beginning: CHUNKED_HEAD + "1\r\nx\r\n1;",
+    repeated: "x",
+    isBrokenOff: true,
+  },
   "a trailer": {
     beginning: CHUNKED_HEAD + "1\r\nx\r\n0\r\nX: ",
     repeated: "x",
@@ -98,6 +131,27 @@
   },
 };
 
+const WHOLE = createAnswer("c1", "whole");
+const EMPTY = createAnswer("c1", "")
+  .replace("200 OK", "204 Empty").replace(/Content-Length: .*\r\n/, "");
+
+/** Answers that are complete, although their connection has more bytes. */
+const FOLLOWED_ANSWERS: Readonly<Record<string, EndlessAnswer>> = {
+  "other bytes": { beginning: WHOLE, repeated: "x" },
+  "other answers": { beginning: WHOLE, repeated: WHOLE },
+  "blank lines": { beginning: WHOLE, repeated: "\r\n" },
+  "the body of a 204": { beginning: EMPTY, repeated: "x" },
+  "the body of a 304": {
+    beginning: EMPTY.replace("204", "304"),
+    repeated: "x",
+  },
+  "the body of an answer to HEAD": {
+    beginning: toHead("200 OK"),
+    repeated: "x",
+    method: "HEAD",
+  },
+};
+
 /** Sends bytes until the connection is closed, as fast as it takes them or one by one. */
 function sendForEver(socket: Socket, { repeated, isSlow }: EndlessAnswer) {
   if (isSlow) {
@@ -125,6 +179,28 @@
   return outcome;
 }
 
+function createBackendCall(address: string): BackendCall {
+  return {
+    server: {
+      id: toBackendId("s1"),
+      service: "app",
+      region: toRegionId("north"),
+      failureDomain: toFailureDomainId("north-a"),
+      url: `http://${address}`,
+      isLeaving: false,
+      slots: 1,
+      pricePerSecond: 0,
+      checksFencing: false,
+    },
+    attempt: toAttemptId("a1"),
+    method: "GET",
+    path: "/x",
+    headers: {},
+    body: undefined,
+    isStream: false,
+  };
+}
+
 /** Has the first server of a call send an answer without end, and the next one a whole one. */
 async function callEndlessServer(
   answer: EndlessAnswer,
@@ -162,7 +238,10 @@
     ...servers.map((server) => () => server.close()),
   );
   caller.socket.write(
-    createRequest("/a/x", { headers: ["Connection: close"] }),
+    createRequest("/a/x", {
+      method: answer.method ?? "GET",
+      headers: ["Connection: close"],
+    }),
   );
   const received = awaitAnswer(caller);
   assert.ok(await isInTime(received), `the call waits: "${caller.read()}"`);
@@ -197,4 +276,30 @@
       assert.equal(status, isBrokenOff ? "200" : onceStatus);
     });
   });
+
+  Object.entries(FOLLOWED_ANSWERS).forEach(([name, answer]) => {
+    it(`follow a whole answer and close its connection: ${name}`, async () => {
+      const { status } = await callEndlessServer(answer, "safe");
+      assert.equal(status, answer.beginning.slice(9, 12));
+    });
+  });
+
+  Object.entries(ANSWERS).filter(([, { isSlow = false }]) => !isSlow).forEach(
+    ([name, answer]) => {
+      it(`end a call of the OpenAI listener in time: ${name}`, async () => {
+        const server = await startRawServer((_, socket) => {
+          socket.write(answer.beginning);
+          sendForEver(socket, answer);
+        });
+        const client = new HttpBackendClient();
+        CLEAN_UPS.push(() => server.close(), () => void client.close());
+        const result = client.dispatch(
+          createBackendCall(server.address),
+          new AbortController().signal,
+        );
+        assert.ok(await isInTime(result), "the call waits");
+        assert.ok((await result).isErr());
+      });
+    },
+  );
 });
