A failure whose body trickles in no longer holds back the next attempt

Seen: a call that may run again, and whose server answers 500 with a body that never ends, a byte each 100 ms, waits until its deadline (10 s in the test) although another server is free.

Cause: a failure is held back until its body has ended; only its size was bounded (64 KB).

Fix: a failure is held back for at most 1 s. Then its connection is closed and the call goes on as without an answer, as with a body over 64 KB.

--- a/forwarding/run_attempt.ts
+++ b/forwarding/run_attempt.ts
@@ -164,6 +164,8 @@
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 /** Maximum body of a failure that is held back, in bytes; one with a longer body is no answer. */
 const MAX_HELD_BYTES = 65_536;
+/** Maximum time to read the body of a failure that is held back, in milliseconds. */
+const MAX_HOLD_MS = 1_000;
 /** Maximum size of an event that is passed on only once it is complete, in bytes. */
 const MAX_EVENT_BYTES = 4_194_304;
 
@@ -288,6 +290,11 @@
       : isFailure && holdsFailures;
     if (isHeld) {
       this.#held = new ByteCollector();
+      scheduleAfterReading(this.#parts.clock, MAX_HOLD_MS, () => {
+        this.#abortAnswer(
+          `The body of status ${head.status} took over ${MAX_HOLD_MS} ms`,
+        );
+      }, this.#ended);
       return;
     }
     const type = readHeader(head.headers, "content-type");
--- a/tests/bytes_without_end_test.ts
+++ b/tests/bytes_without_end_test.ts
@@ -97,6 +97,12 @@
     repeated: LINE,
     onceStatus: undefined,
   },
+  "the body of a held failure, slowly": {
+    beginning: toHead("500 Failed"),
+    repeated: "x",
+    isSlow: true,
+    onceStatus: undefined,
+  },
   "the body of an unsigned answer": {
     beginning: toHead("200 OK").replace(/.*Signature.*\r\n/, ""),
     repeated: LINE,
