Handover: a failure of the second server no longer ends the first send

Callers got a 500 of a second server while the first one had their call, was silent for a second and answered it then.

Cause: the send to the second destination is its call's last attempt, so its failure was passed on at once, as the answer that decides the handover. Over a hop failures were never held back.

Change: while a call is handed over, failures are held back; such a send ends as failed, which refuses the handover. The held failure is passed on only if the first send gives no answer either. A pause for a slow caller no longer counts as a gap of a version's events, either (SendEvidence.recordResume).

--- a/forwarding/instance_sender.ts
+++ b/forwarding/instance_sender.ts
@@ -100,7 +100,7 @@
       },
       callId: facts.callId,
       isHop: true,
-      holdsFailures: false,
+      holdsFailures: exchange.isHandingOver,
       streams: readStreamHandling(exchange),
       progress,
       toPassedHead: (head) => {
--- a/forwarding/server_sender.ts
+++ b/forwarding/server_sender.ts
@@ -119,7 +119,7 @@
       request: this.#createRequest(exchange, candidate, startMs),
       callId: exchange.facts.callId,
       isHop: false,
-      holdsFailures: canRetry,
+      holdsFailures: canRetry || exchange.isHandingOver,
       streams: readStreamHandling(exchange),
       progress: exchange.progress,
       toPassedHead: (head) => {
@@ -152,7 +152,11 @@
       onAccepted: () => gated.release(),
       onDelivering: options.onDelivering,
       onPause: () => liveness.pause(),
-      onResume: () => liveness.resume(clock.nowMs()),
+      onResume: () => {
+        const nowMs = clock.nowMs();
+        liveness.resume(nowMs);
+        evidence?.recordResume(nowMs);
+      },
       startHandover: options.startHandover,
       clock,
       firstByteTimeoutMs: computeFirstByteTimeoutMs(
