Handover: an engine that has sent nothing yet is not known to run a call

Callers could still lose a paused stream: where the second engine had never had a call of this instance, it was taken to run the call after 200 ms, whatever it did.

Cause: the record of a server's activity began with the time of its first send as that of its last byte, a fraction of a millisecond after the beginning of the handover, so the handover's own send counted as bytes of the engine. On a virtual clock both times are the same, and the tests had no engines on sockets.

Change: a server has no last byte before its first one.

--- a/forwarding/server_liveness.ts
+++ b/forwarding/server_liveness.ts
@@ -22,7 +22,8 @@
 const SILENCE_ESTIMATES = 4;
 
 interface Activity {
-  lastByteMs: number;
+  /** `undefined` before the first byte. */
+  lastByteMs: number | undefined;
   /** Number of calls in flight. */
   calls: number;
   /** Since when bytes of each call in flight that is not paused are awaited, the oldest first. */
@@ -63,7 +64,7 @@
    */
   begin(server: BackendId, nowMs: number): TrackedCall {
     const activity = this.#byServer.get(server) ??
-      { lastByteMs: nowMs, calls: 0, waits: new Set(), begunAnswers: 0 };
+      { lastByteMs: undefined, calls: 0, waits: new Set(), begunAnswers: 0 };
     this.#byServer.set(server, activity);
     activity.calls++;
     let wait = { sinceMs: nowMs };
@@ -132,7 +133,7 @@
     const activity = this.#byServer.get(server);
     const [oldest] = activity?.waits ?? [];
     if (activity === undefined || oldest === undefined) return 0;
-    return nowMs - Math.max(activity.lastByteMs, oldest.sinceMs);
+    return nowMs - Math.max(activity.lastByteMs ?? 0, oldest.sinceMs);
   }
 
   /** Removes the state of all servers but the given ones and those that have calls in flight. */
--- /dev/null
+++ b/tests/handover_ends_test.ts
@@ -0,0 +1,71 @@
+import assert from "node:assert/strict";
+import { afterEach, describe, it } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import {
+  CLEAN_UPS,
+  createEvent,
+  openStream,
+  type RequestHandler,
+  requestStream,
+  startStreamingGateway,
+  STREAM_END,
+  STREAM_HEAD,
+  toChunk,
+} from "./stream_fixture.ts";
+
+/** Silence of a sound server, in milliseconds. */
+const SILENCE_MS = 1_800;
+
+afterEach(() => CLEAN_UPS.splice(0).forEach((cleanUp) => cleanUp()));
+
+/** Sends no answer. */
+const keepSilent: RequestHandler = () => {};
+
+/** Sends an event, and another one after a silence. */
+const pauseMidway: RequestHandler = (_, socket) => {
+  socket.write(STREAM_HEAD + toChunk(createEvent(1)));
+  setTimeout(
+    () => socket.write(toChunk(createEvent(2)) + STREAM_END),
+    SILENCE_MS,
+  );
+};
+
+/** Starts engines: the first one that gets the call uses the first handler, and so on. */
+async function startEngines(
+  handlers: readonly RequestHandler[],
+  maxAttempts: number,
+) {
+  let received = 0;
+  const handle: RequestHandler = (request, socket) =>
+    handlers[Math.min(received++, handlers.length - 1)]!(request, socket);
+  return await startStreamingGateway([handle, handle], {
+    resumable: true,
+    maxAttempts,
+    isEngine: true,
+  });
+}
+
+describe("a handover to an engine that has never sent anything", () => {
+  // The send of the handover itself was taken for a sign of life of its engine.
+  it("leaves a stream that paused midway with its first engine", async () => {
+    const { gateway } = await startEngines([pauseMidway, keepSilent], 2);
+    assert.match(
+      await requestStream(gateway.port),
+      /token 1\n\n.*token 2\n\n\r\n0\r\n\r\n$/s,
+    );
+  });
+});
+
+describe("a handover whose caller leaves", () => {
+  it("ends both sends", async () => {
+    const { gateway, servers } = await startEngines([keepSilent], 2);
+    const caller = await openStream(gateway.port);
+    await sleep(1_100);
+    assert.equal(servers.flatMap(({ requests }) => requests).length, 2);
+    caller.socket.destroy();
+    await sleep(100);
+    const open = servers.flatMap(({ sockets }) => sockets)
+      .filter(({ destroyed }) => !destroyed);
+    assert.equal(open.length, 0);
+  });
+});
--- a/tests/http_gateway_fixture.ts
+++ b/tests/http_gateway_fixture.ts
@@ -52,6 +52,8 @@
   /** Region of a server. Default: `north` for all. */
   readonly serverRegions?: Readonly<Record<string, string>>;
   readonly limits?: Readonly<Record<string, number>>;
+  /** Set if the servers are model engines. Default: they are plain services. */
+  readonly engine?: { readonly slots: number; readonly kvCacheTokens: number };
   /** Slots of each server. Default: 8. */
   readonly slots?: number;
   /** Region of the gateway. Default: `north`. */
@@ -184,7 +186,11 @@
       ...route,
     })),
     ...(parts.teams === undefined ? {} : { tenants: parts.teams }),
-    services: [...serviceNames].map((name) => ({ name, maxConnections: 200 })),
+    services: [...serviceNames].map((name) => ({
+      name,
+      maxConnections: 200,
+      ...(parts.engine === undefined ? {} : { engine: parts.engine }),
+    })),
     limits: {
       maxHeaderBytes: 4_096,
       maxBodyBytes: 1_000_000,
--- a/tests/stream_fixture.ts
+++ b/tests/stream_fixture.ts
@@ -39,11 +39,16 @@
  * Starts a gateway with one streaming server for each handler.
  *
  * @param handlers Handlers of the requests, one for each server.
- * @param route Settings of the route to the servers.
+ * @param route Settings of the route to the servers, and whether these are model engines.
  */
 export async function startStreamingGateway(
   handlers: readonly RequestHandler[],
-  route: { readonly resumable: boolean; readonly maxAttempts: number },
+  { isEngine = false, ...route }: {
+    readonly resumable: boolean;
+    readonly maxAttempts: number;
+    /** Default: no. */
+    readonly isEngine?: boolean;
+  },
 ) {
   const servers = await Promise.all(handlers.map(startRawServer));
   const gateway = await startGateway({
@@ -51,6 +56,7 @@
     servers: Object.fromEntries(
       servers.map(({ address }, index) => [`s${index}`, address]),
     ),
+    ...(isEngine ? { engine: { slots: 8, kvCacheTokens: 100_000 } } : {}),
   });
   CLEAN_UPS.push(
     () => gateway.close(),
