Handover: two silent plain servers no longer hold a call that has attempts left

Callers got 504 at their deadline although a third server was free: a call of a plain service stayed with two silent servers, since only model engines had a limit for such a time.

Change: while the call has attempts left, the limit is the time after which a first byte is late; then the second send is withdrawn, and a third destination is tried. With no attempt left both may go on.

--- a/forwarding/call_sender.ts
+++ b/forwarding/call_sender.ts
@@ -12,6 +12,7 @@
   type Exchange,
 } from "./exchange.ts";
 import type { InstanceSender } from "./instance_sender.ts";
+import { computeFirstByteTimeoutMs } from "./compute_first_byte_timeout.ts";
 import type { LearnedServers } from "./learned_servers.ts";
 import { Handover, type HandoverEvents } from "./handover.ts";
 import type { FleetRetryBudgets } from "./fleet_retry_budget.ts";
@@ -161,16 +162,21 @@
 
   /**
    * Returns for how long two destinations may have a call, in milliseconds, or `undefined`
-   * without a limit. Only model engines must not work on one call together.
+   * without a limit. Model engines must not work on one call together. Elsewhere, the limit
+   * lets a third destination be tried while the call has attempts left.
    */
   #computeOverlapMs(
-    { service }: Exchange,
+    exchange: Exchange,
     target: SendDestination,
   ): number | undefined {
-    if (service.engine === undefined) return undefined;
-    if (target.kind === "local") return MAX_OVERLAP_MS;
-    return MAX_OVERLAP_MS +
-      this.#parts.destinations.readRoundTripMs(target.region);
+    const roundTripMs = target.kind === "local"
+      ? 0
+      : this.#parts.destinations.readRoundTripMs(target.region);
+    if (exchange.service.engine !== undefined) {
+      return MAX_OVERLAP_MS + roundTripMs;
+    }
+    const { estimateMs } = target.candidate;
+    return computeFirstByteTimeoutMs(exchange, estimateMs + roundTripMs);
   }
 
   /** Returns whether no connection to a server can be opened, so that it does not merely stall. */
--- a/tests/handover_ends_test.ts
+++ b/tests/handover_ends_test.ts
@@ -1,6 +1,8 @@
 import assert from "node:assert/strict";
 import { afterEach, describe, it } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
+import { createAnswer, startGateway } from "./http_gateway_fixture.ts";
+import { startRawServer } from "./raw_http.ts";
 import {
   CLEAN_UPS,
   createEvent,
@@ -30,14 +32,19 @@
   );
 };
 
+/** Returns a handler that uses the handlers in turn, and the last one from then on. */
+function takeTurns(handlers: readonly RequestHandler[]): RequestHandler {
+  let received = 0;
+  return (request, socket) =>
+    handlers[Math.min(received++, handlers.length - 1)]!(request, socket);
+}
+
 /** Starts engines: the first one that gets the call uses the first handler, and so on. */
 async function startEngines(
   handlers: readonly RequestHandler[],
   maxAttempts: number,
 ) {
-  let received = 0;
-  const handle: RequestHandler = (request, socket) =>
-    handlers[Math.min(received++, handlers.length - 1)]!(request, socket);
+  const handle = takeTurns(handlers);
   return await startStreamingGateway([handle, handle], {
     resumable: true,
     maxAttempts,
@@ -56,6 +63,30 @@
   });
 });
 
+describe("a handover to a plain server that is silent, too", () => {
+  // The call waited for both until its deadline.
+  it("ends while the call has attempts left, so that a third one answers", async () => {
+    const answer: RequestHandler = (_, socket) =>
+      socket.write(createAnswer("c1", "third"));
+    const handle = takeTurns([keepSilent, keepSilent, answer]);
+    const servers = await Promise.all(
+      Array.from({ length: 3 }, () => startRawServer(handle)),
+    );
+    const gateway = await startGateway({
+      routes: [{ prefix: "/a/", maxAttempts: 3, targetMs: 1_000 }],
+      servers: Object.fromEntries(
+        servers.map(({ address }, index) => [`s${index}`, address]),
+      ),
+    });
+    CLEAN_UPS.push(
+      () => gateway.close(),
+      ...servers.map((server) => () => server.close()),
+    );
+    const answered = await requestStream(gateway.port);
+    assert.match(answered, /^HTTP\/1\.1 200 .*third$/s);
+  });
+});
+
 describe("a handover whose caller leaves", () => {
   it("ends both sends", async () => {
     const { gateway, servers } = await startEngines([keepSilent], 2);
