Handover: an engine from which a call was withdrawn may get it again

Callers got 502 or 504 where a first engine broke off or was dead, and the second one, sound and free, needed over 200 ms for its first event: the withdrawn send had used up the attempt and the engine.

Change: a withdrawn engine may get the call again once the first one has ended, or counts as lost: it can't be connected to, or nothing was heard of it for 3 s. Where the attempts are used up, the call may go to withdrawn engines only, so that it never has more engines than its route allows. The first send is left after the overlap if its engine counts as lost.

--- a/forwarding/call_forwarder.ts
+++ b/forwarding/call_forwarder.ts
@@ -506,6 +506,8 @@
         version: hop?.version,
       },
       tried: new Set(hop?.tried),
+      withdrawn: new Set(),
+      onlyServers: undefined,
       unreached: new Set(),
       waitOrder: this.#waitingCalls.takeOrder(),
       // Only the instance that the caller reached retries calls.
--- a/forwarding/call_sender.ts
+++ b/forwarding/call_sender.ts
@@ -10,6 +10,7 @@
   canBeHandedOver,
   endHandover,
   type Exchange,
+  releaseWithdrawn,
 } from "./exchange.ts";
 import type { InstanceSender } from "./instance_sender.ts";
 import { computeFirstByteTimeoutMs } from "./compute_first_byte_timeout.ts";
@@ -33,6 +34,8 @@
  * process fire 100 ms late or more.
  */
 const MAX_OVERLAP_MS = 200;
+/** Attempts that a call needs for a handover, with that of the destination that has it. */
+const HANDOVER_ATTEMPTS = 2;
 /** Lowest HTTP status that means a failure of the server. */
 const MIN_FAILURE_STATUS = 500;
 
@@ -117,6 +120,7 @@
   ): Handover | undefined {
     const { clock, metrics, destinations, quarantine, replies } = this.#parts;
     const nowMs = clock.nowMs();
+    if (this.#isLost(from)) releaseWithdrawn(exchange, HANDOVER_ATTEMPTS);
     if (!canBeHandedOver(exchange)) return undefined;
     if (exchange.isTrial) return undefined;
     if (quarantine.readRemainingQuarantineMs(exchange.content, nowMs) > 0) {
@@ -179,10 +183,13 @@
     return computeFirstByteTimeoutMs(exchange, estimateMs + roundTripMs);
   }
 
-  /** Returns whether no connection to a server can be opened, so that it does not merely stall. */
+  /** Returns whether a server does not merely stall: nothing is heard of it, or it can't be connected to. */
   #isLost(destination: SendDestination): boolean {
-    return destination.kind === "local" &&
-      this.#parts.learned.links.isUnreachable(readServerId(destination));
+    if (destination.kind === "remote") return false;
+    const { clock, learned: { links, liveness } } = this.#parts;
+    const server = readServerId(destination);
+    return links.isUnreachable(server) ||
+      liveness.isLost(server, clock.nowMs());
   }
 
   /**
@@ -213,6 +220,7 @@
       case "choose-again":
         return false;
       case "retry":
+        releaseWithdrawn(exchange, 1);
         if (this.#takeRetry(exchange)) return false;
         replies.finishUnanswered(exchange, step.refusal);
         return true;
--- a/forwarding/choose_destination.ts
+++ b/forwarding/choose_destination.ts
@@ -444,6 +444,7 @@
     maxOutputTokens: facts.prompt?.maxOutputTokens ?? 0,
     targetMs: route.targetMs,
     maxTokenGapMs,
+    only: exchange.onlyServers,
     tried: excluded.size === 0 ? tried : new Set([...tried, ...excluded]),
   };
 }
--- a/forwarding/choose_server.ts
+++ b/forwarding/choose_server.ts
@@ -71,6 +71,8 @@
   readonly maxTokenGapMs: number | undefined;
   /** Servers that the call was sent to before. */
   readonly tried: ReadonlySet<BackendId>;
+  /** The only servers that the call may be sent to. Default: any. */
+  readonly only?: ReadonlySet<BackendId> | undefined;
 }
 
 /** A server that a call may be sent to. */
@@ -208,6 +210,7 @@
     const available = registry.listUsable(service, region)
       .filter((server) =>
         !needs.tried.has(server.entry.id) &&
+        (needs.only === undefined || needs.only.has(server.entry.id)) &&
         health.readCooldownUntilMs(server.entry.id) <= nowMs &&
         (isAllowed === undefined || isAllowed(server))
       );
--- a/forwarding/exchange.ts
+++ b/forwarding/exchange.ts
@@ -27,6 +27,13 @@
   readonly progress: StreamProgress;
   /** Servers that had the call before, also those that other instances sent it to. */
   readonly tried: Set<BackendId>;
+  /**
+   * Servers of this region from which the call was withdrawn before they answered. They may
+   * get it again, which is no attempt at a further server.
+   */
+  readonly withdrawn: Set<BackendId>;
+  /** The only servers that may still get the call. Default: any. */
+  onlyServers: ReadonlySet<BackendId> | undefined;
   /** Servers that this instance could not send the call to; another instance may reach them. */
   readonly unreached: Set<BackendId>;
   /** Order in the queue of waiting calls, kept over several waits. */
@@ -100,6 +107,27 @@
     isRetryable(exchange) && isResumableNow(exchange);
 }
 
+/**
+ * Lets the servers from which a call was withdrawn get it again. Where its attempts are used
+ * up, one of them replaces an attempt, and no other server may get the call.
+ *
+ * @param exchange The call.
+ * @param neededAttempts Attempts that the next send needs.
+ */
+export function releaseWithdrawn(
+  exchange: Exchange,
+  neededAttempts: number,
+): void {
+  const { tried, withdrawn } = exchange;
+  if (withdrawn.size === 0) return;
+  withdrawn.forEach((server) => tried.delete(server));
+  if (exchange.attemptsLeft < neededAttempts) {
+    exchange.attemptsLeft++;
+    exchange.onlyServers = new Set(withdrawn);
+  }
+  withdrawn.clear();
+}
+
 /** Begins a handover, and reserves one attempt for the destination that has the call. */
 export function beginHandover(exchange: Exchange): void {
   exchange.isHandingOver = true;
--- a/forwarding/server_liveness.ts
+++ b/forwarding/server_liveness.ts
@@ -14,6 +14,11 @@
  * already, and its prompt is prefilled again.
  */
 const DEAD_SILENCE_MS = 1_000;
+/**
+ * Silence of a server, in milliseconds, after which it counts as lost: a sound one that stalls
+ * goes on within one or two seconds.
+ */
+const LOST_SILENCE_MS = 3_000;
 /**
  * Silence of a server that has begun no answer, after which new calls are sent elsewhere,
  * as a multiple of the estimated time to its next first byte; it is at least
@@ -119,6 +124,11 @@
       this.#readSilenceMs(server, nowMs) > DEAD_SILENCE_MS;
   }
 
+  /** Returns whether a server has been silent for longer than one that merely stalls. */
+  isLost(server: BackendId, nowMs: number): boolean {
+    return this.#readSilenceMs(server, nowMs) > LOST_SILENCE_MS;
+  }
+
   /** Returns whether a server has sent bytes, on any connection, after a time. */
   hasSentSince(server: BackendId, sinceMs: number): boolean {
     return (this.#byServer.get(server)?.lastByteMs ?? 0) > sinceMs;
--- a/forwarding/settle_attempt.ts
+++ b/forwarding/settle_attempt.ts
@@ -108,8 +108,13 @@
   destination: SendDestination,
   outcome: EndedOutcome,
 ): void {
-  // A server whose send was cancelled may have run the call.
-  if (outcome.kind === "given-up") exchange.attemptsLeft--;
+  if (outcome.kind === "given-up") {
+    // A server whose send was cancelled may have run the call.
+    exchange.attemptsLeft--;
+    if (destination.kind === "local") {
+      exchange.withdrawn.add(destination.candidate.server.entry.id);
+    }
+  }
   settleAttempt(exchange, destination, outcome);
 }
 
--- a/tests/handover_ends_test.ts
+++ b/tests/handover_ends_test.ts
@@ -17,6 +17,8 @@
 
 /** Silence of a sound server, in milliseconds. */
 const SILENCE_MS = 1_800;
+/** Time that an engine needs for its first event, in milliseconds: longer than two engines may have a call. */
+const LATE_MS = 400;
 
 afterEach(() => CLEAN_UPS.splice(0).forEach((cleanUp) => cleanUp()));
 
@@ -87,6 +89,39 @@
   });
 });
 
+// An engine that had not answered within the overlap was not used again, and the call was lost with its first one.
+describe("an engine from which a handover was withdrawn", () => {
+  const answerLate: RequestHandler = (_, socket) => {
+    setTimeout(
+      () => socket.write(STREAM_HEAD + toChunk(createEvent(1)) + STREAM_END),
+      LATE_MS,
+    );
+  };
+  const breakOff: RequestHandler = (_, socket) => {
+    setTimeout(() => socket.destroy(), SILENCE_MS);
+  };
+
+  [2, 4].forEach((maxAttempts) =>
+    it(`gets the call again once the first one has broken off (${maxAttempts} attempts)`, async () => {
+      const { gateway, servers } = await startEngines(
+        [breakOff, answerLate],
+        maxAttempts,
+      );
+      assert.match(await requestStream(gateway.port), /^HTTP\/1\.1 200 /);
+      assert.equal(servers.flatMap(({ requests }) => requests).length, 3);
+    })
+  );
+
+  it("gets the call again once the first one counts as lost", async () => {
+    const { gateway, servers } = await startEngines(
+      [keepSilent, answerLate],
+      2,
+    );
+    assert.match(await requestStream(gateway.port), /^HTTP\/1\.1 200 /);
+    assert.equal(servers.flatMap(({ requests }) => requests).length, 3);
+  });
+});
+
 describe("a handover whose caller leaves", () => {
   it("ends both sends", async () => {
     const { gateway, servers } = await startEngines([keepSilent], 2);
