Log: an answered call whose connection closes before all of its answer is sent

Seen: a call counts as answered once its server has ended the answer. If the connection closes while the rest waits for a caller that reads slowly, the caller has a part of it, and no line tells so. Cause: after the end of the answer, nothing listens to the closing of the connection. Evidence: the new case of the test fails before. Change: the line "connection closed within the call" is also written then, with isAnswered.

--- a/forwarding/call_forwarder_test.ts
+++ b/forwarding/call_forwarder_test.ts
@@ -154,18 +154,22 @@
     });
   });
 
-  it("logs a call that a server had when its connection closed", async () => {
-    const { lines, logger } = createRecordingLogger();
-    const { clock, forwarder } = start({ client: SILENT_CLIENT, logger });
-    forwarder.setTable(SINGLE_ROUTE_TABLE);
-    const connection = new AbortController();
-    const sink = { ...createHeadSink(() => {}), signal: connection.signal };
-    void forwarder.handle(createOpaqueCall(clock.nowMs()), sink);
-    await clock.advance(10);
-    connection.abort("the caller closed the connection");
-    await clock.advance(1);
-    const line = lines.find((each) => each.includes("within the call"));
-    assert.match(line ?? "", /"reason":"the caller closed .*"at":"s1"/);
+  [SILENT_CLIENT, ANSWERING_CLIENT].forEach((client) => {
+    const isAnswered = client === ANSWERING_CLIENT;
+    it(`logs a call whose connection closed before its answer was sent (isAnswered=${isAnswered})`, async () => {
+      const { lines, logger } = createRecordingLogger();
+      const { clock, forwarder } = start({ client, logger });
+      forwarder.setTable(SINGLE_ROUTE_TABLE);
+      const connection = new AbortController();
+      const sink = { ...createHeadSink(() => {}), signal: connection.signal };
+      void forwarder.handle(createOpaqueCall(clock.nowMs()), sink);
+      await clock.advance(10);
+      connection.abort("the caller closed the connection");
+      await clock.advance(1);
+      const line = lines.find((each) => each.includes("within the call")) ?? "";
+      assert.match(line, /"reason":"the caller closed .*"at":"s1"/);
+      assert.ok(line.includes(`"isAnswered":${isAnswered}`));
+    });
   });
 
   describe("when it has just started and has no configuration", () => {
--- a/forwarding/call_replies.ts
+++ b/forwarding/call_replies.ts
@@ -102,14 +102,7 @@
     const { call, progress, sink } = exchange;
     if (sink.signal.aborted) {
       this.count(exchange, "caller-left");
-      if (exchange.mayHaveRun) {
-        const { sentTo } = exchange;
-        this.log(exchange, "connection closed within the call", {
-          reason: String(sink.signal.reason),
-          hasBegun: progress.hasBegun,
-          ...(sentTo.length > 0 ? { at: sentTo.at(-1)! } : {}),
-        });
-      }
+      if (exchange.mayHaveRun) this.#logClosed(exchange, false);
       return;
     }
     this.count(exchange, refusal.reason);
@@ -140,6 +133,13 @@
     metrics.count("call.count", 1, { service, result });
     const totalMs = clock.nowMs() - exchange.call.receivedMs;
     metrics.time("call.total_ms", totalMs, { service });
+    if (result !== "answered") return;
+    // The end of an answer may still wait for a caller that reads slowly.
+    exchange.sink.signal.addEventListener(
+      "abort",
+      () => this.#logClosed(exchange, true),
+      { once: true },
+    );
   }
 
   /** Writes a log line about a call. */
@@ -163,6 +163,17 @@
     });
   }
 
+  /** Logs a call that a server had, and whose connection closed before all of its answer was sent. */
+  #logClosed(exchange: Exchange, isAnswered: boolean): void {
+    const { progress, sentTo, sink } = exchange;
+    this.log(exchange, "connection closed within the call", {
+      reason: String(sink.signal.reason),
+      hasBegun: progress.hasBegun,
+      isAnswered,
+      ...(sentTo.length > 0 ? { at: sentTo.at(-1)! } : {}),
+    });
+  }
+
   #passHeldAnswer(
     exchange: Exchange,
     { head, body, trailers }: NonNullable<Exchange["heldAnswer"]>,
