Embedded default: connections that a close of the listener cuts are logged

Seen: answers that callers still read 2 s after the last call has been served are cut at the end of an instance, and no line tells so. Cause: the listener closes them by force without a word. Evidence: the test, whose caller never reads, fails before. Change: a warning with their number.

--- a/adapters/http_listener.ts
+++ b/adapters/http_listener.ts
@@ -147,7 +147,12 @@
       );
       systemClock.schedule(
         CLOSE_TIMEOUT_MS,
-        () => server.closeAllConnections(),
+        () => {
+          server.getConnections((_, connections) =>
+            parts.logger.warn("connections cut", { port, connections })
+          );
+          server.closeAllConnections();
+        },
         closing.signal,
       );
       await closed;
--- a/adapters/http_listener_test.ts
+++ b/adapters/http_listener_test.ts
@@ -8,6 +8,7 @@
 import { createSilentLogger } from "../logs/mod.ts";
 import { disconnectBeforeAccept } from "../tests/block_event_loop.ts";
 import { openRawCaller } from "../tests/raw_http.ts";
+import { createRecordingLogger } from "../tests/recording_logger.ts";
 import { awaitAnswer } from "../tests/received_answer.ts";
 import {
   DEFAULT_LISTENER_LIMITS,
@@ -184,6 +185,24 @@
   });
 
   describe("when a reader is slow", () => {
+    it("logs that its connection is cut if it reads too slowly when the listener closes", async () => {
+      const { lines, logger } = createRecordingLogger();
+      const reply = createReply("x".repeat(16_000_000));
+      const listener = await startListener({
+        address: "127.0.0.1:0",
+        limits: DEFAULT_LISTENER_LIMITS,
+        logger,
+        handle: () => Promise.resolve(reply),
+      });
+      const caller = await openRawCaller(listener.port, "127.0.0.1");
+      caller.socket.write("GET / HTTP/1.1\r\nHost: a.example\r\n\r\n");
+      await caller.awaitText("200 OK");
+      caller.socket.pause();
+      await listener.close();
+      assert.match(lines.join(), /connections cut.*"connections":1/);
+      caller.socket.destroy();
+    });
+
     it("sends the rest of an answer that it still reads when the listener closes", async () => {
       const reply = createReply("x".repeat(16_000_000));
       const listener = await startListener({
