--- a/client/caller.ts
+++ b/client/caller.ts
@@ -1,6 +1,7 @@
 import { randomUUID } from "node:crypto";
 import { Agent, request } from "undici";
 import { createParser } from "eventsource-parser";
+import { callWithTimeout } from "../adapters/call_with_timeout.ts";
 import { isNotSentError } from "../adapters/connection_errors.ts";
 import { systemClock } from "../adapters/system_clock.ts";
 import { waitFor } from "../clock/mod.ts";
@@ -205,19 +206,25 @@
   ): Promise<SentCall> {
     const { options, key } = call;
     try {
-      const response = await request(entry.url + path, {
-        method: options.method ?? "POST",
-        headers: this.#createHeaders(options, key, call.remainingMs),
-        ...(options.body === undefined
-          ? {}
-          : { body: JSON.stringify(options.body) }),
-        dispatcher: this.#agent,
-        signal: AbortSignal.any([
-          AbortSignal.timeout(Math.ceil(call.remainingMs) + 1_000),
-          ...(options.signal === undefined ? [] : [options.signal]),
-        ]),
-      });
-      const text = await response.body.text();
+      const bounds = {
+        signal: options.signal,
+        timeoutMs: Math.ceil(call.remainingMs) + 1_000,
+      };
+      const { response, text } = await callWithTimeout(
+        bounds,
+        async (signal) => {
+          const response = await request(entry.url + path, {
+            method: options.method ?? "POST",
+            headers: this.#createHeaders(options, key, call.remainingMs),
+            ...(options.body === undefined
+              ? {}
+              : { body: JSON.stringify(options.body) }),
+            dispatcher: this.#agent,
+            signal,
+          });
+          return { response, text: await response.body.text() };
+        },
+      );
       const code = Number(response.headers["x-result-code"] ?? "0");
       const ran = String(
         response.headers["x-ran"] ?? "ran",
