Handover: only an answer of its own shows that the second destination runs a call

Callers could still lose answers: an engine that had sent bytes of other calls was taken to run this one after 200 ms, although it let it wait and refused it then, or fell silent itself; an engine whose port was closed, as one that leaves, counted as lost although it went on with its streams.

The overlap is 200 ms, 300 ms over a hop, in place of 200 ms and the round trip: the second engine works until the withdrawal arrives, which takes as long as the send did. A region from which a call was withdrawn does not get it again while the first destination has it. The end given-up is told apart from first-answered; the two meanings of isHandingOver are two fields.

--- a/forwarding/call_forwarder.ts
+++ b/forwarding/call_forwarder.ts
@@ -39,7 +39,7 @@
 } from "./choose_destination.ts";
 import { ServerChooser } from "./choose_server.ts";
 import { CrashConfirmer } from "./crash_confirmer.ts";
-import type { Exchange } from "./exchange.ts";
+import { type Exchange, hasOtherDestination } from "./exchange.ts";
 import { InstanceSender } from "./instance_sender.ts";
 import { LearnedServers } from "./learned_servers.ts";
 import { LinkProber, type ProbeServer } from "./link_prober.ts";
@@ -507,13 +507,15 @@
       },
       tried: new Set(hop?.tried),
       withdrawn: new Set(),
+      withdrawnRegions: new Set(),
       onlyServers: undefined,
       unreached: new Set(),
       waitOrder: this.#waitingCalls.takeOrder(),
       // Only the instance that the caller reached retries calls.
       attemptsLeft: hop === undefined ? route.maxAttempts : 1,
       sentTo: [],
-      isHandingOver: hop?.isHandover ?? false,
+      isHandingOver: false,
+      isSecondSend: hop?.isHandover ?? false,
       isTrial: hop?.isTrial ?? false,
       isFirstSend: !isRepeat(routed),
       hasDrawnVersion: false,
@@ -608,11 +610,9 @@
 }
 
 /** Returns how long a call may still wait for capacity, in milliseconds. */
-function computeMaxWaitMs(
-  { call: { receivedMs }, isHandingOver, route: { targetMs } }: Exchange,
-  nowMs: number,
-): number {
-  if (isHandingOver) return 0;
+function computeMaxWaitMs(exchange: Exchange, nowMs: number): number {
+  if (hasOtherDestination(exchange)) return 0;
+  const { call: { receivedMs }, route: { targetMs } } = exchange;
   return receivedMs + MAX_WAIT_TARGET_FRACTION * targetMs - nowMs;
 }
 
--- a/forwarding/call_sender.ts
+++ b/forwarding/call_sender.ts
@@ -29,11 +29,11 @@
 /** Maximum number of prompt parts that one log line names. */
 const MAX_LOGGED_PARTS = 8;
 /**
- * Time for which two model engines may have one call, in milliseconds, without the round trip
- * to the second one. They must not work on it together for 400 ms, and timers of a busy
- * process fire 100 ms late or more.
+ * Time for which two model engines may have one call, in milliseconds. They must not work on it
+ * together for 400 ms, and timers of a busy process fire 100 ms late or more. An engine in
+ * another region gets more, since its answer takes a round trip.
  */
-const MAX_OVERLAP_MS = 200;
+const MAX_OVERLAP_MS = { local: 200, remote: 300 } as const;
 /** Attempts that a call needs for a handover, with that of the destination that has it. */
 const HANDOVER_ATTEMPTS = 2;
 /** Lowest HTTP status that means a failure of the server. */
@@ -42,12 +42,15 @@
 /** Dependencies of a {@linkcode CallSender}. */
 export interface CallSenderParts {
   readonly clock: Clock;
-  readonly fleet: Pick<FleetView, "countInstancesSharingLimits">;
+  readonly fleet: Pick<
+    FleetView,
+    "countInstancesSharingLimits" | "listResponsive"
+  >;
   readonly metrics: Metrics;
   readonly replies: CallReplies;
   readonly destinations: DestinationChooser;
-  /** What shows whether servers are silent or lost. */
-  readonly learned: Pick<LearnedServers, "links" | "liveness">;
+  /** What shows whether servers are lost. */
+  readonly learned: Pick<LearnedServers, "liveness">;
   readonly retryBudgets: FleetRetryBudgets;
   readonly quarantine: CallQuarantine;
   readonly serverSender: ServerSender;
@@ -92,7 +95,7 @@
   async #attempt(
     exchange: Exchange,
     destination: SendDestination,
-    handoverOptions: Pick<SendOptions, "signal" | "onDelivering"> = {},
+    handoverOptions: Omit<SendOptions, "startHandover"> = {},
   ): Promise<AttemptOutcome> {
     const options: SendOptions = {
       ...handoverOptions,
@@ -140,12 +143,11 @@
       clock,
       target,
       overlapMs: this.#computeOverlapMs(exchange, target),
-      mayLeaveFirst: () =>
-        this.#isLost(from) || this.#hasSentSince(target, nowMs),
-      send: ({ signal, onDelivering }) =>
+      isFirstLost: () => this.#isLost(from),
+      send: ({ signal, ...options }) =>
         this.#attempt(exchange, target, {
+          ...options,
           signal: AbortSignal.any([exchange.signal, signal]),
-          onDelivering,
         }),
       settle: (outcome) => {
         endHandover(exchange);
@@ -173,35 +175,26 @@
     exchange: Exchange,
     target: SendDestination,
   ): number | undefined {
+    if (exchange.service.engine !== undefined) {
+      return MAX_OVERLAP_MS[target.kind];
+    }
     const roundTripMs = target.kind === "local"
       ? 0
       : this.#parts.destinations.readRoundTripMs(target.region);
-    if (exchange.service.engine !== undefined) {
-      return MAX_OVERLAP_MS + roundTripMs;
-    }
     const { estimateMs } = target.candidate;
     return computeFirstByteTimeoutMs(exchange, estimateMs + roundTripMs);
   }
 
-  /** Returns whether a server does not merely stall: nothing is heard of it, or it can't be connected to. */
+  /** Returns whether a destination does not merely stall: nothing is heard of it for long. */
   #isLost(destination: SendDestination): boolean {
-    if (destination.kind === "remote") return false;
-    const { clock, learned: { links, liveness } } = this.#parts;
-    const server = readServerId(destination);
-    return links.isUnreachable(server) ||
-      liveness.isLost(server, clock.nowMs());
-  }
-
-  /**
-   * Returns whether a server has sent bytes of any call since a time. One that has done so,
-   * and has not refused a call, runs that call.
-   */
-  #hasSentSince(destination: SendDestination, sinceMs: number): boolean {
-    return destination.kind === "local" &&
-      this.#parts.learned.liveness.hasSentSince(
-        readServerId(destination),
-        sinceMs,
-      );
+    const { clock, fleet, learned: { liveness } } = this.#parts;
+    const nowMs = clock.nowMs();
+    if (destination.kind === "local") {
+      return liveness.isLost(readServerId(destination), nowMs);
+    }
+    const { member, region } = destination;
+    return !fleet.listResponsive(region, nowMs)
+      .some(({ id }) => id === member.id);
   }
 
   /** Settles the outcome of a send. Returns whether the call is done. */
--- a/forwarding/choose_destination.ts
+++ b/forwarding/choose_destination.ts
@@ -11,7 +11,7 @@
   FIRST_RANK_BONUS_MS,
   type ServerChooser,
 } from "./choose_server.ts";
-import type { Exchange } from "./exchange.ts";
+import { type Exchange, hasOtherDestination } from "./exchange.ts";
 import type { ServerReachability } from "./server_reachability.ts";
 import type { ServerFilter, ServerVersions } from "./server_versions.ts";
 
@@ -204,7 +204,7 @@
     if (isCheaper) return elsewhere;
     if (local !== undefined) return { kind: "local", candidate: local };
     // A destination that fails for this instance is no better than the one that is silent.
-    const lastResort = isHome && !exchange.isHandingOver
+    const lastResort = isHome && !hasOtherDestination(exchange)
       ? this.#chooseLastResort(exchange, localNeeds, nowMs, isAllowed)
       : undefined;
     if (lastResort !== undefined) {
@@ -214,7 +214,7 @@
       ? allowed.filter((region) => region === own)
       : allowed;
     const explained = this.#explain(exchange, reachable, nowMs, createFilter);
-    const mayWait = !isForwarded && !exchange.isHandingOver;
+    const mayWait = !isForwarded && !hasOtherDestination(exchange);
     if (explained.kind !== "wait" || !mayWait) return explained;
     return this.#chooseWaitingPlace(exchange, allowed, nowMs, createFilter) ??
       explained;
--- a/forwarding/exchange.ts
+++ b/forwarding/exchange.ts
@@ -27,6 +27,8 @@
   readonly progress: StreamProgress;
   /** Servers that had the call before, also those that other instances sent it to. */
   readonly tried: Set<BackendId>;
+  /** Regions from which the call was withdrawn before they answered, while another destination has it. */
+  readonly withdrawnRegions: Set<RegionId>;
   /**
    * Servers of this region from which the call was withdrawn before they answered. They may
    * get it again, which is no attempt at a further server.
@@ -42,11 +44,10 @@
   attemptsLeft: number;
   /** Servers that this instance sent the call to, in order. */
   sentTo: readonly BackendId[];
-  /**
-   * Whether the call is being handed over to a second destination while the first one has it. At
-   * an instance that is the second destination, this holds from the start.
-   */
+  /** Whether the call is being handed over to a second destination while the first one has it. */
   isHandingOver: boolean;
+  /** Whether another instance hands the call over to this one while its first destination has it. */
+  readonly isSecondSend: boolean;
   /** Whether the call is quarantined, and sent once to learn whether it still crashes servers. */
   isTrial: boolean;
   /** Whether the call has not been sent before, also not by another instance. */
@@ -101,9 +102,16 @@
   return { isStream, framesEvents: isStream && isResumable };
 }
 
+/** Returns whether another destination has a call, so that it must neither wait nor use a failing server. */
+export function hasOtherDestination(
+  { isHandingOver, isSecondSend }: Exchange,
+): boolean {
+  return isHandingOver || isSecondSend;
+}
+
 /** Returns whether a call may be sent to a second destination while the first one has it. */
 export function canBeHandedOver(exchange: Exchange): boolean {
-  return !exchange.isHandingOver && exchange.attemptsLeft > 1 &&
+  return !hasOtherDestination(exchange) && exchange.attemptsLeft > 1 &&
     isRetryable(exchange) && isResumableNow(exchange);
 }
 
@@ -118,7 +126,9 @@
   exchange: Exchange,
   neededAttempts: number,
 ): void {
-  const { tried, withdrawn } = exchange;
+  const { avoidedRegions, tried, withdrawn, withdrawnRegions } = exchange;
+  withdrawnRegions.forEach((region) => avoidedRegions.delete(region));
+  withdrawnRegions.clear();
   if (withdrawn.size === 0) return;
   withdrawn.forEach((server) => tried.delete(server));
   if (exchange.attemptsLeft < neededAttempts) {
--- a/forwarding/handover.ts
+++ b/forwarding/handover.ts
@@ -6,11 +6,13 @@
  * How a handover ended:
  *
  * - `answered`: the second destination answers.
- * - `taken`: the second destination does not answer in time, but is known to have the call.
- * - `not-taken`: the second destination does not answer in time, and may not have the call.
+ * - `taken`: the second destination delivers nothing in time, but runs the call, or the first
+ *   one is lost.
+ * - `not-taken`: the second destination delivers nothing in time, and may not have the call.
  * - `refused`: the second destination does not run the call, or gives no answer.
  * - `first-answered`: the first destination answers after all.
  * - `first-ended`: the first destination has ended the call without an answer.
+ * - `given-up`: the caller has left, or the deadline has passed.
  */
 export type HandoverEnd =
   | "answered"
@@ -18,13 +20,20 @@
   | "not-taken"
   | "refused"
   | "first-answered"
-  | "first-ended";
+  | "first-ended"
+  | "given-up";
+
+/** Why the second send is cancelled, unless it ends by itself. */
+type CancelReason = Extract<
+  HandoverEnd,
+  "not-taken" | "first-answered" | "given-up"
+>;
 
 /** Notified once of how a handover ended. */
 export interface HandoverEvents {
-  /** The second destination has accepted the call; the send to the first one must stop. */
-  readonly onAccepted: (handover: Handover) => void;
-  /** The second destination did not accept the call; the first one keeps it. */
+  /** The second destination has the call; the send to the first one must stop. */
+  readonly onHandedOver: (handover: Handover) => void;
+  /** The second destination does not have the call; the first one keeps it. */
   readonly onRefused: () => void;
 }
 
@@ -34,19 +43,20 @@
   readonly target: SendDestination;
   /** Time for which both destinations may have the call, in milliseconds. Default: unlimited. */
   readonly overlapMs?: number | undefined;
+  /** Returns whether the first destination is lost, so that nothing is gained by keeping its send. */
+  readonly isFirstLost: () => boolean;
   /**
-   * Returns whether the first destination may be left although the second one has not
-   * answered, since it is known to have the call, or the first one is known to be lost.
+   * Sends the call. Calls `onAccepted` when the head of an answer shows that the call runs, and
+   * `onDelivering` before any part of an answer is passed on.
    */
-  readonly mayLeaveFirst: () => boolean;
-  /** Sends the call, and calls `onDelivering` before any part of an answer is passed on. */
   readonly send: (
     options: {
       readonly signal: AbortSignal;
+      readonly onAccepted: () => void;
       readonly onDelivering: () => void;
     },
   ) => Promise<AttemptOutcome>;
-  /** Settles a send that ended before the second destination accepted the call. */
+  /** Settles a send that ended before the call was handed over. */
   readonly settle: (outcome: EndedOutcome) => void;
   /** Called once with how the handover ended. Default: nothing. */
   readonly onEnd?: (end: HandoverEnd) => void;
@@ -66,11 +76,12 @@
   readonly #events: HandoverEvents;
   readonly #settle: HandoverParts["settle"];
   readonly #onEnd: HandoverParts["onEnd"];
-  readonly #mayLeaveFirst: HandoverParts["mayLeaveFirst"];
+  readonly #isFirstLost: HandoverParts["isFirstLost"];
   readonly #cancelled = new AbortController();
   readonly #decided = new AbortController();
-  /** Why the second send is cancelled, unless it ends by itself. */
-  #cancelledAs: "not-taken" | "first-answered" | undefined;
+  /** Whether the second destination runs the call. */
+  #isAccepted = false;
+  #cancelReason: CancelReason | undefined;
 
   /**
    * Sends the call to the second destination.
@@ -83,7 +94,7 @@
     this.#events = events;
     this.#settle = parts.settle;
     this.#onEnd = parts.onEnd;
-    this.#mayLeaveFirst = parts.mayLeaveFirst;
+    this.#isFirstLost = parts.isFirstLost;
     if (parts.overlapMs !== undefined) {
       scheduleAfterReading(
         parts.clock,
@@ -94,14 +105,16 @@
     }
     this.outcome = parts.send({
       signal: this.#cancelled.signal,
-      onDelivering: () => this.#accept("answered"),
+      onAccepted: () => (this.#isAccepted = true),
+      onDelivering: () => this.#handOver("answered"),
     });
     void this.outcome.then((outcome) => this.#end(outcome));
   }
 
-  /** Cancels the second send, because the first destination answers after all. */
-  cancel(): void {
-    this.#cancel("first-answered");
+  /** Cancels the second send, which is not needed any more; the handover ends when it has ended. */
+  cancel(reason: CancelReason): void {
+    this.#cancelReason ??= reason;
+    this.#cancelled.abort("cancelled");
   }
 
   /** Leaves the call with the second destination, whatever its outcome; no event follows. */
@@ -111,29 +124,24 @@
   }
 
   #endOverlap(): void {
-    if (this.#mayLeaveFirst()) this.#accept("taken");
-    else this.#cancel("not-taken");
-  }
-
-  #cancel(as: "not-taken" | "first-answered"): void {
-    this.#cancelledAs ??= as;
-    this.#cancelled.abort("cancelled");
+    if (this.#isAccepted || this.#isFirstLost()) this.#handOver("taken");
+    else this.cancel("not-taken");
   }
 
-  #accept(end: "answered" | "taken"): void {
+  #handOver(end: "answered" | "taken"): void {
     if (this.#decided.signal.aborted || this.#cancelled.signal.aborted) return;
-    this.#decided.abort("accepted");
+    this.#decided.abort("handed over");
     this.#onEnd?.(end);
-    this.#events.onAccepted(this);
+    this.#events.onHandedOver(this);
   }
 
   #end(outcome: AttemptOutcome): void {
-    // A send can only hand over a call that it has accepted, which is decided already.
+    // A send can only hand over a call that was handed over to it, which is decided already.
     if (outcome.kind === "handed-over" || this.#decided.signal.aborted) return;
     this.#decided.abort("ended");
     this.#settle(outcome);
-    const end = this.#cancelledAs ?? "refused";
+    const end = this.#cancelReason ?? "refused";
     this.#onEnd?.(end);
-    if (end !== "first-answered") this.#events.onRefused();
+    if (end === "refused" || end === "not-taken") this.#events.onRefused();
   }
 }
--- a/forwarding/handover_test.ts
+++ b/forwarding/handover_test.ts
@@ -26,14 +26,16 @@
   const seen: string[] = [];
   let end: (outcome: AttemptOutcome) => void = () => {};
   let answer = () => {};
-  let mayLeaveFirst = false;
+  let accept = () => {};
+  let isFirstLost = false;
   const handover = new Handover({
     clock,
     target: DESTINATION,
     overlapMs: OVERLAP_MS,
     ...options,
-    mayLeaveFirst: () => mayLeaveFirst,
-    send: ({ onDelivering, signal }) => {
+    isFirstLost: () => isFirstLost,
+    send: ({ onAccepted, onDelivering, signal }) => {
+      accept = onAccepted;
       answer = onDelivering;
       return new Promise((resolve) => {
         end = resolve;
@@ -46,12 +48,13 @@
     settle: ({ kind }) => seen.push(`settled ${kind}`),
     onEnd: (kind) => seen.push(kind),
   }, {
-    onAccepted: () => seen.push("taken over"),
+    onHandedOver: () => seen.push("taken over"),
     onRefused: () => seen.push("refused"),
   });
   return {
     answer: () => answer(),
-    allowLeavingFirst: () => (mayLeaveFirst = true),
+    accept: () => accept(),
+    loseFirst: () => (isFirstLost = true),
     clock,
     end: async (outcome: AttemptOutcome) => {
       end(outcome);
@@ -96,9 +99,16 @@
       ]);
     });
 
-    it("hands the call over before that if the second one is known to have it", async () => {
-      const { allowLeavingFirst, clock, seen } = start();
-      allowLeavingFirst();
+    it("hands the call over before that if the second one runs it", async () => {
+      const { accept, clock, seen } = start();
+      accept();
+      await clock.advance(399);
+      assert.deepEqual(seen, ["taken", "taken over"]);
+    });
+
+    it("hands the call over before that if the first one is lost", async () => {
+      const { clock, loseFirst, seen } = start();
+      loseFirst();
       await clock.advance(399);
       assert.deepEqual(seen, ["taken", "taken over"]);
     });
@@ -116,7 +126,7 @@
     it("stops the send to the second one and settles it", async () => {
       const { answer, clock, end, handover, seen } = start();
       await clock.advance(100);
-      handover.cancel();
+      handover.cancel("first-answered");
       await end({ kind: "given-up" });
       answer();
       await clock.advance(1_000);
--- a/forwarding/instance_sender.ts
+++ b/forwarding/instance_sender.ts
@@ -117,6 +117,7 @@
       },
       onFirstByte: endTransit,
       signal: options.signal ?? exchange.signal,
+      onAccepted: options.onAccepted,
       onDelivering: options.onDelivering,
       startHandover: options.startHandover,
       clock,
--- a/forwarding/run_attempt.ts
+++ b/forwarding/run_attempt.ts
@@ -457,7 +457,7 @@
     if (this.#isFinished || this.#handover !== undefined) return;
     if (this.#isSilent) {
       this.#handover = this.#parts.startHandover({
-        onAccepted: () => this.#abortAnswer("The server is silent"),
+        onHandedOver: () => this.#abortAnswer("The server is silent"),
         onRefused: () => {
           this.#handover = undefined;
           this.#scheduleSilenceCheck();
@@ -470,7 +470,7 @@
   /** Cancels the handover, because the server of this send answers. */
   #cancelHandover(): void {
     if (this.#handover === undefined) return;
-    this.#handover.cancel();
+    this.#handover.cancel("first-answered");
     this.#handover = undefined;
     this.#scheduleSilenceCheck();
   }
@@ -538,7 +538,8 @@
     const handover = this.#handover;
     if (handover === undefined) return outcome;
     if (outcome.kind === "answered" || outcome.kind === "given-up") {
-      handover.cancel();
+      const isGivenUp = outcome.kind === "given-up";
+      handover.cancel(isGivenUp ? "given-up" : "first-answered");
       return outcome;
     }
     handover.commit();
--- a/forwarding/server_liveness.ts
+++ b/forwarding/server_liveness.ts
@@ -129,11 +129,6 @@
     return this.#readSilenceMs(server, nowMs) > LOST_SILENCE_MS;
   }
 
-  /** Returns whether a server has sent bytes, on any connection, after a time. */
-  hasSentSince(server: BackendId, sinceMs: number): boolean {
-    return (this.#byServer.get(server)?.lastByteMs ?? 0) > sinceMs;
-  }
-
   #isStreaming(server: BackendId): boolean {
     return (this.#byServer.get(server)?.begunAnswers ?? 0) > 0;
   }
--- a/forwarding/server_sender.ts
+++ b/forwarding/server_sender.ts
@@ -40,6 +40,8 @@
   readonly startHandover: (events: HandoverEvents) => Handover | undefined;
   /** Aborts the send. Default: the signal of the exchange. */
   readonly signal?: AbortSignal;
+  /** Called when the head of the answer shows that the call runs. Default: nothing. */
+  readonly onAccepted?: () => void;
   /** Called before any part of an answer is passed on. Default: nothing. */
   readonly onDelivering?: () => void;
 }
@@ -149,7 +151,10 @@
         metrics.time("call.first_byte_ms", tookMs, { service: service.name });
       },
       signal: options.signal ?? exchange.signal,
-      onAccepted: () => gated.release(),
+      onAccepted: () => {
+        gated.release();
+        options.onAccepted?.();
+      },
       onDelivering: options.onDelivering,
       onPause: () => liveness.pause(),
       onResume: () => {
--- a/forwarding/settle_attempt.ts
+++ b/forwarding/settle_attempt.ts
@@ -113,6 +113,9 @@
     exchange.attemptsLeft--;
     if (destination.kind === "local") {
       exchange.withdrawn.add(destination.candidate.server.entry.id);
+    } else {
+      exchange.withdrawnRegions.add(destination.region);
+      exchange.avoidedRegions.add(destination.region);
     }
   }
   settleAttempt(exchange, destination, outcome);
--- a/metrics/metrics.ts
+++ b/metrics/metrics.ts
@@ -28,7 +28,7 @@
   "call.repeats": "counter; tags: service",
   "call.offers": "counter; tags: service",
   "call.handovers":
-    "counter; handovers of calls from silent destinations; tags: service, end (answered, taken, not-taken, refused, first-answered, first-ended)",
+    "counter; handovers of calls from silent destinations; tags: service, end (answered, taken, not-taken, refused, first-answered, first-ended, given-up)",
   "call.away": "counter; tags: service, region",
   "call.not_sent":
     "counter; sends of which no byte left, as no connection opened; tags: service",
