Soak: links and recording servers can stand still

Cause: the soak could hold answers of one server back, but its requests went through and it went on working. An engine that stands still for a second, as under SIGSTOP, also stops to read and to work.

Change: a link has all connections stand still and go on: nothing is read, no byte is lost, and new connections open. A recording server stops its work meanwhile. It also tells when it crashed.

--- a/soak/link_proxy.ts
+++ b/soak/link_proxy.ts
@@ -49,6 +49,7 @@
   #server: Server | undefined;
   #mode: LinkMode = "pass";
   #modeChange = new AbortController();
+  #isStill = false;
 
   /** @param targetPort Port on 127.0.0.1 to which connections are forwarded. */
   constructor(targetPort: number) {
@@ -74,6 +75,17 @@
     if (mode === "reset" || wasBlocked && !isBlocked(mode)) this.#resetAll();
   }
 
+  /**
+   * Has all connections stand still, or go on, whatever the mode is. While they stand still,
+   * new ones open, nothing is read and no byte is lost, as if the server's process were stopped.
+   */
+  setStill(isStill: boolean): void {
+    this.#isStill = isStill;
+    this.#sockets.forEach((socket) =>
+      isStill ? socket.pause() : socket.resume()
+    );
+  }
+
   /** Drops all data of the connections from some local ports of callers, without an error. */
   silence(ports: ReadonlySet<number>): void {
     this.#listCallers(ports).forEach((caller) => this.#silenced.add(caller));
@@ -100,6 +112,7 @@
     ends.forEach((socket, at) => {
       const other = ends[1 - at]!;
       this.#sockets.add(socket);
+      if (this.#isStill) socket.pause();
       socket.setNoDelay(true);
       // A failure of one socket is passed on to the other one, as on a direct connection.
       socket.on("error", () => resetConnection(other));
--- a/soak/link_proxy_test.ts
+++ b/soak/link_proxy_test.ts
@@ -2,7 +2,7 @@
 import { once } from "node:events";
 import { type AddressInfo, connect, createServer, type Socket } from "node:net";
 import { afterEach, describe, it } from "node:test";
-import { setImmediate } from "node:timers/promises";
+import { setImmediate, setTimeout } from "node:timers/promises";
 import { LinkProxy } from "./link_proxy.ts";
 
 const CLEAN_UPS: (() => void)[] = [];
@@ -64,6 +64,20 @@
     await failed;
   });
 
+  it("passes nothing on while connections stand still, and all of it afterwards", async () => {
+    const { received, link, open } = await start();
+    const first = open();
+    await echo(first, "before");
+    link.setStill(true);
+    const second = open();
+    await once(second, "connect");
+    const answers = [first, second].map((socket) => echo(socket, "held"));
+    await setTimeout(50);
+    assert.deepEqual(received, ["before"]);
+    link.setStill(false);
+    assert.deepEqual(await Promise.all(answers), ["held", "held"]);
+  });
+
   it("resets open and new connections in reset mode", async () => {
     const { link, open } = await start();
     const socket = open();
--- a/standin/recording_server.ts
+++ b/standin/recording_server.ts
@@ -1,4 +1,4 @@
-import { once } from "node:events";
+import { once, setMaxListeners } from "node:events";
 import {
   createServer,
   type IncomingMessage,
@@ -103,6 +103,8 @@
 const DEFAULT_SLOTS = 16;
 /** Seed of the choice of calls that a bad version fails. */
 const BAD_ANSWER_SEED = 1;
+/** Paths of streaming routes. */
+const STREAM_PATH = /^\/([\w-]+-)?stream\//;
 /** Number of events in a stream. */
 export const STREAM_EVENTS = 12;
 /** Pause between the events of a stream, in milliseconds. */
@@ -135,6 +137,9 @@
   slots = DEFAULT_SLOTS;
   /** Whether it rejects calls beyond its slots. */
   rejectsBeyondSlots = false;
+  #crashedMs: number | undefined;
+  /** Aborts when the server goes on; `undefined`: it does not stand still. */
+  #stillness: AbortController | undefined;
   readonly #running = new Map<ServerResponse, string>();
   readonly #random = createRandom(BAD_ANSWER_SEED);
   readonly #cuts = createCuts();
@@ -187,12 +192,31 @@
     return (server.address() as AddressInfo).port;
   }
 
+  /** When it crashed; `undefined`: it did not. */
+  get crashedMs(): number | undefined {
+    return this.#crashedMs;
+  }
+
   /** Stops listening and resets all connections, as a crash does. */
   crash(): void {
+    this.#crashedMs ??= this.#parts.nowMs();
     this.#server?.close();
     this.#sockets.forEach((socket) => resetConnection(socket));
   }
 
+  /** Has all work stand still, or go on, as if the process were stopped. */
+  setStill(isStill: boolean): void {
+    this.#stillness?.abort("going on");
+    this.#stillness = isStill ? new AbortController() : undefined;
+  }
+
+  async #work(durationMs: number): Promise<void> {
+    await waitFor(systemClock, durationMs);
+    if (this.#stillness === undefined) return;
+    setMaxListeners(0, this.#stillness.signal);
+    await once(this.#stillness.signal, "abort");
+  }
+
   async #answer(
     request: IncomingMessage,
     response: ServerResponse,
@@ -241,7 +265,7 @@
       hasKey: request.headers.authorization !== undefined,
       cutsAnswer,
     });
-    await waitFor(systemClock, WORK_DURATION_MS);
+    await this.#work(WORK_DURATION_MS);
     if (crashesServer) {
       this.crash();
       this.#parts.onCrashed();
@@ -268,7 +292,7 @@
       response.end("failed");
       return;
     }
-    const isStream = request.url?.startsWith("/stream") ?? false;
+    const isStream = STREAM_PATH.test(request.url ?? "");
     if (cutsAnswer) {
       await this.#sendCutAnswer(response, headers, {
         callId,
@@ -371,7 +395,7 @@
         return;
       }
       response.write(events[event - 1]!);
-      await waitFor(systemClock, EVENT_PAUSE_MS);
+      await this.#work(EVENT_PAUSE_MS);
     }
     response.end();
   }
