Stand-ins of the platform: other limits, weights and settings, and logs that are kept

Change: a configuration may have other limits on connections, routes with weighted services and streams that must not be resumed. The settings file of a process can be written with another grace period, and its standard output can be appended to a file. Defaults are as before.

--- a/standin/platform_operator.ts
+++ b/standin/platform_operator.ts
@@ -23,11 +23,27 @@
   readonly prefix: string;
   readonly kind: "safe" | "unsafe" | "streaming";
   readonly service: string;
+  /** Services that share its calls, in place of the one above. Default: none. */
+  readonly weightedServices?: readonly WeightedService[];
   readonly timeoutMs: number;
+  /** Whether a stream of it may be resumed. Default: it may. */
+  readonly isResumable?: boolean;
   /** Regions that may serve it. Default: all. */
   readonly homeRegions?: readonly string[];
 }
 
+/** A service that gets a share of a route's calls. */
+export interface WeightedService {
+  readonly service: string;
+  readonly weight: number;
+}
+
+/** Limits on callers' connections that an operator declares. */
+export interface OperatorLimits {
+  readonly headerTimeoutMs: number;
+  readonly idleTimeoutMs: number;
+}
+
 /** A team of callers that an operator declares. */
 export interface OperatorTeam {
   readonly name: string;
@@ -87,21 +103,30 @@
    * @param routes All routes.
    * @param teams All teams; `undefined`: callers are not identified.
    * @param engines Engines of those services that have model engines, by service. Default: none.
+   * @param limits Limits that differ from the usual ones. Default: none.
    */
   async configure(
     version: number,
     routes: readonly OperatorRoute[],
     teams?: readonly OperatorTeam[],
     engines: Readonly<Record<string, OperatorEngine>> = {},
+    limits: Partial<OperatorLimits> = {},
   ): Promise<void> {
-    const services = [...new Set(routes.map(({ service }) => service))];
+    const services = [
+      ...new Set(
+        routes.flatMap(({ service, weightedServices = [] }) => [
+          service,
+          ...weightedServices.map((weighted) => weighted.service),
+        ]),
+      ),
+    ];
     await this.#put("op/config", {
       version,
-      routes: routes.map((route) => ({
+      routes: routes.map(({ isResumable = true, ...route }) => ({
         ...route,
         targetLatencyMs: 1_000,
-        maxAttempts: route.kind === "unsafe" ? 1 : 2,
-        resumable: route.kind === "streaming",
+        maxAttempts: route.kind === "unsafe" || !isResumable ? 1 : 2,
+        resumable: route.kind === "streaming" && isResumable,
       })),
       services: services.map((name) => {
         const engine = engines[name];
@@ -113,7 +138,7 @@
           }),
         };
       }),
-      limits: REQUEST_LIMITS,
+      limits: { ...REQUEST_LIMITS, ...limits },
       tenants: teams?.map(({ keys, name }) => ({ name, apiKeys: keys })),
     });
   }
--- a/standin/platform_process.ts
+++ b/standin/platform_process.ts
@@ -1,6 +1,13 @@
 import { type ChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
-import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import {
+  closeSync,
+  mkdtempSync,
+  openSync,
+  readFileSync,
+  rmSync,
+  writeFileSync,
+} from "node:fs";
 import { constants, tmpdir } from "node:os";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
@@ -49,6 +56,8 @@
   readonly graceS: number;
   /** Lines of the settings file beyond those that each deployment has. Default: none. */
   readonly extraSettings?: readonly string[];
+  /** File to which the standard output of all starts is appended. Default: it is discarded. */
+  readonly logPath?: string | undefined;
   /** Whether the links of the program to servers can be cut. Default: no. */
   readonly hasCuttableLinks?: boolean;
   /** Called when the program ends and was not stopped, with how it ended. Default: ignored. */
@@ -77,7 +86,19 @@
   /** @param parts Program, address and settings. */
   constructor(parts: PlatformProcessParts) {
     this.#parts = parts;
-    writeFileSync(this.#settingsPath, formatSettings(parts));
+    this.writeSettings();
+  }
+
+  /**
+   * Writes the settings file with another grace period; the running program is not told.
+   *
+   * @param graceS Time from SIGTERM to SIGKILL, in seconds. Default: as at the start.
+   */
+  writeSettings(graceS = this.#parts.graceS): void {
+    writeFileSync(
+      this.#settingsPath,
+      formatSettings({ ...this.#parts, graceS }),
+    );
   }
 
   /** Loopback address of the instance. */
@@ -134,9 +155,11 @@
       .addresses;
   }
 
-  /** Starts the program; its standard output is discarded, its standard error is shown. */
+  /** Starts the program; its standard error is shown. */
   start(): void {
-    const { hasCuttableLinks = false, nodeOptions = [], program } = this.#parts;
+    const { hasCuttableLinks = false, logPath, nodeOptions = [], program } =
+      this.#parts;
+    const log = logPath === undefined ? undefined : openSync(logPath, "a");
     const preload = hasCuttableLinks ? ["--import", LINK_CUTTER] : [];
     const child = spawn(
       process.execPath,
@@ -145,12 +168,13 @@
         env: { PATH: process.env.PATH, HAVENSPUR_SETTINGS: this.#settingsPath },
         stdio: [
           "ignore",
-          "ignore",
+          log ?? "ignore",
           "inherit",
           hasCuttableLinks ? "ipc" : "ignore",
         ],
       },
     );
+    if (log !== undefined) closeSync(log);
     this.#child = child;
     this.#starts++;
     this.#sentSignals = [];
