Soak: sound servers that stand still, and the promise that silence ends no call

Cause: on users' machines callers lost the rest of their answers while sound engines were silent for about a second. The soak silenced one server at a time and checked no call for it.

Change: every 4 s all servers of the work service, those of a region or six in ten stand still for 1.0 to 1.3 s, while limits, timeouts, routes, weights or settings change or an instance is stopped, before or after. New callers resume streams by Last-Event-Id, or use streams that must not be resumed. The promise: a call gets an answer of its servers if these were silent meanwhile and disturbed by nothing else, unless an instance that it used was stalled, killed or cut off, or the call took over 3.3 s.

--- a/bin/havenspur_soak.ts
+++ b/bin/havenspur_soak.ts
@@ -1,6 +1,6 @@
 import { Command, InvalidArgumentError } from "commander";
-import { dirname } from "node:path";
-import { rmSync } from "node:fs";
+import { dirname, join } from "node:path";
+import { mkdirSync, rmSync } from "node:fs";
 import { runSoak, type SoakReport } from "../soak/mod.ts";
 import { buildProgram } from "../standin/build_program.ts";
 
@@ -11,6 +11,7 @@
   readonly minutes?: number;
   readonly seconds: number;
   readonly instances: number;
+  readonly logs?: string;
 }
 
 /** Upper limit of the seeds that `--fresh` draws, so that they are short to write down. */
@@ -35,6 +36,7 @@
     25,
   )
   .option("--instances <number>", "instances per region", parseNumber, 2)
+  .option("--logs <folder>", "keep the logs of the instances, a folder a seed")
   .parse().opts<Options>();
 
 const program = buildProgram();
@@ -49,6 +51,7 @@
       seed,
       seconds: options.seconds,
       instancesPerRegion: options.instances,
+      logFolder: createLogFolder(options, seed),
       print: (line) => console.log(`  ${line}`),
     });
     printReport(report);
@@ -63,6 +66,16 @@
   return Date.now() - startMs > 60_000 * minutes;
 }
 
+function createLogFolder(
+  { logs }: Options,
+  seed: number,
+): string | undefined {
+  if (logs === undefined) return undefined;
+  const folder = join(logs, String(seed));
+  mkdirSync(folder, { recursive: true });
+  return folder;
+}
+
 function* listSeeds(
   { fresh, minutes, seed, seeds }: Options,
 ): Generator<number> {
--- a/soak/caller.ts
+++ b/soak/caller.ts
@@ -34,6 +34,8 @@
 const SUBJECT_PART = "subject";
 /** Tokens of each prompt part. */
 const PART_TOKENS = 10;
+/** Number of the last event that the callers of resumed streams have. */
+export const RESUMED_AFTER = 3;
 /** Time that a caller allows for a call, in milliseconds. */
 const CALL_TIMEOUT_MS = 4_000;
 
@@ -113,6 +115,9 @@
           // Callers must not name their own team: the gateway has to replace this header.
           [TEAM_HEADER]: "forged",
           ...toPromptHeaders(kind, callId),
+          ...(kind === "resumed-stream"
+            ? { "last-event-id": String(RESUMED_AFTER) }
+            : {}),
         },
         timeout: CALL_TIMEOUT_MS + 1_000,
       });
@@ -165,6 +170,8 @@
     case "rotating":
     case "stranger":
       return "/idempotent/y";
+    case "resumed-stream":
+      return "/stream/x";
     default:
       return `/${kind}/x`;
   }
@@ -195,6 +202,8 @@
     case "idempotent":
     case "non-idempotent":
     case "stream":
+    case "resumed-stream":
+    case "single-stream":
       return [FIRST_PART, SUBJECT_PART];
     case "ending":
     case "version":
@@ -212,6 +221,8 @@
       return callId;
     case "non-idempotent":
     case "stream":
+    case "resumed-stream":
+    case "single-stream":
       return "work";
     case "idempotent":
     case "version":
--- a/soak/check_promises.ts
+++ b/soak/check_promises.ts
@@ -1,16 +1,18 @@
 import { checkQuarantine, checkSharedParts } from "./check_quarantine.ts";
 import { checkRollouts } from "./check_rollouts.ts";
+import { checkSilences } from "./check_silences.ts";
 import { wasPaused } from "./was_paused.ts";
 import {
   createRecordedBody,
   createRecordedEvents,
 } from "../standin/recording_server.ts";
-import { ROTATING_TEAM, STEADY_TEAM } from "./caller.ts";
+import { RESUMED_AFTER, ROTATING_TEAM, STEADY_TEAM } from "./caller.ts";
 import {
   isServed,
   KEY_KINDS,
   type Observation,
   type ObservedCall,
+  STREAM_KINDS,
   WORK_KINDS,
 } from "./observation.ts";
 
@@ -47,6 +49,7 @@
   | "the end of a rollout is final"
   | "a completed rollout interrupts no call"
   | "streams are of one version"
+  | "silence of a sound server ends no call"
   | "service after the faults"
   | "no growth";
 
@@ -133,6 +136,7 @@
     ...checkCutOffs(observation),
     ...checkKeys(observation),
     ...checkRollouts(observation),
+    ...checkSilences(observation),
     ...checkService(observation),
     ...checkProcesses(observation),
   ];
@@ -159,7 +163,8 @@
 
 function isIntact({ callId, end, kind }: ObservedCall): boolean {
   if (end.kind !== "answered" && end.kind !== "broken") return true;
-  const isStream = kind === "stream";
+  const afterEvent = kind === "resumed-stream" ? RESUMED_AFTER : 0;
+  const isStream = kind === "stream" || STREAM_KINDS.includes(kind);
   if (end.kind === "broken") return !isStream || isPrefix(end.body);
   if (end.status !== 200) return true;
   if (!end.isSigned) return false;
@@ -174,7 +179,9 @@
 
   /** Returns the whole answer of the service that a body names. */
   function createWhole(body: string): string {
-    if (isStream) return createRecordedEvents(callId).join("");
+    if (isStream) {
+      return createRecordedEvents(callId).slice(afterEvent).join("");
+    }
     const service = /"service":"([^"]*)/.exec(body)?.[1] ?? "";
     return createRecordedBody(callId, service);
   }
--- a/soak/check_promises_test.ts
+++ b/soak/check_promises_test.ts
@@ -81,6 +81,8 @@
     disturbedSpans: [],
     pauses: [],
     cutOffs: [],
+    serverSilences: [],
+    serverDisturbances: [],
     advertisements: [],
     refusals: [],
     rejections: [],
--- a/soak/fault_runner.ts
+++ b/soak/fault_runner.ts
@@ -1,7 +1,13 @@
 import { type Clock, type Random, waitFor } from "../clock/mod.ts";
 import { runCrowd } from "./crowd.ts";
 import { sendCrashingCalls } from "./crashing_calls.ts";
-import { type Fault, formatFault, type PlannedFault } from "./plan.ts";
+import {
+  type Fault,
+  formatFault,
+  type PlannedFault,
+  type QuietPlan,
+  type StandstillChange,
+} from "./plan.ts";
 import type { ServerLinksState } from "../standin/server_links.ts";
 import type {
   AbandonedCall,
@@ -12,10 +18,17 @@
   ObservedCall,
   ObservedRollout,
   ServerAdvertisement,
+  ServerDisturbance,
+  ServerSilence,
 } from "./observation.ts";
 import type { RecordedBadAnswer } from "../standin/recording_server.ts";
 import { SoakRollout } from "./soak_rollout.ts";
-import type { ServerSlot, SoakFleet, SoakInstance } from "./soak_fleet.ts";
+import type {
+  ConfigurationChange,
+  ServerSlot,
+  SoakFleet,
+  SoakInstance,
+} from "./soak_fleet.ts";
 
 /** Constructor arguments of {@linkcode FaultRunner}. */
 export interface FaultParts {
@@ -55,6 +68,15 @@
 /** Time that instances have to learn of a brittle server, in milliseconds. */
 const LEARNED_AFTER_MS = 1_500;
 
+/** Limits on callers' connections that are tighter than usual. */
+const TIGHT_LIMITS = { headerTimeoutMs: 500, idleTimeoutMs: 800 };
+/** Timeout of routes that is shorter than usual, in milliseconds. */
+const SHORT_TIMEOUT_MS = 3_500;
+/** How long a configuration beside a standstill differs, in milliseconds. */
+const CHANGE_MS = 700;
+/** Grace period of the settings that differ, in seconds: longer than the usual one. */
+const LONG_GRACE_S = 9;
+
 interface Span {
   readonly fromMs: number;
   readonly toMs: number;
@@ -78,8 +100,15 @@
   readonly cutOffs: CutOff[] = [];
   /** When each instance was stalled or down. */
   readonly pauses: InstancePause[] = [];
+  /** When sound servers were silent. */
+  readonly serverSilences: ServerSilence[] = [];
   /** When the store was restored from a backup. */
   readonly storeRestoresMs: number[] = [];
+  readonly #serverDisturbances: ServerDisturbance[] = [];
+  /** Slots whose servers an active fault may keep from answering. */
+  readonly #unsoundSlots = new Set<unknown>();
+  /** Whether the settings files have the longer grace period. */
+  #hasLongGrace = false;
   readonly #rollouts: SoakRollout[] = [];
   /** Backups of the store that are still to be restored. */
   #backupCount = 0;
@@ -101,6 +130,16 @@
     return this.#rollouts.flatMap((rollout) => rollout.list(badAnswers));
   }
 
+  /** Returns when faults may have kept servers from answering. */
+  listServerDisturbances(): readonly ServerDisturbance[] {
+    const crashes = this.#parts.fleet.listCrashes().map(({ atMs, id }) => ({
+      server: id,
+      fromMs: atMs,
+      toMs: atMs,
+    }));
+    return [...this.#serverDisturbances, ...crashes];
+  }
+
   /** Returns the graceful shutdowns, and whether each of them was undisturbed by other faults. */
   listStops(): readonly InstanceStop[] {
     return this.#stops.map(({ fromMs, instance, toMs }) => ({
@@ -117,6 +156,8 @@
   #listSpans(): readonly Span[] {
     const faults = this.#spans.filter(({ planned: { fault } }) =>
       fault.kind !== "ending-calls" &&
+      // Silence must end no call, whatever else happens.
+      fault.kind !== "standstill" &&
       // A rollout of a good version must interrupt no call.
       (fault.kind !== "rollout" || fault.what === "bad")
     );
@@ -139,11 +180,48 @@
     targets.forEach((target) => this.#busy.add(target));
     print(formatFault(planned));
     const fromMs = clock.nowMs();
+    const slot = this.#findSlot(planned.fault);
+    const server = slot?.server.id;
+    const isUnsound = slot !== undefined && endsCalls(planned.fault);
+    if (isUnsound) this.#unsoundSlots.add(slot);
     await this.#apply(planned.fault, planned.durationMs);
-    this.#spans.push({ planned, fromMs, toMs: clock.nowMs() });
+    const toMs = clock.nowMs();
+    this.#spans.push({ planned, fromMs, toMs });
+    if (slot !== undefined && server !== undefined) {
+      const { fault } = planned;
+      const span = { server, fromMs, toMs };
+      if (isUnsound) this.#serverDisturbances.push(span);
+      else if (fault.kind === "link") this.#recordSilence(slot, span);
+      this.#unsoundSlots.delete(slot);
+    }
     targets.forEach((target) => this.#busy.delete(target));
   }
 
+  /** Returns the slot whose server a fault disturbs; `undefined`: no single one. */
+  #findSlot(fault: Fault): ServerSlot | undefined {
+    const isOfServer = fault.kind === "server" ||
+      fault.kind === "link" && fault.to === "server";
+    return isOfServer ? this.#parts.fleet.slots[fault.index] : undefined;
+  }
+
+  #recordSilence({ region }: ServerSlot, span: ServerDisturbance): void {
+    const instances = this.#parts.fleet.instances
+      .filter((instance) => instance.region === region)
+      .map(({ process: { name } }) => name);
+    this.serverSilences.push({ ...span, instances });
+  }
+
+  /** Runs the faults that come after all others; their times count from now. */
+  async runQuiet({ hasFullServers, standstills }: QuietPlan): Promise<void> {
+    const { fleet } = this.#parts;
+    if (hasFullServers) await fleet.fillServers();
+    await Promise.all(standstills.map(async (planned) => {
+      await this.#wait(planned.atMs);
+      await this.run(planned);
+    }));
+    if (hasFullServers) await fleet.emptyServers();
+  }
+
   #findTargets(fault: Fault): readonly unknown[] {
     const { homeInstances, instances, slots, store } = this.#parts.fleet;
     switch (fault.kind) {
@@ -170,6 +248,8 @@
           : [store];
       case "operator":
         return [`operator ${fault.what}`];
+      case "standstill":
+        return ["standstill"];
       case "rollout":
         return ["operator rollout"];
     }
@@ -200,6 +280,8 @@
         return this.#disturbStore(fault.what, durationMs);
       case "operator":
         return this.#applyOperatorChange(fault.what, durationMs);
+      case "standstill":
+        return this.#standStill(fault);
       case "rollout":
         return this.#rollOut(fault.what === "bad", durationMs);
     }
@@ -232,7 +314,7 @@
         const toMs = this.#parts.clock.nowMs();
         this.#stops.push({ instance: process.name, fromMs, toMs });
         await this.#restart(process, durationMs);
-        this.#recordPause(process, fromMs);
+        this.#recordPause(process, fromMs, true);
       }
     }
   }
@@ -286,6 +368,92 @@
     if (state === "hanging") fleet.links.forEach((link) => link.reset(ports));
   }
 
+  /** Has sound servers stand still that no other fault disturbs, while something changes. */
+  async #standStill(
+    fault: Extract<Fault, { kind: "standstill" }>,
+  ): Promise<void> {
+    const { beside, offsetMs, slots: indices, stillMs } = fault;
+    const { clock, fleet } = this.#parts;
+    const haveServersStill = async () => {
+      await this.#wait(Math.max(0, -offsetMs));
+      const slots = indices.map((index) => fleet.slots[index]!)
+        .filter((slot) => !this.#unsoundSlots.has(slot))
+        // Another fault may replace the server of a slot in the meantime.
+        .map((slot) => ({ ...slot }));
+      const setStill = (isStill: boolean) =>
+        slots.forEach(({ link, server }) => {
+          link.setStill(isStill);
+          server.setStill(isStill);
+        });
+      const fromMs = clock.nowMs();
+      setStill(true);
+      await this.#wait(stillMs);
+      setStill(false);
+      const toMs = clock.nowMs();
+      slots.forEach((slot) =>
+        this.#recordSilence(slot, { server: slot.server.id, fromMs, toMs })
+      );
+    };
+    const change = async () => {
+      await this.#wait(Math.max(0, offsetMs));
+      await this.#changeBriefly(beside, fleet.instances[fault.index]!);
+    };
+    await Promise.all([haveServersStill(), change()]);
+  }
+
+  /** Changes something for a moment that ends no call. */
+  async #changeBriefly(
+    what: StandstillChange,
+    instance: SoakInstance,
+  ): Promise<void> {
+    switch (what) {
+      case "nothing":
+        return;
+      case "limits":
+        return await this.#configureBriefly({ limits: TIGHT_LIMITS });
+      case "timeouts":
+        return await this.#configureBriefly({ timeoutMs: SHORT_TIMEOUT_MS });
+      case "move":
+        return await this.#configureBriefly({ otherService: "all" });
+      case "weights":
+        return await this.#configureBriefly({ otherService: "share" });
+      case "routes":
+        return await this.#configureBriefly({ additionalRoutes: 3 });
+      case "settings":
+        return this.#changeSettings();
+      case "reload":
+        this.#changeSettings();
+        await Promise.all(
+          this.#parts.fleet.instances.map(({ process }) =>
+            this.#reload(process)
+          ),
+        );
+        return;
+      case "stop":
+        if (this.#busy.has(instance)) return;
+        this.#busy.add(instance);
+        await this.#disturbInstance(instance, "stop", RESTART_DELAY_MS);
+        this.#busy.delete(instance);
+    }
+  }
+
+  async #configureBriefly(change: ConfigurationChange): Promise<void> {
+    const { fleet } = this.#parts;
+    await fleet.configure(change);
+    await this.#wait(CHANGE_MS);
+    await fleet.configure();
+  }
+
+  /** Writes the settings files with another grace period than now. */
+  #changeSettings(): void {
+    const { closed, instances } = this.#parts.fleet;
+    if (closed.aborted) return;
+    this.#hasLongGrace = !this.#hasLongGrace;
+    instances.forEach(({ process }) =>
+      process.writeSettings(this.#hasLongGrace ? LONG_GRACE_S : undefined)
+    );
+  }
+
   async #sendCrowd(instance: SoakInstance, durationMs: number): Promise<void> {
     const { clock, fleet, random } = this.#parts;
     const { process } = instance;
@@ -565,12 +733,41 @@
     this.#recordPause(process, fromMs);
   }
 
-  #recordPause({ name }: SoakInstance["process"], fromMs: number): void {
+  #recordPause(
+    { name }: SoakInstance["process"],
+    fromMs: number,
+    isGraceful = false,
+  ): void {
     const toMs = this.#parts.clock.nowMs();
-    this.pauses.push({ instance: name, fromMs, toMs });
+    this.pauses.push({ instance: name, fromMs, toMs, isGraceful });
   }
 
   #wait(ms: number): Promise<void> {
     return waitFor(this.#parts.clock, ms, this.#parts.fleet.closed);
   }
 }
+
+/**
+ * Returns whether a fault may keep a server from answering calls that it runs. One that
+ * survives few rejections must not get the calls of a standstill all at once.
+ */
+function endsCalls(fault: Fault): boolean {
+  if (fault.kind === "link") return fault.mode !== "hold";
+  if (fault.kind !== "server") return false;
+  switch (fault.what) {
+    case "brittle":
+    case "crash":
+    case "restart":
+    case "hang":
+    case "fail":
+    case "break-off":
+    case "cut":
+      return true;
+    case "drain":
+    case "overwrite":
+    case "rest":
+    case "say-leaving":
+    case "limit":
+      return false;
+  }
+}
--- a/soak/observation.ts
+++ b/soak/observation.ts
@@ -9,6 +9,10 @@
   | "idempotent"
   | "non-idempotent"
   | "stream"
+  /** A stream that its caller resumes. */
+  | "resumed-stream"
+  /** A stream that must not be resumed. */
+  | "single-stream"
   | "version"
   /** A call that crashes the server that runs it. */
   | "ending"
@@ -25,6 +29,11 @@
   "non-idempotent",
   "stream",
 ];
+/** Kinds of streams that have to be served, too. */
+export const STREAM_KINDS: readonly CallKind[] = [
+  "resumed-stream",
+  "single-stream",
+];
 /** Kinds of calls whose key is revoked or unknown, so that they must not be served. */
 export const KEY_KINDS: readonly CallKind[] = ["rotating", "stranger"];
 
@@ -117,6 +126,24 @@
   readonly instance: string;
   readonly fromMs: number;
   readonly toMs: number;
+  /** Whether it was shut down gracefully. Default: no. */
+  readonly isGraceful?: boolean;
+}
+
+/** Time during which a sound server was silent, and went on afterwards. */
+export interface ServerSilence {
+  readonly server: string;
+  /** Instances of the server's region, through which calls from other regions pass. */
+  readonly instances: readonly string[];
+  readonly fromMs: number;
+  readonly toMs: number;
+}
+
+/** Time during which a fault may have kept a server from answering. */
+export interface ServerDisturbance {
+  readonly server: string;
+  readonly fromMs: number;
+  readonly toMs: number;
 }
 
 /** State that a server advertised in its answers alone: its entry in the store did not change. */
@@ -197,6 +224,8 @@
   }[];
   readonly pauses: readonly InstancePause[];
   readonly cutOffs: readonly CutOff[];
+  readonly serverSilences: readonly ServerSilence[];
+  readonly serverDisturbances: readonly ServerDisturbance[];
   readonly advertisements: readonly ServerAdvertisement[];
   /** Calls that servers refused when they asked for a cool-down. */
   readonly refusals: readonly RecordedRefusal[];
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -77,6 +77,21 @@
       | "restore";
   }
   | { readonly kind: "operator"; readonly what: "configure" | "evacuate" }
+  /**
+   * Many servers of the work service stand still at once and go on, while something changes
+   * that ends no call.
+   */
+  | {
+    readonly kind: "standstill";
+    /** Indexes of the servers. */
+    readonly slots: readonly number[];
+    readonly stillMs: number;
+    readonly beside: StandstillChange;
+    /** Time from the start of the standstill to the change; negative: the change is earlier. */
+    readonly offsetMs: number;
+    /** Index of the instance that is stopped, if that is the change. */
+    readonly index: number;
+  }
   /** The operator orders a rollout; some answers of a bad version are failures. */
   | {
     readonly kind: "rollout";
@@ -85,6 +100,9 @@
     readonly servers: "plain" | "engines";
   };
 
+/** What changes beside a standstill. */
+export type StandstillChange = typeof STANDSTILL_CHANGES[number];
+
 /** A fault with its start time and duration. */
 export interface PlannedFault {
   readonly fault: Fault;
@@ -94,6 +112,13 @@
   readonly durationMs: number;
 }
 
+/** Faults after all others. */
+export interface QuietPlan {
+  /** Whether the servers have few slots meanwhile, and reject calls beyond them. */
+  readonly hasFullServers: boolean;
+  readonly standstills: readonly PlannedFault[];
+}
+
 /** Arguments of {@linkcode createPlan}. */
 export interface PlanParts {
   readonly seed: number;
@@ -106,6 +131,39 @@
   readonly servers: number;
 }
 
+const STANDSTILL_CHANGES = [
+  "nothing",
+  /** Limits on callers' connections become tight for a moment. */
+  "limits",
+  /** The timeouts of all routes. */
+  "timeouts",
+  /** The routes of the work service lead to another one for a moment. */
+  "move",
+  /** The other service gets a share of the calls for a moment. */
+  "weights",
+  /** Routes are added for a moment. */
+  "routes",
+  /** The settings file changes, and the instances are not told. */
+  "settings",
+  /** The settings file changes, and the instances are told. */
+  "reload",
+  /** An instance is shut down gracefully and started again. */
+  "stop",
+] as const;
+/** How long a standstill lasts, in milliseconds. */
+const STANDSTILL_MS = { min: 1_000, max: 1_300 };
+/** Longest time between the start of a standstill and the change beside it, in milliseconds. */
+const MAX_STANDSTILL_OFFSET_MS = 400;
+/** Length of the intervals that have one standstill each, in milliseconds. */
+const STANDSTILL_INTERVAL_MS = 4_000;
+/** Changes after which the service is soon as before: a stopped instance is away for longer. */
+const QUIET_CHANGES = STANDSTILL_CHANGES.filter((change) => change !== "stop");
+/** Starts of the standstills after all other faults, in milliseconds from their end. */
+const QUIET_STANDSTILLS_MS = [1_500, 3_900];
+/** Share of the seeds whose servers have few slots then. */
+const FULL_SERVERS_SHARE = 2 / 3;
+/** Share of the servers that stand still if it is neither all nor those of a region. */
+const STANDSTILL_SHARE = 0.6;
 const KINDS = ["instance", "link", "server", "store", "operator"] as const;
 const INSTANCE_FAULTS = ["kill", "pause", "stop", "reload"] as const;
 const LINK_TARGETS = ["store", "server"] as const;
@@ -243,9 +301,76 @@
     ...planBrittleServers(parts, endMs),
     ...planCutAnswers(parts, endMs),
     ...planRollouts(parts, endMs),
+    ...planStandstills(parts, endMs),
   ];
 }
 
+/** Plans standstills of many servers, from a separate random sequence as for crowds. */
+function planStandstills(
+  parts: PlanParts,
+  endMs: number,
+): readonly PlannedFault[] {
+  const random = createRandom(Math.imul(parts.seed, SEED_SPREAD) ^ 7);
+  return planRecurring({
+    random,
+    intervalMs: STANDSTILL_INTERVAL_MS,
+    durationMs: STANDSTILL_MS.max + MAX_STANDSTILL_OFFSET_MS,
+    endMs,
+  }, () => drawStandstill(parts, STANDSTILL_CHANGES, random));
+}
+
+/**
+ * Returns the standstills after all other faults, when most calls reach a server, with times
+ * from the end of the faults.
+ */
+export function createQuietPlan(parts: PlanParts): QuietPlan {
+  const random = createRandom(Math.imul(parts.seed, SEED_SPREAD) ^ 8);
+  return {
+    hasFullServers: random.nextFloat() < FULL_SERVERS_SHARE,
+    standstills: QUIET_STANDSTILLS_MS.map((atMs) => ({
+      fault: drawStandstill(parts, QUIET_CHANGES, random),
+      atMs,
+      durationMs: STANDSTILL_MS.max + MAX_STANDSTILL_OFFSET_MS,
+    })),
+  };
+}
+
+function drawStandstill(
+  parts: PlanParts,
+  changes: readonly StandstillChange[],
+  random: Random,
+): Fault {
+  return {
+    kind: "standstill",
+    slots: pickStill(parts, random),
+    stillMs: pickBetween(STANDSTILL_MS, random),
+    beside: pickRandom(changes, random)!,
+    offsetMs: pickBetween({
+      min: -MAX_STANDSTILL_OFFSET_MS,
+      max: MAX_STANDSTILL_OFFSET_MS,
+    }, random),
+    index: drawIndex(parts.instances, random),
+  };
+}
+
+/** Returns all servers, those of a region, or six in ten of all. */
+function pickStill(
+  { instances, instancesPerRegion, servers }: PlanParts,
+  random: Random,
+): readonly number[] {
+  const all = Array.from({ length: servers }, (_, index) => index);
+  const perRegion = servers * instancesPerRegion / instances;
+  const region = drawIndex(servers / perRegion, random);
+  const drawn = all.map((index) => ({ index, order: random.nextFloat() }))
+    .sort((one, other) => one.order - other.order)
+    .slice(0, Math.round(STANDSTILL_SHARE * servers))
+    .map(({ index }) => index);
+  const regional = all.filter((index) =>
+    Math.floor(index / perRegion) === region
+  );
+  return pickRandom([all, regional, drawn], random)!;
+}
+
 /** Plans one rollout in a part of the seeds, from a separate random sequence as for crowds. */
 function planRollouts(
   { seed }: PlanParts,
--- a/soak/plan_test.ts
+++ b/soak/plan_test.ts
@@ -1,7 +1,12 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import fc from "fast-check";
-import { createPlan, FAULT_FREE_END_MS, formatFault } from "./plan.ts";
+import {
+  createPlan,
+  createQuietPlan,
+  FAULT_FREE_END_MS,
+  formatFault,
+} from "./plan.ts";
 
 const SIZES = {
   seconds: 40,
@@ -36,6 +41,27 @@
     ]);
   });
 
+  it("has standstills of all servers, of a region and of most, beside each change", () => {
+    const seeds = Array.from({ length: 20 }, (_, seed) => ({ ...SIZES, seed }));
+    const quiet = seeds.map(createQuietPlan);
+    const planned = [
+      ...seeds.flatMap(createPlan),
+      ...quiet.flatMap(({ standstills }) => standstills),
+    ];
+    const faults = planned.map(({ fault }) => fault)
+      .filter((fault) => fault.kind === "standstill");
+    const collect = (read: (fault: typeof faults[number]) => unknown) =>
+      [...new Set(faults.map(read))].sort();
+    assert.deepEqual(collect(({ slots }) => slots.length), [2, 4, 6]);
+    assert.equal(collect(({ beside }) => beside).length, 9);
+    assert.ok(quiet.some(({ hasFullServers }) => hasFullServers));
+    assert.ok(quiet.some(({ hasFullServers }) => !hasFullServers));
+    assert.ok(faults.some(({ offsetMs }) => offsetMs < -100));
+    assert.ok(faults.some(({ offsetMs }) => offsetMs > 100));
+    assert.ok(faults.every(({ stillMs }) => stillMs >= 1_000));
+    assert.ok(faults.every(({ slots }) => slots.every((slot) => slot < 6)));
+  });
+
   it("ends every fault before the fault-free time at the end, and uses only existing indexes", () => {
     fc.assert(
       fc.property(fc.integer({ min: 0, max: 1_000_000 }), (seed) => {
--- a/soak/run_soak.ts
+++ b/soak/run_soak.ts
@@ -10,6 +10,7 @@
 import { FaultRunner } from "./fault_runner.ts";
 import { BOUND_HOST, SOAK_HOST, SoakCaller } from "./caller.ts";
 import { checkPromises, type Violation } from "./check_promises.ts";
+import { listSilentCalls } from "./check_silences.ts";
 import {
   type CallKind,
   type DirectoryAnswer,
@@ -19,9 +20,16 @@
   type ObservedCall,
   type ObservedRollout,
   type ProcessResources,
+  STREAM_KINDS,
   WORK_KINDS,
 } from "./observation.ts";
-import { createPlan, FAULT_FREE_END_MS, type PlannedFault } from "./plan.ts";
+import {
+  createPlan,
+  createQuietPlan,
+  FAULT_FREE_END_MS,
+  type PlannedFault,
+  type QuietPlan,
+} from "./plan.ts";
 import {
   type LostInstance,
   SoakFleet,
@@ -38,6 +46,8 @@
   /** Length of the traffic, in seconds; the last fault ends some seconds earlier. */
   readonly seconds: number;
   readonly instancesPerRegion: number;
+  /** Folder that exists, for the logs of the instances. Default: none are kept. */
+  readonly logFolder?: string | undefined;
   /** Called with a one-line description of each fault. */
   readonly print: (line: string) => void;
 }
@@ -78,15 +88,18 @@
   const refusals: RecordedRefusal[] = [];
   const rejections: RecordedRefusal[] = [];
   const badAnswers: RecordedBadAnswer[] = [];
-  const plan = createPlan({
+  const planParts = {
     seed: parts.seed,
     seconds: parts.seconds,
     instances: REGIONS.length * parts.instancesPerRegion,
     instancesPerRegion: parts.instancesPerRegion,
     servers: REGIONS.length * SERVERS_PER_REGION,
-  });
+  };
+  const plan = createPlan(planParts);
+  const quietPlan = createQuietPlan(planParts);
   const fleet = new SoakFleet({
     program: parts.program,
+    logFolder: parts.logFolder,
     regions: REGIONS,
     instancesPerRegion: parts.instancesPerRegion,
     serversPerRegion: SERVERS_PER_REGION,
@@ -103,7 +116,7 @@
     await fleet.start();
     const lost = await Promise.race([fleet.awaitReady(), fleet.lostInstance]);
     if (lost !== undefined) return createLostReport(parts, lost);
-    return await observe(parts, { fleet, plan }, {
+    return await observe(parts, { fleet, plan, quietPlan }, {
       runs,
       refusals,
       rejections,
@@ -129,9 +142,10 @@
 
 async function observe(
   parts: SoakParts,
-  { fleet, plan }: {
+  { fleet, plan, quietPlan }: {
     readonly fleet: SoakFleet;
     readonly plan: readonly PlannedFault[];
+    readonly quietPlan: QuietPlan;
   },
   { badAnswers, ...recorded }:
     & Pick<Observation, "refusals" | "rejections" | "runs">
@@ -159,7 +173,10 @@
     const unready = await fleet.awaitReady();
     if (unready !== undefined) return unready;
     faultsEndedMs = clock.nowMs();
-    await waitFor(clock, FAULT_FREE_END_MS);
+    await Promise.all([
+      faults.runQuiet(quietPlan),
+      waitFor(clock, FAULT_FREE_END_MS),
+    ]);
     return undefined;
   };
   const lost = await Promise.race([runPlan(), fleet.lostInstance]);
@@ -174,7 +191,7 @@
   rollouts.forEach((rollout) =>
     parts.print(formatRollout(rollout, recorded.runs))
   );
-  const violations = checkPromises({
+  const observation: Observation = {
     calls: [...calls, ...faults.crashingCalls],
     ...recorded,
     advertisements: faults.advertisements,
@@ -187,12 +204,20 @@
     disturbedSpans: faults.disturbedSpans,
     pauses: faults.pauses,
     cutOffs: faults.cutOffs,
+    serverSilences: faults.serverSilences,
+    serverDisturbances: faults.listServerDisturbances(),
     revokedKeys: fleet.revokedKeys,
     rollouts,
     storeRestoresMs: faults.storeRestoresMs,
     lastVersion: fleet.version,
     recoveredFromMs: faultsEndedMs + RECOVERY_MS,
-  });
+  };
+  parts.print(
+    `silence: ${
+      listSilentCalls(observation).length
+    } calls at silent servers that had to be answered`,
+  );
+  const violations = checkPromises(observation);
   return {
     seed: parts.seed,
     ...counts,
@@ -224,6 +249,7 @@
   signal: AbortSignal,
 ): readonly Promise<void>[] {
   const random = createRandom(seed + 1);
+  const streamRandom = createRandom(seed + 3);
   return fleet.instances.flatMap((instance) => [
     ...Array.from(
       { length: CALLERS_PER_INSTANCE },
@@ -231,6 +257,7 @@
     ),
     keepCalling(fleet, instance, ["version"], calls, random, signal),
     keepCalling(fleet, instance, KEY_KINDS, calls, random, signal),
+    keepCalling(fleet, instance, STREAM_KINDS, calls, streamRandom, signal),
   ]);
 }
 
--- a/soak/soak_fleet.ts
+++ b/soak/soak_fleet.ts
@@ -1,5 +1,9 @@
 import { setMaxListeners } from "node:events";
-import { PlatformOperator } from "../standin/platform_operator.ts";
+import { join } from "node:path";
+import {
+  type OperatorLimits,
+  PlatformOperator,
+} from "../standin/platform_operator.ts";
 import {
   PLATFORM_PORTS,
   PlatformProcess,
@@ -25,7 +29,7 @@
 } from "./caller.ts";
 import type { PromiseName } from "./check_promises.ts";
 import { ROLLOUT_BOUNDS } from "./check_rollouts.ts";
-import type { InterruptedRun, RevokedKey } from "./observation.ts";
+import type { Departure, InterruptedRun, RevokedKey } from "./observation.ts";
 import { LinkProxy } from "./link_proxy.ts";
 
 /** Constructor arguments of {@linkcode SoakFleet}. */
@@ -35,6 +39,8 @@
   readonly regions: readonly string[];
   readonly instancesPerRegion: number;
   readonly serversPerRegion: number;
+  /** Folder for the logs of the instances. Default: none are kept. */
+  readonly logFolder?: string | undefined;
   /** Whether the servers of the work service are model engines. */
   readonly hasEngines: boolean;
   readonly clock: Clock;
@@ -76,10 +82,31 @@
   startedMs: number;
 }
 
+/** How a configuration differs from the usual one. */
+export interface ConfigurationChange {
+  /** Timeout of all routes, in milliseconds. Default: the usual one. */
+  readonly timeoutMs?: number;
+  /** Limits on callers' connections. Default: the usual ones. */
+  readonly limits?: OperatorLimits;
+  /** Whether the other service gets all calls of the work service, or a share. Default: none. */
+  readonly otherService?: "all" | "share";
+  /** Number of additional routes. Default: 0. */
+  readonly additionalRoutes?: number;
+}
+
 /** Service of all routes but the one that is named after the configuration version. */
 export const WORK_SERVICE = "work";
+/** Service to which the routes of the work service lead for a moment. */
+const OTHER_SERVICE = "other";
+/** Shares of the two services where both get calls. */
+const WEIGHTED_SERVICES = [
+  { service: WORK_SERVICE, weight: 7 },
+  { service: OTHER_SERVICE, weight: 3 },
+];
 /** Engines of the work service where it has them, with the slots of its servers. */
 const ENGINE = { slots: 16, cacheTokens: 400_000 };
+/** Slots of servers that are nearly full: the callers of a region need most of them. */
+const FULL_SLOTS = 3;
 /** Software that servers run without a rollout. */
 const FIRST_SOFTWARE: ServerSoftware = { version: "v1", badShare: 0 };
 /** Settings that enable rollouts, with the bounds that the checks use. */
@@ -95,7 +122,7 @@
 /** Time from SIGTERM to SIGKILL on the users' platform, in seconds. */
 const GRACE_S = 8;
 /** Timeout of all routes, in milliseconds. */
-const TIMEOUT_MS = 4_000;
+export const TIMEOUT_MS = 4_000;
 /** Time after which a server that crashed because of a call is replaced, in milliseconds. */
 const REPLACEMENT_DELAY_MS = 2_000;
 /** Interval at which the readiness of the instances is polled, in milliseconds. */
@@ -125,6 +152,8 @@
   #reportLost: (lost: LostInstance) => void = () => {};
   #serverCount = 0;
   #version = 0;
+  /** Resolves when the last configuration is written: they are written one after the other. */
+  #configured = Promise.resolve();
 
   /** @param parts Program, regions, sizes, clock and recorders. */
   constructor(parts: SoakFleetParts) {
@@ -155,6 +184,9 @@
     for (const region of serverRegions) {
       this.slots.push(await this.#createSlot(region, WORK_SERVICE));
     }
+    for (const region of regions) {
+      await this.#createSlot(region, OTHER_SERVICE);
+    }
     await this.configure();
     const standin = await startStoreStandin(this.store);
     this.#closers.push(() => standin.close());
@@ -167,9 +199,11 @@
     );
     for (const [at, region] of instanceRegions.entries()) {
       const storeLink = new LinkProxy(storePort);
+      const { logFolder, program } = this.#parts;
+      const name = `front-${region}-a-${at}`;
       const process = new PlatformProcess({
-        program: this.#parts.program,
-        name: `front-${region}-a-${at}`,
+        program,
+        name,
         host: hosts[at]!,
         region,
         regions,
@@ -177,11 +211,12 @@
         storeAddress: await storeLink.open(),
         graceS: GRACE_S,
         extraSettings: ROLLOUT_SETTINGS,
+        logPath: logFolder && join(logFolder, `${name}.log`),
         hasCuttableLinks: true,
         onUnexpectedEnd: (end) =>
           this.#reportLost({
             promise: "instances run until they are stopped",
-            detail: formatEnd(`front-${region}-a-${at}`, end),
+            detail: formatEnd(name, end),
           }),
       });
       this.instances.push({ process, region, storeLink });
@@ -246,8 +281,24 @@
   /**
    * Writes the next configuration version, which routes the calls of kind "version" to servers
    * named after it.
+   *
+   * @param change How it differs from the usual one. Default: not at all.
    */
-  async configure(): Promise<void> {
+  configure(change: ConfigurationChange = {}): Promise<void> {
+    this.#configured = this.#configured.then(() =>
+      this.#writeConfiguration(change)
+    );
+    return this.#configured;
+  }
+
+  async #writeConfiguration(
+    {
+      additionalRoutes = 0,
+      limits,
+      otherService,
+      timeoutMs = TIMEOUT_MS,
+    }: ConfigurationChange,
+  ): Promise<void> {
     this.#version++;
     const service = `version-${this.#version}`;
     for (const region of this.#parts.regions) {
@@ -256,36 +307,77 @@
     const route = (
       kind: "safe" | "unsafe" | "streaming",
       name: string,
-      target = WORK_SERVICE,
+      target = otherService === "all" ? OTHER_SERVICE : WORK_SERVICE,
     ) => ({
       name,
       kind,
       host: SOAK_HOST,
       prefix: `/${name}/`,
       service: target,
-      timeoutMs: TIMEOUT_MS,
+      ...(otherService === "share" && target === WORK_SERVICE
+        ? { weightedServices: WEIGHTED_SERVICES }
+        : {}),
+      timeoutMs,
     });
-    await this.operator.configure(this.#version, [
-      route("safe", "idempotent"),
-      route("unsafe", "non-idempotent"),
-      route("streaming", "stream"),
-      route("safe", "version", service),
-      { ...route("safe", "free"), host: BOUND_HOST },
-      {
-        ...route("safe", "bound"),
-        host: BOUND_HOST,
-        homeRegions: this.homeRegions,
-      },
-    ], [
-      { name: STEADY_TEAM.name, keys: [STEADY_TEAM.key] },
-      { name: ROTATING_TEAM, keys: [toRotatingKey(this.#version)] },
-    ], this.#parts.hasEngines ? { [WORK_SERVICE]: ENGINE } : {});
+    await this.operator.configure(
+      this.#version,
+      [
+        route("safe", "idempotent"),
+        route("unsafe", "non-idempotent"),
+        route("streaming", "stream"),
+        { ...route("streaming", "single-stream"), isResumable: false },
+        route("safe", "version", service),
+        ...Array.from(
+          { length: additionalRoutes },
+          (_, at) => route("safe", `additional-${at}`),
+        ),
+        { ...route("safe", "free"), host: BOUND_HOST },
+        {
+          ...route("safe", "bound"),
+          host: BOUND_HOST,
+          homeRegions: this.homeRegions,
+        },
+      ],
+      [
+        { name: STEADY_TEAM.name, keys: [STEADY_TEAM.key] },
+        { name: ROTATING_TEAM, keys: [toRotatingKey(this.#version)] },
+      ],
+      this.#parts.hasEngines ? { [WORK_SERVICE]: ENGINE } : {},
+      limits,
+    );
     this.revokedKeys.push({
       key: toRotatingKey(this.#version - 1),
       atMs: this.#parts.clock.nowMs(),
     });
   }
 
+  /** Gives the servers of the work service few slots, and has them reject calls beyond these. */
+  async fillServers(): Promise<void> {
+    await Promise.all(this.slots.map((slot) => {
+      slot.server.slots = FULL_SLOTS;
+      slot.server.rejectsBeyondSlots = true;
+      return this.register(slot);
+    }));
+  }
+
+  /** Gives the servers the usual slots again. */
+  async emptyServers(): Promise<void> {
+    await Promise.all(this.slots.map((slot) => {
+      slot.server.slots = ENGINE.slots;
+      slot.server.rejectsBeyondSlots = false;
+      return this.register(slot);
+    }));
+  }
+
+  /** When servers of the work service crashed or were stopped. */
+  listCrashes(): readonly Departure[] {
+    return this.#workServers.flatMap(({ crashedMs, id }) =>
+      crashedMs === undefined
+        ? []
+        : [{ id, atMs: crashedMs, untilMs: crashedMs }]
+    );
+  }
+
   /** Starts a new server in a slot, with a new id and address. */
   async replaceServer(slot: ServerSlot): Promise<void> {
     const { region, service, version } = slot;
