Broken streams wait for a server until their deadline

Seen: a resumable stream whose server breaks off, or refuses the handover, is broken off at once if no other server has a place in that moment, also with most of its time left. Cause: a call waits for a place for a quarter of its target after its arrival, so that it is refused early enough to be served elsewhere. A stream that has begun is past that, and cannot be refused. Evidence: the test, in which another server is registered 0.3 s later, fails before (one event of two). Change: a call whose answer has begun waits until its deadline.

--- a/forwarding/call_forwarder.ts
+++ b/forwarding/call_forwarder.ts
@@ -612,8 +612,10 @@
 /** Returns how long a call may still wait for capacity, in milliseconds. */
 function computeMaxWaitMs(exchange: Exchange, nowMs: number): number {
   if (hasOtherDestination(exchange)) return 0;
-  const { call: { receivedMs }, route: { targetMs } } = exchange;
-  return receivedMs + MAX_WAIT_TARGET_FRACTION * targetMs - nowMs;
+  const { call: { receivedMs }, deadlineMs, progress, route } = exchange;
+  // An answer that has begun can't be refused, only broken off.
+  if (progress.hasBegun) return deadlineMs - nowMs;
+  return receivedMs + MAX_WAIT_TARGET_FRACTION * route.targetMs - nowMs;
 }
 
 /** Returns whether a call was sent before. */
