--- a/adapters/http_backend_client.ts
+++ b/adapters/http_backend_client.ts
@@ -41,6 +41,10 @@
  * takes some 150 bytes more.
  */
 const MAX_UNREAD_BYTES = 4_096;
+/** Maximum size of what follows the terminal event of a stream and is read, in bytes. */
+const MAX_DRAINED_BYTES = 65_536;
+/** Maximum time to read what follows the terminal event of a stream, in milliseconds. */
+const MAX_DRAIN_MS = 500;
 /** Status by which an engine rejects an order with an outdated fencing token. */
 const FENCED_STATUS = 412;
 /** Headers that concern one connection only, and are not passed on to the caller. */
@@ -246,7 +250,7 @@
 
 /**
  * Yields the events of a stream. After its terminal event, the rest of the body is
- * read to its end, so that the connection can be reused. A stream that is abandoned
+ * read to its end, so that the connection can be reused, unless it is long or slow. A stream that is abandoned
  * earlier is closed.
  */
 async function* readEvents(
@@ -279,8 +283,10 @@
     }
   } finally {
     if (!body.destroyed) {
-      if (hasEnded) void body.dump().catch(() => {});
-      else body.destroy();
+      if (hasEnded) {
+        const signal = AbortSignal.timeout(MAX_DRAIN_MS);
+        void body.dump({ limit: MAX_DRAINED_BYTES, signal }).catch(() => {});
+      } else body.destroy();
     }
   }
 }
--- a/adapters/read_answer.ts
+++ b/adapters/read_answer.ts
@@ -32,8 +32,11 @@
 }
 
 /** Reads the body of an answer as UTF-8, as {@linkcode readAnswer} does. */
-export async function readAnswerText(body: AnswerBody): Promise<string> {
-  return (await readAnswer(body)).toString("utf8");
+export async function readAnswerText(
+  body: AnswerBody,
+  maxBytes?: number,
+): Promise<string> {
+  return (await readAnswer(body, maxBytes)).toString("utf8");
 }
 
 /**
--- a/bin/operator_client.ts
+++ b/bin/operator_client.ts
@@ -1,5 +1,6 @@
 import { err, ok, type Result } from "neverthrow";
 import { request } from "undici";
+import { readAnswerText } from "../adapters/read_answer.ts";
 import { RESULT_CODES } from "../results/mod.ts";
 import { EXIT_CODES } from "./exit_codes.ts";
 
@@ -18,6 +19,8 @@
 }
 
 const TIMEOUT_MS = 10_000;
+/** Maximum length of an event of a stream, in characters. */
+const MAX_EVENT_LENGTH = 4_194_304;
 
 /** Client of the resource API. */
 export class OperatorClient {
@@ -54,7 +57,7 @@
           ...(body === undefined ? {} : { body: JSON.stringify(body) }),
           signal: AbortSignal.timeout(TIMEOUT_MS),
         });
-        const text = await response.body.text();
+        const text = await readAnswerText(response.body);
         if (response.statusCode < 300) return ok(JSON.parse(text) as T);
         return err(toFailure(response.statusCode, text));
       } catch (error) {
@@ -82,6 +85,11 @@
       text += decoder.decode(chunk as Buffer, { stream: true });
       const events = text.split("\n\n");
       text = events.pop() ?? "";
+      if (text.length > MAX_EVENT_LENGTH) {
+        throw new Error(
+          `Cannot follow ${path}: an event is over ${MAX_EVENT_LENGTH} characters`,
+        );
+      }
       events.flatMap((event) => event.split("\n"))
         .filter((line) => line.startsWith("data: "))
         .forEach((line) => onData(line.slice("data: ".length)));
--- a/client/caller.ts
+++ b/client/caller.ts
@@ -1,8 +1,10 @@
 import { randomUUID } from "node:crypto";
-import { Agent, request } from "undici";
+import { request } from "undici";
 import { createParser } from "eventsource-parser";
 import { callWithTimeout } from "../adapters/call_with_timeout.ts";
 import { isNotSentError } from "../adapters/connection_errors.ts";
+import { readAnswerText } from "../adapters/read_answer.ts";
+import { createResetCheckingAgent } from "../adapters/reset_checking_agent.ts";
 import { systemClock } from "../adapters/system_clock.ts";
 import { waitFor } from "../clock/mod.ts";
 
@@ -61,6 +63,8 @@
 /** Delay before a retry if the answer names none, in milliseconds. */
 const DEFAULT_RETRY_DELAY_MS = 50;
 const MAX_TRIES = 8;
+/** Maximum length of an event of a stream, in characters. */
+const MAX_EVENT_LENGTH = 4_194_304;
 /** Result code of an instance that shuts down. */
 const LEAVING_CODE = 1205;
 
@@ -71,7 +75,7 @@
  */
 export class Caller {
   readonly #parts: CallerParts;
-  readonly #agent = new Agent({
+  readonly #agent = createResetCheckingAgent({
     connect: { timeout: 1_000 },
     bodyTimeout: 0,
     headersTimeout: 0,
@@ -142,6 +146,10 @@
     const answer = await this.#open(path, { ...options, body });
     const parsedEvents: string[] = [];
     const parser = createParser({
+      maxBufferSize: MAX_EVENT_LENGTH,
+      onError: (error) => {
+        if (error.type === "max-buffer-size-exceeded") throw error;
+      },
       onEvent: ({ data }) => parsedEvents.push(data),
     });
     const decoder = new TextDecoder();
@@ -177,11 +185,12 @@
           method: "POST",
           headers: this.#createHeaders(options, undefined, options.deadlineMs),
           body: JSON.stringify(options.body),
+          headersTimeout: options.deadlineMs ?? DEFAULT_DEADLINE_MS,
           dispatcher: this.#agent,
           ...(options.signal === undefined ? {} : { signal: options.signal }),
         });
         if (response.statusCode === 200) return response.body;
-        lastError = await response.body.text();
+        lastError = await readAnswerText(response.body);
         const canRetryElsewhere = lastError.includes('"retry":"elsewhere"') &&
           lastError.includes('"ran":"not-run"');
         if (!canRetryElsewhere) break;
@@ -222,7 +231,7 @@
             dispatcher: this.#agent,
             signal,
           });
-          return { response, text: await response.body.text() };
+          return { response, text: await readAnswerText(response.body) };
         },
       );
       const code = Number(response.headers["x-result-code"] ?? "0");
@@ -297,7 +306,7 @@
           dispatcher: this.#agent,
           signal: AbortSignal.timeout(2_000),
         });
-        const text = await response.body.text();
+        const text = await readAnswerText(response.body);
         if (response.statusCode !== 200) continue;
         const list = JSON.parse(text) as {
           readonly entries: readonly Entry[];
--- a/tests/bytes_without_end_test.ts
+++ b/tests/bytes_without_end_test.ts
@@ -1,17 +1,18 @@
 // Guards against a server whose bytes never end, and that keeps a call waiting or its connection open for as long as it sends.
 import assert from "node:assert/strict";
-import { once } from "node:events";
 import type { Socket } from "node:net";
 import { afterEach, describe, it } from "node:test";
 import { HttpBackendClient } from "../adapters/http_backend_client.ts";
 import type { BackendCall } from "../engine/mod.ts";
-import {
-  toAttemptId,
-  toBackendId,
-  toFailureDomainId,
-  toRegionId,
-} from "../ids/mod.ts";
+import { toAttemptId } from "../ids/mod.ts";
+import { createBackendServer } from "./backend_server_fixture.ts";
 import { CLEAN_UPS } from "./clean_ups.ts";
+import {
+  awaitClosed,
+  type EndlessBytes,
+  isInTime,
+  sendForEver,
+} from "./endless_server_fixture.ts";
 import {
   createAnswer,
   createRequest,
@@ -28,16 +29,8 @@
 const CALL_TIMEOUT_MS = 10_000;
 /** Maximum number of bytes that a server gets rid of, those in the system's buffers included. */
 const MAX_SENT_BYTES = 16_777_216;
-/** Size of the pieces in which a server sends at full speed, in bytes. */
-const PIECE_BYTES = 65_536;
-/** Time between two bytes of a slow server, in milliseconds. */
-const SLOW_INTERVAL_MS = 100;
-
-/** Bytes that a server sends for ever after the beginning of an answer. */
-interface EndlessAnswer {
-  readonly beginning: string;
-  readonly repeated: string;
-  readonly isSlow?: boolean;
+/** An answer without end, and what its caller gets. */
+interface EndlessAnswer extends EndlessBytes {
   /** Method of the call. Default: `GET`. */
   readonly method?: string;
   /** Whether the answer is broken off that the caller has begun to get. Default: no. */
@@ -158,46 +151,9 @@
   },
 };
 
-/** Sends bytes until the connection is closed, as fast as it takes them or one by one. */
-function sendForEver(socket: Socket, { repeated, isSlow }: EndlessAnswer) {
-  if (isSlow) {
-    const timer = setInterval(() => socket.write(repeated), SLOW_INTERVAL_MS);
-    socket.once("close", () => clearInterval(timer));
-    return;
-  }
-  const piece = repeated.repeat(Math.ceil(PIECE_BYTES / repeated.length));
-  const sendMore = () => {
-    while (!socket.destroyed && socket.write(piece));
-  };
-  socket.on("drain", sendMore);
-  sendMore();
-}
-
-/** Returns whether an event comes in time. */
-async function isInTime(event: Promise<unknown>): Promise<boolean> {
-  const late = new AbortController();
-  const timer = setTimeout(() => late.abort(), MAX_WAIT_MS);
-  const outcome = await Promise.race([
-    event.then(() => true),
-    once(late.signal, "abort").then(() => false),
-  ]);
-  clearTimeout(timer);
-  return outcome;
-}
-
 function createBackendCall(address: string): BackendCall {
   return {
-    server: {
-      id: toBackendId("s1"),
-      service: "app",
-      region: toRegionId("north"),
-      failureDomain: toFailureDomainId("north-a"),
-      url: `http://${address}`,
-      isLeaving: false,
-      slots: 1,
-      pricePerSecond: 0,
-      checksFencing: false,
-    },
+    server: createBackendServer(address),
     attempt: toAttemptId("a1"),
     method: "GET",
     path: "/x",
@@ -222,7 +178,6 @@
           return;
         }
         endless = socket;
-        socket.write(answer.beginning);
         sendForEver(socket, answer);
       })
     ),
@@ -250,12 +205,12 @@
     }),
   );
   const received = awaitAnswer(caller);
-  assert.ok(await isInTime(received), `the call waits: "${caller.read()}"`);
-  const closed = new Promise<void>((resolve) => {
-    if (endless!.destroyed) resolve();
-    else endless!.once("close", () => resolve());
-  });
-  assert.ok(await isInTime(closed), "the connection is kept");
+  assert.ok(
+    await isInTime(received, MAX_WAIT_MS),
+    `the call waits: "${caller.read()}"`,
+  );
+  const closed = awaitClosed(endless!);
+  assert.ok(await isInTime(closed, MAX_WAIT_MS), "the connection is kept");
   const sentBytes = endless!.bytesWritten;
   assert.ok(sentBytes < MAX_SENT_BYTES, `the server sent ${sentBytes} bytes`);
   return await received;
@@ -293,17 +248,16 @@
   Object.entries(ANSWERS).filter(([, { isSlow = false }]) => !isSlow).forEach(
     ([name, answer]) => {
       it(`end a call of the OpenAI listener in time: ${name}`, async () => {
-        const server = await startRawServer((_, socket) => {
-          socket.write(answer.beginning);
-          sendForEver(socket, answer);
-        });
+        const server = await startRawServer((_, socket) =>
+          sendForEver(socket, answer)
+        );
         const client = new HttpBackendClient();
         CLEAN_UPS.push(() => server.close(), () => void client.close());
         const result = client.dispatch(
           createBackendCall(server.address),
           new AbortController().signal,
         );
-        assert.ok(await isInTime(result), "the call waits");
+        assert.ok(await isInTime(result, MAX_WAIT_MS), "the call waits");
         assert.ok((await result).isErr());
       });
     },
