--- a/adapters/http_backend_client.ts
+++ b/adapters/http_backend_client.ts
@@ -250,8 +250,8 @@
 
 /**
  * Yields the events of a stream. After its terminal event, the rest of the body is
- * read to its end, so that the connection can be reused, unless it is long or slow. A stream that is abandoned
- * earlier is closed.
+ * read to its end, so that the connection can be reused, unless it is long or slow. A
+ * stream that is abandoned earlier is closed.
  */
 async function* readEvents(
   body: Dispatcher.ResponseData["body"],
--- a/forwarding/call_sender.ts
+++ b/forwarding/call_sender.ts
@@ -15,7 +15,7 @@
 import type { InstanceSender } from "./instance_sender.ts";
 import { computeFirstByteTimeoutMs } from "./compute_first_byte_timeout.ts";
 import type { LearnedServers } from "./learned_servers.ts";
-import { Handover, type HandoverEvents } from "./handover.ts";
+import { Handover, type HandoverEnd, type HandoverEvents } from "./handover.ts";
 import type { FleetRetryBudgets } from "./fleet_retry_budget.ts";
 import type { AttemptOutcome, EndedOutcome } from "./run_attempt.ts";
 import type { SendOptions, ServerSender } from "./server_sender.ts";
@@ -121,7 +121,7 @@
     from: SendDestination,
     events: HandoverEvents,
   ): Handover | undefined {
-    const { clock, metrics, destinations, quarantine, replies } = this.#parts;
+    const { clock, metrics, destinations, quarantine } = this.#parts;
     const nowMs = clock.nowMs();
     if (this.#isLost(from)) releaseWithdrawn(exchange, HANDOVER_ATTEMPTS);
     if (!canBeHandedOver(exchange)) return undefined;
@@ -137,8 +137,7 @@
       endHandover(exchange);
       return undefined;
     }
-    const service = exchange.service.name;
-    metrics.count("call.offers", 1, { service });
+    metrics.count("call.offers", 1, { service: exchange.service.name });
     return new Handover({
       clock,
       target,
@@ -154,18 +153,32 @@
         this.#logOutcome(exchange, target, outcome);
         settleHandover(exchange, target, outcome);
       },
-      onEnd: (end) => {
-        metrics.count("call.handovers", 1, { service, end });
-        replies.log(exchange, "handover ended", {
-          from: readDestinationId(from),
-          at: readDestinationId(target),
-          end,
-          tookMs: Math.round(clock.nowMs() - nowMs),
-        });
-      },
+      onEnd: (end) =>
+        this.#logHandover(exchange, { from, target, end, startMs: nowMs }),
     }, events);
   }
 
+  #logHandover(
+    exchange: Exchange,
+    { end, from, startMs, target }: {
+      readonly from: SendDestination;
+      readonly target: SendDestination;
+      readonly end: HandoverEnd;
+      /** When the handover began. */
+      readonly startMs: number;
+    },
+  ): void {
+    const { clock, metrics, replies } = this.#parts;
+    const service = exchange.service.name;
+    metrics.count("call.handovers", 1, { service, end });
+    replies.log(exchange, "handover ended", {
+      from: readDestinationId(from),
+      at: readDestinationId(target),
+      end,
+      tookMs: Math.round(clock.nowMs() - startMs),
+    });
+  }
+
   /**
    * Returns for how long two destinations may have a call, in milliseconds, or `undefined`
    * without a limit. Model engines must not work on one call together. Elsewhere, the limit
