A stream that goes on with comments or blank lines only is broken off

Seen: a server that sends blank lines or comments without end after an event holds its call until the timeout of the route.

Cause: each blank line ended an event, which was framed and passed on by itself, and only the beginning of an event was bounded.

Evidence: the two rows "comments" and "blank lines" of "have a stream go on elsewhere" fail on the sources before ("the stream waits", 4 s); "an event" and "a comment" passed and are guards.

Fix: what follows an event in a piece, up to the next field, is passed on with it, and a stream with over 4 MiB of nothing but comments and blank lines is broken off: it goes on at another server where it may, as after any broken stream. Comments are passed on as early as before.

--- a/forwarding/event_framer.ts
+++ b/forwarding/event_framer.ts
@@ -29,6 +29,11 @@
     return this.#pending.size;
   }
 
+  /** Number of bytes since the last one of a field, or some more. */
+  get idleSize(): number {
+    return this.#scanner.idleSize;
+  }
+
   /** Returns the bytes after the last blank line, and forgets them. */
   takePending(): Buffer {
     return this.#pending.take();
--- a/forwarding/event_scanner.ts
+++ b/forwarding/event_scanner.ts
@@ -11,6 +11,7 @@
   #isAfterCarriageReturn = false;
   #isLineEmpty = true;
   #hasField = false;
+  #idleSize = 0;
 
   /**
    * Whether the bytes so far end within an event: after a field, or within a line. Comments
@@ -20,9 +21,18 @@
     return this.#hasField || !this.#isLineEmpty;
   }
 
-  /** Takes the next bytes, and returns the indices in them after each blank line. */
+  /** Number of bytes since the last one of a field, or some more: comments and blank lines. */
+  get idleSize(): number {
+    return this.#idleSize;
+  }
+
+  /**
+   * Takes the next bytes, and returns the indices in them after the blank line of each event. What
+   * follows an event up to the next one, and ends in a blank line, is part of it.
+   */
   scan(chunk: Buffer): readonly number[] {
     const ends: number[] = [];
+    let hasAnyField = this.#hasField;
     for (let at = 0; at < chunk.length; at++) {
       const byte = chunk[at]!;
       const belongsToLineEnd = byte === LINE_FEED &&
@@ -32,15 +42,20 @@
         if (ends.at(-1) === at) ends[ends.length - 1] = at + 1;
       } else if (byte === LINE_FEED || byte === CARRIAGE_RETURN) {
         if (this.#isLineEmpty) {
-          ends.push(at + 1);
+          if (this.#hasField || ends.length === 0) ends.push(at + 1);
+          else ends[ends.length - 1] = at + 1;
           this.#hasField = false;
         }
         this.#isLineEmpty = true;
       } else {
-        if (this.#isLineEmpty && byte !== COLON) this.#hasField = true;
+        if (this.#isLineEmpty && byte !== COLON) {
+          this.#hasField = true;
+          hasAnyField = true;
+        }
         this.#isLineEmpty = false;
       }
     }
+    this.#idleSize = chunk.length + (hasAnyField ? 0 : this.#idleSize);
     return ends;
   }
 }
--- a/forwarding/run_attempt.ts
+++ b/forwarding/run_attempt.ts
@@ -166,7 +166,7 @@
 const MAX_HELD_BYTES = 65_536;
 /** Maximum time to read the body of a failure that is held back, in milliseconds. */
 const MAX_HOLD_MS = 1_000;
-/** Maximum size of an event that is passed on only once it is complete, in bytes. */
+/** Maximum size of an event that is passed on only once it is complete, or of what is between two, in bytes. */
 const MAX_EVENT_BYTES = 4_194_304;
 
 /**
@@ -330,10 +330,19 @@
       if (this.#events.pendingSize > MAX_EVENT_BYTES) {
         this.#abortAnswer(`An event is over ${MAX_EVENT_BYTES} bytes`);
       }
+      this.#limitIdleBytes();
       return canContinue;
     }
     this.#events?.scan(chunk);
-    return this.#passOn(chunk);
+    const canContinue = this.#passOn(chunk);
+    this.#limitIdleBytes();
+    return canContinue;
+  }
+
+  /** Ends a stream that goes on with comments and blank lines only. */
+  #limitIdleBytes(): void {
+    if ((this.#events?.idleSize ?? 0) <= MAX_EVENT_BYTES) return;
+    this.#abortAnswer(`Over ${MAX_EVENT_BYTES} bytes without an event`);
   }
 
   /**
--- a/tests/bytes_without_end_test.ts
+++ b/tests/bytes_without_end_test.ts
@@ -19,7 +19,16 @@
   startGateway,
 } from "./http_gateway_fixture.ts";
 import { openRawCaller, startRawServer } from "./raw_http.ts";
-import { awaitAnswer } from "./received_answer.ts";
+import { awaitAnswer, listEventIds } from "./received_answer.ts";
+import {
+  createEvent,
+  openStream,
+  type RequestHandler,
+  startStreamingGateway,
+  STREAM_END,
+  STREAM_HEAD,
+  toChunk,
+} from "./stream_fixture.ts";
 
 afterEach(() => CLEAN_UPS.splice(0).forEach((cleanUp) => cleanUp()));
 
@@ -163,6 +172,17 @@
   };
 }
 
+const PARTS_PER_CHUNK = 1_000;
+/** Time for a stream that goes on elsewhere, in milliseconds: less than its route's timeout. */
+const MAX_STREAM_MS = 4_000;
+/** What is repeated without end after an event. */
+const STREAM_PARTS: Readonly<Record<string, string>> = {
+  "an event": "data: x",
+  "a comment": ": x",
+  "comments": ": x\n\n",
+  "blank lines": "\n",
+};
+
 /** Has the first server of a call send an answer without end, and the next one a whole one. */
 async function callEndlessServer(
   answer: EndlessAnswer,
@@ -262,4 +282,33 @@
       });
     },
   );
+
+  Object.entries(STREAM_PARTS).forEach(([name, repeated]) => {
+    it(`have a stream go on elsewhere: ${name}`, async () => {
+      let calls = 0;
+      const endless = {
+        beginning: STREAM_HEAD + toChunk(createEvent(1)),
+        repeated: toChunk(repeated.repeat(PARTS_PER_CHUNK)),
+      };
+      const answer: RequestHandler = (_, socket) => {
+        if (calls++ === 0) sendForEver(socket, endless);
+        else socket.write(STREAM_HEAD + toChunk(createEvent(2)) + STREAM_END);
+      };
+      const { gateway, servers } = await startStreamingGateway(
+        [answer, answer],
+        { resumable: true, maxAttempts: 2 },
+      );
+      const received = awaitAnswer(await openStream(gateway.port));
+      assert.ok(await isInTime(received, MAX_STREAM_MS), "the stream waits");
+      const { body, looksComplete } = await received;
+      assert.ok(looksComplete);
+      assert.deepEqual(listEventIds(body), ["1", "2"]);
+      const [socket] = servers.flatMap(({ sockets }) => sockets)
+        .sort((one, other) => other.bytesWritten - one.bytesWritten);
+      assert.ok(
+        await isInTime(awaitClosed(socket!), MAX_WAIT_MS),
+        "the connection is kept",
+      );
+    });
+  });
 });
