Soak: a reload beside a standstill leaves instances alone that another fault disturbs

Cause: the reload was sent to all instances.

Change: instances that another fault disturbs are not reloaded.

--- a/soak/fault_runner.ts
+++ b/soak/fault_runner.ts
@@ -424,19 +424,27 @@
       case "reload":
         this.#changeSettings();
         await Promise.all(
-          this.#parts.fleet.instances.map(({ process }) =>
-            this.#reload(process)
+          this.#parts.fleet.instances.map((each) =>
+            this.#disturbUnlessBusy(each, "reload")
           ),
         );
         return;
       case "stop":
-        if (this.#busy.has(instance)) return;
-        this.#busy.add(instance);
-        await this.#disturbInstance(instance, "stop", RESTART_DELAY_MS);
-        this.#busy.delete(instance);
+        await this.#disturbUnlessBusy(instance, "stop");
     }
   }
 
+  /** Stops or reloads an instance, unless another fault disturbs it and may start it again. */
+  async #disturbUnlessBusy(
+    instance: SoakInstance,
+    what: "stop" | "reload",
+  ): Promise<void> {
+    if (this.#busy.has(instance)) return;
+    this.#busy.add(instance);
+    await this.#disturbInstance(instance, what, RESTART_DELAY_MS);
+    this.#busy.delete(instance);
+  }
+
   async #configureBriefly(change: ConfigurationChange): Promise<void> {
     const { fleet } = this.#parts;
     await fleet.configure(change);
