Endless answers to several calls of the OpenAI listener share one bound

Cause: answers that are read whole are bounded one by one only.

Evidence: the new test fails on the source before: of eight answers that stop at 32 MiB without an end, none is given up (5 s).

Fix: what long answers have beyond 1 MiB counts towards 128 MiB for all that are being read. Answers up to 1 MiB are never counted, so that a faulty server fails no usual call.

--- a/adapters/http_backend_client.ts
+++ b/adapters/http_backend_client.ts
@@ -22,7 +22,7 @@
 import type { AttemptId } from "../ids/mod.ts";
 import type { BackendServer } from "../resources/mod.ts";
 import { toRawHeaders } from "./raw_headers.ts";
-import { readAnswer, readWholeLines } from "./read_answer.ts";
+import { type AnswerBody, readAnswer, readWholeLines } from "./read_answer.ts";
 import { createResetCheckingAgent } from "./reset_checking_agent.ts";
 
 /** Options of an {@linkcode HttpBackendClient}. */
@@ -41,6 +41,10 @@
  * takes some 150 bytes more.
  */
 const MAX_UNREAD_BYTES = 4_096;
+/** Size up to which an answer is not counted among the long ones, in bytes. */
+const SHORT_ANSWER_BYTES = 1_048_576;
+/** Maximum size of all long answers that are read at a time, beyond that, in bytes. */
+const MAX_LONG_ANSWERS_BYTES = 134_217_728;
 /** Maximum size of what follows the terminal event of a stream and is read, in bytes. */
 const MAX_DRAINED_BYTES = 65_536;
 /** Maximum time to read what follows the terminal event of a stream, in milliseconds. */
@@ -59,6 +63,8 @@
 /** Calls backend servers over HTTP, and reads streams as server-sent events. */
 export class HttpBackendClient implements BackendClient {
   readonly #agent: Agent;
+  /** Bytes that long answers have so far. */
+  #longAnswersBytes = 0;
 
   /** @param options Certificates of trusted authorities. */
   constructor(options: HttpBackendOptions = {}) {
@@ -183,7 +189,9 @@
       if (isStream) {
         return ok({ kind: "stream", events: readEvents(response.body), load });
       }
-      const body = new Uint8Array(await readAnswer(response.body));
+      const body = new Uint8Array(
+        await readAnswer(this.#countLongAnswer(response.body)),
+      );
       const isUnframed = hasNoFraming(options.method, response);
       const isJson = isJsonType(headers["content-type"]);
       if (isUnframed && isJson && !isWholeJson(body)) {
@@ -216,6 +224,29 @@
     }
   }
 
+  /** Yields the pieces of a body, and fails if the long answers together are too long. */
+  async *#countLongAnswer(body: AnswerBody): AsyncGenerator<Buffer> {
+    let sizeBytes = 0;
+    let countedBytes = 0;
+    try {
+      for await (const piece of body) {
+        sizeBytes += piece.length;
+        const longBytes = Math.max(0, sizeBytes - SHORT_ANSWER_BYTES);
+        const addedBytes = longBytes - countedBytes;
+        if (this.#longAnswersBytes + addedBytes > MAX_LONG_ANSWERS_BYTES) {
+          throw new Error(
+            `Cannot read the answer: long ones are over ${MAX_LONG_ANSWERS_BYTES} bytes together`,
+          );
+        }
+        this.#longAnswersBytes += addedBytes;
+        countedBytes = longBytes;
+        yield piece;
+      }
+    } finally {
+      this.#longAnswersBytes -= countedBytes;
+    }
+  }
+
   async #readJson<T>(
     url: string,
     options: {
--- a/tests/bytes_without_end_test.ts
+++ b/tests/bytes_without_end_test.ts
@@ -3,9 +3,7 @@
 import type { Socket } from "node:net";
 import { afterEach, describe, it } from "node:test";
 import { HttpBackendClient } from "../adapters/http_backend_client.ts";
-import type { BackendCall } from "../engine/mod.ts";
-import { toAttemptId } from "../ids/mod.ts";
-import { createBackendServer } from "./backend_server_fixture.ts";
+import { createBackendCall } from "./backend_server_fixture.ts";
 import { CLEAN_UPS } from "./clean_ups.ts";
 import {
   awaitClosed,
@@ -160,18 +158,6 @@
   },
 };
 
-function createBackendCall(address: string): BackendCall {
-  return {
-    server: createBackendServer(address),
-    attempt: toAttemptId("a1"),
-    method: "GET",
-    path: "/x",
-    headers: {},
-    body: undefined,
-    isStream: false,
-  };
-}
-
 const PARTS_PER_CHUNK = 1_000;
 /** Time for a stream that goes on elsewhere, in milliseconds: less than its route's timeout. */
 const MAX_STREAM_MS = 4_000;
--- a/tests/reads_without_end_test.ts
+++ b/tests/reads_without_end_test.ts
@@ -14,7 +14,10 @@
 import { NO_METRICS } from "../metrics/mod.ts";
 import { PlatformStore } from "../platform/platform_store.ts";
 import { readCachedParts } from "../platform/read_cached_parts.ts";
-import { createBackendServer } from "./backend_server_fixture.ts";
+import {
+  createBackendCall,
+  createBackendServer,
+} from "./backend_server_fixture.ts";
 import {
   awaitClosed,
   type EndlessBytes,
@@ -23,6 +26,7 @@
 } from "./endless_server_fixture.ts";
 import { startRawServer } from "./raw_http.ts";
 import { toChunk } from "./stream_fixture.ts";
+import { waitUntil } from "./wait_until.ts";
 
 /** Time beside a timeout, and for the end of a connection, in milliseconds. */
 const MARGIN_MS = 2_000;
@@ -236,3 +240,39 @@
     });
   });
 });
+
+describe("many bodies without end at a time for the OpenAI listener", () => {
+  const count = 8;
+  const sizeBytes = 32 * MEBIBYTE;
+  /** How many of them fit into the maximum for all. */
+  const maxKept = 4;
+
+  it("are given up beyond a maximum for all, and fail no short answer", async () => {
+    const cleanUps: CleanUps = [];
+    const client = useBackends(cleanUps);
+    const endless = await startRawServer((_, socket) => {
+      socket.write(HEAD);
+      socket.write(Buffer.alloc(sizeBytes));
+    });
+    const whole = await startRawServer((_, socket) =>
+      socket.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+    );
+    cleanUps.push(() => endless.close(), () => whole.close());
+    const ended = new AbortController();
+    let failures = 0;
+    const floods = Array.from({ length: count }, async () => {
+      const call = createBackendCall(endless.address);
+      const result = await client.dispatch(call, ended.signal);
+      if (result.isErr() && !ended.signal.aborted) failures++;
+    });
+    await waitUntil(() => failures >= count - maxKept, 5_000);
+    const other = await client.dispatch(
+      createBackendCall(whole.address),
+      ended.signal,
+    );
+    assert.ok(other.isOk());
+    ended.abort();
+    await Promise.all(floods);
+    cleanUps.forEach((cleanUp) => cleanUp());
+  });
+});
