Retry budget: handovers use at most half of it

Callers lost calls that a nearly full server refused after it had stood still for a second: 502, as the call might have run at a second server from which it had been withdrawn, and no retry was left.

Cause: handovers take their retries from the shared budget, most of them are withdrawn, and calls that are lost without a retry found the budget used up.

Change: a handover is begun only while less than half of the instance's share is used.

The test of the budget failed before (40 and 0 retries for 20 and 20).

--- a/forwarding/call_sender.ts
+++ b/forwarding/call_sender.ts
@@ -16,7 +16,7 @@
 import { computeFirstByteTimeoutMs } from "./compute_first_byte_timeout.ts";
 import type { LearnedServers } from "./learned_servers.ts";
 import { Handover, type HandoverEnd, type HandoverEvents } from "./handover.ts";
-import type { FleetRetryBudgets } from "./fleet_retry_budget.ts";
+import type { FleetRetryBudgets, RetryPurpose } from "./fleet_retry_budget.ts";
 import type { AttemptOutcome, EndedOutcome } from "./run_attempt.ts";
 import type { SendOptions, ServerSender } from "./server_sender.ts";
 import {
@@ -133,7 +133,7 @@
     beginHandover(exchange);
     const target = destinations.choose(exchange, nowMs);
     const isSendable = target.kind === "local" || target.kind === "remote";
-    if (!isSendable || !this.#takeRetry(exchange)) {
+    if (!isSendable || !this.#takeRetry(exchange, "handover")) {
       endHandover(exchange);
       return undefined;
     }
@@ -237,12 +237,13 @@
   }
 
   /** Takes one retry from the budget that all instances share. Returns whether the call may be retried. */
-  #takeRetry(exchange: Exchange): boolean {
+  #takeRetry(exchange: Exchange, purpose: RetryPurpose = "retry"): boolean {
     const { clock, fleet, metrics, retryBudgets } = this.#parts;
     if (exchange.attemptsLeft <= 0 || exchange.signal.aborted) return false;
     const service = exchange.service.name;
     const instances = fleet.countInstancesSharingLimits();
-    if (!retryBudgets.take(service, clock.nowMs(), instances)) return false;
+    const nowMs = clock.nowMs();
+    if (!retryBudgets.take(service, nowMs, instances, purpose)) return false;
     metrics.count("call.repeats", 1, { service });
     return true;
   }
--- a/forwarding/fleet_retry_budget.ts
+++ b/forwarding/fleet_retry_budget.ts
@@ -14,6 +14,14 @@
  * but the bound applies to any window of that length.
  */
 const USED_FRACTION = 0.7;
+/**
+ * Fraction of an instance's share up to which handovers use it. The rest is left for calls that
+ * are lost without a retry.
+ */
+const HANDOVER_FRACTION = 0.5;
+
+/** What a retry is for: a call that has no destination any more, or one that may need another. */
+export type RetryPurpose = "retry" | "handover";
 
 /**
  * The share that one instance has in the bound on retries to a service. The share
@@ -42,10 +50,18 @@
    *
    * @param nowMs Time now.
    * @param instances Number of instances that share the bound.
+   * @param purpose What the retry is for. Default: `retry`.
    */
-  take(nowMs: number, instances: number): boolean {
+  take(
+    nowMs: number,
+    instances: number,
+    purpose: RetryPurpose = "retry",
+  ): boolean {
     const { ratio, slack } = this.#bounds;
-    const allowed = USED_FRACTION *
+    const usedFraction = purpose === "handover"
+      ? HANDOVER_FRACTION * USED_FRACTION
+      : USED_FRACTION;
+    const allowed = usedFraction *
       (ratio * this.#calls.read(nowMs) + slack / Math.max(1, instances));
     if (this.#retries.read(nowMs) + 1 > allowed) return false;
     this.#retries.add(nowMs);
@@ -80,9 +96,15 @@
    * @param service Name of the service.
    * @param nowMs Time now.
    * @param instances Number of instances that share the bound.
+   * @param purpose What the retry is for. Default: `retry`.
    */
-  take(service: string, nowMs: number, instances: number): boolean {
-    return this.#find(service).take(nowMs, instances);
+  take(
+    service: string,
+    nowMs: number,
+    instances: number,
+    purpose?: RetryPurpose,
+  ): boolean {
+    return this.#find(service).take(nowMs, instances, purpose);
   }
 
   #find(service: string): FleetRetryBudget {
--- a/forwarding/fleet_retry_budget_test.ts
+++ b/forwarding/fleet_retry_budget_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import fc from "fast-check";
-import { FleetRetryBudget } from "./fleet_retry_budget.ts";
+import { FleetRetryBudget, type RetryPurpose } from "./fleet_retry_budget.ts";
 
 const BOUNDS = { ratio: 0.2, slack: 58, windowMs: 10_000 };
 
@@ -57,4 +57,14 @@
     assert.equal(budget.take(6_000, 1), false);
     assert.equal(budget.take(12_000, 1), true);
   });
+
+  // Handovers used up the budget, and calls that a full server refused were lost.
+  it("leaves half of the retries to calls that are lost without one", () => {
+    const budget = new FleetRetryBudget(BOUNDS);
+    const takeAll = (purpose: RetryPurpose) =>
+      Array.from({ length: 100 }, () => budget.take(1_000, 1, purpose))
+        .filter((isTaken) => isTaken).length;
+    assert.equal(takeAll("handover"), 20);
+    assert.equal(takeAll("retry"), 20);
+  });
 });
