Soak: a stream that its caller resumes is not one that went on at another version

Cause: the check of versions took each run with a Last-Event-Id for the rest of a stream that had begun.

Change: of such a call, a run goes on only after more events than its caller had. Nothing else is allowed.

Measured: soak/check_rollouts_test passes (20, one new with both cases).

--- a/soak/check_rollouts.ts
+++ b/soak/check_rollouts.ts
@@ -1,4 +1,5 @@
 import type { RecordedRun } from "../standin/recording_server.ts";
+import { RESUMED_AFTER } from "./caller.ts";
 import type { PromiseName, Violation } from "./check_promises.ts";
 import {
   isServed,
@@ -72,12 +73,20 @@
 }
 
 /** Finds streams that were continued by a server of another version. */
-function checkStreams({ runs }: RolloutObservation): readonly Violation[] {
+function checkStreams(
+  { calls, runs }: RolloutObservation,
+): readonly Violation[] {
   const versions = new Map<string, string>();
+  // The events that a caller has before its call are not of a run of this call.
+  const resumedByCaller = new Set(
+    calls.filter(({ kind }) => kind === "resumed-stream")
+      .map(({ callId }) => callId),
+  );
   return runs.flatMap(({ callId, resumedAfter = 0, version }) => {
     const before = versions.get(callId);
     versions.set(callId, version);
-    const isJoined = resumedAfter > 0 && before !== undefined &&
+    const firstEvent = resumedByCaller.has(callId) ? RESUMED_AFTER : 0;
+    const isJoined = resumedAfter > firstEvent && before !== undefined &&
       before !== version;
     return isJoined
       ? [{
--- a/soak/check_rollouts_test.ts
+++ b/soak/check_rollouts_test.ts
@@ -3,6 +3,7 @@
 import { describe, it } from "node:test";
 import type { RecordedRun } from "../standin/recording_server.ts";
 import type { PromiseName } from "./check_promises.ts";
+import { RESUMED_AFTER } from "./caller.ts";
 import { checkRollouts, type RolloutObservation } from "./check_rollouts.ts";
 import type { ObservedCall, ObservedRollout } from "./observation.ts";
 
@@ -283,5 +284,14 @@
       assert.deepEqual(check({}, { runs: [first, same] }), []);
       assert.deepEqual(check({}, { runs: [first, createRun()] }), []);
     });
+
+    it("allows one that its caller resumed at another version, but not one that went on there", () => {
+      const calls = [createCall({ kind: "resumed-stream" })];
+      const begun = createRun({ version: "v1", resumedAfter: RESUMED_AFTER });
+      const find = (resumedAfter: number) =>
+        check({}, { calls, runs: [begun, createRun({ resumedAfter })] });
+      assert.deepEqual(find(RESUMED_AFTER), []);
+      assert.deepEqual(find(RESUMED_AFTER + 1), ["streams are of one version"]);
+    });
   });
 });
