Log and metric of an instance that stood still

Cause: logs don't tell an instance's own standstill from the silence of its peers: after a stop of 2 s, servers look silent, instances look lost, and callers' connections are closed, with the same lines as if they were.

Change: EventLoopDelay reports each delay of 500 ms or more; the gateway writes the line `process stalled` (from when, for how long, calls in flight) and counts `loop.stalls`, before what has arrived meanwhile is read.

--- a/clock/event_loop_delay.ts
+++ b/clock/event_loop_delay.ts
@@ -16,6 +16,25 @@
  * little late even then.
  */
 const MIN_DELAY_MS = 20;
+/**
+ * Minimum delay that counts as a stall of the process, in milliseconds: several times that
+ * of an iteration of a busy process.
+ */
+const MIN_STALL_MS = 500;
+
+/** A time in which the process ran no timer and read no bytes: it was stopped, or its event loop was busy. */
+export interface ProcessStall {
+  /** When the event loop was last seen to run, in milliseconds since the epoch. */
+  readonly fromMs: number;
+  /** Duration, in milliseconds. */
+  readonly tookMs: number;
+}
+
+/** Options of an {@linkcode EventLoopDelay}. */
+export interface EventLoopDelayOptions {
+  /** Called after each stall of the process, before what has arrived meanwhile is read. Default: nothing. */
+  readonly onStall?: (stall: ProcessStall) => void;
+}
 
 /**
  * Measures how far the event loop is behind: how long bytes that are read now may have
@@ -24,13 +43,18 @@
  */
 export class EventLoopDelay {
   readonly #clock: Clock;
+  readonly #onStall: EventLoopDelayOptions["onStall"];
   #checkedMs: number | undefined;
   #intervalMs = CHECK_INTERVAL_MS;
   #timerDelayMs = 0;
 
-  /** @param clock Source of time. */
-  constructor(clock: Clock) {
+  /**
+   * @param clock Source of time.
+   * @param options Who is told of stalls.
+   */
+  constructor(clock: Clock, options: EventLoopDelayOptions = {}) {
     this.#clock = clock;
+    this.#onStall = options.onStall;
   }
 
   /** Starts periodic checks, until the signal aborts. */
@@ -54,9 +78,13 @@
   #scheduleCheck(signal: AbortSignal): void {
     this.#clock.schedule(this.#intervalMs, () => {
       const nowMs = this.#clock.nowMs();
-      const sinceMs = nowMs - (this.#checkedMs ?? nowMs);
+      const fromMs = this.#checkedMs ?? nowMs;
+      const tookMs = nowMs - fromMs;
       this.#checkedMs = nowMs;
-      this.#timerDelayMs = Math.max(0, sinceMs - this.#intervalMs);
+      this.#timerDelayMs = Math.max(0, tookMs - this.#intervalMs);
+      if (this.#timerDelayMs >= MIN_STALL_MS) {
+        this.#onStall?.({ fromMs, tookMs });
+      }
       const isBehind = this.#timerDelayMs > MIN_DELAY_MS;
       this.#intervalMs = isBehind ? BEHIND_INTERVAL_MS : CHECK_INTERVAL_MS;
       this.#scheduleCheck(signal);
--- a/clock/event_loop_delay_test.ts
+++ b/clock/event_loop_delay_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { VirtualEventLoop } from "../tests/virtual_event_loop.ts";
-import { EventLoopDelay } from "./event_loop_delay.ts";
+import { EventLoopDelay, type ProcessStall } from "./event_loop_delay.ts";
 
 function start() {
   const loop = new VirtualEventLoop();
@@ -50,6 +50,23 @@
     });
   });
 
+  describe("when the process stalls", () => {
+    it("reports from when and for how long, once a stall", () => {
+      const stalls: ProcessStall[] = [];
+      const loop = new VirtualEventLoop();
+      const onStall = (stall: ProcessStall) => stalls.push(stall);
+      new EventLoopDelay(loop, { onStall }).start(new AbortController().signal);
+      [50, 549, 1_500, 2, 800].forEach((iterationMs) => {
+        loop.block(iterationMs);
+        loop.runDueTimers();
+      });
+      assert.deepEqual(stalls, [
+        { fromMs: 599, tookMs: 1_500 },
+        { fromMs: 2_101, tookMs: 800 },
+      ]);
+    });
+  });
+
   describe("before it was started", () => {
     it("is 0", () => {
       assert.equal(new EventLoopDelay(new VirtualEventLoop()).readMs(), 0);
--- a/daemon/http_gateway.ts
+++ b/daemon/http_gateway.ts
@@ -1,6 +1,7 @@
 import {
   type Clock,
   EventLoopDelay,
+  type ProcessStall,
   type Random,
   scheduleEvery,
 } from "../clock/mod.ts";
@@ -174,7 +175,9 @@
   constructor(parts: HttpGatewayParts) {
     const { clock, logger, random } = parts;
     this.#parts = parts;
-    this.loopDelay = new EventLoopDelay(clock);
+    this.loopDelay = new EventLoopDelay(clock, {
+      onStall: (stall) => this.#recordStall(stall),
+    });
     this.#eventLoopGate = new EventLoopGate(clock);
     this.#answerRecorder = new AnswerRecorder(parts);
     this.#capacity = new CapacityMonitor(parts.instanceLimits ?? {});
@@ -399,6 +402,17 @@
     });
   }
 
+  /** Logs a stall of this process, in which it seemed silent to others and others to it. */
+  #recordStall({ fromMs, tookMs }: ProcessStall): void {
+    const { logger, metrics } = this.#parts;
+    metrics.count("loop.stalls");
+    logger.warn("process stalled", {
+      from: new Date(fromMs).toISOString(),
+      tookMs: Math.round(tookMs),
+      inFlight: this.forwarder.inFlight,
+    });
+  }
+
   #applyServers(): void {
     this.fleet.setRegisteredCount(this.state.instanceAddresses.length);
     this.forwarder.updateInstanceCounts();
--- a/metrics/metrics.ts
+++ b/metrics/metrics.ts
@@ -53,6 +53,8 @@
   "capacity.cores":
     "gauge; capacity that the instance reports at present, in cores",
   "loop.delay_ms": "gauge; longest time that the bytes read now have waited",
+  "loop.stalls":
+    "counter; times for which the process ran no timer and read no bytes",
   "servers.limited":
     "gauge; servers that advertise a limit of calls per second",
   "servers.unreachable":
