An instance that stalled reads what has arrived before it judges others

Cause: timers of Node run before sockets are read. After a standstill of the process, a timer that is due speaks of the process itself: calls to the store, peers and engines were aborted although their answers had arrived; a probe counted a server as lost that had accepted it, from which a crash may be confirmed; the directory, asked before the reports of others were read, named this instance alone for up to its time to live; waits for capacity ended before the answers that make room were read; periodic tasks saw all others as silent for a round.

Change: callWithTimeout ends its time only after one more iteration of the event loop, and all calls with a timeout use it; so does the probe. Waits and periodic tasks whose timer fires over 20 ms late follow one iteration later. Calls and directory requests that are read right after a stall of 500 ms wait for one iteration.

Ruled out: one more iteration for every end of a wait for capacity.

No timer is added while the process keeps up.

--- a/adapters/etcd_store.ts
+++ b/adapters/etcd_store.ts
@@ -1,3 +1,4 @@
+import { callWithTimeout } from "./call_with_timeout.ts";
 import { isNotSentError } from "./connection_errors.ts";
 import {
   MAX_ANSWER_BYTES,
@@ -170,14 +171,20 @@
     body: unknown,
   ): Promise<Result<T, StoreFailure>> {
     try {
-      const response = await request(this.#baseUrl + path, {
-        method: "POST",
-        headers: { "content-type": "application/json" },
-        body: JSON.stringify(body),
-        dispatcher: this.#agent,
-        signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
-      });
-      const text = await readAnswerText(response.body);
+      const bounds = { timeoutMs: CALL_TIMEOUT_MS };
+      const { response, text } = await callWithTimeout(
+        bounds,
+        async (signal) => {
+          const response = await request(this.#baseUrl + path, {
+            method: "POST",
+            headers: { "content-type": "application/json" },
+            body: JSON.stringify(body),
+            dispatcher: this.#agent,
+            signal,
+          });
+          return { response, text: await readAnswerText(response.body) };
+        },
+      );
       if (response.statusCode === 200) return ok(JSON.parse(text) as T);
       const message = `Cannot call the store: got ${response.statusCode}`;
       return err({
--- a/adapters/http_platform.ts
+++ b/adapters/http_platform.ts
@@ -4,6 +4,7 @@
 import { toInstanceId, toRegionId } from "../ids/mod.ts";
 import type { InstanceRecord } from "../membership/mod.ts";
 import type { Directory, InstanceList, PlatformFailure } from "../peers/mod.ts";
+import { callWithTimeout } from "./call_with_timeout.ts";
 import { readAnswerText } from "./read_answer.ts";
 
 /** Timeout of a call to the platform, in milliseconds. */
@@ -66,13 +67,13 @@
   options: { readonly method: "GET" | "PUT"; readonly body?: string },
 ): Promise<Result<string, PlatformFailure>> {
   try {
-    const response = await request(url, {
-      ...options,
-      signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
+    const bounds = { timeoutMs: CALL_TIMEOUT_MS };
+    return await callWithTimeout(bounds, async (signal) => {
+      const response = await request(url, { ...options, signal });
+      const text = await readAnswerText(response.body);
+      if (response.statusCode === 200) return ok(text);
+      return err({ message: `Cannot call ${url}: got ${response.statusCode}` });
     });
-    const text = await readAnswerText(response.body);
-    if (response.statusCode === 200) return ok(text);
-    return err({ message: `Cannot call ${url}: got ${response.statusCode}` });
   } catch (error) {
     return err({ message: `Cannot call ${url}: ${(error as Error).message}` });
   }
--- a/adapters/probe_connection.ts
+++ b/adapters/probe_connection.ts
@@ -1,5 +1,7 @@
 import { connect } from "node:net";
+import { Cancellation, scheduleAfterReading } from "../clock/mod.ts";
 import { parseAddress } from "../ids/mod.ts";
+import { systemClock } from "./system_clock.ts";
 
 /** Maximum time to open the connection, in milliseconds: a few round trips within a region. */
 const CONNECT_TIMEOUT_MS = 500;
@@ -17,15 +19,28 @@
   if (parsed === undefined) return Promise.resolve(false);
   return new Promise((resolve) => {
     const socket = connect(parsed);
+    const connecting = new Cancellation();
+    const ended = new Cancellation();
     const finish = (isReached: boolean) => {
-      clearTimeout(timer);
+      connecting.cancel();
+      ended.cancel();
       socket.destroy();
       resolve(isReached);
     };
-    let timer = setTimeout(() => finish(false), CONNECT_TIMEOUT_MS);
+    scheduleAfterReading(
+      systemClock,
+      CONNECT_TIMEOUT_MS,
+      () => finish(false),
+      connecting,
+    );
     socket.once("connect", () => {
-      clearTimeout(timer);
-      timer = setTimeout(() => finish(true), MIN_OPEN_MS);
+      connecting.cancel();
+      scheduleAfterReading(
+        systemClock,
+        MIN_OPEN_MS,
+        () => finish(true),
+        ended,
+      );
     });
     // The failure is what the caller of this function asks for.
     socket.once("error", () => finish(false));
--- a/adapters/socket_peer_transport.ts
+++ b/adapters/socket_peer_transport.ts
@@ -13,6 +13,7 @@
 import type { Metrics } from "../metrics/mod.ts";
 import { bindSocket } from "./start_listening.ts";
 import { createRpcResponder, type RpcResponder } from "./json_rpc_server.ts";
+import { callWithTimeout } from "./call_with_timeout.ts";
 import { readAnswerText } from "./read_answer.ts";
 import type {
   PeerFailure,
@@ -110,17 +111,21 @@
     };
     const client: JSONRPCClient = new JSONRPCClient(async (payload) => {
       try {
-        const response = await request(to.callerUrl + PEER_PATH, {
-          method: "POST",
-          headers: {
-            "content-type": "application/json",
-            "authorization": `Bearer ${this.#parts.token}`,
-          },
-          body: JSON.stringify(payload),
-          dispatcher: this.#agent,
-          signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
+        const bounds = { timeoutMs: CALL_TIMEOUT_MS };
+        const text = await callWithTimeout(bounds, async (signal) => {
+          const response = await request(to.callerUrl + PEER_PATH, {
+            method: "POST",
+            headers: {
+              "content-type": "application/json",
+              "authorization": `Bearer ${this.#parts.token}`,
+            },
+            body: JSON.stringify(payload),
+            dispatcher: this.#agent,
+            signal,
+          });
+          return await readAnswerText(response.body);
         });
-        client.receive(JSON.parse(await readAnswerText(response.body)));
+        client.receive(JSON.parse(text));
       } catch (error) {
         const { message } = error as Error;
         failure = {
--- a/adapters/state_transfer.ts
+++ b/adapters/state_transfer.ts
@@ -5,6 +5,7 @@
 import type { StorePosition } from "../store/mod.ts";
 import { RPC_PATH } from "./control_route.ts";
 import type { RpcMethods } from "./json_rpc_server.ts";
+import { callWithTimeout } from "./call_with_timeout.ts";
 import { readAnswerText } from "./read_answer.ts";
 
 /** Method that returns a copy of the known state. */
@@ -53,13 +54,17 @@
 ): Promise<Result<StateCopy, string>> {
   let callId = 0;
   const client: JSONRPCClient = new JSONRPCClient(async (payload) => {
-    const response = await request(`http://${address}${RPC_PATH}`, {
-      method: "POST",
-      headers: { "content-type": "application/json" },
-      body: JSON.stringify(payload),
-      signal: AbortSignal.timeout(READ_TIMEOUT_MS),
+    const bounds = { timeoutMs: READ_TIMEOUT_MS };
+    const text = await callWithTimeout(bounds, async (signal) => {
+      const response = await request(`http://${address}${RPC_PATH}`, {
+        method: "POST",
+        headers: { "content-type": "application/json" },
+        body: JSON.stringify(payload),
+        signal,
+      });
+      return await readAnswerText(response.body);
     });
-    client.receive(JSON.parse(await readAnswerText(response.body)));
+    client.receive(JSON.parse(text));
   }, () => ++callId);
   try {
     const params: ReadStateParams = { afterRevision: revision, era };
--- a/clock/event_loop_delay.ts
+++ b/clock/event_loop_delay.ts
@@ -1,4 +1,4 @@
-import type { Clock } from "./clock.ts";
+import { type Clock, waitFor } from "./clock.ts";
 
 /**
  * Pause between checks while the event loop keeps up, in milliseconds: short compared
@@ -75,6 +75,15 @@
     return delayMs > MIN_DELAY_MS ? delayMs : 0;
   }
 
+  /**
+   * Resolves at once, or after a stall once what has arrived meanwhile is read: until then,
+   * what is known of others is as old as the stall.
+   */
+  async awaitCaughtUp(): Promise<void> {
+    if (this.readMs() < MIN_STALL_MS) return;
+    await waitFor(this.#clock, 0);
+  }
+
   #scheduleCheck(signal: AbortSignal): void {
     this.#clock.schedule(this.#intervalMs, () => {
       const nowMs = this.#clock.nowMs();
--- a/clock/event_loop_delay_test.ts
+++ b/clock/event_loop_delay_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { setImmediate as awaitCheckPhase } from "node:timers/promises";
 import { VirtualEventLoop } from "../tests/virtual_event_loop.ts";
 import { EventLoopDelay, type ProcessStall } from "./event_loop_delay.ts";
 
@@ -67,6 +68,22 @@
     });
   });
 
+  describe("after a stall", () => {
+    it("is caught up one iteration later", async () => {
+      const { loop, delay } = start();
+      loop.block(900);
+      loop.runDueTimers();
+      let isCaughtUp = false;
+      const caughtUp = delay.awaitCaughtUp().then(() => isCaughtUp = true);
+      await awaitCheckPhase();
+      assert.equal(isCaughtUp, false);
+      loop.block(1);
+      loop.runDueTimers();
+      await caughtUp;
+      await delay.awaitCaughtUp();
+    });
+  });
+
   describe("before it was started", () => {
     it("is 0", () => {
       assert.equal(new EventLoopDelay(new VirtualEventLoop()).readMs(), 0);
--- a/controllers/observe_engines.ts
+++ b/controllers/observe_engines.ts
@@ -1,3 +1,4 @@
+import { scheduleAfterReading } from "../clock/mod.ts";
 import type { ConfigurationState } from "../configuration/mod.ts";
 import type { Membership } from "../membership/mod.ts";
 import type { GatewayParts } from "../ports/mod.ts";
@@ -48,7 +49,12 @@
   const { backend, clock } = gateway.parts;
   const pollEngine = async ({ engine, pool }: PooledEngine) => {
     const timeout = new AbortController();
-    clock.schedule(POLL_TIMEOUT_MS, () => timeout.abort("timeout"), signal);
+    scheduleAfterReading(
+      clock,
+      POLL_TIMEOUT_MS,
+      () => timeout.abort("timeout"),
+      signal,
+    );
     const load = await backend.readLoad(
       engine.server,
       AbortSignal.any([signal, timeout.signal]),
--- a/daemon/graceful_shutdown.ts
+++ b/daemon/graceful_shutdown.ts
@@ -1,4 +1,4 @@
-import { type Clock, scheduleAfterReading } from "../clock/mod.ts";
+import { type Clock, waitAndRead } from "../clock/mod.ts";
 import type { FleetView } from "../fleet/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import {
@@ -12,8 +12,6 @@
 
 /** Interval between checks for calls in flight, in milliseconds. */
 const CHECK_INTERVAL_MS = 50;
-/** A shutdown that has begun can't be cancelled. */
-const NEVER_ABORTED = new AbortController().signal;
 
 /** Constructor arguments of {@linkcode GracefulShutdown}. */
 export interface GracefulShutdownParts {
@@ -77,8 +75,9 @@
     fleet.setState("leaving", startMs);
     sendReports();
     logger.info("leaving", { inFlight: countOpenAnswers() });
+    // A process that is behind would find no call in flight while calls wait in its sockets.
     while (clock.nowMs() < computeCloseMs(this.#times)) {
-      await this.#waitAndRead(CHECK_INTERVAL_MS);
+      await waitAndRead(clock, CHECK_INTERVAL_MS);
       const nowMs = clock.nowMs();
       const openCount = countOpenAnswers();
       this.#updateStage(nowMs);
@@ -87,7 +86,7 @@
     }
     stopListening();
     do {
-      await this.#waitAndRead(0);
+      await waitAndRead(clock, 0);
     } while (
       countOpenAnswers() > 0 && clock.nowMs() < computeCloseMs(this.#times)
     );
@@ -120,22 +119,6 @@
     return true;
   }
 
-  /**
-   * Waits for a delay and until the event loop has read what has arrived. Timers run
-   * before reads: without this, a process that is behind would find no call in flight
-   * while calls that it has not read wait in its sockets.
-   */
-  #waitAndRead(delayMs: number): Promise<void> {
-    return new Promise((resolve) =>
-      scheduleAfterReading(
-        this.#parts.clock,
-        delayMs,
-        resolve,
-        NEVER_ABORTED,
-      )
-    );
-  }
-
   /** Decides which calls are accepted from now on, and reports a change to the other instances. */
   #updateStage(nowMs: number): void {
     const { countActiveCalls, fleet, logger, sendReports } = this.#parts;
--- a/daemon/http_gateway.ts
+++ b/daemon/http_gateway.ts
@@ -312,11 +312,7 @@
     this.loopDelay.start(signal);
     void this.state.run(signal);
     this.#reporter.start(signal);
-    // After a stall of the process, one event loop iteration reads the reports that wait
-    // before the sweep.
-    const sweepAfterReading = () =>
-      clock.schedule(0, () => this.#sweep(), signal);
-    scheduleEvery(clock, SWEEP_INTERVAL_MS, sweepAfterReading, signal);
+    scheduleEvery(clock, SWEEP_INTERVAL_MS, () => this.#sweep(), signal);
   }
 
   /** Applies settings that can change while the instance runs. */
@@ -327,6 +323,7 @@
 
   /** Serves one call. */
   async handle(call: OpaqueCall, sink: CallSink): Promise<void> {
+    await this.loopDelay.awaitCaughtUp();
     if (!await this.#eventLoopGate.enter()) {
       this.refuseOverloaded(
         call,
--- a/filters/serve_locally.ts
+++ b/filters/serve_locally.ts
@@ -1,5 +1,10 @@
 import { err, ok, type Result } from "neverthrow";
-import { type Clock, createToken, type Random } from "../clock/mod.ts";
+import {
+  type Clock,
+  createToken,
+  type Random,
+  scheduleAfterReading,
+} from "../clock/mod.ts";
 import type { ConfigurationState } from "../configuration/mod.ts";
 import {
   type BackendAnswer,
@@ -303,7 +308,12 @@
   if (exchange.deadlineSignal !== undefined) return exchange.deadlineSignal;
   const timeout = new AbortController();
   const leftMs = Math.max(0, readCall(exchange).dueMs - clock.nowMs());
-  clock.schedule(leftMs, () => timeout.abort("deadline"), exchange.ended);
+  scheduleAfterReading(
+    clock,
+    leftMs,
+    () => timeout.abort("deadline"),
+    exchange.ended,
+  );
   exchange.deadlineSignal = AbortSignal.any([
     exchange.request.signal,
     timeout.signal,
