--- a/tests/stalled_instance_test.ts
+++ b/tests/stalled_instance_test.ts
@@ -7,6 +7,8 @@
 import { probeConnection } from "../adapters/probe_connection.ts";
 import { readAnswerText } from "../adapters/read_answer.ts";
 import { scheduleEvery } from "../clock/mod.ts";
+import type { Exchange } from "../filters/exchange.ts";
+import { getDeadlineSignal } from "../filters/serve_locally.ts";
 import { CapacityQueue } from "../forwarding/capacity_queue.ts";
 import { createDirectoryRoute } from "../platform/instance_routes.ts";
 import { blockEventLoop } from "./block_event_loop.ts";
@@ -95,6 +97,24 @@
     });
   });
 
+  describe("when the deadline of a call of the OpenAI listener has passed", () => {
+    it("reads answers before it gives up the call", () => {
+      const loop = new VirtualEventLoop();
+      const exchange = {
+        call: { dueMs: TIMEOUT_MS },
+        request: { signal: new AbortController().signal },
+        ended: new AbortController().signal,
+        deadlineSignal: undefined,
+      };
+      const signal = getDeadlineSignal(loop, exchange as unknown as Exchange);
+      loop.block(STALL_MS);
+      loop.runDueTimers();
+      assert.equal(signal.aborted, false);
+      loop.runDueTimers();
+      assert.equal(signal.aborted, true);
+    });
+  });
+
   describe("when a periodic task is due", () => {
     it("reads what has arrived before it runs the task", () => {
       const loop = new VirtualEventLoop();
