Fleet view: the members and the reception of summaries are modules of their own

Change: member_table.ts (entries, reports, gossip, who is live, removal) and summary_reception.ts; the view keeps the questions and the loads. The same filter by region and liveness stood seven times and is one function. No behaviour changes.

--- a/fleet/fleet_view.ts
+++ b/fleet/fleet_view.ts
@@ -12,7 +12,9 @@
 import { comparePositions } from "../store/mod.ts";
 import type { LoadTracker } from "./load_tracker.ts";
 import { TeamUsageTracker } from "./team_usage_tracker.ts";
-import { type ReportPeer, SUMMARY_TIMEOUT_MS } from "./plan_reports.ts";
+import { type MemberEntry, MemberTable } from "./member_table.ts";
+import type { ReportPeer } from "./plan_reports.ts";
+import { LOCAL_MEMBER_TIMEOUT_MS } from "./summary_reception.ts";
 import {
   pickRelays,
   pickRepresentatives,
@@ -20,37 +22,6 @@
   RELAYS_PER_REGION,
 } from "./pick_relays.ts";
 
-/**
- * Silence after which a member of the local region is considered dead, in
- * milliseconds: eight reports in a row.
- */
-export const LOCAL_MEMBER_TIMEOUT_MS = 1_200;
-/**
- * Silence after which a member of a remote region is considered dead, in
- * milliseconds: the silence for a local member, plus two reports of a region, since
- * gossip about its members waits for the next report.
- */
-export const REMOTE_MEMBER_TIMEOUT_MS = 2_500;
-/**
- * Silence after which a member is considered dead while no aggregator sends summaries,
- * in milliseconds. Without summaries, members of a large region receive no reports
- * about each other. Until the next aggregator has begun, which takes up to 1.7 s, they
- * must not consider each other dead, or the whole region loses its members. If the next
- * ones are dead as well, members report to all others from {@linkcode LOST_SUMMARIES_MS}
- * on, so that live ones are heard in time.
- */
-const MAX_SILENCE_MS = 3_000;
-/**
- * Time without a summary from which members report to all others, in milliseconds: the
- * next two aggregators have not begun. It leaves eight reports until silent members
- * count as dead.
- */
-const LOST_SUMMARIES_MS = 1_800;
-/**
- * Gap between summaries after which the silence of members is counted from the next
- * summary on, in milliseconds: four summary intervals.
- */
-const MAX_SUMMARY_GAP_MS = 600;
 /**
  * How much longer a member may have been silent than the member of its region last
  * known to run, to still be sent calls, in milliseconds: four reports. Delayed reports
@@ -65,40 +36,18 @@
  * not run and may be retried.
  */
 const LEAVING_LISTED_MS = 2_300;
-/** Silence after which a member is removed, in milliseconds. */
-const REMOVE_AFTER_MS = 30_000;
 /**
  * Time after the start during which an instance may not yet know all instances that
  * share limits with it, in milliseconds: two rounds of requests for members.
  */
 const STARTUP_SETTLE_MS = 1_000;
 
-/** Time of an event that has not happened yet. */
-const NEVER = Number.NEGATIVE_INFINITY;
-
 /** A member that is considered live, with what is known of it. */
 export interface MemberObservation extends ReportPeer {
   /** Sequence number of the last report received from the member itself; 0: none. */
   readonly sequence: number;
 }
 
-interface MemberEntry {
-  member: MemberRecord;
-  /** When it was last known to run, in milliseconds on this instance's clock. */
-  lastSeenMs: number;
-  /** Sequence number of the last report from the member itself; older ones are dropped. */
-  sequence: number;
-  known: KnownState | undefined;
-  /** When its last summary was received, in milliseconds on this instance's clock. */
-  lastSummaryMs: number;
-  /** Whether its last report said that it receives no summaries. */
-  wantsSummary: boolean;
-  /** Whether a summary has named it since the last report from the member itself. */
-  isIndirect: boolean;
-  /** Since when it has been known to leave, in milliseconds; `undefined`: it does not. */
-  leavingSinceMs: number | undefined;
-}
-
 /** Constructor arguments of {@linkcode FleetView}. */
 export interface FleetViewParts {
   readonly self: Omit<MemberRecord, "state">;
@@ -118,11 +67,8 @@
   readonly teamUsage: TeamUsageTracker;
   readonly #self: Omit<MemberRecord, "state">;
   readonly #loads: LoadTracker;
-  readonly #members = new Map<InstanceId, MemberEntry>();
+  readonly #members: MemberTable;
   readonly #startMs: number;
-  /** Since when summaries have arrived without a gap, and when the last one arrived. */
-  #summaries = { sinceMs: NEVER, lastMs: NEVER };
-  #membershipVersion = 0;
   #registeredCount = 0;
   #state: MemberState = "starting";
   #unreachableServices: readonly string[] = [];
@@ -132,6 +78,7 @@
   /** @param parts Record of this instance and the load tracker that reports update. */
   constructor(parts: FleetViewParts) {
     this.#self = parts.self;
+    this.#members = new MemberTable(parts.self);
     this.#capacity = parts.self.capacity;
     this.#loads = parts.loads;
     this.teamUsage = new TeamUsageTracker(parts.self.region);
@@ -173,10 +120,7 @@
 
   /** Returns the live members, without this instance. */
   listLive(nowMs: number): readonly MemberRecord[] {
-    return [...this.#members.values()].filter((entry) =>
-      this.#isLive(entry, nowMs)
-    )
-      .map(({ member }) => member);
+    return this.#members.listLive(nowMs).map(({ member }) => member);
   }
 
   /**
@@ -184,8 +128,8 @@
    * and those that became silent without having reported that they leave.
    */
   listPossiblyRunning(nowMs: number): readonly MemberRecord[] {
-    return [...this.#members.values()].filter((entry) =>
-      this.#isLive(entry, nowMs) || !isLeaving(entry.member.state)
+    return this.#members.entries.filter((entry) =>
+      !isLeaving(entry.member.state) || this.#members.isLive(entry, nowMs)
     ).map(({ member }) => member);
   }
 
@@ -206,13 +150,12 @@
 
   /** Whether summaries of the local region arrive in time. */
   hasSummaries(nowMs: number): boolean {
-    return nowMs - this.#summaries.lastMs < SUMMARY_TIMEOUT_MS;
+    return this.#members.summaries.isOnTime(nowMs);
   }
 
   /** Whether summaries arrived before, and none has for longer than the next aggregators need to begin. */
   hasLostSummaries(nowMs: number): boolean {
-    const { lastMs } = this.#summaries;
-    return lastMs !== NEVER && nowMs - lastMs >= LOST_SUMMARIES_MS;
+    return this.#members.summaries.isLost(nowMs);
   }
 
   /**
@@ -225,25 +168,15 @@
     nowMs: number,
     region?: RegionId,
   ): readonly MemberObservation[] {
-    return [...this.#members.values()].filter((entry) =>
-      (region === undefined || entry.member.region === region) &&
-      this.#isLive(entry, nowMs)
-    )
-      .map((
-        {
-          lastSeenMs,
-          member,
-          sequence,
-          lastSummaryMs,
-          wantsSummary,
-        },
-      ) => ({
-        member,
-        sequence,
-        wantsSummary,
-        silentMs: nowMs - lastSeenMs,
-        isAggregating: nowMs - lastSummaryMs < LOCAL_MEMBER_TIMEOUT_MS,
-      }));
+    return this.#members.listLive(nowMs, region).map((
+      { lastSeenMs, lastSummaryMs, member, sequence, wantsSummary },
+    ) => ({
+      member,
+      sequence,
+      wantsSummary,
+      silentMs: nowMs - lastSeenMs,
+      isAggregating: nowMs - lastSummaryMs < LOCAL_MEMBER_TIMEOUT_MS,
+    }));
   }
 
   /** Returns the ready members of a region, including this instance. */
@@ -258,9 +191,7 @@
   /** Returns the members of a region, including this instance, that leave and still accept calls. */
   listLeaving(region: RegionId, nowMs: number): readonly MemberRecord[] {
     const own = { member: this.self, leavingSinceMs: this.#leavingSinceMs };
-    const others = [...this.#members.values()].filter((entry) =>
-      this.#isLive(entry, nowMs)
-    );
+    const others = this.#members.listLive(nowMs, region);
     return [own, ...others].filter(({ leavingSinceMs, member }) =>
       member.region === region && leavingSinceMs !== undefined &&
       (member.state === "lingering" ||
@@ -274,10 +205,8 @@
    * to consider it dead.
    */
   listResponsive(region: RegionId, nowMs: number): readonly MemberRecord[] {
-    const ready = [...this.#members.values()].filter((entry) =>
-      entry.member.region === region && entry.member.state === "ready" &&
-      this.#isLive(entry, nowMs)
-    );
+    const ready = this.#members.listLive(nowMs, region)
+      .filter(({ member }) => member.state === "ready");
     const lastMs = Math.max(...ready.map(({ lastSeenMs }) => lastSeenMs));
     return ready.filter(({ lastSeenMs }) => lastMs - lastSeenMs < MAX_LAG_MS)
       .map(({ member }) => member);
@@ -285,15 +214,13 @@
 
   /** Returns the regions with a known member. */
   listRegions(): readonly RegionId[] {
-    const known = [...this.#members.values()].map(({ member }) =>
-      member.region
-    );
+    const known = this.#members.entries.map(({ member }) => member.region);
     return [...new Set([this.#self.region, ...known])];
   }
 
   /** Version that grows with each change of the instances that share limits. */
   get membershipVersion(): number {
-    return this.#membershipVersion;
+    return this.#members.version;
   }
 
   /** Whether this instance has run long enough to know the instances that share limits with it. */
@@ -311,7 +238,7 @@
   listInstancesSharingLimits(region?: RegionId): readonly InstanceId[] {
     return [
       this.#self,
-      ...[...this.#members.values()].map(({ member }) => member),
+      ...this.#members.entries.map(({ member }) => member),
     ]
       .filter((member) => region === undefined || member.region === region)
       .map(({ id }) => id);
@@ -339,11 +266,11 @@
     const counts = new Map([
       [this.#self.region, { known: 1, reporting: 1 }],
     ]);
-    this.#members.forEach((entry) => {
+    this.#members.entries.forEach((entry) => {
       const { region } = entry.member;
       const count = counts.get(region) ?? { known: 0, reporting: 0 };
       count.known++;
-      if (this.#isLive(entry, nowMs)) count.reporting++;
+      if (this.#members.isLive(entry, nowMs)) count.reporting++;
       counts.set(region, count);
     });
     return [...counts].map(([region, count]) => ({ region, ...count }));
@@ -372,8 +299,7 @@
    * @param nowMs Current time, in milliseconds.
    */
   listAhead(own: KnownState, nowMs: number): readonly MemberRecord[] {
-    return [...this.#members.values()]
-      .filter((entry) => this.#isLive(entry, nowMs))
+    return this.#members.listLive(nowMs)
       .filter(({ known }) => known !== undefined && isAhead(known, own))
       .map(({ member }) => member)
       .sort((a, b) => this.#computeDistance(a) - this.#computeDistance(b));
@@ -387,12 +313,8 @@
    */
   isRelay(own: KnownState, nowMs: number): boolean {
     const self = { member: this.self, isStoreLost: own.isStoreLost };
-    const others = [...this.#members.values()].filter((entry) =>
-      entry.member.region === this.#self.region && this.#isLive(entry, nowMs)
-    ).map(({ member, known }): RelayCandidate => ({
-      member,
-      isStoreLost: known?.isStoreLost ?? false,
-    }));
+    const others = this.#members.listLive(nowMs, this.#self.region)
+      .map(toRelayCandidate);
     return pickRelays([self, ...others])
       .some(({ id }) => id === this.#self.id);
   }
@@ -405,12 +327,7 @@
    * @param nowMs Current time, in milliseconds.
    */
   readRelayRank(own: KnownState, nowMs: number): number {
-    const others = [...this.#members.values()].filter((entry) =>
-      this.#isLive(entry, nowMs)
-    ).map(({ known, member }): RelayCandidate => ({
-      member,
-      isStoreLost: known?.isStoreLost ?? false,
-    }));
+    const others = this.#members.listLive(nowMs).map(toRelayCandidate);
     const all = [
       { member: this.self, isStoreLost: own.isStoreLost },
       ...others,
@@ -437,28 +354,7 @@
    * @returns Whether the report is new; an old one changes nothing.
    */
   applyReport(report: FleetReport, nowMs: number): boolean {
-    const { from, sequence } = report;
-    if (from.id === this.#self.id) return false;
-    const entry = this.#members.get(from.id);
-    const isOld = entry !== undefined &&
-      entry.member.incarnation === from.incarnation &&
-      sequence <= entry.sequence;
-    if (isOld) return false;
-    if (entry === undefined) this.#membershipVersion++;
-    this.#members.set(from.id, {
-      member: from,
-      lastSeenMs: nowMs,
-      sequence,
-      known: report.known,
-      lastSummaryMs: report.scope === "summary"
-        ? nowMs
-        : entry?.lastSummaryMs ?? NEVER,
-      wantsSummary: report.wantsSummary ?? false,
-      isIndirect: false,
-      leavingSinceMs: readLeavingSinceMs(entry, from, nowMs),
-    });
-    report.gossip.forEach((gossip) => this.applyGossip(gossip, nowMs));
-    if (report.scope === "summary") this.#recordSummary(report, nowMs);
+    if (!this.#members.applyReport(report, nowMs)) return false;
     this.#applyLoads(report);
     return true;
   }
@@ -470,54 +366,21 @@
    * @param nowMs Current time, in milliseconds.
    */
   applyGossip(gossip: MemberGossip, nowMs: number): void {
-    const { member, ageMs } = gossip;
-    if (member.id === this.#self.id) return;
-    const lastSeenMs = nowMs - ageMs;
-    const entry = this.#members.get(member.id);
-    if (entry === undefined) {
-      this.#membershipVersion++;
-      this.#members.set(member.id, {
-        member,
-        lastSeenMs,
-        sequence: 0,
-        known: undefined,
-        lastSummaryMs: NEVER,
-        wantsSummary: false,
-        isIndirect: false,
-        leavingSinceMs: readLeavingSinceMs(undefined, member, lastSeenMs),
-      });
-      return;
-    }
-    if (lastSeenMs <= entry.lastSeenMs) return;
-    const isRestarted = entry.member.incarnation !== member.incarnation;
-    const hasLeft = isLeaving(entry.member.state) && !isRestarted;
-    entry.lastSeenMs = lastSeenMs;
-    if (isRestarted) entry.sequence = 0;
-    // A member that leaves does not become ready again in the same incarnation.
-    if (hasLeft && !isLeaving(member.state)) return;
-    entry.leavingSinceMs = readLeavingSinceMs(entry, member, lastSeenMs);
-    entry.member = member;
+    this.#members.applyGossip(gossip, nowMs);
   }
 
   /** Removes the loads and usage of dead members, and after a while the members themselves. */
   sweep(nowMs: number): void {
-    if (nowMs - this.#summaries.lastMs >= LOCAL_MEMBER_TIMEOUT_MS) {
-      this.dropSummary();
-    }
+    if (this.#members.summaries.isOutdated(nowMs)) this.dropSummary();
     const liveRegions = new Set(
       this.listLive(nowMs).map(({ region }) => region),
     );
-    this.#members.forEach((entry, id) => {
-      if (this.#isLive(entry, nowMs)) return;
+    this.#members.removeSilent(nowMs).forEach(({ id, region }) => {
       this.#loads.removeReport(id);
       this.teamUsage.removeInstance(id);
-      if (!liveRegions.has(entry.member.region)) {
-        this.#loads.removeReport(toRegionReporter(entry.member.region));
-        this.teamUsage.removeRegion(entry.member.region);
-      }
-      if (nowMs - entry.lastSeenMs <= REMOVE_AFTER_MS) return;
-      this.#members.delete(id);
-      this.#membershipVersion++;
+      if (liveRegions.has(region)) return;
+      this.#loads.removeReport(toRegionReporter(region));
+      this.teamUsage.removeRegion(region);
     });
   }
 
@@ -559,20 +422,8 @@
 
   /** Returns the other live members of the local region. */
   listLocal(nowMs: number): readonly MemberRecord[] {
-    return [...this.#members.values()].filter((entry) =>
-      entry.member.region === this.#self.region && this.#isLive(entry, nowMs)
-    ).map(({ member }) => member);
-  }
-
-  /** Records which members a summary names, and since when summaries have arrived without a gap. */
-  #recordSummary({ gossip }: FleetReport, nowMs: number): void {
-    const isContinuous = nowMs - this.#summaries.lastMs < MAX_SUMMARY_GAP_MS;
-    const sinceMs = isContinuous ? this.#summaries.sinceMs : nowMs;
-    this.#summaries = { sinceMs, lastMs: nowMs };
-    gossip.forEach(({ member: { id } }) => {
-      const entry = this.#members.get(id);
-      if (entry !== undefined) entry.isIndirect = true;
-    });
+    return this.#members.listLive(nowMs, this.#self.region)
+      .map(({ member }) => member);
   }
 
   #applyLoads(report: FleetReport): void {
@@ -596,20 +447,6 @@
     }
   }
 
-  #isLive(entry: MemberEntry, nowMs: number): boolean {
-    const isLocal = entry.member.region === this.#self.region;
-    const silentMs = nowMs - entry.lastSeenMs;
-    if (
-      silentMs < (isLocal ? LOCAL_MEMBER_TIMEOUT_MS : REMOTE_MEMBER_TIMEOUT_MS)
-    ) return true;
-    if (
-      !isLocal || !entry.isIndirect || silentMs > MAX_SILENCE_MS
-    ) return false;
-    const { lastMs, sinceMs } = this.#summaries;
-    return lastMs - Math.max(sinceMs, entry.lastSeenMs) <
-      LOCAL_MEMBER_TIMEOUT_MS;
-  }
-
   /** Returns 0 for the same failure domain, 1 for the same region, 2 for a remote region. */
   #computeDistance({ failureDomain, region }: MemberRecord): number {
     if (region !== this.#self.region) return 2;
@@ -617,23 +454,16 @@
   }
 }
 
-/** Returns since when a member has been leaving, given its newest record. */
-function readLeavingSinceMs(
-  previous: MemberEntry | undefined,
-  { incarnation, state }: MemberRecord,
-  lastSeenMs: number,
-): number | undefined {
-  if (!isLeaving(state)) return undefined;
-  const isSame = previous?.member.incarnation === incarnation;
-  return (isSame ? previous?.leavingSinceMs : undefined) ?? lastSeenMs;
-}
-
 /** Returns whether one instance is more up to date with the store than another one. */
 export function isAhead(known: KnownState, own: KnownState): boolean {
   return known.configurationVersion > own.configurationVersion ||
     comparePositions(known.store, own.store) > 0;
 }
 
+function toRelayCandidate({ known, member }: MemberEntry): RelayCandidate {
+  return { member, isStoreLost: known?.isStoreLost ?? false };
+}
+
 function toRegionReporter(region: RegionId): string {
   return `region ${region}`;
 }
--- a/fleet/fleet_view_property_test.ts
+++ b/fleet/fleet_view_property_test.ts
@@ -4,10 +4,8 @@
 import { createReport } from "../tests/report_fixture.ts";
 import { toFailureDomainId, toInstanceId, toRegionId } from "../ids/mod.ts";
 import type { FleetReport, MemberRecord } from "./fleet_report.ts";
-import {
-  LOCAL_MEMBER_TIMEOUT_MS,
-  REMOTE_MEMBER_TIMEOUT_MS,
-} from "./fleet_view.ts";
+import { REMOTE_MEMBER_TIMEOUT_MS } from "./member_table.ts";
+import { LOCAL_MEMBER_TIMEOUT_MS } from "./summary_reception.ts";
 import { LoadTracker } from "./load_tracker.ts";
 import { createFleetView, createMember } from "../tests/member_fixture.ts";
 
--- a/fleet/fleet_view_test.ts
+++ b/fleet/fleet_view_test.ts
@@ -8,11 +8,8 @@
   encodeReport,
 } from "./encode_report.ts";
 import type { MemberRecord, MemberState } from "./fleet_report.ts";
-import {
-  FleetView,
-  LOCAL_MEMBER_TIMEOUT_MS,
-  MAX_LAG_MS,
-} from "./fleet_view.ts";
+import { FleetView, MAX_LAG_MS } from "./fleet_view.ts";
+import { LOCAL_MEMBER_TIMEOUT_MS } from "./summary_reception.ts";
 import { createReport } from "../tests/report_fixture.ts";
 import {
   createFleetView,
--- a/fleet/mod.ts
+++ b/fleet/mod.ts
@@ -21,5 +21,7 @@
 export * from "./prefix_key.ts";
 export * from "./prefix_queue.ts";
 export * from "./plan_reports.ts";
+export * from "./member_table.ts";
+export * from "./summary_reception.ts";
 export * from "./fleet_view.ts";
 export * from "./report_writer.ts";
