Listener: a call refused as late doesn't run

What callers saw: a call whose head or body was late was refused with 408, which promises that it never runs. When the rest of it arrived, it was served all the same, as were calls behind it on the connection: a server ran them, and their answers went nowhere.

Cause: the refusal ends only the sending side of the connection. The parser goes on, and nothing marked the connection as refused. A process that stood still for longer than the limits hits it with callers that sent all in time: timers run before reads, so the check for late calls precedes the read of the rest.

Change: a refused connection counts as one whose last answer has been given; neither the call whose body is still arriving nor one behind it is served.

--- a/adapters/call_listener.ts
+++ b/adapters/call_listener.ts
@@ -108,7 +108,7 @@
   readonly #closingSockets = new Set<Duplex>();
   /** Connections that failed or were reset from outside. */
   readonly #failedSockets = new WeakSet<Duplex>();
-  /** Connections whose answer in progress ends with them: no call behind it can be answered. */
+  /** Connections that end with an answer or a refusal: no call behind it can be answered. */
   readonly #lastAnswerSockets = new WeakSet<Duplex>();
   /** Answers that are not fully sent yet. */
   readonly #openSinks = new Set<ResponseSink>();
@@ -302,7 +302,8 @@
         message: `The body is over ${maxBodyBytes} bytes`,
       });
     }
-    if (body === "broken") return;
+    // A call that was refused while its body arrived must not run.
+    if (body === "broken" || this.#lastAnswerSockets.has(socket)) return;
     if (body === "no-memory") return refuseUncarried("memory");
     if (!await this.#disconnectDetector.isConnected(message.socket)) return;
     await this.#parts.handle({ ...call, body }, sink);
@@ -374,6 +375,7 @@
     } else {
       // A caller that left within its body keeps neither its place nor its memory.
       this.#callEnds.get(socket)?.forEach((endCall) => endCall());
+      this.#lastAnswerSockets.add(socket);
       refuseMalformed(error, socket);
     }
   }
--- a/adapters/call_listener_test.ts
+++ b/adapters/call_listener_test.ts
@@ -1,14 +1,19 @@
 import assert from "node:assert/strict";
 import { afterEach, describe, it } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
 import { createRecordingLogger } from "../tests/recording_logger.ts";
 import { CarriedWork } from "../capacity/mod.ts";
 import type { OpaqueCall } from "../forwarding/mod.ts";
+import { INITIAL_LIMITS } from "../http_routes/mod.ts";
+import { blockEventLoop } from "../tests/block_event_loop.ts";
 import { openRawCaller } from "../tests/raw_http.ts";
 import { CallListener, type CallListenerParts } from "./call_listener.ts";
 import { waitUntil } from "../tests/wait_until.ts";
 
 const HOST = "127.0.0.1";
 const REQUEST = "GET /a?key=secret HTTP/1.1\r\nHost: a.example\r\n\r\n";
+/** Time after which the check for late calls has run, in milliseconds. */
+const LATE_MS = 2_200;
 const CLEAN_UPS: (() => void)[] = [];
 afterEach(() => CLEAN_UPS.splice(0).forEach((cleanUp) => cleanUp()));
 
@@ -29,8 +34,8 @@
   });
   const port = await listener.open();
   CLEAN_UPS.push(() => listener.destroy());
-  const send = async (bytes: string) => {
-    const caller = await openRawCaller(port, HOST);
+  const send = async (bytes: string, allowHalfOpen = false) => {
+    const caller = await openRawCaller(port, HOST, allowHalfOpen);
     CLEAN_UPS.push(() => caller.socket.destroy());
     caller.socket.write(bytes);
     return caller;
@@ -70,6 +75,44 @@
     });
   });
 
+  // A call refused with 408, "not run", was run once the rest of it had arrived.
+  describe("when the rest of a call arrives too late", () => {
+    const POST = "POST /a HTTP/1.1\r\nHost: a.example\r\nContent-Length: 4\r\n";
+    const PARTS = [
+      ["head", POST, "\r\nbody"],
+      ["body", `${POST}\r\nbo`, "dy"],
+    ] as const;
+    for (const [name, first, rest] of PARTS) {
+      for (const isBlocked of [false, true]) {
+        it(`is refused and not run (${name}, event loop blocked: ${isBlocked})`, async () => {
+          const handled: OpaqueCall[] = [];
+          const { listener, send } = await start((call) => {
+            handled.push(call);
+            return Promise.resolve();
+          });
+          listener.setLimits({
+            ...INITIAL_LIMITS,
+            headerTimeoutMs: 100,
+            idleTimeoutMs: 100,
+          });
+          const caller = await send(first, true);
+          if (isBlocked) {
+            await sleep(50);
+            caller.socket.write(rest);
+            blockEventLoop(LATE_MS);
+          }
+          await Promise.race([caller.awaitText("408"), sleep(LATE_MS)]);
+          if (!isBlocked) caller.socket.write(rest);
+          // The bytes of another call arrive behind it.
+          caller.socket.write(REQUEST);
+          await sleep(50);
+          const isRefused = caller.read().includes("408");
+          assert.equal(handled.length, isRefused ? 0 : 2);
+        });
+      }
+    }
+  });
+
   // Headers beyond the first thousand lines were dropped, also those of the protocol.
   it("passes on all lines of a head", async () => {
     const calls: OpaqueCall[] = [];
--- a/tests/raw_http.ts
+++ b/tests/raw_http.ts
@@ -70,12 +70,17 @@
   awaitEnd(): Promise<string>;
 }
 
-/** Opens a connection to a loopback port, by default at the address of test gateways. */
+/**
+ * Opens a connection to a loopback port, by default at the address of test gateways.
+ *
+ * @param allowHalfOpen Whether the caller can send after the other side has ended. Default: no.
+ */
 export async function openRawCaller(
   port: number,
   host = toLoopbackAddress(1),
+  allowHalfOpen = false,
 ): Promise<RawCaller> {
-  const socket = connect(port, host);
+  const socket = connect({ port, host, allowHalfOpen });
   await once(socket, "connect");
   let received = "";
   let hasEnded = false;
