Listener: a whole call is answered whatever arrives behind it

What callers saw: a call that arrived in one packet with bytes behind it that are not HTTP was answered with 400 for these bytes, and run; its own answer was lost.

Cause: a call counted as being read until a later turn of the event loop, though the parser had all of it.

Change: a call counts as being read while the parser has not all of it.

Evidence: adapters/call_listener_test.ts, "answers a whole call that arrives together with bytes that are not HTTP": 400 before, 200 now.

--- a/adapters/call_listener.ts
+++ b/adapters/call_listener.ts
@@ -102,8 +102,8 @@
    * one of its connection is not closed when the connection breaks.
    */
   readonly #callEnds = new Map<Duplex, Set<() => void>>();
-  /** Connections of which the body of the last call is being read. */
-  readonly #readingSockets = new Set<Duplex>();
+  /** The last call of each connection, until its body has been read. */
+  readonly #readingMessages = new Map<Duplex, IncomingMessage>();
   /** Connections that are closed once their open calls are answered. */
   readonly #closingSockets = new Set<Duplex>();
   /** Connections that failed or were reset from outside. */
@@ -139,7 +139,7 @@
         this.#work.closeConnection();
         this.#callEnds.get(socket)?.forEach((endCall) => endCall());
         this.#callEnds.delete(socket);
-        this.#readingSockets.delete(socket);
+        this.#readingMessages.delete(socket);
       });
       this.#callEnds.set(socket, new Set());
       // An instance without a free descriptor could accept, send and store nothing more.
@@ -293,9 +293,9 @@
       });
       if (refusal !== undefined) return refuse(refusal);
     }
-    this.#readingSockets.add(socket);
+    this.#readingMessages.set(socket, message);
     const body = await readBody(message, maxBodyBytes, carried);
-    this.#readingSockets.delete(socket);
+    this.#readingMessages.delete(socket);
     if (body === "too-large") {
       return refuse({
         reason: "too-large",
@@ -345,10 +345,10 @@
     return this.#openCalls.get(socket) ?? 0;
   }
 
-  /** Returns the number of open calls that have been read, and therefore may run. */
+  /** Returns the number of open calls that have arrived whole, and therefore may run. */
   #countServedCalls(socket: Duplex): number {
-    return this.#countOpenCalls(socket) -
-      (this.#readingSockets.has(socket) ? 1 : 0);
+    const isReading = this.#readingMessages.get(socket)?.complete === false;
+    return this.#countOpenCalls(socket) - (isReading ? 1 : 0);
   }
 
   #removeOpenCall(socket: Duplex): void {
--- a/adapters/call_listener_test.ts
+++ b/adapters/call_listener_test.ts
@@ -113,6 +113,19 @@
     }
   });
 
+  // It was refused with 400 for the bytes behind it, and run.
+  it("answers a whole call that arrives together with bytes that are not HTTP", async () => {
+    const { send } = await start((_, sink) => {
+      sink.begin({ status: 200, statusText: "OK", headers: [] });
+      sink.end([]);
+      return Promise.resolve();
+    });
+    const caller = await send(`${REQUEST}\u0001 nothing\r\n\r\n`);
+    const received = await caller.awaitEnd();
+    assert.match(received, /^HTTP\/1\.1 200 /);
+    assert.doesNotMatch(received, / 400 /);
+  });
+
   // Headers beyond the first thousand lines were dropped, also those of the protocol.
   it("passes on all lines of a head", async () => {
     const calls: OpaqueCall[] = [];
