Listener: a late call behind another one of its packet is refused

What callers saw: a connection on which half a call had arrived in one packet with the call before it stayed open for ever, and a shutdown waited for it until the end of the grace period.

Cause: once the body of the first call had been read, the connection no longer counted as reading, although it read the second one.

Evidence: adapters/call_listener_test.ts, "refuses a call as late whose head arrived together with the call before it": no end before, 408 now.

--- a/adapters/call_listener.ts
+++ b/adapters/call_listener.ts
@@ -295,7 +295,9 @@
     }
     this.#readingMessages.set(socket, message);
     const body = await readBody(message, maxBodyBytes, carried);
-    this.#readingMessages.delete(socket);
+    if (this.#readingMessages.get(socket) === message) {
+      this.#readingMessages.delete(socket);
+    }
     if (body === "too-large") {
       return refuse({
         reason: "too-large",
--- a/adapters/call_listener_test.ts
+++ b/adapters/call_listener_test.ts
@@ -113,6 +113,25 @@
     }
   });
 
+  // Its connection stayed open for ever.
+  it("refuses a call as late whose head arrived together with the call before it", async () => {
+    const { listener, send } = await start((_, sink) => {
+      sink.begin({ status: 200, statusText: "OK", headers: [] });
+      sink.end([]);
+      return Promise.resolve();
+    });
+    listener.setLimits({
+      ...INITIAL_LIMITS,
+      headerTimeoutMs: 100,
+      idleTimeoutMs: 100,
+    });
+    const caller = await send(
+      `${REQUEST}POST /a HTTP/1.1\r\nHost: a.example\r\nContent-Length: 4\r\n\r\nbo`,
+    );
+    await Promise.race([caller.awaitEnd(), sleep(LATE_MS)]);
+    assert.match(caller.read(), /^HTTP\/1\.1 200 [^]*HTTP\/1\.1 408 /);
+  });
+
   // It was refused with 400 for the bytes behind it, and run.
   it("answers a whole call that arrives together with bytes that are not HTTP", async () => {
     const { send } = await start((_, sink) => {
