Listener: no call is lost behind an answer that ends its connection

What callers saw, at an instance that leaves: of two pipelined calls, the second one was run by a server, and the connection was closed after the first answer.

Cause: whether an answer ends its connection was decided when its call arrived, before a further call arrived on the connection; calls behind such an answer were served all the same. The refusals that end a connection had the same gap.

Change: an answer that begins while the instance leaves ends its connection only if no call has arrived behind it, and from then on none is served. Answers to calls from before the shutdown now end their connections, too.

Evidence: adapters/call_listener_test.ts, "answers each call that it has handled, and ends the connection with the last one, while it leaves": 1 answer to 2 calls before, 2 now.

--- a/adapters/call_listener.ts
+++ b/adapters/call_listener.ts
@@ -108,6 +108,8 @@
   readonly #closingSockets = new Set<Duplex>();
   /** Connections that failed or were reset from outside. */
   readonly #failedSockets = new WeakSet<Duplex>();
+  /** Response to the last call of each connection with open calls. */
+  readonly #lastResponses = new WeakMap<Duplex, ServerResponse>();
   /** Connections that end with an answer or a refusal: no call behind it can be answered. */
   readonly #lastAnswerSockets = new WeakSet<Duplex>();
   /** Answers that are not fully sent yet. */
@@ -195,7 +197,10 @@
     return [...this.#openCalls.values()].reduce((sum, calls) => sum + calls, 0);
   }
 
-  /** Closes each connection after its next answer, so that callers open another one. */
+  /**
+   * Closes each connection after its next answer, so that callers open another one. Where
+   * further calls of the connection are being served, it is closed after the last of them.
+   */
   startLeaving(): void {
     this.#isLeaving = true;
   }
@@ -218,6 +223,8 @@
     const sink = new ResponseSink(response, {
       // The answers to other calls of the connection would be lost with it.
       mayEndConnection: () => this.#countOpenCalls(socket) <= 1,
+      mustEndConnection: () =>
+        this.#isLeaving && this.#lastResponses.get(socket) === response,
       onEndsConnection: () => this.#lastAnswerSockets.add(socket),
       wasClosedByCaller: () =>
         socket.readableEnded || this.#failedSockets.has(socket),
@@ -239,12 +246,12 @@
     response.sendDate = false;
     const { socket } = message;
     if (this.#lastAnswerSockets.has(socket)) return;
+    this.#lastResponses.set(socket, response);
     this.#openCalls.set(socket, this.#countOpenCalls(socket) + 1);
     response.on("close", () => this.#removeOpenCall(socket));
-    if (this.#isLeaving) response.shouldKeepAlive = false;
     const refuse = (refusal: Refusal) => {
       // The rest of an unread body can't be distinguished from the next call.
-      if (!message.complete) response.shouldKeepAlive = false;
+      if (!message.complete) this.#endConnectionWith(response);
       writeRefusal(sink, refusal);
     };
     const origin = this.#parts.readOrigin(message.rawHeaders);
@@ -271,7 +278,7 @@
       origin,
     };
     const refuseUncarried = (scarce: ScarceResource) => {
-      response.shouldKeepAlive = false;
+      this.#endConnectionWith(response);
       this.#refuseUncarried(call, sink, scarce);
     };
     const carried = new CarriedCall(this.#work);
@@ -311,6 +318,12 @@
     await this.#parts.handle({ ...call, body }, sink);
   }
 
+  /** Closes a connection after an answer. Calls that arrive behind it are not served. */
+  #endConnectionWith(response: ServerResponse): void {
+    response.shouldKeepAlive = false;
+    this.#lastAnswerSockets.add(response.req.socket);
+  }
+
   #refuseUncarried(
     call: OpaqueCall,
     sink: CallSink,
@@ -356,7 +369,10 @@
   #removeOpenCall(socket: Duplex): void {
     const remaining = this.#countOpenCalls(socket) - 1;
     if (remaining > 0) this.#openCalls.set(socket, remaining);
-    else this.#openCalls.delete(socket);
+    else {
+      this.#openCalls.delete(socket);
+      this.#lastResponses.delete(socket);
+    }
     if (this.#countServedCalls(socket) > 0) return;
     if (this.#closingSockets.delete(socket)) socket.end();
   }
@@ -398,6 +414,8 @@
 interface SinkConnection {
   /** Returns whether the connection may end with this answer. */
   readonly mayEndConnection: () => boolean;
+  /** Returns whether the connection ends with this answer, whatever its framing is. */
+  readonly mustEndConnection: () => boolean;
   /** Called when an answer begins that ends with its connection. */
   readonly onEndsConnection: () => void;
   /** Returns whether a connection that is closed was ended or reset from outside. */
@@ -435,10 +453,14 @@
   begin(head: AnswerHead): void {
     const { framing, headers, status, statusText } = head;
     const response = this.#response;
-    if (framing === "connection" && this.#connection.mayEndConnection()) {
-      // A last chunk would tell the caller that the answer is complete, which nobody knows.
-      response.useChunkedEncodingByDefault = false;
-      this.#connection.onEndsConnection();
+    const { mayEndConnection, mustEndConnection, onEndsConnection } =
+      this.#connection;
+    const isUnframed = framing === "connection" && mayEndConnection();
+    // A last chunk would tell the caller that the answer is complete, which nobody knows.
+    if (isUnframed) response.useChunkedEncodingByDefault = false;
+    if (isUnframed || mustEndConnection()) {
+      response.shouldKeepAlive = false;
+      onEndsConnection();
     }
     // A flat list preserves the order, the case and the repetition of header names.
     response.writeHead(status, statusText, headers as string[]);
--- a/adapters/call_listener_test.ts
+++ b/adapters/call_listener_test.ts
@@ -3,7 +3,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { createRecordingLogger } from "../tests/recording_logger.ts";
 import { CarriedWork } from "../capacity/mod.ts";
-import type { OpaqueCall } from "../forwarding/mod.ts";
+import type { CallSink, OpaqueCall } from "../forwarding/mod.ts";
 import { INITIAL_LIMITS } from "../http_routes/mod.ts";
 import { blockEventLoop } from "../tests/block_event_loop.ts";
 import { openRawCaller } from "../tests/raw_http.ts";
@@ -145,6 +145,47 @@
     assert.doesNotMatch(received, / 400 /);
   });
 
+  describe("when calls are pipelined", () => {
+    const startHeld = async () => {
+      const sinks: CallSink[] = [];
+      const started = await start((_, sink) => {
+        sinks.push(sink);
+        return Promise.resolve();
+      });
+      return { ...started, sinks };
+    };
+    const begin = (sink: CallSink) =>
+      sink.begin({
+        status: 200,
+        statusText: "OK",
+        headers: ["Content-Length", "2"],
+      });
+    const end = (sink: CallSink) => {
+      sink.write(Buffer.from("ok"));
+      sink.end([]);
+    };
+
+    // A call that a server had was lost behind an answer that ended its connection.
+    it("answers each call that it has handled, and ends the connection with the last one, while it leaves", async () => {
+      const { listener, send, sinks } = await startHeld();
+      listener.startLeaving();
+      const caller = await send(REQUEST);
+      await waitUntil(() => sinks.length === 1);
+      caller.socket.write(REQUEST);
+      await waitUntil(() => sinks.length === 2);
+      begin(sinks[0]!);
+      end(sinks[0]!);
+      begin(sinks[1]!);
+      caller.socket.write(REQUEST);
+      await sleep(50);
+      end(sinks[1]!);
+      const received = await caller.awaitEnd();
+      assert.equal(received.match(/ 200 OK/g)?.length, 2);
+      assert.match(received, /ok[^]*Connection: close[^]*ok$/);
+      assert.equal(sinks.length, 2);
+    });
+  });
+
   // Headers beyond the first thousand lines were dropped, also those of the protocol.
   it("passes on all lines of a head", async () => {
     const calls: OpaqueCall[] = [];
