Listener: a call behind another one ends with its connection

What callers and operators saw: when a connection with pipelined calls broke, the calls behind the first one went on at their servers until their deadlines, and counted as open for ever: a shutdown then waited until the end of its grace period.

Cause: Node closes only the first open response of a connection that breaks. Only the memory of the others was released.

Change: what ends with a response also ends with its connection (adapters/open_responses.ts), for the signal of the call, the count of open calls and its memory alike.

Evidence: adapters/call_listener_test.ts, "ends them all when their connection breaks": the second call's signal was not aborted within 1 s before.

--- a/adapters/call_listener.ts
+++ b/adapters/call_listener.ts
@@ -28,6 +28,7 @@
 import { type CallerLimits, INITIAL_LIMITS } from "../http_routes/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import { AnswerWriter } from "./answer_writer.ts";
+import { OpenResponses } from "./open_responses.ts";
 import { resetConnection } from "./reset_connection.ts";
 import { startListening } from "./start_listening.ts";
 import { systemClock } from "./system_clock.ts";
@@ -97,11 +98,7 @@
   readonly #disconnectDetector = new DisconnectDetector();
   /** Number of calls of each connection whose answers are not fully sent yet. */
   readonly #openCalls = new Map<Duplex, number>();
-  /**
-   * Ends the counted calls of each open connection. The response of a call behind another
-   * one of its connection is not closed when the connection breaks.
-   */
-  readonly #callEnds = new Map<Duplex, Set<() => void>>();
+  readonly #responses = new OpenResponses();
   /** The last call of each connection, until its body has been read. */
   readonly #readingMessages = new Map<Duplex, IncomingMessage>();
   /** Connections that are closed once their open calls are answered. */
@@ -139,11 +136,8 @@
         this.#sockets.delete(socket);
         this.#closedBytes += countBytes(socket);
         this.#work.closeConnection();
-        this.#callEnds.get(socket)?.forEach((endCall) => endCall());
-        this.#callEnds.delete(socket);
         this.#readingMessages.delete(socket);
       });
-      this.#callEnds.set(socket, new Set());
       // An instance without a free descriptor could accept, send and store nothing more.
       if (!this.#work.openConnection()) socket.destroy();
     });
@@ -230,7 +224,10 @@
         socket.readableEnded || this.#failedSockets.has(socket),
     });
     this.#openSinks.add(sink);
-    response.on("close", () => this.#openSinks.delete(sink));
+    this.#responses.onceClosed(response, () => {
+      this.#openSinks.delete(sink);
+      sink.handleClose();
+    });
     return sink;
   }
 
@@ -248,7 +245,7 @@
     if (this.#lastAnswerSockets.has(socket)) return;
     this.#lastResponses.set(socket, response);
     this.#openCalls.set(socket, this.#countOpenCalls(socket) + 1);
-    response.on("close", () => this.#removeOpenCall(socket));
+    this.#responses.onceClosed(response, () => this.#removeOpenCall(socket));
     const refuse = (refusal: Refusal) => {
       // The rest of an unread body can't be distinguished from the next call.
       if (!message.complete) this.#endConnectionWith(response);
@@ -284,12 +281,7 @@
     const carried = new CarriedCall(this.#work);
     const scarce = carried.begin(message.rawHeaders);
     if (scarce !== undefined) return refuseUncarried(scarce);
-    const endCall = () => {
-      this.#callEnds.get(socket)?.delete(endCall);
-      carried.end();
-    };
-    this.#callEnds.get(socket)?.add(endCall);
-    response.on("close", endCall);
+    this.#responses.onceClosed(response, () => carried.end());
     // A short body is read even if the call is refused: its end marks where the next
     // call begins, so that the connection can be reused.
     if (origin.kind === "caller" && mayHaveLongBody(message)) {
@@ -392,7 +384,7 @@
       this.#closingSockets.add(socket);
     } else {
       // A caller that left within its body keeps neither its place nor its memory.
-      this.#callEnds.get(socket)?.forEach((endCall) => endCall());
+      this.#responses.endAll(socket);
       this.#lastAnswerSockets.add(socket);
       refuseMalformed(error, socket);
     }
@@ -427,6 +419,7 @@
   readonly #response: ServerResponse;
   readonly #connection: SinkConnection;
   readonly #writer: AnswerWriter;
+  readonly #disconnect: AbortController;
   /** Whether the caller takes the normal end of the connection for the end of the answer. */
   #endsWithConnection = false;
 
@@ -435,14 +428,17 @@
     this.#connection = connection;
     this.#writer = new AnswerWriter(response);
     const disconnect = new AbortController();
+    this.#disconnect = disconnect;
     this.signal = disconnect.signal;
-    response.on("close", () => {
-      if (response.writableFinished) return;
-      const by = connection.wasClosedByCaller()
-        ? "the caller"
-        : "this instance";
-      disconnect.abort(`${by} closed the connection`);
-    });
+  }
+
+  /** Aborts the signal if the connection was closed before the whole answer was sent. */
+  handleClose(): void {
+    if (this.#response.writableFinished) return;
+    const by = this.#connection.wasClosedByCaller()
+      ? "the caller"
+      : "this instance";
+    this.#disconnect.abort(`${by} closed the connection`);
   }
 
   /** Whether the head of the answer has been written. */
--- a/adapters/call_listener_test.ts
+++ b/adapters/call_listener_test.ts
@@ -184,6 +184,19 @@
       assert.match(received, /ok[^]*Connection: close[^]*ok$/);
       assert.equal(sinks.length, 2);
     });
+
+    // A call behind another one went on without its caller, and a shutdown waited for it.
+    it("ends them all when their connection breaks", async () => {
+      const { listener, send, sinks } = await startHeld();
+      const caller = await send(REQUEST + REQUEST);
+      await waitUntil(() => sinks.length === 2);
+      caller.socket.destroy();
+      await waitUntil(() => sinks.every(({ signal }) => signal.aborted), 1_000);
+      sinks.forEach(({ signal }) =>
+        assert.match(String(signal.reason), /^the caller /)
+      );
+      assert.equal(listener.openCount, 0);
+    });
   });
 
   // Headers beyond the first thousand lines were dropped, also those of the protocol.
