Connection pool: an error at the end of an answer fails the send

What callers could see: if the code that takes the end of an answer threw an error, the call stayed open until its deadline, with no line in the log. None was seen so far.

Cause: the pool marks a send as done before it tells its receiver, and undici drops an error at the end of a request.

Evidence: adapters/connection_pool_test.ts, "tells it that the send failed (onEnd)": nothing within 500 ms before; the other two callbacks passed.

--- a/adapters/connection_pool.ts
+++ b/adapters/connection_pool.ts
@@ -381,7 +381,13 @@
       typeof text === "string" ? text : (text as Buffer).toString("latin1")
     );
     this.#release(socket !== undefined && !socket.destroyed);
-    this.#events.onEnd(texts);
+    try {
+      this.#events.onEnd(texts);
+    } catch (error) {
+      // undici reports an error at the end of a request to nobody.
+      const { message } = error as Error;
+      this.#events.onFailure({ kind: "unknown", message });
+    }
   }
 
   onError(error: Error): void {
--- a/adapters/connection_pool_test.ts
+++ b/adapters/connection_pool_test.ts
@@ -5,6 +5,7 @@
 import { startRawServer } from "../tests/raw_http.ts";
 import { createRecordingLogger } from "../tests/recording_logger.ts";
 import { waitUntil } from "../tests/wait_until.ts";
+import type { SendEvents } from "../forwarding/mod.ts";
 import { ConnectionPool } from "./connection_pool.ts";
 
 const ANSWER = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
@@ -13,7 +14,9 @@
 function send(
   pool: ConnectionPool,
   address: string,
-  { maxConnections = 8, onHead = () => {} } = {},
+  { maxConnections = 8, ...events }:
+    & { readonly maxConnections?: number }
+    & Partial<SendEvents> = {},
 ) {
   let finish: (outcome: string) => void;
   let kind: string | undefined;
@@ -28,9 +31,10 @@
     body: Buffer.alloc(0),
     maxConnections,
   }, {
-    onHead,
+    onHead: () => {},
     onData: () => true,
     onEnd: () => finish("answered"),
+    ...events,
     onFailure: (failure) => {
       ({ kind } = failure);
       finish(failure.message);
@@ -90,6 +94,27 @@
     });
   });
 
+  // An error at the last byte was taken by the HTTP client, and the call waited until its deadline.
+  describe("when the receiver of an answer throws", () => {
+    (["onHead", "onData", "onEnd"] as const).forEach((event) =>
+      it(`tells it that the send failed (${event})`, async () => {
+        const server = await startRawServer((_, socket) =>
+          socket.write(ANSWER)
+        );
+        const pool = new ConnectionPool();
+        const { ended } = send(pool, server.address, {
+          [event]: () => {
+            throw new Error("a bug");
+          },
+        });
+        const outcome = await Promise.race([ended, wait(500)]);
+        pool.close();
+        server.close();
+        assert.equal(outcome, "a bug");
+      })
+    );
+  });
+
   // A rejection whose body never ended kept its connection, and its place among those to its server.
   describe("when the rest of an unused answer does not end", () => {
     const head = "HTTP/1.1 503 Full\r\nContent-Length: 1000000000\r\n\r\n";
