Small routes: a call with a long body gets an answer

What callers saw: a call to a small route (readiness, directory, control) with a body over 64 KB was to be read as one without a body, and got its connection closed without an answer.

Cause: an iteration over a message that ends early destroys its connection.

Change: such a call is refused with 413.

Evidence: adapters/endpoint_server_test.ts: no bytes before, 413 now.

--- a/adapters/endpoint_server.ts
+++ b/adapters/endpoint_server.ts
@@ -54,8 +54,8 @@
 /** Time after which an idle connection is closed, in milliseconds. */
 const IDLE_MS = 15_000;
 /**
- * Maximum size of a body, in bytes. Calls to these routes carry only a few names; a
- * larger body is read as empty.
+ * Maximum size of a body, in bytes. Calls to these routes carry only a few names; a call with
+ * a larger body is refused.
  */
 const MAX_BODY_BYTES = 65_536;
 
@@ -104,13 +104,18 @@
 ): Promise<void> {
   // The address is gone once the caller has disconnected.
   const caller = message.socket.remoteAddress ?? "";
-  const body = await readText(message);
+  const body = await readBody(message);
   if (body === undefined) return;
-  const { status, contentType, body: text } = await handleCall(
-    route,
-    { query: readQuery(message), body, caller },
-    logger,
-  );
+  const isTooLarge = body === "too-large";
+  // The rest of the body can't be distinguished from the next call.
+  if (isTooLarge) response.shouldKeepAlive = false;
+  const { status, contentType, body: text } = isTooLarge
+    ? toJsonAnswer(413, { error: `the body is over ${MAX_BODY_BYTES} bytes` })
+    : await handleCall(
+      route,
+      { query: readQuery(message), body: body.toString("utf8"), caller },
+      logger,
+    );
   response.writeHead(status, {
     "Content-Type": contentType,
     "Content-Length": Buffer.byteLength(text),
@@ -143,16 +148,19 @@
 }
 
 /** Returns the body of a call, or `undefined` if the connection breaks before its end. */
-async function readText(message: IncomingMessage): Promise<string | undefined> {
+async function readBody(
+  message: IncomingMessage,
+): Promise<Buffer | "too-large" | undefined> {
   const body = new ByteCollector();
   try {
-    for await (const chunk of message) {
+    // The end of the default iteration would close the connection.
+    for await (const chunk of message.iterator({ destroyOnReturn: false })) {
       body.append(chunk);
-      if (body.size > MAX_BODY_BYTES) return "";
+      if (body.size > MAX_BODY_BYTES) return "too-large";
     }
   } catch {
     // The only error of a message is that its caller disconnected.
     return undefined;
   }
-  return body.take().toString("utf8");
+  return body.take();
 }
