Embedded default: requests behind another one end with their connection

What operators saw: after connections with pipelined requests had broken, the memory and the places of the requests behind the first one were never released, until all requests were refused as overloaded; their work went on without a caller.

Cause: as in the listener of calls, Node closes only the first open response of a connection that breaks.

Evidence: adapters/http_listener_test.ts, "ends all requests when the connection breaks": the second signal was not aborted within 1 s before.

--- a/adapters/http_listener.ts
+++ b/adapters/http_listener.ts
@@ -15,6 +15,7 @@
 import { CarriedCall, CarriedWork } from "../capacity/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import { AnswerWriter } from "./answer_writer.ts";
+import { OpenResponses } from "./open_responses.ts";
 import { startListening } from "./start_listening.ts";
 import { ACCEPT_BACKLOG, DisconnectDetector } from "./disconnect_detector.ts";
 import { systemClock } from "./system_clock.ts";
@@ -95,13 +96,14 @@
  */
 export async function startListener(parts: ListenerParts): Promise<Listener> {
   const disconnectDetector = new DisconnectDetector();
+  const responses = new OpenResponses();
   const onRequest = async (
     message: IncomingMessage,
     response: ServerResponse,
   ) => {
     try {
       if (await disconnectDetector.isConnected(message.socket)) {
-        await serveMessage(parts, message, response);
+        await serveMessage(parts, message, response, responses);
       }
     } catch (error) {
       endFailed(parts, { message, response }, error as Error);
@@ -172,14 +174,15 @@
   parts: ListenerParts,
   message: IncomingMessage,
   response: ServerResponse,
+  responses: OpenResponses,
 ): Promise<void> {
   const disconnect = new AbortController();
   setMaxListeners(0, disconnect.signal);
-  response.on("close", () => {
+  const carried = new CarriedCall(parts.work ?? new CarriedWork({}));
+  responses.onceClosed(response, () => {
     if (!response.writableFinished) disconnect.abort();
+    carried.end();
   });
-  const carried = new CarriedCall(parts.work ?? new CarriedWork({}));
-  response.on("close", () => carried.end());
   if (carried.begin(message.rawHeaders) !== undefined) {
     writeWhole(message, response, toRefusal(createNoMemory()));
     return;
--- a/adapters/http_listener_test.ts
+++ b/adapters/http_listener_test.ts
@@ -1,15 +1,19 @@
 import assert from "node:assert/strict";
 import { request as requestTls } from "node:https";
 import { connect } from "node:net";
-import { describe, it } from "node:test";
+import { afterEach, describe, it } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
 import { ok } from "neverthrow";
 import { generate } from "selfsigned";
+import { CarriedWork } from "../capacity/mod.ts";
 import type { GatewayRequest, Reply } from "../filters/mod.ts";
 import { createSilentLogger } from "../logs/mod.ts";
+import { CLEAN_UPS } from "../tests/clean_ups.ts";
 import { disconnectBeforeAccept } from "../tests/block_event_loop.ts";
 import { openRawCaller } from "../tests/raw_http.ts";
 import { createRecordingLogger } from "../tests/recording_logger.ts";
 import { awaitAnswer } from "../tests/received_answer.ts";
+import { waitUntil } from "../tests/wait_until.ts";
 import {
   DEFAULT_LISTENER_LIMITS,
   startListener,
@@ -53,6 +57,8 @@
   });
 }
 
+afterEach(() => CLEAN_UPS.splice(0).forEach((cleanUp) => cleanUp()));
+
 describe("startListener()", () => {
   it("sends an answer that may have been cut without a length and without a last chunk", async () => {
     const listener = await startListener({
@@ -259,6 +265,41 @@
     });
   });
 
+  describe("when more bytes follow a request on its connection", () => {
+    const REQUEST = "GET / HTTP/1.1\r\nhost: a\r\n\r\n";
+    const startHeld = async () => {
+      const work = new CarriedWork({});
+      const signals: AbortSignal[] = [];
+      const answers: (() => void)[] = [];
+      const listener = await startListener({
+        address: "127.0.0.1:0",
+        limits: DEFAULT_LISTENER_LIMITS,
+        logger: createSilentLogger(),
+        work,
+        handle: ({ signal }) => {
+          signals.push(signal);
+          return new Promise((resolve) =>
+            answers.push(() => resolve(createReply("whole")))
+          );
+        },
+      });
+      CLEAN_UPS.push(() => void listener.destroy());
+      const caller = await openRawCaller(listener.port, "127.0.0.1");
+      CLEAN_UPS.push(() => caller.socket.destroy());
+      return { answers, caller, signals, work };
+    };
+
+    // Their memory was never released, and their work went on without a caller.
+    it("ends all requests when the connection breaks", async () => {
+      const { answers, caller, signals, work } = await startHeld();
+      caller.socket.write(REQUEST + REQUEST);
+      await waitUntil(() => answers.length === 2);
+      caller.socket.destroy();
+      await waitUntil(() => signals.every(({ aborted }) => aborted), 1_000);
+      assert.equal(work.calls, 0);
+    });
+  });
+
   // A rejection that nobody takes ends the process with all other requests.
   describe("when the handler of a request fails", () => {
     const headers = { "x-name": "\u20ac" };
