Embedded default: invalid bytes behind a request don't end its answer

What callers saw: bytes that are not HTTP behind a request that was being served were answered with 400 and "not-run" in the place of the answer to that request, which ran; within a stream, in the middle of it. A request whose head was refused as late was served once the rest of it had arrived.

Cause: the refusal was written whatever else the connection carried.

Change: behind a request that was read, the connection is closed after its answer instead; a refused connection serves nothing more.

Evidence: adapters/http_listener_test.ts, "answers the request, and refuses nothing": 400 before, 200 now. The late head has no test here: Node checks for it every 30 s.

--- a/adapters/http_listener.ts
+++ b/adapters/http_listener.ts
@@ -9,6 +9,7 @@
 } from "node:https";
 import type { Server } from "node:http";
 import { setMaxListeners } from "node:events";
+import type { Duplex } from "node:stream";
 import { err, ok, type Result } from "neverthrow";
 import { scheduleEvery } from "../clock/mod.ts";
 import { ByteCollector } from "../bytes/mod.ts";
@@ -96,14 +97,15 @@
  */
 export async function startListener(parts: ListenerParts): Promise<Listener> {
   const disconnectDetector = new DisconnectDetector();
-  const responses = new OpenResponses();
+  const requests = new OpenRequests();
   const onRequest = async (
     message: IncomingMessage,
     response: ServerResponse,
   ) => {
+    if (!requests.begin(message, response)) return;
     try {
       if (await disconnectDetector.isConnected(message.socket)) {
-        await serveMessage(parts, message, response, responses);
+        await serveMessage(parts, message, response, requests.responses);
       }
     } catch (error) {
       endFailed(parts, { message, response }, error as Error);
@@ -120,7 +122,10 @@
     : createTlsServer({ ...options, ...parts.tls }, onRequest);
   // By default, Node drops the lines beyond the first thousand.
   server.maxHeadersCount = 0;
-  server.on("clientError", refuseInvalidRequest);
+  server.on(
+    "clientError",
+    (error: NodeJS.ErrnoException, socket) => requests.refuse(error, socket),
+  );
   const at = parts.address.lastIndexOf(":");
   const host = parts.address.slice(0, at).replace(/^\[|\]$/g, "");
   const port = await startListening(server, {
@@ -170,6 +175,41 @@
   };
 }
 
+/** Requests of all connections that have no whole answer yet. */
+class OpenRequests {
+  readonly responses = new OpenResponses();
+  readonly #messages = new WeakMap<Duplex, Set<IncomingMessage>>();
+  /** Connections that end with the answers in progress or with a refusal. */
+  readonly #closing = new WeakSet<Duplex>();
+
+  /** Begins a request. Returns whether it may be served. */
+  begin(message: IncomingMessage, response: ServerResponse): boolean {
+    const { socket } = message;
+    if (this.#closing.has(socket)) return false;
+    const messages = this.#messages.get(socket) ?? new Set();
+    this.#messages.set(socket, messages.add(message));
+    this.responses.onceClosed(response, () => {
+      messages.delete(message);
+      if (this.#closing.has(socket) && messages.size === 0) socket.end();
+    });
+    return true;
+  }
+
+  /**
+   * Refuses bytes that are not a valid request. Behind a request that was read and is being
+   * served, the connection is closed after its answer instead: the refusal would be taken for
+   * that answer.
+   */
+  refuse(error: NodeJS.ErrnoException, socket: Duplex): void {
+    this.#closing.add(socket);
+    const messages = [...this.#messages.get(socket) ?? []];
+    const isServed = messages.some(({ complete }) => complete);
+    const isClosed = !socket.writable || error.code === "ECONNRESET";
+    if (isClosed) socket.destroy();
+    else if (!isServed) refuseInvalidRequest(error, socket);
+  }
+}
+
 async function serveMessage(
   parts: ListenerParts,
   message: IncomingMessage,
@@ -398,12 +438,8 @@
 
 function refuseInvalidRequest(
   error: NodeJS.ErrnoException,
-  socket: import("node:stream").Duplex,
+  socket: Duplex,
 ): void {
-  if (!socket.writable || error.code === "ECONNRESET") {
-    socket.destroy();
-    return;
-  }
   const isHeaderTooLarge = error.code === "HPE_HEADER_OVERFLOW";
   const message = isHeaderTooLarge
     ? "The headers are over the size limit"
--- a/adapters/http_listener_test.ts
+++ b/adapters/http_listener_test.ts
@@ -289,6 +289,17 @@
       return { answers, caller, signals, work };
     };
 
+    // They were refused as "not-run" in place of the answer to the request, which ran.
+    it("answers the request, and refuses nothing", async () => {
+      const { answers, caller } = await startHeld();
+      caller.socket.write(REQUEST + "\u0001\u0002 nothing\r\n\r\n");
+      await waitUntil(() => answers.length > 0);
+      await sleep(50);
+      answers[0]!();
+      const received = await caller.awaitEnd();
+      assert.match(received, /^HTTP\/1\.1 200 [^]*whole$/);
+    });
+
     // Their memory was never released, and their work went on without a caller.
     it("ends all requests when the connection breaks", async () => {
       const { answers, caller, signals, work } = await startHeld();
