--- a/adapters/call_listener.ts
+++ b/adapters/call_listener.ts
@@ -28,6 +28,7 @@
 import { type CallerLimits, INITIAL_LIMITS } from "../http_routes/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import { AnswerWriter } from "./answer_writer.ts";
+import { OpenResponses } from "./open_responses.ts";
 import { resetConnection } from "./reset_connection.ts";
 import { startListening } from "./start_listening.ts";
 import { systemClock } from "./system_clock.ts";
@@ -97,17 +98,15 @@
   readonly #disconnectDetector = new DisconnectDetector();
   /** Number of calls of each connection whose answers are not fully sent yet. */
   readonly #openCalls = new Map<Duplex, number>();
-  /**
-   * Ends the counted calls of each open connection. The response of a call behind another
-   * one of its connection is not closed when the connection breaks.
-   */
-  readonly #callEnds = new Map<Duplex, Set<() => void>>();
+  readonly #responses = new OpenResponses();
   /** The last call of each connection, until its body has been read. */
   readonly #readingMessages = new Map<Duplex, IncomingMessage>();
   /** Connections that are closed once their open calls are answered. */
   readonly #closingSockets = new Set<Duplex>();
   /** Connections that failed or were reset from outside. */
   readonly #failedSockets = new WeakSet<Duplex>();
+  /** Response to the last call of each connection with open calls. */
+  readonly #lastResponses = new WeakMap<Duplex, ServerResponse>();
   /** Connections that end with an answer or a refusal: no call behind it can be answered. */
   readonly #lastAnswerSockets = new WeakSet<Duplex>();
   /** Answers that are not fully sent yet. */
@@ -137,11 +136,8 @@
         this.#sockets.delete(socket);
         this.#closedBytes += countBytes(socket);
         this.#work.closeConnection();
-        this.#callEnds.get(socket)?.forEach((endCall) => endCall());
-        this.#callEnds.delete(socket);
         this.#readingMessages.delete(socket);
       });
-      this.#callEnds.set(socket, new Set());
       // An instance without a free descriptor could accept, send and store nothing more.
       if (!this.#work.openConnection()) socket.destroy();
     });
@@ -195,7 +191,10 @@
     return [...this.#openCalls.values()].reduce((sum, calls) => sum + calls, 0);
   }
 
-  /** Closes each connection after its next answer, so that callers open another one. */
+  /**
+   * Closes each connection after its next answer, so that callers open another one. Where
+   * further calls of the connection are being served, it is closed after the last of them.
+   */
   startLeaving(): void {
     this.#isLeaving = true;
   }
@@ -218,12 +217,17 @@
     const sink = new ResponseSink(response, {
       // The answers to other calls of the connection would be lost with it.
       mayEndConnection: () => this.#countOpenCalls(socket) <= 1,
+      mustEndConnection: () =>
+        this.#isLeaving && this.#lastResponses.get(socket) === response,
       onEndsConnection: () => this.#lastAnswerSockets.add(socket),
       wasClosedByCaller: () =>
         socket.readableEnded || this.#failedSockets.has(socket),
     });
     this.#openSinks.add(sink);
-    response.on("close", () => this.#openSinks.delete(sink));
+    this.#responses.onceClosed(response, () => {
+      this.#openSinks.delete(sink);
+      sink.handleClose();
+    });
     return sink;
   }
 
@@ -239,12 +243,12 @@
     response.sendDate = false;
     const { socket } = message;
     if (this.#lastAnswerSockets.has(socket)) return;
+    this.#lastResponses.set(socket, response);
     this.#openCalls.set(socket, this.#countOpenCalls(socket) + 1);
-    response.on("close", () => this.#removeOpenCall(socket));
-    if (this.#isLeaving) response.shouldKeepAlive = false;
+    this.#responses.onceClosed(response, () => this.#removeOpenCall(socket));
     const refuse = (refusal: Refusal) => {
       // The rest of an unread body can't be distinguished from the next call.
-      if (!message.complete) response.shouldKeepAlive = false;
+      if (!message.complete) this.#endConnectionWith(response);
       writeRefusal(sink, refusal);
     };
     const origin = this.#parts.readOrigin(message.rawHeaders);
@@ -271,18 +275,13 @@
       origin,
     };
     const refuseUncarried = (scarce: ScarceResource) => {
-      response.shouldKeepAlive = false;
+      this.#endConnectionWith(response);
       this.#refuseUncarried(call, sink, scarce);
     };
     const carried = new CarriedCall(this.#work);
     const scarce = carried.begin(message.rawHeaders);
     if (scarce !== undefined) return refuseUncarried(scarce);
-    const endCall = () => {
-      this.#callEnds.get(socket)?.delete(endCall);
-      carried.end();
-    };
-    this.#callEnds.get(socket)?.add(endCall);
-    response.on("close", endCall);
+    this.#responses.onceClosed(response, () => carried.end());
     // A short body is read even if the call is refused: its end marks where the next
     // call begins, so that the connection can be reused.
     if (origin.kind === "caller" && mayHaveLongBody(message)) {
@@ -311,6 +310,12 @@
     await this.#parts.handle({ ...call, body }, sink);
   }
 
+  /** Closes a connection after an answer. Calls that arrive behind it are not served. */
+  #endConnectionWith(response: ServerResponse): void {
+    response.shouldKeepAlive = false;
+    this.#lastAnswerSockets.add(response.req.socket);
+  }
+
   #refuseUncarried(
     call: OpaqueCall,
     sink: CallSink,
@@ -356,7 +361,10 @@
   #removeOpenCall(socket: Duplex): void {
     const remaining = this.#countOpenCalls(socket) - 1;
     if (remaining > 0) this.#openCalls.set(socket, remaining);
-    else this.#openCalls.delete(socket);
+    else {
+      this.#openCalls.delete(socket);
+      this.#lastResponses.delete(socket);
+    }
     if (this.#countServedCalls(socket) > 0) return;
     if (this.#closingSockets.delete(socket)) socket.end();
   }
@@ -376,7 +384,7 @@
       this.#closingSockets.add(socket);
     } else {
       // A caller that left within its body keeps neither its place nor its memory.
-      this.#callEnds.get(socket)?.forEach((endCall) => endCall());
+      this.#responses.endAll(socket);
       this.#lastAnswerSockets.add(socket);
       refuseMalformed(error, socket);
     }
@@ -398,6 +406,8 @@
 interface SinkConnection {
   /** Returns whether the connection may end with this answer. */
   readonly mayEndConnection: () => boolean;
+  /** Returns whether the connection ends with this answer, whatever its framing is. */
+  readonly mustEndConnection: () => boolean;
   /** Called when an answer begins that ends with its connection. */
   readonly onEndsConnection: () => void;
   /** Returns whether a connection that is closed was ended or reset from outside. */
@@ -409,6 +419,7 @@
   readonly #response: ServerResponse;
   readonly #connection: SinkConnection;
   readonly #writer: AnswerWriter;
+  readonly #disconnect: AbortController;
   /** Whether the caller takes the normal end of the connection for the end of the answer. */
   #endsWithConnection = false;
 
@@ -417,14 +428,17 @@
     this.#connection = connection;
     this.#writer = new AnswerWriter(response);
     const disconnect = new AbortController();
+    this.#disconnect = disconnect;
     this.signal = disconnect.signal;
-    response.on("close", () => {
-      if (response.writableFinished) return;
-      const by = connection.wasClosedByCaller()
-        ? "the caller"
-        : "this instance";
-      disconnect.abort(`${by} closed the connection`);
-    });
+  }
+
+  /** Aborts the signal if the connection was closed before the whole answer was sent. */
+  handleClose(): void {
+    if (this.#response.writableFinished) return;
+    const by = this.#connection.wasClosedByCaller()
+      ? "the caller"
+      : "this instance";
+    this.#disconnect.abort(`${by} closed the connection`);
   }
 
   /** Whether the head of the answer has been written. */
@@ -435,10 +449,14 @@
   begin(head: AnswerHead): void {
     const { framing, headers, status, statusText } = head;
     const response = this.#response;
-    if (framing === "connection" && this.#connection.mayEndConnection()) {
-      // A last chunk would tell the caller that the answer is complete, which nobody knows.
-      response.useChunkedEncodingByDefault = false;
-      this.#connection.onEndsConnection();
+    const { mayEndConnection, mustEndConnection, onEndsConnection } =
+      this.#connection;
+    const isUnframed = framing === "connection" && mayEndConnection();
+    // A last chunk would tell the caller that the answer is complete, which nobody knows.
+    if (isUnframed) response.useChunkedEncodingByDefault = false;
+    if (isUnframed || mustEndConnection()) {
+      response.shouldKeepAlive = false;
+      onEndsConnection();
     }
     // A flat list preserves the order, the case and the repetition of header names.
     response.writeHead(status, statusText, headers as string[]);
