Rollouts: a version beside the first needs an order, also in the first seconds

Cause: without a record in the store, all versions seen in the first 2 s counted as in force, also one whose servers registered beside those of another.

The new test fails before ("v2" instead of "v1").

Change: the versions of the first read that has servers are in force; one seen beside them counts only where these were ordered, as the entries of the old servers may come back later than those of the new ones.

What remains: an instance that itself starts between the registration and the record, and reads both versions at once, cannot tell them apart.

--- a/rollouts/known_versions.ts
+++ b/rollouts/known_versions.ts
@@ -1,7 +1,7 @@
 import type { BackendId, RegionId, ServerVersion } from "../ids/mod.ts";
 import type { VersionedServer } from "./rollout_types.ts";
 
-/** Time in which the versions that are seen first count as active, in milliseconds. */
+/** Time until the versions that are active without a record can be told, in milliseconds. */
 export const FIRST_VERSIONS_MS = 2_000;
 /**
  * Time for which no server of an active version must be registered before others take
@@ -13,7 +13,10 @@
 export class KnownVersions {
   #servers: readonly VersionedServer[] = [];
   #byId: ReadonlyMap<BackendId, VersionedServer> = new Map();
+  /** Versions of the first read that has servers. */
   readonly #firstVersions = new Set<ServerVersion>();
+  /** Versions that were registered beside these until the versions can be told. */
+  readonly #nextVersions = new Set<ServerVersion>();
   #firstSeenMs: number | undefined;
   #goneSinceMs: number | undefined;
 
@@ -22,19 +25,29 @@
     return this.#servers;
   }
 
-  /** Versions seen in the first seconds; an ordered one may be among them. */
-  get firstVersions(): readonly ServerVersion[] {
-    return [...this.#firstVersions].sort();
+  /**
+   * Returns the versions that are active without a record. One that is registered beside them
+   * needs an order, but the ordered one may have been seen before the others.
+   *
+   * @param ordered Version that an order names; `undefined`: there is none.
+   */
+  listFirst(ordered: ServerVersion | undefined): readonly ServerVersion[] {
+    const first = [...this.#firstVersions].sort();
+    return [first, [...this.#nextVersions].sort()]
+      .map((group) => group.filter((version) => version !== ordered))
+      .find((group) => group.length > 0) ?? first;
   }
 
   /** Replaces the registered servers. */
   replace(servers: readonly VersionedServer[], nowMs: number): void {
     this.#servers = servers;
     this.#byId = new Map(servers.map((server) => [server.id, server]));
-    if (servers.length > 0) this.#firstSeenMs ??= nowMs;
-    if (this.isSettling(nowMs)) {
-      servers.forEach(({ version }) => this.#firstVersions.add(version));
-    }
+    if (servers.length === 0 || !this.isSettling(nowMs)) return;
+    const versions = this.#firstSeenMs === undefined
+      ? this.#firstVersions
+      : this.#nextVersions;
+    this.#firstSeenMs ??= nowMs;
+    servers.forEach(({ version }) => versions.add(version));
   }
 
   /** Returns a registered server. */
--- a/rollouts/rollout_tracker_test.ts
+++ b/rollouts/rollout_tracker_test.ts
@@ -78,6 +78,31 @@
       assert.deepEqual(bed.tracker.createReports("instance"), []);
     });
 
+    // Guards against traffic to a version that registers before the first record is written.
+    it("sends nothing to a version that registers beside the first, also at once", () => {
+      const bed = new TrackerBed();
+      bed.tracker.applyServers(OLD);
+      bed.advance(500);
+      bed.tracker.applyServers(ALL);
+      for (let index = 0; index < 50; index++) {
+        assert.equal(bed.choose(ALL)?.version, V1);
+      }
+      bed.advance(2_000);
+      assert.deepEqual(bed.record?.inForce, [V1]);
+    });
+
+    // Guards against an ordered version that is seen first, as the old servers' entries are away.
+    it("counts the version that registers beside an ordered one as active", () => {
+      const bed = new TrackerBed();
+      bed.tracker.applyServers(NEW);
+      bed.advance(500);
+      bed.tracker.applyServers(ALL);
+      bed.tracker.applyOrder("app", createOrder());
+      assert.equal(bed.choose(ALL)?.version, V1);
+      bed.advance(2_000);
+      assert.deepEqual(bed.record?.inForce, [V1]);
+    });
+
     // Guards against an ordered version that a restarted instance takes for an old one.
     it("does not count an ordered version as active before a record is known", () => {
       const bed = new TrackerBed();
--- a/rollouts/service_rollout.ts
+++ b/rollouts/service_rollout.ts
@@ -93,10 +93,7 @@
   /** Versions whose servers get calls without an order. */
   get inForce(): readonly ServerVersion[] {
     if (this.#record !== undefined) return this.#record.inForce;
-    // Servers of an ordered version may be registered when this instance starts.
-    const first = this.versions.firstVersions;
-    const others = first.filter((each) => each !== this.#order?.destination);
-    return others.length > 0 ? others : first;
+    return this.versions.listFirst(this.#order?.destination);
   }
 
   /** Versions that the running order replaces; those in force if none runs. */
