Retry budgets keep their counts when settings are applied

Cause: FleetRetryBudgets.setBounds forgot the budgets of all services, as new bounds were new budgets. Change: a budget takes new bounds and keeps its counts. With another window, the counts move into a counter of that window, each at its own time.

--- a/clock/sliding_window_counter.ts
+++ b/clock/sliding_window_counter.ts
@@ -26,6 +26,22 @@
     return this.#total;
   }
 
+  /**
+   * Returns a counter with a window of another length and the same events, each at the start
+   * of the bucket in which it was counted. Events that have left the old window are unknown.
+   *
+   * @param windowMs Length of the window in milliseconds.
+   */
+  withWindow(windowMs: number): SlidingWindowCounter {
+    const resized = new SlidingWindowCounter(windowMs);
+    const first = Math.max(0, this.#bucket - BUCKET_COUNT + 1);
+    for (let bucket = first; bucket <= this.#bucket; bucket++) {
+      const count = this.#counts[bucket % BUCKET_COUNT]!;
+      resized.add(bucket * this.#bucketMs, count);
+    }
+    return resized;
+  }
+
   #dropExpired(nowMs: number): void {
     const bucket = Math.floor(nowMs / this.#bucketMs);
     const steps = Math.min(BUCKET_COUNT, bucket - this.#bucket);
--- a/forwarding/call_forwarder.ts
+++ b/forwarding/call_forwarder.ts
@@ -266,7 +266,7 @@
     );
   }
 
-  /** Replaces the bounds on retries. The retries counted so far are forgotten. */
+  /** Replaces the bounds on retries. The retries counted so far remain counted. */
   setRetryBounds(bounds: RetryBounds): void {
     this.#retryBudgets.setBounds(bounds);
   }
--- a/forwarding/fleet_retry_budget.ts
+++ b/forwarding/fleet_retry_budget.ts
@@ -29,9 +29,9 @@
  * the bound.
  */
 export class FleetRetryBudget {
-  readonly #bounds: RetryBounds;
-  readonly #calls: SlidingWindowCounter;
-  readonly #retries: SlidingWindowCounter;
+  #bounds: RetryBounds;
+  #calls: SlidingWindowCounter;
+  #retries: SlidingWindowCounter;
 
   /** @param bounds Bound on the retries of all instances together. */
   constructor(bounds: RetryBounds) {
@@ -40,6 +40,15 @@
     this.#retries = new SlidingWindowCounter(bounds.windowMs);
   }
 
+  /** Replaces the bound. Calls and retries that were counted remain counted. */
+  setBounds(bounds: RetryBounds): void {
+    if (bounds.windowMs !== this.#bounds.windowMs) {
+      this.#calls = this.#calls.withWindow(bounds.windowMs);
+      this.#retries = this.#retries.withWindow(bounds.windowMs);
+    }
+    this.#bounds = bounds;
+  }
+
   /** Records a caller's call. */
   recordCall(nowMs: number): void {
     this.#calls.add(nowMs);
@@ -79,10 +88,10 @@
     this.#bounds = bounds;
   }
 
-  /** Replaces the bounds, and resets the counts of calls and retries. */
+  /** Replaces the bounds. Calls and retries that were counted remain counted. */
   setBounds(bounds: RetryBounds): void {
     this.#bounds = bounds;
-    this.#byService.clear();
+    this.#byService.forEach((budget) => budget.setBounds(bounds));
   }
 
   /** Records a caller's call to a service. */
--- a/forwarding/fleet_retry_budget_test.ts
+++ b/forwarding/fleet_retry_budget_test.ts
@@ -1,7 +1,11 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import fc from "fast-check";
-import { FleetRetryBudget, type RetryPurpose } from "./fleet_retry_budget.ts";
+import {
+  FleetRetryBudget,
+  FleetRetryBudgets,
+  type RetryPurpose,
+} from "./fleet_retry_budget.ts";
 
 const BOUNDS = { ratio: 0.2, slack: 58, windowMs: 10_000 };
 
@@ -68,3 +72,27 @@
     assert.equal(takeAll("retry"), 20);
   });
 });
+
+describe("FleetRetryBudgets", () => {
+  // Each reload of settings let a whole budget of retries through again.
+  [
+    { what: "unchanged bounds", changed: BOUNDS },
+    { what: "another ratio", changed: { ...BOUNDS, ratio: 0.21 } },
+    { what: "a longer window", changed: { ...BOUNDS, windowMs: 12_000 } },
+    { what: "a shorter window", changed: { ...BOUNDS, windowMs: 8_000 } },
+  ].forEach(({ changed, what }) => {
+    it(`keep the counts of retries when settings with ${what} are applied`, () => {
+      const budgets = new FleetRetryBudgets(BOUNDS);
+      const takeAll = (nowMs: number) =>
+        Array.from({ length: 100 }, () => budgets.take("app", nowMs, 1))
+          .filter((isTaken) => isTaken).length;
+      const allowed = takeAll(50_000);
+      assert.ok(allowed > 0);
+      [52_000, 54_000, 56_000].forEach((nowMs) => {
+        budgets.setBounds(changed);
+        assert.equal(takeAll(nowMs), 0);
+      });
+      assert.equal(takeAll(63_000), allowed);
+    });
+  });
+});
