Cold servers: a changed rate of a configuration applies at once

What was seen: a configuration that lowers the rate of calls to cold servers had no effect on servers that were cold already, until an instance came or left. Cause: the share of an instance was kept for as long as the members stayed the same, whatever rate it was computed for. Change: the share is computed again when the rate differs.

--- a/forwarding/warm_up_gate.ts
+++ b/forwarding/warm_up_gate.ts
@@ -35,6 +35,8 @@
 }
 
 interface Share {
+  /** The rate and the version of the members that the share was computed for. */
+  readonly callsPerSecond: number;
   readonly membershipVersion: number;
   /** Interval between own calls, in milliseconds; `undefined` where this instance is no designated sender. */
   readonly intervalMs: number | undefined;
@@ -95,7 +97,9 @@
     const { bounds, fleet } = this.#parts;
     const { membershipVersion, self } = fleet;
     const known = this.#shares.get(server);
-    if (known?.membershipVersion === membershipVersion) return known;
+    const isCurrent = known?.membershipVersion === membershipVersion &&
+      known.callsPerSecond === callsPerSecond;
+    if (isCurrent) return known;
     const intervalMs = computeIntervalMs({
       server,
       callsPerSecond,
@@ -103,7 +107,7 @@
       self: self.id,
       members: fleet.listInstancesSharingLimits(self.region),
     });
-    const share = { membershipVersion, intervalMs };
+    const share = { callsPerSecond, membershipVersion, intervalMs };
     this.#shares.set(server, share);
     return share;
   }
--- a/forwarding/warm_up_gate_test.ts
+++ b/forwarding/warm_up_gate_test.ts
@@ -107,6 +107,20 @@
     assert.equal(gate.isOpen(SERVER, 10, 1_000), true);
   });
 
+  // A lower rate of a new configuration had no effect until an instance came or left.
+  it("computes the share again when a configuration changes the rate", () => {
+    const { gate } = createGate(toMemberId(0), [toMemberId(0)]);
+    gate.record(SERVER, 40, 1_000);
+    const changedMs = 2_000;
+    const arrivals = Array.from({ length: 1_000 }, (_, index) => ({
+      atMs: changedMs + index,
+      instance: 0,
+    }));
+    const sentMs = play([gate], arrivals, 2.4);
+    const bound = BOUNDS.overshoot * 2.4 + BOUNDS.slack;
+    assert.ok(sentMs.length <= bound, `${sentMs.length} calls`);
+  });
+
   it("computes the share again when the members change", () => {
     const { gate, fleet } = createGate(toMemberId(0), [toMemberId(0)]);
     assert.equal(gate.isOpen(SERVER, 2.4, 1_000), true);
