Before its first configuration, an instance does not call calls too large

What callers saw: 413 to a body over 1 MB, and 431 to headers over 16 KB, from an instance that had no configuration yet, though the one to come may allow them. Such calls are never tried again. Cause: the bounds that hold until the first configuration were told as if they were those of a configuration. Change: until then, a call over them is refused with 503, as not run, with the time to retry that calls without a configuration get. The daemons' gateway sets the same bounds as its own once its configuration is loaded.

--- a/adapters/call_listener.ts
+++ b/adapters/call_listener.ts
@@ -19,6 +19,7 @@
   type CallSink,
   measureHeaders,
   NO_CAPACITY_RETRY_MS,
+  NO_CONFIGURATION_RETRY_MS,
   type OpaqueCall,
   type RawHeaders,
   readHeader,
@@ -49,6 +50,12 @@
 const SHORT_BODY_BYTES = 16_384;
 /** Bounds on the sizes of calls that another instance forwards. */
 const UNBOUNDED_SIZES = { maxBodyBytes: Infinity, maxHeaderBytes: Infinity };
+/** Refusal of calls over the initial bounds before the first configuration. */
+const NO_LIMITS: Refusal = {
+  reason: "no-configuration",
+  message: "This instance does not know yet how large calls may be",
+  retryAfterMs: NO_CONFIGURATION_RETRY_MS,
+};
 /** Body of calls that were sent without one. */
 const NO_BODY = Buffer.alloc(0);
 
@@ -112,7 +119,8 @@
   readonly #lastAnswerSockets = new WeakSet<Duplex>();
   /** Answers that are not fully sent yet. */
   readonly #openSinks = new Set<ResponseSink>();
-  #limits: CallerLimits = INITIAL_LIMITS;
+  /** Bounds of the configuration in force; `undefined` before the first one. */
+  #limits: CallerLimits | undefined;
   #isLeaving = false;
   /** Bytes that closed connections received and sent. */
   #closedBytes = 0;
@@ -156,7 +164,7 @@
       (error: NodeJS.ErrnoException, socket) =>
         this.#handleClientError(error, socket),
     );
-    this.setLimits(INITIAL_LIMITS);
+    this.#setTimeouts(INITIAL_LIMITS);
   }
 
   /** Starts to listen, and returns the port number. */
@@ -169,13 +177,7 @@
   /** Sets the bounds on callers; they also apply to open connections. */
   setLimits(limits: CallerLimits): void {
     this.#limits = limits;
-    this.#server.headersTimeout = limits.headerTimeoutMs;
-    this.#server.keepAliveTimeout = limits.idleTimeoutMs;
-    // A caller that stalls within a body is treated like one that is idle between calls.
-    this.#server.requestTimeout = Math.max(
-      limits.idleTimeoutMs,
-      limits.headerTimeoutMs,
-    );
+    this.#setTimeouts(limits);
   }
 
   /**
@@ -213,6 +215,13 @@
     this.#sockets.forEach((_, socket) => socket.destroy());
   }
 
+  #setTimeouts({ headerTimeoutMs, idleTimeoutMs }: CallerLimits): void {
+    this.#server.headersTimeout = headerTimeoutMs;
+    this.#server.keepAliveTimeout = idleTimeoutMs;
+    // A caller that stalls within a body is treated like one that is idle between calls.
+    this.#server.requestTimeout = Math.max(idleTimeoutMs, headerTimeoutMs);
+  }
+
   #createSink(response: ServerResponse): ResponseSink {
     const { socket } = response.req;
     const sink = new ResponseSink(response, {
@@ -251,9 +260,12 @@
     // The instance that forwards a call has checked its size, and adds a header.
     const { maxBodyBytes, maxHeaderBytes } = origin?.kind === "instance"
       ? UNBOUNDED_SIZES
-      : this.#limits;
+      : this.#limits ?? INITIAL_LIMITS;
+    // The first configuration may allow more.
+    const refuseSize = (refusal: Refusal) =>
+      refuse(this.#limits === undefined ? NO_LIMITS : refusal);
     if (measureHeaders(message.rawHeaders) > maxHeaderBytes) {
-      return refuse({
+      return refuseSize({
         reason: "header-too-large",
         message: `The headers are over ${maxHeaderBytes} bytes`,
       });
@@ -297,7 +309,7 @@
     const body = await readBody(message, maxBodyBytes, carried);
     this.#readingSockets.delete(socket);
     if (body === "too-large") {
-      return refuse({
+      return refuseSize({
         reason: "too-large",
         message: `The body is over ${maxBodyBytes} bytes`,
       });
--- a/adapters/call_listener_test.ts
+++ b/adapters/call_listener_test.ts
@@ -3,6 +3,7 @@
 import { createRecordingLogger } from "../tests/recording_logger.ts";
 import { CarriedWork } from "../capacity/mod.ts";
 import type { OpaqueCall } from "../forwarding/mod.ts";
+import { INITIAL_LIMITS } from "../http_routes/mod.ts";
 import { openRawCaller } from "../tests/raw_http.ts";
 import { CallListener, type CallListenerParts } from "./call_listener.ts";
 import { waitUntil } from "../tests/wait_until.ts";
@@ -70,6 +71,28 @@
     });
   });
 
+  // An instance without a configuration told callers that their proper calls were too large.
+  describe("when a call is over the bounds that hold before the first configuration", () => {
+    const large =
+      "POST /a HTTP/1.1\r\nHost: a.example\r\nContent-Length: 2000000\r\n\r\n";
+    const wide = `GET /a HTTP/1.1\r\nHost: a.example\r\nX: ${
+      "x".repeat(20_000)
+    }\r\n\r\n`;
+    [["body", large, 413], ["header", wide, 431]].forEach(
+      ([part, request, status]) => {
+        it(`answers 503 for its ${part}, and ${status} once they are in force`, async () => {
+          const { listener, send } = await start(() => Promise.resolve());
+          const early = await (await send(String(request))).awaitText("error");
+          assert.match(early, /^HTTP\/1\.1 503 /);
+          assert.match(early, /Retry-After: /);
+          listener.setLimits(INITIAL_LIMITS);
+          const late = await (await send(String(request))).awaitText("error");
+          assert.match(late, new RegExp(`^HTTP/1\\.1 ${status} `));
+        });
+      },
+    );
+  });
+
   // Headers beyond the first thousand lines were dropped, also those of the protocol.
   it("passes on all lines of a head", async () => {
     const calls: OpaqueCall[] = [];
--- a/bin/start_http_gateway.ts
+++ b/bin/start_http_gateway.ts
@@ -85,6 +85,11 @@
   // Opened first: if the port in the settings is 0, the operating system chooses one.
   const peerAddress = `${peerHost}:${await peerListener.open()}`;
   const reportSocket = new ReportSocket(peerAddress, logger);
+  const callerListener = createListener(
+    callerHost,
+    callerPort,
+    () => ({ kind: "caller" }),
+  );
   const gateway: HttpGateway = new HttpGateway({
     clock: systemClock,
     random,
@@ -107,14 +112,12 @@
     retryBounds: RETRY_BOUNDS,
     warmUpBounds: WARM_UP_BOUNDS,
     sendReport: (...sent) => reportSocket.send(...sent),
-    applyLimits: () => {},
+    applyLimits: (limits) =>
+      [callerListener, peerListener].forEach((listener) =>
+        listener.setLimits(limits)
+      ),
     applyAddresses: () => {},
   });
-  const callerListener = createListener(
-    callerHost,
-    callerPort,
-    () => ({ kind: "caller" }),
-  );
   const port = await callerListener.open();
   await reportSocket.open((report, from) =>
     gateway.receiveReport(report, from)
--- a/forwarding/call_forwarder.ts
+++ b/forwarding/call_forwarder.ts
@@ -75,7 +75,7 @@
  */
 const MAX_CONFIGURATION_WAIT_MS = 100;
 /** When callers may retry at an instance that has no configuration yet, in milliseconds. */
-const NO_CONFIGURATION_RETRY_MS = 500;
+export const NO_CONFIGURATION_RETRY_MS = 500;
 /** Number of waiting calls that are woken when capacity may be available. */
 const CALLS_WOKEN_AT_ONCE = 2;
 /** Timeout of a call that neither its caller nor its route limits, in milliseconds. */
