A call whose host is lost after it was sent may have run

What callers could see: a call that may run once is sent again, or refused as not run, though a server had it, if a router answers for a lost host with EHOSTUNREACH or ENETUNREACH. Suspected by the review, which had no such router. Cause: these codes, and ECONNREFUSED, counted as failures to connect, also on an open connection. Change: only a failed connect counts as not sent. The pool knows itself whether a call was given to its connection; the other clients go by the failed system call.

--- a/adapters/connection_errors.ts
+++ b/adapters/connection_errors.ts
@@ -1,13 +1,14 @@
 import type { Socket } from "node:net";
 import type { AnswerFraming } from "../forwarding/mod.ts";
 
-/** Codes of errors that occur before any byte of a request is sent. */
-const NOT_SENT_CODES: readonly string[] = [
+/** Codes of errors with which a connection cannot be opened. */
+const CONNECT_CODES: readonly string[] = [
   "ECONNREFUSED",
   "EHOSTUNREACH",
   "ENETUNREACH",
-  "UND_ERR_CONNECT_TIMEOUT",
 ];
+/** Code of undici's error when a connection is not opened in time. */
+const CONNECT_TIMEOUT_CODE = "UND_ERR_CONNECT_TIMEOUT";
 
 /** Codes of errors that occur when the other side closes the connection during a request. */
 const CLOSED_CODES: readonly string[] = [
@@ -27,13 +28,21 @@
 }
 
 /**
- * Returns whether a request failed before any byte of it was sent.
+ * Returns whether a request failed before any byte of it was sent, as no connection was opened.
+ * An open connection fails with the same codes if a router on its way loses the host: what was
+ * sent may have arrived then.
  *
  * @param error Error that an HTTP client threw.
  */
 export function isNotSentError(error: unknown): boolean {
-  const { code } = error as NodeJS.ErrnoException;
-  return code !== undefined && NOT_SENT_CODES.includes(code);
+  // A name with several addresses fails with the errors of all of them.
+  if (error instanceof AggregateError && error.errors.length > 0) {
+    return error.errors.every(isNotSentError);
+  }
+  const { code, syscall } = error as NodeJS.ErrnoException;
+  if (code === CONNECT_TIMEOUT_CODE) return true;
+  return syscall === "connect" && code !== undefined &&
+    CONNECT_CODES.includes(code);
 }
 
 /**
--- a/adapters/connection_pool.ts
+++ b/adapters/connection_pool.ts
@@ -13,7 +13,6 @@
 import {
   findResetError,
   isConnectionClosedError,
-  isNotSentError,
 } from "./connection_errors.ts";
 import { FRAMING_EXCEEDED, FramingLimit } from "./framing_limit.ts";
 import { LineRateLimiter, type Logger } from "../logs/mod.ts";
@@ -399,7 +398,7 @@
   }
 
   #toFailureKind(error: Error): SendFailure["kind"] {
-    if (!this.#isSent || isNotSentError(error)) return "not-sent";
+    if (!this.#isSent) return "not-sent";
     return isConnectionClosedError(error) ? "closed" : "unknown";
   }
 }
