--- a/forwarding/call_forwarder.ts
+++ b/forwarding/call_forwarder.ts
@@ -75,7 +75,7 @@
  */
 const MAX_CONFIGURATION_WAIT_MS = 100;
 /** When callers may retry at an instance that has no configuration yet, in milliseconds. */
-const NO_CONFIGURATION_RETRY_MS = 500;
+export const NO_CONFIGURATION_RETRY_MS = 500;
 /** Number of waiting calls that are woken when capacity may be available. */
 const CALLS_WOKEN_AT_ONCE = 2;
 /** Timeout of a call that neither its caller nor its route limits, in milliseconds. */
@@ -248,7 +248,10 @@
     this.#table = table;
     const { routes, teams } = table.configuration;
     this.#routeUsage.keepOnly(routes);
-    this.#teamLimits.keepOnly(new Set(teams?.teams.map(({ id }) => id)));
+    this.#teamLimits.keepOnly(
+      new Set(teams?.teams.map(({ id }) => id)),
+      this.#parts.clock.nowMs(),
+    );
     this.#waitingCalls.wakeFirst(this.#waitingCalls.length);
   }
 
@@ -266,7 +269,7 @@
     );
   }
 
-  /** Replaces the bounds on retries. The retries counted so far are forgotten. */
+  /** Replaces the bounds on retries. The retries counted so far remain counted. */
   setRetryBounds(bounds: RetryBounds): void {
     this.#retryBudgets.setBounds(bounds);
   }
