Listeners: a connection is closed, and a request refused, only after what has arrived is read

What callers saw: a whole request on a kept connection, well within the idle timeout, ended with a reset, and no line named it. An unsafe call over a hop got 502 after a reset of its hop.

Cause: timers run before bytes that have arrived are read. After a standstill of the process (a stop, a busy event loop, no processor), Node closed idle connections with requests on them, and refused late requests whose rest was there. A shutdown closed idle connections the same way. A raised idle timeout did not apply to connections that were idle already.

Change, in one place for all listeners (callers, hops, small routes, embedded default, TLS): the end of a timer leads to a close or a refusal only after a read that brought nothing, in an iteration of at most 5 ms, since a request can arrive between the read and the close. A late request of which bytes had arrived unread gets a second more, its body the time of bodies. A changed idle timeout applies to idle connections from the change on, both ways, so that none is closed before the earlier of the timeouts that its caller was told. No timer more for each connection.

Weighed and left out: a shorter `Keep-Alive: timeout`, since connections are kept for a second longer than that already; a half-close with a linger, since after it nothing can be answered, and a reset tells the caller that its request was not read; a 408 before each close, since callers would get an answer to no request.

--- a/adapters/call_listener.ts
+++ b/adapters/call_listener.ts
@@ -28,6 +28,7 @@
 import { type CallerLimits, INITIAL_LIMITS } from "../http_routes/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import { AnswerWriter } from "./answer_writer.ts";
+import { ConnectionTimeouts } from "./connection_timeouts.ts";
 import { resetConnection } from "./reset_connection.ts";
 import { startListening } from "./start_listening.ts";
 import { systemClock } from "./system_clock.ts";
@@ -88,6 +89,7 @@
 export class CallListener {
   readonly #parts: CallListenerParts;
   readonly #server: Server;
+  readonly #timeouts: ConnectionTimeouts;
   readonly #work: CarriedWork;
   /**
    * Open connections, with the maximum time for which each can have waited to be
@@ -102,8 +104,8 @@
    * one of its connection is not closed when the connection breaks.
    */
   readonly #callEnds = new Map<Duplex, Set<() => void>>();
-  /** Connections of which the body of the last call is being read. */
-  readonly #readingSockets = new Set<Duplex>();
+  /** Connections of which the body of the last call is being read, with that call. */
+  readonly #readingSockets = new Map<Duplex, IncomingMessage>();
   /** Connections that are closed once their open calls are answered. */
   readonly #closingSockets = new Set<Duplex>();
   /** Connections that failed or were reset from outside. */
@@ -151,11 +153,10 @@
         this.#endFailed(message, sink, error)
       );
     });
-    this.#server.on(
-      "clientError",
-      (error: NodeJS.ErrnoException, socket) =>
-        this.#handleClientError(error, socket),
-    );
+    this.#timeouts = new ConnectionTimeouts(this.#server, {
+      refuse: (error, socket) => this.#handleClientError(error, socket),
+      findUnread: (socket) => this.#readingSockets.get(socket),
+    });
     this.setLimits(INITIAL_LIMITS);
   }
 
@@ -170,7 +171,7 @@
   setLimits(limits: CallerLimits): void {
     this.#limits = limits;
     this.#server.headersTimeout = limits.headerTimeoutMs;
-    this.#server.keepAliveTimeout = limits.idleTimeoutMs;
+    this.#timeouts.setIdleTimeout(limits.idleTimeoutMs, this.#sockets.keys());
     // A caller that stalls within a body is treated like one that is idle between calls.
     this.#server.requestTimeout = Math.max(
       limits.idleTimeoutMs,
@@ -203,7 +204,6 @@
   /** Closes the connections without a call in flight, and accepts no new ones. */
   closeIdle(): void {
     this.#server.close();
-    this.#server.closeIdleConnections();
   }
 
   /** Closes the port and all connections at once; open answers are broken off. */
@@ -293,7 +293,7 @@
       });
       if (refusal !== undefined) return refuse(refusal);
     }
-    this.#readingSockets.add(socket);
+    this.#readingSockets.set(socket, message);
     const body = await readBody(message, maxBodyBytes, carried);
     this.#readingSockets.delete(socket);
     if (body === "too-large") {
--- a/adapters/endpoint_server.ts
+++ b/adapters/endpoint_server.ts
@@ -2,10 +2,13 @@
   createServer,
   type IncomingMessage,
   type ServerResponse,
+  STATUS_CODES,
 } from "node:http";
+import type { Duplex } from "node:stream";
 import findMyWay, { type HTTPMethod } from "find-my-way";
 import { ByteCollector } from "../bytes/mod.ts";
 import type { Logger } from "../logs/mod.ts";
+import { ConnectionTimeouts } from "./connection_timeouts.ts";
 import { startListening } from "./start_listening.ts";
 
 /** Answer of a {@linkcode EndpointRoute}. */
@@ -40,6 +43,8 @@
   readonly host: string;
   readonly port: number;
   readonly routes: readonly EndpointRoute[];
+  /** Time after which an idle connection is closed, in milliseconds. Default: 15,000. */
+  readonly idleTimeoutMs?: number;
   /** Receives the errors of handlers and of the server. */
   readonly logger: Logger;
 }
@@ -51,8 +56,8 @@
   close(): void;
 }
 
-/** Time after which an idle connection is closed, in milliseconds. */
-const IDLE_MS = 15_000;
+/** Time after which an idle connection is closed by default, in milliseconds. */
+const IDLE_TIMEOUT_MS = 15_000;
 /**
  * Maximum size of a body, in bytes. Calls to these routes carry only a few names; a
  * larger body is read as empty.
@@ -78,8 +83,9 @@
   const server = createServer((request, response) =>
     router.lookup(request, response)
   );
-  server.keepAliveTimeout = IDLE_MS;
-  const { host, logger, port } = parts;
+  const { host, idleTimeoutMs = IDLE_TIMEOUT_MS, logger, port } = parts;
+  server.keepAliveTimeout = idleTimeoutMs;
+  new ConnectionTimeouts(server, { refuse: refuseInvalidRequest });
   return {
     port: await startListening(server, { host, port }, logger),
     close: () => {
@@ -156,3 +162,29 @@
   }
   return body.take().toString("utf8");
 }
+
+/** Refuses bytes that are not a valid request, or that arrive too late. */
+function refuseInvalidRequest(
+  error: NodeJS.ErrnoException,
+  socket: Duplex,
+): void {
+  if (socket.writable) {
+    const status = toRefusalStatus(error);
+    const line = `HTTP/1.1 ${status} ${STATUS_CODES[status]}`;
+    socket.write(`${line}\r\nConnection: close\r\n\r\n`);
+  }
+  socket.destroy(error);
+}
+
+function toRefusalStatus({ code }: NodeJS.ErrnoException): number {
+  switch (code) {
+    case "HPE_HEADER_OVERFLOW":
+      return 431;
+    case "HPE_CHUNK_EXTENSIONS_OVERFLOW":
+      return 413;
+    case "ERR_HTTP_REQUEST_TIMEOUT":
+      return 408;
+    default:
+      return 400;
+  }
+}
--- a/adapters/http_listener.ts
+++ b/adapters/http_listener.ts
@@ -15,6 +15,7 @@
 import { CarriedCall, CarriedWork } from "../capacity/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import { AnswerWriter } from "./answer_writer.ts";
+import { ConnectionTimeouts } from "./connection_timeouts.ts";
 import { startListening } from "./start_listening.ts";
 import { ACCEPT_BACKLOG, DisconnectDetector } from "./disconnect_detector.ts";
 import { systemClock } from "./system_clock.ts";
@@ -118,7 +119,7 @@
     : createTlsServer({ ...options, ...parts.tls }, onRequest);
   // By default, Node drops the lines beyond the first thousand.
   server.maxHeadersCount = 0;
-  server.on("clientError", refuseInvalidRequest);
+  new ConnectionTimeouts(server, { refuse: refuseInvalidRequest });
   const at = parts.address.lastIndexOf(":");
   const host = parts.address.slice(0, at).replace(/^\[|\]$/g, "");
   const port = await startListening(server, {
@@ -135,7 +136,6 @@
       const closed = new Promise<void>((resolve) =>
         server.close(() => resolve())
       );
-      server.closeIdleConnections();
       // Connections that are still open have an answer in progress: they get a bounded
       // time to complete it.
       const closing = new AbortController();
--- a/tests/platform_processes_test.ts
+++ b/tests/platform_processes_test.ts
@@ -2,6 +2,7 @@
 import { dirname } from "node:path";
 import { rmSync } from "node:fs";
 import { after, afterEach, describe, it } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
 import { systemClock } from "../adapters/system_clock.ts";
 import { buildProgram } from "../standin/build_program.ts";
 import { toLoopbackAddress } from "../standin/loopback_address.ts";
@@ -17,8 +18,9 @@
   TEST_HOST,
 } from "./http_gateway_fixture.ts";
 import { createServerDocument } from "./document_fixture.ts";
-import { openRawCaller, startRawServer } from "./raw_http.ts";
+import { openRawCaller, type RawCaller, startRawServer } from "./raw_http.ts";
 
+const CHANGE = createRequest("/a/x", { method: "POST", body: "change" });
 const PROGRAM = buildProgram();
 const CLEAN_UPS: (() => void)[] = [];
 afterEach(() => CLEAN_UPS.splice(0).forEach((cleanUp) => cleanUp()));
@@ -29,13 +31,14 @@
   host: string,
   seedHost: string,
   storeAddress: string,
+  region = "north",
 ): PlatformProcess {
   const instance = new PlatformProcess({
     program: PROGRAM,
     name,
     host,
-    region: "north",
-    regions: ["north"],
+    region,
+    regions: ["north", "south"],
     seedHosts: [seedHost],
     storeAddress,
     graceS: 8,
@@ -62,7 +65,10 @@
   return [...await instance.listEntries(TEST_HOST) ?? []].sort();
 }
 
-async function startPlatform(answer: Parameters<typeof startRawServer>[0]) {
+async function startPlatform(
+  answer: Parameters<typeof startRawServer>[0],
+  { idleTimeoutMs = 15_000, zone = "north-a" } = {},
+) {
   const server = await startRawServer(answer);
   const store = new MemoryStore(systemClock);
   const standin = await startStoreStandin(store);
@@ -75,26 +81,29 @@
       expectedRevision: known?.revision ?? 0,
     });
   };
-  await put("servers/s1", createServerDocument({ address: server.address }));
-  await put("op/config", {
-    version: 1,
-    routes: [{
-      name: "r",
-      host: TEST_HOST,
-      prefix: "/a/",
-      kind: "unsafe",
-      timeoutMs: 5_000,
-      service: "app",
-    }],
-    services: [{ name: "app" }],
-    limits: {
-      maxHeaderBytes: 16_384,
-      maxBodyBytes: 100_000,
-      headerTimeoutMs: 3_000,
-      idleTimeoutMs: 15_000,
-    },
-  });
-  return { store, standin, server };
+  const { address } = server;
+  await put("servers/s1", createServerDocument({ address, zone, slots: 64 }));
+  const configure = (version: number, idleTimeoutMs: number) =>
+    put("op/config", {
+      version,
+      routes: [{
+        name: "r",
+        host: TEST_HOST,
+        prefix: "/a/",
+        kind: "unsafe",
+        timeoutMs: 5_000,
+        service: "app",
+      }],
+      services: [{ name: "app", maxConnections: 200 }],
+      limits: {
+        maxHeaderBytes: 16_384,
+        maxBodyBytes: 100_000,
+        headerTimeoutMs: 3_000,
+        idleTimeoutMs,
+      },
+    });
+  await configure(1, idleTimeoutMs);
+  return { store, standin, server, configure };
 }
 
 describe("two instances in processes of their own", () => {
@@ -116,9 +125,7 @@
     );
     const caller = await openRawCaller(PLATFORM_PORTS.callers, second.host);
     CLEAN_UPS.push(() => caller.socket.destroy());
-    caller.socket.write(
-      createRequest("/a/x", { method: "POST", body: "change" }),
-    );
+    caller.socket.write(CHANGE);
     await awaitCondition(() =>
       Promise.resolve(String(finish).includes("write"))
     );
@@ -150,3 +157,131 @@
     assert.match(await caller.awaitText("served"), /^HTTP\/1\.1 200 OK/);
   });
 });
+
+/** Idle timeout of the instances that stand still, in milliseconds. */
+const IDLE_TIMEOUT_MS = 1_000;
+/** Rest of a connection before its instance stands still, in milliseconds. */
+const REST_MS = 300;
+/** Time for which an instance stands still, in milliseconds: longer than its timers of idle connections. */
+const STANDSTILL_MS = 2_300;
+/** Number of callers, each with a connection that it keeps. */
+const CALLERS = 20;
+
+async function openKeptCallers(host: string): Promise<readonly RawCaller[]> {
+  const callers = await Promise.all(
+    Array.from(
+      { length: CALLERS },
+      () => openRawCaller(PLATFORM_PORTS.callers, host),
+    ),
+  );
+  callers.forEach(({ socket }) => {
+    CLEAN_UPS.push(() => socket.destroy());
+    socket.write(CHANGE);
+  });
+  await Promise.all(callers.map((caller) => caller.awaitText("served")));
+  return callers;
+}
+
+/** Stops a process, sends a request on each connection, and continues it later; returns what each caller received. */
+async function sendBesideStandstill(
+  instance: PlatformProcess,
+  callers: readonly RawCaller[],
+  disturb: () => unknown,
+): Promise<readonly string[]> {
+  await sleep(REST_MS);
+  instance.signal("SIGSTOP");
+  callers.forEach(({ socket }) => socket.write(CHANGE));
+  await disturb();
+  await sleep(STANDSTILL_MS);
+  instance.signal("SIGCONT");
+  return await Promise.all(
+    callers.map((caller) =>
+      caller.awaitText(/served[^]*(served|HTTP\/1.1 503)/)
+    ),
+  );
+}
+
+function countServed(received: readonly string[]): number {
+  return received.filter((text) => text.match(/served/g)?.length === 2).length;
+}
+
+describe("requests on kept connections to an instance that stands still", () => {
+  const startOne = async (idleTimeoutMs: number) => {
+    const platform = await startPlatform(
+      (_, socket) => socket.write(createAnswer("c1", "served")),
+      { idleTimeoutMs },
+    );
+    const host = toLoopbackAddress(6);
+    const instance = startInstance("a", host, host, platform.standin.address);
+    await awaitReady(instance);
+    return { ...platform, instance };
+  };
+
+  // [what happens meanwhile, idle timeout before, what is done]
+  const DISTURBANCES = [
+    ["nothing else happens", IDLE_TIMEOUT_MS, () => {}],
+    [
+      "a longer idle timeout",
+      IDLE_TIMEOUT_MS,
+      ({ configure }) => configure(2, 15_000),
+    ],
+    [
+      "a shorter idle timeout",
+      2 * IDLE_TIMEOUT_MS,
+      ({ configure }) => configure(2, IDLE_TIMEOUT_MS),
+    ],
+    ["SIGHUP", IDLE_TIMEOUT_MS, ({ instance }) => instance.signal("SIGHUP")],
+  ] as const satisfies readonly (readonly [
+    string,
+    number,
+    (started: Awaited<ReturnType<typeof startOne>>) => unknown,
+  ])[];
+  DISTURBANCES.forEach(([name, idleTimeoutMs, disturb]) =>
+    it(`are all served (${name})`, async () => {
+      const started = await startOne(idleTimeoutMs);
+      const { instance } = started;
+      const callers = await openKeptCallers(instance.host);
+      const received = await sendBesideStandstill(
+        instance,
+        callers,
+        () => disturb(started),
+      );
+      assert.equal(countServed(received), CALLERS);
+    })
+  );
+
+  it("are all served or refused (SIGTERM)", async () => {
+    const { instance } = await startOne(IDLE_TIMEOUT_MS);
+    const callers = await openKeptCallers(instance.host);
+    const received = await sendBesideStandstill(
+      instance,
+      callers,
+      () => instance.signal("SIGTERM"),
+    );
+    const refused = received.filter((text) => /HTTP\/1.1 503/.test(text));
+    assert.equal(countServed(received) + refused.length, CALLERS);
+    assert.equal(await instance.awaitExit(), 0);
+  });
+
+  it("are all served (behind an instance of another region)", async () => {
+    const { standin } = await startPlatform(
+      (_, socket) => socket.write(createAnswer("c1", "served")),
+      { idleTimeoutMs: IDLE_TIMEOUT_MS, zone: "south-a" },
+    );
+    const hosts = [toLoopbackAddress(7), toLoopbackAddress(8)] as const;
+    const [seed] = hosts;
+    const near = startInstance("a", hosts[0], seed, standin.address);
+    const far = startInstance("b", hosts[1], seed, standin.address, "south");
+    await Promise.all([awaitReady(near), awaitReady(far)]);
+    await awaitCondition(async () => {
+      const caller = await openRawCaller(PLATFORM_PORTS.callers, near.host);
+      caller.socket.write(CHANGE);
+      const answer = await caller.awaitText(/served|HTTP\/1.1 [45]/);
+      caller.socket.destroy();
+      return answer.includes("served");
+    });
+    const callers = await openKeptCallers(near.host);
+    const received = await sendBesideStandstill(far, callers, () => {});
+    assert.equal(countServed(received), CALLERS);
+  });
+});
