Embedded default: a body that has arrived is not refused as late after a standstill

What callers saw: 408 for a request whose body had arrived while the process stood still.

Cause: the timer of the body ran before the body was read. It waits for a read now, as other timers on peers do. The test failed before (408 instead of 200) and passes now.

--- a/adapters/connection_timeouts_test.ts
+++ b/adapters/connection_timeouts_test.ts
@@ -184,6 +184,15 @@
     })
   );
 
+  it("serves a request whose body arrived meanwhile (the embedded default)", async () => {
+    const caller = await openKept((await startEmbedded(false)).port);
+    caller.socket.write(POST_HEAD);
+    await waitInPart();
+    caller.socket.write("body");
+    blockEventLoop(STANDSTILL_MS);
+    await assertAnswered(caller);
+  });
+
   it("refuses a late request whose rest does not arrive, though a part of it did", async () => {
     const caller = await openKept((await startCallListener()).port);
     caller.socket.write(REQUEST.slice(0, 20));
--- a/adapters/http_listener.ts
+++ b/adapters/http_listener.ts
@@ -10,7 +10,7 @@
 import type { Server } from "node:http";
 import { setMaxListeners } from "node:events";
 import { err, ok, type Result } from "neverthrow";
-import { scheduleEvery } from "../clock/mod.ts";
+import { scheduleAfterReading, scheduleEvery } from "../clock/mod.ts";
 import { ByteCollector } from "../bytes/mod.ts";
 import { CarriedCall, CarriedWork } from "../capacity/mod.ts";
 import type { Logger } from "../logs/mod.ts";
@@ -335,10 +335,12 @@
   const body = new ByteCollector();
   let isLate = false;
   const read = new AbortController();
-  systemClock.schedule(limits.bodyTimeoutMs, () => {
+  const refuseLate = () => {
     isLate = true;
     message.emit("late");
-  }, read.signal);
+  };
+  const { bodyTimeoutMs } = limits;
+  scheduleAfterReading(systemClock, bodyTimeoutMs, refuseLate, read.signal);
   try {
     return await new Promise((resolve) => {
       const refuse = (failure: Failure) => {
