Connection pool: no call on a connection that was idle for longer than its server told

What callers saw: a call that is sent once can get 502 after a reset, if the connection to its server or to another instance was closed for rest at that moment.

Cause: the client ends idle connections by timers that count their own calls, each half a second, not the time that has passed. After a standstill of this process of 2.5 s, a connection that its server had promised for 2 s was used again. The pool compares the time now.

The test failed before (one connection instead of two) and passes now.

--- a/adapters/connection_pool.ts
+++ b/adapters/connection_pool.ts
@@ -4,7 +4,9 @@
 import {
   type ActiveSend,
   type AnswerFraming,
+  type RawHeaders,
   readAnswerFraming,
+  readHeader,
   type SendEvents,
   type SendFailure,
   type SendRequest,
@@ -58,6 +60,8 @@
    * `undefined` before the first one.
    */
   answeredMs: number | undefined;
+  /** Time for which it may be idle after its last answer, in milliseconds. */
+  idleTimeoutMs: number;
 }
 
 /** Options of a {@linkcode ConnectionPool}. */
@@ -167,9 +171,9 @@
       });
       return { resume: () => {}, abort: () => {} };
     }
-    const connection = this.#free.pop() ?? this.#open();
-    this.busyCount++;
     const startMs = systemClock.nowMs();
+    const connection = this.#takeFree(startMs) ?? this.#open();
+    this.busyCount++;
     const wasKept = connection.answeredMs !== undefined;
     const send = new Send(connection, events, (isReusable) => {
       this.busyCount--;
@@ -190,6 +194,20 @@
     this.#free.splice(0).forEach(destroyQuietly);
   }
 
+  /**
+   * Returns the free connection that was used last, unless its server may close it now. The
+   * client's own timer of idle connections runs late after a standstill of this process.
+   */
+  #takeFree(nowMs: number): Connection | undefined {
+    while (this.#free.length > 0) {
+      const connection = this.#free.pop()!;
+      const idleMs = nowMs - (connection.answeredMs ?? nowMs);
+      if (idleMs <= connection.idleTimeoutMs) return connection;
+      destroyQuietly(connection);
+    }
+    return undefined;
+  }
+
   /** Closes the idle connections that received nothing since a time: they may be silent too. */
   #closeSilent(sinceMs: number): void {
     const isSilent = ({ answeredMs }: Connection) =>
@@ -209,6 +227,7 @@
       socket: undefined,
       framingLimit: undefined,
       answeredMs: undefined,
+      idleTimeoutMs: IDLE_TIMEOUT_MS,
       client: new Client(`http://${this.#address}`, {
         pipelining: 1,
         keepAliveTimeout: IDLE_TIMEOUT_MS,
@@ -345,6 +364,7 @@
     if (status < 200 || this.#isDone) return true;
     this.#resume = resume;
     const headers = rawHeaders.map((text) => text.toString("latin1"));
+    this.#connection.idleTimeoutMs = readIdleTimeoutMs(headers);
     this.#framing = readAnswerFraming(this.#method, { status, headers });
     this.#events.onHead({
       status,
@@ -404,6 +424,14 @@
   }
 }
 
+/** Returns for how long a connection may be idle after an answer, in milliseconds. */
+function readIdleTimeoutMs(headers: RawHeaders): number {
+  const told = readHeader(headers, "keep-alive");
+  const timeoutS = /timeout=(\d+)/i.exec(told ?? "")?.[1];
+  if (timeoutS === undefined) return IDLE_TIMEOUT_MS;
+  return 1_000 * Number(timeoutS) - IDLE_MARGIN_MS;
+}
+
 /**
  * Returns a status text, or an empty one if Node does not write its characters. A status
  * text has no meaning, while an answer that cannot be written is lost.
--- a/adapters/connection_pool_test.ts
+++ b/adapters/connection_pool_test.ts
@@ -2,6 +2,7 @@
 import { readFileSync } from "node:fs";
 import type { Socket } from "node:net";
 import { describe, it } from "node:test";
+import { blockEventLoop } from "../tests/block_event_loop.ts";
 import { startRawServer } from "../tests/raw_http.ts";
 import { createRecordingLogger } from "../tests/recording_logger.ts";
 import { waitUntil } from "../tests/wait_until.ts";
@@ -77,6 +78,22 @@
 }
 
 describe("ConnectionPool", () => {
+  // The client's timers count their calls, not the time that has passed.
+  it("uses no connection that was idle for longer than its server told, after a standstill", async () => {
+    const told = ANSWER.replace("\r\n", "\r\nKeep-Alive: timeout=2\r\n");
+    const server = await startRawServer((_, socket) => socket.write(told));
+    const pool = new ConnectionPool();
+    await send(pool, server.address).ended;
+    await send(pool, server.address).ended;
+    assert.equal(server.sockets.length, 1);
+    blockEventLoop(2_500);
+    await wait(1);
+    await send(pool, server.address).ended;
+    pool.close();
+    server.close();
+    assert.equal(server.sockets.length, 2);
+  });
+
   describe("when a send fails", () => {
     it("reports `closed` only if the server closed the connection", async () => {
       const half = ANSWER.slice(0, -1);
