--- a/adapters/call_listener.ts
+++ b/adapters/call_listener.ts
@@ -29,6 +29,7 @@
 import { type CallerLimits, INITIAL_LIMITS } from "../http_routes/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import { AnswerWriter } from "./answer_writer.ts";
+import { ConnectionTimeouts } from "./connection_timeouts.ts";
 import { OpenResponses } from "./open_responses.ts";
 import { resetConnection } from "./reset_connection.ts";
 import { startListening } from "./start_listening.ts";
@@ -96,6 +97,7 @@
 export class CallListener {
   readonly #parts: CallListenerParts;
   readonly #server: Server;
+  readonly #timeouts: ConnectionTimeouts;
   readonly #work: CarriedWork;
   /**
    * Open connections, with the maximum time for which each can have waited to be
@@ -155,11 +157,10 @@
         this.#endFailed(message, sink, error)
       );
     });
-    this.#server.on(
-      "clientError",
-      (error: NodeJS.ErrnoException, socket) =>
-        this.#handleClientError(error, socket),
-    );
+    this.#timeouts = new ConnectionTimeouts(this.#server, {
+      refuse: (error, socket) => this.#handleClientError(error, socket),
+      findUnread: (socket) => this.#readingMessages.get(socket),
+    });
     this.#setTimeouts(INITIAL_LIMITS);
   }
 
@@ -204,7 +205,6 @@
   /** Closes the connections without a call in flight, and accepts no new ones. */
   closeIdle(): void {
     this.#server.close();
-    this.#server.closeIdleConnections();
   }
 
   /** Closes the port and all connections at once; open answers are broken off. */
@@ -216,7 +216,7 @@
 
   #setTimeouts({ headerTimeoutMs, idleTimeoutMs }: CallerLimits): void {
     this.#server.headersTimeout = headerTimeoutMs;
-    this.#server.keepAliveTimeout = idleTimeoutMs;
+    this.#timeouts.setIdleTimeout(idleTimeoutMs, this.#sockets.keys());
     // A caller that stalls within a body is treated like one that is idle between calls.
     this.#server.requestTimeout = Math.max(idleTimeoutMs, headerTimeoutMs);
   }
--- a/adapters/http_listener.ts
+++ b/adapters/http_listener.ts
@@ -11,11 +11,12 @@
 import { setMaxListeners } from "node:events";
 import type { Duplex } from "node:stream";
 import { err, ok, type Result } from "neverthrow";
-import { scheduleEvery } from "../clock/mod.ts";
+import { scheduleAfterReading, scheduleEvery } from "../clock/mod.ts";
 import { ByteCollector } from "../bytes/mod.ts";
 import { CarriedCall, CarriedWork } from "../capacity/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import { AnswerWriter } from "./answer_writer.ts";
+import { ConnectionTimeouts } from "./connection_timeouts.ts";
 import { OpenResponses } from "./open_responses.ts";
 import { startListening } from "./start_listening.ts";
 import { ACCEPT_BACKLOG, DisconnectDetector } from "./disconnect_detector.ts";
@@ -122,10 +123,9 @@
     : createTlsServer({ ...options, ...parts.tls }, onRequest);
   // By default, Node drops the lines beyond the first thousand.
   server.maxHeadersCount = 0;
-  server.on(
-    "clientError",
-    (error: NodeJS.ErrnoException, socket) => requests.refuse(error, socket),
-  );
+  new ConnectionTimeouts(server, {
+    refuse: (error, socket) => requests.refuse(error, socket),
+  });
   const at = parts.address.lastIndexOf(":");
   const host = parts.address.slice(0, at).replace(/^\[|\]$/g, "");
   const port = await startListening(server, {
@@ -142,7 +142,6 @@
       const closed = new Promise<void>((resolve) =>
         server.close(() => resolve())
       );
-      server.closeIdleConnections();
       // Connections that are still open have an answer in progress: they get a bounded
       // time to complete it.
       const closing = new AbortController();
@@ -378,10 +377,12 @@
   const body = new ByteCollector();
   let isLate = false;
   const read = new AbortController();
-  systemClock.schedule(limits.bodyTimeoutMs, () => {
+  const refuseLate = () => {
     isLate = true;
     message.emit("late");
-  }, read.signal);
+  };
+  const { bodyTimeoutMs } = limits;
+  scheduleAfterReading(systemClock, bodyTimeoutMs, refuseLate, read.signal);
   try {
     return await new Promise((resolve) => {
       const refuse = (failure: Failure) => {
