Handover: a remote engine that a call was withdrawn from gets it again

What callers saw: a safe call or a resumable stream got 502 or 504 although a second server would have answered it: its first server stood still, the handover over a hop was withdrawn after 300 ms, and then the first server refused the call, broke it off or was lost.

Cause: of a send that was withdrawn over a hop, the first instance does not know the server; it counted as an attempt at a further one, and with two attempts none was left.

The call has no more servers than before. An instance that has forgotten the call refuses it; one of an earlier version does not know the field, and may use a further server.

Evidence: tests/handover_signs_test.ts, "gives the call to the same engine again once the first server ...", 3 forms: 502, 502 and 504 before, 200 now, both sends at the same one of two remote engines.

--- a/forwarding/call_forwarder.ts
+++ b/forwarding/call_forwarder.ts
@@ -40,6 +40,7 @@
 import { ServerChooser } from "./choose_server.ts";
 import { CrashConfirmer } from "./crash_confirmer.ts";
 import { type Exchange, hasOtherDestination } from "./exchange.ts";
+import type { Hop } from "./hop_headers.ts";
 import { InstanceSender } from "./instance_sender.ts";
 import { LearnedServers } from "./learned_servers.ts";
 import { LinkProber, type ProbeServer } from "./link_prober.ts";
@@ -62,6 +63,7 @@
 import { CapacityQueue } from "./capacity_queue.ts";
 import { describeTeamChanges } from "../teams/mod.ts";
 import type { WarmUpBounds } from "./warm_up_gate.ts";
+import { WithdrawnCalls } from "./withdrawn_calls.ts";
 
 /**
  * Fraction of its latency objective for which a call waits for capacity before it is
@@ -132,6 +134,7 @@
   readonly #reachability: ServerReachability;
   readonly #linkProber: LinkProber;
   readonly #versions: ServerVersions;
+  readonly #withdrawnCalls = new WithdrawnCalls();
   #table: RouteTable | undefined;
   #inFlight = 0;
 
@@ -476,12 +479,37 @@
     const exchange = this.#createExchange(routed, deadlineMs, callAbort.signal);
     const endServing = this.#quarantineGuard.begin(exchange, giveUp);
     await this.#forward(exchange);
+    this.#recordIfWithdrawn(exchange);
     endServing();
     timer.cancel();
     sink.signal.removeEventListener("abort", giveUp);
     return exchange.mayHaveRun || exchange.progress.hasBegun;
   }
 
+  /** Remembers the servers of a call that another instance handed over to this one and withdrew. */
+  #recordIfWithdrawn(
+    { call: { origin }, facts, isSecondSend, sentTo, sink }: Exchange,
+  ): void {
+    const isWithdrawn = isSecondSend && sink.signal.aborted;
+    if (!isWithdrawn || origin.kind !== "instance") return;
+    const key = toWithdrawnKey(origin.hop, facts);
+    this.#withdrawnCalls.record(key, sentTo, this.#parts.clock.nowMs());
+  }
+
+  /** Returns the only servers that a forwarded call may be sent to, or `undefined` for any. */
+  #findOnlyServers(
+    hop: Hop | undefined,
+    facts: CallFacts,
+  ): ReadonlySet<BackendId> | undefined {
+    if (hop?.isAgain !== true) return undefined;
+    const servers = this.#withdrawnCalls.find(
+      toWithdrawnKey(hop, facts),
+      this.#parts.clock.nowMs(),
+    );
+    // Without a known server, any other one would be one too many.
+    return servers?.length === 0 ? undefined : new Set(servers);
+  }
+
   #createExchange(
     routed: RoutedCall,
     deadlineMs: number,
@@ -507,8 +535,9 @@
       },
       tried: new Set(hop?.tried),
       withdrawn: new Set(),
-      withdrawnRegions: new Set(),
-      onlyServers: undefined,
+      withdrawnInstances: new Map(),
+      onlyServers: this.#findOnlyServers(hop, facts),
+      onlyInstances: undefined,
       unreached: new Set(),
       waitOrder: this.#waitingCalls.takeOrder(),
       // Only the instance that the caller reached retries calls.
@@ -609,6 +638,11 @@
   return { model, parts: parts.slice(0, -1).map(({ id }) => id) };
 }
 
+/** Returns what identifies a call that an instance has sent to this one. */
+function toWithdrawnKey({ from }: Hop, { callId }: CallFacts): string {
+  return `${from} ${callId}`;
+}
+
 /** Returns how long a call may still wait for capacity, in milliseconds. */
 function computeMaxWaitMs(exchange: Exchange, nowMs: number): number {
   if (hasOtherDestination(exchange)) return 0;
--- a/forwarding/choose_destination.ts
+++ b/forwarding/choose_destination.ts
@@ -252,7 +252,9 @@
     { createFilter, ...choice }: RemoteChoice,
   ): RemoteDestination | undefined {
     const { fleet, random, servers } = this.#parts;
-    const needs = toNeeds(exchange);
+    const { onlyInstances } = exchange;
+    // Only a remote instance knows which of its servers had the call that was withdrawn from it.
+    const needs = { ...toNeeds(exchange), only: undefined };
     const options = regions.flatMap((region) => {
       const candidate = servers.choose(needs, region, nowMs, {
         among: "all",
@@ -263,7 +265,10 @@
       });
       if (candidate === undefined) return [];
       const members = fleet.listResponsive(region, nowMs)
-        .filter((member) => mayReachServers(exchange, member));
+        .filter((member) =>
+          mayReachServers(exchange, member) &&
+          (onlyInstances?.has(member.id) ?? true)
+        );
       const member = pickByCapacity(members, random);
       if (member === undefined) return [];
       return [{ kind: "remote", member, region, candidate } as const];
--- a/forwarding/exchange.ts
+++ b/forwarding/exchange.ts
@@ -27,15 +27,20 @@
   readonly progress: StreamProgress;
   /** Servers that had the call before, also those that other instances sent it to. */
   readonly tried: Set<BackendId>;
-  /** Regions from which the call was withdrawn before they answered, while another destination has it. */
-  readonly withdrawnRegions: Set<RegionId>;
+  /**
+   * Remote instances from which the call was withdrawn before they answered, with their regions.
+   * Each may get it again for the servers that it sent it to, which is no further attempt.
+   */
+  readonly withdrawnInstances: Map<InstanceId, RegionId>;
   /**
    * Servers of this region from which the call was withdrawn before they answered. They may
    * get it again, which is no attempt at a further server.
    */
   readonly withdrawn: Set<BackendId>;
-  /** The only servers that may still get the call. Default: any. */
+  /** The only servers that this instance may still send the call to. Default: any. */
   onlyServers: ReadonlySet<BackendId> | undefined;
+  /** The only remote instances that may still get the call. Default: any. */
+  onlyInstances: ReadonlySet<InstanceId> | undefined;
   /** Servers that this instance could not send the call to; another instance may reach them. */
   readonly unreached: Set<BackendId>;
   /** Order in the queue of waiting calls, kept over several waits. */
@@ -116,8 +121,8 @@
 }
 
 /**
- * Lets the servers from which a call was withdrawn get it again. Where its attempts are used
- * up, one of them replaces an attempt, and no other server may get the call.
+ * Lets the servers and remote instances from which a call was withdrawn get it again. Where
+ * its attempts are used up, one of them replaces an attempt, and no other one may get the call.
  *
  * @param exchange The call.
  * @param neededAttempts Attempts that the next send needs.
@@ -126,16 +131,17 @@
   exchange: Exchange,
   neededAttempts: number,
 ): void {
-  const { avoidedRegions, tried, withdrawn, withdrawnRegions } = exchange;
-  withdrawnRegions.forEach((region) => avoidedRegions.delete(region));
-  withdrawnRegions.clear();
-  if (withdrawn.size === 0) return;
+  const { avoidedRegions, tried, withdrawn, withdrawnInstances } = exchange;
+  if (withdrawn.size + withdrawnInstances.size === 0) return;
   withdrawn.forEach((server) => tried.delete(server));
+  withdrawnInstances.forEach((region) => avoidedRegions.delete(region));
   if (exchange.attemptsLeft < neededAttempts) {
     exchange.attemptsLeft++;
     exchange.onlyServers = new Set(withdrawn);
+    exchange.onlyInstances = new Set(withdrawnInstances.keys());
   }
   withdrawn.clear();
+  withdrawnInstances.clear();
 }
 
 /** Begins a handover, and reserves one attempt for the destination that has the call. */
--- a/forwarding/hop_headers.ts
+++ b/forwarding/hop_headers.ts
@@ -42,6 +42,11 @@
   readonly isRepeat: boolean;
   /** Whether another destination has the call meanwhile, so that it must not wait for capacity. */
   readonly isHandover: boolean;
+  /**
+   * Whether the call was withdrawn from the second instance before, and has no attempt left: only
+   * the servers that it was sent to then may get it.
+   */
+  readonly isAgain: boolean;
   /** Version that began the stream to resume; `undefined` if none did, or it has no effect. */
   readonly version: ServerVersion | undefined;
   /** Team and key of the caller as identified by the first instance; `undefined` if it identified none. */
@@ -96,6 +101,7 @@
   if (hop.isTrial) fields.set("trial", "1");
   if (hop.isRepeat) fields.set("repeat", "1");
   if (hop.isHandover) fields.set("handover", "1");
+  if (hop.isAgain) fields.set("again", "1");
   if (hop.version !== undefined) fields.set("begunBy", hop.version);
   if (hop.caller !== undefined) writeCaller(fields, hop.caller);
   return [HOP_HEADER, fields.toString()];
@@ -122,6 +128,7 @@
     isTrial: fields.get("trial") === "1",
     isRepeat: fields.get("repeat") === "1",
     isHandover: fields.get("handover") === "1",
+    isAgain: fields.get("again") === "1",
     version: parseVersion(fields.get("begunBy")),
     caller: readCaller(fields),
   };
--- a/forwarding/instance_sender.ts
+++ b/forwarding/instance_sender.ts
@@ -91,6 +91,7 @@
             isTrial: exchange.isTrial,
             isRepeat,
             isHandover: exchange.isHandingOver,
+            isAgain: exchange.onlyInstances !== undefined,
             version: progress.version,
             caller: exchange.access.caller,
           }),
--- a/forwarding/settle_attempt.ts
+++ b/forwarding/settle_attempt.ts
@@ -114,8 +114,9 @@
     if (destination.kind === "local") {
       exchange.withdrawn.add(destination.candidate.server.entry.id);
     } else {
-      exchange.withdrawnRegions.add(destination.region);
-      exchange.avoidedRegions.add(destination.region);
+      const { member, region } = destination;
+      exchange.withdrawnInstances.set(member.id, region);
+      exchange.avoidedRegions.add(region);
     }
   }
   settleAttempt(exchange, destination, outcome);
--- a/spec/key_spec.ts
+++ b/spec/key_spec.ts
@@ -183,6 +183,7 @@
         isTrial: false,
         isRepeat: false,
         isHandover: false,
+        isAgain: false,
         version: undefined,
         configurationVersion: omitsVersion ? 0 : sentVersion,
         caller,
--- a/tests/handover_signs_test.ts
+++ b/tests/handover_signs_test.ts
@@ -58,6 +58,22 @@
   return gateway;
 }
 
+/** Starts an instance in each region. */
+async function startBoth(
+  servers: readonly ServerFixture[],
+  maxAttempts: number,
+) {
+  const far = await startGateway({
+    ...toParts(servers, maxAttempts),
+    host: FAR_HOST,
+    region: "south",
+  });
+  CLEAN_UPS.push(() => far.close());
+  const near = await startNear(servers, maxAttempts);
+  near.gateway.receiveReport(createFarReport(far.peerPort), FAR_HOST);
+  return { far, near };
+}
+
 async function startServers(handlers: readonly RequestHandler[]) {
   const servers = await Promise.all(handlers.map(startRawServer));
   CLEAN_UPS.push(...servers.map((server) => () => server.close()));
@@ -173,17 +189,50 @@
 });
 
 describe("a handover that was withdrawn from a remote instance", () => {
+  // Its engine used up an attempt, and the call was lost with its first server.
+  (["refuses the call", "breaks off", "is lost"] as const).forEach((how) =>
+    it(`gives the call to the same engine again once the first server ${how}`, async () => {
+      const first: RequestHandler = (_, socket) => {
+        if (how === "is lost") return;
+        setTimeout(
+          () => how === "breaks off" ? socket.destroy() : socket.write(NOT_RUN),
+          SILENCE_MS,
+        );
+      };
+      const answerLate: RequestHandler = (_, socket) => {
+        setTimeout(
+          () =>
+            socket.write(STREAM_HEAD + toChunk(createEvent(1)) + STREAM_END),
+          500,
+        );
+      };
+      const [local, ...remotes] = await startServers([
+        first,
+        answerLate,
+        answerLate,
+      ]);
+      const servers = [
+        local!,
+        ...remotes.map(({ address }) => ({ address, region: "south" })),
+      ];
+      const { far, near } = await startBoth(servers, 2);
+      let sequence = 1;
+      const reports = setInterval(() => {
+        const report = createFarReport(far.peerPort);
+        const next = { ...report, sequence: ++sequence };
+        near.gateway.receiveReport(next, FAR_HOST);
+      }, 500);
+      CLEAN_UPS.push(() => clearInterval(reports));
+      assert.match(await requestStream(near.port), /^HTTP\/1\.1 200 /);
+      const counts = remotes.map(({ requests }) => requests.length);
+      assert.deepEqual(counts.sort(), [0, 2]);
+    })
+  );
+
   it("does not send the call to the same engine again", async () => {
     const [local, remote] = await startServers([pauseLong, () => {}]);
     const servers = [local!, { address: remote!.address, region: "south" }];
-    const far = await startGateway({
-      ...toParts(servers, 4),
-      host: FAR_HOST,
-      region: "south",
-    });
-    CLEAN_UPS.push(() => far.close());
-    const near = await startNear(servers, 4);
-    near.gateway.receiveReport(createFarReport(far.peerPort), FAR_HOST);
+    const { near } = await startBoth(servers, 4);
     await requestStream(near.port);
     assert.ok(remote!.requests.length > 0, "was handed over");
     assert.equal(remote!.requests.length, 1);
