Logs: calls that end before a server has them are named

What operators lacked: no line told of calls that the listener refused (400, 408, 413, 431), of those that came behind the last answer of their connection, of callers that left within a call, while it waited or before it was handled, and of connections closed for want of descriptors.

Change: the line "call not handled" with who ended it and why, at most 10 a second; the line "connection closed within the call" also for calls that no server had.

Evidence: adapters/call_listener_test.ts, "logs who ended a call that no handler gets, and why".

--- a/adapters/call_listener.ts
+++ b/adapters/call_listener.ts
@@ -26,7 +26,7 @@
   toRefusalAnswer,
 } from "../forwarding/mod.ts";
 import { type CallerLimits, INITIAL_LIMITS } from "../http_routes/mod.ts";
-import type { Logger } from "../logs/mod.ts";
+import { LineRateLimiter, type Logger } from "../logs/mod.ts";
 import { AnswerWriter } from "./answer_writer.ts";
 import { OpenResponses } from "./open_responses.ts";
 import { resetConnection } from "./reset_connection.ts";
@@ -50,6 +50,10 @@
 const SHORT_BODY_BYTES = 16_384;
 /** Bounds on the sizes of calls that another instance forwards. */
 const UNBOUNDED_SIZES = { maxBodyBytes: Infinity, maxHeaderBytes: Infinity };
+/** Maximum number of log lines in one second about calls that no handler gets. */
+const LINES_PER_SECOND = 10;
+/** Why a call is not handled that has arrived in part. */
+const BROKEN_OFF = "the connection ends within the call";
 /** Body of calls that were sent without one. */
 const NO_BODY = Buffer.alloc(0);
 
@@ -111,6 +115,7 @@
   readonly #lastAnswerSockets = new WeakSet<Duplex>();
   /** Answers that are not fully sent yet. */
   readonly #openSinks = new Set<ResponseSink>();
+  readonly #lineLimiter = new LineRateLimiter(LINES_PER_SECOND);
   #limits: CallerLimits = INITIAL_LIMITS;
   #isLeaving = false;
   /** Bytes that closed connections received and sent. */
@@ -139,7 +144,10 @@
         this.#readingMessages.delete(socket);
       });
       // An instance without a free descriptor could accept, send and store nothing more.
-      if (!this.#work.openConnection()) socket.destroy();
+      if (!this.#work.openConnection()) {
+        this.#logUnhandled("this instance", "too many connections are open");
+        socket.destroy();
+      }
     });
     this.#server.on("request", (message, response) => {
       const sink = this.#createSink(response);
@@ -242,13 +250,17 @@
     const receivedMs = this.#parts.nowMs() - unreadMs;
     response.sendDate = false;
     const { socket } = message;
-    if (this.#lastAnswerSockets.has(socket)) return;
+    if (this.#lastAnswerSockets.has(socket)) {
+      this.#logUnhandled("this instance", "the connection ends before it");
+      return;
+    }
     this.#lastResponses.set(socket, response);
     this.#openCalls.set(socket, this.#countOpenCalls(socket) + 1);
     this.#responses.onceClosed(response, () => this.#removeOpenCall(socket));
     const refuse = (refusal: Refusal) => {
       // The rest of an unread body can't be distinguished from the next call.
       if (!message.complete) this.#endConnectionWith(response);
+      this.#logUnhandled("this instance", refusal.reason);
       writeRefusal(sink, refusal);
     };
     const origin = this.#parts.readOrigin(message.rawHeaders);
@@ -304,12 +316,26 @@
       });
     }
     // A call that was refused while its body arrived must not run.
-    if (body === "broken" || this.#lastAnswerSockets.has(socket)) return;
+    if (this.#lastAnswerSockets.has(socket)) return;
+    if (body === "broken") {
+      this.#logUnhandled(sink.closedBy, BROKEN_OFF);
+      return;
+    }
     if (body === "no-memory") return refuseUncarried("memory");
-    if (!await this.#disconnectDetector.isConnected(message.socket)) return;
+    if (!await this.#disconnectDetector.isConnected(message.socket)) {
+      this.#logUnhandled(sink.closedBy, "the connection ends before it is run");
+      return;
+    }
     await this.#parts.handle({ ...call, body }, sink);
   }
 
+  /** Logs a call, or its beginning, that no handler gets, with who ended it. */
+  #logUnhandled(by: string, reason: string): void {
+    const suppressed = this.#lineLimiter.admitLine(systemClock.nowMs());
+    if (suppressed === undefined) return;
+    this.#parts.logger.info("call not handled", { by, reason, suppressed });
+  }
+
   /** Closes a connection after an answer. Calls that arrive behind it are not served. */
   #endConnectionWith(response: ServerResponse): void {
     response.shouldKeepAlive = false;
@@ -386,6 +412,9 @@
       // A caller that left within its body keeps neither its place nor its memory.
       this.#responses.endAll(socket);
       this.#lastAnswerSockets.add(socket);
+      const isBrokenOff = error.code === "HPE_INVALID_EOF_STATE";
+      if (isBrokenOff) this.#logUnhandled("the caller", BROKEN_OFF);
+      else this.#logUnhandled("this instance", toParserRefusal(error).reason);
       refuseMalformed(error, socket);
     }
   }
@@ -435,10 +464,14 @@
   /** Aborts the signal if the connection was closed before the whole answer was sent. */
   handleClose(): void {
     if (this.#response.writableFinished) return;
-    const by = this.#connection.wasClosedByCaller()
+    this.#disconnect.abort(`${this.closedBy} closed the connection`);
+  }
+
+  /** Which side closed the connection, where it is closed. */
+  get closedBy(): "the caller" | "this instance" {
+    return this.#connection.wasClosedByCaller()
       ? "the caller"
       : "this instance";
-    this.#disconnect.abort(`${by} closed the connection`);
   }
 
   /** Whether the head of the answer has been written. */
--- a/adapters/call_listener_test.ts
+++ b/adapters/call_listener_test.ts
@@ -199,6 +199,24 @@
     });
   });
 
+  // Calls that no handler got left no line.
+  it("logs who ended a call that no handler gets, and why", async () => {
+    const { lines, listener, send } = await start(() => Promise.resolve());
+    listener.setLimits({ ...INITIAL_LIMITS, maxBodyBytes: 1 });
+    const post = "POST /a HTTP/1.1\r\nHost: a.example\r\nContent-Length: ";
+    const expected: readonly (readonly [string, RegExp])[] = [
+      [`${post}9\r\n\r\n`, /"by":"this instance","reason":"too-large"/],
+      ["nothing\r\n\r\n", /"by":"this instance","reason":"malformed"/],
+      [`${post}1\r\n\r\n`, /"by":"the caller".*within the call/],
+    ];
+    for (const [index, [bytes, line]] of expected.entries()) {
+      const { socket } = await send(bytes);
+      if (index === 2) setTimeout(() => socket.destroy(), 50);
+      await waitUntil(() => lines.length > index);
+      assert.match(lines[index]!, line);
+    }
+  });
+
   // Headers beyond the first thousand lines were dropped, also those of the protocol.
   it("passes on all lines of a head", async () => {
     const calls: OpaqueCall[] = [];
--- a/daemon/http_gateway.ts
+++ b/daemon/http_gateway.ts
@@ -332,7 +332,14 @@
       );
       return;
     }
-    if (sink.signal.aborted) return;
+    if (sink.signal.aborted) {
+      const { headerCodec, logger } = this.#parts;
+      logger.info("connection closed within the call", {
+        call: headerCodec.readCall(call.headers).callId,
+        reason: String(sink.signal.reason),
+      });
+      return;
+    }
     const shutdown = this.#shutdown;
     if (shutdown === undefined || shutdown.stage === "accepting") {
       await this.forwarder.handle(call, sink);
--- a/forwarding/call_replies.ts
+++ b/forwarding/call_replies.ts
@@ -102,7 +102,7 @@
     const { call, progress, sink } = exchange;
     if (sink.signal.aborted) {
       this.count(exchange, "caller-left");
-      if (exchange.mayHaveRun) this.#logClosed(exchange, false);
+      this.#logClosed(exchange, false);
       return;
     }
     this.count(exchange, refusal.reason);
@@ -163,7 +163,7 @@
     });
   }
 
-  /** Logs a call that a server had, and whose connection closed before all of its answer was sent. */
+  /** Logs a call whose connection closed before all of its answer was sent. */
   #logClosed(exchange: Exchange, isAnswered: boolean): void {
     const { progress, sentTo, sink } = exchange;
     this.log(exchange, "connection closed within the call", {
