Answers without a length show the loss of their instance

Cause: such an answer ended with its caller's connection, and the system closes the connections of a killed process as those of an answer that has ended. Change: it is passed on in chunks, with a last chunk after a normal end of the server's connection only, and with x-may-be-cut, the header that daemons already use between each other: the server told no end. Before, its framing said so. A caller of HTTP/1.0 gets what it got before. The connection is kept, and calls behind such an answer run. Open: a caller that takes a last chunk for proof and ignores the header is worse off where a live server cuts such an answer by a normal end between two events. The soak's callers know such answers by the header, too.

--- a/adapters/call_listener.ts
+++ b/adapters/call_listener.ts
@@ -115,8 +115,6 @@
   readonly #closingSockets = new Set<Duplex>();
   /** Connections that failed or were reset from outside. */
   readonly #failedSockets = new WeakSet<Duplex>();
-  /** Connections whose answer in progress ends with them: no call behind it can be answered. */
-  readonly #lastAnswerSockets = new WeakSet<Duplex>();
   /** Answers that are not fully sent yet. */
   readonly #openSinks = new Set<ResponseSink>();
   /** Bounds of the configuration in force; `undefined` before the first one. */
@@ -225,9 +223,6 @@
   #createSink(response: ServerResponse): ResponseSink {
     const { socket } = response.req;
     const sink = new ResponseSink(response, {
-      // The answers to other calls of the connection would be lost with it.
-      mayEndConnection: () => this.#countOpenCalls(socket) <= 1,
-      onEndsConnection: () => this.#lastAnswerSockets.add(socket),
       wasClosedByCaller: () =>
         socket.readableEnded || this.#failedSockets.has(socket),
     });
@@ -247,7 +242,6 @@
     const receivedMs = this.#parts.nowMs() - unreadMs;
     response.sendDate = false;
     const { socket } = message;
-    if (this.#lastAnswerSockets.has(socket)) return;
     this.#openCalls.set(socket, this.#countOpenCalls(socket) + 1);
     response.on("close", () => this.#removeOpenCall(socket));
     if (this.#isLeaving) response.shouldKeepAlive = false;
@@ -404,10 +398,6 @@
 
 /** What a {@linkcode ResponseSink} needs to know of its connection. */
 interface SinkConnection {
-  /** Returns whether the connection may end with this answer. */
-  readonly mayEndConnection: () => boolean;
-  /** Called when an answer begins that ends with its connection. */
-  readonly onEndsConnection: () => void;
   /** Returns whether a connection that is closed was ended or reset from outside. */
   readonly wasClosedByCaller: () => boolean;
 }
@@ -415,14 +405,15 @@
 class ResponseSink implements CallSink {
   readonly signal: AbortSignal;
   readonly #response: ServerResponse;
-  readonly #connection: SinkConnection;
   readonly #writer: AnswerWriter;
-  /** Whether the caller takes the normal end of the connection for the end of the answer. */
+  /**
+   * Whether the normal end of the connection is the end of the answer: for a caller that reads
+   * no chunks (HTTP/1.0).
+   */
   #endsWithConnection = false;
 
   constructor(response: ServerResponse, connection: SinkConnection) {
     this.#response = response;
-    this.#connection = connection;
     this.#writer = new AnswerWriter(response);
     const disconnect = new AbortController();
     this.signal = disconnect.signal;
@@ -441,13 +432,8 @@
   }
 
   begin(head: AnswerHead): void {
-    const { framing, headers, status, statusText } = head;
+    const { headers, status, statusText } = head;
     const response = this.#response;
-    if (framing === "connection" && this.#connection.mayEndConnection()) {
-      // A last chunk would tell the caller that the answer is complete, which nobody knows.
-      response.useChunkedEncodingByDefault = false;
-      this.#connection.onEndsConnection();
-    }
     // A flat list preserves the order, the case and the repetition of header names.
     response.writeHead(status, statusText, headers as string[]);
     this.#endsWithConnection = !response.chunkedEncoding &&
--- a/engine/backend_client.ts
+++ b/engine/backend_client.ts
@@ -80,8 +80,8 @@
   };
 
 /**
- * Header between instances on an answer whose server did not tell its end: the length that the
- * instance itself adds does not show that the body is whole.
+ * Header on an answer whose server did not tell its end: the length or the last chunk that an
+ * instance itself adds only shows that the instance has passed on all that it got.
  */
 export const MAY_BE_CUT_HEADER = "x-may-be-cut";
 
--- a/forwarding/call_replies.ts
+++ b/forwarding/call_replies.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "../clock/mod.ts";
+import { MAY_BE_CUT_HEADER } from "../engine/mod.ts";
 import type { BackendId } from "../ids/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
@@ -56,9 +57,10 @@
   }
 
   /**
-   * Returns the head with which a server's answer is passed on. The instance that forwarded the
-   * call is told in a header how the answer ends: the last chunk between instances only shows
-   * that this instance has passed on all of it.
+   * Returns the head with which a server's answer is passed on. One that ends with its connection
+   * is passed on in chunks, as the system closes the connections of a process that is lost like
+   * those of an answer that has ended. A header says that the last chunk only shows that this
+   * instance has passed on all of it.
    *
    * @param exchange The call.
    * @param head Head of the server's answer.
@@ -71,8 +73,11 @@
       head.headers,
       (name) => isHopHeader(name) ? "never" : "unless-named",
     );
-    if (call.origin.kind === "caller") return { ...head, headers };
     const endsWithConnection = head.framing === "connection";
+    if (call.origin.kind === "caller") {
+      const mark = endsWithConnection ? [MAY_BE_CUT_HEADER, "true"] : [];
+      return { ...head, headers: [...headers, ...mark] };
+    }
     const hopHeaders = this.#createHopHeaders(call, {
       kind: "answered",
       tried: sentTo,
@@ -80,11 +85,7 @@
       reason: undefined,
       version: progress.version,
     });
-    return {
-      ...head,
-      headers: [...headers, ...hopHeaders],
-      ...(endsWithConnection ? { framing: "chunked" } : {}),
-    };
+    return { ...head, headers: [...headers, ...hopHeaders] };
   }
 
   /**
--- a/soak/caller.ts
+++ b/soak/caller.ts
@@ -1,5 +1,6 @@
 import { Agent, type IncomingMessage, request } from "node:http";
 import { createToken, type Random } from "../clock/mod.ts";
+import { MAY_BE_CUT_HEADER } from "../engine/mod.ts";
 import { CRASHING_BODY, CRASHING_PART } from "../standin/recording_server.ts";
 import {
   CALL_ID_HEADER,
@@ -240,8 +241,9 @@
     return { kind: "broken", body };
   }
   const { headers } = answer;
-  const mayBeCut = headers["content-length"] === undefined &&
-    headers["transfer-encoding"] === undefined;
+  const hasMark = headers["content-length"] !== undefined ||
+    headers["transfer-encoding"] !== undefined;
+  const mayBeCut = !hasMark || headers[MAY_BE_CUT_HEADER] !== undefined;
   const isStream = headers["content-type"] === "text/event-stream";
   if (mayBeCut && isStream && !isBetweenEvents(body)) {
     return { kind: "broken", body };
