Embedded default: an answer that may be cut has a length, and a header that says so

What callers could see: an answer whose server told no end ended with the caller's connection. A process that is killed while a slow caller reads a long one ends it in the same way. Cause: as for plain HTTP routes, the framing was the sign that nobody vouches for the answer. Change: the listener writes the length of what it has, and x-may-be-cut. The loss of a process was not played for it.

--- a/adapters/http_listener.ts
+++ b/adapters/http_listener.ts
@@ -13,6 +13,7 @@
 import { scheduleEvery } from "../clock/mod.ts";
 import { ByteCollector } from "../bytes/mod.ts";
 import { CarriedCall, CarriedWork } from "../capacity/mod.ts";
+import { MAY_BE_CUT_HEADER } from "../engine/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import { AnswerWriter } from "./answer_writer.ts";
 import { startListening } from "./start_listening.ts";
@@ -231,12 +232,11 @@
     : reply.body;
   // After an unread body, the start of the next request on the connection is unknown.
   const isUnread = !message.complete;
-  const mayBeCut = reply.mayBeCut === true;
-  // A length or a last chunk would tell the caller that the body is whole.
-  if (mayBeCut) response.useChunkedEncodingByDefault = false;
   response.writeHead(reply.status, {
     ...reply.headers,
-    ...(mayBeCut ? {} : { "content-length": String(body.length) }),
+    ...(reply.mayBeCut === true ? { [MAY_BE_CUT_HEADER]: "true" } : {}),
+    // Also where the server told no end: the loss of this instance must not look like one.
+    "content-length": String(body.length),
     ...(isUnread ? { connection: "close" } : {}),
   });
   response.write(body);
--- a/filters/exchange.ts
+++ b/filters/exchange.ts
@@ -35,7 +35,7 @@
     readonly status: number;
     readonly headers: Readonly<Record<string, string>>;
     readonly body: string | Uint8Array;
-    /** Whether a server's body may have been cut; it is then sent without a length. Default: no. */
+    /** Whether a server's body may have been cut; a header then says so. Default: no. */
     readonly mayBeCut?: boolean;
   }
   | {
