--- a/adapters/call_listener.ts
+++ b/adapters/call_listener.ts
@@ -232,8 +232,6 @@
   #createSink(response: ServerResponse): ResponseSink {
     const { socket } = response.req;
     const sink = new ResponseSink(response, {
-      // The answers to other calls of the connection would be lost with it.
-      mayEndConnection: () => this.#countOpenCalls(socket) <= 1,
       mustEndConnection: () =>
         this.#isLeaving && this.#lastResponses.get(socket) === response,
       onEndsConnection: () => this.#lastAnswerSockets.add(socket),
@@ -445,9 +443,7 @@
 
 /** What a {@linkcode ResponseSink} needs to know of its connection. */
 interface SinkConnection {
-  /** Returns whether the connection may end with this answer. */
-  readonly mayEndConnection: () => boolean;
-  /** Returns whether the connection ends with this answer, whatever its framing is. */
+  /** Returns whether the connection ends with this answer. */
   readonly mustEndConnection: () => boolean;
   /** Called when an answer begins that ends with its connection. */
   readonly onEndsConnection: () => void;
@@ -461,7 +457,10 @@
   readonly #connection: SinkConnection;
   readonly #writer: AnswerWriter;
   readonly #disconnect: AbortController;
-  /** Whether the caller takes the normal end of the connection for the end of the answer. */
+  /**
+   * Whether the normal end of the connection is the end of the answer: for a caller that reads
+   * no chunks (HTTP/1.0).
+   */
   #endsWithConnection = false;
 
   constructor(response: ServerResponse, connection: SinkConnection) {
@@ -492,16 +491,11 @@
   }
 
   begin(head: AnswerHead): void {
-    const { framing, headers, status, statusText } = head;
+    const { headers, status, statusText } = head;
     const response = this.#response;
-    const { mayEndConnection, mustEndConnection, onEndsConnection } =
-      this.#connection;
-    const isUnframed = framing === "connection" && mayEndConnection();
-    // A last chunk would tell the caller that the answer is complete, which nobody knows.
-    if (isUnframed) response.useChunkedEncodingByDefault = false;
-    if (isUnframed || mustEndConnection()) {
+    if (this.#connection.mustEndConnection()) {
       response.shouldKeepAlive = false;
-      onEndsConnection();
+      this.#connection.onEndsConnection();
     }
     // A flat list preserves the order, the case and the repetition of header names.
     response.writeHead(status, statusText, headers as string[]);
