Connection pool: no call behind an answer that may have waited unread beyond the idle timeout

Cause: after a standstill the instance reads an answer that arrived long before, takes its connection for one just used, and sends the next call before it reads the close behind that answer. The rest is counted from the earliest time at which the answer can have arrived now.

The test failed before (one connection instead of two) and passes now.

--- a/adapters/connection_pool.ts
+++ b/adapters/connection_pool.ts
@@ -60,6 +60,11 @@
    * `undefined` before the first one.
    */
   answeredMs: number | undefined;
+  /**
+   * Earliest time at which its last answer can have arrived, in milliseconds on this
+   * instance's clock; `undefined` before the first one.
+   */
+  idleSinceMs: number | undefined;
   /** Time for which it may be idle after its last answer, in milliseconds. */
   idleTimeoutMs: number;
 }
@@ -73,6 +78,11 @@
   readonly silenceMs?: number;
   /** Receives which connections were closed because their bytes did not end. Default: none. */
   readonly logger?: Logger;
+  /**
+   * Returns the maximum time for which bytes that are read now can have waited in the socket,
+   * in milliseconds. Default: 0.
+   */
+  readonly readLoopDelayMs?: () => number;
 }
 
 /**
@@ -85,12 +95,14 @@
   readonly #hosts = new Map<string, HostConnections>();
   readonly #silenceMs: number;
   readonly #logger: Logger | undefined;
+  readonly #readLoopDelayMs: () => number;
   readonly #lineLimiter = new LineRateLimiter(LINES_PER_SECOND);
 
   /** @param options Silence after which idle connections are closed, and the log. */
   constructor(options: ConnectionPoolOptions = {}) {
     this.#silenceMs = options.silenceMs ?? SILENCE_MS;
     this.#logger = options.logger;
+    this.#readLoopDelayMs = options.readLoopDelayMs ?? (() => 0);
   }
 
   /**
@@ -105,6 +117,7 @@
     if (host === undefined) {
       host = new HostConnections(address, {
         silenceMs: this.#silenceMs,
+        readLoopDelayMs: this.#readLoopDelayMs,
         logClosed: (reason) => this.#logClosed(address, reason),
       });
       this.#hosts.set(address, host);
@@ -142,6 +155,7 @@
 /** What the connections to a host need of their pool. */
 interface HostParts {
   readonly silenceMs: number;
+  readonly readLoopDelayMs: () => number;
   /** Logs why a connection was closed whose bytes did not end. */
   readonly logClosed: (reason: string) => void;
 }
@@ -178,6 +192,8 @@
     const send = new Send(connection, events, (isReusable) => {
       this.busyCount--;
       if (isReusable) {
+        const arrivedMs = systemClock.nowMs() - this.#parts.readLoopDelayMs();
+        connection.idleSinceMs = arrivedMs;
         this.#free.push(connection);
         return;
       }
@@ -201,7 +217,7 @@
   #takeFree(nowMs: number): Connection | undefined {
     while (this.#free.length > 0) {
       const connection = this.#free.pop()!;
-      const idleMs = nowMs - (connection.answeredMs ?? nowMs);
+      const idleMs = nowMs - (connection.idleSinceMs ?? nowMs);
       if (idleMs <= connection.idleTimeoutMs) return connection;
       destroyQuietly(connection);
     }
@@ -227,6 +243,7 @@
       socket: undefined,
       framingLimit: undefined,
       answeredMs: undefined,
+      idleSinceMs: undefined,
       idleTimeoutMs: IDLE_TIMEOUT_MS,
       client: new Client(`http://${this.#address}`, {
         pipelining: 1,
--- a/adapters/connection_pool_test.ts
+++ b/adapters/connection_pool_test.ts
@@ -79,19 +79,33 @@
 
 describe("ConnectionPool", () => {
   // The client's timers count their calls, not the time that has passed.
-  it("uses no connection that was idle for longer than its server told, after a standstill", async () => {
-    const told = ANSWER.replace("\r\n", "\r\nKeep-Alive: timeout=2\r\n");
-    const server = await startRawServer((_, socket) => socket.write(told));
-    const pool = new ConnectionPool();
-    await send(pool, server.address).ended;
-    await send(pool, server.address).ended;
-    assert.equal(server.sockets.length, 1);
-    blockEventLoop(2_500);
-    await wait(1);
-    await send(pool, server.address).ended;
-    pool.close();
-    server.close();
-    assert.equal(server.sockets.length, 2);
+  describe("after a standstill of this process", () => {
+    const countConnections = async (
+      pool: ConnectionPool,
+      standStill: () => void,
+    ) => {
+      const told = ANSWER.replace("\r\n", "\r\nKeep-Alive: timeout=2\r\n");
+      const server = await startRawServer((_, socket) => socket.write(told));
+      await send(pool, server.address).ended;
+      standStill();
+      await wait(1);
+      await send(pool, server.address).ended;
+      pool.close();
+      server.close();
+      return server.sockets.length;
+    };
+
+    it("uses no connection that was idle for longer than its server told", async () => {
+      const pools = [new ConnectionPool(), new ConnectionPool()] as const;
+      assert.equal(await countConnections(pools[0], () => {}), 1);
+      const standStill = () => blockEventLoop(2_500);
+      assert.equal(await countConnections(pools[1], standStill), 2);
+    });
+
+    it("uses no connection whose answer may have waited unread for as long", async () => {
+      const pool = new ConnectionPool({ readLoopDelayMs: () => 2_500 });
+      assert.equal(await countConnections(pool, () => {}), 2);
+    });
   });
 
   describe("when a send fails", () => {
--- a/bin/start_http_gateway.ts
+++ b/bin/start_http_gateway.ts
@@ -58,6 +58,7 @@
   const nowMs = () => systemClock.nowMs();
   const [callerHost, callerPort] = splitAddress(http.address);
   const [peerHost, configuredPeerPort] = splitAddress(http.peer_address);
+  const readLoopDelayMs = () => gateway.loopDelay.readMs();
   const createListener = (
     host: string,
     port: number,
@@ -68,7 +69,7 @@
       port,
       logger,
       nowMs,
-      readLoopDelayMs: () => gateway.loopDelay.readMs(),
+      readLoopDelayMs,
       readOrigin,
       work,
       findHeadRefusal: (head) => gateway.forwarder.findHeadRefusal(head),
@@ -91,8 +92,8 @@
     logger,
     metrics,
     headerCodec: GATEWAY_HEADER_CODEC,
-    client: new ConnectionPool({ logger }),
-    peerClient: new ConnectionPool({ logger }),
+    client: new ConnectionPool({ logger, readLoopDelayMs }),
+    peerClient: new ConnectionPool({ logger, readLoopDelayMs }),
     probeServer: probeConnection,
     carriedWork: work,
     self: {
