Soak: tries while no server runs any call say nothing about cut-off instances

The check compares shares of first tries. While all servers of the service stand still or are down, hardly anybody is served, and an instance that reaches none says so within 30 to 150 ms where others hold the call for longer: its callers come back after 150 ms and have more tries that fail.

The bounds stay. Tries that are sent in 500 ms or more between two runs of calls that have to be served are left out on both sides; a shorter pause counts as before, and so does everything if no server ever runs a call. In the test 66 of 100 beside 200 of 200 is found with runs 499 ms apart around the tries, and not with 500 ms.

--- a/soak/check_promises.ts
+++ b/soak/check_promises.ts
@@ -1,6 +1,7 @@
 import { checkQuarantine, checkSharedParts } from "./check_quarantine.ts";
 import { checkRollouts } from "./check_rollouts.ts";
 import { checkSilences } from "./check_silences.ts";
+import { listIdleSpans } from "./idle_spans.ts";
 import { wasPaused } from "./was_paused.ts";
 import {
   createRecordedBody,
@@ -439,10 +440,11 @@
 
 /**
  * Returns the first tries in the time that counts, without those at stalled or stopped
- * instances, and those while all instances with links to servers were stalled or stopped.
+ * instances, those while all instances with links to servers were stalled or stopped, and
+ * those while no server ran a call of any caller: where these fail sooner, there are more.
  */
 function listTriesInTouch(
-  { calls, pauses }: Observation,
+  { calls, pauses, runs }: Observation,
   { fromMs, instances, toMs }: Observation["cutOffs"][number],
 ): readonly ObservedCall[] {
   const isInTouch = (instance: string, atMs: number) =>
@@ -452,9 +454,18 @@
     });
   const others = [...new Set(calls.map(({ instance }) => instance))]
     .filter((instance) => !instances.includes(instance));
+  const workIds = new Set(
+    calls.filter(({ kind }) => WORK_KINDS.includes(kind))
+      .map(({ callId }) => callId),
+  );
+  const idleSpans = listIdleSpans(
+    runs.filter(({ callId }) => workIds.has(callId)).map(({ atMs }) => atMs),
+  );
+  const isIdle = (atMs: number) =>
+    idleSpans.some((span) => span.fromMs < atMs && span.toMs > atMs);
   return calls.filter(({ instance, kind, sentMs }) =>
     WORK_KINDS.includes(kind) && sentMs > fromMs + CUT_OFF_DELAY_MS &&
-    sentMs < toMs && isInTouch(instance, sentMs) &&
+    sentMs < toMs && isInTouch(instance, sentMs) && !isIdle(sentMs) &&
     others.some((other) => isInTouch(other, sentMs))
   );
 }
--- a/soak/check_promises_test.ts
+++ b/soak/check_promises_test.ts
@@ -456,8 +456,10 @@
       served: number,
       paused: string | undefined = undefined,
       others = 200,
+      runsMs: readonly number[] = [],
     ) =>
       check({
+        runs: runsMs.map((atMs) => createRun({ atMs })),
         calls: [
           createCall(),
           ...createTries(100, "i1", served),
@@ -474,6 +476,11 @@
     assert.deepEqual(checkServed(66, "i2"), []);
     assert.deepEqual(checkServed(66, "i3"), [promise]);
     assert.deepEqual(checkServed(66, undefined, 0), []);
+    // Nobody is served while no server runs a call.
+    assert.deepEqual(checkServed(66, undefined, 200, [5_700, 6_200]), []);
+    assert.deepEqual(checkServed(66, undefined, 200, [5_701, 6_200]), [
+      promise,
+    ]);
   });
 
   it("finds unserved calls and old configuration versions after the faults", () => {
