Soak: the observation is kept beside the logs

A broken promise could not be traced from the logs alone: which tries were compared and which servers ran calls was known to the check only.

--- a/soak/run_soak.ts
+++ b/soak/run_soak.ts
@@ -1,4 +1,5 @@
-import { readdirSync, readFileSync } from "node:fs";
+import { readdirSync, readFileSync, writeFileSync } from "node:fs";
+import { join } from "node:path";
 import { systemClock } from "../adapters/system_clock.ts";
 import { createRandom, type Random, waitFor } from "../clock/mod.ts";
 import type { PlatformProcess } from "../standin/platform_process.ts";
@@ -46,7 +47,7 @@
   /** Length of the traffic, in seconds; the last fault ends some seconds earlier. */
   readonly seconds: number;
   readonly instancesPerRegion: number;
-  /** Folder that exists, for the logs of the instances. Default: none are kept. */
+  /** Folder that exists, for the logs of the instances and what was observed. Default: none are kept. */
   readonly logFolder?: string | undefined;
   /** Called with a one-line description of each fault. */
   readonly print: (line: string) => void;
@@ -217,6 +218,7 @@
       listSilentCalls(observation).length
     } calls at silent servers that had to be answered`,
   );
+  keepObservation(parts, { startMs, ...observation });
   const violations = checkPromises(observation);
   return {
     seed: parts.seed,
@@ -227,6 +229,18 @@
   };
 }
 
+/** Writes what was observed beside the logs: without it, no broken promise can be traced. */
+function keepObservation(
+  { logFolder }: SoakParts,
+  observation: Observation & { readonly startMs: number },
+): void {
+  if (logFolder === undefined) return;
+  writeFileSync(
+    join(logFolder, "observation.json"),
+    JSON.stringify(observation),
+  );
+}
+
 /** Returns a line that shows how much of a rollout the checks could observe. */
 function formatRollout(
   { badAnswers, deadlineMs, destination, interruptedRuns, orderedFromMs }:
