Forwarding: a stream that may be resumed is passed on without a length

What callers saw: a stream that began with a length and was resumed with a rest of another length brought bytes behind the answer that its caller was told of, or fewer of them, for which it waited on a kept connection.

Cause: the length of the first server's answer was passed on, while the rest came from another one. Nothing compared the two.

Change: streams that may be resumed are passed on in chunks, whose end follows the end of the answer that is complete.

--- a/forwarding/run_attempt.ts
+++ b/forwarding/run_attempt.ts
@@ -15,7 +15,7 @@
 import { EventScanner, isEventStart } from "./event_scanner.ts";
 import type { StreamHandling } from "./exchange.ts";
 import { readHopAnswer } from "./hop_headers.ts";
-import { readHeader } from "./http_headers.ts";
+import { pickForwarded, readHeader } from "./http_headers.ts";
 import type { Handover, HandoverEvents } from "./handover.ts";
 import type { CallSink } from "./opaque_call.ts";
 import type { RefusalReason } from "./refusal.ts";
@@ -528,8 +528,21 @@
     onDelivering?.();
     if (progress.hasBegun) return;
     progress.hasBegun = true;
-    progress.framing = this.#framing;
-    sink.begin(this.#parts.toPassedHead(this.#head!));
+    const head = this.#toResumableHead(this.#head!);
+    progress.framing = head.framing ?? "length";
+    sink.begin(this.#parts.toPassedHead(head));
+  }
+
+  /** Returns the head without the length if another server may send a rest of another length. */
+  #toResumableHead(head: AnswerHead): AnswerHead {
+    const mayBeResumed = this.#events instanceof EventFramer &&
+      this.#parts.streams.framesEvents;
+    if (!mayBeResumed || this.#framing !== "length") return head;
+    const headers = pickForwarded(
+      head.headers,
+      (name) => name === "content-length" ? "never" : "unless-named",
+    );
+    return { ...head, headers, framing: "chunked" };
   }
 
   #finish(outcome: EndedOutcome, isAborted = false): void {
