Listener: calls before a refused one of their packet are answered

What callers saw: two whole calls got neither an answer nor a refusal, and their connection stayed open, as the refusal of the third waited behind them.

Cause: the refusal of a call (a malformed target, too large a head, no memory) marks its connection as ending. Calls before it whose bodies were still to be read found that mark and were dropped as if they had come behind it.

Change: the mark names the call that it belongs to; only that one and those behind it are dropped.

Measured: the new test fails without the change (no byte within a second, or a 200 alone) and passes with it; call_listener_test passes.

--- a/adapters/call_listener.ts
+++ b/adapters/call_listener.ts
@@ -116,6 +116,9 @@
   readonly #lastResponses = new WeakMap<Duplex, ServerResponse>();
   /** Connections that end with an answer or a refusal: no call behind it can be answered. */
   readonly #lastAnswerSockets = new WeakSet<Duplex>();
+  /** Number of the call whose refusal ends its connection; calls before it are served. */
+  readonly #lastCallNumbers = new WeakMap<Duplex, number>();
+  #callNumber = 0;
   /** Answers that are not fully sent yet. */
   readonly #openSinks = new Set<ResponseSink>();
   /** Bounds of the configuration in force; `undefined` before the first one. */
@@ -252,12 +255,17 @@
     response.sendDate = false;
     const { socket } = message;
     if (this.#lastAnswerSockets.has(socket)) return;
+    const number = ++this.#callNumber;
     this.#lastResponses.set(socket, response);
     this.#openCalls.set(socket, this.#countOpenCalls(socket) + 1);
     this.#responses.onceClosed(response, () => this.#removeOpenCall(socket));
+    const endConnection = () => {
+      this.#lastCallNumbers.set(socket, number);
+      this.#endConnectionWith(response);
+    };
     const refuse = (refusal: Refusal) => {
       // The rest of an unread body can't be distinguished from the next call.
-      if (!message.complete) this.#endConnectionWith(response);
+      if (!message.complete) endConnection();
       writeRefusal(sink, refusal);
     };
     const origin = this.#parts.readOrigin(message.rawHeaders);
@@ -287,7 +295,7 @@
       origin,
     };
     const refuseUncarried = (scarce: ScarceResource) => {
-      this.#endConnectionWith(response);
+      endConnection();
       this.#refuseUncarried(call, sink, scarce);
     };
     const carried = new CarriedCall(this.#work);
@@ -316,7 +324,7 @@
       });
     }
     // A call that was refused while its body arrived must not run.
-    if (body === "broken" || this.#lastAnswerSockets.has(socket)) return;
+    if (body === "broken" || this.#isCutOff(socket, number)) return;
     if (body === "no-memory") return refuseUncarried("memory");
     if (!await this.#disconnectDetector.isConnected(message.socket)) return;
     await this.#parts.handle({ ...call, body }, sink);
@@ -328,6 +336,12 @@
     this.#lastAnswerSockets.add(response.req.socket);
   }
 
+  /** Returns whether the connection of a call ends before the call could be answered. */
+  #isCutOff(socket: Duplex, number: number): boolean {
+    return this.#lastAnswerSockets.has(socket) &&
+      number >= (this.#lastCallNumbers.get(socket) ?? 0);
+  }
+
   #refuseUncarried(
     call: OpaqueCall,
     sink: CallSink,
--- a/adapters/call_listener_test.ts
+++ b/adapters/call_listener_test.ts
@@ -185,6 +185,23 @@
       assert.equal(sinks.length, 2);
     });
 
+    // They were lost, and their connection stayed open, as the refusal waited behind them.
+    it("answers the whole calls whose packet holds a call that is refused", async () => {
+      const { send } = await start((_, sink) => {
+        begin(sink);
+        end(sink);
+        return Promise.resolve();
+      });
+      const caller = await send(
+        `${REQUEST}${REQUEST}OPTIONS * HTTP/1.1\r\nHost: a\r\n\r\n`,
+      );
+      await Promise.race([caller.awaitEnd(), sleep(1_000)]);
+      assert.match(
+        caller.read(),
+        /^HTTP\/1\.1 200 [^]* 200 [^]*HTTP\/1\.1 400 /,
+      );
+    });
+
     // A call behind another one went on without its caller, and a shutdown waited for it.
     it("ends them all when their connection breaks", async () => {
       const { listener, send, sinks } = await startHeld();
