Listener: a late call does not run once its connection has ended

What callers saw: a call behind another one, whose rest came after the connection had been ended with the answer before it, was run and got no answer.

Cause: the end of a connection after its last served call did not mark it as ended; the caller's half stayed open, and its next whole call was handled.

Change: that end marks the connection like other ends do.

Measured: the new test fails without the change (two calls are handled) and passes with it; call_listener_test passes.

--- a/adapters/call_listener.ts
+++ b/adapters/call_listener.ts
@@ -392,7 +392,9 @@
       this.#lastResponses.delete(socket);
     }
     if (this.#countServedCalls(socket) > 0) return;
-    if (this.#closingSockets.delete(socket)) socket.end();
+    if (!this.#closingSockets.delete(socket)) return;
+    this.#lastAnswerSockets.add(socket);
+    socket.end();
   }
 
   /**
--- a/adapters/call_listener_test.ts
+++ b/adapters/call_listener_test.ts
@@ -202,6 +202,25 @@
       );
     });
 
+    // It ran although its connection had been ended before it was whole.
+    it("does not run a late call once its connection ended behind another one", async () => {
+      const { listener, send, sinks } = await startHeld();
+      listener.setLimits({
+        ...INITIAL_LIMITS,
+        headerTimeoutMs: 100,
+        idleTimeoutMs: 100,
+      });
+      const caller = await send(`${REQUEST}GET /a HTTP/1.1\r\n`, true);
+      await sleep(LATE_MS);
+      begin(sinks[0]!);
+      end(sinks[0]!);
+      await caller.awaitText("ok");
+      await sleep(50);
+      caller.socket.write("Host: a.example\r\n\r\n");
+      await sleep(50);
+      assert.equal(sinks.length, 1);
+    });
+
     // A call behind another one went on without its caller, and a shutdown waited for it.
     it("ends them all when their connection breaks", async () => {
       const { listener, send, sinks } = await startHeld();
