--- a/adapters/call_listener.ts
+++ b/adapters/call_listener.ts
@@ -122,6 +122,9 @@
   readonly #lastResponses = new WeakMap<Duplex, ServerResponse>();
   /** Connections that end with an answer or a refusal: no call behind it can be answered. */
   readonly #lastAnswerSockets = new WeakSet<Duplex>();
+  /** Number of the call whose refusal ends its connection; calls before it are served. */
+  readonly #lastCallNumbers = new WeakMap<Duplex, number>();
+  #callNumber = 0;
   /** Answers that are not fully sent yet. */
   readonly #openSinks = new Set<ResponseSink>();
   readonly #lineLimiter = new LineRateLimiter(LINES_PER_SECOND);
@@ -261,12 +264,17 @@
       this.#logUnhandled("this instance", "the connection ends before it");
       return;
     }
+    const number = ++this.#callNumber;
     this.#lastResponses.set(socket, response);
     this.#openCalls.set(socket, this.#countOpenCalls(socket) + 1);
     this.#responses.onceClosed(response, () => this.#removeOpenCall(socket));
+    const endConnection = () => {
+      this.#lastCallNumbers.set(socket, number);
+      this.#endConnectionWith(response);
+    };
     const refuse = (refusal: Refusal) => {
       // The rest of an unread body can't be distinguished from the next call.
-      if (!message.complete) this.#endConnectionWith(response);
+      if (!message.complete) endConnection();
       this.#logUnhandled("this instance", refusal.reason);
       writeRefusal(sink, refusal);
     };
@@ -297,7 +305,7 @@
       origin,
     };
     const refuseUncarried = (scarce: ScarceResource) => {
-      this.#endConnectionWith(response);
+      endConnection();
       this.#refuseUncarried(call, sink, scarce);
     };
     const carried = new CarriedCall(this.#work);
@@ -326,7 +334,7 @@
       });
     }
     // A call that was refused while its body arrived must not run.
-    if (this.#lastAnswerSockets.has(socket)) return;
+    if (this.#isCutOff(socket, number)) return;
     if (body === "broken") {
       this.#logUnhandled(sink.closedBy, BROKEN_OFF);
       return;
@@ -352,6 +360,12 @@
     this.#lastAnswerSockets.add(response.req.socket);
   }
 
+  /** Returns whether the connection of a call ends before the call could be answered. */
+  #isCutOff(socket: Duplex, number: number): boolean {
+    return this.#lastAnswerSockets.has(socket) &&
+      number >= (this.#lastCallNumbers.get(socket) ?? 0);
+  }
+
   #refuseUncarried(
     call: OpaqueCall,
     sink: CallSink,
@@ -402,7 +416,9 @@
       this.#lastResponses.delete(socket);
     }
     if (this.#countServedCalls(socket) > 0) return;
-    if (this.#closingSockets.delete(socket)) socket.end();
+    if (!this.#closingSockets.delete(socket)) return;
+    this.#lastAnswerSockets.add(socket);
+    socket.end();
   }
 
   /**
