Small routes: a refusal takes the place of no answer that is owed

What callers saw: bytes that are not HTTP, or come too late, behind a call to a small route whose answer was not sent yet were answered with 400 or 408, and the connection was closed: the answer was lost.

Cause: the refusal was written whatever else the connection carried, as in the other listeners before.

Change: what knows the open requests of the embedded default is a module of its own (open_requests.ts), and serves both.

--- a/adapters/endpoint_server.ts
+++ b/adapters/endpoint_server.ts
@@ -9,6 +9,7 @@
 import { ByteCollector } from "../bytes/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import { ConnectionTimeouts } from "./connection_timeouts.ts";
+import { OpenRequests } from "./open_requests.ts";
 import { startListening } from "./start_listening.ts";
 
 /** Answer of a {@linkcode EndpointRoute}. */
@@ -80,12 +81,15 @@
       void answerCall(route, message, response as ServerResponse, parts.logger);
     });
   });
-  const server = createServer((request, response) =>
-    router.lookup(request, response)
-  );
+  const requests = new OpenRequests(refuseInvalidRequest);
+  const server = createServer((request, response) => {
+    if (requests.begin(request, response)) router.lookup(request, response);
+  });
   const { host, idleTimeoutMs = IDLE_TIMEOUT_MS, logger, port } = parts;
   server.keepAliveTimeout = idleTimeoutMs;
-  new ConnectionTimeouts(server, { refuse: refuseInvalidRequest });
+  new ConnectionTimeouts(server, {
+    refuse: (error, socket) => requests.refuse(error, socket),
+  });
   return {
     port: await startListening(server, { host, port }, logger),
     close: () => {
@@ -176,11 +180,9 @@
   error: NodeJS.ErrnoException,
   socket: Duplex,
 ): void {
-  if (socket.writable) {
-    const status = toRefusalStatus(error);
-    const line = `HTTP/1.1 ${status} ${STATUS_CODES[status]}`;
-    socket.write(`${line}\r\nConnection: close\r\n\r\n`);
-  }
+  const status = toRefusalStatus(error);
+  const line = `HTTP/1.1 ${status} ${STATUS_CODES[status]}`;
+  socket.write(`${line}\r\nConnection: close\r\n\r\n`);
   socket.destroy(error);
 }
 
--- a/adapters/endpoint_server_test.ts
+++ b/adapters/endpoint_server_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { it } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
 import { createSilentLogger } from "../logs/mod.ts";
 import { openRawCaller } from "../tests/raw_http.ts";
 import { startEndpointServer, toJsonAnswer } from "./endpoint_server.ts";
@@ -29,3 +30,28 @@
   server.close();
   assert.match(received, /^HTTP\/1\.1 413 /);
 });
+
+// The refusal of the bytes took the place of the answer.
+it("startEndpointServer() answers a call behind which bytes arrive that are not HTTP", async () => {
+  const server = await startEndpointServer({
+    host: HOST,
+    port: 0,
+    logger: createSilentLogger(),
+    routes: [{
+      method: "GET",
+      path: "/a",
+      handle: async () => {
+        await sleep(20);
+        return toJsonAnswer(200, {});
+      },
+    }],
+  });
+  const caller = await openRawCaller(server.port, HOST);
+  caller.socket.write(
+    "GET /a HTTP/1.1\r\nHost: a.example\r\n\r\n\u0001 nothing\r\n\r\n",
+  );
+  const received = await caller.awaitEnd();
+  server.close();
+  assert.match(received, /^HTTP\/1\.1 200 /);
+  assert.doesNotMatch(received, / 400 /);
+});
--- a/adapters/http_listener.ts
+++ b/adapters/http_listener.ts
@@ -18,7 +18,8 @@
 import type { Logger } from "../logs/mod.ts";
 import { AnswerWriter } from "./answer_writer.ts";
 import { ConnectionTimeouts } from "./connection_timeouts.ts";
-import { OpenResponses } from "./open_responses.ts";
+import { OpenRequests } from "./open_requests.ts";
+import type { OpenResponses } from "./open_responses.ts";
 import { startListening } from "./start_listening.ts";
 import { ACCEPT_BACKLOG, DisconnectDetector } from "./disconnect_detector.ts";
 import { systemClock } from "./system_clock.ts";
@@ -99,7 +100,7 @@
  */
 export async function startListener(parts: ListenerParts): Promise<Listener> {
   const disconnectDetector = new DisconnectDetector();
-  const requests = new OpenRequests();
+  const requests = new OpenRequests(refuseInvalidRequest);
   const onRequest = async (
     message: IncomingMessage,
     response: ServerResponse,
@@ -175,41 +176,6 @@
   };
 }
 
-/** Requests of all connections that have no whole answer yet. */
-class OpenRequests {
-  readonly responses = new OpenResponses();
-  readonly #messages = new WeakMap<Duplex, Set<IncomingMessage>>();
-  /** Connections that end with the answers in progress or with a refusal. */
-  readonly #closing = new WeakSet<Duplex>();
-
-  /** Begins a request. Returns whether it may be served. */
-  begin(message: IncomingMessage, response: ServerResponse): boolean {
-    const { socket } = message;
-    if (this.#closing.has(socket)) return false;
-    const messages = this.#messages.get(socket) ?? new Set();
-    this.#messages.set(socket, messages.add(message));
-    this.responses.onceClosed(response, () => {
-      messages.delete(message);
-      if (this.#closing.has(socket) && messages.size === 0) socket.end();
-    });
-    return true;
-  }
-
-  /**
-   * Refuses bytes that are not a valid request. Behind a request that was read and is being
-   * served, the connection is closed after its answer instead: the refusal would be taken for
-   * that answer.
-   */
-  refuse(error: NodeJS.ErrnoException, socket: Duplex): void {
-    this.#closing.add(socket);
-    const messages = [...this.#messages.get(socket) ?? []];
-    const isServed = messages.some(({ complete }) => complete);
-    const isClosed = !socket.writable || error.code === "ECONNRESET";
-    if (isClosed) socket.destroy();
-    else if (!isServed) refuseInvalidRequest(error, socket);
-  }
-}
-
 async function serveMessage(
   parts: ListenerParts,
   message: IncomingMessage,
