Listener: the sink of answers is a module of its own; idle connections are judged in batches

In connection_timeouts.ts, a timer that ended while others waited for a read began a second wait over the same list, and the first one judged both (found by the review, no wrong close seen).

Change: response_sink.ts; each wait has a list of its own, and a changed idle timeout empties it.

Measured: 362 tests of the listener, its timeouts, framing, pipelining, broken connections and import rules pass.

--- a/adapters/call_listener.ts
+++ b/adapters/call_listener.ts
@@ -13,7 +13,6 @@
   type ScarceResource,
 } from "../capacity/mod.ts";
 import {
-  type AnswerHead,
   type CallHead,
   type CallOrigin,
   type CallSink,
@@ -22,16 +21,14 @@
   NO_CONFIGURATION_RETRY_MS,
   type OpaqueCall,
   type RawHeaders,
-  readHeader,
   type Refusal,
   toRefusalAnswer,
 } from "../forwarding/mod.ts";
 import { type CallerLimits, INITIAL_LIMITS } from "../http_routes/mod.ts";
 import { LineRateLimiter, type Logger } from "../logs/mod.ts";
-import { AnswerWriter } from "./answer_writer.ts";
 import { ConnectionTimeouts } from "./connection_timeouts.ts";
 import { OpenResponses } from "./open_responses.ts";
-import { resetConnection } from "./reset_connection.ts";
+import { ResponseSink } from "./response_sink.ts";
 import { startListening } from "./start_listening.ts";
 import { systemClock } from "./system_clock.ts";
 import { ACCEPT_BACKLOG, DisconnectDetector } from "./disconnect_detector.ts";
@@ -43,11 +40,6 @@
 const PARSER_HEADER_BYTES = 65_536;
 /** Interval between checks for slow headers and idle connections, in milliseconds. */
 const CHECK_INTERVAL_MS = 1_000;
-/**
- * Time between the last bytes of an answer and the reset that breaks it off, in milliseconds.
- * Callers on Node take a reset that arrives together with bytes for a normal end.
- */
-const RESET_DELAY_MS = 50;
 /** Maximum size of a body that is read even if its call is refused, in bytes. */
 const SHORT_BODY_BYTES = 16_384;
 /** Bounds on the sizes of calls that another instance forwards. */
@@ -124,6 +116,7 @@
   readonly #lastAnswerSockets = new WeakSet<Duplex>();
   /** Number of the call whose refusal ends its connection; calls before it are served. */
   readonly #lastCallNumbers = new WeakMap<Duplex, number>();
+  /** Number of the last call that was read. */
   #callNumber = 0;
   /** Answers that are not fully sent yet. */
   readonly #openSinks = new Set<ResponseSink>();
@@ -457,104 +450,6 @@
   }
 }
 
-/** What a {@linkcode ResponseSink} needs to know of its connection. */
-interface SinkConnection {
-  /** Returns whether the connection ends with this answer. */
-  readonly mustEndConnection: () => boolean;
-  /** Called when an answer begins that ends with its connection. */
-  readonly onEndsConnection: () => void;
-  /** Returns whether a connection that is closed was ended or reset from outside. */
-  readonly wasClosedByCaller: () => boolean;
-}
-
-class ResponseSink implements CallSink {
-  readonly signal: AbortSignal;
-  readonly #response: ServerResponse;
-  readonly #connection: SinkConnection;
-  readonly #writer: AnswerWriter;
-  readonly #disconnect: AbortController;
-  /**
-   * Whether the normal end of the connection is the end of the answer: for a caller that reads
-   * no chunks (HTTP/1.0).
-   */
-  #endsWithConnection = false;
-
-  constructor(response: ServerResponse, connection: SinkConnection) {
-    this.#response = response;
-    this.#connection = connection;
-    this.#writer = new AnswerWriter(response);
-    const disconnect = new AbortController();
-    this.#disconnect = disconnect;
-    this.signal = disconnect.signal;
-  }
-
-  /** Aborts the signal if the connection was closed before the whole answer was sent. */
-  handleClose(): void {
-    if (this.#response.writableFinished) return;
-    this.#disconnect.abort(`${this.closedBy} closed the connection`);
-  }
-
-  /** Which side closed the connection, where it is closed. */
-  get closedBy(): "the caller" | "this instance" {
-    return this.#connection.wasClosedByCaller()
-      ? "the caller"
-      : "this instance";
-  }
-
-  /** Whether the head of the answer has been written. */
-  get hasBegun(): boolean {
-    return this.#response.headersSent;
-  }
-
-  begin(head: AnswerHead): void {
-    const { headers, status, statusText } = head;
-    const response = this.#response;
-    if (this.#connection.mustEndConnection()) {
-      response.shouldKeepAlive = false;
-      this.#connection.onEndsConnection();
-    }
-    // A flat list preserves the order, the case and the repetition of header names.
-    response.writeHead(status, statusText, headers as string[]);
-    this.#endsWithConnection = !response.chunkedEncoding &&
-      readHeader(headers, "content-length") === undefined;
-  }
-
-  write(chunk: Buffer): boolean {
-    return this.#writer.write(chunk);
-  }
-
-  onDrain(callback: () => void): void {
-    this.#writer.onDrain(callback);
-  }
-
-  end(trailers: RawHeaders): void {
-    const pairs = trailers.flatMap((name, at) =>
-      at % 2 === 0 ? [[name, trailers[at + 1]!] as [string, string]] : []
-    );
-    if (pairs.length > 0) this.#response.addTrailers(pairs);
-    this.#writer.flush();
-    this.#response.end();
-  }
-
-  abort(): void {
-    this.#writer.flush();
-    if (!this.#endsWithConnection) {
-      this.#response.destroy();
-      return;
-    }
-    const reset = new AbortController();
-    this.#response.once("close", () => reset.abort("closed"));
-    systemClock.schedule(RESET_DELAY_MS, () => this.destroy(), reset.signal);
-  }
-
-  /** Closes the connection at once, so that no open answer looks complete. */
-  destroy(): void {
-    const { socket } = this.#response;
-    if (this.#endsWithConnection && socket !== null) resetConnection(socket);
-    else this.#response.destroy();
-  }
-}
-
 /** Returns how many bytes a connection received and sent; bytes that wait in memory are not sent. */
 function countBytes(socket: Socket): number {
   return socket.bytesRead + socket.bytesWritten - socket.writableLength;
--- a/adapters/connection_timeouts.ts
+++ b/adapters/connection_timeouts.ts
@@ -47,8 +47,11 @@
 export class ConnectionTimeouts {
   readonly #server: Server;
   readonly #parts: ConnectionTimeoutsParts;
-  /** Idle connections to close, with the bytes received when their timers ended. */
-  readonly #idle = new Map<Socket, number>();
+  /**
+   * Idle connections that are closed after the next read, with the bytes received when their
+   * timers ended; `undefined`: there are none.
+   */
+  #idle: Map<Socket, number> | undefined;
   readonly #late = new Map<Duplex, LateRequest>();
 
   /**
@@ -85,21 +88,25 @@
   setIdleTimeout(timeoutMs: number, sockets: Iterable<Socket>): void {
     if (timeoutMs === this.#server.keepAliveTimeout) return;
     this.#server.keepAliveTimeout = timeoutMs;
-    this.#idle.clear();
+    this.#idle?.clear();
+    this.#idle = undefined;
     [...sockets].filter(isIdle).forEach((socket) =>
       socket.setTimeout(timeoutMs + TOLD_MARGIN_MS)
     );
   }
 
   async #closeUnlessUsed(socket: Socket): Promise<void> {
-    const isFirst = this.#idle.size === 0;
-    this.#idle.set(socket, socket.bytesRead);
-    if (!isFirst) return;
+    if (this.#idle !== undefined) {
+      this.#idle.set(socket, socket.bytesRead);
+      return;
+    }
+    const idle = new Map([[socket, socket.bytesRead]]);
+    this.#idle = idle;
     await awaitQuickRead();
-    this.#idle.forEach((bytesRead, each) => {
+    if (this.#idle === idle) this.#idle = undefined;
+    idle.forEach((bytesRead, each) => {
       if (each.bytesRead === bytesRead) each.destroy();
     });
-    this.#idle.clear();
   }
 
   async #refuseUnlessArrived(
