--- a/forwarding/call_sender.ts
+++ b/forwarding/call_sender.ts
@@ -17,7 +17,7 @@
 import type { LearnedServers } from "./learned_servers.ts";
 import { Handover, type HandoverEnd, type HandoverEvents } from "./handover.ts";
 import type { FleetRetryBudgets, RetryPurpose } from "./fleet_retry_budget.ts";
-import type { AttemptOutcome, EndedOutcome } from "./run_attempt.ts";
+import type { AttemptOutcome, EndedOutcome } from "./attempt_outcome.ts";
 import type { SendOptions, ServerSender } from "./server_sender.ts";
 import {
   avoidInstance,
--- a/forwarding/exchange.ts
+++ b/forwarding/exchange.ts
@@ -5,7 +5,8 @@
 import type { CallFacts } from "./call_header_codec.ts";
 import type { CallSink, OpaqueCall } from "./opaque_call.ts";
 import type { KeyedPart } from "./prefix_cache_model.ts";
-import type { HeldAnswer, StreamProgress } from "./run_attempt.ts";
+import type { HeldAnswer } from "./attempt_outcome.ts";
+import type { StreamProgress } from "./run_attempt.ts";
 
 /** One call that is being served, with its state so far. */
 export interface Exchange {
--- a/forwarding/handover.ts
+++ b/forwarding/handover.ts
@@ -1,5 +1,5 @@
 import { type Clock, scheduleAfterReading } from "../clock/mod.ts";
-import type { AttemptOutcome, EndedOutcome } from "./run_attempt.ts";
+import type { AttemptOutcome, EndedOutcome } from "./attempt_outcome.ts";
 import type { SendDestination } from "./settle_attempt.ts";
 
 /**
--- a/forwarding/handover_test.ts
+++ b/forwarding/handover_test.ts
@@ -4,7 +4,7 @@
 import { createMember } from "../tests/member_fixture.ts";
 import { toRegionId } from "../ids/mod.ts";
 import { Handover, type HandoverParts } from "./handover.ts";
-import type { AttemptOutcome } from "./run_attempt.ts";
+import type { AttemptOutcome } from "./attempt_outcome.ts";
 import type { SendDestination } from "./settle_attempt.ts";
 
 const DESTINATION = {
--- a/forwarding/instance_sender.ts
+++ b/forwarding/instance_sender.ts
@@ -9,7 +9,8 @@
 import { isHopHeader, readHopAnswer, writeHop } from "./hop_headers.ts";
 import { pickForwarded } from "./http_headers.ts";
 import { computeFirstByteTimeoutMs } from "./compute_first_byte_timeout.ts";
-import { type AttemptOutcome, runAttempt } from "./run_attempt.ts";
+import type { AttemptOutcome } from "./attempt_outcome.ts";
+import { runAttempt } from "./run_attempt.ts";
 import type { ServerClient } from "./server_client.ts";
 import type { SendOptions } from "./server_sender.ts";
 
--- a/forwarding/mod.ts
+++ b/forwarding/mod.ts
@@ -40,6 +40,7 @@
 export * from "./learned_servers.ts";
 export * from "./choose_server.ts";
 export * from "./choose_destination.ts";
+export * from "./attempt_outcome.ts";
 export * from "./run_attempt.ts";
 export * from "./handover.ts";
 export * from "./exchange.ts";
--- a/forwarding/run_attempt_test.ts
+++ b/forwarding/run_attempt_test.ts
@@ -5,11 +5,8 @@
 import { measureHeapBytes } from "../tests/measure_heap.ts";
 import type { AnswerFraming } from "./answer_framing.ts";
 import { GATEWAY_HEADER_CODEC } from "./gateway_header_codec.ts";
-import {
-  type AttemptOutcome,
-  type AttemptParts,
-  runAttempt,
-} from "./run_attempt.ts";
+import type { AttemptOutcome } from "./attempt_outcome.ts";
+import { type AttemptParts, runAttempt } from "./run_attempt.ts";
 import type { SendEvents, ServerClient } from "./server_client.ts";
 
 /** Bytes that are kept back, each a piece of its own. */
--- a/forwarding/server_sender.ts
+++ b/forwarding/server_sender.ts
@@ -12,11 +12,8 @@
 import type { LearnedServers } from "./learned_servers.ts";
 import { computeFirstByteTimeoutMs } from "./compute_first_byte_timeout.ts";
 import type { Handover, HandoverEvents } from "./handover.ts";
-import {
-  type AttemptOutcome,
-  type EndedOutcome,
-  runAttempt,
-} from "./run_attempt.ts";
+import type { AttemptOutcome, EndedOutcome } from "./attempt_outcome.ts";
+import { runAttempt } from "./run_attempt.ts";
 import type { SendRequest, ServerClient } from "./server_client.ts";
 import { SendEvidence } from "./send_evidence.ts";
 import { ServerFactsRecorder } from "./server_facts_recorder.ts";
--- a/forwarding/settle_attempt_test.ts
+++ b/forwarding/settle_attempt_test.ts
@@ -3,7 +3,7 @@
 import type { HttpRoute } from "../http_routes/mod.ts";
 import { toBackendId, toInstanceId, toRegionId } from "../ids/mod.ts";
 import type { Exchange } from "./exchange.ts";
-import type { AttemptOutcome } from "./run_attempt.ts";
+import type { AttemptOutcome } from "./attempt_outcome.ts";
 import { type SendDestination, settleAttempt } from "./settle_attempt.ts";
 
 const SERVER = toBackendId("s1");
--- a/forwarding/to_server_outcome.ts
+++ b/forwarding/to_server_outcome.ts
@@ -1,4 +1,4 @@
-import type { EndedOutcome } from "./run_attempt.ts";
+import type { EndedOutcome } from "./attempt_outcome.ts";
 import type { ServerOutcome } from "./server_health.ts";
 
 /** Returns what a send shows about the health of its server; `undefined`: nothing. */
