Forwarding: a refusal that names no call is no proof that a call has not run

What callers saw: a call that may run once ran at two engines, or was refused with 503, "not run", though an engine ran it.

Cause: an answer without the id of a call counted as that of the call which waited on its connection. Engines echo the id; their extra answers come where the next one is expected, and "X-Havenspur-Not-Executed" also stands on answers to requests that have none. The class: a proof of "not run" that is not tied to the call that it speaks of.

Ruled out: that the refusal itself is at fault. Refusals with the id of another call were turned away before, and still are.

Change: checkAnswerHead() decides what a head shows, apart from the state of an attempt. Only an answer that names the call shows that it has not run, also with 421. Another one counts as a broken send: an unsafe call gets 502 at once, an idempotent one goes on elsewhere within its attempts and the retry budget, and the connection is closed, so that an engine which runs the call stops. A call without an id is treated as before. New for operators: the line "answer not believed" with call, engine, status and reason, and the counter call.mismatched_answers by reason.

Two tests played engines that refuse without an id, which engines don't do; they echo it now, and demand the same 503.

--- a/forwarding/attempt_outcome.ts
+++ b/forwarding/attempt_outcome.ts
@@ -17,16 +17,7 @@
     readonly isOwnLimit?: boolean | undefined;
   }
   /** The server or the remote instance reported that the call did not run. */
-  | {
-    readonly kind: "rejected";
-    readonly isMisdirected: boolean;
-    /** Cool-down that the server requests from this instance, in milliseconds. Default: none. */
-    readonly cooldownMs?: number | undefined;
-    /** Number of servers that refused the call. */
-    readonly sends: number;
-    /** Why another instance refused the call. Default: a server refused it, or the instance did not tell. */
-    readonly reason?: RefusalReason | undefined;
-  }
+  | Rejection
   /** The call may have run; this send passed on no part of an answer. */
   | (IncompleteAnswer & { readonly kind: "no-answer" })
   /** Only a part of the answer was passed on. */
@@ -40,6 +31,18 @@
     readonly handover: Handover;
   };
 
+/** A send whose call was refused without having run. */
+export interface Rejection {
+  readonly kind: "rejected";
+  readonly isMisdirected: boolean;
+  /** Cool-down that the server requests from this instance, in milliseconds. Default: none. */
+  readonly cooldownMs?: number | undefined;
+  /** Number of servers that refused the call. */
+  readonly sends: number;
+  /** Why another instance refused the call. Default: a server refused it, or the instance did not tell. */
+  readonly reason?: RefusalReason | undefined;
+}
+
 /** Why there is no complete answer. */
 export interface IncompleteAnswer {
   readonly message: string;
--- a/forwarding/call_replies.ts
+++ b/forwarding/call_replies.ts
@@ -1,12 +1,13 @@
 import type { Clock } from "../clock/mod.ts";
 import { MAY_BE_CUT_HEADER } from "../engine/mod.ts";
-import type { BackendId } from "../ids/mod.ts";
+import type { BackendId, InstanceId } from "../ids/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
 import type { Exchange } from "./exchange.ts";
 import { type HopAnswer, isHopHeader, writeHopAnswer } from "./hop_headers.ts";
 import { pickForwarded } from "./http_headers.ts";
 import type { CallSink, OpaqueCall } from "./opaque_call.ts";
+import type { MismatchedAnswer } from "./run_attempt.ts";
 import type { AnswerHead } from "./server_client.ts";
 import { isNotRun, type Refusal, toRefusalAnswer } from "./refusal.ts";
 
@@ -164,6 +165,26 @@
     });
   }
 
+  /**
+   * Records an answer that was not taken for that of the call which waited for it.
+   *
+   * @param exchange The call.
+   * @param at The server or the instance that the call was sent to.
+   * @param answer The answer, and why it is not that of the call.
+   */
+  recordMismatch(
+    exchange: Exchange,
+    at: BackendId | InstanceId,
+    { reason, status }: MismatchedAnswer,
+  ): void {
+    const service = exchange.service.name;
+    this.#parts.metrics.count("call.mismatched_answers", 1, {
+      service,
+      reason,
+    });
+    this.log(exchange, "answer not believed", { at, status, reason });
+  }
+
   /** Logs a call whose connection closed before all of its answer was sent. */
   #logClosed(exchange: Exchange, isAnswered: boolean): void {
     const { progress, sentTo, sink } = exchange;
--- a/forwarding/instance_sender.ts
+++ b/forwarding/instance_sender.ts
@@ -117,6 +117,8 @@
         const roundTripMs = clock.nowMs() - startMs - answer.servedMs;
         destinations.recordRoundTrip(region, roundTripMs);
       },
+      onMismatch: (answer) =>
+        this.#parts.replies.recordMismatch(exchange, member.id, answer),
       onFirstByte: endTransit,
       signal: options.signal ?? exchange.signal,
       onAccepted: options.onAccepted,
--- a/forwarding/mod.ts
+++ b/forwarding/mod.ts
@@ -41,6 +41,7 @@
 export * from "./choose_server.ts";
 export * from "./choose_destination.ts";
 export * from "./attempt_outcome.ts";
+export * from "./check_answer_head.ts";
 export * from "./run_attempt.ts";
 export * from "./handover.ts";
 export * from "./exchange.ts";
--- a/forwarding/run_attempt.ts
+++ b/forwarding/run_attempt.ts
@@ -11,10 +11,11 @@
   CallHeaderCodec,
   RawHeaders,
 } from "./call_header_codec.ts";
+import { checkAnswerHead, type MismatchReason } from "./check_answer_head.ts";
 import { EventFramer, type FramedEvent } from "./event_framer.ts";
 import { EventScanner, isEventStart } from "./event_scanner.ts";
 import type { StreamHandling } from "./exchange.ts";
-import { readHopAnswer } from "./hop_headers.ts";
+import { type HopAnswer, readHopAnswer } from "./hop_headers.ts";
 import { pickForwarded, readHeader } from "./http_headers.ts";
 import type {
   AttemptOutcome,
@@ -52,6 +53,12 @@
   lastEventId: string | undefined;
 }
 
+/** An answer that was not taken for that of the call which waited for it. */
+export interface MismatchedAnswer {
+  readonly status: number;
+  readonly reason: MismatchReason;
+}
+
 /** Inputs of {@linkcode runAttempt}: one send, and how its answer is handled. */
 export interface AttemptParts {
   readonly client: ServerClient;
@@ -71,6 +78,8 @@
   readonly onHeaders?: (headers: RawHeaders) => void;
   /** Called with the facts in the answer's head, even if the answer is not used. Default: nothing. */
   readonly onFacts?: (facts: AnswerFacts) => void;
+  /** Called with an answer that is not that of the call. Default: nothing. */
+  readonly onMismatch?: (answer: MismatchedAnswer) => void;
   /** Called when the body of the answer has ended. Default: nothing. */
   readonly onAnswerEnd?: (end: AnswerEnd) => void;
   /** Called for each part of the answer that arrives. Default: nothing. */
@@ -107,8 +116,6 @@
 
 const EVENT_STREAM_TYPE = "text/event-stream";
 const MIN_FAILURE_STATUS = 500;
-/** Statuses with which the gateway guarantees callers that a call has not run. */
-const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 /** Maximum body of a failure that is held back, in bytes; one with a longer body is no answer. */
 const MAX_HELD_BYTES = 65_536;
 /** Maximum time to read the body of a failure that is held back, in milliseconds. */
@@ -180,53 +187,36 @@
   onHead(head: AnswerHead): void {
     if (this.#isFinished) return;
     this.#parts.onActivity?.();
-    const { callId, headerCodec, holdsFailures, isHop } = this.#parts;
+    const { callId, headerCodec, isHop } = this.#parts;
     this.#parts.onHeaders?.(head.headers);
     const facts = headerCodec.readAnswer(head.status, head.headers);
     this.#parts.onFacts?.(facts);
     const hopAnswer = isHop ? readHopAnswer(head.headers) : undefined;
-    if (hopAnswer?.kind === "not-run") {
-      this.#finish({
-        kind: "rejected",
-        isMisdirected: false,
-        sends: hopAnswer.tried.length,
-        reason: hopAnswer.reason,
-      });
-      return;
-    }
-    if (hopAnswer?.kind === "unknown") {
-      this.#finish({
-        kind: "no-answer",
-        message: "The other instance got no answer",
-      });
-      return;
-    }
-    if (facts.callId !== undefined && facts.callId !== callId) {
-      this.#abortAnswer(`The answer belongs to call "${facts.callId}"`);
-      return;
-    }
-    if (facts.isNotExecuted || facts.isMisdirected) {
-      this.#finish({
-        kind: "rejected",
-        isMisdirected: facts.isMisdirected,
-        cooldownMs: facts.cooldownMs,
-        sends: 1,
-      });
-      return;
-    }
-    if (NOT_RUN_STATUSES.has(head.status)) {
-      this.#abortAnswer(
-        `The server answered ${head.status} without saying that it did not run the call`,
-      );
-      return;
+    const { status } = head;
+    const verdict = checkAnswerHead({ callId, facts, hopAnswer, status });
+    switch (verdict.kind) {
+      case "matches":
+        this.#beginAnswer(head, hopAnswer);
+        return;
+      case "not-run":
+        this.#finish(verdict.rejection);
+        return;
+      case "unknown":
+        this.#finish({ kind: "no-answer", message: verdict.message });
+        return;
+      case "mismatch":
+        this.#parts.onMismatch?.({ status, reason: verdict.reason });
+        this.#abortAnswer(verdict.message);
+        return;
+      default:
+        verdict satisfies never;
     }
+  }
+
+  /** Holds back or passes on an answer whose head has arrived. */
+  #beginAnswer(head: AnswerHead, hopAnswer: HopAnswer | undefined): void {
+    const { holdsFailures } = this.#parts;
     const isSuccess = head.status >= 200 && head.status < 300;
-    if (isSuccess && (!facts.isSigned || facts.isContentEncoded)) {
-      this.#abortAnswer(
-        "The answer is unsigned or content-encoded, so not the server's own",
-      );
-      return;
-    }
     this.#head = hopAnswer?.endsWithConnection
       ? { ...head, framing: "connection" }
       : head;
--- a/forwarding/server_sender.ts
+++ b/forwarding/server_sender.ts
@@ -131,6 +131,8 @@
         evidence?.recordBytes(nowMs);
       },
       onFacts: (facts) => this.#facts.record(entry, facts, startMs),
+      onMismatch: (answer) =>
+        this.#parts.replies.recordMismatch(exchange, entry.id, answer),
       onAnswerEnd: (end) =>
         metrics.count("call.answer_ends", 1, {
           service: service.name,
--- a/metrics/metrics.ts
+++ b/metrics/metrics.ts
@@ -34,6 +34,8 @@
     "counter; sends of which no byte left, as no connection opened; tags: service",
   "call.rejected":
     "counter; sends refused as not run; tags: service, by (server, instance)",
+  "call.mismatched_answers":
+    "counter; answers not taken for those of the calls that waited for them; tags: service, reason (names-another-call, names-no-call, unmarked-refusal, unsigned)",
   "call.answer_ends":
     "counter; ends of servers' answers; tags: service, framing (empty, length, chunked, connection), how (whole, inside-event, broken)",
   "state.configuration_version": "gauge",
--- a/tests/opaque_answers_test.ts
+++ b/tests/opaque_answers_test.ts
@@ -260,7 +260,7 @@
   it("of a server that did not run the call is a 503 with Retry-After", async () => {
     const setup = await start((_, socket) =>
       socket.write(
-        "HTTP/1.1 503 Full\r\nX-Havenspur-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 503 Full\r\nX-Havenspur-Attempt-Id: c1\r\nX-Havenspur-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
       ), { kind: "unsafe" });
     const answer = await sendOnce(
       setup,
--- a/tests/region_hop_test.ts
+++ b/tests/region_hop_test.ts
@@ -58,7 +58,7 @@
   it("is refused as not run if the server there did not run it", async () => {
     const { near } = await startTwoRegions((_, socket) =>
       socket.write(
-        "HTTP/1.1 503 Full\r\nX-Havenspur-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 503 Full\r\nX-Havenspur-Attempt-Id: c1\r\nX-Havenspur-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
       )
     );
     assert.match(await sendCall(near.port), /^HTTP\/1\.1 503 /);
