Hops: an instance's "not run" counts for the send that it names

What callers saw: nothing yet; found by reading, beside the refusals of engines. An unsafe call that was forwarded went on elsewhere after any answer on its connection with "not-run" in the header between instances, and after any 421 or "not executed" without that header, whoever had written it.

Only the order on the connection tied an instance's refusal to its send, and an answer without the header between instances was read as an engine's.

Change: each send to another instance has an id, which the answer repeats. An answer to another send, or one that is not an instance's, leaves open what became of the call. Instances with earlier software repeat no id and are believed as before, as long as they run beside newer ones.

Evidence: two cases of tests/region_hop_test.ts failed before (the call went on and was refused with 503); they and the cases of forwarding/check_answer_head_test.ts pass. A send costs some ten bytes more in its header and in that of its answer.

--- a/forwarding/call_replies.ts
+++ b/forwarding/call_replies.ts
@@ -208,10 +208,11 @@
 
   #createHopHeaders(
     call: OpaqueCall,
-    answer: Omit<HopAnswer, "servedMs">,
+    answer: Omit<HopAnswer, "sendId" | "servedMs">,
   ): readonly string[] {
     if (call.origin.kind === "caller") return [];
     const servedMs = this.#parts.clock.nowMs() - call.receivedMs;
-    return writeHopAnswer({ ...answer, servedMs });
+    const { sendId } = call.origin.hop;
+    return writeHopAnswer({ ...answer, sendId, servedMs });
   }
 }
--- a/forwarding/check_answer_head.ts
+++ b/forwarding/check_answer_head.ts
@@ -1,3 +1,4 @@
+import type { SendId } from "../ids/mod.ts";
 import type { Rejection } from "./attempt_outcome.ts";
 import type { AnswerFacts } from "./call_header_codec.ts";
 import type { HopAnswer } from "./hop_headers.ts";
@@ -10,6 +11,8 @@
   | "names-no-call"
   /** Its status promises that the call has not run, but its server does not say so. */
   | "unmarked-refusal"
+  /** It comes from an instance, and was made for another send, or for none. */
+  | "names-another-send"
   /** It is a success that is unsigned or content-encoded. */
   | "unsigned";
 
@@ -28,14 +31,21 @@
     readonly message: string;
   };
 
+/** A send to another instance, and what this one says of its answer. */
+export interface CheckedHop {
+  readonly sendId: SendId;
+  /** Default: the answer does not say that it is an instance's. */
+  readonly answer: HopAnswer | undefined;
+}
+
 /** The call that waits for an answer, and what the head of the answer says. */
 export interface CheckedHead {
   /** The caller's id of the call; empty if it sent none. */
   readonly callId: string;
   readonly status: number;
   readonly facts: AnswerFacts;
-  /** What the other instance says of its answer; `undefined` if a server answered. */
-  readonly hopAnswer: HopAnswer | undefined;
+  /** The send to another instance; `undefined` if the call was sent to a server. */
+  readonly hop: CheckedHop | undefined;
 }
 
 /** Statuses with which the gateway guarantees callers that a call has not run. */
@@ -51,11 +61,10 @@
  * @param head The call, and what the head says.
  */
 export function checkAnswerHead(
-  { callId, facts, hopAnswer, status }: CheckedHead,
+  { callId, facts, hop, status }: CheckedHead,
 ): HeadVerdict {
-  if (hopAnswer !== undefined && hopAnswer.kind !== "answered") {
-    return toHopVerdict(hopAnswer);
-  }
+  const hopVerdict = hop && checkHop(hop);
+  if (hopVerdict !== undefined) return hopVerdict;
   if (facts.callId !== undefined && facts.callId !== callId) {
     return toMismatch(
       "names-another-call",
@@ -87,19 +96,33 @@
   return { kind: "matches" };
 }
 
-function toHopVerdict(answer: HopAnswer): HeadVerdict {
-  if (answer.kind === "unknown") {
-    return { kind: "unknown", message: "The other instance got no answer" };
+/** Returns what an instance's answer shows that is not the answer of a server. */
+function checkHop({ answer, sendId }: CheckedHop): HeadVerdict | undefined {
+  if (answer === undefined) {
+    return toMismatch("names-another-send", "The answer is not an instance's");
+  }
+  if (answer.sendId !== undefined && answer.sendId !== sendId) {
+    return toMismatch(
+      "names-another-send",
+      "The answer is that to another send",
+    );
+  }
+  switch (answer.kind) {
+    case "answered":
+      return undefined;
+    case "unknown":
+      return { kind: "unknown", message: "The other instance got no answer" };
+    case "not-run":
+      return {
+        kind: "not-run",
+        rejection: {
+          kind: "rejected",
+          isMisdirected: false,
+          sends: answer.tried.length,
+          reason: answer.reason,
+        },
+      };
   }
-  return {
-    kind: "not-run",
-    rejection: {
-      kind: "rejected",
-      isMisdirected: false,
-      sends: answer.tried.length,
-      reason: answer.reason,
-    },
-  };
 }
 
 function toRejection({ cooldownMs, isMisdirected }: AnswerFacts): Rejection {
--- a/forwarding/check_answer_head_test.ts
+++ b/forwarding/check_answer_head_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { toSendId } from "../ids/mod.ts";
 import { checkAnswerHead } from "./check_answer_head.ts";
 import { GATEWAY_HEADER_CODEC } from "./gateway_header_codec.ts";
 
@@ -10,7 +11,29 @@
     callId,
     status,
     facts,
-    hopAnswer: undefined,
+    hop: undefined,
+  });
+  return verdict.kind === "mismatch" ? verdict.reason : verdict.kind;
+}
+
+/** Returns the verdict on a refusal that an instance made for a send, of the send `2`. */
+function checkRefusal(sendId: string | undefined) {
+  const verdict = checkAnswerHead({
+    callId: "c1",
+    status: 503,
+    facts: GATEWAY_HEADER_CODEC.readAnswer(503, []),
+    hop: {
+      sendId: toSendId("2"),
+      answer: {
+        kind: "not-run",
+        sendId: sendId === undefined ? undefined : toSendId(sendId),
+        servedMs: 0,
+        tried: [],
+        endsWithConnection: false,
+        reason: "no-room",
+        version: undefined,
+      },
+    },
   });
   return verdict.kind === "mismatch" ? verdict.reason : verdict.kind;
 }
@@ -44,6 +67,20 @@
     });
   });
 
+  describe("when another instance refuses a call", () => {
+    it("believes it of the send that the refusal names", () => {
+      assert.equal(checkRefusal("2"), "not-run");
+    });
+
+    it("believes no refusal of another send", () => {
+      assert.equal(checkRefusal("1"), "names-another-send");
+    });
+
+    it("believes an instance with earlier software, which names no send", () => {
+      assert.equal(checkRefusal(undefined), "not-run");
+    });
+  });
+
   it('takes no status that promises "not run" for that promise', () => {
     assert.equal(check(503, OWN_ID), "unmarked-refusal");
   });
--- a/forwarding/hop_headers.ts
+++ b/forwarding/hop_headers.ts
@@ -1,10 +1,12 @@
 import {
   type BackendId,
   type InstanceId,
+  type SendId,
   type ServerVersion,
   toBackendId,
   toInstanceId,
   toRegionId,
+  toSendId,
   toServerVersion,
   toTeamId,
 } from "../ids/mod.ts";
@@ -22,6 +24,8 @@
 export interface Hop {
   /** The first instance. */
   readonly from: InstanceId;
+  /** Id of this send, which the second instance repeats; `undefined` from earlier software. */
+  readonly sendId: SendId | undefined;
   /**
    * Service that the first instance chose. The second instance uses it whatever its own
    * configuration is: of two calls that one instance receives, the later one must not be
@@ -60,6 +64,8 @@
    * run. `unknown`: the call was refused and may have run.
    */
   readonly kind: "answered" | "not-run" | "unknown";
+  /** Id of the send that is answered; `undefined` from earlier software. */
+  readonly sendId: SendId | undefined;
   /** Time for which the second instance had the call, in milliseconds. */
   readonly servedMs: number;
   /** Servers that the second instance sent the call to. */
@@ -97,6 +103,7 @@
     tried: hop.tried.join(" "),
     version: String(hop.configurationVersion),
   });
+  if (hop.sendId !== undefined) fields.set("send", hop.sendId);
   if (hop.resumeAfter !== undefined) fields.set("after", hop.resumeAfter);
   if (hop.isTrial) fields.set("trial", "1");
   if (hop.isRepeat) fields.set("repeat", "1");
@@ -120,6 +127,7 @@
   }
   return {
     from: toInstanceId(from),
+    sendId: parseSendId(fields),
     service,
     remainingMs,
     resumeAfter: fields.get("after") ?? undefined,
@@ -175,6 +183,7 @@
     servedMs: String(Math.round(answer.servedMs)),
     tried: answer.tried.join(" "),
   });
+  if (answer.sendId !== undefined) fields.set("send", answer.sendId);
   if (answer.endsWithConnection) fields.set("end", CONNECTION_END);
   if (answer.reason !== undefined) fields.set("reason", answer.reason);
   if (answer.version !== undefined) fields.set("begunBy", answer.version);
@@ -190,6 +199,7 @@
   if (!HOP_ANSWER_KINDS.has(kind)) return undefined;
   return {
     kind: kind as HopAnswer["kind"],
+    sendId: parseSendId(fields),
     servedMs: Number(fields.get("servedMs") ?? 0),
     tried: parseServerIds(fields.get("tried")),
     endsWithConnection: fields.get("end") === CONNECTION_END,
@@ -198,6 +208,11 @@
   };
 }
 
+function parseSendId(fields: URLSearchParams): SendId | undefined {
+  const text = fields.get("send");
+  return text === null ? undefined : toSendId(text);
+}
+
 function parseVersion(text: string | null): ServerVersion | undefined {
   return text === null ? undefined : toServerVersion(text);
 }
--- a/forwarding/instance_sender.ts
+++ b/forwarding/instance_sender.ts
@@ -1,5 +1,5 @@
 import type { Clock } from "../clock/mod.ts";
-import type { ServerVersion } from "../ids/mod.ts";
+import { type ServerVersion, toSendId } from "../ids/mod.ts";
 import type { FleetView } from "../fleet/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
 import type { CallHeaderCodec } from "./call_header_codec.ts";
@@ -34,6 +34,8 @@
 /** Forwards calls to instances of remote regions. A call is forwarded at most once. */
 export class InstanceSender {
   readonly #parts: InstanceSenderParts;
+  /** Number of sends so far. */
+  #sends = 0;
 
   /** @param parts Clock, client, metrics and what is known of the fleet. */
   constructor(parts: InstanceSenderParts) {
@@ -66,6 +68,7 @@
       destinations.addInTransit(region, -candidate.prefillTokens);
     };
     let version: ServerVersion | undefined;
+    const sendId = toSendId(String(++this.#sends));
     const isRepeat = !exchange.isFirstSend;
     exchange.isFirstSend = false;
     const outcome = await runAttempt({
@@ -84,6 +87,7 @@
           ),
           ...writeHop({
             from: fleet.self.id,
+            sendId,
             service: exchange.service.name,
             remainingMs: Math.max(1, exchange.deadlineMs - startMs),
             resumeAfter: progress.lastEventId,
@@ -101,7 +105,7 @@
         maxConnections: MAX_PEER_CONNECTIONS,
       },
       callId: facts.callId,
-      isHop: true,
+      hopSendId: sendId,
       holdsFailures: exchange.isHandingOver,
       streams: readStreamHandling(exchange),
       progress,
--- a/forwarding/run_attempt.ts
+++ b/forwarding/run_attempt.ts
@@ -4,7 +4,7 @@
   type Clock,
   scheduleAfterReading,
 } from "../clock/mod.ts";
-import type { ServerVersion } from "../ids/mod.ts";
+import type { SendId, ServerVersion } from "../ids/mod.ts";
 import type { AnswerFraming } from "./answer_framing.ts";
 import type {
   AnswerFacts,
@@ -66,8 +66,8 @@
   readonly sink: CallSink;
   readonly request: SendRequest;
   readonly callId: string;
-  /** Whether the call is forwarded to another instance, which may itself refuse it. */
-  readonly isHop: boolean;
+  /** Id of a send to another instance, which may itself refuse the call. Default: it goes to a server. */
+  readonly hopSendId?: SendId;
   /** Whether failures of the server are held back instead of passed on. */
   readonly holdsFailures: boolean;
   readonly streams: StreamHandling;
@@ -187,16 +187,18 @@
   onHead(head: AnswerHead): void {
     if (this.#isFinished) return;
     this.#parts.onActivity?.();
-    const { callId, headerCodec, isHop } = this.#parts;
+    const { callId, headerCodec, hopSendId } = this.#parts;
     this.#parts.onHeaders?.(head.headers);
     const facts = headerCodec.readAnswer(head.status, head.headers);
     this.#parts.onFacts?.(facts);
-    const hopAnswer = isHop ? readHopAnswer(head.headers) : undefined;
-    const { status } = head;
-    const verdict = checkAnswerHead({ callId, facts, hopAnswer, status });
+    const { headers, status } = head;
+    const hop = hopSendId === undefined
+      ? undefined
+      : { sendId: hopSendId, answer: readHopAnswer(headers) };
+    const verdict = checkAnswerHead({ callId, facts, hop, status });
     switch (verdict.kind) {
       case "matches":
-        this.#beginAnswer(head, hopAnswer);
+        this.#beginAnswer(head, hop?.answer);
         return;
       case "not-run":
         this.#finish(verdict.rejection);
--- a/forwarding/run_attempt_test.ts
+++ b/forwarding/run_attempt_test.ts
@@ -43,7 +43,6 @@
       maxConnections: 1,
     },
     callId: "c1",
-    isHop: false,
     holdsFailures: false,
     streams: { isStream: true, framesEvents: true },
     progress: { hasBegun: false, lastEventId: undefined },
--- a/forwarding/server_sender.ts
+++ b/forwarding/server_sender.ts
@@ -117,7 +117,6 @@
       sink: exchange.sink,
       request: this.#createRequest(exchange, candidate, startMs),
       callId: exchange.facts.callId,
-      isHop: false,
       holdsFailures: canRetry || exchange.isHandingOver,
       streams: readStreamHandling(exchange),
       progress: exchange.progress,
--- a/ids/mod.ts
+++ b/ids/mod.ts
@@ -32,6 +32,8 @@
 export type RequestId = Branded<"RequestId">;
 /** One attempt of one request at one backend server. */
 export type AttemptId = Branded<"AttemptId">;
+/** One send of a call to another instance; its id comes from the instance that sends it. */
+export type SendId = Branded<"SendId">;
 /** An idempotency key with its team. */
 export type RunKey = Branded<"RunKey">;
 /**
@@ -69,6 +71,8 @@
 /** Returns the text as a call fingerprint. */
 export const toCallFingerprint = (text: string): CallFingerprint =>
   text as CallFingerprint;
+/** Returns the text as the id of a send. */
+export const toSendId = (text: string): SendId => text as SendId;
 /** Returns the text as a change id. */
 export const toChangeId = (text: string): ChangeId => text as ChangeId;
 /** Returns the text as a server version. */
--- a/metrics/metrics.ts
+++ b/metrics/metrics.ts
@@ -35,7 +35,7 @@
   "call.rejected":
     "counter; sends refused as not run; tags: service, by (server, instance)",
   "call.mismatched_answers":
-    "counter; answers not taken for those of the calls that waited for them; tags: service, reason (names-another-call, names-no-call, unmarked-refusal, unsigned)",
+    "counter; answers not taken for those of the calls that waited for them; tags: service, reason (names-another-call, names-no-call, names-another-send, unmarked-refusal, unsigned)",
   "call.answer_ends":
     "counter; ends of servers' answers; tags: service, framing (empty, length, chunked, connection), how (whole, inside-event, broken)",
   "state.configuration_version": "gauge",
--- a/spec/key_spec.ts
+++ b/spec/key_spec.ts
@@ -175,6 +175,7 @@
     origin: {
       kind: "instance",
       hop: {
+        sendId: undefined,
         from: toInstanceId("first"),
         service: "app",
         remainingMs: 1,
--- a/tests/region_hop_test.ts
+++ b/tests/region_hop_test.ts
@@ -1,8 +1,12 @@
 import assert from "node:assert/strict";
 import { afterEach, describe, it } from "node:test";
 import { CLEAN_UPS } from "./clean_ups.ts";
-import { createAnswer, createRequest } from "./http_gateway_fixture.ts";
-import { findHeader, openRawCaller } from "./raw_http.ts";
+import {
+  createAnswer,
+  createRequest,
+  startGateway,
+} from "./http_gateway_fixture.ts";
+import { findHeader, openRawCaller, startRawServer } from "./raw_http.ts";
 import {
   createFarReport,
   FAR_HOST,
@@ -170,6 +174,35 @@
     })
   );
 
+  // Whoever answers there did not speak of this send, which may have run.
+  const foreignRefusals = {
+    "to another send":
+      "havenspur-hop-answer: kind=not-run&servedMs=1&tried=&send=other",
+    "of no instance": "X-Havenspur-Not-Executed: 1",
+  };
+  Object.entries(foreignRefusals).forEach(([name, header]) => {
+    it(`does not count as not run because of a refusal ${name}`, async () => {
+      const peer = await startRawServer((_, socket) =>
+        socket.write(
+          `HTTP/1.1 421 Misdirected\r\nX-Havenspur-Attempt-Id: c1\r\n${header}\r\nContent-Length: 0\r\n\r\n`,
+        )
+      );
+      const near = await startGateway({
+        routes: [{ prefix: "/a/", kind: "unsafe", maxAttempts: 3 }],
+        servers: { s0: "127.0.0.1:1" },
+        serverRegions: { s0: "south" },
+      });
+      CLEAN_UPS.push(() => peer.close(), () => near.close());
+      const { from, ...report } = createFarReport(1);
+      near.gateway.receiveReport(
+        { ...report, from: { ...from, address: peer.address } },
+        FAR_HOST,
+      );
+      assert.match(await sendCall(near.port), /^HTTP\/1\.1 502 /);
+      assert.equal(peer.requests.length, 1);
+    });
+  });
+
   it("takes no second hop", async () => {
     const { far, server } = await startTwoRegions(() => {}, {
       homeRegions: ["north"],
