Embedded default: a refusal counts as "not run" for the request that it names

What callers saw: nothing yet; found by reading, beside the refusals of the platform's engines.

Cause: the same class, a proof of "not run" that is not tied to the call.

Change: such an answer counts only if it repeats the id of the attempt, or, from another instance, that of the request, which instances repeat already. Another one leaves open whether the call has run.

Ruled out: to close the connection of such an answer at once; its body has been read by then, and the client's pool has no handle on one connection. Bytes that follow at rest end it.

The engine of the stand-ins repeats the id now.

--- a/adapters/http_backend_client.ts
+++ b/adapters/http_backend_client.ts
@@ -51,6 +51,8 @@
 const MAX_DRAIN_MS = 500;
 /** Status by which an engine rejects an order with an outdated fencing token. */
 const FENCED_STATUS = 412;
+/** Headers with the id of a request, one of which a refusal has to repeat. */
+const REQUEST_ID_HEADERS = ["x-attempt-id", "x-request-id"];
 /** Headers that concern one connection only, and are not passed on to the caller. */
 const HOP_BY_HOP_HEADERS = [
   "connection",
@@ -202,6 +204,12 @@
         });
       }
       if (headers["x-ran"] === "not-run" && response.statusCode >= 400) {
+        if (!isNamedIn(headers, options.headers ?? {})) {
+          return err({
+            kind: "broken",
+            message: `The refusal ${response.statusCode} names no request`,
+          });
+        }
         const retryAfterMs = Number(headers["retry-after"] ?? "1") * 1_000;
         const text = Buffer.from(body).toString("utf8").slice(0, 500);
         return err({
@@ -322,6 +330,16 @@
   }
 }
 
+/** Returns whether an answer repeats an id of its request. A late one may be that of an earlier request. */
+function isNamedIn(
+  answer: Readonly<Record<string, string>>,
+  request: Readonly<Record<string, string>>,
+): boolean {
+  return REQUEST_ID_HEADERS.some((name) =>
+    request[name] !== undefined && request[name] === answer[name]
+  );
+}
+
 /** Returns whether only the end of the connection ended the body of an answer. */
 function hasNoFraming(
   method: Dispatcher.HttpMethod,
--- a/standin/engine_server.ts
+++ b/standin/engine_server.ts
@@ -162,6 +162,7 @@
       & { readonly stream?: boolean; readonly model: string };
     if (this.faults.refuse) {
       response.setHeader("x-ran", "not-run");
+      response.setHeader("x-attempt-id", message.headers["x-attempt-id"] ?? "");
       response.setHeader("retry-after", "1");
       return sendJson(response, 503, { error: { message: "refused" } });
     }
--- a/tests/unnamed_refusal_test.ts
+++ b/tests/unnamed_refusal_test.ts
@@ -2,6 +2,8 @@
 import assert from "node:assert/strict";
 import type { Socket } from "node:net";
 import { afterEach, describe, it } from "node:test";
+import { HttpBackendClient } from "../adapters/http_backend_client.ts";
+import { createBackendCall } from "./backend_server_fixture.ts";
 import { CLEAN_UPS } from "./clean_ups.ts";
 import {
   createAnswer,
@@ -210,3 +212,30 @@
     assert.equal(countRuns(), 2);
   });
 });
+
+describe("a refusal of a backend server to the embedded default", () => {
+  const dispatch = async (headers: string) => {
+    const server = await startRawServer((_, socket) =>
+      socket.write(
+        `HTTP/1.1 503 Busy\r\nX-Ran: not-run\r\n${headers}Content-Length: 0\r\n\r\n`,
+      )
+    );
+    const client = new HttpBackendClient();
+    CLEAN_UPS.push(() => server.close(), () => void client.close());
+    const call = createBackendCall(server.address);
+    const answer = await client.dispatch(
+      { ...call, headers: { "x-attempt-id": call.attempt } },
+      new AbortController().signal,
+    );
+    return answer.isErr() ? answer.error.kind : "answered";
+  };
+
+  it("shows that the call has not run if it names its attempt", async () => {
+    assert.equal(await dispatch("X-Attempt-Id: a1\r\n"), "refused");
+  });
+
+  it("leaves open whether the call has run if it names another attempt or none", async () => {
+    assert.equal(await dispatch("X-Attempt-Id: a0\r\n"), "broken");
+    assert.equal(await dispatch(""), "broken");
+  });
+});
