Soak: servers send late refusals, and streams that must run once are counted too

Cause: no disturbance of the soak sent an answer that names no call, and "at most once" and "refused calls have not run" looked at non-idempotent calls alone. A stream that must not be resumed could run twice unseen.

Change: one server every 5 s sends a refusal without an id before each answer for 1 s, drawn from numbers of its own; both promises hold for single streams too.

--- a/soak/check_promises.ts
+++ b/soak/check_promises.ts
@@ -9,6 +9,7 @@
 } from "../standin/recording_server.ts";
 import { RESUMED_AFTER, ROTATING_TEAM, STEADY_TEAM } from "./caller.ts";
 import {
+  type CallKind,
   isServed,
   KEY_KINDS,
   type Observation,
@@ -56,6 +57,8 @@
 
 /** Statuses that promise that the call did not run. */
 const NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+/** Kinds of calls that must run at most once. */
+const RUN_ONCE_KINDS: readonly CallKind[] = ["non-idempotent", "single-stream"];
 /**
  * Time after which a server that drains or lost its entry must get no new calls, in
  * milliseconds: the users' requirement of 3 s, doubled for a machine that does other work too.
@@ -199,7 +202,7 @@
 function checkAtMostOnce(observation: Observation): readonly Violation[] {
   const counts = countRuns(observation);
   return observation.calls.filter(({ callId, kind }) =>
-    kind === "non-idempotent" && (counts.get(callId) ?? 0) > 1
+    RUN_ONCE_KINDS.includes(kind) && (counts.get(callId) ?? 0) > 1
   ).map((call) => ({
     promise: "at most once",
     detail: `${formatCall(call)}, ran ${counts.get(call.callId)} times`,
@@ -209,7 +212,7 @@
 function checkNotRun(observation: Observation): readonly Violation[] {
   const counts = countRuns(observation);
   return observation.calls.filter(({ callId, end, kind }) =>
-    kind === "non-idempotent" && end.kind === "answered" &&
+    RUN_ONCE_KINDS.includes(kind) && end.kind === "answered" &&
     NOT_RUN.has(end.status) && counts.has(callId)
   ).map((call) => ({
     promise: "calls refused as not run did not run",
--- a/soak/check_promises_test.ts
+++ b/soak/check_promises_test.ts
@@ -2,6 +2,7 @@
 import { describe, it } from "node:test";
 import {
   createRecordedBody,
+  createRecordedEvents,
   type RecordedRun,
   STREAM_EVENTS,
 } from "../standin/recording_server.ts";
@@ -202,11 +203,19 @@
     );
   });
 
-  it("finds a non-idempotent call that ran twice", () => {
-    const calls = [createCall({ kind: "non-idempotent" })];
-    const runs = [createRun(), createRun({ server: "s2" })];
-    assert.deepEqual(check({ calls, runs }), ["at most once"]);
-    assert.deepEqual(check({ runs }), []);
+  const answersOnce = {
+    "non-idempotent": createRecordedBody("c1", "work"),
+    "single-stream": createRecordedEvents("c1").join(""),
+  } as const;
+  const kindsOnce = ["non-idempotent", "single-stream"] as const;
+  kindsOnce.forEach((kind) => {
+    it(`finds a call that must run once and ran twice, ${kind}`, () => {
+      const end = createAnswer(200, answersOnce[kind]);
+      const calls = [createCall({ kind, end })];
+      const runs = [createRun(), createRun({ server: "s2" })];
+      assert.deepEqual(check({ calls, runs }), ["at most once"]);
+      assert.deepEqual(check({ runs }), []);
+    });
   });
 
   it("finds a call that was refused as not run but did run", () => {
--- a/soak/fault_runner.ts
+++ b/soak/fault_runner.ts
@@ -612,6 +612,7 @@
       case "fail":
       case "break-off":
       case "cut":
+      case "stray":
         server.fault = what;
         await this.#wait(durationMs);
         server.fault = "none";
@@ -770,6 +771,7 @@
     case "fail":
     case "break-off":
     case "cut":
+    case "stray":
       return true;
     case "drain":
     case "overwrite":
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -46,6 +46,8 @@
       | "break-off"
       /** The server frames answers in other ways, and ends many of them early. */
       | "cut"
+      /** The server sends a late refusal that names no call before each answer. */
+      | "stray"
       | "drain"
       /** The server starts again with the same id and another address. */
       | "restart"
@@ -258,6 +260,10 @@
 const CUT_ANSWERS_MS = 2_000;
 /** Length of the intervals that have one such server each, in milliseconds. */
 const CUT_ANSWERS_INTERVAL_MS = 4_000;
+/** How long a server sends late refusals before its answers, in milliseconds. */
+const STRAY_REFUSALS_MS = 1_000;
+/** Length of the intervals that have one such server each, in milliseconds. */
+const STRAY_REFUSALS_INTERVAL_MS = 5_000;
 /** Time limit of a rollout, in milliseconds, as in the users' orders. */
 const ROLLOUT_MS = 12_000;
 /** Share of the seeds that have a rollout, and of those the shares with a bad version and with engines. */
@@ -298,6 +304,7 @@
     ...planRestores(parts, endMs),
     ...planCutOffs(parts, endMs),
     ...planSilences(parts, endMs),
+    ...planStrayRefusals(parts, endMs),
     ...planBrittleServers(parts, endMs),
     ...planCutAnswers(parts, endMs),
     ...planRollouts(parts, endMs),
@@ -586,6 +593,20 @@
   }, () => drawServerFault("cut", { random, servers }));
 }
 
+/** Plans servers that send late refusals before their answers. */
+function planStrayRefusals(
+  { seed, servers }: PlanParts,
+  endMs: number,
+): readonly PlannedFault[] {
+  const random = createRandom(Math.imul(seed, SEED_SPREAD) ^ 9);
+  return planRecurring({
+    random,
+    intervalMs: STRAY_REFUSALS_INTERVAL_MS,
+    durationMs: STRAY_REFUSALS_MS,
+    endMs,
+  }, () => drawServerFault("stray", { random, servers }));
+}
+
 /** Plans restores of the store from backups. */
 function planRestores(
   { seed }: PlanParts,
--- a/standin/recording_server.ts
+++ b/standin/recording_server.ts
@@ -34,6 +34,8 @@
   | "break-off"
   /** Frames answers in other ways, and ends many of them early, by end or reset. */
   | "cut"
+  /** Sends a refusal that names no call before each answer, as if it were late. */
+  | "stray"
   /** Refuses all calls and asks for a cool-down. */
   | "rest";
 
@@ -105,6 +107,13 @@
 const BAD_ANSWER_SEED = 1;
 /** Paths of streaming routes. */
 const STREAM_PATH = /^\/([\w-]+-)?stream\//;
+/** Refusal that names no call. */
+const STRAY_REFUSAL = [
+  "HTTP/1.1 503 Service Unavailable",
+  `${NOT_EXECUTED_HEADER}: 1`,
+  "Content-Length: 0",
+  "\r\n",
+].join("\r\n");
 /** Number of events in a stream. */
 export const STREAM_EVENTS = 12;
 /** Pause between the events of a stream, in milliseconds. */
@@ -272,6 +281,7 @@
       return;
     }
     if (this.fault === "hang") return;
+    if (this.fault === "stray") response.socket?.write(STRAY_REFUSAL);
     const headers = {
       [CALL_ID_HEADER]: callId,
       [SIGNATURE_HEADER]: "signed",
