Handover: an instance that is behind begins none between engines, and takes none over

What callers saw: nothing; engines worked on one call together for up to 1.4 s, and may for 400 ms.

Cause: which engine keeps a call is decided by a timer, and a send is ended by an instance that must first run. One that is behind does both late: the instance of the caller withdraws the second send late, the one that a call was handed to closes its send late, and so does the one that it was taken from. The class: a bound on time that a process promises which may not run.

Change: between engines, a handover begins only while this instance has kept up for one to two seconds (75 ms, the least margin to 400 ms) and the other one, where the call is over a hop, reports its rated capacity and is heard of; an instance that is behind refuses a second send at once, as not run ("behind"), and the next one of its region may take it. A first destination that is lost is still left at once. Plain services are as before.

Left out: to withdraw the first send and wait for its end before the second one begins, which gives up answers that are merely slow.

Not covered: an instance that falls behind after the handover has begun, links that become slow meanwhile.

--- a/clock/event_loop_delay.ts
+++ b/clock/event_loop_delay.ts
@@ -30,6 +30,9 @@
 /** Maximum time for them, in milliseconds: those of a busy process take long. */
 const MAX_CATCH_UP_MS = 100;
 
+/** Length of the intervals whose longest delays are remembered, in milliseconds. */
+const PEAK_INTERVAL_MS = 1_000;
+
 /** A time in which the process ran no timer and read no bytes: it was stopped, or its event loop was busy. */
 export interface ProcessStall {
   /** When the event loop was last seen to run, in milliseconds since the epoch. */
@@ -55,6 +58,8 @@
   #checkedMs: number | undefined;
   #intervalMs = CHECK_INTERVAL_MS;
   #timerDelayMs = 0;
+  /** Longest delays of the current interval and of the one before it, in milliseconds. */
+  #peaks = { startMs: 0, currentMs: 0, previousMs: 0 };
   /** Resolves once what arrived during a stall is read; `undefined` otherwise. */
   #catchUp: Promise<void> | undefined;
 
@@ -85,6 +90,28 @@
     return delayMs > MIN_DELAY_MS ? delayMs : 0;
   }
 
+  /**
+   * Returns the longest delay of the last one to two seconds, in milliseconds; 0 if the event
+   * loop kept up. A process that gets the processor in turns is behind again soon.
+   */
+  readPeakMs(): number {
+    this.#recordPeak(this.readMs());
+    return Math.max(this.#peaks.currentMs, this.#peaks.previousMs);
+  }
+
+  #recordPeak(delayMs: number): void {
+    const nowMs = this.#clock.nowMs();
+    const { currentMs, startMs } = this.#peaks;
+    const elapsedMs = nowMs - startMs;
+    if (elapsedMs < PEAK_INTERVAL_MS) {
+      this.#peaks.currentMs = Math.max(currentMs, delayMs);
+      return;
+    }
+    const isNext = elapsedMs < 2 * PEAK_INTERVAL_MS;
+    const previousMs = isNext ? currentMs : 0;
+    this.#peaks = { startMs: nowMs, currentMs: delayMs, previousMs };
+  }
+
   /**
    * Resolves at once, or after a stall once what has arrived meanwhile is read: until then,
    * what is known of others is as old as the stall.
@@ -115,6 +142,7 @@
         this.#onStall?.({ fromMs, tookMs });
       }
       const isBehind = this.#timerDelayMs > MIN_DELAY_MS;
+      if (isBehind) this.#recordPeak(this.#timerDelayMs);
       this.#intervalMs = isBehind ? BEHIND_INTERVAL_MS : CHECK_INTERVAL_MS;
       this.#scheduleCheck(signal);
     }, signal);
--- a/clock/event_loop_delay_test.ts
+++ b/clock/event_loop_delay_test.ts
@@ -51,6 +51,25 @@
     });
   });
 
+  describe("after an iteration that took long", () => {
+    it("remembers its delay for one to two seconds", () => {
+      const { loop, delay } = start();
+      const runFor = (ms: number) => {
+        for (let passedMs = 0; passedMs < ms; passedMs += 10) {
+          loop.block(10);
+          loop.runDueTimers();
+        }
+      };
+      loop.block(250);
+      loop.runDueTimers();
+      runFor(900);
+      assert.equal(delay.readMs(), 0);
+      assert.equal(delay.readPeakMs(), 200);
+      runFor(1_200);
+      assert.equal(delay.readPeakMs(), 0);
+    });
+  });
+
   describe("when the process stalls", () => {
     it("reports from when and for how long, once a stall", () => {
       const stalls: ProcessStall[] = [];
--- a/daemon/http_gateway.ts
+++ b/daemon/http_gateway.ts
@@ -209,6 +209,7 @@
       registry: this.registry,
       fleet: this.fleet,
       loads,
+      readRecentDelayMs: () => this.loopDelay.readPeakMs(),
       logger,
       metrics: parts.metrics,
       retryBounds: parts.retryBounds,
--- a/forwarding/call_forwarder.ts
+++ b/forwarding/call_forwarder.ts
@@ -30,6 +30,7 @@
 } from "../quarantine/mod.ts";
 import type { RegisteredServer, ServerRegistry } from "../servers/mod.ts";
 import type { CallFacts, CallHeaderCodec } from "./call_header_codec.ts";
+import { canEndInTime } from "./can_withdraw_in_time.ts";
 import { CallGate } from "./call_gate.ts";
 import { CallReplies } from "./call_replies.ts";
 import { CallSender } from "./call_sender.ts";
@@ -97,6 +98,8 @@
   readonly loads: LoadTracker;
   readonly logger: Logger;
   readonly metrics: Metrics;
+  /** Returns how far the event loop of this instance was behind of late, in milliseconds. Default: 0. */
+  readonly readRecentDelayMs?: () => number;
   readonly retryBounds: RetryBounds;
   readonly warmUpBounds: WarmUpBounds;
   /** How far usage may exceed the limits of teams. */
@@ -135,6 +138,7 @@
   readonly #linkProber: LinkProber;
   readonly #versions: ServerVersions;
   readonly #withdrawnCalls = new WithdrawnCalls();
+  readonly #readRecentDelayMs: () => number;
   #table: RouteTable | undefined;
   #inFlight = 0;
 
@@ -142,6 +146,7 @@
   constructor(parts: CallForwarderParts) {
     const { fleet, loads, random, registry } = parts;
     this.#parts = parts;
+    this.#readRecentDelayMs = parts.readRecentDelayMs ?? (() => 0);
     this.#retryBudgets = new FleetRetryBudgets(parts.retryBounds);
     this.#quarantineGuard = new QuarantineGuard(parts);
     this.#waitingCalls = new CapacityQueue(parts.clock);
@@ -192,6 +197,7 @@
     });
     this.#sender = new CallSender({
       ...parts,
+      readRecentDelayMs: this.#readRecentDelayMs,
       replies: this.#replies,
       destinations: this.#destinations,
       learned: this.#learned,
@@ -427,6 +433,14 @@
       });
       return false;
     }
+    if (this.#mayEndLate(call, service)) {
+      this.refuse(call, sink, {
+        reason: "behind",
+        message: "This instance is behind, and may end a second send too late",
+        retryAfterMs: NO_CAPACITY_RETRY_MS,
+      });
+      return false;
+    }
     if (call.origin.kind === "caller") {
       this.#retryBudgets.recordCall(service.name, call.receivedMs);
       this.#routeUsage.record(route, call.receivedMs);
@@ -439,6 +453,15 @@
     });
   }
 
+  /** Returns whether this instance may withdraw a call too late that another one hands over to it. */
+  #mayEndLate({ origin }: OpaqueCall, { engine }: HttpService): boolean {
+    return origin.kind === "instance" && origin.hop.isHandover &&
+      engine !== undefined && !canEndInTime({
+        fleet: this.#parts.fleet,
+        readRecentDelayMs: this.#readRecentDelayMs,
+      });
+  }
+
   /** Waits for the first configuration, for a limited time after the call arrived. */
   async #awaitConfiguration(call: OpaqueCall, sink: CallSink): Promise<void> {
     const { clock } = this.#parts;
--- a/forwarding/call_sender.ts
+++ b/forwarding/call_sender.ts
@@ -4,6 +4,7 @@
 import type { CallContent, CallQuarantine } from "../quarantine/mod.ts";
 import type { BackendId } from "../ids/mod.ts";
 import type { CallReplies } from "./call_replies.ts";
+import { canWithdrawInTime } from "./can_withdraw_in_time.ts";
 import type { DestinationChooser } from "./choose_destination.ts";
 import {
   beginHandover,
@@ -44,8 +45,10 @@
   readonly clock: Clock;
   readonly fleet: Pick<
     FleetView,
-    "countInstancesSharingLimits" | "listResponsive"
+    "countInstancesSharingLimits" | "listResponsive" | "self"
   >;
+  /** Returns how far the event loop of this instance was behind of late, in milliseconds. */
+  readonly readRecentDelayMs: () => number;
   readonly metrics: Metrics;
   readonly replies: CallReplies;
   readonly destinations: DestinationChooser;
@@ -123,7 +126,9 @@
   ): Handover | undefined {
     const { clock, metrics, destinations, quarantine } = this.#parts;
     const nowMs = clock.nowMs();
-    if (this.#isLost(from)) releaseWithdrawn(exchange, HANDOVER_ATTEMPTS);
+    const isFirstLost = this.#isLost(from);
+    if (!isFirstLost && !this.#canEndOverlap(exchange, from)) return undefined;
+    if (isFirstLost) releaseWithdrawn(exchange, HANDOVER_ATTEMPTS);
     if (!canBeHandedOver(exchange)) return undefined;
     if (exchange.isTrial) return undefined;
     if (quarantine.readRemainingQuarantineMs(exchange.content, nowMs) > 0) {
@@ -133,7 +138,9 @@
     beginHandover(exchange);
     const target = destinations.choose(exchange, nowMs);
     const isSendable = target.kind === "local" || target.kind === "remote";
-    if (!isSendable || !this.#takeRetry(exchange, "handover")) {
+    const isInTime = isSendable &&
+      (isFirstLost || this.#canEndOverlap(exchange, target));
+    if (!isInTime || !this.#takeRetry(exchange, "handover")) {
       endHandover(exchange);
       return undefined;
     }
@@ -158,6 +165,19 @@
     }, events);
   }
 
+  /**
+   * Returns whether a send can be ended before two destinations have had the call for too long.
+   * Only model engines must not work on a call together.
+   */
+  #canEndOverlap(
+    { service }: Exchange,
+    destination: SendDestination,
+  ): boolean {
+    const nowMs = this.#parts.clock.nowMs();
+    return service.engine === undefined ||
+      canWithdrawInTime(destination, nowMs, this.#parts);
+  }
+
   #logHandover(
     exchange: Exchange,
     { end, from, startMs, target }: {
--- a/forwarding/mod.ts
+++ b/forwarding/mod.ts
@@ -53,5 +53,6 @@
 export * from "./call_replies.ts";
 export * from "./server_sender.ts";
 export * from "./instance_sender.ts";
+export * from "./can_withdraw_in_time.ts";
 export * from "./call_sender.ts";
 export * from "./call_forwarder.ts";
--- a/forwarding/refusal.ts
+++ b/forwarding/refusal.ts
@@ -18,6 +18,8 @@
   | "leaving"
   /** More calls arrive than this instance can forward. */
   | "overloaded"
+  /** This instance is behind, and could end a second send of the call too late. */
+  | "behind"
   /** Every server that may run the call is full, or there is none. */
   | "no-room"
   /** This instance reaches no server that may run the call, and knows no instance that does. */
@@ -60,6 +62,7 @@
   "too-slow": [408, "Request Timeout"],
   "leaving": [503, "Service Unavailable"],
   "overloaded": [503, "Service Unavailable"],
+  "behind": [503, "Service Unavailable"],
   "no-room": [503, "Service Unavailable"],
   "unreachable": [503, "Service Unavailable"],
   "no-time": [503, "Service Unavailable"],
--- a/forwarding/settle_attempt.ts
+++ b/forwarding/settle_attempt.ts
@@ -130,15 +130,16 @@
 }
 
 /**
- * Excludes who refused a call that no server had. If an instance reaches no server, others of
- * its region may; what else it refuses for holds for its region.
+ * Excludes who refused a call that no server had. If an instance reaches no server or is behind,
+ * others of its region may serve the call; what else it refuses for holds for its region.
  */
 function avoidRefuser(
   exchange: Exchange,
   destination: Extract<SendDestination, { readonly kind: "remote" }>,
   reason: RefusalReason | undefined,
 ): void {
-  if (reason === "unreachable") avoidInstance(exchange, destination);
+  const concernsInstance = reason === "unreachable" || reason === "behind";
+  if (concernsInstance) avoidInstance(exchange, destination);
   else exchange.avoidedRegions.add(destination.region);
 }
 
