Tests of handovers: handlers that stood two and three times are in the fixture of streams

Cause: turns of handlers, silent servers, a pause midway and the refusal of a server were written in five test files. Change: one copy each in stream_fixture.ts; what the tests assert is as before.

--- a/tests/handover_cases_test.ts
+++ b/tests/handover_cases_test.ts
@@ -10,24 +10,19 @@
 import {
   CLEAN_UPS,
   createEvent,
+  keepSilent,
   openStream,
   type RequestHandler,
   requestStream,
   startStreamingGateway,
   STREAM_END,
   STREAM_HEAD,
+  takeTurns,
   toChunk,
 } from "./stream_fixture.ts";
 
 afterEach(() => CLEAN_UPS.splice(0).forEach((cleanUp) => cleanUp()));
 
-/** Returns a handler that uses the handlers in turn, and the last one from then on. */
-function takeTurns(...handlers: readonly RequestHandler[]): RequestHandler {
-  let received = 0;
-  return (request, socket) =>
-    handlers[Math.min(received++, handlers.length - 1)]!(request, socket);
-}
-
 /** Calls a plain service, and returns the answer and the number of sends. */
 async function callPlain(
   handle: RequestHandler,
@@ -61,7 +56,6 @@
   (ms: number, text: string): RequestHandler => (_, socket) => {
     setTimeout(() => socket.write(text), ms);
   };
-const keepSilent: RequestHandler = () => {};
 const FAILURE = createAnswer("c1", "oops").replace("200 OK", "500 Failed");
 const HEAD_ONLY = createAnswer("c1", "12345678").slice(0, -8);
 
--- a/tests/handover_ends_test.ts
+++ b/tests/handover_ends_test.ts
@@ -6,47 +6,30 @@
 import {
   CLEAN_UPS,
   createEvent,
+  keepSilent,
   openStream,
+  pauseMidway,
   type RequestHandler,
   requestStream,
+  SILENCE_MS,
   startStreamingGateway,
   STREAM_END,
   STREAM_HEAD,
+  takeTurns,
   toChunk,
 } from "./stream_fixture.ts";
 
-/** Silence of a sound server, in milliseconds. */
-const SILENCE_MS = 1_800;
 /** Time that an engine needs for its first event, in milliseconds: longer than two engines may have a call. */
 const LATE_MS = 400;
 
 afterEach(() => CLEAN_UPS.splice(0).forEach((cleanUp) => cleanUp()));
 
-/** Sends no answer. */
-const keepSilent: RequestHandler = () => {};
-
-/** Sends an event, and another one after a silence. */
-const pauseMidway: RequestHandler = (_, socket) => {
-  socket.write(STREAM_HEAD + toChunk(createEvent(1)));
-  setTimeout(
-    () => socket.write(toChunk(createEvent(2)) + STREAM_END),
-    SILENCE_MS,
-  );
-};
-
-/** Returns a handler that uses the handlers in turn, and the last one from then on. */
-function takeTurns(handlers: readonly RequestHandler[]): RequestHandler {
-  let received = 0;
-  return (request, socket) =>
-    handlers[Math.min(received++, handlers.length - 1)]!(request, socket);
-}
-
 /** Starts engines: the first one that gets the call uses the first handler, and so on. */
 async function startEngines(
   handlers: readonly RequestHandler[],
   maxAttempts: number,
 ) {
-  const handle = takeTurns(handlers);
+  const handle = takeTurns(...handlers);
   return await startStreamingGateway([handle, handle], {
     resumable: true,
     maxAttempts,
@@ -70,7 +53,7 @@
   it("ends while the call has attempts left, so that a third one answers", async () => {
     const answer: RequestHandler = (_, socket) =>
       socket.write(createAnswer("c1", "third"));
-    const handle = takeTurns([keepSilent, keepSilent, answer]);
+    const handle = takeTurns(keepSilent, keepSilent, answer);
     const servers = await Promise.all(
       Array.from({ length: 3 }, () => startRawServer(handle)),
     );
--- a/tests/handover_signs_test.ts
+++ b/tests/handover_signs_test.ts
@@ -14,8 +14,11 @@
   CLEAN_UPS,
   createEvent,
   openStream,
+  pauseMidway,
+  REFUSAL,
   type RequestHandler,
   requestStream,
+  SILENCE_MS,
   STREAM_END,
   STREAM_HEAD,
   toChunk,
@@ -24,8 +27,6 @@
 
 afterEach(() => CLEAN_UPS.splice(0).forEach((cleanUp) => cleanUp()));
 
-/** Silence of a sound server, in milliseconds. */
-const SILENCE_MS = 1_800;
 const WHOLE = /token 1\n\n.*token 2\n\n\r\n0\r\n\r\n$/s;
 
 interface ServerFixture {
@@ -80,14 +81,6 @@
   return servers;
 }
 
-const pauseMidway: RequestHandler = (_, socket) => {
-  socket.write(STREAM_HEAD + toChunk(createEvent(1)));
-  setTimeout(
-    () => socket.write(toChunk(createEvent(2)) + STREAM_END),
-    SILENCE_MS,
-  );
-};
-
 /** Sends an event, and the next one after a silence for which its server counts as lost. */
 function pauseLong(_: string, socket: Socket) {
   socket.write(STREAM_HEAD + toChunk(createEvent(1)));
@@ -97,15 +90,6 @@
   );
 }
 
-const NOT_RUN = [
-  "HTTP/1.1 503 Full",
-  "X-Havenspur-Attempt-Id: c1",
-  "X-Havenspur-Not-Executed: true",
-  "Content-Length: 0",
-  "",
-  "",
-].join("\r\n");
-
 async function call(port: number, callId: string) {
   const caller = await openRawCaller(port);
   CLEAN_UPS.push(() => caller.socket.destroy());
@@ -137,7 +121,7 @@
           return;
         }
         if (how === "refuses it late") {
-          setTimeout(() => socket.write(NOT_RUN), 400);
+          setTimeout(() => socket.write(REFUSAL), 400);
         } else setTimeout(() => (isSilent = true), 100);
       };
       const servers = await startServers([handle, handle]);
@@ -195,7 +179,7 @@
       const first: RequestHandler = (_, socket) => {
         if (how === "is lost") return;
         setTimeout(
-          () => how === "breaks off" ? socket.destroy() : socket.write(NOT_RUN),
+          () => how === "breaks off" ? socket.destroy() : socket.write(REFUSAL),
           SILENCE_MS,
         );
       };
--- a/tests/silent_second_server_test.ts
+++ b/tests/silent_second_server_test.ts
@@ -10,28 +10,19 @@
 import {
   CLEAN_UPS,
   createEvent,
+  REFUSAL,
   type RequestHandler,
   requestStream,
+  SILENCE_MS,
   startStreamingGateway,
   STREAM_END,
   STREAM_HEAD,
   toChunk,
 } from "./stream_fixture.ts";
 
-/** Silence of a server, in milliseconds: longer than the time after which a call is sent elsewhere. */
-const SILENCE_MS = 1_800;
 /** When a server refuses a call that waited in its queue, in milliseconds. */
 const LATE_REFUSAL_MS = 400;
 
-const REFUSAL = [
-  "HTTP/1.1 503 Service Unavailable",
-  "X-Havenspur-Attempt-Id: c1",
-  "X-Havenspur-Not-Executed: true",
-  "Content-Length: 0",
-  "",
-  "",
-].join("\r\n");
-
 /** What a server does with a call that another server has. */
 type SecondServer = "silent" | "refuses late" | "breaks off";
 
--- a/tests/silent_stream_test.ts
+++ b/tests/silent_stream_test.ts
@@ -5,27 +5,16 @@
 import {
   CLEAN_UPS,
   createEvent,
+  REFUSAL,
   type RequestHandler,
   requestStream,
+  SILENCE_MS,
   startStreamingGateway,
   STREAM_END,
   STREAM_HEAD,
   toChunk,
 } from "./stream_fixture.ts";
 
-/** Pause of the stream, in milliseconds: longer than the silence after which a server is considered dead. */
-const PAUSE_MS = 1_800;
-
-/** Refusal of a server that has not run the call. */
-const REFUSAL = [
-  "HTTP/1.1 503 Service Unavailable",
-  "X-Havenspur-Attempt-Id: c1",
-  "X-Havenspur-Not-Executed: true",
-  "Content-Length: 0",
-  "",
-  "",
-].join("\r\n");
-
 afterEach(() => CLEAN_UPS.splice(0).forEach((cleanUp) => cleanUp()));
 
 describe("a stream that pauses and may be resumed", () => {
@@ -38,7 +27,7 @@
       socket.write(STREAM_HEAD + toChunk(createEvent(1)));
       setTimeout(() => {
         socket.write(toChunk(createEvent(2)) + STREAM_END);
-      }, PAUSE_MS);
+      }, SILENCE_MS);
     };
     const { gateway } = await startStreamingGateway(
       [answerWithPause, answerWithPause],
--- a/tests/stream_fixture.ts
+++ b/tests/stream_fixture.ts
@@ -22,6 +22,21 @@
 /** Last chunk of an answer in chunked transfer encoding. */
 export const STREAM_END = "0\r\n\r\n";
 
+/** Refusal of a server that has not run the call. */
+export const REFUSAL = [
+  "HTTP/1.1 503 Service Unavailable",
+  "X-Havenspur-Attempt-Id: c1",
+  "X-Havenspur-Not-Executed: true",
+  "Content-Length: 0",
+  "",
+  "",
+].join("\r\n");
+/**
+ * Silence of a sound server, in milliseconds: longer than the time after which a call is sent
+ * elsewhere.
+ */
+export const SILENCE_MS = 1_800;
+
 /** Returns a text as a chunk in chunked transfer encoding. */
 export function toChunk(text: string): string {
   return `${text.length.toString(16)}\r\n${text}\r\n`;
@@ -35,6 +50,27 @@
 /** Answers a request by writing to its connection. */
 export type RequestHandler = Parameters<typeof startRawServer>[0];
 
+/** Sends no answer. */
+export const keepSilent: RequestHandler = () => {};
+
+/** Sends an event, and another one after a silence. */
+export const pauseMidway: RequestHandler = (_, socket) => {
+  socket.write(STREAM_HEAD + toChunk(createEvent(1)));
+  setTimeout(
+    () => socket.write(toChunk(createEvent(2)) + STREAM_END),
+    SILENCE_MS,
+  );
+};
+
+/** Returns a handler that uses the handlers in turn, and the last one from then on. */
+export function takeTurns(
+  ...handlers: readonly RequestHandler[]
+): RequestHandler {
+  let received = 0;
+  return (request, socket) =>
+    handlers[Math.min(received++, handlers.length - 1)]!(request, socket);
+}
+
 /**
  * Starts a gateway with one streaming server for each handler.
  *
