Hops: what an instance says of its answer is read once, and only of this send

Cause: the servers that an instance names, and the round trip, were taken from an answer before it was known whether it belongs to this send; the header was parsed twice. Change: the attempt hands on what it has parsed, and not that of another send.

--- a/forwarding/instance_sender.ts
+++ b/forwarding/instance_sender.ts
@@ -6,7 +6,7 @@
 import type { CallReplies } from "./call_replies.ts";
 import type { Destination, DestinationChooser } from "./choose_destination.ts";
 import { type Exchange, readStreamHandling } from "./exchange.ts";
-import { isHopHeader, readHopAnswer, writeHop } from "./hop_headers.ts";
+import { isHopHeader, writeHop } from "./hop_headers.ts";
 import { pickForwarded } from "./http_headers.ts";
 import { computeFirstByteTimeoutMs } from "./compute_first_byte_timeout.ts";
 import type { AttemptOutcome } from "./attempt_outcome.ts";
@@ -113,9 +113,7 @@
         progress.version ??= version;
         return this.#parts.replies.toPassedHead(exchange, head);
       },
-      onHeaders: (headers) => {
-        const answer = readHopAnswer(headers);
-        if (answer === undefined) return;
+      onHopAnswer: (answer) => {
         version = answer.version;
         answer.tried.forEach((server) => exchange.tried.add(server));
         const roundTripMs = clock.nowMs() - startMs - answer.servedMs;
--- a/forwarding/run_attempt.ts
+++ b/forwarding/run_attempt.ts
@@ -74,8 +74,8 @@
   readonly progress: StreamProgress;
   /** Returns the head with which an answer is passed on. */
   readonly toPassedHead: (head: AnswerHead) => AnswerHead;
-  /** Called with the headers of the answer. */
-  readonly onHeaders?: (headers: RawHeaders) => void;
+  /** Called with what the other instance says of its answer to this send. Default: nothing. */
+  readonly onHopAnswer?: (answer: HopAnswer) => void;
   /** Called with the facts in the answer's head, even if the answer is not used. Default: nothing. */
   readonly onFacts?: (facts: AnswerFacts) => void;
   /** Called with an answer that is not that of the call. Default: nothing. */
@@ -188,7 +188,6 @@
     if (this.#isFinished) return;
     this.#parts.onActivity?.();
     const { callId, headerCodec, hopSendId } = this.#parts;
-    this.#parts.onHeaders?.(head.headers);
     const facts = headerCodec.readAnswer(head.status, head.headers);
     this.#parts.onFacts?.(facts);
     const { headers, status } = head;
@@ -196,6 +195,11 @@
       ? undefined
       : { sendId: hopSendId, answer: readHopAnswer(headers) };
     const verdict = checkAnswerHead({ callId, facts, hop, status });
+    const isOfOtherSend = verdict.kind === "mismatch" &&
+      verdict.reason === "names-another-send";
+    if (!isOfOtherSend && hop?.answer !== undefined) {
+      this.#parts.onHopAnswer?.(hop.answer);
+    }
     switch (verdict.kind) {
       case "matches":
         this.#beginAnswer(head, hop?.answer);
