Test of silent instances: the peers of its client answer as instances do

Cause: a test's client for other instances answered without the header between instances. Since answers to another send count for nothing, such an answer is not an instance's, and the call went on until it had no instance left. Change: the fixture has a client whose instances repeat the id of the send. The test demands what it did.

--- a/forwarding/call_forwarder_test.ts
+++ b/forwarding/call_forwarder_test.ts
@@ -13,6 +13,7 @@
 } from "../tests/member_fixture.ts";
 import {
   ANSWERING_CLIENT,
+  ANSWERING_PEERS,
   createHeadSink,
   createOpaqueCall,
   SINGLE_ROUTE_TABLE,
@@ -32,7 +33,7 @@
     addresses,
     send: (request, events) => {
       addresses.push(request.address);
-      if (addresses.length > 1) return ANSWERING_CLIENT.send(request, events);
+      if (addresses.length > 1) return ANSWERING_PEERS.send(request, events);
       return { resume: () => {}, abort: () => {} };
     },
   };
@@ -71,7 +72,7 @@
     client = ANSWERING_CLIENT,
     logger = createSilentLogger(),
     serverRegion = "north",
-    peerClient = ANSWERING_CLIENT,
+    peerClient = ANSWERING_PEERS,
   } = options;
   const clock = new VirtualClock();
   const loads = new LoadTracker();
