Forwarding: order of imports, and a message that says what is wrong

Cause: read again as a newcomer: imports that a split had left at odd places, and a sentence that took two readings. Change: wording and order alone. Measured: types, linter and the tests of heads, the forwarder and refusals pass.

--- a/forwarding/call_sender.ts
+++ b/forwarding/call_sender.ts
@@ -3,6 +3,7 @@
 import type { Metrics } from "../metrics/mod.ts";
 import type { CallContent, CallQuarantine } from "../quarantine/mod.ts";
 import type { BackendId } from "../ids/mod.ts";
+import type { AttemptOutcome, EndedOutcome } from "./attempt_outcome.ts";
 import type { CallReplies } from "./call_replies.ts";
 import { canWithdrawInTime } from "./can_withdraw_in_time.ts";
 import type { DestinationChooser } from "./choose_destination.ts";
@@ -18,7 +19,6 @@
 import type { LearnedServers } from "./learned_servers.ts";
 import { Handover, type HandoverEnd, type HandoverEvents } from "./handover.ts";
 import type { FleetRetryBudgets, RetryPurpose } from "./fleet_retry_budget.ts";
-import type { AttemptOutcome, EndedOutcome } from "./attempt_outcome.ts";
 import type { SendOptions, ServerSender } from "./server_sender.ts";
 import {
   avoidInstance,
--- a/forwarding/check_answer_head.ts
+++ b/forwarding/check_answer_head.ts
@@ -34,7 +34,7 @@
 /** A send to another instance, and what this one says of its answer. */
 export interface CheckedHop {
   readonly sendId: SendId;
-  /** Default: the answer does not say that it is an instance's. */
+  /** `undefined`: the answer does not say that it is an instance's. */
   readonly answer: HopAnswer | undefined;
 }
 
@@ -75,7 +75,7 @@
     if (facts.callId !== callId && callId !== "") {
       return toMismatch(
         "names-no-call",
-        `The answer ${status} says "not run" of no call that it names`,
+        `The answer ${status} says "not run" without naming a call`,
       );
     }
     return { kind: "not-run", rejection: toRejection(facts) };
--- a/forwarding/exchange.ts
+++ b/forwarding/exchange.ts
@@ -1,11 +1,11 @@
 import type { HttpRoute, HttpService } from "../http_routes/mod.ts";
 import type { BackendId, InstanceId, RegionId } from "../ids/mod.ts";
 import type { CallContent } from "../quarantine/mod.ts";
+import type { HeldAnswer } from "./attempt_outcome.ts";
 import type { CallAccess } from "./check_access.ts";
 import type { CallFacts } from "./call_header_codec.ts";
 import type { CallSink, OpaqueCall } from "./opaque_call.ts";
 import type { KeyedPart } from "./prefix_cache_model.ts";
-import type { HeldAnswer } from "./attempt_outcome.ts";
 import type { StreamProgress } from "./run_attempt.ts";
 
 /** One call that is being served, with its state so far. */
--- a/forwarding/run_attempt.ts
+++ b/forwarding/run_attempt.ts
@@ -6,6 +6,11 @@
 } from "../clock/mod.ts";
 import type { SendId, ServerVersion } from "../ids/mod.ts";
 import type { AnswerFraming } from "./answer_framing.ts";
+import type {
+  AttemptOutcome,
+  EndedOutcome,
+  IncompleteAnswer,
+} from "./attempt_outcome.ts";
 import type {
   AnswerFacts,
   CallHeaderCodec,
@@ -17,11 +22,6 @@
 import type { StreamHandling } from "./exchange.ts";
 import { type HopAnswer, readHopAnswer } from "./hop_headers.ts";
 import { pickForwarded, readHeader } from "./http_headers.ts";
-import type {
-  AttemptOutcome,
-  EndedOutcome,
-  IncompleteAnswer,
-} from "./attempt_outcome.ts";
 import type { Handover, HandoverEvents } from "./handover.ts";
 import type { CallSink } from "./opaque_call.ts";
 import type {
--- a/forwarding/send_evidence.ts
+++ b/forwarding/send_evidence.ts
@@ -1,6 +1,6 @@
 import type { SendOutcome, SendRecord } from "../rollouts/mod.ts";
-import { type Exchange, readStreamHandling } from "./exchange.ts";
 import type { EndedOutcome } from "./attempt_outcome.ts";
+import { type Exchange, readStreamHandling } from "./exchange.ts";
 
 /** Lowest HTTP status that means a failure of the server. */
 const MIN_FAILURE_STATUS = 500;
--- a/forwarding/settle_attempt.ts
+++ b/forwarding/settle_attempt.ts
@@ -1,8 +1,8 @@
+import type { EndedOutcome } from "./attempt_outcome.ts";
 import type { Destination } from "./choose_destination.ts";
 import type { BackendId } from "../ids/mod.ts";
 import { type Exchange, isResumableNow, isRetryable } from "./exchange.ts";
 import type { Refusal, RefusalReason } from "./refusal.ts";
-import type { EndedOutcome } from "./attempt_outcome.ts";
 
 /** When callers may retry after a refusal for lack of capacity, in milliseconds. */
 export const NO_CAPACITY_RETRY_MS = 150;
