Soak: one function plans the faults that one server has in each interval

Cause: the plan of late refusals was the fourth copy of one function, which differ in the fault, two times and a number. Change: the four stand in a table, and one function plans each.

--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -102,6 +102,9 @@
     readonly servers: "plain" | "engines";
   };
 
+/** What a server does or suffers. */
+type ServerFaultKind = Extract<Fault, { readonly kind: "server" }>["what"];
+
 /** What changes beside a standstill. */
 export type StandstillChange = typeof STANDSTILL_CHANGES[number];
 
@@ -276,6 +279,44 @@
 /** Odd 32-bit factor that makes the first random numbers of consecutive seeds differ widely. */
 const SEED_SPREAD = 0x9e3779b1;
 
+/** Server faults of which there is one in each interval; each has random numbers of its own. */
+const RECURRING_SERVER_FAULTS = {
+  limits: {
+    what: "limit",
+    salt: 0,
+    intervalMs: LIMIT_INTERVAL_MS,
+    durationMs: LIMIT_MS,
+  },
+  /** The server fails if it rejects too many calls. */
+  brittle: {
+    what: "brittle",
+    salt: 4,
+    intervalMs: BRITTLE_INTERVAL_MS,
+    durationMs: BRITTLE_MS,
+  },
+  cutAnswers: {
+    what: "cut",
+    salt: 5,
+    intervalMs: CUT_ANSWERS_INTERVAL_MS,
+    durationMs: CUT_ANSWERS_MS,
+  },
+  strayRefusals: {
+    what: "stray",
+    salt: 9,
+    intervalMs: STRAY_REFUSALS_INTERVAL_MS,
+    durationMs: STRAY_REFUSALS_MS,
+  },
+} as const satisfies Readonly<Record<string, RecurringServerFault>>;
+
+/** A fault that one server has in each interval. */
+interface RecurringServerFault {
+  readonly what: ServerFaultKind;
+  /** Separates its random numbers from those of other faults. */
+  readonly salt: number;
+  readonly intervalMs: number;
+  readonly durationMs: number;
+}
+
 /**
  * Returns the faults for a seed; the same arguments always give the same plan. Each kind of
  * fault that recurs has a separate random sequence, so that it does not change the others.
@@ -300,13 +341,13 @@
     ...planHomeStops(parts, endMs),
     ...planCrashingCalls(endMs),
     ...planAdvertisements(parts, endMs),
-    ...planLimits(parts, endMs),
+    ...planServerFaults(parts, endMs, RECURRING_SERVER_FAULTS.limits),
     ...planRestores(parts, endMs),
     ...planCutOffs(parts, endMs),
     ...planSilences(parts, endMs),
-    ...planStrayRefusals(parts, endMs),
-    ...planBrittleServers(parts, endMs),
-    ...planCutAnswers(parts, endMs),
+    ...planServerFaults(parts, endMs, RECURRING_SERVER_FAULTS.strayRefusals),
+    ...planServerFaults(parts, endMs, RECURRING_SERVER_FAULTS.brittle),
+    ...planServerFaults(parts, endMs, RECURRING_SERVER_FAULTS.cutAnswers),
     ...planRollouts(parts, endMs),
     ...planStandstills(parts, endMs),
   ];
@@ -465,7 +506,7 @@
 
 /** Draws a fault of any server. */
 function drawServerFault(
-  what: Extract<Fault, { kind: "server" }>["what"],
+  what: ServerFaultKind,
   { random, servers }: { readonly random: Random; readonly servers: number },
 ): Fault {
   return { kind: "server", what, index: drawIndex(servers, random) };
@@ -551,60 +592,17 @@
   return [...plan("rest"), ...plan("say-leaving")];
 }
 
-/** Plans which servers advertise limits. */
-function planLimits(
+/** Plans servers that have one fault in each interval. */
+function planServerFaults(
   { seed, servers }: PlanParts,
   endMs: number,
+  { durationMs, intervalMs, salt, what }: RecurringServerFault,
 ): readonly PlannedFault[] {
-  const random = createRandom(Math.imul(seed, SEED_SPREAD));
-  return planRecurring({
-    random,
-    intervalMs: LIMIT_INTERVAL_MS,
-    durationMs: LIMIT_MS,
-    endMs,
-  }, () => drawServerFault("limit", { random, servers }));
-}
-
-/** Plans servers that fail if they reject too many calls. */
-function planBrittleServers(
-  { seed, servers }: PlanParts,
-  endMs: number,
-): readonly PlannedFault[] {
-  const random = createRandom(Math.imul(seed, SEED_SPREAD) ^ 4);
-  return planRecurring({
-    random,
-    intervalMs: BRITTLE_INTERVAL_MS,
-    durationMs: BRITTLE_MS,
-    endMs,
-  }, () => drawServerFault("brittle", { random, servers }));
-}
-
-/** Plans servers that frame answers in other ways and end many of them early. */
-function planCutAnswers(
-  { seed, servers }: PlanParts,
-  endMs: number,
-): readonly PlannedFault[] {
-  const random = createRandom(Math.imul(seed, SEED_SPREAD) ^ 5);
-  return planRecurring({
-    random,
-    intervalMs: CUT_ANSWERS_INTERVAL_MS,
-    durationMs: CUT_ANSWERS_MS,
-    endMs,
-  }, () => drawServerFault("cut", { random, servers }));
-}
-
-/** Plans servers that send late refusals before their answers. */
-function planStrayRefusals(
-  { seed, servers }: PlanParts,
-  endMs: number,
-): readonly PlannedFault[] {
-  const random = createRandom(Math.imul(seed, SEED_SPREAD) ^ 9);
-  return planRecurring({
-    random,
-    intervalMs: STRAY_REFUSALS_INTERVAL_MS,
-    durationMs: STRAY_REFUSALS_MS,
-    endMs,
-  }, () => drawServerFault("stray", { random, servers }));
+  const random = createRandom(Math.imul(seed, SEED_SPREAD) ^ salt);
+  return planRecurring(
+    { random, intervalMs, durationMs, endMs },
+    () => drawServerFault(what, { random, servers }),
+  );
 }
 
 /** Plans restores of the store from backups. */
