Handover: what shows whether sends end in time is put together once

Cause: the instances and the delay of this one were joined in two places, and the delay was handed through three interfaces; the check of an answer's id compared again what had been compared a step before. Change: the forwarder makes these sources once and hands them to its sender; the second comparison says what is left of it.

--- a/forwarding/call_forwarder.ts
+++ b/forwarding/call_forwarder.ts
@@ -30,7 +30,10 @@
 } from "../quarantine/mod.ts";
 import type { RegisteredServer, ServerRegistry } from "../servers/mod.ts";
 import type { CallFacts, CallHeaderCodec } from "./call_header_codec.ts";
-import { canEndInTime } from "./can_withdraw_in_time.ts";
+import {
+  canEndInTime,
+  type WithdrawalSources,
+} from "./can_withdraw_in_time.ts";
 import { CallGate } from "./call_gate.ts";
 import { CallReplies } from "./call_replies.ts";
 import { CallSender } from "./call_sender.ts";
@@ -138,7 +141,7 @@
   readonly #linkProber: LinkProber;
   readonly #versions: ServerVersions;
   readonly #withdrawnCalls = new WithdrawnCalls();
-  readonly #readRecentDelayMs: () => number;
+  readonly #withdrawals: WithdrawalSources;
   #table: RouteTable | undefined;
   #inFlight = 0;
 
@@ -146,7 +149,10 @@
   constructor(parts: CallForwarderParts) {
     const { fleet, loads, random, registry } = parts;
     this.#parts = parts;
-    this.#readRecentDelayMs = parts.readRecentDelayMs ?? (() => 0);
+    this.#withdrawals = {
+      fleet,
+      readRecentDelayMs: parts.readRecentDelayMs ?? (() => 0),
+    };
     this.#retryBudgets = new FleetRetryBudgets(parts.retryBounds);
     this.#quarantineGuard = new QuarantineGuard(parts);
     this.#waitingCalls = new CapacityQueue(parts.clock);
@@ -197,7 +203,7 @@
     });
     this.#sender = new CallSender({
       ...parts,
-      readRecentDelayMs: this.#readRecentDelayMs,
+      withdrawals: this.#withdrawals,
       replies: this.#replies,
       destinations: this.#destinations,
       learned: this.#learned,
@@ -456,10 +462,7 @@
   /** Returns whether this instance may withdraw a call too late that another one hands over to it. */
   #mayEndLate({ origin }: OpaqueCall, { engine }: HttpService): boolean {
     return origin.kind === "instance" && origin.hop.isHandover &&
-      engine !== undefined && !canEndInTime({
-        fleet: this.#parts.fleet,
-        readRecentDelayMs: this.#readRecentDelayMs,
-      });
+      engine !== undefined && !canEndInTime(this.#withdrawals);
   }
 
   /** Waits for the first configuration, for a limited time after the call arrived. */
--- a/forwarding/call_sender.ts
+++ b/forwarding/call_sender.ts
@@ -5,7 +5,10 @@
 import type { BackendId } from "../ids/mod.ts";
 import type { AttemptOutcome, EndedOutcome } from "./attempt_outcome.ts";
 import type { CallReplies } from "./call_replies.ts";
-import { canWithdrawInTime } from "./can_withdraw_in_time.ts";
+import {
+  canWithdrawInTime,
+  type WithdrawalSources,
+} from "./can_withdraw_in_time.ts";
 import type { DestinationChooser } from "./choose_destination.ts";
 import {
   beginHandover,
@@ -45,10 +48,10 @@
   readonly clock: Clock;
   readonly fleet: Pick<
     FleetView,
-    "countInstancesSharingLimits" | "listResponsive" | "self"
+    "countInstancesSharingLimits" | "listResponsive"
   >;
-  /** Returns how far the event loop of this instance was behind of late, in milliseconds. */
-  readonly readRecentDelayMs: () => number;
+  /** What shows whether sends can be ended in time. */
+  readonly withdrawals: WithdrawalSources;
   readonly metrics: Metrics;
   readonly replies: CallReplies;
   readonly destinations: DestinationChooser;
@@ -175,7 +178,7 @@
   ): boolean {
     const nowMs = this.#parts.clock.nowMs();
     return service.engine === undefined ||
-      canWithdrawInTime(destination, nowMs, this.#parts);
+      canWithdrawInTime(destination, nowMs, this.#parts.withdrawals);
   }
 
   #logHandover(
--- a/forwarding/check_answer_head.ts
+++ b/forwarding/check_answer_head.ts
@@ -72,7 +72,7 @@
     );
   }
   if (facts.isNotExecuted || facts.isMisdirected) {
-    if (facts.callId !== callId && callId !== "") {
+    if (facts.callId === undefined && callId !== "") {
       return toMismatch(
         "names-no-call",
         `The answer ${status} says "not run" without naming a call`,
