Event loop delay: the longest delay is forgotten after two seconds, also if it is read meanwhile

What callers saw: nothing; an instance that had been behind once began no handover between engines for up to three seconds in place of two, if it looked for its delay in between.

Cause: an interval began at the first read after the end of the one before, so that reads moved the intervals. Change: intervals are whole seconds of the clock. Measured: the new case failed before (200 ms, two seconds after the delay) and passes now; the old one, late withdrawals and stalled instances pass as before.

--- a/clock/event_loop_delay.ts
+++ b/clock/event_loop_delay.ts
@@ -59,7 +59,7 @@
   #intervalMs = CHECK_INTERVAL_MS;
   #timerDelayMs = 0;
   /** Longest delays of the current interval and of the one before it, in milliseconds. */
-  #peaks = { startMs: 0, currentMs: 0, previousMs: 0 };
+  #peaks = { interval: 0, currentMs: 0, previousMs: 0 };
   /** Resolves once what arrived during a stall is read; `undefined` otherwise. */
   #catchUp: Promise<void> | undefined;
 
@@ -100,16 +100,14 @@
   }
 
   #recordPeak(delayMs: number): void {
-    const nowMs = this.#clock.nowMs();
-    const { currentMs, startMs } = this.#peaks;
-    const elapsedMs = nowMs - startMs;
-    if (elapsedMs < PEAK_INTERVAL_MS) {
+    const interval = Math.floor(this.#clock.nowMs() / PEAK_INTERVAL_MS);
+    const { currentMs, interval: lastInterval } = this.#peaks;
+    if (interval === lastInterval) {
       this.#peaks.currentMs = Math.max(currentMs, delayMs);
       return;
     }
-    const isNext = elapsedMs < 2 * PEAK_INTERVAL_MS;
-    const previousMs = isNext ? currentMs : 0;
-    this.#peaks = { startMs: nowMs, currentMs: delayMs, previousMs };
+    const previousMs = interval === lastInterval + 1 ? currentMs : 0;
+    this.#peaks = { interval, currentMs: delayMs, previousMs };
   }
 
   /**
--- a/clock/event_loop_delay_test.ts
+++ b/clock/event_loop_delay_test.ts
@@ -52,22 +52,35 @@
   });
 
   describe("after an iteration that took long", () => {
-    it("remembers its delay for one to two seconds", () => {
+    const startBehind = () => {
       const { loop, delay } = start();
+      loop.block(250);
+      loop.runDueTimers();
       const runFor = (ms: number) => {
         for (let passedMs = 0; passedMs < ms; passedMs += 10) {
           loop.block(10);
           loop.runDueTimers();
         }
       };
-      loop.block(250);
-      loop.runDueTimers();
+      return { delay, runFor };
+    };
+
+    it("remembers its delay for one to two seconds", () => {
+      const { delay, runFor } = startBehind();
       runFor(900);
       assert.equal(delay.readMs(), 0);
       assert.equal(delay.readPeakMs(), 200);
       runFor(1_200);
       assert.equal(delay.readPeakMs(), 0);
     });
+
+    it("forgets it as soon if it is read meanwhile", () => {
+      const { delay, runFor } = startBehind();
+      runFor(1_700);
+      delay.readPeakMs();
+      runFor(300);
+      assert.equal(delay.readPeakMs(), 0);
+    });
   });
 
   describe("when the process stalls", () => {
