Log: each send of a call after its first one, why, where to and how it ended

A call that was sent again and answered left no line that named its second server. The line "sent again" tells the number of the send, what allowed it (not sent, misdirected, rejected, refused by an instance, failed, no answer, handover), server or instance, address, the servers that an instance named, and the end with its status; call.repeated_sends counts them.

--- a/forwarding/call_forwarder.ts
+++ b/forwarding/call_forwarder.ts
@@ -572,6 +572,8 @@
       // Only the instance that the caller reached retries calls.
       attemptsLeft: hop === undefined ? route.maxAttempts : 1,
       sentTo: [],
+      sends: 0,
+      repeatReason: undefined,
       isHandingOver: false,
       isSecondSend: hop?.isHandover ?? false,
       isTrial: hop?.isTrial ?? false,
--- a/forwarding/call_sender.ts
+++ b/forwarding/call_sender.ts
@@ -22,6 +22,13 @@
 import type { LearnedServers } from "./learned_servers.ts";
 import { Handover, type HandoverEnd, type HandoverEvents } from "./handover.ts";
 import type { FleetRetryBudgets, RetryPurpose } from "./fleet_retry_budget.ts";
+import {
+  beginNumberedSend,
+  type NumberedSend,
+  type RepeatReason,
+  toEndedOutcome,
+  toRepeatReason,
+} from "./repeated_send.ts";
 import type { SendOptions, ServerSender } from "./server_sender.ts";
 import {
   avoidInstance,
@@ -102,12 +109,27 @@
     exchange: Exchange,
     destination: SendDestination,
     handoverOptions: Omit<SendOptions, "startHandover"> = {},
+    reason?: RepeatReason,
   ): Promise<AttemptOutcome> {
-    const options: SendOptions = {
+    const nowMs = this.#parts.clock.nowMs();
+    const send = beginNumberedSend(exchange, { destination, nowMs, reason });
+    const outcome = await this.#sendTo(exchange, destination, {
       ...handoverOptions,
+      onRemoteServers: (servers) => (send.servers = servers),
       startHandover: (events) =>
         this.#startHandover(exchange, destination, events),
-    };
+    });
+    const ended = toEndedOutcome(outcome);
+    exchange.repeatReason = toRepeatReason(destination, ended);
+    this.#recordRepeat(exchange, send, ended);
+    return outcome;
+  }
+
+  async #sendTo(
+    exchange: Exchange,
+    destination: SendDestination,
+    options: SendOptions,
+  ): Promise<AttemptOutcome> {
     const { onServerFree, instanceSender, serverSender } = this.#parts;
     if (destination.kind === "remote") {
       return await instanceSender.send(exchange, destination, options);
@@ -121,6 +143,30 @@
     return outcome;
   }
 
+  /** Records a send after the first one: why, where to, and how it ended. */
+  #recordRepeat(
+    exchange: Exchange,
+    { destination, number, reason, servers, startMs }: NumberedSend,
+    outcome: EndedOutcome,
+  ): void {
+    if (number === 1) return;
+    const { clock, metrics, replies } = this.#parts;
+    const because = reason ?? "unknown";
+    const end = outcome.kind;
+    const service = exchange.service.name;
+    metrics.count("call.repeated_sends", 1, { service, because, end });
+    replies.log(exchange, "sent again", {
+      send: number,
+      because,
+      at: readDestinationId(destination),
+      address: readDestinationAddress(destination),
+      ...(servers.length === 0 ? {} : { servers: servers.join(" ") }),
+      end,
+      ...(outcome.kind === "answered" ? { status: outcome.status } : {}),
+      tookMs: Math.round(clock.nowMs() - startMs),
+    });
+  }
+
   /** Starts a handover to a second destination. Returns `undefined` if there is none or it is not allowed. */
   #startHandover(
     exchange: Exchange,
@@ -157,7 +203,7 @@
         this.#attempt(exchange, target, {
           ...options,
           signal: AbortSignal.any([exchange.signal, signal]),
-        }),
+        }, "handover"),
       settle: (outcome) => {
         endHandover(exchange);
         this.#logOutcome(exchange, target, outcome);
@@ -335,6 +381,13 @@
     : readServerId(destination);
 }
 
+/** Returns the address of the server or of the remote instance. */
+function readDestinationAddress(destination: SendDestination): string {
+  return destination.kind === "remote"
+    ? destination.member.address
+    : destination.candidate.server.entry.address;
+}
+
 function readServerId(
   { candidate }: Extract<SendDestination, { readonly kind: "local" }>,
 ): BackendId {
--- a/forwarding/exchange.ts
+++ b/forwarding/exchange.ts
@@ -6,6 +6,7 @@
 import type { CallFacts } from "./call_header_codec.ts";
 import type { CallSink, OpaqueCall } from "./opaque_call.ts";
 import type { KeyedPart } from "./prefix_cache_model.ts";
+import type { RepeatReason } from "./repeated_send.ts";
 import type { StreamProgress } from "./run_attempt.ts";
 
 /** One call that is being served, with its state so far. */
@@ -50,6 +51,10 @@
   attemptsLeft: number;
   /** Servers that this instance sent the call to, in order. */
   sentTo: readonly BackendId[];
+  /** Number of sends so far, to servers and to other instances. */
+  sends: number;
+  /** How the send that ended last lets the call be sent once more. */
+  repeatReason: RepeatReason | undefined;
   /** Whether the call is being handed over to a second destination while the first one has it. */
   isHandingOver: boolean;
   /** Whether another instance hands the call over to this one while its first destination has it. */
--- a/forwarding/instance_sender.ts
+++ b/forwarding/instance_sender.ts
@@ -116,6 +116,7 @@
       onHopAnswer: (answer) => {
         version = answer.version;
         answer.tried.forEach((server) => exchange.tried.add(server));
+        options.onRemoteServers?.(answer.tried);
         const roundTripMs = clock.nowMs() - startMs - answer.servedMs;
         destinations.recordRoundTrip(region, roundTripMs);
       },
--- a/forwarding/server_sender.ts
+++ b/forwarding/server_sender.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "../clock/mod.ts";
 import type { FleetView, LoadTracker } from "../fleet/mod.ts";
 import type { Logger } from "../logs/mod.ts";
+import type { BackendId } from "../ids/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
 import type { CallQuarantine } from "../quarantine/mod.ts";
 import type { ServerRegistry } from "../servers/mod.ts";
@@ -13,6 +14,7 @@
 import type { LearnedServers } from "./learned_servers.ts";
 import { computeFirstByteTimeoutMs } from "./compute_first_byte_timeout.ts";
 import type { Handover, HandoverEvents } from "./handover.ts";
+import { toEndedOutcome } from "./repeated_send.ts";
 import { runAttempt } from "./run_attempt.ts";
 import type { SendRequest, ServerClient } from "./server_client.ts";
 import { SendEvidence } from "./send_evidence.ts";
@@ -41,6 +43,8 @@
   readonly onAccepted?: () => void;
   /** Called before any part of an answer is passed on. Default: nothing. */
   readonly onDelivering?: () => void;
+  /** Called with the servers that another instance sent the call to. Default: nothing. */
+  readonly onRemoteServers?: (servers: readonly BackendId[]) => void;
 }
 
 /** Dependencies of a {@linkcode ServerSender}. */
@@ -173,9 +177,7 @@
     load.end();
     liveness.end();
     gated.release();
-    const ended = outcome.kind === "handed-over"
-      ? outcome.firstOutcome
-      : outcome;
+    const ended = toEndedOutcome(outcome);
     evidence?.end(ended, clock.nowMs());
     if (ended.kind === "rejected") gated.reject(clock.nowMs());
     this.#recordOutcome(exchange, candidate, ended, startMs);
--- a/metrics/metrics.ts
+++ b/metrics/metrics.ts
@@ -26,6 +26,8 @@
   "call.body_bytes":
     "gauge; memory for the bodies of calls in progress, in bytes",
   "call.repeats": "counter; tags: service",
+  "call.repeated_sends":
+    "counter; sends of calls after the first one; tags: service, because (not-sent, misdirected, rejected, refused, failed, no-answer, handover, unknown), end (answered, failed, not-sent, rejected, no-answer, broken, given-up)",
   "call.offers": "counter; tags: service",
   "call.handovers":
     "counter; handovers of calls from silent destinations; tags: service, end (answered, taken, not-taken, refused, first-answered, first-ended, given-up)",
--- a/tests/http_gateway_fixture.ts
+++ b/tests/http_gateway_fixture.ts
@@ -6,7 +6,7 @@
 import { HttpGateway } from "../daemon/http_gateway.ts";
 import { readHop } from "../forwarding/mod.ts";
 import { toFailureDomainId, toInstanceId, toRegionId } from "../ids/mod.ts";
-import { createSilentLogger } from "../logs/mod.ts";
+import { createSilentLogger, type Logger } from "../logs/mod.ts";
 import { NO_METRICS } from "../metrics/mod.ts";
 import {
   createDocumentDecoder,
@@ -62,6 +62,8 @@
   readonly teams?: readonly TeamFixture[];
   /** Loopback address of the gateway. Default: one that only this process uses. */
   readonly host?: string;
+  /** Default: what it gets is dropped. */
+  readonly logger?: Logger;
 }
 
 /** Gateway that listens on loopback sockets. */
@@ -92,7 +94,7 @@
   const region = parts.region ?? "north";
   const pool = new ConnectionPool();
   const closing = new AbortController();
-  const logger = createSilentLogger();
+  const logger = parts.logger ?? createSilentLogger();
   const createListener = (isPeer: boolean) =>
     new CallListener({
       host,
