--- a/standin/cut_server_links.ts
+++ b/standin/cut_server_links.ts
@@ -29,7 +29,8 @@
   const target = readTarget(args[0]);
   const port = Number(target.port);
   if (target.host !== SERVER_HOST) return connect.apply(this, args as []);
-  if (request.state !== "open" && port !== request.storePort) {
+  const isCut = request.state !== "open" && request.state !== "unreachable";
+  if (isCut && port !== request.storePort) {
     Object.assign(this, { connecting: true });
     if (request.state !== "hanging") {
       const code = request.state === "reset" ? "ECONNRESET" : "ECONNREFUSED";
@@ -49,6 +50,7 @@
 
 process.on("message", (message: ServerLinksRequest) => {
   request = message;
+  if (message.state === "unreachable") failOpenSockets();
   const ports = [...open].filter(([, port]) => port !== request.storePort)
     .flatMap(([{ localPort }]) => localPort ?? []);
   const reply: ServerLinksReply = { ports };
@@ -57,6 +59,16 @@
 // Waiting for requests must not keep the program running.
 process.channel?.unref();
 
+/** Fails the open sockets to servers as the system does once a router has lost the host. */
+function failOpenSockets(): void {
+  const code = "EHOSTUNREACH";
+  [...open].filter(([, port]) => port !== request.storePort)
+    .forEach(([socket]) => {
+      const error = new Error(`write ${code}`);
+      socket.destroy(Object.assign(error, { code, syscall: "write" }));
+    });
+}
+
 /** Returns the target of a connection; Node passes its options alone or as the first of an array. */
 function readTarget(first: unknown): Target {
   return (Array.isArray(first) ? first[0] : first) as Target;
--- a/standin/server_links.ts
+++ b/standin/server_links.ts
@@ -5,8 +5,14 @@
  * - `hanging`: no connection opens, and open ones are silent.
  * - `reset`: connections are reset, open and new ones.
  * - `refusing`: open connections work, and new ones are refused.
+ * - `unreachable`: open connections fail at once, as the host can't be reached; new ones work.
  */
-export type ServerLinksState = "open" | "hanging" | "reset" | "refusing";
+export type ServerLinksState =
+  | "open"
+  | "hanging"
+  | "reset"
+  | "refusing"
+  | "unreachable";
 
 /** Asks a process to change the state of its links. */
 export interface ServerLinksRequest {
