Connection pool: a call never goes again over a connection on which it was refused

Callers saw a call that may run once run twice, beside servers that are started anew at their addresses and send a refusal twice.

Cause: an answer is tied to a call by the call's id, and all sends of a call bear that id. A call refused with 421 uses no attempt, and is sent to the next entry, which may have the same address and so the same kept connection. A late copy of the 421 is then taken for the answer to the second send, while the server runs it, and the call is sent a third time. The same holds for 503 and 429 where attempts are left, behind a hop, and for an id that a caller repeats.

Change: an attempt that ends as not run has its connection exclude the call; the pool gives the call another one, and closes a connection that excludes 32 calls. A copy can arrive only on the connection of its first one, so no answer on another connection can be one. The id of the call is part of the request of a send and no longer stands beside it.

--- a/adapters/connection_pool.ts
+++ b/adapters/connection_pool.ts
@@ -44,6 +44,8 @@
 const MAX_DRAINED_BYTES = 65_536;
 /** Maximum time to read that rest, in milliseconds: several round trips between regions. */
 const MAX_DRAIN_MS = 500;
+/** Number of calls that may not use a connection again, from which on it is closed. */
+const MAX_EXCLUDED_CALLS = 32;
 /** Maximum number of log lines in one second, so that a faulty server does not hide other lines. */
 const LINES_PER_SECOND = 5;
 
@@ -66,6 +68,8 @@
   idleSinceMs: number | undefined;
   /** Time for which it may be idle after its last answer, in milliseconds. */
   idleTimeoutMs: number;
+  /** Ids of the calls that may not use it again. */
+  readonly excludedCalls: Set<string>;
 }
 
 /** Options of a {@linkcode ConnectionPool}. */
@@ -185,12 +189,12 @@
       return { resume: () => {}, abort: () => {} };
     }
     const startMs = systemClock.nowMs();
-    const connection = this.#takeFree(startMs) ?? this.#open();
+    const connection = this.#takeFree(startMs, request.callId) ?? this.#open();
     this.busyCount++;
     const wasKept = connection.answeredMs !== undefined;
     const send = new Send(connection, events, (isReusable) => {
       this.busyCount--;
-      if (isReusable) {
+      if (isReusable && connection.excludedCalls.size < MAX_EXCLUDED_CALLS) {
         const arrivedMs = systemClock.nowMs() - this.#parts.readLoopDelayMs();
         connection.idleSinceMs = arrivedMs;
         this.#free.push(connection);
@@ -210,19 +214,28 @@
   }
 
   /**
-   * Returns the free connection that was used last, unless its server may close it now. The
-   * client's own timer of idle connections runs late after a standstill of this process.
+   * Returns the free connection that was used last among those that the call may use.
+   * Connections that their servers may close now are closed: the client's own timer of idle
+   * connections runs late after a standstill of this process.
    */
-  #takeFree(nowMs: number): Connection | undefined {
-    while (this.#free.length > 0) {
-      const connection = this.#free.pop()!;
+  #takeFree(nowMs: number, callId: string): Connection | undefined {
+    let connection = this.#takeLast(callId);
+    while (connection !== undefined) {
       const idleMs = nowMs - (connection.idleSinceMs ?? nowMs);
       if (idleMs <= connection.idleTimeoutMs) return connection;
       destroyQuietly(connection);
+      connection = this.#takeLast(callId);
     }
     return undefined;
   }
 
+  #takeLast(callId: string): Connection | undefined {
+    const at = this.#free.findLastIndex(({ excludedCalls }) =>
+      !excludedCalls.has(callId)
+    );
+    return at < 0 ? undefined : this.#free.splice(at, 1)[0];
+  }
+
   /** Closes the idle connections that received nothing since a time: they may be silent too. */
   #closeSilent(sinceMs: number): void {
     const isSilent = ({ answeredMs }: Connection) =>
@@ -244,6 +257,7 @@
       answeredMs: undefined,
       idleSinceMs: undefined,
       idleTimeoutMs: IDLE_TIMEOUT_MS,
+      excludedCalls: new Set(),
       client: new Client(`http://${this.#address}`, {
         pipelining: 1,
         keepAliveTimeout: IDLE_TIMEOUT_MS,
@@ -297,6 +311,7 @@
   #isDone = false;
   #isSent = false;
   #method = "";
+  #callId = "";
   #framing: AnswerFraming = "length";
 
   constructor(
@@ -315,8 +330,9 @@
   }
 
   start(request: SendRequest): void {
-    const { body, headers, method, target } = request;
+    const { body, callId, headers, method, target } = request;
     this.#method = method;
+    this.#callId = callId;
     try {
       this.#connection.client.dispatch({
         method: method as Dispatcher.HttpMethod,
@@ -354,6 +370,10 @@
     );
   }
 
+  excludeCall(): void {
+    this.#connection.excludedCalls.add(this.#callId);
+  }
+
   #endDrain(reason: string): void {
     this.#logClosed(reason);
     this.abort();
--- a/adapters/connection_pool_test.ts
+++ b/adapters/connection_pool_test.ts
@@ -15,8 +15,8 @@
 function send(
   pool: ConnectionPool,
   address: string,
-  { maxConnections = 8, ...events }:
-    & { readonly maxConnections?: number }
+  { callId = "", maxConnections = 8, ...events }:
+    & { readonly callId?: string; readonly maxConnections?: number }
     & Partial<SendEvents> = {},
 ) {
   let finish: (outcome: string) => void;
@@ -26,6 +26,7 @@
   });
   const active = pool.send({
     address,
+    callId,
     method: "GET",
     target: "/",
     headers: [],
@@ -81,7 +82,37 @@
   return failure();
 }
 
+/** Sends calls one after the other, each of which may not use its connection again; returns the number of connections. */
+async function countExcluding(callIds: readonly string[]): Promise<number> {
+  const server = await startRawServer((_, socket) => socket.write(ANSWER));
+  const pool = new ConnectionPool();
+  for (const callId of callIds) {
+    const sent: ReturnType<typeof send> = send(pool, server.address, {
+      callId,
+      onHead: () => sent.active.excludeCall?.(),
+    });
+    await sent.ended;
+  }
+  pool.close();
+  server.close();
+  return server.sockets.length;
+}
+
 describe("ConnectionPool", () => {
+  describe("after a call that may not use its connection again", () => {
+    it("uses the connection for other calls only", async () => {
+      assert.equal(await countExcluding(["c1", "c2"]), 1);
+      assert.equal(await countExcluding(["c1", "c1"]), 2);
+      assert.equal(await countExcluding(["c1", "c1", "c2", "c1"]), 3);
+    });
+
+    it("closes the connection once many calls may not use it", async () => {
+      const callIds = Array.from({ length: 33 }, (_, at) => `c${at}`);
+      assert.equal(await countExcluding(callIds.slice(1)), 1);
+      assert.equal(await countExcluding(callIds), 2);
+    });
+  });
+
   // The client's timers count their calls, not the time that has passed.
   describe("after a standstill of this process", () => {
     const countConnections = async (
--- a/forwarding/instance_sender.ts
+++ b/forwarding/instance_sender.ts
@@ -77,6 +77,7 @@
       sink: exchange.sink,
       request: {
         address: member.address,
+        callId: facts.callId,
         method: call.method,
         target: call.target,
         headers: [
@@ -104,7 +105,6 @@
         body: call.body,
         maxConnections: MAX_PEER_CONNECTIONS,
       },
-      callId: facts.callId,
       hopSendId: sendId,
       holdsFailures: exchange.isHandingOver,
       streams: readStreamHandling(exchange),
--- a/forwarding/run_attempt.ts
+++ b/forwarding/run_attempt.ts
@@ -65,7 +65,6 @@
   readonly headerCodec: CallHeaderCodec;
   readonly sink: CallSink;
   readonly request: SendRequest;
-  readonly callId: string;
   /** Id of a send to another instance, which may itself refuse the call. Default: it goes to a server. */
   readonly hopSendId?: SendId;
   /** Whether failures of the server are held back instead of passed on. */
@@ -187,7 +186,7 @@
   onHead(head: AnswerHead): void {
     if (this.#isFinished) return;
     this.#parts.onActivity?.();
-    const { callId, headerCodec, hopSendId } = this.#parts;
+    const { headerCodec, hopSendId, request: { callId } } = this.#parts;
     const facts = headerCodec.readAnswer(head.status, head.headers);
     this.#parts.onFacts?.(facts);
     const { headers, status } = head;
@@ -205,6 +204,7 @@
         this.#beginAnswer(head, hop?.answer);
         return;
       case "not-run":
+        this.#send?.excludeCall?.();
         this.#finish(verdict.rejection);
         return;
       case "unknown":
--- a/forwarding/server_client.ts
+++ b/forwarding/server_client.ts
@@ -5,6 +5,8 @@
 export interface SendRequest {
   /** IP address and port. */
   readonly address: string;
+  /** Id that all sends of the call bear; empty if its caller sent none. */
+  readonly callId: string;
   readonly method: string;
   /** Path and query, as the caller sent them. */
   readonly target: string;
@@ -59,6 +61,12 @@
    * and closes it if the rest is long or slow. Default: the answer is read to its end.
    */
   drain?(): void;
+  /**
+   * Has later sends of the call use other connections: a late copy of an answer to this send could
+   * not be told from the answer to a later one, since all bear the id of the call. Default: each
+   * send has a connection of its own.
+   */
+  excludeCall?(): void;
 }
 
 /** Sends calls to backend servers and to other instances over persistent connections. */
--- a/forwarding/server_sender.ts
+++ b/forwarding/server_sender.ts
@@ -120,7 +120,6 @@
       headerCodec,
       sink: exchange.sink,
       request: this.#createRequest(exchange, candidate, startMs),
-      callId: exchange.facts.callId,
       holdsFailures: canRetry || exchange.isHandingOver,
       streams: readStreamHandling(exchange),
       progress: exchange.progress,
@@ -190,10 +189,11 @@
     candidate: Candidate,
     nowMs: number,
   ): SendRequest {
-    const { access, call, deadlineMs, progress } = exchange;
+    const { access, call, deadlineMs, facts, progress } = exchange;
     const { entry } = candidate.server;
     return {
       address: entry.address,
+      callId: facts.callId,
       method: call.method,
       target: call.target,
       headers: this.#parts.headerCodec.writeSend(call.headers, {
--- a/tests/unreachable_host_test.ts
+++ b/tests/unreachable_host_test.ts
@@ -21,6 +21,7 @@
     new Promise<string>((resolve) => {
       pool.send({
         address,
+        callId: "",
         method: "POST",
         target: "/",
         headers: [],
--- a/tests/virtual_fleet.ts
+++ b/tests/virtual_fleet.ts
@@ -296,6 +296,7 @@
       this.#deliver(address, { kind: "caller" }, {
         request: {
           address,
+          callId: "",
           method: "POST",
           target,
           headers,
