Embedded default: the id of the attempt in a refusal goes before that of the request

A refusal counted for an attempt if it named the attempt or the request. All attempts of a request bear the request's id, so a late refusal of an earlier attempt, which names both, counted for a later one.

Change: where the refusal names an attempt, that decides. The listener repeats the id of the attempt in each answer, so that refusals of instances name it.

Measured: the case of unnamed_refusal_test.ts failed before. Files of fleet, relay, listener and processes pass.

--- a/adapters/http_backend_client.ts
+++ b/adapters/http_backend_client.ts
@@ -6,6 +6,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { type Agent, type Dispatcher, request } from "undici";
 import {
+  ATTEMPT_ID_HEADER,
   type BackendAnswer,
   type BackendCall,
   type BackendClient,
@@ -51,8 +52,11 @@
 const MAX_DRAIN_MS = 500;
 /** Status by which an engine rejects an order with an outdated fencing token. */
 const FENCED_STATUS = 412;
-/** Headers with the id of a request, one of which a refusal has to repeat. */
-const REQUEST_ID_HEADERS = ["x-attempt-id", "x-request-id"];
+/**
+ * Headers with the id of a request, one of which a refusal has to repeat. All attempts of a request
+ * have one request id, so that of the attempt decides where the refusal has one.
+ */
+const REQUEST_ID_HEADERS = [ATTEMPT_ID_HEADER, "x-request-id"];
 /** Headers that concern one connection only, and are not passed on to the caller. */
 const HOP_BY_HOP_HEADERS = [
   "connection",
@@ -335,9 +339,10 @@
   answer: Readonly<Record<string, string>>,
   request: Readonly<Record<string, string>>,
 ): boolean {
-  return REQUEST_ID_HEADERS.some((name) =>
-    request[name] !== undefined && request[name] === answer[name]
+  const name = REQUEST_ID_HEADERS.find((each) =>
+    request[each] !== undefined && answer[each] !== undefined
   );
+  return name !== undefined && request[name] === answer[name];
 }
 
 /** Returns whether only the end of the connection ended the body of an answer. */
--- a/adapters/http_listener.ts
+++ b/adapters/http_listener.ts
@@ -1,6 +1,7 @@
 import {
   createServer as createPlainServer,
   type IncomingMessage,
+  type OutgoingHttpHeaders,
   type ServerResponse,
 } from "node:http";
 import {
@@ -14,7 +15,7 @@
 import { scheduleAfterReading, scheduleEvery } from "../clock/mod.ts";
 import { ByteCollector } from "../bytes/mod.ts";
 import { CarriedCall, CarriedWork } from "../capacity/mod.ts";
-import { MAY_BE_CUT_HEADER } from "../engine/mod.ts";
+import { ATTEMPT_ID_HEADER, MAY_BE_CUT_HEADER } from "../engine/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import { AnswerWriter } from "./answer_writer.ts";
 import { ConnectionTimeouts } from "./connection_timeouts.ts";
@@ -242,6 +243,7 @@
   const isUnread = !message.complete;
   response.writeHead(reply.status, {
     ...reply.headers,
+    ...repeatAttemptId(message),
     ...(reply.mayBeCut === true ? { [MAY_BE_CUT_HEADER]: "true" } : {}),
     // Also where the server told no end: the loss of this instance must not look like one.
     "content-length": String(body.length),
@@ -251,6 +253,12 @@
   endOnceSent(response);
 }
 
+/** Returns the header that ties an answer to one try of a request. */
+function repeatAttemptId({ headers }: IncomingMessage): OutgoingHttpHeaders {
+  const attempt = headers[ATTEMPT_ID_HEADER];
+  return attempt === undefined ? {} : { [ATTEMPT_ID_HEADER]: attempt };
+}
+
 /**
  * Ends an answer once the connection has taken all of it: with a response that has ended, Node
  * takes the connection for idle, and a close of the listener would cut the rest.
@@ -275,6 +283,7 @@
 ): Promise<void> {
   response.writeHead(200, {
     ...reply.headers,
+    ...repeatAttemptId(response.req),
     "content-type": "text/event-stream",
     "cache-control": "no-store",
   });
--- a/daemon/gateway.ts
+++ b/daemon/gateway.ts
@@ -25,7 +25,7 @@
   ServicePool,
 } from "../routing/mod.ts";
 import { GuardedStore, StoreBudget } from "../store/mod.ts";
-import type { PlacementStatus } from "../engine/mod.ts";
+import { ATTEMPT_ID_HEADER, type PlacementStatus } from "../engine/mod.ts";
 import { LimitBorrower } from "../controllers/limit_borrower.ts";
 import { UsageMeter } from "../usage/mod.ts";
 import type {
@@ -390,7 +390,7 @@
     const isPeer = from !== undefined &&
       this.#routes.isPeerToken(request.headers["authorization"]);
     if (!isPeer) return { kind: "caller" };
-    const attempt = request.headers["x-attempt-id"] ?? "";
+    const attempt = request.headers[ATTEMPT_ID_HEADER] ?? "";
     return { kind: "peer", from: from as typeof this.parts.self.id, attempt };
   }
 
@@ -525,7 +525,7 @@
 
 function removeForwardHeaders(request: GatewayRequest): GatewayRequest {
   const kept = Object.entries(request.headers).filter(([name]) =>
-    !name.startsWith("x-forwarded-") && name !== "x-attempt-id"
+    !name.startsWith("x-forwarded-") && name !== ATTEMPT_ID_HEADER
   );
   return { ...request, headers: Object.fromEntries(kept) };
 }
--- a/engine/backend_client.ts
+++ b/engine/backend_client.ts
@@ -79,6 +79,8 @@
     readonly load: EngineLoad | undefined;
   };
 
+/** Header with the id of one try of a request, which its answer repeats. */
+export const ATTEMPT_ID_HEADER = "x-attempt-id";
 /**
  * Header on an answer whose server did not tell its end: the length or the last chunk that an
  * instance itself adds only shows that the instance has passed on all that it got.
--- a/filters/serve_locally.ts
+++ b/filters/serve_locally.ts
@@ -7,6 +7,7 @@
 } from "../clock/mod.ts";
 import type { ConfigurationState } from "../configuration/mod.ts";
 import {
+  ATTEMPT_ID_HEADER,
   type BackendAnswer,
   type BackendCall,
   type BackendClient,
@@ -285,7 +286,7 @@
     ? call.contentType
     : "application/json";
   const headers = {
-    "x-attempt-id": attempt,
+    [ATTEMPT_ID_HEADER]: attempt,
     "x-priority": call.priority,
     ...(contentType === undefined ? {} : { "content-type": contentType }),
   };
--- a/tests/unnamed_refusal_test.ts
+++ b/tests/unnamed_refusal_test.ts
@@ -214,7 +214,10 @@
 });
 
 describe("a refusal of a backend server to the embedded default", () => {
-  const dispatch = async (headers: string) => {
+  const dispatch = async (
+    headers: string,
+    sent: Record<string, string> = {},
+  ) => {
     const server = await startRawServer((_, socket) =>
       socket.write(
         `HTTP/1.1 503 Busy\r\nX-Ran: not-run\r\n${headers}Content-Length: 0\r\n\r\n`,
@@ -224,7 +227,7 @@
     CLEAN_UPS.push(() => server.close(), () => void client.close());
     const call = createBackendCall(server.address);
     const answer = await client.dispatch(
-      { ...call, headers: { "x-attempt-id": call.attempt } },
+      { ...call, headers: { "x-attempt-id": call.attempt, ...sent } },
       new AbortController().signal,
     );
     return answer.isErr() ? answer.error.kind : "answered";
@@ -238,4 +241,14 @@
     assert.equal(await dispatch("X-Attempt-Id: a0\r\n"), "broken");
     assert.equal(await dispatch(""), "broken");
   });
+
+  it("leaves it open if it names the request, and another attempt of it", async () => {
+    const sent = { "x-request-id": "r1" };
+    const request = "X-Request-Id: r1\r\n";
+    assert.equal(await dispatch(request, sent), "refused");
+    assert.equal(
+      await dispatch(`${request}X-Attempt-Id: a0\r\n`, sent),
+      "broken",
+    );
+  });
 });
