Callers' client: only an answer that repeats the id of a try shows that it has not run

The client sends a POST without a key once more if an answer says that it has not run. It believed any answer, also a late one to an earlier request on the connection, so a call that may run once could run twice.

Change: each try has an id of its own, which the answers of instances repeat; "not-run" without it counts as unknown. With instances of earlier software, which repeat none, such calls are no longer sent again.

--- a/client/caller.ts
+++ b/client/caller.ts
@@ -7,6 +7,7 @@
 import { createResetCheckingAgent } from "../adapters/reset_checking_agent.ts";
 import { systemClock } from "../adapters/system_clock.ts";
 import { waitFor } from "../clock/mod.ts";
+import { ATTEMPT_ID_HEADER } from "../engine/mod.ts";
 
 /** Entries and token of a {@linkcode Caller}. */
 export interface CallerParts {
@@ -180,10 +181,14 @@
     await this.#refreshEntries();
     let lastError = "No request was sent";
     for (const entry of this.#entries.slice(0, MAX_TRIES)) {
+      const attempt = randomUUID();
       try {
         const response = await request(entry.url + path, {
           method: "POST",
-          headers: this.#createHeaders(options, undefined, options.deadlineMs),
+          headers: {
+            ...this.#createHeaders(options, undefined, options.deadlineMs),
+            [ATTEMPT_ID_HEADER]: attempt,
+          },
           body: JSON.stringify(options.body),
           headersTimeout: options.deadlineMs ?? DEFAULT_DEADLINE_MS,
           dispatcher: this.#agent,
@@ -192,7 +197,7 @@
         if (response.statusCode === 200) return response.body;
         lastError = await readAnswerText(response.body);
         const canRetryElsewhere = lastError.includes('"retry":"elsewhere"') &&
-          lastError.includes('"ran":"not-run"');
+          readRan(response.headers, attempt) === "not-run";
         if (!canRetryElsewhere) break;
       } catch (error) {
         if (options.signal?.aborted) throw error;
@@ -204,6 +209,10 @@
     throw new Error(lastError);
   }
 
+  /**
+   * Sends a call once. Only an answer that repeats the id of this try shows that it has not run:
+   * another one may be a late answer to an earlier request on the connection.
+   */
   async #send(
     entry: Entry,
     path: string,
@@ -214,6 +223,7 @@
     },
   ): Promise<SentCall> {
     const { options, key } = call;
+    const attempt = randomUUID();
     try {
       const bounds = {
         signal: options.signal,
@@ -224,7 +234,10 @@
         async (signal) => {
           const response = await request(entry.url + path, {
             method: options.method ?? "POST",
-            headers: this.#createHeaders(options, key, call.remainingMs),
+            headers: {
+              ...this.#createHeaders(options, key, call.remainingMs),
+              [ATTEMPT_ID_HEADER]: attempt,
+            },
             ...(options.body === undefined
               ? {}
               : { body: JSON.stringify(options.body) }),
@@ -235,9 +248,7 @@
         },
       );
       const code = Number(response.headers["x-result-code"] ?? "0");
-      const ran = String(
-        response.headers["x-ran"] ?? "ran",
-      ) as CallAnswer["ran"];
+      const ran = readRan(response.headers, attempt);
       const { status, headers } = {
         status: response.statusCode,
         headers: response.headers,
@@ -350,6 +361,16 @@
   return mayRetry ? retry : "end";
 }
 
+/** Returns what an answer says of whether its call ran. */
+function readRan(
+  headers: CallAnswer["headers"],
+  attempt: string,
+): CallAnswer["ran"] {
+  const ran = String(headers["x-ran"] ?? "ran") as CallAnswer["ran"];
+  const isOwn = headers[ATTEMPT_ID_HEADER] === attempt;
+  return ran === "not-run" && !isOwn ? "unknown" : ran;
+}
+
 /** Returns whether a body is that of a model call; these are idempotent unless marked. */
 function isModelBody(body: unknown): boolean {
   return typeof body === "object" && body !== null && "model" in body;
--- a/tests/unnamed_refusal_test.ts
+++ b/tests/unnamed_refusal_test.ts
@@ -3,6 +3,7 @@
 import type { Socket } from "node:net";
 import { afterEach, describe, it } from "node:test";
 import { HttpBackendClient } from "../adapters/http_backend_client.ts";
+import { Caller } from "../client/mod.ts";
 import { createBackendCall } from "./backend_server_fixture.ts";
 import { CLEAN_UPS } from "./clean_ups.ts";
 import {
@@ -252,3 +253,36 @@
     );
   });
 });
+
+describe("a refusal to a caller with this project's client", () => {
+  const REFUSAL = JSON.stringify({
+    error: { retry: "elsewhere", ran: "not-run" },
+  });
+  /** Calls an entry that refuses each call, and returns how often the call arrived. */
+  const countTries = async (toHeaders: (request: string) => string) => {
+    const entry = await startRawServer((request, socket) =>
+      socket.write(
+        `HTTP/1.1 503 Busy\r\nX-Ran: not-run\r\nX-Result-Code: 1\r\n${
+          toHeaders(request)
+        }Content-Length: ${REFUSAL.length}\r\n\r\n${REFUSAL}`,
+      )
+    );
+    const entries = [`http://${entry.address}`];
+    const caller = new Caller({ entries, token: "t" });
+    CLEAN_UPS.push(() => entry.close(), () => void caller.close());
+    await caller.call("/services/app/x", { body: {} });
+    return entry.requests.filter((each) => each.startsWith("POST")).length;
+  };
+
+  it("lets a call that may run once be sent again if it names its try", async () => {
+    const tries = await countTries((request) =>
+      `X-Attempt-Id: ${findHeader(request, "x-attempt-id")}\r\n`
+    );
+    assert.ok(tries > 1);
+  });
+
+  it("does not let it be sent again if it names another try or none", async () => {
+    assert.equal(await countTries(() => "X-Attempt-Id: a0\r\n"), 1);
+    assert.equal(await countTries(() => ""), 1);
+  });
+});
