Guards: one dispatch is written once, and one call that may run once is served once at a time

Change: a second onConnect of one dispatch is aborted before a byte is written, and the call counts as one that may have run. A call that may run once and arrives under the id of one that is served, from a caller or another instance, gets 409, which promises nothing; the line "call arrived twice" and call.duplicates tell of it. Idempotent calls and calls without an id are served as before.

--- a/adapters/connection_pool.ts
+++ b/adapters/connection_pool.ts
@@ -385,6 +385,12 @@
       abort();
       return;
     }
+    if (this.#isSent) {
+      const reason = "A request was about to be written twice";
+      this.#logClosed(reason);
+      abort(new Error(reason));
+      return;
+    }
     this.#isSent = true;
   }
 
--- a/adapters/connection_pool_test.ts
+++ b/adapters/connection_pool_test.ts
@@ -2,6 +2,7 @@
 import { readFileSync } from "node:fs";
 import type { Socket } from "node:net";
 import { describe, it } from "node:test";
+import { Client } from "undici";
 import { blockEventLoop } from "../tests/block_event_loop.ts";
 import { startRawServer } from "../tests/raw_http.ts";
 import { createRecordingLogger } from "../tests/recording_logger.ts";
@@ -99,6 +100,29 @@
 }
 
 describe("ConnectionPool", () => {
+  describe("where the client writes a request a second time", () => {
+    it("aborts it before it is written, and says that it may have run", async () => {
+      const { dispatch } = Client.prototype;
+      Client.prototype.dispatch = function (options, handler) {
+        const { onConnect } = handler;
+        handler.onConnect = (...args) => {
+          onConnect!.apply(handler, args);
+          onConnect!.apply(handler, args);
+        };
+        return dispatch.call(this, options, handler);
+      };
+      const server = await startRawServer((_, socket) => socket.write(ANSWER));
+      const pool = new ConnectionPool();
+      const { ended, failure } = send(pool, server.address);
+      assert.match(await ended, /written twice/);
+      assert.equal(failure(), "unknown");
+      assert.equal(server.requests.length, 0);
+      Client.prototype.dispatch = dispatch;
+      pool.close();
+      server.close();
+    });
+  });
+
   describe("after a call that may not use its connection again", () => {
     it("uses the connection for other calls only", async () => {
       assert.equal(await countExcluding(["c1", "c2"]), 1);
--- a/forwarding/call_forwarder.ts
+++ b/forwarding/call_forwarder.ts
@@ -43,11 +43,12 @@
 } from "./choose_destination.ts";
 import { ServerChooser } from "./choose_server.ts";
 import { CrashConfirmer } from "./crash_confirmer.ts";
-import { type Exchange, hasOtherDestination } from "./exchange.ts";
+import { type Exchange, hasOtherDestination, isRetryable } from "./exchange.ts";
 import type { Hop } from "./hop_headers.ts";
 import { InstanceSender } from "./instance_sender.ts";
 import { LearnedServers } from "./learned_servers.ts";
 import { LinkProber, type ProbeServer } from "./link_prober.ts";
+import { OpenCallIds } from "./open_call_ids.ts";
 import type { CallHead, CallSink, OpaqueCall } from "./opaque_call.ts";
 import {
   describeServers,
@@ -141,6 +142,7 @@
   readonly #linkProber: LinkProber;
   readonly #versions: ServerVersions;
   readonly #withdrawnCalls = new WithdrawnCalls();
+  readonly #openOnceCalls = new OpenCallIds();
   readonly #withdrawals: WithdrawalSources;
   #table: RouteTable | undefined;
   #inFlight = 0;
@@ -452,11 +454,34 @@
       this.#routeUsage.record(route, call.receivedMs);
     }
     const maxTokenGapMs = table.findMaxTokenGapMs(service.name);
-    return await this.#forwardUntilDeadline({
-      ...served,
-      service,
-      maxTokenGapMs,
+    const routed = { ...served, service, maxTokenGapMs };
+    if (isRetryable(routed)) return await this.#forwardUntilDeadline(routed);
+    return await this.#forwardOnce(routed);
+  }
+
+  /** Serves a call that may run once, unless it is being served already. */
+  async #forwardOnce(routed: RoutedCall): Promise<boolean> {
+    const { call, facts, route, service, sink } = routed;
+    const end = this.#openOnceCalls.begin(facts.callId);
+    if (end !== undefined) {
+      try {
+        return await this.#forwardUntilDeadline(routed);
+      } finally {
+        end();
+      }
+    }
+    const { logger, metrics } = this.#parts;
+    metrics.count("call.duplicates", 1, { service: service.name });
+    logger.info("call arrived twice", {
+      call: facts.callId,
+      route: route.name,
+      origin: call.origin.kind === "instance" ? call.origin.hop.from : "caller",
+    });
+    this.refuse(call, sink, {
+      reason: "duplicate",
+      message: "A call with this id is being served, and may run once",
     });
+    return false;
   }
 
   /** Returns whether this instance may withdraw a call too late that another one hands over to it. */
--- a/forwarding/refusal.ts
+++ b/forwarding/refusal.ts
@@ -35,7 +35,9 @@
   /** The deadline passed while a server had the call. */
   | "timed-out"
   /** This instance failed while it handled the call, which may have run. */
-  | "failed";
+  | "failed"
+  /** A call with the same id, which may run once, is being served. */
+  | "duplicate";
 
 /** A refusal as sent to the caller. */
 export interface Refusal {
@@ -47,7 +49,7 @@
 
 /**
  * HTTP status of each refusal. 429, 503, 408 and 421 guarantee that the call has not run
- * and never will; 500, 502 and 504 guarantee nothing.
+ * and never will; 409, 500, 502 and 504 guarantee nothing.
  */
 const STATUSES: Readonly<Record<RefusalReason, readonly [number, string]>> = {
   "no-configuration": [503, "Service Unavailable"],
@@ -72,6 +74,7 @@
   "no-answer": [502, "Bad Gateway"],
   "timed-out": [504, "Gateway Timeout"],
   "failed": [500, "Internal Server Error"],
+  "duplicate": [409, "Conflict"],
 };
 
 /** Returns the reason with a name, or `undefined` for a name that this version does not know. */
@@ -86,6 +89,7 @@
   "no-answer",
   "timed-out",
   "failed",
+  "duplicate",
 ]);
 
 /** Returns whether a refusal guarantees that the call has not run. */
