Connection pool: a send over a connection has a file of its own

connection_pool.ts held the pool, the connections to a host and one send, some 500 lines. The send and what it keeps of its connection are moved to pooled_send.ts; what happens to a connection after a send is a method.

Measured: connection_pool_test.ts and late_copy_of_refusal_test.ts pass.

--- a/adapters/connection_pool.ts
+++ b/adapters/connection_pool.ts
@@ -1,34 +1,23 @@
 import type { Socket } from "node:net";
-import { buildConnector, Client, type Dispatcher } from "undici";
-import { Cancellation, scheduleAfterReading } from "../clock/mod.ts";
-import {
-  type ActiveSend,
-  type AnswerFraming,
-  type RawHeaders,
-  readAnswerFraming,
-  readHeader,
-  type SendEvents,
-  type SendFailure,
-  type SendRequest,
-  type ServerClient,
+import { buildConnector, Client } from "undici";
+import type {
+  ActiveSend,
+  SendEvents,
+  SendRequest,
+  ServerClient,
 } from "../forwarding/mod.ts";
-import {
-  findResetError,
-  isConnectionClosedError,
-} from "./connection_errors.ts";
-import { FRAMING_EXCEEDED, FramingLimit } from "./framing_limit.ts";
 import { LineRateLimiter, type Logger } from "../logs/mod.ts";
+import { FRAMING_EXCEEDED, FramingLimit } from "./framing_limit.ts";
+import {
+  type Connection,
+  IDLE_MARGIN_MS,
+  IDLE_TIMEOUT_MS,
+  PooledSend,
+} from "./pooled_send.ts";
 import { systemClock } from "./system_clock.ts";
 
 /** Maximum time to open a connection, in milliseconds: several round trips between regions. */
 const CONNECT_TIMEOUT_MS = 1_000;
-/** Time for which an idle connection is kept if the server advertises none, in milliseconds. */
-const IDLE_TIMEOUT_MS = 4_000;
-/**
- * Time subtracted from the idle timeout that a server advertises, in milliseconds. It
- * allows for the network latency to the server and for late timers.
- */
-const IDLE_MARGIN_MS = 600;
 /** Idle time after which the operating system sends TCP keep-alive probes, in milliseconds. */
 const PROBE_AFTER_MS = 1_000;
 
@@ -40,38 +29,11 @@
  */
 const SILENCE_MS = 400;
 
-/** Maximum size of the rest of an unused answer that is read to keep its connection, in bytes. */
-const MAX_DRAINED_BYTES = 65_536;
-/** Maximum time to read that rest, in milliseconds: several round trips between regions. */
-const MAX_DRAIN_MS = 500;
 /** Number of calls that may not use a connection again, from which on it is closed. */
 const MAX_EXCLUDED_CALLS = 32;
 /** Maximum number of log lines in one second, so that a faulty server does not hide other lines. */
 const LINES_PER_SECOND = 5;
 
-/** Characters that HTTP does not allow in a status text. */
-const UNWRITABLE_PATTERN = /[^\t\x20-\x7e\x80-\xff]/;
-
-interface Connection {
-  readonly client: Client;
-  socket: Socket | undefined;
-  framingLimit: FramingLimit | undefined;
-  /**
-   * Time of the last byte of an answer, in milliseconds on this instance's clock;
-   * `undefined` before the first one.
-   */
-  answeredMs: number | undefined;
-  /**
-   * Earliest time at which its last answer can have arrived, in milliseconds on this
-   * instance's clock; `undefined` before the first one.
-   */
-  idleSinceMs: number | undefined;
-  /** Time for which it may be idle after its last answer, in milliseconds. */
-  idleTimeoutMs: number;
-  /** Ids of the calls that may not use it again. */
-  readonly excludedCalls: Set<string>;
-}
-
 /** Options of a {@linkcode ConnectionPool}. */
 export interface ConnectionPoolOptions {
   /**
@@ -191,20 +153,12 @@
     const startMs = systemClock.nowMs();
     const connection = this.#takeFree(startMs, request.callId) ?? this.#open();
     this.busyCount++;
-    const wasKept = connection.answeredMs !== undefined;
-    const send = new Send(connection, events, (isReusable) => {
-      this.busyCount--;
-      if (isReusable && connection.excludedCalls.size < MAX_EXCLUDED_CALLS) {
-        const arrivedMs = systemClock.nowMs() - this.#parts.readLoopDelayMs();
-        connection.idleSinceMs = arrivedMs;
-        this.#free.push(connection);
-        return;
-      }
-      destroyQuietly(connection);
-      const wasSilent = (connection.answeredMs ?? 0) < startMs &&
-        systemClock.nowMs() - startMs >= this.#parts.silenceMs;
-      if (wasKept && wasSilent) this.#closeSilent(startMs);
-    }, this.#parts.logClosed);
+    const send = new PooledSend({
+      connection,
+      events,
+      logClosed: this.#parts.logClosed,
+      release: (isReusable) => this.#release(connection, startMs, isReusable),
+    });
     send.start(request);
     return send;
   }
@@ -213,6 +167,27 @@
     this.#free.splice(0).forEach(destroyQuietly);
   }
 
+  /** Frees the connection of a send that began at a time, or closes it. */
+  #release(
+    connection: Connection,
+    startMs: number,
+    isReusable: boolean,
+  ): void {
+    this.busyCount--;
+    const nowMs = systemClock.nowMs();
+    if (isReusable && connection.excludedCalls.size < MAX_EXCLUDED_CALLS) {
+      connection.idleSinceMs = nowMs - this.#parts.readLoopDelayMs();
+      this.#free.push(connection);
+      return;
+    }
+    destroyQuietly(connection);
+    const { answeredMs } = connection;
+    const wasKept = answeredMs !== undefined && answeredMs < startMs;
+    if (wasKept && nowMs - startMs >= this.#parts.silenceMs) {
+      this.#closeSilent(startMs);
+    }
+  }
+
   /**
    * Returns the free connection that was used last among those that the call may use.
    * Connections that their servers may close now are closed: the client's own timer of idle
@@ -297,193 +272,3 @@
 function destroyQuietly({ client }: Connection): void {
   client.destroy().catch(() => {/* the connection is closed either way */});
 }
-
-class Send implements ActiveSend, Dispatcher.DispatchHandler {
-  readonly #connection: Connection;
-  readonly #events: SendEvents;
-  readonly #release: (isReusable: boolean) => void;
-  readonly #logClosed: (reason: string) => void;
-  /** Ends the reading of an answer that is not used; `undefined` while it is used. */
-  #drainEnded: Cancellation | undefined;
-  #drainedBytes = 0;
-  #abort: (() => void) | undefined;
-  #resume = () => {};
-  #isDone = false;
-  #isSent = false;
-  #method = "";
-  #callId = "";
-  #framing: AnswerFraming = "length";
-
-  constructor(
-    connection: Connection,
-    events: SendEvents,
-    release: (isReusable: boolean) => void,
-    logClosed: (reason: string) => void,
-  ) {
-    this.#connection = connection;
-    this.#events = events;
-    this.#release = (isReusable) => {
-      this.#drainEnded?.cancel();
-      release(isReusable);
-    };
-    this.#logClosed = logClosed;
-  }
-
-  start(request: SendRequest): void {
-    const { body, callId, headers, method, target } = request;
-    this.#method = method;
-    this.#callId = callId;
-    try {
-      this.#connection.client.dispatch({
-        method: method as Dispatcher.HttpMethod,
-        path: target,
-        headers,
-        body: body.length > 0 ? body : null,
-        // A request pipelined behind an unanswered one could receive the wrong answer.
-        blocking: true,
-        idempotent: false,
-      }, this);
-    } catch (error) {
-      this.#fail(error as Error);
-    }
-  }
-
-  resume(): void {
-    this.#resume();
-  }
-
-  abort(): void {
-    if (this.#isDone) return;
-    this.#isDone = true;
-    this.#abort?.();
-    this.#release(false);
-  }
-
-  drain(): void {
-    if (this.#isDone || this.#drainEnded !== undefined) return;
-    this.#drainEnded = new Cancellation();
-    scheduleAfterReading(
-      systemClock,
-      MAX_DRAIN_MS,
-      () => this.#endDrain(`An unused answer took over ${MAX_DRAIN_MS} ms`),
-      this.#drainEnded,
-    );
-  }
-
-  excludeCall(): void {
-    this.#connection.excludedCalls.add(this.#callId);
-  }
-
-  #endDrain(reason: string): void {
-    this.#logClosed(reason);
-    this.abort();
-  }
-
-  onConnect(abort: (error?: Error) => void): void {
-    this.#abort = () => abort();
-    if (this.#isDone) {
-      abort();
-      return;
-    }
-    if (this.#isSent) {
-      const reason = "A request was about to be written twice";
-      this.#logClosed(reason);
-      abort(new Error(reason));
-      return;
-    }
-    this.#isSent = true;
-  }
-
-  onHeaders(
-    status: number,
-    rawHeaders: Buffer[],
-    resume: () => void,
-    statusText: string,
-  ): boolean {
-    this.#connection.answeredMs = systemClock.nowMs();
-    // Interim answers (1xx) are ignored: they concern only the connection, and the
-    // body has been sent already.
-    if (status < 200 || this.#isDone) return true;
-    this.#resume = resume;
-    const headers = rawHeaders.map((text) => text.toString("latin1"));
-    this.#connection.idleTimeoutMs = readIdleTimeoutMs(headers);
-    this.#framing = readAnswerFraming(this.#method, { status, headers });
-    this.#events.onHead({
-      status,
-      statusText: toWritableText(statusText),
-      headers,
-      framing: this.#framing,
-    });
-    return true;
-  }
-
-  onData(chunk: Buffer): boolean {
-    this.#connection.framingLimit?.recordBody(chunk.length);
-    if (this.#isDone) return true;
-    this.#connection.answeredMs = systemClock.nowMs();
-    if (this.#drainEnded === undefined) return this.#events.onData(chunk);
-    this.#drainedBytes += chunk.length;
-    if (this.#drainedBytes > MAX_DRAINED_BYTES) {
-      this.#endDrain(`An unused answer is over ${MAX_DRAINED_BYTES} bytes`);
-    }
-    return true;
-  }
-
-  onComplete(trailers: string[] | null): void {
-    if (this.#isDone) return;
-    const { framingLimit, socket } = this.#connection;
-    framingLimit?.reset();
-    const reset = findResetError(this.#framing, socket);
-    if (reset !== undefined) {
-      this.#fail(reset);
-      return;
-    }
-    this.#isDone = true;
-    const texts = (trailers ?? []).map((text) =>
-      typeof text === "string" ? text : (text as Buffer).toString("latin1")
-    );
-    this.#release(socket !== undefined && !socket.destroyed);
-    try {
-      this.#events.onEnd(texts);
-    } catch (error) {
-      // undici reports an error at the end of a request to nobody.
-      const { message } = error as Error;
-      this.#events.onFailure({ kind: "unknown", message });
-    }
-  }
-
-  onError(error: Error): void {
-    this.#fail(error);
-  }
-
-  #fail(error: Error): void {
-    if (this.#isDone) return;
-    this.#isDone = true;
-    this.#release(false);
-    this.#events.onFailure({
-      kind: this.#toFailureKind(error),
-      message: error.message,
-    });
-  }
-
-  #toFailureKind(error: Error): SendFailure["kind"] {
-    if (!this.#isSent) return "not-sent";
-    return isConnectionClosedError(error) ? "closed" : "unknown";
-  }
-}
-
-/** Returns for how long a connection may be idle after an answer, in milliseconds. */
-function readIdleTimeoutMs(headers: RawHeaders): number {
-  const told = readHeader(headers, "keep-alive");
-  const timeoutS = /timeout=(\d+)/i.exec(told ?? "")?.[1];
-  if (timeoutS === undefined) return IDLE_TIMEOUT_MS;
-  return 1_000 * Number(timeoutS) - IDLE_MARGIN_MS;
-}
-
-/**
- * Returns a status text, or an empty one if Node does not write its characters. A status
- * text has no meaning, while an answer that cannot be written is lost.
- */
-function toWritableText(statusText: string): string {
-  return UNWRITABLE_PATTERN.test(statusText) ? "" : statusText;
-}
