Forwarder: one send of an instance is served once; callers may use an id for several calls

Change: the guard is taken back for callers. Sends of other instances, which have an id of their own each, are still served once at a time.

Measured: platform_processes_test.ts, duplicate_hop_test.ts, region_hop_test.ts, late_withdrawal_test.ts and handover tests pass.

--- a/forwarding/call_forwarder.ts
+++ b/forwarding/call_forwarder.ts
@@ -13,7 +13,6 @@
 import {
   findHostHomes,
   type HostHomes,
-  type HttpRoute,
   type HttpService,
   pickService,
   RouteCallCounter,
@@ -22,14 +21,9 @@
 import type { BackendId, CallFingerprint, RegionId } from "../ids/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
-import {
-  CallContent,
-  type CallQuarantine,
-  type CrashReport,
-  type SharedPrompt,
-} from "../quarantine/mod.ts";
+import { type CallQuarantine, type CrashReport } from "../quarantine/mod.ts";
 import type { RegisteredServer, ServerRegistry } from "../servers/mod.ts";
-import type { CallFacts, CallHeaderCodec } from "./call_header_codec.ts";
+import type { CallHeaderCodec } from "./call_header_codec.ts";
 import {
   canEndInTime,
   type WithdrawalSources,
@@ -41,22 +35,22 @@
   DestinationChooser,
   type NoDestination,
 } from "./choose_destination.ts";
+import { createExchange, type RoutedCall } from "./create_exchange.ts";
 import { ServerChooser } from "./choose_server.ts";
 import { CrashConfirmer } from "./crash_confirmer.ts";
-import { type Exchange, hasOtherDestination, isRetryable } from "./exchange.ts";
-import type { Hop } from "./hop_headers.ts";
+import { type Exchange, hasOtherDestination } from "./exchange.ts";
 import { InstanceSender } from "./instance_sender.ts";
 import { LearnedServers } from "./learned_servers.ts";
 import { LinkProber, type ProbeServer } from "./link_prober.ts";
-import { OpenCallIds } from "./open_call_ids.ts";
 import type { CallHead, CallSink, OpaqueCall } from "./opaque_call.ts";
+import { OpenHopSends } from "./open_hop_sends.ts";
 import {
   describeServers,
   isWaitFutile,
   toNoCapacityRefusal,
 } from "./no_capacity.ts";
-import { toKeyedParts } from "./prefix_cache_model.ts";
 import { QuarantineGuard } from "./quarantine_guard.ts";
+import { readRemainingMs } from "./read_remaining_ms.ts";
 import type { Refusal } from "./refusal.ts";
 import { FleetRetryBudgets, type RetryBounds } from "./fleet_retry_budget.ts";
 import type { ServerClient } from "./server_client.ts";
@@ -85,8 +79,6 @@
 export const NO_CONFIGURATION_RETRY_MS = 500;
 /** Number of waiting calls that are woken when capacity may be available. */
 const CALLS_WOKEN_AT_ONCE = 2;
-/** Timeout of a call that neither its caller nor its route limits, in milliseconds. */
-const DEFAULT_TIMEOUT_MS = 600_000;
 
 /** Dependencies and settings of a {@linkcode CallForwarder}. */
 export interface CallForwarderParts {
@@ -142,7 +134,7 @@
   readonly #linkProber: LinkProber;
   readonly #versions: ServerVersions;
   readonly #withdrawnCalls = new WithdrawnCalls();
-  readonly #openOnceCalls = new OpenCallIds();
+  readonly #openHopSends = new OpenHopSends();
   readonly #withdrawals: WithdrawalSources;
   #table: RouteTable | undefined;
   #inFlight = 0;
@@ -361,11 +353,17 @@
    * @param sink Destination of the answer.
    */
   async handle(call: OpaqueCall, sink: CallSink): Promise<void> {
+    const end = this.#openHopSends.begin(call.origin);
+    if (end === undefined) {
+      this.#refuseDuplicate(call, sink);
+      return;
+    }
     this.#inFlight++;
     try {
       await this.#serve(call, sink);
     } finally {
       this.#inFlight--;
+      end();
     }
   }
 
@@ -396,6 +394,19 @@
     this.#replies.refuse(call, sink, refusal);
   }
 
+  #refuseDuplicate(call: OpaqueCall, sink: CallSink): void {
+    const { headerCodec, logger, metrics } = this.#parts;
+    metrics.count("call.duplicates");
+    logger.warn("call arrived twice", {
+      call: headerCodec.readCall(call.headers).callId,
+      origin: call.origin.kind === "instance" ? call.origin.hop.from : "caller",
+    });
+    this.refuse(call, sink, {
+      reason: "duplicate",
+      message: "The same send of the call is being served",
+    });
+  }
+
   async #serve(call: OpaqueCall, sink: CallSink): Promise<void> {
     const facts = this.#parts.headerCodec.readCall(call.headers);
     await this.#awaitConfiguration(call, sink);
@@ -454,34 +465,11 @@
       this.#routeUsage.record(route, call.receivedMs);
     }
     const maxTokenGapMs = table.findMaxTokenGapMs(service.name);
-    const routed = { ...served, service, maxTokenGapMs };
-    if (isRetryable(routed)) return await this.#forwardUntilDeadline(routed);
-    return await this.#forwardOnce(routed);
-  }
-
-  /** Serves a call that may run once, unless it is being served already. */
-  async #forwardOnce(routed: RoutedCall): Promise<boolean> {
-    const { call, facts, route, service, sink } = routed;
-    const end = this.#openOnceCalls.begin(facts.callId);
-    if (end !== undefined) {
-      try {
-        return await this.#forwardUntilDeadline(routed);
-      } finally {
-        end();
-      }
-    }
-    const { logger, metrics } = this.#parts;
-    metrics.count("call.duplicates", 1, { service: service.name });
-    logger.info("call arrived twice", {
-      call: facts.callId,
-      route: route.name,
-      origin: call.origin.kind === "instance" ? call.origin.hop.from : "caller",
+    return await this.#forwardUntilDeadline({
+      ...served,
+      service,
+      maxTokenGapMs,
     });
-    this.refuse(call, sink, {
-      reason: "duplicate",
-      message: "A call with this id is being served, and may run once",
-    });
-    return false;
   }
 
   /** Returns whether this instance may withdraw a call too late that another one hands over to it. */
@@ -530,87 +518,21 @@
     // if this instance reads it late.
     if (leftMs > 0) scheduleAfterReading(clock, leftMs, giveUp, timer);
     else giveUp();
-    const exchange = this.#createExchange(routed, deadlineMs, callAbort.signal);
+    const exchange = createExchange(routed, {
+      deadlineMs,
+      signal: callAbort.signal,
+      waitOrder: this.#waitingCalls.takeOrder(),
+      onlyServers: this.#withdrawnCalls.findOnlyServers(routed, clock.nowMs()),
+    });
     const endServing = this.#quarantineGuard.begin(exchange, giveUp);
     await this.#forward(exchange);
-    this.#recordIfWithdrawn(exchange);
+    this.#withdrawnCalls.recordIfWithdrawn(exchange, clock.nowMs());
     endServing();
     timer.cancel();
     sink.signal.removeEventListener("abort", giveUp);
     return exchange.mayHaveRun || exchange.progress.hasBegun;
   }
 
-  /** Remembers the servers of a call that another instance handed over to this one and withdrew. */
-  #recordIfWithdrawn(
-    { call: { origin }, facts, isSecondSend, sentTo, sink }: Exchange,
-  ): void {
-    const isWithdrawn = isSecondSend && sink.signal.aborted;
-    if (!isWithdrawn || origin.kind !== "instance") return;
-    const key = toWithdrawnKey(origin.hop, facts);
-    this.#withdrawnCalls.record(key, sentTo, this.#parts.clock.nowMs());
-  }
-
-  /** Returns the only servers that a forwarded call may be sent to, or `undefined` for any. */
-  #findOnlyServers(
-    hop: Hop | undefined,
-    facts: CallFacts,
-  ): ReadonlySet<BackendId> | undefined {
-    if (hop?.isAgain !== true) return undefined;
-    const servers = this.#withdrawnCalls.find(
-      toWithdrawnKey(hop, facts),
-      this.#parts.clock.nowMs(),
-    );
-    // Without a known server, any other one would be one too many.
-    return servers?.length === 0 ? undefined : new Set(servers);
-  }
-
-  #createExchange(
-    routed: RoutedCall,
-    deadlineMs: number,
-    signal: AbortSignal,
-  ): Exchange {
-    const { call, facts, route } = routed;
-    const { origin } = call;
-    const hop = origin.kind === "instance" ? origin.hop : undefined;
-    return {
-      ...routed,
-      content: new CallContent({
-        ...call,
-        host: facts.host,
-        prompt: toSharedPrompt(facts, routed.service),
-      }),
-      promptParts: toKeyedParts(facts.prompt?.parts ?? []),
-      deadlineMs,
-      signal,
-      progress: {
-        hasBegun: false,
-        lastEventId: hop?.resumeAfter ?? facts.lastEventId,
-        version: hop?.version,
-      },
-      tried: new Set(hop?.tried),
-      withdrawn: new Set(),
-      withdrawnInstances: new Map(),
-      onlyServers: this.#findOnlyServers(hop, facts),
-      onlyInstances: undefined,
-      unreached: new Set(),
-      waitOrder: this.#waitingCalls.takeOrder(),
-      // Only the instance that the caller reached retries calls.
-      attemptsLeft: hop === undefined ? route.maxAttempts : 1,
-      sentTo: [],
-      sends: 0,
-      repeatReason: undefined,
-      isHandingOver: false,
-      isSecondSend: hop?.isHandover ?? false,
-      isTrial: hop?.isTrial ?? false,
-      isFirstSend: !isRepeat(routed),
-      hasDrawnVersion: false,
-      mayHaveRun: false,
-      heldAnswer: undefined,
-      avoidedRegions: new Set(),
-      avoidedInstances: new Set(),
-    };
-  }
-
   async #forward(exchange: Exchange): Promise<void> {
     while (!exchange.signal.aborted) {
       const nowMs = this.#parts.clock.nowMs();
@@ -681,24 +603,6 @@
   }
 }
 
-/**
- * Returns what other calls may share of a call's prompt. The last part is the caller's own. Where
- * no model is named, the servers of one service run the same one.
- */
-function toSharedPrompt(
-  { prompt }: CallFacts,
-  service: HttpService,
-): SharedPrompt | undefined {
-  if (prompt === undefined) return undefined;
-  const { model = service.name, parts } = prompt;
-  return { model, parts: parts.slice(0, -1).map(({ id }) => id) };
-}
-
-/** Returns what identifies a call that an instance has sent to this one. */
-function toWithdrawnKey({ from }: Hop, { callId }: CallFacts): string {
-  return `${from} ${callId}`;
-}
-
 /** Returns how long a call may still wait for capacity, in milliseconds. */
 function computeMaxWaitMs(exchange: Exchange, nowMs: number): number {
   if (hasOtherDestination(exchange)) return 0;
@@ -707,30 +611,3 @@
   if (progress.hasBegun) return deadlineMs - nowMs;
   return receivedMs + MAX_WAIT_TARGET_FRACTION * route.targetMs - nowMs;
 }
-
-/** Returns whether a call was sent before. */
-function isRepeat(
-  { call: { origin }, facts }: Pick<RoutedCall, "call" | "facts">,
-): boolean {
-  // Which version began a stream that its caller resumes is not known.
-  if (origin.kind === "caller") return facts.lastEventId !== undefined;
-  // Instances of earlier versions name only the servers that had the call.
-  return origin.hop.isRepeat || origin.hop.tried.length > 0;
-}
-
-/** A call whose route and service are known. */
-type RoutedCall = Pick<
-  Exchange,
-  "access" | "call" | "sink" | "facts" | "route" | "service" | "maxTokenGapMs"
->;
-
-/** Returns the timeout of a call, in milliseconds: the shorter of its caller's and its route's. */
-function readRemainingMs(
-  { call: { origin }, facts, route }:
-    & Pick<RoutedCall, "call" | "facts">
-    & { readonly route: HttpRoute | undefined },
-): number {
-  if (origin.kind === "instance") return origin.hop.remainingMs;
-  const routeMs = route?.timeoutMs ?? DEFAULT_TIMEOUT_MS;
-  return Math.min(facts.remainingMs ?? DEFAULT_TIMEOUT_MS, routeMs);
-}
--- a/forwarding/exchange.ts
+++ b/forwarding/exchange.ts
@@ -86,7 +86,7 @@
 }
 
 /** Returns whether a call may run a second time. */
-export function isRetryable({ route }: Pick<Exchange, "route">): boolean {
+export function isRetryable({ route }: Exchange): boolean {
   switch (route.routeClass) {
     case "idempotent":
       return true;
--- a/forwarding/refusal.ts
+++ b/forwarding/refusal.ts
@@ -36,7 +36,7 @@
   | "timed-out"
   /** This instance failed while it handled the call, which may have run. */
   | "failed"
-  /** A call with the same id, which may run once, is being served. */
+  /** The same send of another instance is being served. */
   | "duplicate";
 
 /** A refusal as sent to the caller. */
--- a/metrics/metrics.ts
+++ b/metrics/metrics.ts
@@ -29,7 +29,7 @@
   "call.repeated_sends":
     "counter; sends of calls after the first one; tags: service, because (not-sent, misdirected, rejected, refused, failed, no-answer, handover, unknown), end (answered, failed, not-sent, rejected, no-answer, broken, given-up)",
   "call.duplicates":
-    "counter; calls that may run once and arrived while one with their id was served; tags: service",
+    "counter; sends of other instances that arrived a second time",
   "call.offers": "counter; tags: service",
   "call.handovers":
     "counter; handovers of calls from silent destinations; tags: service, end (answered, taken, not-taken, refused, first-answered, first-ended, given-up)",
