--- a/bin/havenspur_repeats.ts
+++ b/bin/havenspur_repeats.ts
@@ -62,6 +62,7 @@
     logFolder,
   });
   printReport(seed, report, logFolder);
+  if (report.arrivals === 0) throw new Error("No call arrived at a server");
   brokenCount += report.broken.length;
 }
 process.exitCode = brokenCount > 0 ? 1 : 0;
--- a/repeats/disturb.ts
+++ b/repeats/disturb.ts
@@ -1,5 +1,6 @@
 import { systemClock } from "../adapters/system_clock.ts";
 import { type Random, waitFor } from "../clock/mod.ts";
+import type { PlatformProcess } from "../standin/platform_process.ts";
 import type { RepeatFleet } from "./repeat_fleet.ts";
 
 /** What happens to servers and instances, one at a time, again and again. */
@@ -61,9 +62,7 @@
         break;
       }
       case "kills":
-        instance.signal("SIGKILL");
-        await instance.awaitExit();
-        instance.start();
+        await restartInstance(instance, "SIGKILL");
         break;
       case "stops":
         instance.signal("SIGSTOP");
@@ -71,9 +70,7 @@
         instance.signal("SIGCONT");
         break;
       case "terminations":
-        instance.signal("SIGTERM");
-        await instance.awaitExit();
-        instance.start();
+        await restartInstance(instance, "SIGTERM");
         break;
       case "reloads":
         await instance.reload();
@@ -88,6 +85,16 @@
   }
 }
 
+/** Ends an instance by a signal, and starts it again unless another disturbance has. */
+async function restartInstance(
+  instance: PlatformProcess,
+  signal: NodeJS.Signals,
+): Promise<void> {
+  instance.signal(signal);
+  await instance.awaitExit();
+  if (instance.pid === undefined) instance.start();
+}
+
 function pick<T>(values: readonly T[], random: Random): T {
   return values[Math.floor(random.nextFloat() * values.length)]!;
 }
