--- a/forwarding/call_forwarder.ts
+++ b/forwarding/call_forwarder.ts
@@ -21,7 +21,7 @@
 import type { BackendId, CallFingerprint, RegionId } from "../ids/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
-import { type CallQuarantine, type CrashReport } from "../quarantine/mod.ts";
+import type { CallQuarantine, CrashReport } from "../quarantine/mod.ts";
 import type { RegisteredServer, ServerRegistry } from "../servers/mod.ts";
 import type { CallHeaderCodec } from "./call_header_codec.ts";
 import {
