Connection pool: a connection that refused a call without an id is closed

All calls without an id share the empty one, so after such a refusal no other one may use the connection. It was kept all the same: beside a hundred refusals a second some four hundred idle connections would have stood for four seconds. Calls with an id are served as before.

Measured: the case of connection_pool_test.ts failed before.

--- a/adapters/connection_pool.ts
+++ b/adapters/connection_pool.ts
@@ -175,7 +175,7 @@
   ): void {
     this.busyCount--;
     const nowMs = systemClock.nowMs();
-    if (isReusable && connection.excludedCalls.size < MAX_EXCLUDED_CALLS) {
+    if (isReusable && canServeMore(connection)) {
       connection.idleSinceMs = nowMs - this.#parts.readLoopDelayMs();
       this.#free.push(connection);
       return;
@@ -269,6 +269,11 @@
   }
 }
 
+/** Returns whether a connection is kept; of calls without an id, none may use it after one is excluded. */
+function canServeMore({ excludedCalls }: Connection): boolean {
+  return excludedCalls.size < MAX_EXCLUDED_CALLS && !excludedCalls.has("");
+}
+
 function destroyQuietly({ client }: Connection): void {
   client.destroy().catch(() => {/* the connection is closed either way */});
 }
--- a/adapters/connection_pool_test.ts
+++ b/adapters/connection_pool_test.ts
@@ -130,6 +130,10 @@
       assert.equal(await countExcluding(["c1", "c1", "c2", "c1"]), 3);
     });
 
+    it("closes the connection if the call has no id", async () => {
+      assert.equal(await countExcluding(["", "c1"]), 2);
+    });
+
     it("closes the connection once many calls may not use it", async () => {
       const callIds = Array.from({ length: 33 }, (_, at) => `c${at}`);
       assert.equal(await countExcluding(callIds.slice(1)), 1);
