--- a/tests/duplicate_hop_test.ts
+++ b/tests/duplicate_hop_test.ts
@@ -6,10 +6,10 @@
 import { CLEAN_UPS } from "./clean_ups.ts";
 import {
   createAnswer,
-  createRequest,
+  postCall,
   startGateway,
 } from "./http_gateway_fixture.ts";
-import { openRawCaller, startRawServer } from "./raw_http.ts";
+import { startRawServer } from "./raw_http.ts";
 
 /** Time that a server works on a call, in milliseconds. */
 const WORK_MS = 50;
@@ -41,17 +41,10 @@
     servers: { s1: server.address },
   });
   CLEAN_UPS.push(() => gateway.close(), () => server.close());
-  const send = async (hop: Partial<Hop>) => {
-    const caller = await openRawCaller(gateway.peerPort);
-    CLEAN_UPS.push(() => caller.socket.destroy());
-    caller.socket.write(createRequest("/a/x", {
-      method: "POST",
-      callId: "c1",
-      body: "payload",
-      headers: ["Connection: close", writeHop({ ...HOP, ...hop }).join(": ")],
-    }));
-    return await caller.awaitEnd();
-  };
+  const send = (hop: Partial<Hop>) =>
+    postCall(gateway.peerPort, {
+      headers: [writeHop({ ...HOP, ...hop }).join(": ")],
+    });
   return { send, countRuns: () => server.requests.length };
 }
 
--- a/tests/http_gateway_fixture.ts
+++ b/tests/http_gateway_fixture.ts
@@ -15,6 +15,8 @@
 import { toLoopbackAddress } from "../standin/loopback_address.ts";
 import { MemoryStore } from "../standin/mod.ts";
 import { StateFollower } from "../state/mod.ts";
+import { CLEAN_UPS } from "./clean_ups.ts";
+import { openRawCaller } from "./raw_http.ts";
 import { createFullCopy } from "./state_fixture.ts";
 
 /** Route of a test configuration; members that are left out have defaults. */
@@ -269,3 +271,44 @@
     body,
   ].join("\r\n");
 }
+
+/**
+ * Returns the bytes of a refusal that says that its call has not run.
+ *
+ * @param status Status and its text.
+ * @param callId Id of the call; `undefined`: the refusal names none.
+ * @param headers Further lines of the head. Default: none.
+ */
+export function createRefusal(
+  status: string,
+  callId: string | undefined,
+  headers: readonly string[] = [],
+): string {
+  return [
+    `HTTP/1.1 ${status}`,
+    ...(callId === undefined ? [] : [`X-Havenspur-Attempt-Id: ${callId}`]),
+    "X-Havenspur-Not-Executed: 1",
+    ...headers,
+    "Content-Length: 0",
+    "\r\n",
+  ].join("\r\n");
+}
+
+/** Sends one call with a body over a connection of its own, and returns all bytes of its answer. */
+export async function postCall(
+  port: number,
+  { callId = "c1", headers = [] }: {
+    readonly callId?: string;
+    readonly headers?: readonly string[];
+  } = {},
+): Promise<string> {
+  const caller = await openRawCaller(port);
+  CLEAN_UPS.push(() => caller.socket.destroy());
+  caller.socket.write(createRequest("/a/x", {
+    method: "POST",
+    callId,
+    body: "payload",
+    headers: ["Connection: close", ...headers],
+  }));
+  return await caller.awaitEnd();
+}
--- a/tests/late_copy_of_refusal_test.ts
+++ b/tests/late_copy_of_refusal_test.ts
@@ -5,11 +5,12 @@
 import { CLEAN_UPS } from "./clean_ups.ts";
 import {
   createAnswer,
-  createRequest,
+  createRefusal,
+  postCall,
   type RouteFixture,
   startGateway,
 } from "./http_gateway_fixture.ts";
-import { findHeader, openRawCaller, startRawServer } from "./raw_http.ts";
+import { findHeader, startRawServer } from "./raw_http.ts";
 import { startTwoRegions } from "./two_regions_fixture.ts";
 
 /** Delay of a server's own answer behind a copy, in milliseconds. */
@@ -28,16 +29,6 @@
 
 afterEach(() => CLEAN_UPS.splice(0).forEach((cleanUp) => cleanUp()));
 
-function toRefusal(status: string, callId: string): string {
-  return [
-    `HTTP/1.1 ${status}`,
-    `X-Havenspur-Attempt-Id: ${callId}`,
-    "X-Havenspur-Not-Executed: 1",
-    "Content-Length: 0",
-    "\r\n",
-  ].join("\r\n");
-}
-
 /**
  * Refuses the first request, and runs each one after it. Where the second one arrives on the same
  * connection as the first one, a copy of the refusal goes before its answer.
@@ -49,11 +40,11 @@
     const callId = findHeader(request, "x-havenspur-attempt-id")!;
     if (refusedOn === undefined) {
       refusedOn = socket;
-      socket.write(toRefusal(status, callId));
+      socket.write(createRefusal(status, callId));
       return;
     }
     runs.push(callId);
-    if (socket === refusedOn) socket.write(toRefusal(status, callId));
+    if (socket === refusedOn) socket.write(createRefusal(status, callId));
     setTimeout(
       () => socket.write(createAnswer(callId, "done")),
       OWN_ANSWER_DELAY_MS,
@@ -62,18 +53,6 @@
   return { answer, runs };
 }
 
-async function sendCall(port: number): Promise<string> {
-  const caller = await openRawCaller(port);
-  CLEAN_UPS.push(() => caller.socket.destroy());
-  caller.socket.write(createRequest("/a/x", {
-    method: "POST",
-    callId: "c1",
-    body: "payload",
-    headers: ["Connection: close"],
-  }));
-  return await caller.awaitEnd();
-}
-
 /** Starts a gateway that knows several servers at one address. */
 async function startOneAddress(
   answer: (request: string, socket: Socket) => void,
@@ -96,7 +75,7 @@
           const { answer, runs } = createRefuser(status);
           const parts = { ...route, maxAttempts: maxAttempts + 1 };
           const gateway = await startOneAddress(answer, parts);
-          assert.match(await sendCall(gateway.port), /^HTTP\/1\.1 200/);
+          assert.match(await postCall(gateway.port), /^HTTP\/1\.1 200/);
           assert.deepEqual(runs, ["c1"]);
         });
 
@@ -106,7 +85,7 @@
             ...route,
             maxAttempts,
           });
-          assert.match(await sendCall(gateway.port), /^HTTP\/1\.1 200/);
+          assert.match(await postCall(gateway.port), /^HTTP\/1\.1 200/);
           assert.deepEqual(runs, ["c1"]);
         });
       });
@@ -119,8 +98,8 @@
       kind: "unsafe",
       maxAttempts: 1,
     });
-    assert.match(await sendCall(gateway.port), /^HTTP\/1\.1 503/);
-    assert.match(await sendCall(gateway.port), /^HTTP\/1\.1 200/);
+    assert.match(await postCall(gateway.port), /^HTTP\/1\.1 503/);
+    assert.match(await postCall(gateway.port), /^HTTP\/1\.1 200/);
     assert.deepEqual(runs, ["c1"]);
   });
 
@@ -130,7 +109,7 @@
       maxAttempts: 1,
       serverCount: 3,
     });
-    assert.match(await sendCall(near.port), /^HTTP\/1\.1 200/);
+    assert.match(await postCall(near.port), /^HTTP\/1\.1 200/);
     assert.deepEqual(runs, ["c1"]);
   });
 });
--- a/tests/repeated_send_lines_test.ts
+++ b/tests/repeated_send_lines_test.ts
@@ -4,29 +4,22 @@
 import { CLEAN_UPS } from "./clean_ups.ts";
 import {
   createAnswer,
-  createRequest,
+  createRefusal,
+  postCall,
   startGateway,
 } from "./http_gateway_fixture.ts";
-import { findHeader, openRawCaller, startRawServer } from "./raw_http.ts";
+import { findHeader, startRawServer } from "./raw_http.ts";
 import { createRecordingLogger } from "./recording_logger.ts";
 
 afterEach(() => CLEAN_UPS.splice(0).forEach((cleanUp) => cleanUp()));
 
 /** Sends a call to a server that answers it so first, and well later; returns what the log says of sends. */
-async function logSends(firstLines: readonly string[]) {
+async function logSends(status: string) {
   const { lines, logger } = createRecordingLogger();
   let isFirst = true;
   const server = await startRawServer((request, socket) => {
     const id = findHeader(request, "x-havenspur-attempt-id")!;
-    const [status, ...headers] = firstLines;
-    const refusal = [
-      `HTTP/1.1 ${status}`,
-      `X-Havenspur-Attempt-Id: ${id}`,
-      ...headers,
-      "Connection: close",
-      "Content-Length: 0",
-      "\r\n",
-    ].join("\r\n");
+    const refusal = createRefusal(status, id, ["Connection: close"]);
     socket.write(isFirst ? refusal : createAnswer(id, "done"));
     isFirst = false;
   });
@@ -37,15 +30,7 @@
     logger,
   });
   CLEAN_UPS.push(() => gateway.close(), () => server.close());
-  const caller = await openRawCaller(gateway.port);
-  CLEAN_UPS.push(() => caller.socket.destroy());
-  caller.socket.write(createRequest("/a/x", {
-    method: "POST",
-    callId: "c1",
-    body: "payload",
-    headers: ["Connection: close"],
-  }));
-  await caller.awaitEnd();
+  await postCall(gateway.port);
   const repeats = lines.map((line) => JSON.parse(line))
     .filter(({ message }) => message === "sent again");
   return { address, repeats };
@@ -53,12 +38,12 @@
 
 describe("the log line of a call that is sent again", () => {
   const causes = {
-    misdirected: ["421 Misdirected", "X-Havenspur-Not-Executed: 1"],
-    rejected: ["503 Full", "X-Havenspur-Not-Executed: 1"],
+    misdirected: "421 Misdirected",
+    rejected: "503 Full",
   };
-  Object.entries(causes).forEach(([because, firstLines]) => {
+  Object.entries(causes).forEach(([because, status]) => {
     it(`says that it is ${because}, where it went, and that it was answered`, async () => {
-      const { address, repeats } = await logSends(firstLines);
+      const { address, repeats } = await logSends(status);
       assert.equal(repeats.length, 1);
       const [line] = repeats;
       assert.deepEqual(
--- a/tests/unnamed_refusal_test.ts
+++ b/tests/unnamed_refusal_test.ts
@@ -8,11 +8,11 @@
 import { CLEAN_UPS } from "./clean_ups.ts";
 import {
   createAnswer,
-  createRequest,
   type GatewayFixtureParts,
+  postCall,
   startGateway,
 } from "./http_gateway_fixture.ts";
-import { findHeader, openRawCaller, startRawServer } from "./raw_http.ts";
+import { findHeader, startRawServer } from "./raw_http.ts";
 import { startTwoRegions } from "./two_regions_fixture.ts";
 
 /** Heads, without the id of a call, that say that a call did not run. */
@@ -65,16 +65,8 @@
   };
 }
 
-async function sendCall(port: number, callId = "c1"): Promise<string> {
-  const caller = await openRawCaller(port);
-  CLEAN_UPS.push(() => caller.socket.destroy());
-  caller.socket.write(createRequest("/a/x", {
-    method: "POST",
-    callId,
-    body: "payload",
-    headers: ["Connection: close", `Authorization: Bearer ${KEY}`],
-  }));
-  return await caller.awaitEnd();
+function sendCall(port: number, callId = "c1"): Promise<string> {
+  return postCall(port, { callId, headers: [`Authorization: Bearer ${KEY}`] });
 }
 
 /** Starts a gateway with two servers that run each call, and answer it in this way. */
