--- a/soak/fault_runner.ts
+++ b/soak/fault_runner.ts
@@ -5,9 +5,9 @@
   type Fault,
   formatFault,
   type PlannedFault,
-  type QuietPlan,
   type StandstillChange,
-} from "./plan.ts";
+} from "./fault.ts";
+import type { QuietPlan } from "./plan.ts";
 import type { ServerLinksState } from "../standin/server_links.ts";
 import type {
   AbandonedCall,
--- a/soak/mod.ts
+++ b/soak/mod.ts
@@ -17,6 +17,7 @@
  * ```
  * @module
  */
+export * from "./fault.ts";
 export * from "./fault_runner.ts";
 export * from "./caller.ts";
 export * from "./check_promises.ts";
--- a/soak/plan_test.ts
+++ b/soak/plan_test.ts
@@ -1,12 +1,8 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import fc from "fast-check";
-import {
-  createPlan,
-  createQuietPlan,
-  FAULT_FREE_END_MS,
-  formatFault,
-} from "./plan.ts";
+import { formatFault } from "./fault.ts";
+import { createPlan, createQuietPlan, FAULT_FREE_END_MS } from "./plan.ts";
 
 const SIZES = {
   seconds: 40,
--- a/soak/run_soak.ts
+++ b/soak/run_soak.ts
@@ -24,11 +24,11 @@
   STREAM_KINDS,
   WORK_KINDS,
 } from "./observation.ts";
+import type { PlannedFault } from "./fault.ts";
 import {
   createPlan,
   createQuietPlan,
   FAULT_FREE_END_MS,
-  type PlannedFault,
   type QuietPlan,
 } from "./plan.ts";
 import {
