--- a/adapters/http_listener.ts
+++ b/adapters/http_listener.ts
@@ -243,7 +243,7 @@
   const isUnread = !message.complete;
   response.writeHead(reply.status, {
     ...reply.headers,
-    ...repeatAttemptId(message),
+    ...toAttemptHeader(message),
     ...(reply.mayBeCut === true ? { [MAY_BE_CUT_HEADER]: "true" } : {}),
     // Also where the server told no end: the loss of this instance must not look like one.
     "content-length": String(body.length),
@@ -254,7 +254,7 @@
 }
 
 /** Returns the header that ties an answer to one try of a request. */
-function repeatAttemptId({ headers }: IncomingMessage): OutgoingHttpHeaders {
+function toAttemptHeader({ headers }: IncomingMessage): OutgoingHttpHeaders {
   const attempt = headers[ATTEMPT_ID_HEADER];
   return attempt === undefined ? {} : { [ATTEMPT_ID_HEADER]: attempt };
 }
@@ -283,7 +283,7 @@
 ): Promise<void> {
   response.writeHead(200, {
     ...reply.headers,
-    ...repeatAttemptId(response.req),
+    ...toAttemptHeader(response.req),
     "content-type": "text/event-stream",
     "cache-control": "no-store",
   });
--- a/repeats/arrival_server.ts
+++ b/repeats/arrival_server.ts
@@ -49,7 +49,8 @@
 /** Refusal that names no call. */
 const UNNAMED_REFUSAL = formatRefusal(421, {});
 
-let connections = 0;
+/** Number of connections that all servers have accepted. */
+let connectionCount = 0;
 
 /** A server of a plain service that records each call that arrives, on which connection. */
 export class ArrivalServer {
@@ -82,7 +83,7 @@
       void awaitAnswer(response, this.#answer(request, response));
     });
     server.on("connection", (socket) => {
-      this.#numbers.set(socket, ++connections);
+      this.#numbers.set(socket, ++connectionCount);
       socket.on("error", () => {/* a caller that is killed resets it */});
       socket.on("close", () => {
         this.#numbers.delete(socket);
--- a/repeats/repeat_caller.ts
+++ b/repeats/repeat_caller.ts
@@ -15,6 +15,7 @@
 const CALL_TIMEOUT_MS = 3_000;
 /** Pause between the pieces of a body that is sent slowly, in milliseconds. */
 const PIECE_PAUSE_MS = 100;
+/** Number of those pieces. */
 const PIECES = 3;
 
 /** An instance that is called. */
