--- a/bin/havenspur_repeats.ts
+++ b/bin/havenspur_repeats.ts
@@ -1,10 +1,12 @@
-import { Command } from "commander";
-import { mkdirSync, mkdtempSync } from "node:fs";
+import { Command, Option } from "commander";
+import { mkdirSync, mkdtempSync, rmSync } from "node:fs";
 import { tmpdir } from "node:os";
-import { join } from "node:path";
+import { dirname, join } from "node:path";
 import {
+  ANSWER_FAULTS,
   type AnswerFault,
   type Disturbance,
+  DISTURBANCES,
   findLines,
   playRepeats,
   type RepeatsReport,
@@ -36,8 +38,14 @@
   .option("--seconds <number>", "duration of the traffic of a play", "20")
   .option("--instances <number>", "instances per region", "2")
   .option("--servers <number>", "servers per region", "1")
-  .option("--faults <names...>", "how servers answer falsely", [])
-  .option("--disturbances <names...>", "what happens beside the calls", [])
+  .addOption(
+    new Option("--faults <names...>", "how servers answer falsely")
+      .choices(ANSWER_FAULTS).default([]),
+  )
+  .addOption(
+    new Option("--disturbances <names...>", "what happens beside the calls")
+      .choices(DISTURBANCES).default([]),
+  )
   .option("--logs <folder>", "folder for the logs, one in it for each seed")
   .parse().opts<Options>();
 
@@ -65,6 +73,10 @@
   if (report.arrivals === 0) throw new Error("No call arrived at a server");
   brokenCount += report.broken.length;
 }
+if (options.program === undefined) {
+  rmSync(dirname(program), { recursive: true, force: true });
+}
+console.log(`logs in ${logs}`);
 process.exitCode = brokenCount > 0 ? 1 : 0;
 
 function printReport(
--- a/repeats/arrival_server.ts
+++ b/repeats/arrival_server.ts
@@ -19,17 +19,21 @@
 import type { Arrival, ArrivalKind } from "./arrival.ts";
 
 /** How servers answer falsely. Each happens to a share of the calls. */
-export type AnswerFault =
+export const ANSWER_FAULTS = [
   /** A copy of a refusal follows on its connection, late. */
-  | "copied-refusals"
+  "copied-refusals",
   /** A 421 that names no call arrives before the answer of a call that runs. */
-  | "unnamed-refusals"
+  "unnamed-refusals",
   /** The connection of a call that runs is reset. */
-  | "resets"
+  "resets",
   /** A call that runs is never answered. */
-  | "lost-answers"
+  "lost-answers",
   /** A call is rejected as if the server were full. */
-  | "rejections";
+  "rejections",
+] as const;
+
+/** One of {@linkcode ANSWER_FAULTS}. */
+export type AnswerFault = typeof ANSWER_FAULTS[number];
 
 /** Constructor arguments of an {@linkcode ArrivalServer}. */
 export interface ArrivalServerParts {
--- a/repeats/disturb.ts
+++ b/repeats/disturb.ts
@@ -4,25 +4,29 @@
 import type { RepeatFleet } from "./repeat_fleet.ts";
 
 /** What happens to servers and instances, one at a time, again and again. */
-export type Disturbance =
+export const DISTURBANCES = [
   /** A server is started anew at its address, with another id. */
-  | "restarted-servers"
+  "restarted-servers",
   /** The address of a server is given to a server of another service. */
-  | "moved-servers"
+  "moved-servers",
   /** A server stands still for a moment. */
-  | "still-servers"
+  "still-servers",
   /** An instance is killed and started again. */
-  | "kills"
+  "kills",
   /** An instance stands still for a moment. */
-  | "stops"
+  "stops",
   /** An instance is told to end, and started again. */
-  | "terminations"
+  "terminations",
   /** An instance reads its settings again. */
-  | "reloads"
+  "reloads",
   /** A configuration is written. */
-  | "configurations"
+  "configurations",
   /** Open connections of an instance to servers fail, as the host can't be reached. */
-  | "unreachable-hosts";
+  "unreachable-hosts",
+] as const;
+
+/** One of {@linkcode DISTURBANCES}. */
+export type Disturbance = typeof DISTURBANCES[number];
 
 /** Range of the pause between two disturbances of a kind, in milliseconds. */
 const MIN_PAUSE_MS = 300;
